--- /dev/null
+++ b/src/controller/controller.ts
@@ -0,0 +1,367 @@
+import type { AdviceAnswer, Advisor, OrderClient } from '../ports/order-client.ts'
+import type { Store, StoreChange, StoreEntry } from '../ports/store.ts'
+import { assertNever } from '../util/assert-never.ts'
+import type { CellConfiguration } from '../workflow/cell-configuration.ts'
+import { Cell } from '../workflow/cell.ts'
+import type { CellEffect } from '../workflow/effect.ts'
+import type { CellEvent } from '../workflow/event.ts'
+import type { JobDefinition, JobPhase } from '../workflow/job.ts'
+import type { JobProgress } from '../workflow/progress-record.ts'
+import type { TargetEntry } from '../workflow/target-entry.ts'
+import { AdviceLanes } from './advice-lanes.ts'
+import { Committer } from './committer.ts'
+import { delay } from './delay.ts'
+import { UNCONFIRMED_MS } from './leadership.ts'
+import type { Term } from './leadership.ts'
+import type { Peer } from './member-call.ts'
+import { PrefixWatcher } from './prefix-watcher.ts'
+import type { Report } from './report.ts'
+import { readAll } from './store-calls.ts'
+import { CANCEL_SUFFIX, JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY } from './store-keys.ts'
+import type { TargetsRecord } from './store-keys.ts'
+import { TargetSession } from './target-session.ts'
+
+const TICK_MS = 100
+/** Run numbers of one term; far more than a term starts. */
+const RUNS_PER_TERM = 1_000_000
+/** Changes below the jobs are read this often, in case the member that stored one could not tell the leader. */
+const JOB_POLL_MS = 1_000
+const TARGET_WATCH_WAIT_MS = 1_500
+const RESTORE_RETRY_MS = 200
+/** A member that has not said hello for this time gets no questions for advice. */
+const PEER_TIMEOUT_MS = 3_500
+/** A loop that is late by more than this may have been suspended, in milliseconds. */
+const SUSPENSION_MS = 700
+/** A target's clock may be slower than ours by this part. */
+const LEASE_ALLOWANCE = 1.03
+
+export type ControllerOptions = {
+  readonly store: Store
+  readonly term: Term
+  readonly orders: OrderClient
+  readonly advisor: Advisor
+  readonly self: Peer
+  readonly report: Report
+  readonly leaseMs: number
+  /** Prefix of the keys under which targets publish themselves, and the reader of their values. */
+  readonly targetPrefix: string
+  readonly readTarget: (key: string, value: string) => TargetEntry | undefined
+  readonly askPeer: (peer: Peer, step: string, targets: readonly string[], timeoutMs: number) => Promise<AdviceAnswer>
+  /** Whether the lease was confirmed so recently that no other member can lead. */
+  readonly confirmed: () => boolean
+  readonly onFenced: (reason: string) => void
+}
+
+/** What the leader of a cell runs: the scheduler, a session for each target, the commits and the questions for advice. */
+export class Controller {
+  private readonly cell: Cell
+  private readonly committer: Committer
+  private readonly lanes: AdviceLanes
+  private readonly sessions = new Map<string, TargetSession>()
+  private readonly peers = new Map<string, { readonly peer: Peer, seenAt: number }>()
+  private readonly watchers: PrefixWatcher[] = []
+  private readonly publishedTargets = new Set<string>()
+  private earlierTargets: readonly string[] = []
+  private timer: NodeJS.Timeout | undefined
+  private commitWaiters: Array<() => void> = []
+  private startQueued = false
+  private stopped = false
+  private restored = false
+  private lastTickAt = Date.now()
+  private suspendedUntilConfirmed = false
+  private readonly electedAt = performance.now()
+
+  private constructor (private readonly options: ControllerOptions) {
+    this.cell = Cell.create({ firstRun: (options.term.term - 1) * RUNS_PER_TERM + 1, leaseMs: options.leaseMs })
+    this.committer = Committer.create({
+      store: options.store,
+      term: options.term.term,
+      commitVersion: options.term.commitVersion,
+      report: options.report,
+      progressOf: (job) => this.cell.progressOf(job),
+      processedEnds: () => this.cell.processedEnds(),
+      onStored: ({ phases, ends, targets }) => {
+        this.apply({ type: 'progress-stored', phases, ends })
+        if (targets !== undefined) this.apply({ type: 'targets-stored', ids: targets })
+        for (const waiter of this.commitWaiters.splice(0)) waiter()
+      },
+      onFenced: () => options.onFenced('another leader has written to the store')
+    })
+    this.lanes = AdviceLanes.create({
+      onAnswer: (question, answer) => {
+        if (answer.type === 'failed') options.report.count('advice-failed', answer.reason)
+        this.apply({ type: 'advised', step: question.step, asked: question.targets, answer })
+      }
+    })
+    this.addLane(options.self)
+  }
+
+  /**
+   * Begins a term: restores what the store and the targets know, then schedules.
+   *
+   * @example
+   * const controller = Controller.create({ store, term, orders, advisor, self, report, ... })
+   */
+  static create (options: ControllerOptions): Controller {
+    const controller = new Controller(options)
+    controller.begin().catch((error: unknown) => options.report.log('error', 'restore-failed', { detail: String(error) }))
+    return controller
+  }
+
+  /** Phase of a job; `unknown` until everything has been restored. */
+  phaseOf (id: string): JobPhase | 'unknown' | undefined {
+    return this.restored ? this.cell.phaseOf(id) : 'unknown'
+  }
+
+  get waiting (): Readonly<Record<string, number>> {
+    return this.cell.waitingByQueue()
+  }
+
+  get members (): readonly Peer[] {
+    return [...this.peers.values()].map(({ peer }) => peer)
+  }
+
+  welcome (peer: Peer): void {
+    const known = this.peers.get(peer.member)
+    this.peers.set(peer.member, { peer, seenAt: performance.now() })
+    if (known?.peer.address !== peer.address) this.addLane(peer)
+  }
+
+  configure (configuration: CellConfiguration): void {
+    this.apply({ type: 'configured', configuration })
+  }
+
+  setDomainsOut (domains: readonly string[]): void {
+    this.apply({ type: 'domains-out', domains })
+  }
+
+  /** A member tells of a job that it has stored. */
+  accept (definition: JobDefinition): void {
+    // While another member may lead, that one starts new jobs.
+    if (this.restored && this.options.confirmed()) this.apply({ type: 'job-accepted', definition })
+  }
+
+  cancel (id: string): void {
+    this.apply({ type: 'job-cancelled', id })
+  }
+
+  stop (): void {
+    this.stopped = true
+    clearInterval(this.timer)
+    this.committer.stop()
+    this.lanes.stop()
+    for (const watcher of this.watchers) watcher.stop()
+    for (const session of this.sessions.values()) session.stop()
+  }
+
+  private addLane (peer: Peer): void {
+    const { self, advisor, askPeer } = this.options
+    this.lanes.add({
+      name: peer.member,
+      ask: ({ step, targets, costMs }) => {
+        const timeoutMs = costMs * 1.5 + 500
+        return peer.member === self.member ? advisor.advise(step, targets, timeoutMs) : askPeer(peer, step, targets, timeoutMs)
+      }
+    })
+  }
+
+  private async begin (): Promise<void> {
+    this.cell.expectEarlierRuns()
+    this.timer = setInterval(() => this.tick(), TICK_MS)
+    const version = await this.restore()
+    if (version === undefined) return
+    this.watchTargets()
+    this.watchJobs()
+    this.restored = true
+  }
+
+  /** Reads jobs, progress and the targets of earlier leaders; tries until it succeeds or the term ends. */
+  private async restore (): Promise<number | undefined> {
+    const { store, report } = this.options
+    const startedAt = performance.now()
+    while (!this.stopped) {
+      const [jobs, progress, targets] = await Promise.all([readAll(store, JOB_PREFIX), readAll(store, PROGRESS_PREFIX), readAll(store, TARGETS_KEY)])
+      if (jobs.isOk() && progress.isOk() && targets.isOk()) {
+        this.earlierTargets = (targets.value.entries.map(({ value }) => JSON.parse(value) as TargetsRecord).at(0))?.ids ?? []
+        this.apply({ type: 'targets-stored', ids: this.earlierTargets })
+        this.restoreJobs(jobs.value.entries, progress.value.entries)
+        report.log('info', 'jobs-restored', { jobs: jobs.value.entries.length, durationMs: Math.round(performance.now() - startedAt) })
+        return jobs.value.version
+      }
+      await delay(RESTORE_RETRY_MS)
+    }
+    return undefined
+  }
+
+  private restoreJobs (jobs: readonly StoreEntry[], progress: readonly StoreEntry[]): void {
+    const stored = new Map(progress.map(({ key, value }) => [key.slice(PROGRESS_PREFIX.length), value]))
+    for (const { key, value } of jobs) {
+      if (key.endsWith(CANCEL_SUFFIX)) continue
+      const definition = JSON.parse(value) as JobDefinition
+      const known = stored.get(definition.id)
+      this.apply({ type: 'job-restored', definition, progress: known === undefined ? undefined : JSON.parse(known) as JobProgress })
+    }
+    for (const { key } of jobs) {
+      if (key.endsWith(CANCEL_SUFFIX)) this.cancel(idOfCancelKey(key))
+    }
+  }
+
+  private watchTargets (): void {
+    const { store, report, targetPrefix } = this.options
+    this.watchers.push(PrefixWatcher.create({
+      store,
+      prefix: targetPrefix,
+      waitMs: TARGET_WATCH_WAIT_MS,
+      report,
+      onEntries: (entries) => this.replaceTargets(entries),
+      onChanges: (changes) => {
+        for (const change of changes) this.takeTargetChange(change)
+      }
+    }))
+  }
+
+  private replaceTargets (entries: readonly StoreEntry[]): void {
+    const present = new Set(entries.map(({ key }) => key.slice(this.options.targetPrefix.length)))
+    for (const id of [...this.publishedTargets]) {
+      if (!present.has(id)) this.withdraw(id)
+    }
+    for (const entry of entries) this.takeTarget(entry)
+  }
+
+  private takeTargetChange (change: StoreChange): void {
+    if (change.type === 'put') this.takeTarget(change.entry)
+    else this.withdraw(change.key.slice(this.options.targetPrefix.length))
+  }
+
+  private takeTarget ({ key, value }: StoreEntry): void {
+    const entry = this.options.readTarget(key, value)
+    if (entry === undefined) return this.withdraw(key.slice(this.options.targetPrefix.length))
+    this.publishedTargets.add(entry.id)
+    this.apply({ type: 'target-published', entry })
+  }
+
+  private withdraw (id: string): void {
+    this.publishedTargets.delete(id)
+    this.apply({ type: 'target-withdrawn', id })
+  }
+
+  private watchJobs (): void {
+    const { store, report } = this.options
+    this.watchers.push(PrefixWatcher.create({
+      store,
+      prefix: JOB_PREFIX,
+      waitMs: 0,
+      pauseMs: JOB_POLL_MS,
+      report,
+      onEntries: (entries) => entries.forEach((entry) => this.takeJob(entry)),
+      onChanges: (changes) => {
+        for (const change of changes) {
+          if (change.type === 'put') this.takeJob(change.entry)
+        }
+      }
+    }))
+  }
+
+  private takeJob ({ key, value }: StoreEntry): void {
+    if (key.endsWith(CANCEL_SUFFIX)) this.cancel(idOfCancelKey(key))
+    else this.apply({ type: 'job-accepted', definition: JSON.parse(value) as JobDefinition })
+  }
+
+  private tick (): void {
+    const now = Date.now()
+    const lateMs = Math.abs(now - this.lastTickAt) - TICK_MS
+    this.lastTickAt = now
+    if (lateMs > SUSPENSION_MS && !this.options.confirmed()) {
+      this.suspendedUntilConfirmed = true
+      this.options.report.log('warn', 'process-was-suspended', { lateMs })
+    }
+    if (this.suspendedUntilConfirmed && this.options.confirmed()) this.suspendedUntilConfirmed = false
+    this.dropSilentPeers()
+    this.checkEarlierRuns()
+    this.apply({ type: 'tick' })
+  }
+
+  private dropSilentPeers (): void {
+    for (const [member, { seenAt }] of this.peers) {
+      if (performance.now() - seenAt < PEER_TIMEOUT_MS) continue
+      this.peers.delete(member)
+      this.lanes.remove(member)
+    }
+  }
+
+  /** Once all targets of earlier leaders are listed, or their runs have lapsed, restored tasks may start. */
+  private checkEarlierRuns (): void {
+    if (!this.restored || !this.cell.earlierRunsExpected) return
+    const lapsed = performance.now() - this.electedAt > UNCONFIRMED_MS + this.options.leaseMs * LEASE_ALLOWANCE
+    const listed = this.cell.allListed && this.earlierTargets.every((id) => this.cell.target(id)?.listed === true)
+    if (lapsed || listed || !this.options.term.hadPredecessor) this.apply({ type: 'earlier-runs-lapsed' })
+  }
+
+  private apply (event: CellEvent): void {
+    if (this.stopped) return
+    this.run(this.cell.apply(event, performance.now()))
+    this.queueStart()
+  }
+
+  /** Starts once for all events of one turn of the event loop. */
+  private queueStart (): void {
+    if (this.startQueued) return
+    this.startQueued = true
+    setImmediate(() => {
+      this.startQueued = false
+      if (!this.stopped) this.run(this.cell.start(performance.now()))
+    })
+  }
+
+  private run (effects: readonly CellEffect[]): void {
+    for (const effect of effects) this.carryOut(effect)
+  }
+
+  private carryOut (effect: CellEffect): void {
+    const { orders, report, term } = this.options
+    switch (effect.type) {
+      case 'start': return this.order(orders.start(effect, { ...effect.order, epoch: term.term }), (answer) => ({ type: 'start-answered', target: effect.target, task: effect.order.task, run: effect.order.run, answer }))
+      case 'stop': return this.order(orders.stop(effect, { ...effect.order, epoch: term.term }), (answer) => ({ type: 'stop-answered', target: effect.target, task: effect.order.task, run: effect.order.run, answer }))
+      case 'pace':
+        orders.pace(effect, { ...effect.order, epoch: term.term }).then((answer) => report.count('pace', answer.type), (error: unknown) => report.log('error', 'pace-failed', { detail: String(error) }))
+        return
+      case 'ask-advice': return this.lanes.ask(effect)
+      case 'store-progress': return this.committer.storeJob(effect.job)
+      case 'forget-job': return this.committer.forgetJob(effect.job)
+      case 'store-targets': return this.committer.storeTargets(effect.ids)
+      case 'watch-target': return this.watchTarget(effect.id)
+      case 'forget-target': return this.forgetTarget(effect.id)
+      case 'fenced': return this.options.onFenced(`target ${effect.target} has heard a newer term`)
+      case 'log': return report.log(effect.level, effect.message, effect.fields)
+      case 'count': return report.count(effect.counter, effect.reason)
+      default: return assertNever(effect)
+    }
+  }
+
+  private order<Answer> (pending: Promise<Answer>, eventOf: (answer: Answer) => CellEvent): void {
+    pending.then((answer) => this.apply(eventOf(answer)), (error: unknown) => this.options.report.log('error', 'order-failed', { detail: String(error) }))
+  }
+
+  private watchTarget (id: string): void {
+    this.sessions.get(id)?.stop()
+    this.sessions.set(id, TargetSession.create({
+      id,
+      orders: this.options.orders,
+      epoch: this.options.term.term,
+      leaseMs: this.options.leaseMs,
+      target: () => this.cell.target(id),
+      apply: (event) => this.apply(event),
+      nextCommit: () => new Promise((resolve) => this.commitWaiters.push(resolve)),
+      mayOrder: () => !this.suspendedUntilConfirmed
+    }))
+  }
+
+  private forgetTarget (id: string): void {
+    this.sessions.get(id)?.stop()
+    this.sessions.delete(id)
+  }
+}
+
+function idOfCancelKey (key: string): string {
+  return key.slice(JOB_PREFIX.length, -CANCEL_SUFFIX.length)
+}
--- /dev/null
+++ b/src/controller/leadership.ts
@@ -0,0 +1,215 @@
+import { randomUUID } from 'node:crypto'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { LeaseId, Store, StoreEntry } from '../ports/store.ts'
+import { delay } from './delay.ts'
+import { PrefixWatcher } from './prefix-watcher.ts'
+import type { Report } from './report.ts'
+import { callStore, readKey, transact, unchanged } from './store-calls.ts'
+import { COMMIT_KEY, LEADER_KEY, LEADER_PREFIX } from './store-keys.ts'
+import type { CommitRecord, LeaderRecord } from './store-keys.ts'
+
+/** Time for which the store keeps the leader's key without a renewal, in milliseconds. */
+const LEASE_TTL_MS = 2_000
+const RENEW_INTERVAL_MS = 500
+/**
+ * While the store answers nobody, no other member can take over, so the leader goes on for this time after its lease
+ * may have ended. A new leader that cannot reach a target waits for this time before it starts that target's tasks.
+ */
+export const UNCONFIRMED_MS = 8_000
+/** Longest that the last renewal is behind while the leader takes new work, in milliseconds. */
+const CONFIRMED_MS = LEASE_TTL_MS - 200
+/** Claims of several members are spread over this time, in milliseconds. */
+const CLAIM_SPREAD_MS = 40
+const WATCH_WAIT_MS = 1_500
+const CLAIM_RETRY_MS = 150
+
+/** A term of leadership as it was won. */
+export type Term = {
+  readonly term: number
+  /** Version of the commit key that the term begins with. */
+  readonly commitVersion: number
+  /** False if no member has ever led. */
+  readonly hadPredecessor: boolean
+}
+
+export type LeadershipOptions = {
+  readonly store: Store
+  readonly member: string
+  readonly address: string
+  readonly report: Report
+  readonly onElected: (term: Term) => void
+  readonly onDeposed: (reason: string) => void
+}
+
+type Held = { readonly lease: LeaseId, readonly term: number, readonly nonce: string, renewedAt: number }
+
+/**
+ * Claims the leadership whenever nobody holds it, and keeps it by renewing a lease of the store.
+ *
+ * @example
+ * const leadership = Leadership.create({ store, member: 'entry-1', address: '10.0.0.1:7420', report, onElected, onDeposed })
+ */
+export class Leadership {
+  private readonly watcher: PrefixWatcher
+  private readonly stopped = new AbortController()
+  private held: Held | undefined
+  private seen: LeaderRecord | undefined
+  private claiming = false
+  private candidate = true
+
+  private constructor (private readonly options: LeadershipOptions) {
+    this.watcher = PrefixWatcher.create({
+      store: options.store,
+      prefix: LEADER_PREFIX,
+      waitMs: WATCH_WAIT_MS,
+      report: options.report,
+      onEntries: (entries) => this.see(entries.find((entry) => entry.key === LEADER_KEY)),
+      onChanges: (changes) => {
+        const last = changes.filter((change) => (change.type === 'put' ? change.entry.key : change.key) === LEADER_KEY).at(-1)
+        if (last !== undefined) this.see(last.type === 'put' ? last.entry : undefined)
+      }
+    })
+    this.renewLoop().catch((error: unknown) => options.report.log('error', 'renewal-failed', { detail: String(error) }))
+  }
+
+  static create (options: LeadershipOptions): Leadership {
+    return new Leadership(options)
+  }
+
+  /** Who leads, as far as this member has seen. */
+  get leader (): LeaderRecord | undefined {
+    return this.seen
+  }
+
+  get leading (): boolean {
+    return this.held !== undefined
+  }
+
+  /** Whether the store has confirmed the lease so recently that no other member can hold it. */
+  get confirmed (): boolean {
+    return this.held !== undefined && performance.now() - this.held.renewedAt < CONFIRMED_MS
+  }
+
+  /** Gives up the leadership, for example because a target has heard a newer term. */
+  depose (reason: string): void {
+    if (this.held === undefined) return
+    const { term } = this.held
+    this.held = undefined
+    this.options.report.log('warn', 'leadership-lost', { term, reason })
+    this.options.onDeposed(reason)
+  }
+
+  /** Leaves the leadership to another member and takes no part in claims any more. */
+  async resign (): Promise<void> {
+    this.candidate = false
+    const { held } = this
+    if (held === undefined) return
+    this.depose('this member is stopping')
+    await this.revoke(held.lease)
+  }
+
+  stop (): void {
+    this.stopped.abort()
+    this.watcher.stop()
+  }
+
+  private see (entry: StoreEntry | undefined): void {
+    this.seen = entry === undefined ? undefined : parseLeader(entry.value)
+    this.options.report.log('info', 'leader-seen', { leader: this.seen?.member ?? 'none', term: this.seen?.term ?? 0, version: entry?.version ?? 0 })
+    if (this.held !== undefined && this.seen?.nonce !== this.held.nonce) this.depose('the store names another leader or none')
+    if (this.seen === undefined) this.claim().catch((error: unknown) => this.options.report.log('error', 'claim-failed', { detail: String(error) }))
+  }
+
+  private async claim (): Promise<void> {
+    if (this.claiming) return
+    this.claiming = true
+    try {
+      while (this.mayClaim()) {
+        await delay(Math.random() * CLAIM_SPREAD_MS, this.stopped.signal)
+        if (!this.mayClaim()) return
+        const claimed = await this.tryClaim()
+        if (claimed) return
+        await delay(CLAIM_RETRY_MS, this.stopped.signal)
+      }
+    } finally {
+      this.claiming = false
+    }
+  }
+
+  private mayClaim (): boolean {
+    return this.candidate && !this.stopped.signal.aborted && this.seen === undefined && this.held === undefined
+  }
+
+  /** Whether the claim was decided, for or against this member. */
+  private async tryClaim (): Promise<boolean> {
+    const { store, member, address } = this.options
+    const before = await readKey(store, COMMIT_KEY)
+    if (before.isErr()) return false
+    const sentAt = performance.now()
+    const lease = await callStore(store, { type: 'grant-lease', ttlMs: LEASE_TTL_MS })
+    if (lease.isErr()) return false
+    const previous = before.value === undefined ? undefined : parseCommit(before.value.value)
+    const term = (previous?.term ?? 0) + 1
+    const nonce = randomUUID()
+    const record: LeaderRecord = { member, address, term, nonce }
+    const commit: CommitRecord = { term, nonce }
+    const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }]
+    const written = await transact(store, [{ type: 'absent', key: LEADER_KEY }, unchanged(COMMIT_KEY, before.value?.version)], puts)
+    const version = written.isOk() ? (written.value.committed ? written.value.version : undefined) : await this.findOutcome(nonce)
+    if (version === undefined || !this.candidate) {
+      await this.revoke(lease.value.lease)
+      return written.isOk()
+    }
+    this.held = { lease: lease.value.lease, term, nonce, renewedAt: sentAt }
+    this.seen = record
+    this.options.report.log('info', 'leadership-won', { term, version })
+    this.options.onElected({ term, commitVersion: version, hadPredecessor: previous !== undefined })
+    return true
+  }
+
+  /** Version of the commit key if the claim with this nonce took effect although its answer was lost. */
+  private async findOutcome (nonce: string): Promise<number | undefined> {
+    const entry = await readKey(this.options.store, COMMIT_KEY)
+    if (entry.isErr() || entry.value === undefined) return undefined
+    return parseCommit(entry.value.value)?.nonce === nonce ? entry.value.version : undefined
+  }
+
+  private async revoke (lease: LeaseId): Promise<void> {
+    const revoked = await callStore(this.options.store, { type: 'revoke-lease', lease })
+    if (revoked.isErr()) this.options.report.log('warn', 'lease-not-revoked', { lease, reason: revoked.error.reason })
+  }
+
+  private async renewLoop (): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      await delay(RENEW_INTERVAL_MS, this.stopped.signal)
+      if (this.held !== undefined) await this.renew(this.held)
+    }
+  }
+
+  private async renew (held: Held): Promise<void> {
+    const sentAt = performance.now()
+    const answer = await callStore(this.options.store, { type: 'renew-lease', lease: held.lease })
+    if (this.held !== held) return
+    if (answer.isOk() && answer.value.alive) held.renewedAt = sentAt
+    else if (answer.isOk()) this.depose('its lease has ended')
+    else if (performance.now() - held.renewedAt > LEASE_TTL_MS + UNCONFIRMED_MS) this.depose('the store has not answered for too long')
+  }
+}
+
+function parseLeader (value: string): LeaderRecord | undefined {
+  return parseRecord<LeaderRecord>(value).unwrapOr(undefined)
+}
+
+function parseCommit (value: string): CommitRecord | undefined {
+  return parseRecord<CommitRecord>(value).unwrapOr(undefined)
+}
+
+/** Only members write these keys, so that the text is trusted apart from its syntax. */
+function parseRecord<Content> (value: string): Result<Content | undefined, SyntaxError> {
+  try {
+    return ok(JSON.parse(value) as Content)
+  } catch (error) {
+    return err(error as SyntaxError)
+  }
+}
--- /dev/null
+++ b/src/controller/member-call.ts
@@ -0,0 +1,26 @@
+import type { AdviceAnswer } from '../ports/order-client.ts'
+import type { JobDefinition, JobPhase } from '../workflow/job.ts'
+
+export type Peer = { readonly member: string, readonly address: string }
+
+/** What one member asks another. */
+export type MemberCall =
+  /** A member tells the leader that it is there, once a second. */
+  | { readonly type: 'hello', readonly peer: Peer }
+  /** A job was stored. */
+  | { readonly type: 'job-stored', readonly definition: JobDefinition }
+  /** The cancelling of a job was stored. */
+  | { readonly type: 'cancel-stored', readonly id: string }
+  | { readonly type: 'phase', readonly id: string }
+  /** Asks for advice on behalf of the leader: the advisor takes one call at a time from each member. */
+  | { readonly type: 'advise', readonly step: string, readonly targets: readonly string[], readonly timeoutMs: number }
+
+export type MemberAnswer =
+  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> }
+  | { readonly type: 'noted' }
+  | { readonly type: 'phase', readonly phase: JobPhase | undefined }
+  | { readonly type: 'advice', readonly answer: AdviceAnswer }
+  /** The member does not lead, or cannot be sure that it still does. */
+  | { readonly type: 'not-leading' }
+
+export type MemberCallFailure = { readonly reason: 'timeout' | 'unavailable' | 'rejected' }
--- /dev/null
+++ b/src/controller/store-keys.ts
@@ -0,0 +1,40 @@
+/**
+ * Keys in the store. `lead/holder` has the lease of the leader; `state/commit` is written by each commit of the leader
+ * and by each takeover, so that a commit of an earlier leader, or a late one, fails.
+ */
+export const LEADER_PREFIX = 'lead/'
+export const LEADER_KEY = 'lead/holder'
+export const COMMIT_KEY = 'state/commit'
+export const TARGETS_KEY = 'state/targets'
+export const JOB_PREFIX = 'jobs/'
+export const CANCEL_SUFFIX = '/cancelled'
+export const PROGRESS_PREFIX = 'progress/'
+
+export function jobKey (id: string): string {
+  return `${JOB_PREFIX}${id}`
+}
+
+export function cancelKey (id: string): string {
+  return `${JOB_PREFIX}${id}${CANCEL_SUFFIX}`
+}
+
+export function progressKey (id: string): string {
+  return `${PROGRESS_PREFIX}${id}`
+}
+
+/** Who leads, as stored under `lead/holder`. */
+export type LeaderRecord = {
+  readonly member: string
+  /** Where the other members reach it. */
+  readonly address: string
+  /** Rises with each takeover; targets refuse orders of lower terms. */
+  readonly term: number
+  /** Tells this claim from others of the same member. */
+  readonly nonce: string
+}
+
+/** The last commit or takeover, as stored under `state/commit`. */
+export type CommitRecord = { readonly term: number, readonly nonce: string }
+
+/** Targets that may hold runs, as stored under `state/targets`. */
+export type TargetsRecord = { readonly ids: readonly string[] }
--- /dev/null
+++ b/src/controller/target-session.ts
@@ -0,0 +1,89 @@
+import type { ListAnswer, OrderClient } from '../ports/order-client.ts'
+import type { CellEvent } from '../workflow/event.ts'
+import type { TargetState } from '../workflow/target-state.ts'
+import { delay } from './delay.ts'
+
+/** How long a listing waits at the target for an end, in milliseconds. */
+const WAIT_MS = 1_500
+/** Where tasks that serve share a target with tasks that fill, their gauges are looked at more often. */
+const PACED_WAIT_MS = 500
+/** How long the next listing waits for ends to be stored, so that it can acknowledge them. */
+const STORE_WAIT_MS = 60
+const RETRY_MS = 250
+/** Least time between two listings while ends cannot be acknowledged. */
+const UNACKNOWLEDGED_PAUSE_MS = 200
+
+export type TargetSessionOptions = {
+  readonly id: string
+  readonly orders: OrderClient
+  readonly epoch: number
+  readonly leaseMs: number
+  readonly target: () => TargetState | undefined
+  readonly apply: (event: CellEvent) => void
+  /** Resolves with the next commit. */
+  readonly nextCommit: () => Promise<void>
+  /** Whether this member may still send orders. */
+  readonly mayOrder: () => boolean
+}
+
+/** Keeps the lease of one target's runs and reads its ends, with one listing at a time. */
+export class TargetSession {
+  private readonly stopped = new AbortController()
+
+  private constructor (private readonly options: TargetSessionOptions) {}
+
+  /**
+   * @example
+   * const session = TargetSession.create({ id: 't-1', orders, epoch: 3, leaseMs: 5_000, target, apply, nextCommit, mayOrder })
+   */
+  static create (options: TargetSessionOptions): TargetSession {
+    const session = new TargetSession(options)
+    session.run().catch((error: unknown) => { throw error })
+    return session
+  }
+
+  stop (): void {
+    this.stopped.abort()
+  }
+
+  private async run (): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      const target = this.options.target()
+      if (target === undefined) return
+      if (!this.options.mayOrder()) {
+        await delay(RETRY_MS, this.stopped.signal)
+        continue
+      }
+      await this.exchange(target)
+    }
+  }
+
+  private async exchange (target: TargetState): Promise<void> {
+    const { id, orders, epoch } = this.options
+    const sentAt = performance.now()
+    const clock = target.clockAt(sentAt)
+    const leaseUntilMs = clock === undefined ? undefined : Math.floor(clock + this.options.leaseMs)
+    if (leaseUntilMs !== undefined) target.leaseUntilMs = Math.max(target.leaseUntilMs, leaseUntilMs)
+    const order = { epoch, acknowledged: target.acknowledged, leaseUntilMs, waitMs: waitOf(target) }
+    const answer = await orders.list({ id, address: target.entry.address }, order)
+    if (this.stopped.signal.aborted) return
+    await this.take(target, answer, sentAt)
+  }
+
+  private async take (target: TargetState, answer: ListAnswer, sentAt: number): Promise<void> {
+    const { id, apply } = this.options
+    if (answer.type !== 'listed') {
+      apply({ type: 'target-silent', id, refusal: answer.type === 'refused' ? answer.reason : undefined })
+      return delay(RETRY_MS, this.stopped.signal)
+    }
+    apply({ type: 'target-listed', id, sentAt, listing: answer.listing })
+    if (target.processed === target.acknowledged) return
+    await Promise.race([this.options.nextCommit(), delay(STORE_WAIT_MS, this.stopped.signal)])
+    if (target.processed !== target.acknowledged && answer.listing.ended.length > 0) await delay(UNACKNOWLEDGED_PAUSE_MS, this.stopped.signal)
+  }
+}
+
+function waitOf (target: TargetState): number {
+  if (!target.listed) return 0
+  return target.serving > 0 && target.fillCpuMillis > 0 ? PACED_WAIT_MS : WAIT_MS
+}
--- /dev/null
+++ b/src/workflow/effect.ts
@@ -0,0 +1,20 @@
+import type { PaceOrder, StartOrder, StopOrder } from '../ports/order-client.ts'
+
+type WithoutEpoch<Order> = Omit<Order, 'epoch'>
+
+/** What the scheduler of a cell wants done. */
+export type CellEffect =
+  | { readonly type: 'start', readonly target: string, readonly id: string, readonly address: string, readonly order: WithoutEpoch<StartOrder> }
+  | { readonly type: 'stop', readonly target: string, readonly id: string, readonly address: string, readonly order: WithoutEpoch<StopOrder> }
+  | { readonly type: 'pace', readonly target: string, readonly id: string, readonly address: string, readonly order: WithoutEpoch<PaceOrder> }
+  /** `urgent`: tasks could start now. */
+  | { readonly type: 'ask-advice', readonly step: string, readonly targets: readonly string[], readonly costMs: number, readonly urgent: boolean }
+  | { readonly type: 'store-progress', readonly job: string }
+  | { readonly type: 'forget-job', readonly job: string }
+  | { readonly type: 'store-targets', readonly ids: readonly string[] }
+  | { readonly type: 'watch-target', readonly id: string }
+  | { readonly type: 'forget-target', readonly id: string }
+  /** A target has heard a newer epoch: this owner must stop. */
+  | { readonly type: 'fenced', readonly target: string }
+  | { readonly type: 'log', readonly level: 'info' | 'warn' | 'error', readonly message: string, readonly fields: Readonly<Record<string, string | number | boolean>> }
+  | { readonly type: 'count', readonly counter: string, readonly reason: string }
--- /dev/null
+++ b/src/workflow/event.ts
@@ -0,0 +1,30 @@
+import type { AdviceAnswer, OrderAnswer, OrderRefusal } from '../ports/order-client.ts'
+import type { CellConfiguration } from './cell-configuration.ts'
+import type { JobDefinition, JobPhase } from './job.ts'
+import type { JobProgress } from './progress-record.ts'
+import type { TargetEntry, TargetListing } from './target-entry.ts'
+
+/** Ends of one life of a target that have been taken in, up to a number. */
+export type ProcessedEnds = { readonly target: string, readonly incarnation: number, readonly number: number }
+
+/** What the scheduler of a cell learns. Times are milliseconds of the process's steady clock. */
+export type CellEvent =
+  | { readonly type: 'configured', readonly configuration: CellConfiguration }
+  | { readonly type: 'domains-out', readonly domains: readonly string[] }
+  | { readonly type: 'target-published', readonly entry: TargetEntry }
+  | { readonly type: 'target-withdrawn', readonly id: string }
+  /** `sentAt`: when the question was sent; the listing is at least as new. */
+  | { readonly type: 'target-listed', readonly id: string, readonly sentAt: number, readonly listing: TargetListing }
+  | { readonly type: 'target-silent', readonly id: string, readonly refusal: OrderRefusal | undefined }
+  | { readonly type: 'start-answered', readonly target: string, readonly task: string, readonly run: number, readonly answer: OrderAnswer }
+  | { readonly type: 'stop-answered', readonly target: string, readonly task: string, readonly run: number, readonly answer: OrderAnswer }
+  | { readonly type: 'advised', readonly step: string, readonly asked: readonly string[], readonly answer: AdviceAnswer }
+  | { readonly type: 'job-accepted', readonly definition: JobDefinition }
+  | { readonly type: 'job-restored', readonly definition: JobDefinition, readonly progress: JobProgress | undefined }
+  | { readonly type: 'job-cancelled', readonly id: string }
+  /** All records that were handed out before have been stored. */
+  | { readonly type: 'progress-stored', readonly phases: ReadonlyMap<string, JobPhase>, readonly ends: readonly ProcessedEnds[] }
+  | { readonly type: 'targets-stored', readonly ids: readonly string[] }
+  /** Runs of an earlier owner on targets that could not be listed have lapsed. */
+  | { readonly type: 'earlier-runs-lapsed' }
+  | { readonly type: 'tick' }
--- /dev/null
+++ b/src/workflow/jobs.ts
@@ -0,0 +1,94 @@
+import { log, queueOf } from './cell-state.ts'
+import type { CellState } from './cell-state.ts'
+import type { JobDefinition, JobPhase } from './job.ts'
+import { isFinal } from './job.ts'
+import type { JobProgress } from './progress-record.ts'
+import { restoreProgress } from './progress-record.ts'
+import { stopJob } from './runs.ts'
+import type { StepRun, Task } from './task.ts'
+import { Job } from './task.ts'
+
+/** Failed runs of one task after which its job has failed, where the queue is not known. */
+const FALLBACK_ATTEMPTS = 2
+
+/** Adds a job that a caller has submitted; a known one stays as it is. */
+export function acceptJob (state: CellState, definition: JobDefinition): void {
+  if (state.jobs.has(definition.id)) return
+  addJob(state, Job.create(definition, state.now, false))
+}
+
+/** Adds a job that the store held when this owner began. */
+export function restoreJob (state: CellState, definition: JobDefinition, progress: JobProgress | undefined): void {
+  if (state.jobs.has(definition.id)) return
+  const job = Job.create(definition, state.now, true)
+  if (progress !== undefined) restoreProgress(job, progress)
+  if (isFinal(job.phase)) job.endedAt = state.now
+  addJob(state, job)
+}
+
+function addJob (state: CellState, job: Job): void {
+  state.jobs.set(job.definition.id, job)
+  for (const steps of job.occurrences.values()) openSteps(state, steps)
+  openDueOccurrences(state, job)
+}
+
+/** Opens the occurrences of a job whose time has come. */
+export function openDueOccurrences (state: CellState, job: Job): void {
+  const { firstAtMs, intervalMs, occurrences } = job.definition
+  while (job.active && job.nextOccurrence < occurrences) {
+    if (firstAtMs > 0 && firstAtMs + job.nextOccurrence * intervalMs > Date.now()) return
+    openSteps(state, job.openOccurrence())
+  }
+}
+
+function openSteps (state: CellState, steps: readonly StepRun[]): void {
+  for (const step of steps) {
+    if (!step.done) state.open.add(step)
+  }
+  state.stale = true
+}
+
+/** Marks a task as ended; the step and the job may end with it. */
+export function finishTask (state: CellState, task: Task): void {
+  if (task.phase === 'done') return
+  task.phase = 'done'
+  const { step } = task
+  step.unfinished -= 1
+  state.effects.push({ type: 'store-progress', job: step.job.definition.id })
+  if (!step.done) return
+  state.open.delete(step)
+  state.stale = true
+  finishOccurrence(state, step)
+}
+
+function finishOccurrence (state: CellState, step: StepRun): void {
+  const { job } = step
+  const steps = job.occurrences.get(step.occurrence)!
+  if (!steps.every((sibling) => sibling.done)) return
+  if (job.nextOccurrence >= job.definition.occurrences && [...job.occurrences.values()].flat().every((open) => open.done)) endJob(state, job, 'completed', 'all tasks have ended')
+}
+
+/** Counts a failed run of a task that is not long-running; its job fails with the last attempt. */
+export function countFailure (state: CellState, task: Task): void {
+  const { step } = task
+  if (step.spec.longRunning || !step.job.active) return
+  task.failures += 1
+  if (step.spec.gang) step.gangFailures += 1
+  state.effects.push({ type: 'store-progress', job: step.job.definition.id })
+  const limit = queueOf(state, step.job.definition)?.maxAttempts ?? FALLBACK_ATTEMPTS
+  const failures = step.spec.gang ? step.gangFailures : task.failures
+  if (failures >= limit) endJob(state, step.job, 'failed', `task ${task.key} failed ${failures} times`)
+}
+
+/** Ends a job: its steps close and its runs are stopped. */
+export function endJob (state: CellState, job: Job, phase: JobPhase, reason: string): void {
+  if (!job.active) return
+  job.phase = phase
+  job.endedAt = state.now
+  for (const steps of job.occurrences.values()) {
+    for (const step of steps) state.open.delete(step)
+  }
+  stopJob(state, job.tasks(), phase)
+  state.effects.push({ type: 'store-progress', job: job.definition.id })
+  log(state, 'info', 'job-ended', { job: job.definition.id, phase, reason })
+}
--- /dev/null
+++ b/src/workflow/options.ts
@@ -0,0 +1,21 @@
+/** Times and limits of the scheduler of a cell. */
+export type CellOptions = {
+  /** How long a run may go on without word from us, in milliseconds. Source: at most the targets' own bound. */
+  readonly leaseMs: number
+  /** After this time without an answer an order is sent again, in milliseconds. */
+  readonly resendAfterMs: number
+  /** Most targets named in one question for advice. */
+  readonly adviceTargets: number
+  /** First run number of this owner. */
+  readonly firstRun: number
+  /** How long a job is known after its end, in milliseconds. */
+  readonly retentionMs: number
+}
+
+export const DEFAULT_CELL_OPTIONS: CellOptions = {
+  leaseMs: 5_000,
+  resendAfterMs: 400,
+  adviceTargets: 100,
+  firstRun: 1,
+  retentionMs: 150_000
+}
--- /dev/null
+++ b/src/workflow/placement.ts
@@ -0,0 +1,114 @@
+import { queueOf, usedBy } from './cell-state.ts'
+import type { CellState } from './cell-state.ts'
+import type { Demand } from './job.ts'
+import type { TargetState } from './target-state.ts'
+import type { StepRun, Task } from './task.ts'
+
+/** A target with a larger part of recent failures gets no work while others have room. */
+const SUSPECT_FAILURE_SHARE = 0.45
+/** A task whose next failure ends its job goes only to targets that fail less than this. */
+const TRUSTED_FAILURE_SHARE = 0.2
+
+const BONUS = { dataRack: 4, serving: 3, failures: 6, cold: 1 } as const
+
+/** Whether the organisation of the job may start one more task of this size. */
+export function withinMaximum (state: CellState, organisation: string, demand: Demand): boolean {
+  const maximum = state.organisations.get(organisation)?.maximum
+  if (maximum === undefined) return true
+  const used = usedBy(state, organisation)
+  return within(used.cpuMillis, demand.cpuMillis, maximum.cpuMillis) &&
+    within(used.memoryMiB, demand.memoryMiB, maximum.memoryMiB) &&
+    within(used.accelerators, demand.accelerators, maximum.accelerators)
+}
+
+/** A single task may be larger than the whole maximum. */
+function within (used: number, wanted: number, maximum: number): boolean {
+  return maximum === 0 || wanted === 0 || used === 0 || used + wanted <= maximum
+}
+
+/** Whether a target takes new work at all. */
+export function takesWork (state: CellState, target: TargetState): boolean {
+  return target.reachable && target.listed && target.published && !target.entry.draining &&
+    target.pausedUntil <= state.now && !state.domainsOut.has(target.entry.failureDomain) && state.storedTargets.has(target.id)
+}
+
+/** Whether a target has room for one task of the step, apart from advice. */
+export function hasRoom (target: TargetState, step: StepRun): boolean {
+  const { spec } = step
+  const free = target.free()
+  if (!spec.fills && spec.demand.cpuMillis > free.cpuMillis) return false
+  return spec.demand.memoryMiB <= free.memoryMiB && spec.demand.accelerators <= free.accelerators
+}
+
+/** Targets that the step could use if advice allowed it, whatever their present room. */
+export function suitableTargets (state: CellState, step: StepRun): readonly TargetState[] {
+  const { spec, job } = step
+  const pool = queueOf(state, job.definition)?.pool
+  return [...state.targets.values()].filter(({ entry }) => (
+    entry.pool === pool && (spec.requiredLabel === undefined || entry.labels.includes(spec.requiredLabel)) &&
+      spec.demand.memoryMiB <= entry.capacity.memoryMiB && spec.demand.accelerators <= entry.capacity.accelerators &&
+      (spec.fills || spec.demand.cpuMillis <= entry.capacity.cpuMillis)
+  ))
+}
+
+/** Whether a task may be put beside the tasks of its step that the target already has. */
+function withinPerTargetLimit (target: TargetState, step: StepRun): boolean {
+  const limit = step.spec.perTargetLimit
+  if (limit === 0) return true
+  let present = 0
+  for (const live of target.runs.values()) {
+    if (live.task.step === step) present += 1
+  }
+  return present < limit
+}
+
+/** Whether the task may start on the target now, advice included. */
+export function canStart (state: CellState, target: TargetState, task: Task): boolean {
+  const { step } = task
+  if (!takesWork(state, target) || !hasRoom(target, step) || !withinPerTargetLimit(target, step)) return false
+  return !needsAdvice(state, step) || step.advice.ticket(target.id, target.entry.incarnation, state.now) !== undefined
+}
+
+export function needsAdvice (state: CellState, step: StepRun): boolean {
+  return queueOf(state, step.job.definition)?.advice !== undefined
+}
+
+/** The best target for a task among the given ones, or undefined. */
+export function chooseTarget (state: CellState, candidates: readonly TargetState[], task: Task): TargetState | undefined {
+  let best: TargetState | undefined
+  let bestScore = -Infinity
+  for (const target of candidates) {
+    if (!canStart(state, target, task) || isAvoided(state, target, task)) continue
+    const score = scoreOf(state, target, task)
+    if (score <= bestScore) continue
+    best = target
+    bestScore = score
+  }
+  return best
+}
+
+/** Targets that fail much are left to others; the last attempt goes to trusted targets only. */
+function isAvoided (state: CellState, target: TargetState, task: Task): boolean {
+  const share = target.failureShare(state.now)
+  if (share > SUSPECT_FAILURE_SHARE) return true
+  if (task.step.spec.longRunning) return false
+  const limit = queueOf(state, task.step.job.definition)?.maxAttempts ?? 0
+  const failures = task.step.spec.gang ? task.step.gangFailures : task.failures
+  if (failures === 0) return false
+  if (task.failedOn === target.id) return true
+  return failures + 1 >= limit && share > TRUSTED_FAILURE_SHARE
+}
+
+function scoreOf (state: CellState, target: TargetState, task: Task): number {
+  const { spec } = task.step
+  const { capacity, rack, coldMs } = target.entry
+  const free = target.free()
+  const cpuLeft = (free.cpuMillis - spec.demand.cpuMillis - target.fillCpuMillis) / capacity.cpuMillis
+  const memoryLeft = (free.memoryMiB - spec.demand.memoryMiB) / capacity.memoryMiB
+  let score = Math.min(cpuLeft, memoryLeft)
+  if (spec.dataRack !== undefined && spec.dataRack === rack) score += BONUS.dataRack
+  if (spec.fills && target.serving > 0) score -= BONUS.serving
+  if (spec.latencyTargetMs > 0 && target.fillCpuMillis > 0) score -= BONUS.serving
+  if (coldMs > 0) score -= BONUS.cold
+  return score - BONUS.failures * target.failureShare(state.now)
+}
--- /dev/null
+++ b/src/workflow/progress-record.ts
@@ -0,0 +1,69 @@
+import type { Job, StepRun } from './task.ts'
+import type { JobPhase } from './job.ts'
+
+/** Stored progress of one step: ended tasks as a bit set in hexadecimal, and failures by task index. */
+export type StepProgress = {
+  readonly done: string
+  readonly failures: Readonly<Record<string, number>>
+  readonly gangFailures: number
+}
+
+/** What is stored about a job beside its definition; enough for a new owner to continue. */
+export type JobProgress = {
+  readonly phase: JobPhase
+  readonly nextOccurrence: number
+  /** Open occurrences: their steps in order. */
+  readonly open: Readonly<Record<string, readonly StepProgress[]>>
+}
+
+/**
+ * The progress of a job as it is stored.
+ *
+ * @example
+ * store.put(`progress/${job.definition.id}`, JSON.stringify(progressOf(job)))
+ */
+export function progressOf (job: Job): JobProgress {
+  const open = job.active ? [...job.occurrences].map(([occurrence, steps]) => [occurrence, steps.map(stepProgress)] as const) : []
+  return { phase: job.phase, nextOccurrence: job.nextOccurrence, open: Object.fromEntries(open) }
+}
+
+/**
+ * Applies stored progress to a job that has no open occurrence yet.
+ *
+ * @example
+ * restoreProgress(Job.create(definition, now, true), progress)
+ */
+export function restoreProgress (job: Job, progress: JobProgress): void {
+  job.phase = progress.phase
+  job.shownPhase = progress.phase
+  const open = Object.keys(progress.open).map(Number).sort((left, right) => left - right)
+  for (const occurrence of open) {
+    job.nextOccurrence = occurrence
+    const steps = job.openOccurrence()
+    progress.open[String(occurrence)]!.forEach((stored, index) => {
+      if (steps[index] !== undefined) restoreStep(steps[index], stored)
+    })
+  }
+  job.nextOccurrence = progress.nextOccurrence
+}
+
+function stepProgress (step: StepRun): StepProgress {
+  let bits = 0n
+  const failures: Record<string, number> = {}
+  for (const task of step.tasks) {
+    if (task.phase === 'done') bits |= 1n << BigInt(task.index)
+    if (task.failures > 0) failures[String(task.index)] = task.failures
+  }
+  return { done: bits.toString(16), failures, gangFailures: step.gangFailures }
+}
+
+function restoreStep (step: StepRun, stored: StepProgress): void {
+  const bits = BigInt(`0x${stored.done}`)
+  step.gangFailures = stored.gangFailures
+  for (const task of step.tasks) {
+    task.failures = stored.failures[String(task.index)] ?? 0
+    if ((bits >> BigInt(task.index) & 1n) === 0n) continue
+    task.phase = 'done'
+    step.unfinished -= 1
+  }
+}
--- /dev/null
+++ b/src/workflow/start-pass.ts
@@ -0,0 +1,109 @@
+import { askForTickets } from './advice-requests.ts'
+import { log, queueOf, usedBy } from './cell-state.ts'
+import type { CellState } from './cell-state.ts'
+import { placeGang } from './gang-placement.ts'
+import type { Demand } from './job.ts'
+import { chooseTarget, needsAdvice, suitableTargets, withinMaximum } from './placement.ts'
+import { addRun, removeRun, sendStart } from './runs.ts'
+import type { TargetState } from './target-state.ts'
+import type { StepRun, Task } from './task.ts'
+
+/** Starts whatever may start now: queues by priority, organisations by weighted use, then by age. */
+export function startPass (state: CellState): void {
+  state.stale = false
+  for (const step of inOrder(state)) startStep(state, step)
+}
+
+/** Steps that have a task to start and whose predecessors have ended. */
+function inOrder (state: CellState): readonly StepRun[] {
+  const ready = [...state.open].filter((step) => step.ready && mayStart(state, step) && step.tasks.some((task) => task.startable))
+  const rank = new Map(ready.map((step) => [step, rankOf(state, step)]))
+  return ready.sort((left, right) => compare(rank.get(left)!, rank.get(right)!))
+}
+
+/** Tasks of restored jobs may still run where an earlier owner has put them. */
+function mayStart (state: CellState, step: StepRun): boolean {
+  return !step.job.restored || !state.earlierRunsPossible
+}
+
+type Rank = readonly [priority: number, share: number, acceptedAt: number]
+
+function rankOf (state: CellState, step: StepRun): Rank {
+  const { job } = step
+  const priority = queueOf(state, job.definition)?.priority ?? Infinity
+  return [priority, shareOf(state, job.definition.organisation), job.acceptedAt]
+}
+
+/** Weighted use of an organisation: the larger, the later it is served. */
+function shareOf (state: CellState, organisation: string): number {
+  const weight = state.organisations.get(organisation)?.weight ?? 1
+  return usedBy(state, organisation).cpuMillis / Math.max(weight, Number.MIN_VALUE)
+}
+
+function compare (left: Rank, right: Rank): number {
+  for (let index = 0; index < left.length; index++) {
+    if (left[index] !== right[index]) return left[index]! < right[index]! ? -1 : 1
+  }
+  return 0
+}
+
+function startStep (state: CellState, step: StepRun): void {
+  const candidates = suitableTargets(state, step)
+  if (needsAdvice(state, step) && !step.advice.answered) return askForTickets(state, step, candidates, true)
+  const complete = step.spec.gang ? startGang(state, step, candidates) : startTasks(state, step, candidates)
+  if (!complete && needsAdvice(state, step)) askForTickets(state, step, candidates, true)
+}
+
+/** Whether all startable tasks were started. */
+function startTasks (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
+  const { organisation } = step.job.definition
+  for (const task of step.tasks) {
+    if (!task.startable) continue
+    if (!withinMaximum(state, organisation, step.spec.demand)) return true
+    const target = chooseTarget(state, candidates, task)
+    if (target === undefined) return false
+    startTask(state, task, target)
+  }
+  return true
+}
+
+function startTask (state: CellState, task: Task, target: TargetState): void {
+  const { step } = task
+  state.lastRun += 1
+  const ticket = step.advice.ticket(target.id, target.entry.incarnation, state.now)
+  const live = addRun(state, { task, run: state.lastRun, target, phase: 'starting', ticket })
+  noteStarted(state, step)
+  sendStart(state, live)
+}
+
+/** Whether the gang was started or cannot start for a reason that tickets do not change. */
+function startGang (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
+  if (!step.tasks.every((task) => task.startable)) return true
+  if (!withinMaximum(state, step.job.definition.organisation, total(step))) return true
+  const run = state.lastRun + 1
+  alignCheckpoints(step)
+  const placed = placeGang(state, step, run, candidates, (live) => removeRun(state, live))
+  if (placed === undefined) return false
+  state.lastRun = run
+  noteStarted(state, step)
+  for (const live of placed) sendStart(state, live)
+  return true
+}
+
+function total (step: StepRun): Demand {
+  const { demand, count } = step.spec
+  return { cpuMillis: demand.cpuMillis * count, memoryMiB: demand.memoryMiB * count, accelerators: demand.accelerators * count }
+}
+
+/** All members of a gang start from the same checkpoint. */
+function alignCheckpoints (step: StepRun): void {
+  const checkpoint = step.tasks.map((task) => task.checkpoint).sort().at(-1) ?? ''
+  for (const task of step.tasks) task.checkpoint = checkpoint
+}
+
+function noteStarted (state: CellState, step: StepRun): void {
+  if (step.job.phase !== 'queued') return
+  step.job.phase = 'running'
+  step.job.shownPhase = 'running'
+  log(state, 'info', 'job-started', { job: step.job.definition.id, waitedMs: Math.round(state.now - step.job.acceptedAt) })
+}
--- /dev/null
+++ b/src/workflow/targets.ts
@@ -0,0 +1,47 @@
+import { log } from './cell-state.ts'
+import type { CellState } from './cell-state.ts'
+import { loseRun } from './endings.ts'
+import type { TargetEntry } from './target-entry.ts'
+import { TargetState } from './target-state.ts'
+
+/** Takes in a published entry; another incarnation under the same id has forgotten all runs. */
+export function publishTarget (state: CellState, entry: TargetEntry): void {
+  const known = state.targets.get(entry.id)
+  state.stale = true
+  if (known !== undefined && known.entry.incarnation === entry.incarnation) {
+    if (known.entry.draining !== entry.draining) log(state, 'info', 'target-state', { target: entry.id, draining: entry.draining })
+    known.entry = entry
+    known.published = true
+    return
+  }
+  if (known !== undefined && known.entry.incarnation > entry.incarnation) return
+  if (known !== undefined) replaceLife(state, known)
+  state.targets.set(entry.id, TargetState.create(entry, state.now))
+  state.effects.push({ type: 'watch-target', id: entry.id })
+  if (!state.storedTargets.has(entry.id)) state.effects.push({ type: 'store-targets', ids: [...state.targets.keys()] })
+  log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation })
+}
+
+/** The end of a life of a target: nothing of it runs on. */
+function replaceLife (state: CellState, target: TargetState): void {
+  for (const live of [...target.runs.values()]) loseRun(state, live, 'its target has started anew')
+}
+
+/** An entry that is gone may belong to a target that left, crashed, or is only cut off. */
+export function withdrawTarget (state: CellState, id: string): void {
+  const target = state.targets.get(id)
+  if (target === undefined) return
+  target.published = false
+  log(state, 'info', 'target-withdrawn', { target: id, draining: target.entry.draining, runs: target.runs.size })
+}
+
+/** Forgets targets that are gone and hold nothing any more. */
+export function forgetTargets (state: CellState): void {
+  for (const target of [...state.targets.values()]) {
+    if (target.published || target.reachable || target.runs.size > 0) continue
+    if (target.listed && target.lapsesAt() > state.now) continue
+    if (!target.listed && state.earlierRunsPossible) continue
+    state.targets.delete(target.id)
+    state.effects.push({ type: 'forget-target', id: target.id })
+  }
+}
