Test the scheduler of steps; end a run before its ending is applied

Cause: the last failure of a task sent a stop to the run that had just ended. Test: workflow/cell, 20 cases, three of them failed first (this one, and long-running tasks that were kept from their only target).

--- a/src/workflow/endings.ts
+++ b/src/workflow/endings.ts
@@ -45,8 +45,8 @@
   log(state, 'info', 'run-ended', { task: end.task, run: end.run, target: target.id, ending: end.ending, failures: task.failures })
   count(state, 'run-ended', end.ending)
   if (end.checkpoint !== '') task.checkpoint = end.checkpoint
-  applyEnding(state, target, task, end)
   if (live !== undefined) removeRun(state, live)
+  applyEnding(state, target, task, end)
 }
 
 function applyEnding (state: CellState, target: TargetState, task: Task, end: ListedEnd): void {
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -89,9 +89,9 @@
 
 /** Targets that fail much are left to others; the last attempt goes to trusted targets only. */
 function isAvoided (state: CellState, target: TargetState, task: Task): boolean {
+  if (task.step.spec.longRunning) return false
   const share = target.failureShare(state.now)
   if (share > SUSPECT_FAILURE_SHARE) return true
-  if (task.step.spec.longRunning) return false
   const limit = queueOf(state, task.step.job.definition)?.maxAttempts ?? 0
   const failures = task.step.spec.gang ? task.step.gangFailures : task.failures
   if (failures === 0) return false
--- /dev/null
+++ b/test/workflow/cell.test.ts
@@ -0,0 +1,213 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { AdviceTerms, CellConfiguration } from '../../src/workflow/cell-configuration.ts'
+import { CONFIGURATION, CellHarness, QUEUE, entry, job } from './harness.ts'
+
+const NO_LIMIT = { cpuMillis: 0, memoryMiB: 0, accelerators: 0 }
+
+function configured (changes: { queue?: Partial<typeof QUEUE>, maximumCpu?: number } = {}): CellConfiguration {
+  return {
+    ...CONFIGURATION,
+    queues: [{ ...QUEUE, ...changes.queue }],
+    organisations: [{ ...CONFIGURATION.organisations[0]!, maximum: { ...NO_LIMIT, cpuMillis: changes.maximumCpu ?? 0 } }]
+  }
+}
+
+function withTarget (changes: Parameters<typeof entry>[1] = {}, configuration = CONFIGURATION): CellHarness {
+  return CellHarness.create([entry('t1', changes)], configuration)
+}
+
+test('cell: a target never gets more than its capacity while a stop is not listed', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 4 }) })
+  assert.equal(harness.starts().length, 4)
+  harness.starts().forEach((start) => harness.confirm(start))
+  harness.apply({ type: 'job-accepted', definition: job('b', { count: 1 }) })
+  harness.apply({ type: 'job-cancelled', id: 'a' })
+  assert.equal(harness.starts().length, 4, 'what is being stopped still takes room')
+  harness.end(harness.starts()[0]!, 'stopped')
+  assert.equal(harness.starts().at(-1)!.order.task, 'b.0.0.0')
+})
+
+test('cell: a step starts only after all tasks of the step before it', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 2 }, { after: [0] }) })
+  const [first, second] = harness.starts()
+  harness.end(first!, 'done')
+  assert.equal(harness.starts().length, 2)
+  harness.end(second!, 'done')
+  assert.equal(harness.starts().at(-1)!.order.task, 'a.0.1.0')
+})
+
+const unusable = [
+  { guards: 'a draining target', changes: { draining: true } },
+  { guards: 'a target of another pool', changes: { pool: 'other' } },
+  { guards: 'a target that is too small', changes: { capacity: { cpuMillis: 500, memoryMiB: 1_000, accelerators: 0 } } }
+]
+
+for (const { guards, changes } of unusable) {
+  test(`cell: nothing starts on ${guards}`, () => {
+    const harness = withTarget(changes)
+    harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+    assert.equal(harness.starts().length, 0)
+  })
+}
+
+test('cell: nothing starts in a failure domain that is out until it is back', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'domains-out', domains: ['east'] })
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  assert.equal(harness.starts().length, 0)
+  harness.apply({ type: 'domains-out', domains: [] })
+  assert.equal(harness.starts().length, 1)
+})
+
+test('cell: an organisation does not exceed its maximum', () => {
+  const harness = withTarget({}, configured({ maximumCpu: 2_500 }))
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 4 }) })
+  assert.equal(harness.starts().length, 2)
+})
+
+test('cell: a gang starts whole or not at all', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 5, gang: true }) })
+  assert.equal(harness.starts().length, 0)
+  harness.publish(entry('t2'))
+  assert.equal(harness.starts().length, 5)
+  assert.equal(new Set(harness.starts().map(({ order }) => order.run)).size, 1, 'members share the run number')
+})
+
+test('cell: the end of one member of a gang stands for all', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 3, gang: true }) })
+  harness.starts().forEach((start) => harness.confirm(start))
+  harness.end(harness.starts()[0]!, 'done')
+  assert.equal(harness.cell.progressOf('a')!.phase, 'completed')
+})
+
+test('cell: a job fails with the last attempt of a task, and the rest of it is stopped', () => {
+  const harness = withTarget()
+  harness.publish(entry('t2'))
+  harness.publish(entry('t3'))
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 1 }, { count: 1 }) })
+  harness.starts().forEach((start) => harness.confirm(start))
+  harness.end(harness.starts()[0]!, 'failed')
+  harness.end(harness.starts().at(-1)!, 'failed')
+  assert.equal(harness.cell.progressOf('a')!.phase, 'failed')
+  assert.equal(harness.orders('stop').length, 1)
+})
+
+test('cell: a start without an answer is repeated as the same run, not as another', () => {
+  const harness = withTarget()
+  harness.publish(entry('t2'))
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  const [first] = harness.starts()
+  harness.apply({ type: 'start-answered', target: first!.target, task: first!.order.task, run: first!.order.run, answer: { type: 'unanswered', reason: 'timeout' } })
+  harness.pass(500)
+  assert.deepEqual(harness.starts().map(({ target, order }) => [target, order.run]), [[first!.target, first!.order.run], [first!.target, first!.order.run]])
+})
+
+test('cell: after a refusal that follows an unanswered start, a stop settles whether the first one ran', () => {
+  const harness = withTarget()
+  harness.publish(entry('t2'))
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  const [first] = harness.starts()
+  const { target, order: { task, run } } = first!
+  harness.apply({ type: 'start-answered', target, task, run, answer: { type: 'unanswered', reason: 'timeout' } })
+  harness.pass(500)
+  harness.apply({ type: 'start-answered', target, task, run, answer: { type: 'refused', reason: 'expired', clockMs: harness.now } })
+  assert.equal(harness.starts().length, 2, 'no other run yet')
+  harness.apply({ type: 'stop-answered', target, task, run, answer: { type: 'accepted', clockMs: harness.now } })
+  harness.list(target, { sentAt: harness.now - 1 })
+  assert.equal(harness.starts().length, 2, 'the listing was asked for before the stop was answered')
+  harness.now += 10
+  harness.list(target)
+  assert.equal(harness.starts().length, 3)
+})
+
+test('cell: the task of a silent target starts elsewhere only after its lease has lapsed on a slow clock', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  harness.confirm(harness.starts()[0]!)
+  harness.publish(entry('t2'))
+  harness.apply({ type: 'target-silent', id: 't1', refusal: undefined })
+  harness.apply({ type: 'target-withdrawn', id: 't1' })
+  harness.pass(5_050)
+  assert.equal(harness.starts().length, 1, 'a clock that is 2% slow has not reached the end of the lease')
+  harness.pass(250)
+  assert.equal(harness.starts().at(-1)!.target, 't2')
+})
+
+test('cell: a target that started anew under its id has forgotten its runs', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  harness.confirm(harness.starts()[0]!)
+  harness.publish(entry('t1', { incarnation: 2 }))
+  assert.equal(harness.starts().length, 2)
+  assert.ok(harness.starts()[1]!.order.run > harness.starts()[0]!.order.run)
+})
+
+test('cell: ends of an earlier life are not acknowledged to the next one', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 2 }) })
+  harness.end(harness.starts()[0]!, 'done')
+  const ends = harness.cell.processedEnds()
+  harness.publish(entry('t1', { incarnation: 2 }))
+  harness.apply({ type: 'progress-stored', phases: new Map(), ends })
+  assert.equal(harness.cell.target('t1')!.acknowledged, 0)
+})
+
+test('cell: a completed job is shown as completed only once that is stored', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  harness.end(harness.starts()[0]!, 'done')
+  assert.equal(harness.cell.phaseOf('a'), 'running')
+  harness.apply({ type: 'progress-stored', phases: new Map([['a', 'completed']]), ends: [] })
+  assert.equal(harness.cell.phaseOf('a'), 'completed')
+})
+
+test('cell: tasks of a restored job wait until earlier runs are known, and a listed run is taken over', () => {
+  const harness = withTarget()
+  harness.cell.expectEarlierRuns()
+  harness.apply({ type: 'job-restored', definition: job('a', { count: 2 }), progress: undefined })
+  assert.equal(harness.starts().length, 0)
+  harness.list('t1', { running: [{ task: 'a.0.0.0', run: 7, checkpoint: '', percent: 5, gauge: undefined }] })
+  harness.apply({ type: 'earlier-runs-lapsed' })
+  assert.deepEqual(harness.starts().map(({ order }) => order.task), ['a.0.0.1'])
+})
+
+test('cell: a long-running task is started again however it ends', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', { longRunning: true }) })
+  for (const ending of ['failed', 'done', 'lapsed', 'failed'] as const) harness.end(harness.starts().at(-1)!, ending)
+  assert.equal(harness.starts().length, 5)
+})
+
+const ADVICE: AdviceTerms = { decisionMs: 20, eachTargetMs: 1, validityMs: 1_000 }
+
+test('cell: a step with advice starts only on targets with a valid ticket and asks again when it has expired', () => {
+  const harness = CellHarness.create([entry('t1'), entry('t2')], configured({ queue: { advice: ADVICE } }))
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 5 }) })
+  const asked = harness.effects.filter((effect) => effect.type === 'ask-advice')
+  assert.deepEqual(asked.map(({ targets }) => targets), [['t1', 't2']])
+  harness.apply({ type: 'advised', step: 'a.0.0', asked: ['t1', 't2'], answer: { type: 'advised', tickets: [{ target: 't2', ticket: 'x' }], validityMs: undefined } })
+  assert.deepEqual(harness.starts().map(({ target, order }) => [target, order.ticket]), Array.from({ length: 4 }, () => ['t2', 'x']))
+  harness.starts().forEach((start) => harness.confirm(start))
+  harness.pass(1_500)
+  harness.end(harness.starts()[0]!, 'done')
+  assert.equal(harness.starts().length, 4)
+  const again = harness.effects.filter((effect) => effect.type === 'ask-advice').at(-1)!
+  assert.deepEqual(again.targets, ['t2'])
+})
+
+test('cell: tasks that fill are slowed beside a task that serves too slowly', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', { longRunning: true, latencyTargetMs: 100 }) })
+  harness.apply({ type: 'job-accepted', definition: job('b', { fills: true }) })
+  harness.starts().forEach((start) => harness.confirm(start))
+  const gauges = new Map([['a.0.0.0', 120], ['b.0.0.0', 900]])
+  harness.now += 800
+  harness.list('t1', { running: harness.runningOn('t1').map((run) => ({ ...run, gauge: gauges.get(run.task) })) })
+  const paces = harness.pass(10).filter((effect) => effect.type === 'pace')
+  assert.deepEqual(paces.map(({ order }) => [order.task, order.percent]), [['b.0.0.0', 0]])
+})
--- /dev/null
+++ b/test/workflow/harness.ts
@@ -0,0 +1,126 @@
+import type { CellConfiguration, Queue } from '../../src/workflow/cell-configuration.ts'
+import { Cell } from '../../src/workflow/cell.ts'
+import type { CellEffect } from '../../src/workflow/effect.ts'
+import type { CellEvent } from '../../src/workflow/event.ts'
+import type { JobDefinition, Step } from '../../src/workflow/job.ts'
+import type { CellOptions } from '../../src/workflow/options.ts'
+import type { ListedEnd, ListedRun, TargetEntry } from '../../src/workflow/target-entry.ts'
+
+export const QUEUE: Queue = { name: 'stock', host: 'a.example', prefix: '/stock/', pool: 'kit', priority: 0, maxAttempts: 2, open: false, advice: undefined }
+
+export const CONFIGURATION: CellConfiguration = {
+  version: 1,
+  queues: [QUEUE],
+  pools: [{ name: 'kit', guardsCapacity: false, spare: false }],
+  organisations: [{ name: 'zuu', keys: ['k1'], weight: 1, maximum: { cpuMillis: 0, memoryMiB: 0, accelerators: 0 } }],
+  maxBodyBytes: 100_000
+}
+
+export const STEP: Step = {
+  count: 1,
+  demand: { cpuMillis: 1_000, memoryMiB: 100, accelerators: 0 },
+  estimatedMs: 500,
+  after: [],
+  gang: false,
+  sameRack: false,
+  requiredLabel: undefined,
+  dataRack: undefined,
+  perTargetLimit: 0,
+  speculative: false,
+  longRunning: false,
+  checkpoints: false,
+  image: 'im',
+  latencyTargetMs: 0,
+  fills: false,
+  mayMiss: 0
+}
+
+export function job (id: string, ...steps: ReadonlyArray<Partial<Step>>): JobDefinition {
+  return { id, queue: 'stock', organisation: 'zuu', payload: 'p', steps: steps.map((step) => ({ ...STEP, ...step })), firstAtMs: 0, intervalMs: 0, occurrences: 1 }
+}
+
+export function entry (id: string, changes: Partial<TargetEntry> = {}): TargetEntry {
+  return {
+    id,
+    incarnation: 1,
+    address: `${id}:80`,
+    pool: 'kit',
+    failureDomain: 'east',
+    labels: ['a', 'r1'],
+    rack: 'r1',
+    capacity: { cpuMillis: 4_000, memoryMiB: 1_000, accelerators: 0 },
+    draining: false,
+    leavesInMs: undefined,
+    coldMs: 0,
+    ...changes
+  }
+}
+
+export type Order = Extract<CellEffect, { type: 'start' | 'stop' }>
+
+/** A cell with the means to say what its targets answer; time moves only when told to. */
+export class CellHarness {
+  now = 1_000
+  readonly effects: CellEffect[] = []
+  private ends = new Map<string, number>()
+
+  private constructor (readonly cell: Cell) {}
+
+  /** A configured cell with listed and stored targets of the given entries. */
+  static create (entries: readonly TargetEntry[], configuration: CellConfiguration = CONFIGURATION, options: Partial<CellOptions> = {}): CellHarness {
+    const harness = new CellHarness(Cell.create(options))
+    harness.apply({ type: 'configured', configuration })
+    for (const target of entries) harness.publish(target)
+    return harness
+  }
+
+  publish (target: TargetEntry): void {
+    this.apply({ type: 'target-published', entry: target })
+    this.apply({ type: 'targets-stored', ids: [target.id] })
+    this.list(target.id, { incarnation: target.incarnation })
+  }
+
+  /** Applies an event and starts what became possible; returns the effects of both. */
+  apply (event: CellEvent): readonly CellEffect[] {
+    const effects = [...this.cell.apply(event, this.now), ...this.cell.start(this.now)]
+    this.effects.push(...effects)
+    return effects
+  }
+
+  /** Lets time pass with a tick at the end. */
+  pass (ms: number): readonly CellEffect[] {
+    this.now += ms
+    return this.apply({ type: 'tick' })
+  }
+
+  list (id: string, { running = [], ended = [], incarnation = 1, sentAt = this.now }: { running?: readonly ListedRun[], ended?: readonly ListedEnd[], incarnation?: number, sentAt?: number } = {}): readonly CellEffect[] {
+    return this.apply({ type: 'target-listed', id, sentAt, listing: { incarnation, clockMs: this.now, running, ended } })
+  }
+
+  /** Orders sent so far of one type. */
+  orders (type: Order['type']): readonly Order[] {
+    return this.effects.filter((effect): effect is Order => effect.type === type)
+  }
+
+  /** Starts in `effects`, or all so far. */
+  starts (effects: readonly CellEffect[] = this.effects): ReadonlyArray<Extract<CellEffect, { type: 'start' }>> {
+    return effects.filter((effect): effect is Extract<CellEffect, { type: 'start' }> => effect.type === 'start')
+  }
+
+  /** Confirms a start. */
+  confirm ({ target, order }: Extract<CellEffect, { type: 'start' }>): void {
+    this.apply({ type: 'start-answered', target, task: order.task, run: order.run, answer: { type: 'accepted', clockMs: this.now } })
+  }
+
+  /** The target lists the end of a run. */
+  end ({ target, order }: Pick<Extract<CellEffect, { type: 'start' }>, 'target' | 'order'>, ending: ListedEnd['ending'], checkpoint = ''): readonly CellEffect[] {
+    const number = (this.ends.get(target) ?? 0) + 1
+    this.ends.set(target, number)
+    return this.list(target, { running: this.runningOn(target, order.task), ended: [{ number, task: order.task, run: order.run, ending, checkpoint }] })
+  }
+
+  /** Everything that the cell believes to run on a target, as the target would list it. */
+  runningOn (id: string, without = ''): readonly ListedRun[] {
+    return [...this.cell.target(id)?.runs.values() ?? []].filter((live) => live.task.key !== without).map((live) => ({ task: live.task.key, run: live.run, checkpoint: '', percent: 0, gauge: undefined }))
+  }
+}
