Let runs on silent targets lapse

Cause: each listing that a silent target left unanswered named a later lease end, so its runs never counted as lapsed and their tasks waited for ever. Test: workflow/cell, 'the task of a silent target', failed before.

--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -1,12 +1,9 @@
 import type { ListAnswer, OrderClient } from '../ports/order-client.ts'
 import type { CellEvent } from '../workflow/event.ts'
+import { nextListOrder } from '../workflow/list-order.ts'
 import type { TargetState } from '../workflow/target-state.ts'
 import { delay } from './delay.ts'
 
-/** How long a listing waits at the target for an end, in milliseconds. */
-const WAIT_MS = 1_500
-/** Where tasks that serve share a target with tasks that fill, their gauges are looked at more often. */
-const PACED_WAIT_MS = 500
 /** How long the next listing waits for ends to be stored, so that it can acknowledge them. */
 const STORE_WAIT_MS = 60
 const RETRY_MS = 250
@@ -61,11 +58,8 @@
   private async exchange (target: TargetState): Promise<void> {
     const { id, orders, epoch } = this.options
     const sentAt = performance.now()
-    const clock = target.clockAt(sentAt)
-    const leaseUntilMs = clock === undefined ? undefined : Math.floor(clock + this.options.leaseMs)
-    if (leaseUntilMs !== undefined) target.leaseUntilMs = Math.max(target.leaseUntilMs, leaseUntilMs)
-    const order = { epoch, acknowledged: target.acknowledged, leaseUntilMs, waitMs: waitOf(target) }
-    const answer = await orders.list({ id, address: target.entry.address }, order)
+    const order = nextListOrder(target, sentAt, this.options.leaseMs)
+    const answer = await orders.list({ id, address: target.entry.address }, { ...order, epoch })
     if (this.stopped.signal.aborted) return
     await this.take(target, answer, sentAt)
   }
@@ -82,8 +76,3 @@
     if (target.processed !== target.acknowledged && answer.listing.ended.length > 0) await delay(UNACKNOWLEDGED_PAUSE_MS, this.stopped.signal)
   }
 }
-
-function waitOf (target: TargetState): number {
-  if (!target.listed) return 0
-  return target.serving > 0 && target.fillCpuMillis > 0 ? PACED_WAIT_MS : WAIT_MS
-}
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { AdviceTerms, CellConfiguration } from '../../src/workflow/cell-configuration.ts'
+import { nextListOrder } from '../../src/workflow/list-order.ts'
 import { CONFIGURATION, CellHarness, QUEUE, entry, job } from './harness.ts'
 
 const NO_LIMIT = { cpuMillis: 0, memoryMiB: 0, accelerators: 0 }
@@ -132,7 +133,11 @@
   harness.publish(entry('t2'))
   harness.apply({ type: 'target-silent', id: 't1', refusal: undefined })
   harness.apply({ type: 'target-withdrawn', id: 't1' })
-  harness.pass(5_050)
+  const lastLease = harness.cell.target('t1')!.leaseUntilMs
+  harness.pass(2_000)
+  assert.equal(nextListOrder(harness.cell.target('t1')!, harness.now, 5_000).leaseUntilMs, undefined, 'a question to a silent target does not extend its lease')
+  assert.equal(harness.cell.target('t1')!.leaseUntilMs, lastLease)
+  harness.pass(3_050)
   assert.equal(harness.starts().length, 1, 'a clock that is 2% slow has not reached the end of the lease')
   harness.pass(250)
   assert.equal(harness.starts().at(-1)!.target, 't2')
