Count a failed run once, copy speculative tasks, ask the earlier leader to stop

Cause: an end that was listed again after a takeover counted as another failure, so jobs failed early (LOST). A target that had left stayed in the record of targets, so a new leader waited 13 s before restored tasks started. Change: failed runs are stored by number; the record shrinks; a new leader asks the earlier one to stand down; leases of 3.5 s and a store lease of 1.5 s; copies of speculative tasks on silent or slow targets; stuck runs move; submissions are refused while the store is silent and retried in doubt.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -4,6 +4,7 @@
 import type { JobPhase } from '../workflow/job.ts'
 import type { JobProgress } from '../workflow/progress-record.ts'
 import { delay } from './delay.ts'
+import type { Peer } from './member-call.ts'
 import type { Report } from './report.ts'
 import { readKey, transact, unchanged } from './store-calls.ts'
 import { COMMIT_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
@@ -28,6 +29,7 @@
   readonly store: Store
   readonly term: number
   readonly commitVersion: number
+  readonly self: Peer
   readonly report: Report
   readonly progressOf: (job: string) => JobProgress | undefined
   readonly processedEnds: () => readonly ProcessedEnds[]
@@ -109,7 +111,7 @@
       return stored === undefined ? [] : [{ id, stored }]
     })
     const nonce = randomUUID()
-    const record: CommitRecord = { term: this.options.term, nonce }
+    const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self }
     const puts: Put[] = [{ key: COMMIT_KEY, value: JSON.stringify(record) }]
     for (const { id, stored } of progress) puts.push({ key: progressKey(id), value: JSON.stringify(stored) })
     const { targets } = this
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -28,6 +28,7 @@
 const JOB_POLL_MS = 1_000
 const TARGET_WATCH_WAIT_MS = 1_500
 const RESTORE_RETRY_MS = 200
+const PREDECESSOR_RETRY_MS = 300
 /** A member that has not said hello for this time gets no questions for advice. */
 const PEER_TIMEOUT_MS = 3_500
 /** A loop that is late by more than this may have been suspended, in milliseconds. */
@@ -47,6 +48,8 @@
   readonly targetPrefix: string
   readonly readTarget: (key: string, value: string) => TargetEntry | undefined
   readonly askPeer: (peer: Peer, step: string, targets: readonly string[], timeoutMs: number) => Promise<AdviceAnswer>
+  /** Whether a member has answered that it does not lead an earlier term. */
+  readonly standDown: (peer: Peer, term: number) => Promise<boolean>
   /** Whether the lease was confirmed so recently that no other member can lead. */
   readonly confirmed: () => boolean
   readonly onFenced: (reason: string) => void
@@ -69,7 +72,8 @@
   private restored = false
   private lastTickAt = Date.now()
   private suspendedUntilConfirmed = false
-  private readonly electedAt = performance.now()
+  /** When the earlier leader has certainly sent its last order. */
+  private ordersEndedAt = performance.now() + UNCONFIRMED_MS
 
   private constructor (private readonly options: ControllerOptions) {
     this.cell = Cell.create({ firstRun: (options.term.term - 1) * RUNS_PER_TERM + 1, leaseMs: options.leaseMs })
@@ -77,6 +81,7 @@
       store: options.store,
       term: options.term.term,
       commitVersion: options.term.commitVersion,
+      self: options.self,
       report: options.report,
       progressOf: (job) => this.cell.progressOf(job),
       processedEnds: () => this.cell.processedEnds(),
@@ -168,6 +173,7 @@
   private async begin (): Promise<void> {
     this.cell.expectEarlierRuns()
     this.timer = setInterval(() => this.tick(), TICK_MS)
+    this.settlePredecessor().catch((error: unknown) => this.options.report.log('error', 'predecessor-not-asked', { detail: String(error) }))
     const version = await this.restore()
     if (version === undefined) return
     this.watchTargets()
@@ -175,6 +181,21 @@
     this.restored = true
   }
 
+  /** An answer from the address of the earlier leader tells that it has stopped, or that its process has ended. */
+  private async settlePredecessor (): Promise<void> {
+    const { term, self, standDown, report } = this.options
+    const { predecessor } = term
+    if (predecessor === undefined) return
+    while (!this.stopped && performance.now() < this.ordersEndedAt) {
+      const stopped = predecessor.address === self.address || await standDown(predecessor, term.term)
+      if (stopped) {
+        this.ordersEndedAt = performance.now()
+        return report.log('info', 'predecessor-stopped', { member: predecessor.member, term: term.term })
+      }
+      await delay(PREDECESSOR_RETRY_MS)
+    }
+  }
+
   /** Reads jobs, progress and the targets of earlier leaders; tries until it succeeds or the term ends. */
   private async restore (): Promise<number | undefined> {
     const { store, report } = this.options
@@ -292,7 +313,7 @@
   /** Once all targets of earlier leaders are listed, or their runs have lapsed, restored tasks may start. */
   private checkEarlierRuns (): void {
     if (!this.restored || !this.cell.earlierRunsExpected) return
-    const lapsed = performance.now() - this.electedAt > UNCONFIRMED_MS + this.options.leaseMs * LEASE_ALLOWANCE
+    const lapsed = performance.now() > this.ordersEndedAt + this.options.leaseMs * LEASE_ALLOWANCE
     const listed = this.cell.allListed && this.earlierTargets.every((id) => this.cell.target(id)?.listed === true)
     if (lapsed || listed || !this.options.term.hadPredecessor) this.apply({ type: 'earlier-runs-lapsed' })
   }
--- a/src/controller/job-desk.ts
+++ b/src/controller/job-desk.ts
@@ -1,6 +1,7 @@
 import type { Store } from '../ports/store.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { JobProgress } from '../workflow/progress-record.ts'
+import { delay } from './delay.ts'
 import type { Report } from './report.ts'
 import { readKey, transact } from './store-calls.ts'
 import { cancelKey, jobKey, progressKey } from './store-keys.ts'
@@ -19,9 +20,14 @@
   | { readonly type: 'absent' }
   | { readonly type: 'unavailable', readonly reason: string }
 
+/** Pause between two tries of a write whose answer was lost, in milliseconds. */
+const RETRY_MS = 100
+
 export type JobDeskOptions = {
   readonly store: Store
   readonly report: Report
+  /** False while the store leaves calls unanswered or refuses them: a write would end in doubt. */
+  readonly storeAnswers: () => boolean
   /** Asks the leader for the phase of a job; undefined if it gives no sure answer. */
   readonly askLeader: (id: string) => Promise<{ readonly phase: JobPhase | undefined } | undefined>
   readonly tellJob: (definition: JobDefinition) => void
@@ -40,12 +46,24 @@
     return new JobDesk(options)
   }
 
-  async submit (definition: JobDefinition): Promise<Submission> {
+  /** Stores a job; tries again until `deadline` (steady clock, milliseconds) once a write may have taken effect. */
+  async submit (definition: JobDefinition, deadline: number): Promise<Submission> {
+    if (!this.options.storeAnswers()) return { type: 'refused', reason: 'store-silent' }
     const key = jobKey(definition.id)
-    const written = await transact(this.options.store, [{ type: 'absent', key }], [{ key, value: JSON.stringify(definition) }])
-    if (written.isErr()) return written.error.verdict === 'not-applied' ? { type: 'refused', reason: written.error.reason } : this.confirm(definition, written.error.reason)
-    this.options.tellJob(definition)
-    return { type: 'accepted', known: !written.value.committed }
+    const value = JSON.stringify(definition)
+    let doubtful = false
+    for (;;) {
+      const written = await transact(this.options.store, [{ type: 'absent', key }], [{ key, value }])
+      if (written.isOk()) {
+        this.options.tellJob(definition)
+        return { type: 'accepted', known: !written.value.committed }
+      }
+      const { reason, verdict } = written.error
+      doubtful ||= verdict === 'may-have-applied'
+      if (!doubtful) return { type: 'refused', reason }
+      if (performance.now() + RETRY_MS > deadline) return { type: 'unknown', reason }
+      await delay(RETRY_MS)
+    }
   }
 
   async phase (id: string): Promise<Lookup> {
@@ -67,14 +85,6 @@
     return { type: 'found', phase: 'cancelled' }
   }
 
-  /** The answer of the write was lost: a read that finds the job settles it, one that does not is no proof. */
-  private async confirm (definition: JobDefinition, reason: string): Promise<Submission> {
-    const stored = await readKey(this.options.store, jobKey(definition.id))
-    if (stored.isErr() || stored.value === undefined) return { type: 'unknown', reason }
-    this.options.tellJob(definition)
-    return { type: 'accepted', known: false }
-  }
-
   private async readPhase (id: string): Promise<Lookup> {
     const { store } = this.options
     const job = await readKey(store, jobKey(id))
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'neverthrow'
 import type { LeaseId, Store, StoreEntry } from '../ports/store.ts'
 import { delay } from './delay.ts'
+import type { Peer } from './member-call.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
 import type { Report } from './report.ts'
 import { callStore, readKey, transact, unchanged } from './store-calls.ts'
@@ -10,8 +11,8 @@
 import type { CommitRecord, LeaderRecord } from './store-keys.ts'
 
 /** Time for which the store keeps the leader's key without a renewal, in milliseconds. */
-const LEASE_TTL_MS = 2_000
-const RENEW_INTERVAL_MS = 500
+const LEASE_TTL_MS = 1_500
+const RENEW_INTERVAL_MS = 400
 /**
  * While the store answers nobody, no other member can take over, so the leader goes on for this time after its lease
  * may have ended. A new leader that cannot reach a target waits for this time before it starts that target's tasks.
@@ -31,6 +32,8 @@
   readonly commitVersion: number
   /** False if no member has ever led. */
   readonly hadPredecessor: boolean
+  /** Who led before, as far as the store tells. */
+  readonly predecessor: Peer | undefined
 }
 
 export type LeadershipOptions = {
@@ -100,6 +103,11 @@
     this.options.onDeposed(reason)
   }
 
+  /** Stops leading because a member has won a later term. */
+  standDown (term: number): void {
+    if (this.held !== undefined && this.held.term < term) this.depose('a later leader asked for it')
+  }
+
   /** Leaves the leadership to another member and takes no part in claims any more. */
   async resign (): Promise<void> {
     this.candidate = false
@@ -153,7 +161,7 @@
     const term = (previous?.term ?? 0) + 1
     const nonce = randomUUID()
     const record: LeaderRecord = { member, address, term, nonce }
-    const commit: CommitRecord = { term, nonce }
+    const commit: CommitRecord = { term, nonce, leader: { member, address } }
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }]
     const written = await transact(store, [{ type: 'absent', key: LEADER_KEY }, unchanged(COMMIT_KEY, before.value?.version)], puts)
     const version = written.isOk() ? (written.value.committed ? written.value.version : undefined) : await this.findOutcome(nonce)
@@ -164,7 +172,7 @@
     this.held = { lease: lease.value.lease, term, nonce, renewedAt: sentAt }
     this.seen = record
     this.options.report.log('info', 'leadership-won', { term, version })
-    this.options.onElected({ term, commitVersion: version, hadPredecessor: previous !== undefined })
+    this.options.onElected({ term, commitVersion: version, hadPredecessor: previous !== undefined, predecessor: previous?.leader })
     return true
   }
 
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -12,6 +12,8 @@
   /** The cancelling of a job was stored. */
   | { readonly type: 'cancel-stored', readonly id: string }
   | { readonly type: 'phase', readonly id: string }
+  /** The sender has won this term; who led before stops at once. */
+  | { readonly type: 'stand-down', readonly term: number }
   /** Asks for advice on behalf of the leader: the advisor takes one call at a time from each member. */
   | { readonly type: 'advise', readonly step: string, readonly targets: readonly string[], readonly timeoutMs: number }
 
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -1,3 +1,5 @@
+import type { Peer } from './member-call.ts'
+
 /**
  * Keys in the store. `lead/holder` has the lease of the leader; `state/commit` is written by each commit of the leader
  * and by each takeover, so that a commit of an earlier leader, or a late one, fails.
@@ -34,7 +36,7 @@
 }
 
 /** The last commit or takeover, as stored under `state/commit`. */
-export type CommitRecord = { readonly term: number, readonly nonce: string }
+export type CommitRecord = { readonly term: number, readonly nonce: string, readonly leader: Peer }
 
 /** Targets that may hold runs, as stored under `state/targets`. */
 export type TargetsRecord = { readonly ids: readonly string[] }
--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -2,6 +2,7 @@
 import type { CellState } from './cell-state.ts'
 import type { AdviceAnswer } from '../ports/order-client.ts'
 import { hasRoom, suitableTargets, takesWork } from './placement.ts'
+import { isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun } from './task.ts'
 
@@ -26,7 +27,7 @@
   if (!step.advice.answered) return unknown.slice(0, state.options.adviceTargets).map((target) => target.id)
   const renewable = usable.filter((target) => step.advice.allows(target.id) && hasRoom(target, step) &&
     step.advice.ticket(target.id, target.entry.incarnation, state.now) === undefined)
-  const waiting = step.tasks.filter((task) => task.startable).length
+  const waiting = step.tasks.filter((task) => isStartable(task, state.now)).length
   const named = [...renewable.sort((left, right) => right.free().cpuMillis - left.free().cpuMillis), ...unknown.filter((target) => hasRoom(target, step))]
   return named.slice(0, Math.min(state.options.adviceTargets, waiting + SPARE_TARGETS)).map((target) => target.id)
 }
--- a/src/workflow/answers.ts
+++ b/src/workflow/answers.ts
@@ -45,7 +45,7 @@
   // An earlier send of the same start may have been carried out, so only a stop settles the matter.
   if (live.sends > 1 || reason === 'superseded') return sendStop(state, live, `start refused: ${reason}`)
   removeRun(state, live)
-  if (reason === 'invalid') countFailure(state, live.task)
+  if (reason === 'invalid') countFailure(state, live.task, live.run)
   breakGang(state, live)
 }
 
--- a/src/workflow/cell.ts
+++ b/src/workflow/cell.ts
@@ -15,6 +15,7 @@
 import type { JobProgress } from './progress-record.ts'
 import { progressOf } from './progress-record.ts'
 import { startPass } from './start-pass.ts'
+import { stopStragglers } from './stragglers.ts'
 import type { TargetState } from './target-state.ts'
 import { forgetTargets, publishTarget, withdrawTarget } from './targets.ts'
 
@@ -190,6 +191,7 @@
     resendOrders(state)
     dropLapsed(state)
     forgetTargets(state)
+    stopStragglers(state)
     paceTargets(state)
     askAhead(state)
     for (const job of [...state.jobs.values()]) {
--- a/src/workflow/endings.ts
+++ b/src/workflow/endings.ts
@@ -45,14 +45,17 @@
   log(state, 'info', 'run-ended', { task: end.task, run: end.run, target: target.id, ending: end.ending, failures: task.failures })
   count(state, 'run-ended', end.ending)
   if (end.checkpoint !== '') task.checkpoint = end.checkpoint
-  if (live !== undefined) removeRun(state, live)
+  if (live !== undefined) {
+    if (end.ending === 'done') target.noteDuration(state.now - live.startedAt, task.step.spec.estimatedMs)
+    removeRun(state, live)
+  }
   applyEnding(state, target, task, end)
 }
 
 function applyEnding (state: CellState, target: TargetState, task: Task, end: ListedEnd): void {
   switch (end.ending) {
     case 'done': return taskDone(state, target, task)
-    case 'failed': return taskFailed(state, target, task)
+    case 'failed': return taskFailed(state, target, task, end.run)
     case 'stopped':
     case 'lapsed':
     case 'gang-broken':
@@ -79,10 +82,10 @@
   }
 }
 
-function taskFailed (state: CellState, target: TargetState, task: Task): void {
+function taskFailed (state: CellState, target: TargetState, task: Task, run: number): void {
   target.noteOutcome(true, state.now)
   task.failedOn = target.id
-  countFailure(state, task)
+  countFailure(state, task, run)
 }
 
 function takeRunning (state: CellState, target: TargetState, listed: ListedRun): void {
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -69,14 +69,15 @@
 }
 
 /** Counts a failed run of a task that is not long-running; its job fails with the last attempt. */
-export function countFailure (state: CellState, task: Task): void {
+export function countFailure (state: CellState, task: Task, run: number): void {
   const { step } = task
   if (step.spec.longRunning || !step.job.active) return
-  task.failures += 1
-  if (step.spec.gang) step.gangFailures += 1
+  if (task.failedRuns.has(run)) return
+  task.failedRuns.add(run)
+  if (step.spec.gang) step.gangFailedRuns.add(run)
   state.effects.push({ type: 'store-progress', job: step.job.definition.id })
   const limit = queueOf(state, step.job.definition)?.maxAttempts ?? FALLBACK_ATTEMPTS
-  const failures = step.spec.gang ? step.gangFailures : task.failures
+  const failures = step.spec.gang ? step.gangFailedRuns.size : task.failures
   if (failures >= limit) endJob(state, step.job, 'failed', `task ${task.key} failed ${failures} times`)
 }
 
--- a/src/workflow/list-order.ts
+++ b/src/workflow/list-order.ts
@@ -2,7 +2,7 @@
 import type { TargetState } from './target-state.ts'
 
 /** How long a listing waits at the target for an end, in milliseconds. */
-const WAIT_MS = 1_500
+const WAIT_MS = 1_000
 /** Where tasks that serve share a target with tasks that fill, their gauges are looked at more often. */
 const PACED_WAIT_MS = 500
 
--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -13,7 +13,7 @@
 }
 
 export const DEFAULT_CELL_OPTIONS: CellOptions = {
-  leaseMs: 5_000,
+  leaseMs: 3_500,
   resendAfterMs: 400,
   adviceTargets: 100,
   firstRun: 1,
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -9,7 +9,9 @@
 /** A task whose next failure ends its job goes only to targets that fail less than this. */
 const TRUSTED_FAILURE_SHARE = 0.2
 
-const BONUS = { dataRack: 4, serving: 3, failures: 6, cold: 1 } as const
+const BONUS = { dataRack: 4, serving: 3, failures: 6, cold: 1, slowness: 0.5 } as const
+/** A target that takes longer than this many times the declared time counts as no slower. */
+const MOST_SLOWNESS = 6
 
 /** Whether the organisation of the job may start one more task of this size. */
 export function withinMaximum (state: CellState, organisation: string, demand: Demand): boolean {
@@ -62,10 +64,18 @@
   return present < limit
 }
 
+/** Whether a run of the task is present on the target. */
+function holds (target: TargetState, task: Task): boolean {
+  for (const live of task.runs) {
+    if (live.target === target) return true
+  }
+  return false
+}
+
 /** Whether the task may start on the target now, advice included. */
 export function canStart (state: CellState, target: TargetState, task: Task): boolean {
   const { step } = task
-  if (!takesWork(state, target) || !hasRoom(target, step) || !withinPerTargetLimit(target, step)) return false
+  if (!takesWork(state, target) || !hasRoom(target, step) || !withinPerTargetLimit(target, step) || holds(target, task)) return false
   return !needsAdvice(state, step) || step.advice.ticket(target.id, target.entry.incarnation, state.now) !== undefined
 }
 
@@ -93,7 +103,7 @@
   const share = target.failureShare(state.now)
   if (share > SUSPECT_FAILURE_SHARE) return true
   const limit = queueOf(state, task.step.job.definition)?.maxAttempts ?? 0
-  const failures = task.step.spec.gang ? task.step.gangFailures : task.failures
+  const failures = task.step.spec.gang ? task.step.gangFailedRuns.size : task.failures
   if (failures === 0) return false
   if (task.failedOn === target.id) return true
   return failures + 1 >= limit && share > TRUSTED_FAILURE_SHARE
@@ -110,5 +120,6 @@
   if (spec.fills && target.serving > 0) score -= BONUS.serving
   if (spec.latencyTargetMs > 0 && target.fillCpuMillis > 0) score -= BONUS.serving
   if (coldMs > 0) score -= BONUS.cold
+  score -= BONUS.slowness * Math.min(MOST_SLOWNESS, Math.max(0, target.slowness - 1))
   return score - BONUS.failures * target.failureShare(state.now)
 }
--- a/src/workflow/progress-record.ts
+++ b/src/workflow/progress-record.ts
@@ -1,11 +1,11 @@
 import type { Job, StepRun } from './task.ts'
 import type { JobPhase } from './job.ts'
 
-/** Stored progress of one step: ended tasks as a bit set in hexadecimal, and failures by task index. */
+/** Stored progress of one step: ended tasks as a bit set in hexadecimal, and failed runs by task index. */
 export type StepProgress = {
   readonly done: string
-  readonly failures: Readonly<Record<string, number>>
-  readonly gangFailures: number
+  readonly failedRuns: Readonly<Record<string, readonly number[]>>
+  readonly gangFailedRuns: readonly number[]
 }
 
 /** What is stored about a job beside its definition; enough for a new owner to continue. */
@@ -49,19 +49,19 @@
 
 function stepProgress (step: StepRun): StepProgress {
   let bits = 0n
-  const failures: Record<string, number> = {}
+  const failedRuns: Record<string, readonly number[]> = {}
   for (const task of step.tasks) {
     if (task.phase === 'done') bits |= 1n << BigInt(task.index)
-    if (task.failures > 0) failures[String(task.index)] = task.failures
+    if (task.failures > 0) failedRuns[String(task.index)] = [...task.failedRuns]
   }
-  return { done: bits.toString(16), failures, gangFailures: step.gangFailures }
+  return { done: bits.toString(16), failedRuns, gangFailedRuns: [...step.gangFailedRuns] }
 }
 
 function restoreStep (step: StepRun, stored: StepProgress): void {
   const bits = BigInt(`0x${stored.done}`)
-  step.gangFailures = stored.gangFailures
+  for (const run of stored.gangFailedRuns) step.gangFailedRuns.add(run)
   for (const task of step.tasks) {
-    task.failures = stored.failures[String(task.index)] ?? 0
+    for (const run of stored.failedRuns[String(task.index)] ?? []) task.failedRuns.add(run)
     if ((bits >> BigInt(task.index) & 1n) === 0n) continue
     task.phase = 'done'
     step.unfinished -= 1
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -5,6 +5,7 @@
 import type { Demand } from './job.ts'
 import { chooseTarget, needsAdvice, suitableTargets, withinMaximum } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
+import { isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun, Task } from './task.ts'
 
@@ -16,7 +17,7 @@
 
 /** Steps that have a task to start and whose predecessors have ended. */
 function inOrder (state: CellState): readonly StepRun[] {
-  const ready = [...state.open].filter((step) => step.ready && mayStart(state, step) && step.tasks.some((task) => task.startable))
+  const ready = [...state.open].filter((step) => step.ready && mayStart(state, step) && step.tasks.some((task) => isStartable(task, state.now)))
   const rank = new Map(ready.map((step) => [step, rankOf(state, step)]))
   return ready.sort((left, right) => compare(rank.get(left)!, rank.get(right)!))
 }
@@ -58,15 +59,28 @@
 function startTasks (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
   const { organisation } = step.job.definition
   for (const task of step.tasks) {
-    if (!task.startable) continue
-    if (!withinMaximum(state, organisation, step.spec.demand)) return true
+    if (!isStartable(task, state.now)) continue
+    if (!withinMaximum(state, organisation, step.spec.demand)) return noteBlocked(state, step, 'maximum')
     const target = chooseTarget(state, candidates, task)
-    if (target === undefined) return false
+    if (target === undefined) {
+      noteBlocked(state, step, 'no-room')
+      return false
+    }
     startTask(state, task, target)
   }
   return true
 }
 
+/** Logs why a step waits whenever the reason changes. Returns true: tickets would not help. */
+function noteBlocked (state: CellState, step: StepRun, reason: 'maximum' | 'no-room'): true {
+  if (step.blockedBy === reason) return true
+  step.blockedBy = reason
+  const { definition } = step.job
+  const allowed = [...state.targets.values()].filter((target) => step.advice.allows(target.id)).length
+  log(state, 'info', 'step-waiting', { step: step.key, reason, organisation: definition.organisation, usedCpuMillis: usedBy(state, definition.organisation).cpuMillis, allowedTargets: allowed, targets: state.targets.size })
+  return true
+}
+
 function startTask (state: CellState, task: Task, target: TargetState): void {
   const { step } = task
   state.lastRun += 1
@@ -78,12 +92,15 @@
 
 /** Whether the gang was started or cannot start for a reason that tickets do not change. */
 function startGang (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
-  if (!step.tasks.every((task) => task.startable)) return true
-  if (!withinMaximum(state, step.job.definition.organisation, total(step))) return true
+  if (!step.tasks.every((task) => isStartable(task, state.now))) return true
+  if (!withinMaximum(state, step.job.definition.organisation, total(step))) return noteBlocked(state, step, 'maximum')
   const run = state.lastRun + 1
   alignCheckpoints(step)
   const placed = placeGang(state, step, run, candidates, (live) => removeRun(state, live))
-  if (placed === undefined) return false
+  if (placed === undefined) {
+    noteBlocked(state, step, 'no-room')
+    return false
+  }
   state.lastRun = run
   noteStarted(state, step)
   for (const live of placed) sendStart(state, live)
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -8,6 +8,9 @@
 /** Allowance for the way of an order and for timers. */
 const LAPSE_MARGIN_MS = 150
 
+/** Weight of the newest run in the slowness of a target. */
+const SLOWNESS_GAIN = 0.25
+
 /** Failures and successes on a target in the recent past, weighed by age. */
 const FAILURE_MEMORY_MS = 6_000
 
@@ -31,6 +34,8 @@
   serving = 0
   failures = 0
   successes = 0
+  /** Recent run times as a multiple of the declared ones. */
+  slowness = 1
   entry: TargetEntry
   /** Whether the entry is still published. */
   published = true
@@ -99,6 +104,10 @@
     else this.successes += 1
   }
 
+  noteDuration (durationMs: number, estimatedMs: number): void {
+    if (estimatedMs > 0) this.slowness += SLOWNESS_GAIN * (durationMs / estimatedMs - this.slowness)
+  }
+
   /** Part of the recent ends that were failures, with one success assumed. */
   failureShare (now: number): number {
     this.decay(now)
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -42,6 +42,7 @@
     if (target.listed && target.lapsesAt() > state.now) continue
     if (!target.listed && state.earlierRunsPossible) continue
     state.targets.delete(target.id)
-    state.effects.push({ type: 'forget-target', id: target.id })
+    state.storedTargets.delete(target.id)
+    state.effects.push({ type: 'forget-target', id: target.id }, { type: 'store-targets', ids: [...state.targets.keys()] })
   }
 }
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -8,7 +8,8 @@
 /** One task of a step of an occurrence. */
 export class Task {
   phase: TaskPhase = 'waiting'
-  failures = 0
+  /** Runs that failed; an end that is listed again after a change of the owner counts once. */
+  readonly failedRuns = new Set<number>()
   checkpoint = ''
   /** Runs that may still be present on a target; a new start waits until there is none. */
   readonly runs = new Set<LiveRun>()
@@ -21,8 +22,8 @@
     return new Task(taskKey(step.job.definition.id, step.occurrence, step.number, index), index, step)
   }
 
-  get startable (): boolean {
-    return this.phase === 'waiting' && this.runs.size === 0
+  get failures (): number {
+    return this.failedRuns.size
   }
 }
 
@@ -32,7 +33,9 @@
   readonly tasks: readonly Task[]
   readonly advice = StepAdvice.create()
   /** Failed runs of a gang as a whole. */
-  gangFailures = 0
+  readonly gangFailedRuns = new Set<number>()
+  /** Why its tasks do not start, as it was last logged. */
+  blockedBy: string | undefined
   unfinished: number
 
   private constructor (readonly job: Job, readonly occurrence: number, readonly number: number, readonly spec: Step) {
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -127,7 +127,7 @@
 })
 
 test('cell: the task of a silent target starts elsewhere only after its lease has lapsed on a slow clock', () => {
-  const harness = withTarget()
+  const harness = CellHarness.create([entry('t1')], CONFIGURATION, { leaseMs: 5_000 })
   harness.apply({ type: 'job-accepted', definition: job('a', {}) })
   harness.confirm(harness.starts()[0]!)
   harness.publish(entry('t2'))
@@ -216,3 +216,42 @@
   const paces = harness.pass(10).filter((effect) => effect.type === 'pace')
   assert.deepEqual(paces.map(({ order }) => [order.task, order.percent]), [['b.0.0.0', 0]])
 })
+
+test('cell: a failed run that is listed again to a new owner counts once', () => {
+  const before = withTarget()
+  before.apply({ type: 'job-accepted', definition: job('a', {}) })
+  const [first] = before.starts()
+  before.end(first!, 'failed')
+  const after = withTarget()
+  after.apply({ type: 'job-restored', definition: job('a', {}), progress: before.cell.progressOf('a') })
+  after.list('t1', { ended: [{ number: 1, task: 'a.0.0.0', run: first!.order.run, ending: 'failed', checkpoint: '' }] })
+  assert.equal(after.cell.progressOf('a')!.phase, 'running')
+})
+
+const copies = [
+  { guards: 'a speculative task gets a copy at once', speculative: true, starts: 2 },
+  { guards: 'another task waits for the lapse', speculative: false, starts: 1 }
+]
+
+for (const { guards, speculative, starts } of copies) {
+  test(`cell: while its target is silent, ${guards}`, () => {
+    const harness = withTarget()
+    harness.apply({ type: 'job-accepted', definition: job('a', { speculative }) })
+    harness.confirm(harness.starts()[0]!)
+    harness.publish(entry('t2'))
+    harness.apply({ type: 'target-silent', id: 't1', refusal: undefined })
+    harness.pass(100)
+    assert.equal(harness.starts().length, starts)
+  })
+}
+
+test('cell: a run that stands still is stopped and starts on another target', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  harness.confirm(harness.starts()[0]!)
+  harness.publish(entry('t2'))
+  harness.pass(2_500)
+  assert.equal(harness.orders('stop').length, 1)
+  harness.end(harness.starts()[0]!, 'stopped')
+  assert.equal(harness.starts().at(-1)!.target, 't2')
+})
