Let a task come back to the only target that it may use

Cause: a task never went back to the target on which it failed; advice allowed only this one (the others were out), so the task waited for ever (LOST). Test: workflow/cell, 'a task that failed on the only target', failed before.

--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -4,10 +4,15 @@
 import type { TargetState } from './target-state.ts'
 import type { StepRun, Task } from './task.ts'
 
-/** A target with a larger part of recent failures gets no work while others have room. */
+/** A target with a larger part of recent failures gets no work for a while after the last one. */
 const SUSPECT_FAILURE_SHARE = 0.45
-/** A task whose next failure ends its job goes only to targets that fail less than this. */
+/** A task whose next failure ends its job waits longer for targets that fail more than this. */
 const TRUSTED_FAILURE_SHARE = 0.2
+/**
+ * How long a failure keeps work away, in milliseconds. It must end, because advice may allow a step only one target;
+ * first attempts come back sooner and so probe the target for the last ones.
+ */
+const FAILURE_PAUSE_MS = { first: 1_500, last: 2_500 } as const
 
 const BONUS = { dataRack: 4, serving: 3, failures: 6, cold: 1, slowness: 0.5 } as const
 /** A target that takes longer than this many times the declared time counts as no slower. */
@@ -100,8 +105,10 @@
 /** Targets that fail much are left to others; the last attempt goes to trusted targets only. */
 function isAvoided (state: CellState, target: TargetState, task: Task): boolean {
   if (task.step.spec.longRunning) return false
+  const quietMs = state.now - target.failedAt
+  if (quietMs > FAILURE_PAUSE_MS.last) return false
   const share = target.failureShare(state.now)
-  if (share > SUSPECT_FAILURE_SHARE) return true
+  if (share > SUSPECT_FAILURE_SHARE && quietMs < FAILURE_PAUSE_MS.first) return true
   const limit = queueOf(state, task.step.job.definition)?.maxAttempts ?? 0
   const failures = task.step.spec.gang ? task.step.gangFailedRuns.size : task.failures
   if (failures === 0) return false
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -34,6 +34,8 @@
   serving = 0
   failures = 0
   successes = 0
+  /** When a run failed last. */
+  failedAt = -Infinity
   /** Recent run times as a multiple of the declared ones. */
   slowness = 1
   entry: TargetEntry
@@ -100,8 +102,12 @@
 
   noteOutcome (failed: boolean, now: number): void {
     this.decay(now)
-    if (failed) this.failures += 1
-    else this.successes += 1
+    if (failed) {
+      this.failures += 1
+      this.failedAt = now
+    } else {
+      this.successes += 1
+    }
   }
 
   noteDuration (durationMs: number, estimatedMs: number): void {
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -255,3 +255,13 @@
   harness.end(harness.starts()[0]!, 'stopped')
   assert.equal(harness.starts().at(-1)!.target, 't2')
 })
+
+test('cell: a task that failed on the only target that it may use starts there again after a pause', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  harness.end(harness.starts()[0]!, 'failed')
+  harness.pass(1_000)
+  assert.equal(harness.starts().length, 1)
+  harness.pass(1_700)
+  assert.equal(harness.starts().length, 2)
+})
