--- a/src/workflow/cell-configuration.ts
+++ b/src/workflow/cell-configuration.ts
@@ -19,6 +19,9 @@
   readonly priority: number
   /** Failed runs of one task after which its job has failed. */
   readonly maxAttempts: number
+  /** A job is on time within `stretch` times its longest chain of work and `latencyAimMs` more. */
+  readonly stretch: number
+  readonly latencyAimMs: number
   /** Callers need no key. */
   readonly open: boolean
   readonly advice: AdviceTerms | undefined
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -3,6 +3,7 @@
 import type { Demand, JobDefinition } from './job.ts'
 import { NO_DEMAND } from './job.ts'
 import type { CellOptions } from './options.ts'
+import type { SubmissionBucket } from './submission-share.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
 
@@ -15,6 +16,7 @@
   readonly queues: Map<string, Queue>
   readonly organisations: Map<string, Organisation>
   readonly used: Map<string, Demand>
+  readonly submissions: Map<string, SubmissionBucket>
   readonly jobs: Map<string, Job>
   /** Steps of active jobs that have tasks to start. */
   readonly open: Set<StepRun>
--- a/src/workflow/cell.ts
+++ b/src/workflow/cell.ts
@@ -40,6 +40,7 @@
       queues: new Map(),
       organisations: new Map(),
       used: new Map(),
+      submissions: new Map(),
       jobs: new Map(),
       open: new Set(),
       targets: new Map(),
--- a/src/workflow/job.ts
+++ b/src/workflow/job.ts
@@ -53,6 +53,8 @@
   readonly intervalMs: number
   /** How often the steps run; 1 for a plain job. */
   readonly occurrences: number
+  /** When its caller handed it in, in milliseconds since 1970. */
+  readonly submittedAtMs: number
 }
 
 export type JobPhase = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled'
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -4,6 +4,7 @@
 import { isFinal } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
 import { restoreProgress } from './progress-record.ts'
+import { takeShare } from './submission-share.ts'
 import { stopJob } from './runs.ts'
 import type { StepRun, Task } from './task.ts'
 import { Job } from './task.ts'
@@ -14,13 +15,16 @@
 /** Adds a job that a caller has submitted; a known one stays as it is. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
   if (state.jobs.has(definition.id)) return
-  addJob(state, Job.create(definition, state.now, false))
+  const job = Job.create(definition, state.now, false)
+  job.surplus = !takeShare(state, definition.organisation)
+  addJob(state, job)
 }
 
 /** Adds a job that the store held when this owner began. */
 export function restoreJob (state: CellState, definition: JobDefinition, progress: JobProgress | undefined): void {
   if (state.jobs.has(definition.id)) return
-  const job = Job.create(definition, state.now, true)
+  const ageMs = Math.max(0, Date.now() - definition.submittedAtMs)
+  const job = Job.create(definition, state.now - ageMs, true)
   if (progress !== undefined) restoreProgress(job, progress)
   if (isFinal(job.phase)) job.endedAt = state.now
   addJob(state, job)
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,15 +1,16 @@
 import { askForTickets } from './advice-requests.ts'
-import { log, queueOf, usedBy } from './cell-state.ts'
+import { log, usedBy } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
+import { compareRanks, rankOf } from './order.ts'
 import { chooseTarget, needsAdvice, suitableTargets, withinMaximum } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
 import { isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun, Task } from './task.ts'
 
-/** Starts whatever may start now: queues by priority, organisations by weighted use, then by age. */
+/** Starts whatever may start now, in the order of ranks. */
 export function startPass (state: CellState): void {
   state.stale = false
   for (const step of inOrder(state)) startStep(state, step)
@@ -19,7 +20,7 @@
 function inOrder (state: CellState): readonly StepRun[] {
   const ready = [...state.open].filter((step) => step.ready && mayStart(state, step) && step.tasks.some((task) => isStartable(task, state.now)))
   const rank = new Map(ready.map((step) => [step, rankOf(state, step)]))
-  return ready.sort((left, right) => compare(rank.get(left)!, rank.get(right)!))
+  return ready.sort((left, right) => compareRanks(rank.get(left)!, rank.get(right)!))
 }
 
 /** Tasks of restored jobs may still run where an earlier owner has put them. */
@@ -27,27 +28,6 @@
   return !step.job.restored || !state.earlierRunsPossible
 }
 
-type Rank = readonly [priority: number, share: number, acceptedAt: number]
-
-function rankOf (state: CellState, step: StepRun): Rank {
-  const { job } = step
-  const priority = queueOf(state, job.definition)?.priority ?? Infinity
-  return [priority, shareOf(state, job.definition.organisation), job.acceptedAt]
-}
-
-/** Weighted use of an organisation: the larger, the later it is served. */
-function shareOf (state: CellState, organisation: string): number {
-  const weight = state.organisations.get(organisation)?.weight ?? 1
-  return usedBy(state, organisation).cpuMillis / Math.max(weight, Number.MIN_VALUE)
-}
-
-function compare (left: Rank, right: Rank): number {
-  for (let index = 0; index < left.length; index++) {
-    if (left[index] !== right[index]) return left[index]! < right[index]! ? -1 : 1
-  }
-  return 0
-}
-
 function startStep (state: CellState, step: StepRun): void {
   const candidates = suitableTargets(state, step)
   if (needsAdvice(state, step) && !step.advice.answered) return askForTickets(state, step, candidates, true)
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -70,8 +70,14 @@
   endedAt: number | undefined
   /** Whether the record of the present phase has been stored. */
   shownPhase: JobPhase = 'queued'
+  /** Its organisation had sent more than its share of jobs a second when it came. */
+  surplus = false
+  /** For each step the declared time from its start to the end of the job along the longest chain, in milliseconds. */
+  readonly chainMs: readonly number[]
 
-  private constructor (readonly definition: JobDefinition, readonly acceptedAt: number, readonly restored: boolean) {}
+  private constructor (readonly definition: JobDefinition, readonly acceptedAt: number, readonly restored: boolean) {
+    this.chainMs = chainsOf(definition.steps)
+  }
 
   /** `restored`: an earlier owner may have started its tasks. */
   static create (definition: JobDefinition, acceptedAt: number, restored: boolean): Job {
@@ -102,3 +108,14 @@
     }
   }
 }
+
+/** Longest declared time from the start of each step to the end of the job. */
+function chainsOf (steps: readonly Step[]): readonly number[] {
+  const chains = steps.map(({ estimatedMs }) => estimatedMs)
+  for (let later = steps.length - 1; later >= 0; later--) {
+    for (const earlier of steps[later]!.after) {
+      chains[earlier] = Math.max(chains[earlier]!, steps[earlier]!.estimatedMs + chains[later]!)
+    }
+  }
+  return chains
+}
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -265,3 +265,26 @@
   harness.pass(1_700)
   assert.equal(harness.starts().length, 2)
 })
+
+const orders = [
+  { guards: 'work of an organisation beyond its share of jobs a second waits for that of others', waitMs: 0, first: 'mine' },
+  { guards: 'a job that can still be on time goes before one that cannot', waitMs: 1_200, first: 'mine' }
+]
+
+for (const { guards, waitMs, first } of orders) {
+  test(`cell: when the cell is full, ${guards}`, () => {
+    const organisations = ['zuu', 'other'].map((name) => ({ ...CONFIGURATION.organisations[0]!, name, weight: waitMs === 0 ? 1 : 10 }))
+    const harness = CellHarness.create([entry('t1')], { ...CONFIGURATION, organisations })
+    harness.apply({ type: 'job-accepted', definition: job('full', { count: 4 }) })
+    const [full] = harness.starts()
+    harness.starts().forEach((start) => harness.confirm(start))
+    harness.apply({ type: 'job-accepted', definition: job('flood', {}) })
+    for (let passed = 0; passed < waitMs; passed += 100) {
+      harness.pass(100)
+      harness.list('t1', { running: harness.runningOn('t1').map((run) => ({ ...run, percent: passed / 100 + 1 })) })
+    }
+    harness.apply({ type: 'job-accepted', definition: { ...job('mine', {}), organisation: 'other' } })
+    harness.end(full!, 'done')
+    assert.equal(harness.starts().at(-1)!.order.task, `${first}.0.0.0`)
+  })
+}
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -6,7 +6,7 @@
 import type { CellOptions } from '../../src/workflow/options.ts'
 import type { ListedEnd, ListedRun, TargetEntry } from '../../src/workflow/target-entry.ts'
 
-export const QUEUE: Queue = { name: 'stock', host: 'a.example', prefix: '/stock/', pool: 'kit', priority: 0, maxAttempts: 2, open: false, advice: undefined }
+export const QUEUE: Queue = { name: 'stock', host: 'a.example', prefix: '/stock/', pool: 'kit', priority: 0, maxAttempts: 2, stretch: 1.5, latencyAimMs: 250, open: false, advice: undefined }
 
 export const CONFIGURATION: CellConfiguration = {
   version: 1,
@@ -36,7 +36,7 @@
 }
 
 export function job (id: string, ...steps: ReadonlyArray<Partial<Step>>): JobDefinition {
-  return { id, queue: 'stock', organisation: 'zuu', payload: 'p', steps: steps.map((step) => ({ ...STEP, ...step })), firstAtMs: 0, intervalMs: 0, occurrences: 1 }
+  return { id, queue: 'stock', organisation: 'zuu', payload: 'p', steps: steps.map((step) => ({ ...STEP, ...step })), firstAtMs: 0, intervalMs: 0, occurrences: 1, submittedAtMs: 0 }
 }
 
 export function entry (id: string, changes: Partial<TargetEntry> = {}): TargetEntry {
