--- a/src/workflow/order.ts
+++ b/src/workflow/order.ts
@@ -10,17 +10,18 @@
 
 /**
  * Place of a step among those that wait; smaller values go first. Work beyond an organisation's share and work that has
- * missed its use come last; then the queue's priority counts, then whether the job can still be on time, then the
- * weighted use of the organisation, then age.
+ * missed its use come last; then the queue's priority counts, then whether the job has begun, because a job that is left
+ * half done has used room in vain; then whether it can still be on time, the weighted use of the organisation, and age.
  */
-export type Rank = readonly [deferred: number, priority: number, lateness: number, share: number, acceptedAt: number]
+export type Rank = readonly [deferred: number, priority: number, begun: number, lateness: number, share: number, acceptedAt: number]
 
 export function rankOf (state: CellState, step: StepRun): Rank {
-  const { job } = step
+  const { job, spec } = step
   const queue = queueOf(state, job.definition)
   const lateness = latenessOf(state, step)
   const deferred = (job.surplus ? 1 : 0) + (lateness === 2 ? 1 : 0)
-  return [deferred, queue?.priority ?? Infinity, lateness, shareOf(state, job.definition.organisation), job.acceptedAt]
+  const begun = job.phase === 'running' && !spec.longRunning
+  return [deferred, queue?.priority ?? Infinity, begun ? 0 : 1, begun ? 0 : lateness, shareOf(state, job.definition.organisation), job.acceptedAt]
 }
 
 function latenessOf (state: CellState, { job, number, spec }: StepRun): Lateness {
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -2,7 +2,7 @@
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
 import type { TargetState } from './target-state.ts'
-import type { StepRun, Task } from './task.ts'
+import type { Job, StepRun, Task } from './task.ts'
 
 /** A target with a larger part of recent failures gets no work for a while after the last one. */
 const SUSPECT_FAILURE_SHARE = 0.45
@@ -14,23 +14,34 @@
  */
 const FAILURE_PAUSE_MS = { first: 1_500, last: 2_500 } as const
 
+/** Parts of an organisation's maximum that work beyond its share, work of queues with priority 0 and other work may use. */
+const USABLE_PART = { surplus: 0.6, urgent: 1, other: 0.85 } as const
+
 const BONUS = { dataRack: 4, serving: 3, failures: 6, cold: 1, slowness: 0.5 } as const
 /** A target that takes longer than this many times the declared time counts as no slower. */
 const MOST_SLOWNESS = 6
 
-/** Whether the organisation of the job may start one more task of this size. */
-export function withinMaximum (state: CellState, organisation: string, demand: Demand): boolean {
+/** Whether the organisation of the job may start tasks of this size in all. */
+export function withinMaximum (state: CellState, job: Job, demand: Demand): boolean {
+  const { organisation } = job.definition
   const maximum = state.organisations.get(organisation)?.maximum
   if (maximum === undefined) return true
   const used = usedBy(state, organisation)
-  return within(used.cpuMillis, demand.cpuMillis, maximum.cpuMillis) &&
-    within(used.memoryMiB, demand.memoryMiB, maximum.memoryMiB) &&
-    within(used.accelerators, demand.accelerators, maximum.accelerators)
+  const part = usablePart(state, job)
+  return within(used.cpuMillis, demand.cpuMillis, maximum.cpuMillis, part) &&
+    within(used.memoryMiB, demand.memoryMiB, maximum.memoryMiB, part) &&
+    within(used.accelerators, demand.accelerators, maximum.accelerators, part)
+}
+
+/** Less urgent work leaves a part of its organisation's maximum to the urgent work that may come. */
+function usablePart (state: CellState, job: Job): number {
+  if (job.surplus) return USABLE_PART.surplus
+  return (queueOf(state, job.definition)?.priority ?? 0) === 0 ? USABLE_PART.urgent : USABLE_PART.other
 }
 
 /** A single task may be larger than the whole maximum. */
-function within (used: number, wanted: number, maximum: number): boolean {
-  return maximum === 0 || wanted === 0 || used === 0 || used + wanted <= maximum
+function within (used: number, wanted: number, maximum: number, part: number): boolean {
+  return maximum === 0 || wanted === 0 || used === 0 || used + wanted <= maximum * part
 }
 
 /** Whether a target takes new work at all. */
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -37,10 +37,9 @@
 
 /** Whether all startable tasks were started. */
 function startTasks (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
-  const { organisation } = step.job.definition
   for (const task of step.tasks) {
     if (!isStartable(task, state.now)) continue
-    if (!withinMaximum(state, organisation, step.spec.demand)) return noteBlocked(state, step, 'maximum')
+    if (!withinMaximum(state, step.job, step.spec.demand)) return noteBlocked(state, step, 'maximum')
     const target = chooseTarget(state, candidates, task)
     if (target === undefined) {
       noteBlocked(state, step, 'no-room')
@@ -73,7 +72,7 @@
 /** Whether the gang was started or cannot start for a reason that tickets do not change. */
 function startGang (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
   if (!step.tasks.every((task) => isStartable(task, state.now))) return true
-  if (!withinMaximum(state, step.job.definition.organisation, total(step))) return noteBlocked(state, step, 'maximum')
+  if (!withinMaximum(state, step.job, total(step))) return noteBlocked(state, step, 'maximum')
   const run = state.lastRun + 1
   alignCheckpoints(step)
   const placed = placeGang(state, step, run, candidates, (live) => removeRun(state, live))
