--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -60,6 +60,11 @@
   return state.queues.get(definition.queue)
 }
 
+/** Whether a job is of a queue with the highest priority. */
+export function isUrgent (state: CellState, definition: JobDefinition): boolean {
+  return (queueOf(state, definition)?.priority ?? 0) === 0
+}
+
 /** The task with the given key, if its job is known and its occurrence is open. */
 export function findTask (state: CellState, key: string): Task | undefined {
   const [job, occurrence, step, index] = key.split('.')
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -12,6 +12,8 @@
   readonly task: Task
   readonly run: number
   readonly target: TargetState
+  /** Its queue has the highest priority. */
+  readonly urgent: boolean
   phase: LivePhase
   ticket: string | undefined
   /** Orders sent for the present phase. */
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -1,4 +1,4 @@
-import { queueOf, usedBy } from './cell-state.ts'
+import { isUrgent, queueOf, usedBy } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
 import type { TargetState } from './target-state.ts'
@@ -17,6 +17,9 @@
 /** Parts of an organisation's maximum that work beyond its share, work of queues with priority 0 and other work may use. */
 const USABLE_PART = { surplus: 0.6, urgent: 1, other: 0.85 } as const
 
+/** Part of a target that tasks of other queues than those with priority 0 may take. */
+const OTHERS_PART = 0.85
+
 const BONUS = { dataRack: 4, serving: 3, failures: 6, cold: 1, slowness: 0.5 } as const
 /** A target that takes longer than this many times the declared time counts as no slower. */
 const MOST_SLOWNESS = 6
@@ -36,7 +39,7 @@
 /** Less urgent work leaves a part of its organisation's maximum to the urgent work that may come. */
 function usablePart (state: CellState, job: Job): number {
   if (job.surplus) return USABLE_PART.surplus
-  return (queueOf(state, job.definition)?.priority ?? 0) === 0 ? USABLE_PART.urgent : USABLE_PART.other
+  return isUrgent(state, job.definition) ? USABLE_PART.urgent : USABLE_PART.other
 }
 
 /** A single task may be larger than the whole maximum. */
@@ -69,6 +72,15 @@
   ))
 }
 
+/** Less urgent tasks leave a part of each target to urgent ones; a single one may be larger than that. */
+function leavesUrgentRoom (state: CellState, target: TargetState, { spec, job }: StepRun): boolean {
+  if (isUrgent(state, job.definition)) return true
+  const { capacity } = target.entry
+  const { cpuMillis, memoryMiB } = target.bookedByOthers
+  const cpuFits = spec.fills || cpuMillis === 0 || cpuMillis + spec.demand.cpuMillis <= capacity.cpuMillis * OTHERS_PART
+  return cpuFits && (memoryMiB === 0 || memoryMiB + spec.demand.memoryMiB <= capacity.memoryMiB * OTHERS_PART)
+}
+
 /** Whether a task may be put beside the tasks of its step that the target already has. */
 function withinPerTargetLimit (target: TargetState, step: StepRun): boolean {
   const limit = step.spec.perTargetLimit
@@ -92,6 +104,7 @@
 export function canStart (state: CellState, target: TargetState, task: Task): boolean {
   const { step } = task
   if (!takesWork(state, target) || !hasRoom(target, step) || !withinPerTargetLimit(target, step) || holds(target, task)) return false
+  if (!leavesUrgentRoom(state, target, step)) return false
   return !needsAdvice(state, step) || step.advice.ticket(target.id, target.entry.incarnation, state.now) !== undefined
 }
 
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -1,4 +1,4 @@
-import { changeUsage, log } from './cell-state.ts'
+import { changeUsage, isUrgent, log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { LivePhase, LiveRun } from './live-run.ts'
 import type { TargetState } from './target-state.ts'
@@ -18,6 +18,7 @@
     task,
     run,
     target,
+    urgent: isUrgent(state, task.step.job.definition),
     phase,
     ticket,
     sends: 0,
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -30,6 +30,8 @@
   /** No start before this time, on the scheduler's clock. */
   pausedUntil = 0
   booked: Demand = NO_DEMAND
+  /** Part of what is booked that is not urgent. */
+  bookedByOthers: Demand = NO_DEMAND
   fillCpuMillis = 0
   serving = 0
   failures = 0
@@ -129,11 +131,9 @@
 
   private book (run: LiveRun, sign: 1 | -1): void {
     const { demand, fills, latencyTargetMs } = run.task.step.spec
-    this.booked = {
-      cpuMillis: this.booked.cpuMillis + (fills ? 0 : sign * demand.cpuMillis),
-      memoryMiB: this.booked.memoryMiB + sign * demand.memoryMiB,
-      accelerators: this.booked.accelerators + sign * demand.accelerators
-    }
+    const change = { cpuMillis: fills ? 0 : sign * demand.cpuMillis, memoryMiB: sign * demand.memoryMiB, accelerators: sign * demand.accelerators }
+    this.booked = sum(this.booked, change)
+    if (!run.urgent) this.bookedByOthers = sum(this.bookedByOthers, change)
     if (fills) this.fillCpuMillis += sign * demand.cpuMillis
     if (latencyTargetMs > 0) this.serving += sign
   }
@@ -142,3 +142,11 @@
 function runKey (run: LiveRun): string {
   return `${run.task.key}#${run.run}`
 }
+
+function sum (left: Demand, right: Demand): Demand {
+  return {
+    cpuMillis: left.cpuMillis + right.cpuMillis,
+    memoryMiB: left.memoryMiB + right.memoryMiB,
+    accelerators: left.accelerators + right.accelerators
+  }
+}
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -63,6 +63,15 @@
   assert.equal(harness.starts().length, 1)
 })
 
+test('cell: tasks of less urgent queues leave room on each target to urgent ones', () => {
+  const urgent = { ...QUEUE, name: 'urgent' }
+  const harness = CellHarness.create([entry('t1')], { ...CONFIGURATION, queues: [{ ...QUEUE, priority: 2 }, urgent] })
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 4 }) })
+  assert.equal(harness.starts().length, 3)
+  harness.apply({ type: 'job-accepted', definition: { ...job('b', {}), queue: 'urgent' } })
+  assert.equal(harness.starts().length, 4)
+})
+
 const maxima = [
   { guards: 'urgent work uses the whole maximum of its organisation and no more', priority: 0, starts: 3 },
   { guards: 'other work leaves a part of the maximum to urgent work', priority: 1, starts: 2 }
