--- a/src/controller/advice-lanes.ts
+++ b/src/controller/advice-lanes.ts
@@ -52,6 +52,11 @@
     this.dispatch()
   }
 
+  /** Questions that wait for a lane. */
+  get waitingCount (): number {
+    return this.waiting.length
+  }
+
   stop (): void {
     this.waiting = []
     this.lanes.clear()
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -22,6 +22,7 @@
 import { TargetSession } from './target-session.ts'
 
 const TICK_MS = 100
+const SUMMARY_INTERVAL_MS = 2_000
 /** Run numbers of one term; far more than a term starts. */
 const RUNS_PER_TERM = 1_000_000
 /** Changes below the jobs are read this often, in case the member that stored one could not tell the leader. */
@@ -72,6 +73,7 @@
   private restored = false
   private lastTickAt = Date.now()
   private suspendedUntilConfirmed = false
+  private summarizedAt = 0
   /** When the earlier leader has certainly sent its last order. */
   private ordersEndedAt = performance.now() + UNCONFIRMED_MS
 
@@ -297,11 +299,17 @@
       this.options.report.log('warn', 'process-was-suspended', { lateMs })
     }
     if (this.suspendedUntilConfirmed && this.options.confirmed()) this.suspendedUntilConfirmed = false
+    if (performance.now() - this.summarizedAt > SUMMARY_INTERVAL_MS) this.summarize()
     this.dropSilentPeers()
     this.checkEarlierRuns()
     this.apply({ type: 'tick' })
   }
 
+  private summarize (): void {
+    this.summarizedAt = performance.now()
+    this.options.report.log('info', 'cell-summary', { ...this.cell.summary, members: this.peers.size + 1, adviceWaiting: this.lanes.waitingCount })
+  }
+
   private dropSilentPeers (): void {
     for (const [member, { seenAt }] of this.peers) {
       if (performance.now() - seenAt < PEER_TIMEOUT_MS) continue
--- a/src/workflow/cell.ts
+++ b/src/workflow/cell.ts
@@ -4,6 +4,8 @@
 import type { CellConfiguration } from './cell-configuration.ts'
 import { log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import { summaryOf } from './cell-summary.ts'
+import type { CellSummary } from './cell-summary.ts'
 import type { CellEffect } from './effect.ts'
 import { takeListing } from './endings.ts'
 import type { CellEvent, ProcessedEnds } from './event.ts'
@@ -104,6 +106,10 @@
     return counts
   }
 
+  get summary (): CellSummary {
+    return summaryOf(this.state)
+  }
+
   target (id: string): TargetState | undefined {
     return this.state.targets.get(id)
   }
