--- a/src/controller/advice-lanes.ts
+++ b/src/controller/advice-lanes.ts
@@ -19,7 +19,7 @@
 /** A lane that failed is left out for this time, in milliseconds. */
 const LANE_PAUSE_MS = 1_500
 
-/** Spreads questions over lanes: urgent ones first, then short ones, each lane one at a time. */
+/** Spreads questions over lanes, urgent ones first, each lane one at a time. */
 export class AdviceLanes {
   private readonly lanes = new Map<string, Lane>()
   private readonly busy = new Set<string>()
@@ -48,10 +48,14 @@
 
   ask (question: AdviceQuestion): void {
     this.waiting.push(question)
-    this.waiting.sort((left, right) => Number(right.urgent) - Number(left.urgent) || left.costMs - right.costMs)
+    this.waiting.sort((left, right) => Number(right.urgent) - Number(left.urgent))
     this.dispatch()
   }
 
+  get size (): number {
+    return this.lanes.size
+  }
+
   /** Questions that wait for a lane. */
   get waitingCount (): number {
     return this.waiting.length
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -170,6 +170,7 @@
         return peer.member === self.member ? advisor.advise(step, targets, timeoutMs) : askPeer(peer, step, targets, timeoutMs)
       }
     })
+    this.apply({ type: 'advice-lanes', lanes: this.lanes.size })
   }
 
   private async begin (): Promise<void> {
@@ -218,9 +219,8 @@
 
   private restoreJobs (jobs: readonly StoreEntry[], progress: readonly StoreEntry[]): void {
     const stored = new Map(progress.map(({ key, value }) => [key.slice(PROGRESS_PREFIX.length), value]))
-    for (const { key, value } of jobs) {
-      if (key.endsWith(CANCEL_SUFFIX)) continue
-      const definition = JSON.parse(value) as JobDefinition
+    const definitions = jobs.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX)).map(({ value }) => JSON.parse(value) as JobDefinition)
+    for (const definition of definitions.sort((left, right) => left.submittedAtMs - right.submittedAtMs)) {
       const known = stored.get(definition.id)
       this.apply({ type: 'job-restored', definition, progress: known === undefined ? undefined : JSON.parse(known) as JobProgress })
     }
@@ -315,6 +315,7 @@
       if (performance.now() - seenAt < PEER_TIMEOUT_MS) continue
       this.peers.delete(member)
       this.lanes.remove(member)
+      this.apply({ type: 'advice-lanes', lanes: this.lanes.size })
     }
   }
 
--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -1,7 +1,7 @@
 import { queueOf } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { AdviceAnswer } from '../ports/order-client.ts'
-import { hasRoom, suitableTargets, takesWork } from './placement.ts'
+import { hasRoomNow, suitableTargets, takesWork } from './placement.ts'
 import { isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun } from './task.ts'
@@ -13,10 +13,11 @@
 
 /** Asks for tickets of a step, unless a question is open or no target could use one. */
 export function askForTickets (state: CellState, step: StepRun, candidates: readonly TargetState[], urgent: boolean): void {
-  if (step.advice.asking) return
+  if (step.advice.asking || state.askingSteps >= state.mostAskingSteps) return
   const targets = targetsToAsk(state, step, candidates)
   if (targets.length === 0) return
   step.advice.asking = true
+  state.askingSteps += 1
   state.effects.push({ type: 'ask-advice', step: step.key, targets, costMs: adviceCost(state, step, targets.length), urgent })
 }
 
@@ -25,10 +26,10 @@
   const usable = candidates.filter((target) => takesWork(state, target))
   const unknown = usable.filter((target) => !step.advice.knows(target.id))
   if (!step.advice.answered) return unknown.slice(0, state.options.adviceTargets).map((target) => target.id)
-  const renewable = usable.filter((target) => step.advice.allows(target.id) && hasRoom(target, step) &&
+  const renewable = usable.filter((target) => step.advice.allows(target.id) && hasRoomNow(state, target, step) &&
     step.advice.ticket(target.id, target.entry.incarnation, state.now) === undefined)
   const waiting = step.tasks.filter((task) => isStartable(task, state.now)).length
-  const named = [...renewable.sort((left, right) => right.free().cpuMillis - left.free().cpuMillis), ...unknown.filter((target) => hasRoom(target, step))]
+  const named = [...renewable.sort((left, right) => right.free().cpuMillis - left.free().cpuMillis), ...unknown.filter((target) => hasRoomNow(state, target, step))]
   return named.slice(0, Math.min(state.options.adviceTargets, waiting + SPARE_TARGETS)).map((target) => target.id)
 }
 
@@ -39,10 +40,11 @@
 
 /** Takes in an answer; a failed question is asked again with the next pass. */
 export function takeAdvice (state: CellState, key: string, asked: readonly string[], answer: AdviceAnswer): void {
+  state.askingSteps = Math.max(0, state.askingSteps - 1)
+  state.stale = true
   const step = findStep(state, key)
   if (step === undefined) return
   step.advice.asking = false
-  state.stale = true
   if (answer.type === 'failed') return
   const validityMs = answer.validityMs ?? queueOf(state, step.job.definition)?.advice?.validityMs ?? 0
   const tickets = answer.tickets.flatMap(({ target, ticket }) => {
@@ -60,6 +62,8 @@
 /** Asks ahead for steps whose predecessors are about to end. */
 export function askAhead (state: CellState): void {
   for (const step of state.open) {
+    // Questions for steps whose turn has come go first.
+    if (state.askingSteps * 2 >= state.mostAskingSteps) return
     const terms = queueOf(state, step.job.definition)?.advice
     if (terms === undefined || step.advice.asking || step.ready || step.spec.after.length === 0) continue
     const candidates = suitableTargets(state, step)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -26,6 +26,9 @@
   readonly storedTargets: Set<string>
   /** Until then, tasks of restored jobs wait for targets that have not been listed. */
   earlierRunsPossible: boolean
+  /** Steps whose question to the advisor is open, and how many may be; more would only wait and let tickets expire. */
+  askingSteps: number
+  mostAskingSteps: number
   /** Number of the last run; higher than any run of an earlier owner. */
   lastRun: number
   /** Something has changed that may let a task start. */
--- a/src/workflow/cell.ts
+++ b/src/workflow/cell.ts
@@ -21,6 +21,9 @@
 import type { TargetState } from './target-state.ts'
 import { forgetTargets, publishTarget, withdrawTarget } from './targets.ts'
 
+/** Open questions to the advisor for each member that asks: one at the advisor and another that waits. */
+const QUESTIONS_PER_LANE = 2
+
 /**
  * Schedules the steps of all jobs of a cell on its targets. A pure reducer: each event returns effects, and time comes
  * with the event.
@@ -49,6 +52,8 @@
       domainsOut: new Set(),
       storedTargets: new Set(),
       earlierRunsPossible: false,
+      askingSteps: 0,
+      mostAskingSteps: QUESTIONS_PER_LANE,
       lastRun: all.firstRun - 1,
       stale: false
     })
@@ -135,6 +140,9 @@
       case 'start-answered':
       case 'stop-answered': return this.answered(event)
       case 'advised': return takeAdvice(state, event.step, event.asked, event.answer)
+      case 'advice-lanes':
+        state.mostAskingSteps = Math.ceil(event.lanes * QUESTIONS_PER_LANE)
+        return
       case 'job-accepted': return acceptJob(state, event.definition)
       case 'job-restored': return restoreJob(state, event.definition, event.progress)
       case 'job-cancelled': return this.cancelled(event.id)
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -19,6 +19,8 @@
   | { readonly type: 'start-answered', readonly target: string, readonly task: string, readonly run: number, readonly answer: OrderAnswer }
   | { readonly type: 'stop-answered', readonly target: string, readonly task: string, readonly run: number, readonly answer: OrderAnswer }
   | { readonly type: 'advised', readonly step: string, readonly asked: readonly string[], readonly answer: AdviceAnswer }
+  /** Members through which the advisor can be asked. */
+  | { readonly type: 'advice-lanes', readonly lanes: number }
   | { readonly type: 'job-accepted', readonly definition: JobDefinition }
   | { readonly type: 'job-restored', readonly definition: JobDefinition, readonly progress: JobProgress | undefined }
   | { readonly type: 'job-cancelled', readonly id: string }
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -16,7 +16,7 @@
 export function acceptJob (state: CellState, definition: JobDefinition): void {
   if (state.jobs.has(definition.id)) return
   const job = Job.create(definition, state.now, false)
-  job.surplus = !takeShare(state, definition.organisation)
+  job.surplus = !takeShare(state, definition.organisation, state.now)
   addJob(state, job)
 }
 
@@ -25,6 +25,7 @@
   if (state.jobs.has(definition.id)) return
   const ageMs = Math.max(0, Date.now() - definition.submittedAtMs)
   const job = Job.create(definition, state.now - ageMs, true)
+  job.surplus = !takeShare(state, definition.organisation, job.acceptedAt)
   if (progress !== undefined) restoreProgress(job, progress)
   if (isFinal(job.phase)) job.endedAt = state.now
   addJob(state, job)
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -100,11 +100,15 @@
   return false
 }
 
+/** Whether the target takes one more task of the step now, apart from advice. */
+export function hasRoomNow (state: CellState, target: TargetState, step: StepRun): boolean {
+  return takesWork(state, target) && hasRoom(target, step) && leavesUrgentRoom(state, target, step) && withinPerTargetLimit(target, step)
+}
+
 /** Whether the task may start on the target now, advice included. */
 export function canStart (state: CellState, target: TargetState, task: Task): boolean {
   const { step } = task
-  if (!takesWork(state, target) || !hasRoom(target, step) || !withinPerTargetLimit(target, step) || holds(target, task)) return false
-  if (!leavesUrgentRoom(state, target, step)) return false
+  if (!hasRoomNow(state, target, step) || holds(target, task)) return false
   return !needsAdvice(state, step) || step.advice.ticket(target.id, target.entry.incarnation, state.now) !== undefined
 }
 
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -4,7 +4,7 @@
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
 import { compareRanks, rankOf } from './order.ts'
-import { chooseTarget, needsAdvice, suitableTargets, withinMaximum } from './placement.ts'
+import { chooseTarget, hasRoomNow, needsAdvice, suitableTargets, withinMaximum } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
 import { isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
@@ -30,7 +30,11 @@
 
 function startStep (state: CellState, step: StepRun): void {
   const candidates = suitableTargets(state, step)
-  if (needsAdvice(state, step) && !step.advice.answered) return askForTickets(state, step, candidates, true)
+  if (needsAdvice(state, step) && !step.advice.answered) {
+    if (!withinMaximum(state, step.job, step.spec.demand)) noteBlocked(state, step, 'maximum')
+    else if (candidates.some((target) => hasRoomNow(state, target, step))) askForTickets(state, step, candidates, true)
+    return
+  }
   const complete = step.spec.gang ? startGang(state, step, candidates) : startTasks(state, step, candidates)
   if (!complete && needsAdvice(state, step)) askForTickets(state, step, candidates, true)
 }
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -313,3 +313,19 @@
     assert.equal(harness.starts().at(-1)!.order.task, `${first}.0.0.0`)
   })
 }
+
+test('cell: under load no more questions for advice are open than the members can ask soon', () => {
+  const harness = CellHarness.create([entry('t1')], configured({ queue: { advice: ADVICE } }))
+  harness.apply({ type: 'advice-lanes', lanes: 2 })
+  for (let number = 0; number < 20; number++) harness.apply({ type: 'job-accepted', definition: job(`j${number}`, {}) })
+  assert.equal(harness.effects.filter((effect) => effect.type === 'ask-advice').length, 4)
+  harness.apply({ type: 'advised', step: 'j0.0.0', asked: ['t1'], answer: { type: 'failed', reason: 'timeout' } })
+  assert.equal(harness.effects.filter((effect) => effect.type === 'ask-advice').length, 5)
+})
+
+test('cell: no advice is asked for while no target has room', () => {
+  const harness = CellHarness.create([entry('t1')], { ...CONFIGURATION, queues: [QUEUE, { ...QUEUE, name: 'advised', advice: ADVICE }] })
+  harness.apply({ type: 'job-accepted', definition: job('full', { count: 4 }) })
+  harness.apply({ type: 'job-accepted', definition: { ...job('a', {}), queue: 'advised' } })
+  assert.equal(harness.effects.filter((effect) => effect.type === 'ask-advice').length, 0)
+})
