Keep runs over a rebirth until they are listed, and bound unknown usage

Change: runs pass to the next life and its first listing settles them; until all targets are listed their whole capacity counts as used.

--- a/src/workflow/job.ts
+++ b/src/workflow/job.ts
@@ -7,6 +7,20 @@
 
 export const NO_DEMAND: Demand = { cpuMillis: 0, memoryMiB: 0, accelerators: 0 }
 
+/**
+ * Sum of two demands.
+ *
+ * @example
+ * sum(target.booked, step.demand)
+ */
+export function sum (left: Demand, right: Demand): Demand {
+  return {
+    cpuMillis: left.cpuMillis + right.cpuMillis,
+    memoryMiB: left.memoryMiB + right.memoryMiB,
+    accelerators: left.accelerators + right.accelerators
+  }
+}
+
 /** One step of a job: `count` tasks of the same shape. */
 export type Step = {
   readonly count: number
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -11,7 +11,8 @@
 export type LiveRun = {
   readonly task: Task
   readonly run: number
-  readonly target: TargetState
+  /** Changes when the target starts anew under its id. */
+  target: TargetState
   /** Its queue has the highest priority. */
   readonly urgent: boolean
   phase: LivePhase
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -1,8 +1,10 @@
 import { isUrgent, queueOf, usedBy } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
+import { sum } from './job.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
+import { uncertainUsage } from './uncertain-usage.ts'
 
 /** A target with a larger part of recent failures gets no work for a while after the last one. */
 const SUSPECT_FAILURE_SHARE = 0.45
@@ -29,7 +31,7 @@
   const { organisation } = job.definition
   const maximum = state.organisations.get(organisation)?.maximum
   if (maximum === undefined) return true
-  const used = usedBy(state, organisation)
+  const used = sum(usedBy(state, organisation), uncertainUsage(state))
   const part = usablePart(state, job)
   return within(used.cpuMillis, demand.cpuMillis, maximum.cpuMillis, part) &&
     within(used.memoryMiB, demand.memoryMiB, maximum.memoryMiB, part) &&
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -1,5 +1,5 @@
 import type { Demand } from './job.ts'
-import { NO_DEMAND } from './job.ts'
+import { NO_DEMAND, sum } from './job.ts'
 import type { LiveRun } from './live-run.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
 
@@ -8,6 +8,9 @@
 /** Allowance for the way of an order and for timers. */
 const LAPSE_MARGIN_MS = 150
 
+/** Runs on a target that never answered have lapsed after this time; more than any lease, in milliseconds. */
+const UNHEARD_LAPSE_MS = 12_000
+
 /** Weight of the newest run in the slowness of a target. */
 const SLOWNESS_GAIN = 0.25
 
@@ -69,7 +72,7 @@
 
   /** When all runs have certainly lapsed, on the scheduler's clock. */
   lapsesAt (): number {
-    if (this.clock === undefined) return Infinity
+    if (this.clock === undefined) return this.seenAt + UNHEARD_LAPSE_MS
     const remaining = Math.max(0, this.leaseUntilMs - this.clock.clockMs)
     return this.clock.at + remaining / SLOWEST_CLOCK + LAPSE_MARGIN_MS
   }
@@ -142,11 +145,3 @@
 function runKey (run: LiveRun): string {
   return `${run.task.key}#${run.run}`
 }
-
-function sum (left: Demand, right: Demand): Demand {
-  return {
-    cpuMillis: left.cpuMillis + right.cpuMillis,
-    memoryMiB: left.memoryMiB + right.memoryMiB,
-    accelerators: left.accelerators + right.accelerators
-  }
-}
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -1,10 +1,9 @@
 import { log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
-import { loseRun } from './endings.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
 
-/** Takes in a published entry; another incarnation under the same id has forgotten all runs. */
+/** Takes in a published entry; another incarnation under the same id has forgotten the runs of the one before. */
 export function publishTarget (state: CellState, entry: TargetEntry): void {
   const known = state.targets.get(entry.id)
   state.stale = true
@@ -15,16 +14,24 @@
     return
   }
   if (known !== undefined && known.entry.incarnation > entry.incarnation) return
-  if (known !== undefined) replaceLife(state, known)
-  state.targets.set(entry.id, TargetState.create(entry, state.now))
+  const target = TargetState.create(entry, state.now)
+  if (known !== undefined) replaceLife(known, target)
+  state.targets.set(entry.id, target)
   state.effects.push({ type: 'watch-target', id: entry.id })
   if (!state.storedTargets.has(entry.id)) state.effects.push({ type: 'store-targets', ids: [...state.targets.keys()] })
   log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation })
 }
 
-/** The end of a life of a target: nothing of it runs on. */
-function replaceLife (state: CellState, target: TargetState): void {
-  for (const live of [...target.runs.values()]) loseRun(state, live, 'its target has started anew')
+/**
+ * Hands the runs of an ended life to the next one. A start that was sent lately may have reached the new life before its
+ * entry was seen, so only the next listing tells which runs are gone.
+ */
+function replaceLife (ended: TargetState, next: TargetState): void {
+  for (const live of [...ended.runs.values()]) {
+    ended.remove(live)
+    live.target = next
+    next.add(live)
+  }
 }
 
 /** An entry that is gone may belong to a target that left, crashed, or is only cut off. */
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -172,6 +172,7 @@
   const harness = withTarget()
   harness.apply({ type: 'job-accepted', definition: job('a', {}) })
   harness.confirm(harness.starts()[0]!)
+  harness.now += 10
   harness.publish(entry('t1', { incarnation: 2 }))
   assert.equal(harness.starts().length, 2)
   assert.ok(harness.starts()[1]!.order.run > harness.starts()[0]!.order.run)
@@ -329,3 +330,16 @@
   harness.apply({ type: 'job-accepted', definition: { ...job('a', {}), queue: 'advised' } })
   assert.equal(harness.effects.filter((effect) => effect.type === 'ask-advice').length, 0)
 })
+
+test('cell: a start that reached the next life of a target before its entry was seen is not sent elsewhere', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  const [first] = harness.starts()
+  harness.confirm(first!)
+  harness.publish(entry('t2'))
+  harness.now += 10
+  harness.apply({ type: 'target-published', entry: entry('t1', { incarnation: 2 }) })
+  assert.equal(harness.starts().length, 1)
+  harness.list('t1', { incarnation: 2, running: [{ task: 'a.0.0.0', run: first!.order.run, checkpoint: '', percent: 1, gauge: undefined }] })
+  assert.equal(harness.starts().length, 1)
+})
