--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -21,7 +21,7 @@
 import type { TargetsRecord } from './store-keys.ts'
 import { TargetSession } from './target-session.ts'
 
-const TICK_MS = 100
+const TICK_MS = 50
 const SUMMARY_INTERVAL_MS = 2_000
 /** Run numbers of one term; far more than a term starts. */
 const RUNS_PER_TERM = 1_000_000
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -43,6 +43,8 @@
   readonly report: Report
   readonly onElected: (term: Term) => void
   readonly onDeposed: (reason: string) => void
+  /** Another member leads than before. */
+  readonly onLeader?: (leader: LeaderRecord) => void
 }
 
 type Held = { readonly lease: LeaseId, readonly term: number, readonly nonce: string, renewedAt: number }
@@ -125,6 +127,7 @@
   private see (entry: StoreEntry | undefined): void {
     this.seen = entry === undefined ? undefined : parseLeader(entry.value)
     this.options.report.log('info', 'leader-seen', { leader: this.seen?.member ?? 'none', term: this.seen?.term ?? 0, version: entry?.version ?? 0 })
+    if (this.seen !== undefined && this.seen.member !== this.options.member) this.options.onLeader?.(this.seen)
     if (this.held !== undefined && this.seen?.nonce !== this.held.nonce) this.depose('the store names another leader or none')
     if (this.seen === undefined) this.claim().catch((error: unknown) => this.options.report.log('error', 'claim-failed', { detail: String(error) }))
   }
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -26,6 +26,8 @@
 /** Keeps the lease of one target's runs and reads its ends, with one listing at a time. */
 export class TargetSession {
   private readonly stopped = new AbortController()
+  /** The last listing had no answer. */
+  private doubtful = false
 
   private constructor (private readonly options: TargetSessionOptions) {}
 
@@ -58,7 +60,7 @@
   private async exchange (target: TargetState): Promise<void> {
     const { id, orders, epoch } = this.options
     const sentAt = performance.now()
-    const order = nextListOrder(target, sentAt, this.options.leaseMs)
+    const order = nextListOrder(target, sentAt, this.options.leaseMs, this.doubtful)
     const answer = await orders.list({ id, address: target.entry.address }, { ...order, epoch })
     if (this.stopped.signal.aborted) return
     await this.take(target, answer, sentAt)
@@ -66,6 +68,12 @@
 
   private async take (target: TargetState, answer: ListAnswer, sentAt: number): Promise<void> {
     const { id, apply } = this.options
+    if (answer.type === 'unanswered' && !this.doubtful) {
+      // One lost answer must not take the target out of use, nor hide the ends of its runs for long.
+      this.doubtful = true
+      return
+    }
+    this.doubtful = false
     if (answer.type !== 'listed') {
       apply({ type: 'target-silent', id, refusal: answer.type === 'refused' ? answer.reason : undefined })
       return delay(RETRY_MS, this.stopped.signal)
--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -14,7 +14,7 @@
 
 export const DEFAULT_CELL_OPTIONS: CellOptions = {
   leaseMs: 3_500,
-  resendAfterMs: 400,
+  resendAfterMs: 150,
   adviceTargets: 100,
   firstRun: 1,
   retentionMs: 150_000
