--- a/src/workflow/list-order.ts
+++ b/src/workflow/list-order.ts
@@ -8,16 +8,16 @@
 
 /**
  * The next question to a target. It extends the lease of the runs only while the target answers: the runs of a silent
- * target must lapse, so that their tasks can start elsewhere.
+ * target must lapse, so that their tasks can start elsewhere. With `atOnce` the target answers without waiting for an end.
  *
  * @example
  * const order = nextListOrder(target, performance.now(), 5_000)
  */
-export function nextListOrder (target: TargetState, now: number, leaseMs: number): Omit<ListOrder, 'epoch'> {
+export function nextListOrder (target: TargetState, now: number, leaseMs: number, atOnce = false): Omit<ListOrder, 'epoch'> {
   const clock = target.reachable ? target.clockAt(now) : undefined
   const leaseUntilMs = clock === undefined ? undefined : Math.floor(clock + leaseMs)
   if (leaseUntilMs !== undefined) target.leaseUntilMs = Math.max(target.leaseUntilMs, leaseUntilMs)
-  return { acknowledged: target.acknowledged, leaseUntilMs, waitMs: waitOf(target) }
+  return { acknowledged: target.acknowledged, leaseUntilMs, waitMs: atOnce ? 0 : waitOf(target) }
 }
 
 function waitOf (target: TargetState): number {
