--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -22,6 +22,10 @@
 const CONFIRMED_MS = LEASE_TTL_MS - 200
 /** Claims of several members are spread over this time, in milliseconds. */
 const CLAIM_SPREAD_MS = 40
+/** A host with less than this many cores lets larger ones claim first. */
+const AMPLE_CORES = 1.5
+/** How much longer a host waits for each core that it lacks, in milliseconds. */
+const DELAY_PER_CORE_MS = 150
 const WATCH_WAIT_MS = 1_500
 const CLAIM_RETRY_MS = 150
 
@@ -40,6 +44,8 @@
   readonly store: Store
   readonly member: string
   readonly address: string
+  /** Processor of this member's host, in cores; larger hosts claim first. */
+  readonly cores: number
   readonly report: Report
   readonly onElected: (term: Term) => void
   readonly onDeposed: (reason: string) => void
@@ -137,7 +143,7 @@
     this.claiming = true
     try {
       while (this.mayClaim()) {
-        await delay(Math.random() * CLAIM_SPREAD_MS, this.stopped.signal)
+        await delay(claimDelayMs(this.options.cores), this.stopped.signal)
         if (!this.mayClaim()) return
         const claimed = await this.tryClaim()
         if (claimed) return
@@ -208,6 +214,16 @@
   }
 }
 
+/**
+ * How long a claim waits, so that claims do not meet and the leader's work falls to a large host.
+ *
+ * @example
+ * await delay(claimDelayMs(0.675))
+ */
+export function claimDelayMs (cores: number): number {
+  return Math.max(0, AMPLE_CORES - cores) * DELAY_PER_CORE_MS + Math.random() * CLAIM_SPREAD_MS
+}
+
 function parseLeader (value: string): LeaderRecord | undefined {
   return parseRecord<LeaderRecord>(value).unwrapOr(undefined)
 }
