--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -93,12 +93,15 @@
   }
 
   private async run (): Promise<void> {
-    while (!this.stopped && (this.jobs.size > 0 || this.forgotten.size > 0 || this.targets !== undefined)) {
-      await delay(Math.max(0, this.startedAt + COMMIT_INTERVAL_MS - performance.now()))
-      this.startedAt = performance.now()
-      await this.commit(this.takeBatch())
+    try {
+      while (!this.stopped && (this.jobs.size > 0 || this.forgotten.size > 0 || this.targets !== undefined)) {
+        await delay(Math.max(0, this.startedAt + COMMIT_INTERVAL_MS - performance.now()))
+        this.startedAt = performance.now()
+        await this.commit(this.takeBatch())
+      }
+    } finally {
+      this.running = false
     }
-    this.running = false
   }
 
   private takeBatch (): Batch {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -379,6 +379,7 @@
       orders: this.options.orders,
       epoch: this.options.term.term,
       leaseMs: this.options.leaseMs,
+      report: this.options.report,
       target: () => this.cell.target(id),
       apply: (event) => this.apply(event),
       nextCommit: () => new Promise((resolve) => this.commitWaiters.push(resolve)),
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -3,6 +3,7 @@
 import { nextListOrder } from '../workflow/list-order.ts'
 import type { TargetState } from '../workflow/target-state.ts'
 import { delay } from './delay.ts'
+import type { Report } from './report.ts'
 
 /** How long the next listing waits for ends to be stored, so that it can acknowledge them. */
 const STORE_WAIT_MS = 60
@@ -15,6 +16,7 @@
   readonly orders: OrderClient
   readonly epoch: number
   readonly leaseMs: number
+  readonly report: Report
   readonly target: () => TargetState | undefined
   readonly apply: (event: CellEvent) => void
   /** Resolves with the next commit. */
@@ -33,11 +35,11 @@
 
   /**
    * @example
-   * const session = TargetSession.create({ id: 't-1', orders, epoch: 3, leaseMs: 5_000, target, apply, nextCommit, mayOrder })
+   * const session = TargetSession.create({ id: 't-1', orders, epoch: 3, leaseMs: 3_500, report, target, apply, nextCommit, mayOrder })
    */
   static create (options: TargetSessionOptions): TargetSession {
     const session = new TargetSession(options)
-    session.run().catch((error: unknown) => { throw error })
+    session.run().catch((error: unknown) => options.report.log('error', 'target-session-failed', { target: options.id, detail: String(error) }))
     return session
   }
 
