--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -78,7 +78,7 @@
   private ordersEndedAt = performance.now() + UNCONFIRMED_MS
 
   private constructor (private readonly options: ControllerOptions) {
-    this.cell = Cell.create({ firstRun: (options.term.term - 1) * RUNS_PER_TERM + 1, leaseMs: options.leaseMs })
+    this.cell = Cell.create({ firstRun: (options.term.term - 1) * RUNS_PER_TERM + 1, leaseMs: options.leaseMs, wallOffsetMs: Date.now() - performance.now() })
     this.committer = Committer.create({
       store: options.store,
       term: options.term.term,
--- /dev/null
+++ b/src/controller/member-link.ts
@@ -0,0 +1,146 @@
+import type { MemberCallClient } from '../adapters/grpc-member-calls.ts'
+import type { AdviceAnswer, Advisor } from '../ports/order-client.ts'
+import { assertNever } from '../util/assert-never.ts'
+import type { JobPhase } from '../workflow/job.ts'
+import type { Controller } from './controller.ts'
+import { delay } from './delay.ts'
+import type { Leadership } from './leadership.ts'
+import type { MemberAnswer, MemberCall, Peer } from './member-call.ts'
+import type { Report } from './report.ts'
+
+const HELLO_INTERVAL_MS = 1_000
+const LEADER_TIMEOUT_MS = 400
+
+export type MemberLinkOptions = {
+  readonly self: Peer
+  readonly calls: MemberCallClient
+  readonly advisor: Advisor
+  readonly report: Report
+  readonly leadership: () => Leadership
+  /** Present while this member leads. */
+  readonly controller: () => Controller | undefined
+}
+
+/** What the members of a cell say to each other: questions to the leader, and the leader's questions to the others. */
+export class MemberLink {
+  private readonly stopped = new AbortController()
+  /** Waiting jobs by queue, as the leader told last. */
+  private waiting: Readonly<Record<string, number>> = {}
+
+  private constructor (private readonly options: MemberLinkOptions) {}
+
+  /**
+   * @example
+   * const link = MemberLink.create({ self, calls, advisor, report, leadership, controller })
+   * await MemberCallServer.listen({ address: self.address, onCall: (call) => link.answer(call) })
+   */
+  static create (options: MemberLinkOptions): MemberLink {
+    return new MemberLink(options)
+  }
+
+  /** Begins to tell the leader that this member is there. */
+  start (): void {
+    this.helloLoop().catch((error: unknown) => this.options.report.log('error', 'hello-failed', { detail: String(error) }))
+  }
+
+  stop (): void {
+    this.stopped.abort()
+    this.options.calls.close()
+  }
+
+  /** Answers another member. */
+  async answer (call: MemberCall): Promise<MemberAnswer> {
+    switch (call.type) {
+      case 'hello': return this.welcome(call.peer)
+      case 'job-stored': return this.note((controller) => controller.accept(call.definition))
+      case 'cancel-stored': return this.note((controller) => controller.cancel(call.id))
+      case 'phase': return this.phaseAnswer(call.id)
+      case 'stand-down':
+        this.options.leadership().standDown(call.term)
+        return { type: 'noted' }
+      case 'advise': return { type: 'advice', answer: await this.options.advisor.advise(call.step, call.targets, call.timeoutMs) }
+      default: return assertNever(call)
+    }
+  }
+
+  private welcome (peer: Peer): MemberAnswer {
+    const controller = this.options.controller()
+    if (controller === undefined) return { type: 'not-leading' }
+    controller.welcome(peer)
+    return { type: 'welcome', peers: controller.members, waiting: controller.waiting }
+  }
+
+  private note (tell: (controller: Controller) => void): MemberAnswer {
+    const controller = this.options.controller()
+    if (controller === undefined) return { type: 'not-leading' }
+    tell(controller)
+    return { type: 'noted' }
+  }
+
+  private phaseAnswer (id: string): MemberAnswer {
+    const phase = this.phaseHere(id)
+    return phase === 'unknown' ? { type: 'not-leading' } : { type: 'phase', phase }
+  }
+
+  private phaseHere (id: string): JobPhase | 'unknown' | undefined {
+    const controller = this.options.controller()
+    if (controller === undefined || !this.options.leadership().confirmed) return 'unknown'
+    return controller.phaseOf(id)
+  }
+
+  /** Phase of a job as the leader knows it; undefined without a sure answer. */
+  async askLeader (id: string): Promise<{ readonly phase: JobPhase | undefined } | undefined> {
+    const here = this.phaseHere(id)
+    if (here !== 'unknown') return { phase: here }
+    const { leader } = this.options.leadership()
+    if (leader === undefined || leader.member === this.options.self.member) return undefined
+    const answer = await this.options.calls.call(leader.address, { type: 'phase', id }, LEADER_TIMEOUT_MS)
+    return answer.isOk() && answer.value.type === 'phase' ? { phase: answer.value.phase } : undefined
+  }
+
+  /** The leader also reads the store, so that a message that is lost costs only time. */
+  tellLeader (call: MemberCall): void {
+    if (this.options.controller() !== undefined) {
+      this.answer(call).catch((error: unknown) => this.options.report.log('error', 'tell-failed', { detail: String(error) }))
+      return
+    }
+    const { leader } = this.options.leadership()
+    if (leader === undefined) return
+    this.options.calls.call(leader.address, call, LEADER_TIMEOUT_MS).then((answer) => {
+      if (answer.isErr()) this.options.report.count('leader-not-told', answer.error.reason)
+    }, (error: unknown) => this.options.report.log('error', 'tell-failed', { detail: String(error) }))
+  }
+
+  /** Asks for advice through another member. */
+  async askPeer (peer: Peer, step: string, targets: readonly string[], timeoutMs: number): Promise<AdviceAnswer> {
+    const answer = await this.options.calls.call(peer.address, { type: 'advise', step, targets, timeoutMs }, timeoutMs + LEADER_TIMEOUT_MS)
+    if (answer.isErr()) return { type: 'failed', reason: answer.error.reason }
+    return answer.value.type === 'advice' ? answer.value.answer : { type: 'failed', reason: 'no-advice' }
+  }
+
+  /** Whether the member has answered that it leads no term below the given one. */
+  async askToStandDown (peer: Peer, term: number): Promise<boolean> {
+    const answer = await this.options.calls.call(peer.address, { type: 'stand-down', term }, LEADER_TIMEOUT_MS)
+    return answer.isOk() && answer.value.type === 'noted'
+  }
+
+  /** Waiting jobs of a queue; at a member that does not lead up to a second old. */
+  waitingOf (queue: string): number {
+    return (this.options.controller()?.waiting ?? this.waiting)[queue] ?? 0
+  }
+
+  private async helloLoop (): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      await this.sayHello()
+      await delay(HELLO_INTERVAL_MS, this.stopped.signal)
+    }
+  }
+
+  /** Tells the leader that this member can ask for advice; learns how many jobs wait. */
+  async sayHello (): Promise<void> {
+    const leader = this.options.leadership()?.leader
+    if (leader === undefined || leader.member === this.options.self.member) return
+    const answer = await this.options.calls.call(leader.address, { type: 'hello', peer: this.options.self }, HELLO_INTERVAL_MS)
+    if (answer.isOk() && answer.value.type === 'welcome') this.waiting = answer.value.waiting
+  }
+}
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -23,7 +23,7 @@
 /** Adds a job that the store held when this owner began. */
 export function restoreJob (state: CellState, definition: JobDefinition, progress: JobProgress | undefined): void {
   if (state.jobs.has(definition.id)) return
-  const ageMs = Math.max(0, Date.now() - definition.submittedAtMs)
+  const ageMs = Math.max(0, wallTime(state) - definition.submittedAtMs)
   const job = Job.create(definition, state.now - ageMs, true)
   job.surplus = !takeShare(state, definition.organisation, job.acceptedAt)
   if (progress !== undefined) restoreProgress(job, progress)
@@ -41,11 +41,16 @@
 export function openDueOccurrences (state: CellState, job: Job): void {
   const { firstAtMs, intervalMs, occurrences } = job.definition
   while (job.active && job.nextOccurrence < occurrences) {
-    if (firstAtMs > 0 && firstAtMs + job.nextOccurrence * intervalMs > Date.now()) return
+    if (firstAtMs > 0 && firstAtMs + job.nextOccurrence * intervalMs > wallTime(state)) return
     openSteps(state, job.openOccurrence())
   }
 }
 
+/** Time of day, in milliseconds since 1970. */
+function wallTime (state: CellState): number {
+  return state.now + state.options.wallOffsetMs
+}
+
 function openSteps (state: CellState, steps: readonly StepRun[]): void {
   for (const step of steps) {
     if (!step.done) state.open.add(step)
--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -8,6 +8,8 @@
   readonly adviceTargets: number
   /** First run number of this owner. */
   readonly firstRun: number
+  /** Time of day less steady clock, in milliseconds; tells when timed jobs are due. */
+  readonly wallOffsetMs: number
   /** How long a job is known after its end, in milliseconds. */
   readonly retentionMs: number
 }
@@ -17,5 +19,6 @@
   resendAfterMs: 150,
   adviceTargets: 100,
   firstRun: 1,
+  wallOffsetMs: 0,
   retentionMs: 150_000
 }
