--- a/src/workflow/endings.ts
+++ b/src/workflow/endings.ts
@@ -25,7 +25,6 @@
   }
   if (!target.listed || !target.reachable) state.stale = true
   target.listed = true
-  target.listedAt = state.now
   target.reachable = true
 }
 
--- a/src/workflow/stragglers.ts
+++ b/src/workflow/stragglers.ts
@@ -35,8 +35,7 @@
   // Tasks that fill get only what others leave, and the members of a gang wait for each other.
   if (live.phase !== 'running' || spec.fills || spec.gang) return undefined
   if (spec.longRunning && live.percent >= AT_WORK_PERCENT) return undefined
-  // Only a listing can tell that there was no progress: a target that went silent is another matter.
-  if (live.target.listedAt - live.percentChangedAt > STUCK_AFTER_MS + spec.estimatedMs * STUCK_ESTIMATE_PART) return 'stuck'
+  if (now - live.percentChangedAt > STUCK_AFTER_MS + spec.estimatedMs * STUCK_ESTIMATE_PART) return 'stuck'
   if (spec.longRunning || !spec.checkpoints) return undefined
   const elapsedMs = now - live.startedAt
   const remainingMs = elapsedMs * (AT_WORK_PERCENT - live.percent) / Math.max(1, live.percent)
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -24,8 +24,6 @@
   reachable = false
   /** Whether its runs have been listed under the present epoch. */
   listed = false
-  /** When it was listed last. */
-  listedAt = 0
   /** Ends up to this number have been processed. */
   processed = 0
   /** Ends up to this number may be forgotten by the target. */
