Keep the earlier leader's lease for runs that are taken over

Cause: a new leader knew no lease end for the runs that its first listing of a target showed. Test: workflow/cell, 'runs taken over keep the lease', failed before.

--- a/src/workflow/endings.ts
+++ b/src/workflow/endings.ts
@@ -23,6 +23,8 @@
   for (const [key, live] of [...target.runs]) {
     if (!present.has(key) && isSettled(live, sentAt)) loseRun(state, live, 'not listed by its target')
   }
+  // An earlier leader may have extended the lease up to now; its end is not known here.
+  if (!target.listed) target.leaseUntilMs = Math.max(target.leaseUntilMs, Math.floor(listing.clockMs + state.options.leaseMs))
   if (!target.listed || !target.reachable) state.stale = true
   target.listed = true
   target.reachable = true
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -343,3 +343,17 @@
   harness.list('t1', { incarnation: 2, running: [{ task: 'a.0.0.0', run: first!.order.run, checkpoint: '', percent: 1, gauge: undefined }] })
   assert.equal(harness.starts().length, 1)
 })
+
+test('cell: runs taken over keep the lease of the earlier leader when their target goes silent at once', () => {
+  const harness = withTarget()
+  harness.publish(entry('t2'))
+  harness.cell.expectEarlierRuns()
+  harness.apply({ type: 'job-restored', definition: job('a', {}), progress: undefined })
+  harness.apply({ type: 'target-published', entry: entry('t3') })
+  harness.apply({ type: 'targets-stored', ids: ['t3'] })
+  harness.list('t3', { running: [{ task: 'a.0.0.0', run: 7, checkpoint: '', percent: 5, gauge: undefined }] })
+  harness.apply({ type: 'earlier-runs-lapsed' })
+  harness.apply({ type: 'target-silent', id: 't3', refusal: undefined })
+  harness.pass(1_000)
+  assert.equal(harness.starts().length, 0)
+})
