Skip a stored record that cannot be read, with one reader for all

Cause: leadership, committer, desk and controller parsed stored records each in its own way; one unreadable job kept a new leader from restoring any. Change: src/controller/stored-record.ts; an unreadable job is logged and left.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -9,6 +9,7 @@
 import { readKey, transact, unchanged } from './store-calls.ts'
 import { COMMIT_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
 import type { CommitRecord, TargetsRecord } from './store-keys.ts'
+import { parseRecord } from './stored-record.ts'
 
 /** Entries of one transaction, less its condition, its own key and the record of targets. */
 const MOST_ENTRIES = 28
@@ -154,7 +155,7 @@
   private async findOutcome ({ nonce }: Batch): Promise<number | undefined> {
     const entry = await readKey(this.options.store, COMMIT_KEY)
     if (entry.isErr()) return undefined
-    const record = entry.value === undefined ? undefined : JSON.parse(entry.value.value) as CommitRecord
+    const record = entry.value === undefined ? undefined : parseRecord<CommitRecord>(entry.value.value)
     if (record?.nonce === nonce) return entry.value!.version
     if (record?.term === this.options.term) return undefined
     this.stop()
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -19,6 +19,7 @@
 import { readAll } from './store-calls.ts'
 import { CANCEL_SUFFIX, JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY } from './store-keys.ts'
 import type { TargetsRecord } from './store-keys.ts'
+import { parseRecord } from './stored-record.ts'
 import { TargetSession } from './target-session.ts'
 
 const TICK_MS = 50
@@ -206,7 +207,7 @@
     while (!this.stopped) {
       const [jobs, progress, targets] = await Promise.all([readAll(store, JOB_PREFIX), readAll(store, PROGRESS_PREFIX), readAll(store, TARGETS_KEY)])
       if (jobs.isOk() && progress.isOk() && targets.isOk()) {
-        this.earlierTargets = (targets.value.entries.map(({ value }) => JSON.parse(value) as TargetsRecord).at(0))?.ids ?? []
+        this.earlierTargets = targets.value.entries.map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)?.ids ?? []
         this.apply({ type: 'targets-stored', ids: this.earlierTargets })
         this.restoreJobs(jobs.value.entries, progress.value.entries)
         report.log('info', 'jobs-restored', { jobs: jobs.value.entries.length, durationMs: Math.round(performance.now() - startedAt) })
@@ -219,10 +220,10 @@
 
   private restoreJobs (jobs: readonly StoreEntry[], progress: readonly StoreEntry[]): void {
     const stored = new Map(progress.map(({ key, value }) => [key.slice(PROGRESS_PREFIX.length), value]))
-    const definitions = jobs.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX)).map(({ value }) => JSON.parse(value) as JobDefinition)
+    const definitions = jobs.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX)).flatMap((entry) => this.readJob(entry))
     for (const definition of definitions.sort((left, right) => left.submittedAtMs - right.submittedAtMs)) {
       const known = stored.get(definition.id)
-      this.apply({ type: 'job-restored', definition, progress: known === undefined ? undefined : JSON.parse(known) as JobProgress })
+      this.apply({ type: 'job-restored', definition, progress: known === undefined ? undefined : parseRecord<JobProgress>(known) })
     }
     for (const { key } of jobs) {
       if (key.endsWith(CANCEL_SUFFIX)) this.cancel(idOfCancelKey(key))
@@ -287,7 +288,15 @@
 
   private takeJob ({ key, value }: StoreEntry): void {
     if (key.endsWith(CANCEL_SUFFIX)) this.cancel(idOfCancelKey(key))
-    else this.apply({ type: 'job-accepted', definition: JSON.parse(value) as JobDefinition })
+    else this.readJob({ key, value }).forEach((definition) => this.apply({ type: 'job-accepted', definition }))
+  }
+
+  /** The job in an entry; an unreadable one must not keep the others from being restored. */
+  private readJob ({ key, value }: Pick<StoreEntry, 'key' | 'value'>): readonly JobDefinition[] {
+    const definition = parseRecord<JobDefinition>(value)
+    if (definition !== undefined) return [definition]
+    this.options.report.log('error', 'job-unreadable', { key })
+    return []
   }
 
   private tick (): void {
--- a/src/controller/job-desk.ts
+++ b/src/controller/job-desk.ts
@@ -4,6 +4,7 @@
 import { delay } from './delay.ts'
 import type { Report } from './report.ts'
 import { readKey, transact } from './store-calls.ts'
+import { parseRecord } from './stored-record.ts'
 import { cancelKey, jobKey, progressKey } from './store-keys.ts'
 
 /**
@@ -90,10 +91,11 @@
     const job = await readKey(store, jobKey(id))
     if (job.isErr()) return { type: 'unavailable', reason: job.error.reason }
     if (job.value === undefined) return { type: 'absent' }
-    this.options.tellJob(JSON.parse(job.value.value) as JobDefinition)
+    const definition = parseRecord<JobDefinition>(job.value.value)
+    if (definition !== undefined) this.options.tellJob(definition)
     const progress = await readKey(store, progressKey(id))
     if (progress.isErr()) return { type: 'unavailable', reason: progress.error.reason }
-    if (progress.value === undefined) return { type: 'found', phase: 'queued' }
-    return { type: 'found', phase: (JSON.parse(progress.value.value) as JobProgress).phase }
+    const stored = progress.value === undefined ? undefined : parseRecord<JobProgress>(progress.value.value)
+    return { type: 'found', phase: stored?.phase ?? 'queued' }
   }
 }
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -1,6 +1,4 @@
 import { randomUUID } from 'node:crypto'
-import { err, ok } from 'neverthrow'
-import type { Result } from 'neverthrow'
 import type { LeaseId, Store, StoreEntry } from '../ports/store.ts'
 import { delay } from './delay.ts'
 import type { Peer } from './member-call.ts'
@@ -9,6 +7,7 @@
 import { callStore, readKey, transact, unchanged } from './store-calls.ts'
 import { COMMIT_KEY, LEADER_KEY, LEADER_PREFIX } from './store-keys.ts'
 import type { CommitRecord, LeaderRecord } from './store-keys.ts'
+import { parseRecord } from './stored-record.ts'
 
 /** Time for which the store keeps the leader's key without a renewal, in milliseconds. */
 const LEASE_TTL_MS = 1_500
@@ -131,7 +130,7 @@
   }
 
   private see (entry: StoreEntry | undefined): void {
-    this.seen = entry === undefined ? undefined : parseLeader(entry.value)
+    this.seen = entry === undefined ? undefined : parseRecord<LeaderRecord>(entry.value)
     this.options.report.log('info', 'leader-seen', { leader: this.seen?.member ?? 'none', term: this.seen?.term ?? 0, version: entry?.version ?? 0 })
     if (this.seen !== undefined && this.seen.member !== this.options.member) this.options.onLeader?.(this.seen)
     if (this.held !== undefined && this.seen?.nonce !== this.held.nonce) this.depose('the store names another leader or none')
@@ -166,7 +165,7 @@
     const sentAt = performance.now()
     const lease = await callStore(store, { type: 'grant-lease', ttlMs: LEASE_TTL_MS })
     if (lease.isErr()) return false
-    const previous = before.value === undefined ? undefined : parseCommit(before.value.value)
+    const previous = before.value === undefined ? undefined : parseRecord<CommitRecord>(before.value.value)
     const term = (previous?.term ?? 0) + 1
     const nonce = randomUUID()
     const record: LeaderRecord = { member, address, term, nonce }
@@ -189,7 +188,7 @@
   private async findOutcome (nonce: string): Promise<number | undefined> {
     const entry = await readKey(this.options.store, COMMIT_KEY)
     if (entry.isErr() || entry.value === undefined) return undefined
-    return parseCommit(entry.value.value)?.nonce === nonce ? entry.value.version : undefined
+    return parseRecord<CommitRecord>(entry.value.value)?.nonce === nonce ? entry.value.version : undefined
   }
 
   private async revoke (lease: LeaseId): Promise<void> {
@@ -223,20 +222,3 @@
 export function claimDelayMs (cores: number): number {
   return Math.max(0, AMPLE_CORES - cores) * DELAY_PER_CORE_MS + Math.random() * CLAIM_SPREAD_MS
 }
-
-function parseLeader (value: string): LeaderRecord | undefined {
-  return parseRecord<LeaderRecord>(value).unwrapOr(undefined)
-}
-
-function parseCommit (value: string): CommitRecord | undefined {
-  return parseRecord<CommitRecord>(value).unwrapOr(undefined)
-}
-
-/** Only members write these keys, so that the text is trusted apart from its syntax. */
-function parseRecord<Content> (value: string): Result<Content | undefined, SyntaxError> {
-  try {
-    return ok(JSON.parse(value) as Content)
-  } catch (error) {
-    return err(error as SyntaxError)
-  }
-}
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -147,6 +147,16 @@
   }
 })
 
+test('platform: a job record that cannot be read does not keep the others from being restored', async () => {
+  const cell = await StandinCell.start({ members: 1, workers: 1, prepare: (kv) => kv.put('jobs/00000000000000bb', '{') })
+  try {
+    await submit(cell, '/short/00000000000000b9', [TASK])
+    await untilState(cell, 0, '/short/00000000000000b9', 'completed')
+  } finally {
+    await cell.close()
+  }
+})
+
 async function leaderOf (cell: StandinCell): Promise<number> {
   await until('a leader', async () => cell.kv.read('lead/holder') !== undefined)
   const { member } = JSON.parse(cell.kv.read('lead/holder')!) as { readonly member: string }
