Book the runs of ended and unknown jobs that a new leader finds on targets

Cause: the stored progress of an ended job names no occurrences, so a new leader did not know the tasks of its runs that were still being stopped. It sent a stop, but booked neither their room nor their organisation's use for up to stopMs; a burst could start other tasks beside them. The same held for a job that was stored after the new leader had read the jobs while the earlier one still started it.

Change: a listed run of a known job is always booked; its occurrence is opened for that where needed. A target that lists runs of unknown jobs takes no work, and its capacity counts as uncertain usage for every maximum. Occurrences that an earlier leader opened by a clock that was ahead start only when due.

--- a/src/workflow/endings.ts
+++ b/src/workflow/endings.ts
@@ -1,7 +1,7 @@
 import { assertNever } from '../util/assert-never.ts'
 import { count, findTask, log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
-import { countFailure, finishTask } from './jobs.ts'
+import { countFailure, findListedTask, finishTask } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
 import { addRun, removeRun, sendStop } from './runs.ts'
 import type { ListedEnd, ListedRun, TargetListing } from './target-entry.ts'
@@ -16,10 +16,13 @@
   target.noteClock(listing.clockMs, state.now)
   for (const end of listing.ended) takeEnd(state, target, end)
   const present = new Set<string>()
+  let unknownRuns = 0
   for (const listed of listing.running) {
     present.add(`${listed.task}#${listed.run}`)
-    takeRunning(state, target, listed)
+    if (!takeRunning(state, target, listed)) unknownRuns += 1
   }
+  if (unknownRuns !== target.unknownRuns) state.stale = true
+  target.unknownRuns = unknownRuns
   for (const [key, live] of [...target.runs]) {
     if (!present.has(key) && isSettled(live, sentAt)) loseRun(state, live, 'not listed by its target')
   }
@@ -90,9 +93,10 @@
   countFailure(state, task, run)
 }
 
-function takeRunning (state: CellState, target: TargetState, listed: ListedRun): void {
+/** Whether the run belongs to a known job. */
+function takeRunning (state: CellState, target: TargetState, listed: ListedRun): boolean {
   const live = target.find(listed.task, listed.run) ?? adopt(state, target, listed)
-  if (live === undefined) return
+  if (live === undefined) return false
   if (live.phase === 'starting') {
     live.phase = 'running'
     live.answeredAt = state.now
@@ -106,11 +110,12 @@
     live.checkpoint = listed.checkpoint
     live.task.checkpoint = listed.checkpoint
   }
+  return true
 }
 
 /** Takes over a run of an earlier owner; one that is not wanted any more is stopped. */
 function adopt (state: CellState, target: TargetState, listed: ListedRun): LiveRun | undefined {
-  const task = findTask(state, listed.task)
+  const task = findListedTask(state, listed.task)
   if (task === undefined) {
     state.effects.push({ type: 'stop', target: target.id, id: target.id, address: target.entry.address, order: { task: listed.task, run: listed.run } })
     log(state, 'warn', 'stop-ordered-for-unknown', { task: listed.task, run: listed.run, target: target.id })
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -1,4 +1,4 @@
-import { log, queueOf } from './cell-state.ts'
+import { findTask, log, queueOf } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import { isFinal } from './job.ts'
@@ -39,13 +39,36 @@
 
 /** Opens the occurrences of a job whose time has come. */
 export function openDueOccurrences (state: CellState, job: Job): void {
-  const { firstAtMs, intervalMs, occurrences } = job.definition
+  const { occurrences } = job.definition
   while (job.active && job.nextOccurrence < occurrences) {
-    if (firstAtMs > 0 && firstAtMs + job.nextOccurrence * intervalMs > wallTime(state)) return
+    if (!isDue(state, job.definition, job.nextOccurrence)) return
     openSteps(state, job.openOccurrence())
   }
 }
 
+/** Whether the time of an occurrence has come. */
+export function isDue (state: CellState, { firstAtMs, intervalMs }: JobDefinition, occurrence: number): boolean {
+  return firstAtMs === 0 || firstAtMs + occurrence * intervalMs <= wallTime(state)
+}
+
+/**
+ * The task of a run that a target lists. An earlier owner may have opened its occurrence by a clock that is ahead, and
+ * the record of an ended job no longer names its occurrences.
+ */
+export function findListedTask (state: CellState, key: string): Task | undefined {
+  const known = findTask(state, key)
+  if (known !== undefined) return known
+  const [id, occurrence] = key.split('.')
+  const job = state.jobs.get(id!)
+  if (job === undefined || !(Number(occurrence) < job.definition.occurrences)) return undefined
+  if (!job.active) job.nextOccurrence = Math.min(job.nextOccurrence, Number(occurrence))
+  while (job.nextOccurrence <= Number(occurrence)) {
+    const steps = job.openOccurrence()
+    if (job.active) openSteps(state, steps)
+  }
+  return findTask(state, key)
+}
+
 /** Time of day, in milliseconds since 1970. */
 function wallTime (state: CellState): number {
   return state.now + state.options.wallOffsetMs
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -51,7 +51,7 @@
 
 /** Whether a target takes new work at all. */
 export function takesWork (state: CellState, target: TargetState): boolean {
-  return target.reachable && target.listed && target.published && !target.entry.draining &&
+  return target.reachable && target.listed && target.published && target.unknownRuns === 0 && !target.entry.draining &&
     target.pausedUntil <= state.now && !state.domainsOut.has(target.entry.failureDomain) && state.storedTargets.has(target.id)
 }
 
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -3,6 +3,7 @@
 import type { CellState } from './cell-state.ts'
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
+import { isDue } from './jobs.ts'
 import { compareRanks, rankOf } from './order.ts'
 import { chooseTarget, hasRoomNow, needsAdvice, suitableTargets, withinMaximum } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
@@ -23,9 +24,9 @@
   return ready.sort((left, right) => compareRanks(rank.get(left)!, rank.get(right)!))
 }
 
-/** Tasks of restored jobs may still run where an earlier owner has put them. */
-function mayStart (state: CellState, step: StepRun): boolean {
-  return !step.job.restored || !state.earlierRunsPossible
+/** Tasks of restored jobs may still run where an earlier owner has put them; its clock may be ahead of ours. */
+function mayStart (state: CellState, { job, occurrence }: StepRun): boolean {
+  return (!job.restored || !state.earlierRunsPossible) && isDue(state, job.definition, occurrence)
 }
 
 function startStep (state: CellState, step: StepRun): void {
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -32,6 +32,8 @@
   leaseUntilMs = 0
   /** No start before this time, on the scheduler's clock. */
   pausedUntil = 0
+  /** Listed runs of jobs that are not known here; the room they take is not known either. */
+  unknownRuns = 0
   booked: Demand = NO_DEMAND
   /** Part of what is booked that is not urgent. */
   bookedByOthers: Demand = NO_DEMAND
--- a/src/workflow/uncertain-usage.ts
+++ b/src/workflow/uncertain-usage.ts
@@ -3,11 +3,19 @@
 import { NO_DEMAND, sum } from './job.ts'
 
 /**
- * Most that runs of an earlier owner may take on targets that have not been listed yet. Until these runs are known, each
- * organisation is treated as if all of them were its own, so that none exceeds its maximum.
+ * Most that runs of an earlier owner may take on targets that have not been listed yet or list runs of unknown jobs.
+ * Until these runs are known, each organisation is treated as if all of them were its own, so that none exceeds its
+ * maximum.
  */
 export function uncertainUsage (state: CellState): Demand {
-  if (!state.earlierRunsPossible) return NO_DEMAND
+  let usage = state.earlierRunsPossible ? unlistedUsage(state) : NO_DEMAND
+  for (const { unknownRuns, entry } of state.targets.values()) {
+    if (unknownRuns > 0) usage = sum(usage, entry.capacity)
+  }
+  return usage
+}
+
+function unlistedUsage (state: CellState): Demand {
   const capacities = [...state.targets.values()].map(({ entry }) => entry.capacity)
   const largest = capacities.reduce(larger, NO_DEMAND)
   let usage = NO_DEMAND
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -357,3 +357,51 @@
   harness.pass(1_000)
   assert.equal(harness.starts().length, 0)
 })
+
+const listedToNewLeader = [
+  { guards: 'runs of a job that ended before the change of the leader', known: true },
+  { guards: 'runs of a job that the new leader has not read yet', known: false }
+]
+
+for (const { guards, known } of listedToNewLeader) {
+  test(`cell: ${guards} take room on their target until they are listed no more`, () => {
+    const before = withTarget()
+    before.apply({ type: 'job-accepted', definition: job('a', { count: 4 }) })
+    before.starts().forEach((start) => before.confirm(start))
+    before.apply({ type: 'job-cancelled', id: 'a' })
+    const running = before.runningOn('t1')
+    const after = withTarget()
+    if (known) after.apply({ type: 'job-restored', definition: job('a', { count: 4 }), progress: before.cell.progressOf('a') })
+    after.list('t1', { running })
+    assert.equal(after.orders('stop').length, 4)
+    after.apply({ type: 'job-accepted', definition: job('b', {}) })
+    assert.equal(after.starts().length, 0, 'what is being stopped still takes room')
+    after.now += 500
+    after.orders('stop').forEach(({ target, order }) => after.apply({ type: 'stop-answered', target, task: order.task, run: order.run, answer: { type: 'accepted', clockMs: after.now } }))
+    after.now += 500
+    after.list('t1', { ended: running.map(({ task, run }, index) => ({ number: index + 1, task, run, ending: 'stopped' as const, checkpoint: '' })) })
+    assert.equal(after.starts().length, 1)
+  })
+}
+
+test('cell: runs of a job that ended before the change of the leader count for the maximum of their organisation', () => {
+  const before = withTarget()
+  before.apply({ type: 'job-accepted', definition: job('a', { count: 3 }) })
+  before.starts().forEach((start) => before.confirm(start))
+  before.apply({ type: 'job-cancelled', id: 'a' })
+  const after = withTarget({}, configured({ maximumCpu: 3_000 }))
+  after.publish(entry('t2'))
+  after.apply({ type: 'job-restored', definition: job('a', { count: 3 }), progress: before.cell.progressOf('a') })
+  after.list('t1', { running: before.runningOn('t1') })
+  after.apply({ type: 'job-accepted', definition: job('b', {}) })
+  assert.equal(after.starts().length, 0)
+})
+
+test('cell: a listed run of a timed occurrence that is due by the clock of the earlier leader is taken over', () => {
+  const timed = { ...job('a', {}), firstAtMs: 5_000, intervalMs: 1_000, occurrences: 3 }
+  const harness = withTarget()
+  harness.apply({ type: 'job-restored', definition: timed, progress: undefined })
+  harness.list('t1', { running: [{ task: 'a.1.0.0', run: 7, checkpoint: '', percent: 5, gauge: undefined }] })
+  assert.equal(harness.orders('stop').length, 0)
+  assert.equal(harness.cell.target('t1')!.runs.size, 1)
+})
