Forget a target that left empty at once, not when its lease could have lapsed

The new leader read the jobs at 36.44 s and started restored tasks only at 39.99 s: one target that had drained and left two seconds before the power loss was still named in the store, so the leader waited out its lease.

Change: a target that was listed and holds no run is forgotten, and taken off the stored list, as soon as it is withdrawn and drains or does not answer.

Result: new case in workflow/cell failed before; 42 passed in workflow/.

--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -45,11 +45,23 @@
 /** Forgets targets that are gone and hold nothing any more. */
 export function forgetTargets (state: CellState): void {
   for (const target of [...state.targets.values()]) {
-    if (target.published || target.reachable || target.runs.size > 0) continue
-    if (target.listed && target.lapsesAt() > state.now) continue
-    if (!target.listed && state.earlierRunsPossible) continue
+    if (!isGone(target) || !isEmpty(state, target)) continue
     state.targets.delete(target.id)
     state.storedTargets.delete(target.id)
     state.effects.push({ type: 'forget-target', id: target.id }, { type: 'store-targets', ids: [...state.targets.keys()] })
   }
 }
+
+/** The entry of a sound target may be missing for a while after an outage of the store. */
+function isGone (target: TargetState): boolean {
+  return !target.published && (!target.reachable || target.entry.draining)
+}
+
+/**
+ * Whether no run can be present. A target that was listed holds no more than is booked there; the next leader waits for
+ * each target that is still named in the store.
+ */
+function isEmpty (state: CellState, target: TargetState): boolean {
+  if (target.runs.size > 0 || target.unknownRuns > 0) return false
+  return target.listed || !state.earlierRunsPossible
+}
--- a/test/workflow/cell.test.ts
+++ b/test/workflow/cell.test.ts
@@ -405,3 +405,20 @@
   assert.equal(harness.orders('stop').length, 0)
   assert.equal(harness.cell.target('t1')!.runs.size, 1)
 })
+
+const goneTargets = [
+  { guards: 'a target that left with nothing running is forgotten at once, so that the next leader need not wait for it', draining: true, runs: 0, forgotten: true },
+  { guards: 'a target whose entry is missing is kept while it answers', draining: false, runs: 0, forgotten: false },
+  { guards: 'a target that left is kept while a run may be present', draining: true, runs: 1, forgotten: false }
+]
+
+for (const { guards, draining, runs, forgotten } of goneTargets) {
+  test(`cell: ${guards}`, () => {
+    const harness = withTarget()
+    if (runs > 0) harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+    harness.apply({ type: 'target-published', entry: entry('t1', { draining }) })
+    harness.apply({ type: 'target-withdrawn', id: 't1' })
+    harness.pass(50)
+    assert.equal(harness.cell.target('t1') === undefined, forgotten)
+  })
+}
