--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 const BENCHMARKS: Readonly<Record<string, () => Promise<Benchmark>>> = {
   scheduling: async () => (await import('./scheduling.ts')).benchScheduling,
   capacity: async () => (await import('./capacity.ts')).benchCapacity,
+  platform: async () => (await import('./platform.ts')).benchPlatform,
   recovery: async () => (await import('./recovery.ts')).benchRecovery
 }
 
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/faults/processes/process-member.ts
+++ b/faults/processes/process-member.ts
@@ -10,21 +10,29 @@
   readonly callerPort: number
 }
 
+/** How a process is started: arguments of node, further variables, and who takes its output. */
+export type ProcessCommand = {
+  readonly id: string
+  readonly args: readonly string[]
+  readonly variables?: Readonly<Record<string, string>>
+  readonly callerAddress: string
+  readonly onOutput?: (chunk: Buffer) => void
+}
+
 /** One entry host as a process of its own. */
 export class ProcessMember {
-  readonly address: string
   private readonly exited: Promise<number | null>
   private errors = ''
   private ended = false
 
-  private constructor (readonly id: string, private readonly child: ChildProcess, callerPort: number) {
-    this.address = `http://127.0.0.1:${callerPort}`
+  private constructor (readonly id: string, private readonly child: ChildProcess, readonly address: string, onOutput: ProcessCommand['onOutput']) {
     this.exited = new Promise((resolve) => child.once('exit', (code) => {
       this.ended = true
       resolve(code)
     }))
     child.stderr?.on('data', (chunk: Buffer) => { this.errors += chunk.toString() })
-    child.stdout?.resume()
+    if (onOutput === undefined) child.stdout?.resume()
+    else child.stdout?.on('data', onOutput)
   }
 
   /**
@@ -36,8 +44,18 @@
   static start (options: ProcessMemberOptions): ProcessMember {
     const file = join(options.folder, `${options.id}.settings.json`)
     writeFileSync(file, JSON.stringify(options.settings))
-    const child = spawn(process.execPath, [options.bundle, 'serve', file], { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH } })
-    return new ProcessMember(options.id, child, options.callerPort)
+    return ProcessMember.run({ id: options.id, args: [options.bundle, 'serve', file], callerAddress: `http://127.0.0.1:${options.callerPort}` })
+  }
+
+  /**
+   * Starts node with the given arguments.
+   *
+   * @example
+   * ProcessMember.run({ id: 'm1', args: ['target/damaskfield-platform.mjs'], variables: { DAMASKFIELD_SETTINGS: file }, callerAddress })
+   */
+  static run ({ id, args, variables = {}, callerAddress, onOutput }: ProcessCommand): ProcessMember {
+    const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH, ...variables } })
+    return new ProcessMember(id, child, callerAddress, onOutput)
   }
 
   get pid (): number { return this.child.pid ?? 0 }
