Remove the definitions of ended jobs from the store

Change: the commit that stores the end of a job, or of the last run that is being stopped, removes its definition and the mark of its cancelling; the phase stays for the callers. A submission requires that neither the definition nor the progress is there. The leader keeps only the phase of such a job.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -13,6 +13,8 @@
 
 /** Entries of one transaction, less its condition, its own key and the record of targets. */
 const MOST_ENTRIES = 28
+/** Its progress is written; its definition and the mark of its cancelling are removed. */
+const ENTRIES_OF_ENDED_JOB = 3
 /** Least time between the beginnings of two commits, in milliseconds; gathers ends into one call. */
 const COMMIT_INTERVAL_MS = 25
 const RETRY_MS = 150
@@ -22,6 +24,8 @@
   readonly puts: readonly Put[]
   readonly deletes: readonly string[]
   readonly phases: ReadonlyMap<string, JobPhase>
+  /** Jobs whose definitions the transaction removes. */
+  readonly released: readonly string[]
   readonly ends: readonly ProcessedEnds[]
   readonly targets: readonly string[] | undefined
 }
@@ -33,8 +37,10 @@
   readonly self: Peer
   readonly report: Report
   readonly progressOf: (job: string) => JobProgress | undefined
+  /** Whether a new leader would need the definition of a job. */
+  readonly needsDefinition: (job: string) => boolean
   readonly processedEnds: () => readonly ProcessedEnds[]
-  readonly onStored: (batch: Pick<Batch, 'phases' | 'ends' | 'targets'>) => void
+  readonly onStored: (batch: Pick<Batch, 'phases' | 'released' | 'ends' | 'targets'>) => void
   /** Another leader has written. */
   readonly onFenced: () => void
 }
@@ -106,9 +112,8 @@
   }
 
   private takeBatch (): Batch {
-    const jobs = [...this.jobs].slice(0, MOST_ENTRIES)
-    const forgotten = [...this.forgotten].slice(0, Math.floor((MOST_ENTRIES - jobs.length) / 3))
-    for (const id of jobs) this.jobs.delete(id)
+    const { jobs, released, room } = this.takeJobs()
+    const forgotten = [...this.forgotten].slice(0, room)
     for (const id of forgotten) this.forgotten.delete(id)
     const progress = jobs.flatMap((id) => {
       const stored = this.options.progressOf(id)
@@ -121,11 +126,28 @@
     const { targets } = this
     this.targets = undefined
     if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify({ ids: targets } satisfies TargetsRecord) })
-    const deletes = forgotten.flatMap((id) => [jobKey(id), progressKey(id), cancelKey(id)])
+    const deletes = [...released.flatMap((id) => [jobKey(id), cancelKey(id)]), ...forgotten.map(progressKey)]
     const phases = new Map(progress.map(({ id, stored }) => [id, stored.phase]))
     // Ends of a job that waits for the next transaction must not be acknowledged by this one.
     const ends = this.jobs.size === 0 ? this.options.processedEnds() : []
-    return { nonce, puts, deletes, phases, ends, targets }
+    return { nonce, puts, deletes, phases, released, ends, targets }
+  }
+
+  /** As many jobs as one transaction can hold, those of them whose definitions go, and the entries that are left. */
+  private takeJobs (): { readonly jobs: readonly string[], readonly released: readonly string[], readonly room: number } {
+    const jobs: string[] = []
+    const released: string[] = []
+    let room = MOST_ENTRIES
+    for (const id of this.jobs) {
+      const releases = !this.options.needsDefinition(id)
+      const entries = releases ? ENTRIES_OF_ENDED_JOB : 1
+      if (entries > room) break
+      room -= entries
+      jobs.push(id)
+      if (releases) released.push(id)
+      this.jobs.delete(id)
+    }
+    return { jobs, released, room }
   }
 
   private async commit (batch: Batch): Promise<void> {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -87,9 +87,10 @@
       self: options.self,
       report: options.report,
       progressOf: (job) => this.cell.progressOf(job),
+      needsDefinition: (job) => this.cell.needsDefinition(job),
       processedEnds: () => this.cell.processedEnds(),
-      onStored: ({ phases, ends, targets }) => {
-        this.apply({ type: 'progress-stored', phases, ends })
+      onStored: ({ phases, released, ends, targets }) => {
+        this.apply({ type: 'progress-stored', phases, released, ends })
         if (targets !== undefined) this.apply({ type: 'targets-stored', ids: targets })
         for (const waiter of this.commitWaiters.splice(0)) waiter()
       },
@@ -223,11 +224,16 @@
     const definitions = jobs.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX)).flatMap((entry) => this.readJob(entry))
     for (const definition of definitions.sort((left, right) => left.submittedAtMs - right.submittedAtMs)) {
       const known = stored.get(definition.id)
+      stored.delete(definition.id)
       this.apply({ type: 'job-restored', definition, progress: known === undefined ? undefined : parseRecord<JobProgress>(known) })
     }
     for (const { key } of jobs) {
       if (key.endsWith(CANCEL_SUFFIX)) this.cancel(idOfCancelKey(key))
     }
+    for (const [id, value] of stored) {
+      const ended = parseRecord<JobProgress>(value)
+      if (ended !== undefined) this.apply({ type: 'ended-job-restored', id, phase: ended.phase })
+    }
   }
 
   private watchTargets (): void {
--- a/src/controller/job-desk.ts
+++ b/src/controller/job-desk.ts
@@ -51,10 +51,12 @@
   async submit (definition: JobDefinition, deadline: number): Promise<Submission> {
     if (!this.options.storeAnswers()) return { type: 'refused', reason: 'store-silent' }
     const key = jobKey(definition.id)
+    // The definition of a job that has ended is gone, its progress is not.
+    const unknownJob = [key, progressKey(definition.id)].map((absent) => ({ type: 'absent', key: absent }) as const)
     const value = JSON.stringify(definition)
     let doubtful = false
     for (;;) {
-      const written = await transact(this.options.store, [{ type: 'absent', key }], [{ key, value }])
+      const written = await transact(this.options.store, unknownJob, [{ key, value }])
       if (written.isOk()) {
         this.options.tellJob(definition)
         return { type: 'accepted', known: !written.value.committed }
@@ -78,7 +80,7 @@
     const { store } = this.options
     const job = await readKey(store, jobKey(id))
     if (job.isErr()) return { type: 'unavailable', reason: job.error.reason }
-    if (job.value === undefined) return { type: 'absent' }
+    if (job.value === undefined) return this.readProgress(id, 'absent')
     const key = cancelKey(id)
     const written = await transact(store, [{ type: 'version', key: jobKey(id), version: job.value.version }], [{ key, value: '{}' }])
     if (written.isErr()) return { type: 'unavailable', reason: written.error.reason }
@@ -90,12 +92,18 @@
     const { store } = this.options
     const job = await readKey(store, jobKey(id))
     if (job.isErr()) return { type: 'unavailable', reason: job.error.reason }
-    if (job.value === undefined) return { type: 'absent' }
+    if (job.value === undefined) return this.readProgress(id, 'absent')
     const definition = parseRecord<JobDefinition>(job.value.value)
     if (definition !== undefined) this.options.tellJob(definition)
-    const progress = await readKey(store, progressKey(id))
+    return this.readProgress(id, 'queued')
+  }
+
+  /** The stored phase of a job; without a record it is `otherwise`. */
+  private async readProgress (id: string, otherwise: 'absent' | 'queued'): Promise<Lookup> {
+    const progress = await readKey(this.options.store, progressKey(id))
     if (progress.isErr()) return { type: 'unavailable', reason: progress.error.reason }
     const stored = progress.value === undefined ? undefined : parseRecord<JobProgress>(progress.value.value)
-    return { type: 'found', phase: stored?.phase ?? 'queued' }
+    if (stored !== undefined) return { type: 'found', phase: stored.phase }
+    return otherwise === 'absent' ? { type: 'absent' } : { type: 'found', phase: otherwise }
   }
 }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -1,12 +1,15 @@
 import type { CellConfiguration, Organisation, Queue } from './cell-configuration.ts'
 import type { CellEffect } from './effect.ts'
-import type { Demand, JobDefinition } from './job.ts'
+import type { Demand, JobDefinition, JobPhase } from './job.ts'
 import { NO_DEMAND } from './job.ts'
 import type { CellOptions } from './options.ts'
 import type { SubmissionBucket } from './submission-share.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
 
+/** What is kept of a job after its end, until callers have had time to ask for it. */
+export type EndedJob = { readonly phase: JobPhase, readonly endedAt: number }
+
 /** All that the scheduler of a cell knows. Handlers change it and append effects. */
 export type CellState = {
   readonly options: CellOptions
@@ -18,6 +21,8 @@
   readonly used: Map<string, Demand>
   readonly submissions: Map<string, SubmissionBucket>
   readonly jobs: Map<string, Job>
+  /** Jobs that have ended and whose definitions are no longer stored. */
+  readonly ended: Map<string, EndedJob>
   /** Steps of active jobs that have tasks to start. */
   readonly open: Set<StepRun>
   readonly targets: Map<string, TargetState>
--- a/src/workflow/cell.ts
+++ b/src/workflow/cell.ts
@@ -10,7 +10,7 @@
 import { takeListing } from './endings.ts'
 import type { CellEvent, ProcessedEnds } from './event.ts'
 import type { JobPhase } from './job.ts'
-import { acceptJob, endJob, openDueOccurrences, restoreJob } from './jobs.ts'
+import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
 import { paceTargets } from './pacing.ts'
@@ -47,6 +47,7 @@
       used: new Map(),
       submissions: new Map(),
       jobs: new Map(),
+      ended: new Map(),
       open: new Set(),
       targets: new Map(),
       domainsOut: new Set(),
@@ -93,10 +94,16 @@
   /** Phase of a job as far as it is stored; undefined if the job is not known. */
   phaseOf (id: string): JobPhase | undefined {
     const job = this.state.jobs.get(id)
-    if (job === undefined) return undefined
+    if (job === undefined) return this.state.ended.get(id)?.phase
     return job.active || job.phase === 'cancelled' ? job.phase : job.shownPhase
   }
 
+  /** Whether a new owner would need the definition of a job: it runs, or what it ran is still being stopped. */
+  needsDefinition (id: string): boolean {
+    const job = this.state.jobs.get(id)
+    return job === undefined || !isReleasable(job)
+  }
+
   progressOf (id: string): JobProgress | undefined {
     const job = this.state.jobs.get(id)
     return job === undefined ? undefined : progressOf(job)
@@ -145,6 +152,9 @@
         return
       case 'job-accepted': return acceptJob(state, event.definition)
       case 'job-restored': return restoreJob(state, event.definition, event.progress)
+      case 'ended-job-restored':
+        state.ended.set(event.id, { phase: event.phase, endedAt: state.now })
+        return
       case 'job-cancelled': return this.cancelled(event.id)
       case 'progress-stored': return this.stored(event)
       case 'targets-stored':
@@ -190,11 +200,17 @@
     if (job !== undefined) endJob(this.state, job, 'cancelled', 'cancelled by its caller')
   }
 
-  private stored ({ phases, ends }: Extract<CellEvent, { type: 'progress-stored' }>): void {
+  private stored ({ phases, released, ends }: Extract<CellEvent, { type: 'progress-stored' }>): void {
     for (const [id, phase] of phases) {
       const job = this.state.jobs.get(id)
       if (job !== undefined) job.shownPhase = phase
     }
+    for (const id of released) {
+      const job = this.state.jobs.get(id)
+      if (job === undefined) continue
+      this.state.jobs.delete(id)
+      this.state.ended.set(id, { phase: job.phase, endedAt: job.endedAt ?? this.state.now })
+    }
     for (const { target: id, incarnation, number } of ends) {
       const target = this.state.targets.get(id)
       if (target?.entry.incarnation === incarnation) target.acknowledged = Math.max(target.acknowledged, number)
@@ -209,9 +225,11 @@
     stopStragglers(state)
     paceTargets(state)
     askAhead(state)
-    for (const job of [...state.jobs.values()]) {
+    for (const job of state.jobs.values()) {
       if (job.active) openDueOccurrences(state, job)
-      else if (job.endedAt !== undefined && state.now - job.endedAt > state.options.retentionMs) forgetJob(state, job.definition.id)
+    }
+    for (const [id, { endedAt }] of state.ended) {
+      if (state.now - endedAt > state.options.retentionMs) forgetJob(state, id)
     }
     if (state.open.size > 0) state.stale = true
   }
@@ -228,6 +246,6 @@
 
 /** Removes a job that ended long ago, here and from the store. */
 function forgetJob (state: CellState, id: string): void {
-  state.jobs.delete(id)
+  state.ended.delete(id)
   state.effects.push({ type: 'forget-job', job: id })
 }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -23,9 +23,11 @@
   | { readonly type: 'advice-lanes', readonly lanes: number }
   | { readonly type: 'job-accepted', readonly definition: JobDefinition }
   | { readonly type: 'job-restored', readonly definition: JobDefinition, readonly progress: JobProgress | undefined }
+  /** The store holds the end of a job and no definition any more. */
+  | { readonly type: 'ended-job-restored', readonly id: string, readonly phase: JobPhase }
   | { readonly type: 'job-cancelled', readonly id: string }
-  /** All records that were handed out before have been stored. */
-  | { readonly type: 'progress-stored', readonly phases: ReadonlyMap<string, JobPhase>, readonly ends: readonly ProcessedEnds[] }
+  /** All records that were handed out before have been stored; the definitions of `released` jobs have been removed. */
+  | { readonly type: 'progress-stored', readonly phases: ReadonlyMap<string, JobPhase>, readonly released: readonly string[], readonly ends: readonly ProcessedEnds[] }
   | { readonly type: 'targets-stored', readonly ids: readonly string[] }
   /** Runs of an earlier owner on targets that could not be listed have lapsed. */
   | { readonly type: 'earlier-runs-lapsed' }
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -14,7 +14,7 @@
 
 /** Adds a job that a caller has submitted; a known one stays as it is. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
-  if (state.jobs.has(definition.id)) return
+  if (state.jobs.has(definition.id) || state.ended.has(definition.id)) return
   const job = Job.create(definition, state.now, false)
   job.surplus = !takeShare(state, definition.organisation, state.now)
   addJob(state, job)
@@ -37,6 +37,15 @@
   openDueOccurrences(state, job)
 }
 
+/** Whether a job has ended and nothing of it is left on any target. */
+export function isReleasable (job: Job): boolean {
+  if (job.active) return false
+  for (const task of job.tasks()) {
+    if (task.runs.size > 0) return false
+  }
+  return true
+}
+
 /** Opens the occurrences of a job whose time has come. */
 export function openDueOccurrences (state: CellState, job: Job): void {
   const { occurrences } = job.definition
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -49,6 +49,8 @@
     if (task.step.job.active) state.open.add(task.step)
   }
   state.stale = true
+  // The end of a job may be stored already; its definition goes with the last of its runs.
+  if (!task.step.job.active && task.runs.size === 0) state.effects.push({ type: 'store-progress', job: task.step.job.definition.id })
 }
 
 /** Sends the start of a run, again if it had no answer. */
--- a/test/controller/committer.test.ts
+++ b/test/controller/committer.test.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'neverthrow'
 import { Committer } from '../../src/controller/committer.ts'
 import type { Report } from '../../src/controller/report.ts'
-import { COMMIT_KEY, progressKey } from '../../src/controller/store-keys.ts'
+import { COMMIT_KEY, cancelKey, jobKey, progressKey } from '../../src/controller/store-keys.ts'
 import type { Store, StoreAnswer, StoreCall, StoreFailure } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
 import type { JobPhase } from '../../src/workflow/job.ts'
@@ -60,6 +60,7 @@
     self: SELF,
     report: REPORT,
     progressOf: () => ({ phase: phase(), nextOccurrence: 1, open: {} }),
+    needsDefinition: () => !['completed', 'failed', 'cancelled'].includes(phase()),
     processedEnds: () => [],
     onStored: ({ phases }) => stored.push(...phases.values()),
     onFenced: () => { fenced = true }
@@ -105,3 +106,14 @@
   await wait(300)
   assert.deepEqual([stored, fenced(), store.value(progressKey('a'))], [[], true, undefined])
 })
+
+test('committer: the definitions of ended jobs are removed with their last record, however many end at a time', async () => {
+  const store = await began()
+  const { committer } = harness(store, () => 'cancelled')
+  const ids = Array.from({ length: 40 }, (_, index) => `j${index}`)
+  for (const id of ids) await store.call({ type: 'transact', compares: [], puts: [jobKey(id), cancelKey(id)].map((key) => ({ key, value: '{}' })), deletes: [] })
+  for (const id of ids) committer.storeJob(id)
+  await wait(800)
+  assert.deepEqual(ids.flatMap((id) => [store.value(jobKey(id)), store.value(cancelKey(id))]).filter((value) => value !== undefined), [])
+  assert.equal(JSON.parse(store.value(progressKey('j39'))!).phase, 'cancelled')
+})
--- /dev/null
+++ b/test/controller/job-desk.test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ok } from 'neverthrow'
+import { JobDesk } from '../../src/controller/job-desk.ts'
+import { cancelKey, jobKey, progressKey } from '../../src/controller/store-keys.ts'
+import type { Store } from '../../src/ports/store.ts'
+import { InMemoryStore } from '../../src/standins/store.ts'
+import { job } from '../workflow/harness.ts'
+
+const ID = '00000000000000a1'
+const DEFINITION = job(ID, {})
+const COMPLETED = JSON.stringify({ phase: 'completed', nextOccurrence: 1, open: {} })
+
+function deskWith (puts: ReadonlyArray<{ readonly key: string, readonly value: string }>): { readonly desk: JobDesk, readonly has: (key: string) => boolean } {
+  const inner = InMemoryStore.create()
+  if (puts.length > 0) inner.call(0, { type: 'transact', compares: [], puts, deletes: [] })
+  const store: Store = {
+    call: async (call) => {
+      const answer = inner.call(0, call)
+      assert.notEqual(answer, 'waiting')
+      return ok(answer as Exclude<typeof answer, 'waiting'>)
+    }
+  }
+  const desk = JobDesk.create({
+    store,
+    report: { log: () => {}, count: () => {}, observe: () => {} },
+    storeAnswers: () => true,
+    askLeader: async () => undefined,
+    tellJob: () => {},
+    tellCancel: () => {}
+  })
+  const has = (key: string): boolean => {
+    const answer = inner.call(0, { type: 'read', prefix: key })
+    return answer !== 'waiting' && answer.type === 'read' && answer.entries.some((entry) => entry.key === key)
+  }
+  return { desk, has }
+}
+
+const submissions = [
+  { guards: 'a new job is stored', puts: [], known: false, stored: true },
+  { guards: 'a job that is sent again stays one job', puts: [{ key: jobKey(ID), value: JSON.stringify(DEFINITION) }], known: true, stored: true },
+  { guards: 'a job that is sent again after its end is not run a second time', puts: [{ key: progressKey(ID), value: COMPLETED }], known: true, stored: false }
+]
+
+for (const { guards, puts, known, stored } of submissions) {
+  test(`job desk: ${guards}`, async () => {
+    const { desk, has } = deskWith(puts)
+    assert.deepEqual(await desk.submit(DEFINITION, performance.now() + 1_000), { type: 'accepted', known })
+    assert.equal(has(jobKey(ID)), stored)
+  })
+}
+
+const lookups = [
+  { guards: 'a job without a record of its progress', puts: [{ key: jobKey(ID), value: JSON.stringify(DEFINITION) }], phase: 'queued', cancelled: 'cancelled' },
+  { guards: 'a job that has ended and whose definition is gone', puts: [{ key: progressKey(ID), value: COMPLETED }], phase: 'completed', cancelled: 'completed' },
+  { guards: 'a job that nobody handed in', puts: [], phase: undefined, cancelled: undefined }
+] as const
+
+for (const { guards, puts, phase, cancelled } of lookups) {
+  test(`job desk: without the leader, ${guards} is shown and cancelled as the store tells`, async () => {
+    const { desk, has } = deskWith(puts)
+    assert.deepEqual(await desk.phase(ID), phase === undefined ? { type: 'absent' } : { type: 'found', phase })
+    assert.deepEqual(await desk.cancel(ID), cancelled === undefined ? { type: 'absent' } : { type: 'found', phase: cancelled })
+    assert.equal(has(cancelKey(ID)), cancelled === 'cancelled')
+  })
+}
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -124,3 +124,19 @@
     return [...this.cell.target(id)?.runs.values() ?? []].filter((live) => live.task.key !== without).map((live) => ({ task: live.task.key, run: live.run, checkpoint: '', percent: 0, gauge: undefined }))
   }
 }
+
+const NO_LIMIT = { cpuMillis: 0, memoryMiB: 0, accelerators: 0 }
+
+/** The configuration with a changed queue or a maximum of the organisation, in thousandths of a core. */
+export function configured (changes: { queue?: Partial<typeof QUEUE>, maximumCpu?: number } = {}): CellConfiguration {
+  return {
+    ...CONFIGURATION,
+    queues: [{ ...QUEUE, ...changes.queue }],
+    organisations: [{ ...CONFIGURATION.organisations[0]!, maximum: { ...NO_LIMIT, cpuMillis: changes.maximumCpu ?? 0 } }]
+  }
+}
+
+/** A cell with one target, `t1`. */
+export function withTarget (changes: Parameters<typeof entry>[1] = {}, configuration = CONFIGURATION): CellHarness {
+  return CellHarness.create([entry('t1', changes)], configuration)
+}
