Tell the leader of stored jobs and cancellings until it has noted them

The member that stored it told the leader once, with 400 ms for the answer; the leader had just won its term and was busy, and its own reading of the jobs was slow.

Change: a member tells again until the leader notes it; a leader that has not read the store yet does not claim to have noted anything.

Result: new tests of the member link, which fail without the change.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -147,14 +147,17 @@
     this.apply({ type: 'domains-out', domains })
   }
 
-  /** A member tells of a job that it has stored. */
-  accept (definition: JobDefinition): void {
-    // While another member may lead, that one starts new jobs.
-    if (this.restored && this.options.confirmed()) this.apply({ type: 'job-accepted', definition })
+  /** A member tells of a job that it has stored. Whether it was taken: while another member may lead, that one starts it. */
+  accept (definition: JobDefinition): boolean {
+    if (!this.restored || !this.options.confirmed()) return false
+    this.apply({ type: 'job-accepted', definition })
+    return true
   }
 
-  cancel (id: string): void {
+  /** A member tells of a cancelling that it has stored. Whether it was taken: before the store was read, jobs are unknown. */
+  cancel (id: string): boolean {
     this.apply({ type: 'job-cancelled', id })
+    return this.restored
   }
 
   stop (): void {
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -11,6 +11,9 @@
 
 const HELLO_INTERVAL_MS = 1_000
 const LEADER_TIMEOUT_MS = 400
+/** How often, and how long after the last try, the leader is told of a job or of its cancelling. */
+const TELL_ATTEMPTS = 8
+const TELL_RETRY_MS = 300
 
 export type MemberLinkOptions = {
   readonly self: Peer
@@ -72,11 +75,9 @@
     return { type: 'welcome', peers: controller.members, waiting: controller.waiting }
   }
 
-  private note (tell: (controller: Controller) => void): MemberAnswer {
+  private note (tell: (controller: Controller) => boolean): MemberAnswer {
     const controller = this.options.controller()
-    if (controller === undefined) return { type: 'not-leading' }
-    tell(controller)
-    return { type: 'noted' }
+    return controller !== undefined && tell(controller) ? { type: 'noted' } : { type: 'not-leading' }
   }
 
   private phaseAnswer (id: string): MemberAnswer {
@@ -100,17 +101,26 @@
     return answer.isOk() && answer.value.type === 'phase' ? { phase: answer.value.phase } : undefined
   }
 
-  /** The leader also reads the store, so that a message that is lost costs only time. */
+  /** Tells the leader what was stored. The leader also reads the store, so that a message that is lost costs only time. */
   tellLeader (call: MemberCall): void {
-    if (this.options.controller() !== undefined) {
-      this.answer(call).catch((error: unknown) => this.options.report.log('error', 'tell-failed', { detail: String(error) }))
-      return
+    this.tell(call).catch((error: unknown) => this.options.report.log('error', 'tell-failed', { detail: String(error) }))
+  }
+
+  /** Tries again while nobody leads, or the leader has not read the store yet. */
+  private async tell (call: MemberCall): Promise<void> {
+    for (let attempt = 0; attempt < TELL_ATTEMPTS && !this.stopped.signal.aborted; attempt += 1) {
+      if (attempt > 0) await delay(TELL_RETRY_MS, this.stopped.signal)
+      if (await this.tellOnce(call)) return
     }
+    this.options.report.count('leader-not-told', call.type)
+  }
+
+  private async tellOnce (call: MemberCall): Promise<boolean> {
+    if (this.options.controller() !== undefined) return (await this.answer(call)).type === 'noted'
     const { leader } = this.options.leadership()
-    if (leader === undefined) return
-    this.options.calls.call(leader.address, call, LEADER_TIMEOUT_MS).then((answer) => {
-      if (answer.isErr()) this.options.report.count('leader-not-told', answer.error.reason)
-    }, (error: unknown) => this.options.report.log('error', 'tell-failed', { detail: String(error) }))
+    if (leader === undefined || leader.member === this.options.self.member) return false
+    const answer = await this.options.calls.call(leader.address, call, LEADER_TIMEOUT_MS)
+    return answer.isOk() && answer.value.type === 'noted'
   }
 
   /** Asks for advice through another member. */
--- /dev/null
+++ b/test/controller/member-link.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { setTimeout as wait } from 'node:timers/promises'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { MemberCallClient } from '../../src/adapters/grpc-member-calls.ts'
+import type { Controller } from '../../src/controller/controller.ts'
+import type { Leadership } from '../../src/controller/leadership.ts'
+import type { MemberAnswer, MemberCall, MemberCallFailure } from '../../src/controller/member-call.ts'
+import { MemberLink } from '../../src/controller/member-link.ts'
+import { RecentAdvice } from '../../src/controller/recent-advice.ts'
+
+type Answer = Result<MemberAnswer, MemberCallFailure>
+
+const NOTED: Answer = ok({ type: 'noted' })
+const LEADER = { member: 'm2', address: 'm2:1', term: 1, nonce: 'n' }
+
+/** A link of a member that does not lead; the leader's answers are given. */
+function linkWith (answers: readonly Answer[], leaders: ReadonlyArray<typeof LEADER | undefined> = [LEADER]): { readonly link: MemberLink, readonly told: string[] } {
+  const told: string[] = []
+  const calls = {
+    call: async (address: string, call: MemberCall) => {
+      told.push(`${call.type} ${address}`)
+      return answers[Math.min(told.length, answers.length) - 1]!
+    },
+    close: () => {}
+  }
+  let asked = 0
+  const link = MemberLink.create({
+    self: { member: 'm1', address: 'm1:1' },
+    calls: calls as unknown as MemberCallClient,
+    advisor: RecentAdvice.create({ advise: async () => ({ type: 'failed', reason: 'none' }) }),
+    report: { log: () => {}, count: () => {}, observe: () => {} },
+    leadership: () => ({ leader: leaders[Math.min(asked++, leaders.length - 1)] }) as unknown as Leadership,
+    controller: () => undefined
+  })
+  return { link, told }
+}
+
+const tellings: ReadonlyArray<{ readonly guards: string, readonly answers: readonly Answer[], readonly leaders?: ReadonlyArray<typeof LEADER | undefined>, readonly told: number }> = [
+  { guards: 'told once when the leader notes it', answers: [NOTED], told: 1 },
+  { guards: 'told again when the leader does not answer', answers: [err({ reason: 'timeout' }), NOTED], told: 2 },
+  { guards: 'told again when the member asked has not read the store yet', answers: [ok({ type: 'not-leading' }), NOTED], told: 2 },
+  { guards: 'kept until a leader is known', answers: [NOTED], leaders: [undefined, LEADER], told: 1 }
+]
+
+for (const { guards, answers, leaders, told: times } of tellings) {
+  test(`member link: a cancelling is ${guards}`, async () => {
+    const { link, told } = linkWith(answers, leaders)
+    link.tellLeader({ type: 'cancel-stored', id: 'a' })
+    await wait(500)
+    link.stop()
+    assert.equal(told.length, times)
+  })
+}
+
+test('member link: a controller that has not read the store does not note a cancelling', async () => {
+  const { link } = linkWith([])
+  const restoring = { cancel: () => false } as unknown as Controller
+  const leading = MemberLink.create({ ...link['options'], controller: () => restoring })
+  assert.deepEqual(await leading.answer({ type: 'cancel-stored', id: 'a' }), { type: 'not-leading' })
+})
