Take over at once from a leader whose process has ended; wait for fewer targets

After the closing kill restored tasks waited 3.65 s for one target that had drained and left around the kill: it was still on the stored list. A leader that won a term and lost it soon stored a list without the earlier leader's targets.

Change: a member whose call to the leader fails at once probes its address; if another member is refused as well, the leader's record is removed and all may claim. A member that finds a record of its own earlier process removes it. Targets that drain and are empty leave the stored list; those of earlier leaders stay on it until their runs are settled. An earlier leader tells for how long it has sent no orders, so that leases are counted from then.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -52,8 +52,10 @@
   readonly askPeer: (peer: Peer, step: string, targets: readonly string[], timeoutMs: number) => Promise<AdviceAnswer>
   /** What a member has learned from the advisor for an earlier leader. */
   readonly askKnownAdvice: (peer: Peer) => Promise<readonly KnownAdvice[]>
-  /** Whether a member has answered that it does not lead an earlier term. */
-  readonly standDown: (peer: Peer, term: number) => Promise<boolean>
+  /** For how long a member has led no earlier term, in milliseconds; undefined without an answer. */
+  readonly standDown: (peer: Peer, term: number) => Promise<number | undefined>
+  /** For how long this process had led no term before this one, in milliseconds. */
+  readonly quietForMs: () => number
   /** Whether the lease was confirmed so recently that no other member can lead. */
   readonly confirmed: () => boolean
   readonly onFenced: (reason: string) => void
@@ -207,10 +209,10 @@
     const { predecessor } = term
     if (predecessor === undefined) return
     while (!this.stopped && performance.now() < this.ordersEndedAt) {
-      const stopped = predecessor.address === self.address || await standDown(predecessor, term.term)
-      if (stopped) {
-        this.ordersEndedAt = performance.now()
-        return report.log('info', 'predecessor-stopped', { member: predecessor.member, term: term.term })
+      const quietForMs = predecessor.address === self.address ? this.options.quietForMs() : await standDown(predecessor, term.term)
+      if (quietForMs !== undefined) {
+        this.ordersEndedAt = performance.now() - quietForMs
+        return report.log('info', 'predecessor-stopped', { member: predecessor.member, term: term.term, quietForMs: Math.round(quietForMs) })
       }
       await delay(PREDECESSOR_RETRY_MS)
     }
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -65,6 +65,11 @@
   private readonly stopped = new AbortController()
   private held: Held | undefined
   private seen: LeaderRecord | undefined
+  private seenVersion: number | undefined
+  /** When this process led last; 0, its start, if it never has. */
+  private deposedAt = 0
+  /** Nonce of the last claim of this process. */
+  private claimed: string | undefined
   private claiming = false
   private candidate = true
 
@@ -106,13 +111,26 @@
     if (this.held === undefined) return
     const { term } = this.held
     this.held = undefined
+    this.deposedAt = performance.now()
     this.options.report.log('warn', 'leadership-lost', { term, reason })
     this.options.onDeposed(reason)
   }
 
-  /** Stops leading because a member has won a later term. */
-  standDown (term: number): void {
+  /**
+   * Stops leading because a member has won a later term. Returns for how long this process has sent no orders of an
+   * earlier term, in milliseconds; a process that never led has sent none since its start.
+   */
+  standDown (term: number): number {
     if (this.held !== undefined && this.held.term < term) this.depose('a later leader asked for it')
+    return performance.now() - this.deposedAt
+  }
+
+  /** Removes the record of a leader whose process has ended, so that its lease need not run out. */
+  async removeEnded (leader: LeaderRecord): Promise<void> {
+    if (this.seen?.nonce !== leader.nonce) return
+    const removed = await transact(this.options.store, [unchanged(LEADER_KEY, this.seenVersion)], [], [LEADER_KEY])
+    const outcome = removed.isErr() ? removed.error.reason : removed.value.committed ? 'removed' : 'changed'
+    this.options.report.log('info', 'ended-leader-removed', { leader: leader.member, term: leader.term, outcome })
   }
 
   /** Leaves the leadership to another member and takes no part in claims any more. */
@@ -131,12 +149,21 @@
 
   private see (entry: StoreEntry | undefined): void {
     this.seen = entry === undefined ? undefined : parseRecord<LeaderRecord>(entry.value)
+    this.seenVersion = entry?.version
     this.options.report.log('info', 'leader-seen', { leader: this.seen?.member ?? 'none', term: this.seen?.term ?? 0, version: entry?.version ?? 0 })
     if (this.seen !== undefined && this.seen.member !== this.options.member) this.options.onLeader?.(this.seen)
     if (this.held !== undefined && this.seen?.nonce !== this.held.nonce) this.depose('the store names another leader or none')
+    if (this.seen !== undefined && this.isOfEarlierProcess(this.seen)) {
+      this.removeEnded(this.seen).catch((error: unknown) => this.options.report.log('error', 'leader-not-removed', { detail: String(error) }))
+    }
     if (this.seen === undefined) this.claim().catch((error: unknown) => this.options.report.log('error', 'claim-failed', { detail: String(error) }))
   }
 
+  /** Whether a process that has ended won this leadership at the address of the present one. */
+  private isOfEarlierProcess ({ member, address, nonce }: LeaderRecord): boolean {
+    return member === this.options.member && address === this.options.address && nonce !== this.claimed
+  }
+
   private async claim (): Promise<void> {
     if (this.claiming) return
     this.claiming = true
@@ -168,6 +195,7 @@
     const previous = before.value === undefined ? undefined : parseRecord<CommitRecord>(before.value.value)
     const term = (previous?.term ?? 0) + 1
     const nonce = randomUUID()
+    this.claimed = nonce
     const record: LeaderRecord = { member, address, term, nonce }
     const commit: CommitRecord = { term, nonce, leader: { member, address } }
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }]
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -16,6 +16,8 @@
   | { readonly type: 'stand-down', readonly term: number }
   /** Asks for advice on behalf of the leader: the advisor takes one call at a time from each member. */
   | { readonly type: 'advise', readonly step: string, readonly targets: readonly string[], readonly timeoutMs: number }
+  /** Asks whether a member's address refuses connections for another member too. */
+  | { readonly type: 'probe', readonly address: string }
   /** Asks what the advisor has answered to the member lately. */
   | { readonly type: 'known-advice' }
 
@@ -23,6 +25,10 @@
   | { readonly type: 'known-advice', readonly advice: readonly KnownAdvice[] }
   | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> }
   | { readonly type: 'noted' }
+  /** The member leads no earlier term; for how long it has sent no orders, in milliseconds. */
+  | { readonly type: 'stood-down', readonly quietForMs: number }
+  /** Whether nothing listens at the address. */
+  | { readonly type: 'probed', readonly refused: boolean }
   | { readonly type: 'phase', readonly phase: JobPhase | undefined }
   | { readonly type: 'advice', readonly answer: AdviceAnswer }
   /** The member does not lead, or cannot be sure that it still does. */
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -1,16 +1,21 @@
 import type { MemberCallClient } from '../adapters/grpc-member-calls.ts'
+import type { ProbeResult } from '../adapters/probe-address.ts'
 import type { AdviceAnswer, KnownAdvice } from '../ports/order-client.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { JobPhase } from '../workflow/job.ts'
 import type { Controller } from './controller.ts'
 import { delay } from './delay.ts'
+import { LeaderFailureDetector } from './leader-failure-detector.ts'
 import type { Leadership } from './leadership.ts'
 import type { MemberAnswer, MemberCall, Peer } from './member-call.ts'
 import type { RecentAdvice } from './recent-advice.ts'
 import type { Report } from './report.ts'
+import type { LeaderRecord } from './store-keys.ts'
 
 const HELLO_INTERVAL_MS = 1_000
 const LEADER_TIMEOUT_MS = 400
+/** Members that are asked whether the leader's address refuses connections. */
+const WITNESSES = 2
 /** How often, and how long after the last try, the leader is told of a job or of its cancelling. */
 const TELL_ATTEMPTS = 8
 const TELL_RETRY_MS = 300
@@ -21,6 +26,7 @@
   readonly advisor: RecentAdvice
   readonly report: Report
   readonly leadership: () => Leadership
+  readonly probe: (address: string) => Promise<ProbeResult>
   /** Present while this member leads. */
   readonly controller: () => Controller | undefined
 }
@@ -31,7 +37,18 @@
   /** Waiting jobs by queue, as the leader told last. */
   private waiting: Readonly<Record<string, number>> = {}
 
-  private constructor (private readonly options: MemberLinkOptions) {}
+  /** The other members, as the leader told last. */
+  private peers: readonly Peer[] = []
+  private readonly detector: LeaderFailureDetector
+
+  private constructor (private readonly options: MemberLinkOptions) {
+    this.detector = LeaderFailureDetector.create({
+      probe: (leader) => options.probe(leader.address),
+      confirm: (leader) => this.confirmRefusal(leader),
+      remove: (leader) => options.leadership().removeEnded(leader),
+      report: options.report
+    })
+  }
 
   /**
    * @example
@@ -60,8 +77,8 @@
       case 'cancel-stored': return this.note((controller) => controller.cancel(call.id))
       case 'phase': return this.phaseAnswer(call.id)
       case 'stand-down':
-        this.options.leadership().standDown(call.term)
-        return { type: 'noted' }
+        return { type: 'stood-down', quietForMs: this.options.leadership().standDown(call.term) }
+      case 'probe': return { type: 'probed', refused: await this.options.probe(call.address) === 'refused' }
       case 'advise': return { type: 'advice', answer: await this.options.advisor.advise(call.step, call.targets, call.timeoutMs) }
       case 'known-advice': return { type: 'known-advice', advice: this.options.advisor.known() }
       default: return assertNever(call)
@@ -97,7 +114,7 @@
     if (here !== 'unknown') return { phase: here }
     const { leader } = this.options.leadership()
     if (leader === undefined || leader.member === this.options.self.member) return undefined
-    const answer = await this.options.calls.call(leader.address, { type: 'phase', id }, LEADER_TIMEOUT_MS)
+    const answer = await this.callLeader(leader, { type: 'phase', id }, LEADER_TIMEOUT_MS)
     return answer.isOk() && answer.value.type === 'phase' ? { phase: answer.value.phase } : undefined
   }
 
@@ -119,7 +136,7 @@
     if (this.options.controller() !== undefined) return (await this.answer(call)).type === 'noted'
     const { leader } = this.options.leadership()
     if (leader === undefined || leader.member === this.options.self.member) return false
-    const answer = await this.options.calls.call(leader.address, call, LEADER_TIMEOUT_MS)
+    const answer = await this.callLeader(leader, call, LEADER_TIMEOUT_MS)
     return answer.isOk() && answer.value.type === 'noted'
   }
 
@@ -139,10 +156,10 @@
     return []
   }
 
-  /** Whether the member has answered that it leads no term below the given one. */
-  async askToStandDown (peer: Peer, term: number): Promise<boolean> {
+  /** For how long a member has led no term below the given one, in milliseconds; undefined if it does not answer. */
+  async askToStandDown (peer: Peer, term: number): Promise<number | undefined> {
     const answer = await this.options.calls.call(peer.address, { type: 'stand-down', term }, LEADER_TIMEOUT_MS)
-    return answer.isOk() && answer.value.type === 'noted'
+    return answer.isOk() && answer.value.type === 'stood-down' ? answer.value.quietForMs : undefined
   }
 
   /** Waiting jobs of a queue; at a member that does not lead up to a second old. */
@@ -161,7 +178,25 @@
   async sayHello (): Promise<void> {
     const leader = this.options.leadership()?.leader
     if (leader === undefined || leader.member === this.options.self.member) return
-    const answer = await this.options.calls.call(leader.address, { type: 'hello', peer: this.options.self }, HELLO_INTERVAL_MS)
-    if (answer.isOk() && answer.value.type === 'welcome') this.waiting = answer.value.waiting
+    const answer = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_INTERVAL_MS)
+    if (answer.isErr() || answer.value.type !== 'welcome') return
+    this.waiting = answer.value.waiting
+    this.peers = answer.value.peers.filter(({ member }) => member !== this.options.self.member)
+  }
+
+  /** A call that fails at once tells that the leader's process may have ended. */
+  private async callLeader (leader: LeaderRecord, call: MemberCall, timeoutMs: number): ReturnType<MemberCallClient['call']> {
+    const answer = await this.options.calls.call(leader.address, call, timeoutMs)
+    if (answer.isErr() && answer.error.reason === 'unavailable') this.detector.suspect(leader)
+    return answer
+  }
+
+  /** Whether another member finds that nothing listens at the leader's address; two are asked. */
+  private async confirmRefusal (leader: LeaderRecord): Promise<boolean> {
+    const others = this.peers.filter(({ member }) => member !== leader.member)
+    const first = Math.floor(Math.random() * others.length)
+    const witnesses = [...others.slice(first), ...others.slice(0, first)].slice(0, WITNESSES)
+    const answers = await Promise.all(witnesses.map(({ address }) => this.options.calls.call(address, { type: 'probe', address: leader.address }, LEADER_TIMEOUT_MS)))
+    return answers.some((answer) => answer.isOk() && answer.value.type === 'probed' && answer.value.refused)
   }
 }
--- a/src/workflow/cell.ts
+++ b/src/workflow/cell.ts
@@ -20,7 +20,7 @@
 import { startPass } from './start-pass.ts'
 import { stopStragglers } from './stragglers.ts'
 import type { TargetState } from './target-state.ts'
-import { forgetTargets, publishTarget, withdrawTarget } from './targets.ts'
+import { forgetTargets, noteStoredTargets, publishTarget, releaseDrained, settleEarlierRuns, withdrawTarget } from './targets.ts'
 
 /**
  * Schedules the steps of all jobs of a cell on its targets. A pure reducer: each event returns effects, and time comes
@@ -156,14 +156,8 @@
         return
       case 'job-cancelled': return this.cancelled(event.id)
       case 'progress-stored': return this.stored(event)
-      case 'targets-stored':
-        for (const id of event.ids) state.storedTargets.add(id)
-        state.stale = true
-        return
-      case 'earlier-runs-lapsed':
-        state.earlierRunsPossible = false
-        state.stale = true
-        return log(state, 'info', 'earlier-runs-settled', { targets: state.targets.size })
+      case 'targets-stored': return noteStoredTargets(state, event.ids)
+      case 'earlier-runs-lapsed': return settleEarlierRuns(state)
       case 'tick': return this.tick()
       default: return assertNever(event)
     }
@@ -221,6 +215,7 @@
     resendOrders(state)
     dropLapsed(state)
     forgetTargets(state)
+    releaseDrained(state)
     stopStragglers(state)
     paceTargets(state)
     askAhead(state)
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -11,6 +11,7 @@
     if (known.entry.draining !== entry.draining) log(state, 'info', 'target-state', { target: entry.id, draining: entry.draining })
     known.entry = entry
     known.published = true
+    if (!state.storedTargets.has(entry.id) && mayHoldRuns(state, known)) storeTargets(state)
     return
   }
   if (known !== undefined && known.entry.incarnation > entry.incarnation) return
@@ -18,7 +19,7 @@
   if (known !== undefined) replaceLife(known, target)
   state.targets.set(entry.id, target)
   state.effects.push({ type: 'watch-target', id: entry.id })
-  if (!state.storedTargets.has(entry.id)) state.effects.push({ type: 'store-targets', ids: [...state.targets.keys()] })
+  if (!state.storedTargets.has(entry.id)) storeTargets(state)
   log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation })
 }
 
@@ -48,10 +49,54 @@
     if (!isGone(target) || !isEmpty(state, target)) continue
     state.targets.delete(target.id)
     state.storedTargets.delete(target.id)
-    state.effects.push({ type: 'forget-target', id: target.id }, { type: 'store-targets', ids: [...state.targets.keys()] })
+    state.effects.push({ type: 'forget-target', id: target.id })
+    storeTargets(state)
   }
 }
 
+/**
+ * Takes targets that drain and are empty off the stored list. They get no work any more, and a new leader would wait for
+ * the lapse of each stored target that it cannot list.
+ */
+export function releaseDrained (state: CellState): void {
+  const drained = [...state.targets.values()].filter((target) => state.storedTargets.has(target.id) && !mayHoldRuns(state, target))
+  if (drained.length === 0) return
+  for (const { id } of drained) state.storedTargets.delete(id)
+  storeTargets(state)
+}
+
+/** The store holds a list of targets; those that have emptied meanwhile are not counted on. */
+export function noteStoredTargets (state: CellState, ids: readonly string[]): void {
+  for (const id of ids) {
+    const target = state.targets.get(id)
+    if (target === undefined || mayHoldRuns(state, target)) state.storedTargets.add(id)
+  }
+  state.stale = true
+}
+
+/** Runs of earlier owners are known or have lapsed, so that only known targets need to be stored. */
+export function settleEarlierRuns (state: CellState): void {
+  state.earlierRunsPossible = false
+  state.stale = true
+  const gone = [...state.storedTargets].filter((id) => !state.targets.has(id))
+  for (const id of gone) state.storedTargets.delete(id)
+  if (gone.length > 0) storeTargets(state)
+  log(state, 'info', 'earlier-runs-settled', { targets: state.targets.size, gone: gone.length })
+}
+
+/** Stores which targets may hold runs; until those of earlier owners are settled, their targets stay on the list. */
+function storeTargets (state: CellState): void {
+  const ids = new Set([...state.targets.values()].filter((target) => mayHoldRuns(state, target)).map(({ id }) => id))
+  if (state.earlierRunsPossible) {
+    for (const id of state.storedTargets) ids.add(id)
+  }
+  state.effects.push({ type: 'store-targets', ids: [...ids] })
+}
+
+function mayHoldRuns (state: CellState, target: TargetState): boolean {
+  return !target.entry.draining || !target.listed || !isEmpty(state, target)
+}
+
 /** The entry of a sound target may be missing for a while after an outage of the store. */
 function isGone (target: TargetState): boolean {
   return !target.published && (!target.reachable || target.entry.draining)
--- a/test/controller/member-link.test.ts
+++ b/test/controller/member-link.test.ts
@@ -31,6 +31,7 @@
     calls: calls as unknown as MemberCallClient,
     advisor: RecentAdvice.create({ advise: async () => ({ type: 'failed', reason: 'none' }) }),
     report: { log: () => {}, count: () => {}, observe: () => {} },
+    probe: async () => 'listening',
     leadership: () => ({ leader: leaders[Math.min(asked++, leaders.length - 1)] }) as unknown as Leadership,
     controller: () => undefined
   })
--- a/test/workflow/takeover.test.ts
+++ b/test/workflow/takeover.test.ts
@@ -66,3 +66,40 @@
     assert.equal(harness.cell.target('t1') === undefined, forgotten)
   })
 }
+
+function storedLists (harness: ReturnType<typeof withTarget>): ReadonlyArray<readonly string[]> {
+  return harness.effects.flatMap((effect) => effect.type === 'store-targets' ? [effect.ids] : [])
+}
+
+test('cell: a target that drains is taken off the stored list once it is empty, so that a new leader need not wait for it', () => {
+  const harness = withTarget()
+  harness.publish(entry('t2'))
+  harness.apply({ type: 'job-accepted', definition: job('a', { count: 8 }) })
+  harness.apply({ type: 'target-published', entry: entry('t1', { draining: true }) })
+  harness.pass(50)
+  assert.ok(storedLists(harness).at(-1)!.includes('t1'), 'it still runs tasks')
+  for (const start of harness.starts().filter(({ target }) => target === 't1')) harness.end(start, 'done')
+  harness.pass(50)
+  assert.deepEqual(storedLists(harness).at(-1), ['t2'])
+})
+
+test('cell: a target that drains no more gets work only once it is stored again', () => {
+  const harness = withTarget()
+  harness.apply({ type: 'target-published', entry: entry('t1', { draining: true }) })
+  harness.pass(50)
+  harness.apply({ type: 'target-published', entry: entry('t1') })
+  harness.apply({ type: 'job-accepted', definition: job('a', {}) })
+  assert.equal(harness.starts().length, 0)
+  harness.apply({ type: 'targets-stored', ids: storedLists(harness).at(-1)! })
+  assert.equal(harness.starts().length, 1)
+})
+
+test('cell: a new leader keeps targets of earlier leaders on the stored list until their runs are settled', () => {
+  const harness = withTarget()
+  harness.cell.expectEarlierRuns()
+  harness.apply({ type: 'targets-stored', ids: ['dark'] })
+  harness.publish(entry('t2'))
+  assert.ok(storedLists(harness).at(-1)!.includes('dark'))
+  harness.apply({ type: 'earlier-runs-lapsed' })
+  assert.deepEqual([...storedLists(harness).at(-1)!].sort(), ['t1', 't2'])
+})
