Do not tell 0 waiting jobs while the number is not known; add the soak

A leader that has not read the store yet answered every member with empty counts, and a member kept what it was told last for any time.

--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,66 @@
+import { spawnSync } from 'node:child_process'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { Builtins, Cli, Command, Option } from 'clipanion'
+import { playSoak } from './soak-run.ts'
+
+const FAILED = 1
+const FRESH_SEEDS = 1_000_000
+/** Loopback networks from which each run takes one, so that two runs do not meet. */
+const FIRST_SUBNET = 20
+const SUBNETS = 200
+
+/** Plays seeds one after another and keeps the logs of those that fail. */
+class Soak extends Command {
+  static override readonly usage = Command.Usage({
+    description: 'play random faults on member processes',
+    examples: [['fifty seeds', 'npm run soak -- --seed 1 --seeds 50']]
+  })
+
+  seed = Option.String('--seed', String(Date.now() % FRESH_SEEDS), { description: 'first seed; without it a fresh one' })
+  seeds = Option.String('--seeds', '1', { description: 'how many seeds' })
+  seconds = Option.String('--seconds', '20', { description: 'length of the traffic of one seed' })
+  members = Option.String('--members', '3', { description: 'member processes' })
+  workers = Option.String('--workers', '6', { description: 'stand-ins of workers' })
+  rate = Option.String('--rate', '6', { description: 'jobs a second' })
+
+  async execute (): Promise<number> {
+    const built = spawnSync(process.execPath, ['scripts/build-platform.mjs'], { encoding: 'utf8' })
+    if (built.status !== 0) throw new Error(`the bundle could not be built: ${built.stderr}`)
+    let failed = 0
+    for (let index = 0; index < Number(this.seeds); index += 1) {
+      if (!await this.play(Number(this.seed) + index)) failed += 1
+    }
+    this.context.stdout.write(`${Number(this.seeds) - failed} passed, ${failed} failed\n`)
+    return failed === 0 ? 0 : FAILED
+  }
+
+  private async play (seed: number): Promise<boolean> {
+    const folder = mkdtempSync(join(tmpdir(), `damaskfield-soak-${seed}-`))
+    const { faults, accepted, refused, doubtful, breaches } = await playSoak({
+      seed,
+      seconds: Number(this.seconds),
+      members: Number(this.members),
+      workers: Number(this.workers),
+      jobsPerSecond: Number(this.rate),
+      bundle: 'target/damaskfield-platform.mjs',
+      folder,
+      subnet: FIRST_SUBNET + process.pid % SUBNETS
+    })
+    const { stdout } = this.context
+    stdout.write(`seed ${seed}: ${faults.length} faults, ${accepted} jobs accepted, ${refused} refused, ${doubtful} in doubt, ${breaches.length} breaches\n`)
+    for (const breach of breaches) stdout.write(`  ${breach}\n`)
+    if (breaches.length === 0) rmSync(folder, { recursive: true })
+    else stdout.write(`  faults: ${JSON.stringify(faults)}\n  logs: ${folder}\n`)
+    return breaches.length === 0
+  }
+}
+
+const cli = new Cli({ binaryName: 'npm run soak --', binaryLabel: 'damaskfield soak' })
+cli.register(Soak)
+cli.register(Builtins.HelpCommand)
+cli.runExit(process.argv.slice(2)).catch((error: unknown) => {
+  console.error(error)
+  process.exitCode = FAILED
+})
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -127,8 +127,9 @@
     return this.restored ? this.cell.phaseOf(id) : 'unknown'
   }
 
-  get waiting (): Readonly<Record<string, number>> {
-    return this.cell.waitingByQueue()
+  /** Waiting jobs by queue; undefined until everything has been restored. */
+  get waiting (): Readonly<Record<string, number>> | undefined {
+    return this.restored ? this.cell.waitingByQueue() : undefined
   }
 
   get members (): readonly Peer[] {
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -23,7 +23,8 @@
 
 export type MemberAnswer =
   | { readonly type: 'known-advice', readonly advice: readonly KnownAdvice[] }
-  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> }
+  /** `waiting`: jobs by queue of which no task has started; undefined while the leader is reading the store. */
+  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined }
   | { readonly type: 'noted' }
   /** The member leads no earlier term; for how long it has sent no orders, in milliseconds. */
   | { readonly type: 'stood-down', readonly quietForMs: number }
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -14,6 +14,8 @@
 
 const HELLO_INTERVAL_MS = 1_000
 const LEADER_TIMEOUT_MS = 400
+/** A count may be this old when a caller is told, in milliseconds. Source: the platform's bound for the number of waiting jobs. */
+const WAITING_FRESH_MS = 2_000
 /** Members that are asked whether the leader's address refuses connections. */
 const WITNESSES = 2
 /** How often, and how long after the last try, the leader is told of a job or of its cancelling. */
@@ -35,7 +37,7 @@
 export class MemberLink {
   private readonly stopped = new AbortController()
   /** Waiting jobs by queue, as the leader told last. */
-  private waiting: Readonly<Record<string, number>> = {}
+  private waiting: { readonly counts: Readonly<Record<string, number>>, readonly at: number } | undefined
 
   /** The other members, as the leader told last. */
   private peers: readonly Peer[] = []
@@ -162,9 +164,12 @@
     return answer.isOk() && answer.value.type === 'stood-down' ? answer.value.quietForMs : undefined
   }
 
-  /** Waiting jobs of a queue; at a member that does not lead up to a second old. */
-  waitingOf (queue: string): number {
-    return (this.options.controller()?.waiting ?? this.waiting)[queue] ?? 0
+  /** Waiting jobs of a queue; undefined if no leader has told lately. */
+  waitingOf (queue: string): number | undefined {
+    const controller = this.options.controller()
+    if (controller !== undefined) return controller.waiting === undefined ? undefined : controller.waiting[queue] ?? 0
+    if (this.waiting === undefined || performance.now() - this.waiting.at > WAITING_FRESH_MS) return undefined
+    return this.waiting.counts[queue] ?? 0
   }
 
   private async helloLoop (): Promise<void> {
@@ -178,9 +183,10 @@
   async sayHello (): Promise<void> {
     const leader = this.options.leadership()?.leader
     if (leader === undefined || leader.member === this.options.self.member) return
+    const sentAt = performance.now()
     const answer = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_INTERVAL_MS)
     if (answer.isErr() || answer.value.type !== 'welcome') return
-    this.waiting = answer.value.waiting
+    if (answer.value.waiting !== undefined) this.waiting = { counts: answer.value.waiting, at: sentAt }
     this.peers = answer.value.peers.filter(({ member }) => member !== this.options.self.member)
   }
 
--- a/test/controller/member-link.test.ts
+++ b/test/controller/member-link.test.ts
@@ -61,3 +61,18 @@
   const leading = MemberLink.create({ ...link['options'], controller: () => restoring })
   assert.deepEqual(await leading.answer({ type: 'cancel-stored', id: 'a' }), { type: 'not-leading' })
 })
+
+const counts: ReadonlyArray<{ readonly guards: string, readonly waiting: Readonly<Record<string, number>> | undefined, readonly expected: number | undefined }> = [
+  { guards: 'the count that the leader told', waiting: { stock: 3 }, expected: 3 },
+  { guards: 'none for a queue of which the leader told nothing', waiting: {}, expected: 0 },
+  { guards: 'unknown, not 0, while the new leader reads the store', waiting: undefined, expected: undefined }
+]
+
+for (const { guards, waiting, expected } of counts) {
+  test(`member link: the number of waiting jobs is ${guards}`, async () => {
+    const { link } = linkWith([ok({ type: 'welcome', peers: [], waiting })])
+    assert.equal(link.waitingOf('stock'), undefined, 'nothing has been told yet')
+    await link.sayHello()
+    assert.equal(link.waitingOf('stock'), expected)
+  })
+}
