--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -3,7 +3,7 @@
 
 /**
  * What a proxy does with its connections. `silent`: bytes are held in both directions. `one-way`: requests pass and
- * answers are held. `reset`: connections are reset, new ones as well. `slow`: bytes pass late.
+ * answers are held. `reset`: connections are closed at once, new ones as well. `slow`: bytes pass late.
  */
 export type LinkState = 'open' | 'slow' | 'silent' | 'one-way' | 'reset'
 
@@ -43,14 +43,14 @@
 
   private resetAll (): void {
     for (const { client, peer } of this.pairs) {
-      client.resetAndDestroy()
+      client.destroy()
       peer.destroy()
     }
   }
 
   private join (client: Socket, peer: Socket): void {
     if (this.state === 'reset') {
-      client.resetAndDestroy()
+      client.destroy()
       peer.destroy()
       return
     }
