Look at no targets for steps that cannot start; rest after long passes

Each event leads to a pass that looks at all 245 targets for each waiting step, also for steps without a ticket, and adds up uncertain usage for each of them; each tick looks for targets of steps whose turn is far off.

Change: a step with advice looks only at targets whose tickets are valid; targets are looked for only if a question may be asked; uncertain usage is taken once a pass; a pass is followed by a rest of twice its duration.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -35,6 +35,8 @@
 const PEER_TIMEOUT_MS = 3_500
 /** A loop that is late by more than this may have been suspended, in milliseconds. */
 const SUSPENSION_MS = 700
+/** Rest after a pass, as a multiple of its duration: passes take at most a third of the processor. */
+const PASS_REST_FACTOR = 2
 /** A target's clock may be slower than ours by this part. */
 const LEASE_ALLOWANCE = 1.03
 
@@ -80,6 +82,8 @@
   private lastTickAt = Date.now()
   private suspendedUntilConfirmed = false
   private summarizedAt = 0
+  /** No pass starts before this time, on the steady clock. */
+  private nextPassAt = 0
   /** When the earlier leader has certainly sent its last order. */
   private ordersEndedAt = performance.now() + UNCONFIRMED_MS
 
@@ -373,10 +377,19 @@
   private queueStart (): void {
     if (this.startQueued) return
     this.startQueued = true
-    setImmediate(() => {
-      this.startQueued = false
-      if (!this.stopped) this.run(this.cell.start(performance.now()))
-    })
+    const pauseMs = this.nextPassAt - performance.now()
+    if (pauseMs > 0) setTimeout(() => this.startPass(), pauseMs)
+    else setImmediate(() => this.startPass())
+  }
+
+  /** The longer a pass takes, the longer the next one waits, so that calls are answered in between. */
+  private startPass (): void {
+    this.startQueued = false
+    if (this.stopped) return
+    const startedAt = performance.now()
+    this.run(this.cell.start(startedAt))
+    const endedAt = performance.now()
+    this.nextPassAt = endedAt + PASS_REST_FACTOR * (endedAt - startedAt)
   }
 
   private run (effects: readonly CellEffect[]): void {
--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -2,17 +2,22 @@
 import { noteAllowedShare, targetsToAsk } from './advice-targets.ts'
 import { isUrgent, queueOf } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
-import { suitableTargets } from './placement.ts'
+import { needsAdvice, suitableTargets } from './placement.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun } from './task.ts'
 
 /** Extra time before a step's turn at which its tickets are asked for, in milliseconds. */
 const AHEAD_MARGIN_MS = 150
 
+/** Whether a question for the step may be asked now; a cheap check before its targets are looked for. */
+export function mayAsk (state: CellState, step: StepRun, ahead = false): boolean {
+  return !step.advice.asking && state.asking.mayAsk(isUrgent(state, step.job.definition), ahead)
+}
+
 /** Asks for tickets of a step, unless a question is open or no target could use one. `ahead`: its turn has not come. */
 export function askForTickets (state: CellState, step: StepRun, candidates: readonly TargetState[], ahead = false): void {
+  if (!mayAsk(state, step, ahead)) return
   const urgent = isUrgent(state, step.job.definition)
-  if (step.advice.asking || !state.asking.mayAsk(urgent, ahead)) return
   const targets = targetsToAsk(state, step, candidates)
   if (targets.length === 0) return
   step.advice.asking = true
@@ -64,13 +69,11 @@
   for (const step of state.open) {
     // Questions for steps whose turn has come go first.
     if (state.asking.size >= state.asking.lanes) return
-    const terms = queueOf(state, step.job.definition)?.advice
-    if (terms === undefined || step.advice.asking || step.ready || step.spec.after.length === 0) continue
-    const candidates = suitableTargets(state, step)
-    const costMs = adviceCost(state, step, step.spec.count)
+    if (step.ready || step.spec.after.length === 0 || step.advice.answered || !needsAdvice(state, step)) continue
+    if (!mayAsk(state, step, true)) continue
     const dueMs = remainingBefore(step.job, step, state.now)
-    if (dueMs === undefined || dueMs > costMs + AHEAD_MARGIN_MS) continue
-    if (!step.advice.answered) askForTickets(state, step, candidates, true)
+    if (dueMs === undefined || dueMs > adviceCost(state, step, step.spec.count) + AHEAD_MARGIN_MS) continue
+    askForTickets(state, step, suitableTargets(state, step), true)
   }
 }
 
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -36,6 +36,8 @@
   readonly asking: OpenQuestions
   /** Part of the targets in recent answers for each queue that the advisor allowed. */
   readonly allowedShare: Map<string, number>
+  /** What runs that are not known here may use, as of the last pass. */
+  uncertain: Demand
   /** Number of the last run; higher than any run of an earlier owner. */
   lastRun: number
   /** Something has changed that may let a task start. */
--- a/src/workflow/cell.ts
+++ b/src/workflow/cell.ts
@@ -10,6 +10,7 @@
 import { takeListing } from './endings.ts'
 import type { CellEvent, ProcessedEnds } from './event.ts'
 import type { JobPhase } from './job.ts'
+import { NO_DEMAND } from './job.ts'
 import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
 import { OpenQuestions } from './open-questions.ts'
 import type { CellOptions } from './options.ts'
@@ -53,6 +54,7 @@
       earlierRunsPossible: false,
       asking: OpenQuestions.create(),
       allowedShare: new Map(),
+      uncertain: NO_DEMAND,
       lastRun: all.firstRun - 1,
       stale: false
     })
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -4,7 +4,6 @@
 import { sum } from './job.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
-import { uncertainUsage } from './uncertain-usage.ts'
 
 /** A target with a larger part of recent failures gets no work for a while after the last one. */
 const SUSPECT_FAILURE_SHARE = 0.45
@@ -31,7 +30,7 @@
   const { organisation } = job.definition
   const maximum = state.organisations.get(organisation)?.maximum
   if (maximum === undefined) return true
-  const used = sum(usedBy(state, organisation), uncertainUsage(state))
+  const used = sum(usedBy(state, organisation), state.uncertain)
   const part = usablePart(state, job)
   return within(used.cpuMillis, demand.cpuMillis, maximum.cpuMillis, part) &&
     within(used.memoryMiB, demand.memoryMiB, maximum.memoryMiB, part) &&
@@ -120,6 +119,16 @@
   return takesWork(state, target) && hasRoom(target, step) && leavesUrgentRoom(state, target, step) && withinPerTargetLimit(target, step)
 }
 
+/** Targets on which tasks of the step may start if they have room: for a step with advice those with a valid ticket. */
+export function allowedTargets (state: CellState, step: StepRun): readonly TargetState[] {
+  if (!needsAdvice(state, step)) return suitableTargets(state, step)
+  const pool = queueOf(state, step.job.definition)?.pool
+  return step.advice.ticketHolders(state.now).flatMap((id) => {
+    const target = state.targets.get(id)
+    return target !== undefined && target.entry.pool === pool ? [target] : []
+  })
+}
+
 /** Whether the task may start on the target now, advice included. */
 export function canStart (state: CellState, target: TargetState, task: Task): boolean {
   const { step } = task
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,19 +1,21 @@
-import { askForTickets } from './advice-requests.ts'
+import { askForTickets, mayAsk } from './advice-requests.ts'
 import { log, usedBy } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
 import { compareRanks, rankOf } from './order.ts'
-import { chooseTarget, hasRoomNow, needsAdvice, suitableTargets, withinMaximum } from './placement.ts'
+import { allowedTargets, chooseTarget, hasRoomNow, needsAdvice, suitableTargets, withinMaximum } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
 import { isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun, Task } from './task.ts'
+import { uncertainUsage } from './uncertain-usage.ts'
 
 /** Starts whatever may start now, in the order of ranks. */
 export function startPass (state: CellState): void {
   state.stale = false
+  state.uncertain = uncertainUsage(state)
   for (const step of inOrder(state)) startStep(state, step)
 }
 
@@ -30,14 +32,19 @@
 }
 
 function startStep (state: CellState, step: StepRun): void {
-  const candidates = suitableTargets(state, step)
+  const candidates = allowedTargets(state, step)
   if (needsAdvice(state, step) && !step.advice.answered) {
     if (!withinMaximum(state, step.job, step.spec.demand)) noteBlocked(state, step, 'maximum')
-    else if (candidates.some((target) => hasRoomNow(state, target, step))) askForTickets(state, step, candidates)
+    else if (mayAsk(state, step)) askFirst(state, step)
     return
   }
   const complete = step.spec.gang ? startGang(state, step, candidates) : startTasks(state, step, candidates)
-  if (!complete && needsAdvice(state, step)) askForTickets(state, step, candidates)
+  if (!complete && needsAdvice(state, step) && mayAsk(state, step)) askForTickets(state, step, suitableTargets(state, step))
+}
+
+function askFirst (state: CellState, step: StepRun): void {
+  const candidates = suitableTargets(state, step)
+  if (candidates.some((target) => hasRoomNow(state, target, step))) askForTickets(state, step, candidates)
 }
 
 /** Whether all startable tasks were started. */
--- a/src/workflow/step-advice.ts
+++ b/src/workflow/step-advice.ts
@@ -37,6 +37,15 @@
     return held.ticket
   }
 
+  /** Targets with a ticket that has not expired. */
+  ticketHolders (now: number): readonly string[] {
+    const holders: string[] = []
+    for (const [target, { validUntil }] of this.tickets) {
+      if (validUntil - TICKET_MARGIN_MS > now) holders.push(target)
+    }
+    return holders
+  }
+
   /** Drops a ticket that a target has refused. */
   drop (target: string): void {
     this.tickets.delete(target)
