--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,5 +1,5 @@
 import type { AdviceAnswer, Advisor, KnownAdvice, OrderClient } from '../ports/order-client.ts'
-import type { Store, StoreChange, StoreEntry } from '../ports/store.ts'
+import type { Store, StoreEntry } from '../ports/store.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { CellConfiguration } from '../workflow/cell-configuration.ts'
 import { Cell } from '../workflow/cell.ts'
@@ -14,11 +14,11 @@
 import { UNCONFIRMED_MS } from './leadership.ts'
 import type { Term } from './leadership.ts'
 import type { Peer } from './member-call.ts'
-import { PrefixWatcher } from './prefix-watcher.ts'
 import type { Report } from './report.ts'
 import { readAll } from './store-calls.ts'
-import { CANCEL_SUFFIX, JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY } from './store-keys.ts'
+import { CANCEL_SUFFIX, JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY, idOfCancelKey } from './store-keys.ts'
 import type { TargetsRecord } from './store-keys.ts'
+import { StoreFeed } from './store-feed.ts'
 import { parseRecord } from './stored-record.ts'
 import { TargetSession } from './target-session.ts'
 
@@ -26,9 +26,6 @@
 const SUMMARY_INTERVAL_MS = 2_000
 /** Run numbers of one term; far more than a term starts. */
 const RUNS_PER_TERM = 1_000_000
-/** Changes below the jobs are read this often, in case the member that stored one could not tell the leader. */
-const JOB_POLL_MS = 1_000
-const TARGET_WATCH_WAIT_MS = 1_500
 const RESTORE_RETRY_MS = 200
 const PREDECESSOR_RETRY_MS = 300
 /** A member that has not said hello for this time gets no questions for advice. */
@@ -70,8 +67,7 @@
   private readonly lanes: AdviceLanes
   private readonly sessions = new Map<string, TargetSession>()
   private readonly peers = new Map<string, { readonly peer: Peer, seenAt: number }>()
-  private readonly watchers: PrefixWatcher[] = []
-  private readonly publishedTargets = new Set<string>()
+  private readonly feed: StoreFeed
   private earlierTargets: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
   private commitWaiters: Array<() => void> = []
@@ -111,6 +107,14 @@
         this.apply({ type: 'advised', step: question.step, asked: question.targets, answer })
       }
     })
+    this.feed = StoreFeed.create({
+      store: options.store,
+      report: options.report,
+      targetPrefix: options.targetPrefix,
+      readTarget: options.readTarget,
+      apply: (event) => this.apply(event),
+      onTargetsRead: () => this.targetsKnown()
+    })
     this.addLane(options.self)
   }
 
@@ -172,7 +176,7 @@
     clearInterval(this.timer)
     this.committer.stop()
     this.lanes.stop()
-    for (const watcher of this.watchers) watcher.stop()
+    this.feed.stop()
     for (const session of this.sessions.values()) session.stop()
   }
 
@@ -197,14 +201,19 @@
     }, (error: unknown) => report.log('error', 'advice-not-recalled', { member: peer.member, detail: String(error) }))
   }
 
+  private targetsKnown (): void {
+    if (this.targetsRead) return
+    this.targetsRead = true
+    for (const peer of [this.options.self, ...this.members]) this.recallAdvice(peer)
+  }
+
   private async begin (): Promise<void> {
     this.cell.expectEarlierRuns()
     this.timer = setInterval(() => this.tick(), TICK_MS)
     this.settlePredecessor().catch((error: unknown) => this.options.report.log('error', 'predecessor-not-asked', { detail: String(error) }))
     const version = await this.restore()
     if (version === undefined) return
-    this.watchTargets()
-    this.watchJobs()
+    this.feed.follow()
     this.restored = true
   }
 
@@ -243,7 +252,7 @@
 
   private restoreJobs (jobs: readonly StoreEntry[], progress: readonly StoreEntry[]): void {
     const stored = new Map(progress.map(({ key, value }) => [key.slice(PROGRESS_PREFIX.length), value]))
-    const definitions = jobs.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX)).flatMap((entry) => this.readJob(entry))
+    const definitions = jobs.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX)).flatMap((entry) => this.feed.readJob(entry))
     for (const definition of definitions.sort((left, right) => left.submittedAtMs - right.submittedAtMs)) {
       const known = stored.get(definition.id)
       stored.delete(definition.id)
@@ -258,78 +267,6 @@
     }
   }
 
-  private watchTargets (): void {
-    const { store, report, targetPrefix } = this.options
-    this.watchers.push(PrefixWatcher.create({
-      store,
-      prefix: targetPrefix,
-      waitMs: TARGET_WATCH_WAIT_MS,
-      report,
-      onEntries: (entries) => this.replaceTargets(entries),
-      onChanges: (changes) => {
-        for (const change of changes) this.takeTargetChange(change)
-      }
-    }))
-  }
-
-  private replaceTargets (entries: readonly StoreEntry[]): void {
-    const present = new Set(entries.map(({ key }) => key.slice(this.options.targetPrefix.length)))
-    for (const id of [...this.publishedTargets]) {
-      if (!present.has(id)) this.withdraw(id)
-    }
-    for (const entry of entries) this.takeTarget(entry)
-    if (this.targetsRead) return
-    this.targetsRead = true
-    for (const peer of [this.options.self, ...this.members]) this.recallAdvice(peer)
-  }
-
-  private takeTargetChange (change: StoreChange): void {
-    if (change.type === 'put') this.takeTarget(change.entry)
-    else this.withdraw(change.key.slice(this.options.targetPrefix.length))
-  }
-
-  private takeTarget ({ key, value }: StoreEntry): void {
-    const entry = this.options.readTarget(key, value)
-    if (entry === undefined) return this.withdraw(key.slice(this.options.targetPrefix.length))
-    this.publishedTargets.add(entry.id)
-    this.apply({ type: 'target-published', entry })
-  }
-
-  private withdraw (id: string): void {
-    this.publishedTargets.delete(id)
-    this.apply({ type: 'target-withdrawn', id })
-  }
-
-  private watchJobs (): void {
-    const { store, report } = this.options
-    this.watchers.push(PrefixWatcher.create({
-      store,
-      prefix: JOB_PREFIX,
-      waitMs: 0,
-      pauseMs: JOB_POLL_MS,
-      report,
-      onEntries: (entries) => entries.forEach((entry) => this.takeJob(entry)),
-      onChanges: (changes) => {
-        for (const change of changes) {
-          if (change.type === 'put') this.takeJob(change.entry)
-        }
-      }
-    }))
-  }
-
-  private takeJob ({ key, value }: StoreEntry): void {
-    if (key.endsWith(CANCEL_SUFFIX)) this.cancel(idOfCancelKey(key))
-    else this.readJob({ key, value }).forEach((definition) => this.apply({ type: 'job-accepted', definition }))
-  }
-
-  /** The job in an entry; an unreadable one must not keep the others from being restored. */
-  private readJob ({ key, value }: Pick<StoreEntry, 'key' | 'value'>): readonly JobDefinition[] {
-    const definition = parseRecord<JobDefinition>(value)
-    if (definition !== undefined) return [definition]
-    this.options.report.log('error', 'job-unreadable', { key })
-    return []
-  }
-
   private tick (): void {
     const now = Date.now()
     const lateMs = Math.abs(now - this.lastTickAt) - TICK_MS
@@ -441,7 +378,3 @@
     this.sessions.delete(id)
   }
 }
-
-function idOfCancelKey (key: string): string {
-  return key.slice(JOB_PREFIX.length, -CANCEL_SUFFIX.length)
-}
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -20,6 +20,11 @@
   return `${JOB_PREFIX}${id}${CANCEL_SUFFIX}`
 }
 
+/** The job that a key of `cancelKey` is about. */
+export function idOfCancelKey (key: string): string {
+  return key.slice(JOB_PREFIX.length, -CANCEL_SUFFIX.length)
+}
+
 export function progressKey (id: string): string {
   return `${PROGRESS_PREFIX}${id}`
 }
