--- a/bench/platform.ts
+++ b/bench/platform.ts
@@ -99,7 +99,7 @@
   const profiling = profiles === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profiles}`, `--cpu-prof-name=${place.name}.cpuprofile`]
   return ProcessMember.run({
     id: place.name,
-    args: [...profiling, '--max-old-space-size=200', '--max-semi-space-size=4', 'target/damaskfield-platform.mjs'],
+    args: [...profiling, '--max-old-space-size=200', '--max-semi-space-size=8', 'target/damaskfield-platform.mjs'],
     variables: { DAMASKFIELD_SETTINGS: file },
     callerAddress: callerAddressOf(place)
   })
