Read the jobs often while members are cut off from the leader

Change: a job that no member has told of makes the leader read the jobs every 120 ms for 2.5 s; otherwise it reads them once a second as before. Passes rest for four times their duration.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -32,8 +32,8 @@
 const PEER_TIMEOUT_MS = 3_500
 /** A loop that is late by more than this may have been suspended, in milliseconds. */
 const SUSPENSION_MS = 700
-/** Rest after a pass, as a multiple of its duration: passes take at most a third of the processor. */
-const PASS_REST_FACTOR = 2
+/** Rest after a pass, as a multiple of its duration: passes take at most a fifth of the processor. */
+const PASS_REST_FACTOR = 4
 /** A target's clock may be slower than ours by this part. */
 const LEASE_ALLOWANCE = 1.03
 
@@ -113,6 +113,7 @@
       targetPrefix: options.targetPrefix,
       readTarget: options.readTarget,
       apply: (event) => this.apply(event),
+      isKnown: (job) => this.cell.phaseOf(job) !== undefined,
       onTargetsRead: () => this.targetsKnown()
     })
     this.addLane(options.self)
--- a/src/controller/prefix-watcher.ts
+++ b/src/controller/prefix-watcher.ts
@@ -9,7 +9,7 @@
   /** How long one watch waits at the store, in milliseconds. A silent connection is noticed within about this time. */
   readonly waitMs: number
   /** Pause between two watches, in milliseconds; gathers changes where promptness does not matter. */
-  readonly pauseMs?: number
+  readonly pauseMs?: () => number
   readonly report: Report
   /** All entries below the prefix; called at first and whenever changes may have been missed. */
   readonly onEntries: (entries: readonly StoreEntry[]) => void
@@ -50,7 +50,7 @@
     let version: number | undefined
     while (!this.stopped.signal.aborted) {
       version = version === undefined ? await this.readEntries() : await this.watch(version)
-      const pauseMs = this.healthy === true ? this.options.pauseMs ?? 0 : RETRY_MS
+      const pauseMs = this.healthy === true ? this.options.pauseMs?.() ?? 0 : RETRY_MS
       if (pauseMs > 0) await delay(pauseMs, this.stopped.signal)
     }
   }
--- a/src/controller/store-feed.ts
+++ b/src/controller/store-feed.ts
@@ -2,13 +2,12 @@
 import type { CellEvent } from '../workflow/event.ts'
 import type { JobDefinition } from '../workflow/job.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
+import { PollPace } from './poll-pace.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
 import type { Report } from './report.ts'
 import { CANCEL_SUFFIX, JOB_PREFIX, idOfCancelKey } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
-/** Changes below the jobs are read this often, in case the member that stored one could not tell the leader. */
-const JOB_POLL_MS = 1_000
 const TARGET_WATCH_WAIT_MS = 1_500
 
 export type StoreFeedOptions = {
@@ -18,6 +17,7 @@
   readonly targetPrefix: string
   readonly readTarget: (key: string, value: string) => TargetEntry | undefined
   readonly apply: (event: CellEvent) => void
+  readonly isKnown: (job: string) => boolean
   /** All published targets have been read; called again whenever they are read anew. */
   readonly onTargetsRead: () => void
 }
@@ -26,6 +26,7 @@
 export class StoreFeed {
   private readonly watchers: PrefixWatcher[] = []
   private readonly publishedTargets = new Set<string>()
+  private readonly pace = PollPace.create()
 
   private constructor (private readonly options: StoreFeedOptions) {}
 
@@ -94,7 +95,8 @@
       store,
       prefix: JOB_PREFIX,
       waitMs: 0,
-      pauseMs: JOB_POLL_MS,
+      // Members tell of the jobs that they store; the readings are for those that cannot reach the leader.
+      pauseMs: () => this.pace.pauseMs(performance.now()),
       report,
       onEntries: (entries) => entries.forEach((entry) => this.takeJob(entry)),
       onChanges: (changes) => {
@@ -107,7 +109,12 @@
 
   private takeJob ({ key, value }: StoreEntry): void {
     if (key.endsWith(CANCEL_SUFFIX)) this.options.apply({ type: 'job-cancelled', id: idOfCancelKey(key) })
-    else this.readJob({ key, value }).forEach((definition) => this.options.apply({ type: 'job-accepted', definition }))
+    else this.readJob({ key, value }).forEach((definition) => this.accept(definition))
+  }
+
+  private accept (definition: JobDefinition): void {
+    if (!this.options.isKnown(definition.id)) this.pace.noteUntold(performance.now())
+    this.options.apply({ type: 'job-accepted', definition })
   }
 
   /** The job in an entry; an unreadable one must not keep the others from being restored. */
