Keep connections to a busy member; give its hello more time

Change: a connection is given up with a timeout only if nothing was answered on it for 1 s; a hello waits 2.5 s, and a member counts as gone after 5 s.

--- a/src/adapters/grpc-member-calls.ts
+++ b/src/adapters/grpc-member-calls.ts
@@ -4,6 +4,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { MemberAnswer, MemberCall, MemberCallFailure } from '../controller/member-call.ts'
+import { assertNever } from '../util/assert-never.ts'
 
 const MESSAGE_LIMIT_BYTES = 4_194_304
 
@@ -66,9 +67,17 @@
   }
 }
 
-/** Calls other members by address. A call that times out gives up its connection, because it may have become silent. */
+/** A connection without an answer for this time is given up with the next timeout, in milliseconds. */
+const SILENT_AFTER_MS = 1_000
+
+type Connection = { readonly client: Client, answeredAt: number }
+
+/**
+ * Calls other members by address. A connection may become silent while new ones work, so it is given up when calls time
+ * out and none was answered lately; a busy member that answers some calls keeps its connection.
+ */
 export class MemberCallClient {
-  private readonly clients = new Map<string, Client>()
+  private readonly connections = new Map<string, Connection>()
 
   private constructor () {}
 
@@ -81,34 +90,47 @@
   }
 
   call (address: string, call: MemberCall, timeoutMs: number): Promise<Result<MemberAnswer, MemberCallFailure>> {
-    const client = this.clientOf(address)
+    const connection = this.connectionTo(address)
     return new Promise((resolve) => {
       const deadline = Date.now() + timeoutMs
-      client.makeUnaryRequest(ANSWER.path, ANSWER.requestSerialize, ANSWER.responseDeserialize, call, new Metadata(), { deadline }, (error, answer) => {
-        if (error === null && answer !== undefined) return resolve(ok(answer))
-        const reason = reasonOf(error)
-        if (reason !== 'rejected') this.drop(address, client)
-        resolve(err({ reason }))
+      connection.client.makeUnaryRequest(ANSWER.path, ANSWER.requestSerialize, ANSWER.responseDeserialize, call, new Metadata(), { deadline }, (error, answer) => {
+        const reason = error === null && answer !== undefined ? 'answered' : reasonOf(error)
+        this.note(address, connection, reason)
+        resolve(reason === 'answered' ? ok(answer!) : err({ reason }))
       })
     })
   }
 
   close (): void {
-    for (const client of this.clients.values()) client.close()
-    this.clients.clear()
+    for (const { client } of this.connections.values()) client.close()
+    this.connections.clear()
   }
 
-  private clientOf (address: string): Client {
-    const known = this.clients.get(address)
+  private connectionTo (address: string): Connection {
+    const known = this.connections.get(address)
     if (known !== undefined) return known
-    const client = new Client(address, credentials.createInsecure(), CHANNEL_OPTIONS)
-    this.clients.set(address, client)
-    return client
+    const connection = { client: new Client(address, credentials.createInsecure(), CHANNEL_OPTIONS), answeredAt: performance.now() }
+    this.connections.set(address, connection)
+    return connection
+  }
+
+  private note (address: string, connection: Connection, outcome: 'answered' | MemberCallFailure['reason']): void {
+    switch (outcome) {
+      case 'answered':
+      case 'rejected':
+        connection.answeredAt = performance.now()
+        return
+      case 'timeout':
+        if (performance.now() - connection.answeredAt > SILENT_AFTER_MS) this.drop(address, connection)
+        return
+      case 'unavailable': return this.drop(address, connection)
+      default: assertNever(outcome)
+    }
   }
 
-  private drop (address: string, client: Client): void {
-    if (this.clients.get(address) === client) this.clients.delete(address)
-    client.close()
+  private drop (address: string, connection: Connection): void {
+    if (this.connections.get(address) === connection) this.connections.delete(address)
+    connection.client.close()
   }
 }
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -29,7 +29,7 @@
 const RESTORE_RETRY_MS = 200
 const PREDECESSOR_RETRY_MS = 300
 /** A member that has not said hello for this time gets no questions for advice. */
-const PEER_TIMEOUT_MS = 3_500
+const PEER_TIMEOUT_MS = 5_000
 /** A loop that is late by more than this may have been suspended, in milliseconds. */
 const SUSPENSION_MS = 700
 /** Rest after a pass, as a multiple of its duration: passes take at most a fifth of the processor. */
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -13,6 +13,8 @@
 import type { LeaderRecord } from './store-keys.ts'
 
 const HELLO_INTERVAL_MS = 1_000
+/** A busy leader may answer late; a member that gave up too soon would count as gone. */
+const HELLO_TIMEOUT_MS = 2_500
 const LEADER_TIMEOUT_MS = 400
 /** A count may be this old when a caller is told, in milliseconds. Source: the platform's bound for the number of waiting jobs. */
 const WAITING_FRESH_MS = 2_000
@@ -184,7 +186,7 @@
     const leader = this.options.leadership()?.leader
     if (leader === undefined || leader.member === this.options.self.member) return
     const sentAt = performance.now()
-    const answer = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_INTERVAL_MS)
+    const answer = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_TIMEOUT_MS)
     if (answer.isErr() || answer.value.type !== 'welcome') return
     if (answer.value.waiting !== undefined) this.waiting = { counts: answer.value.waiting, at: sentAt }
     this.peers = answer.value.peers.filter(({ member }) => member !== this.options.self.member)
