--- a/test/controller/member-link.test.ts
+++ b/test/controller/member-link.test.ts
@@ -16,7 +16,7 @@
 const LEADER = { member: 'm2', address: 'm2:1', term: 1, nonce: 'n' }
 
 /** A link of a member that does not lead; the leader's answers are given. */
-function linkWith (answers: readonly Answer[], leaders: ReadonlyArray<typeof LEADER | undefined> = [LEADER]): { readonly link: MemberLink, readonly told: string[] } {
+function linkWith (answers: readonly Answer[], leaders: ReadonlyArray<typeof LEADER | undefined> = [LEADER], controller?: Controller): { readonly link: MemberLink, readonly told: string[] } {
   const told: string[] = []
   const calls = {
     call: async (address: string, call: MemberCall) => {
@@ -33,7 +33,7 @@
     report: { log: () => {}, count: () => {}, observe: () => {} },
     probe: async () => 'listening',
     leadership: () => ({ leader: leaders[Math.min(asked++, leaders.length - 1)] }) as unknown as Leadership,
-    controller: () => undefined
+    controller: () => controller
   })
   return { link, told }
 }
@@ -56,10 +56,9 @@
 }
 
 test('member link: a controller that has not read the store does not note a cancelling', async () => {
-  const { link } = linkWith([])
   const restoring = { cancel: () => false } as unknown as Controller
-  const leading = MemberLink.create({ ...link['options'], controller: () => restoring })
-  assert.deepEqual(await leading.answer({ type: 'cancel-stored', id: 'a' }), { type: 'not-leading' })
+  const { link } = linkWith([], [undefined], restoring)
+  assert.deepEqual(await link.answer({ type: 'cancel-stored', id: 'a' }), { type: 'not-leading' })
 })
 
 const counts: ReadonlyArray<{ readonly guards: string, readonly waiting: Readonly<Record<string, number>> | undefined, readonly expected: number | undefined }> = [
