Keep what the soak and the load tool write for the platform in its folder

The soak and the load tool named the platform's keys and fields themselves, and the configuration of the stand-in stood in three places. StandinOperator writes what operators and workers write; the settings of a member move beside it.

--- a/bench/platform.ts
+++ b/bench/platform.ts
@@ -8,9 +8,10 @@
 import { ProcessMember } from '../faults/processes/process-member.ts'
 import { JsonServer } from '../platform/standin/json-server.ts'
 import { KvServer } from '../platform/standin/kv-server.ts'
+import { StandinOperator } from '../platform/standin/operator.ts'
 import { WorkerServer } from '../platform/standin/worker-server.ts'
-import { callerAddressOf, memberSettings } from '../soak/member-settings.ts'
-import type { MemberPlace } from '../soak/member-settings.ts'
+import { callerAddressOf, memberSettings } from '../platform/standin/member-settings.ts'
+import type { MemberPlace } from '../platform/standin/member-settings.ts'
 import type { Benchmark } from './main.ts'
 import { costRate, processCost } from './process-cost.ts'
 
@@ -38,14 +39,6 @@
 const MS_PER_SECOND = 1_000
 const ACCEPTED = 200
 
-const CONFIGURATION = {
-  version: 1,
-  routes: [{ name: 'load', host: HOST, prefix: '/load/', kind: 'non_idempotent', timeoutMs: 3_000, targetLatencyMs: 250, priority: 0, service: 'kit', maxAttempts: 2, stretch: 2, public: false }],
-  services: [{ name: 'kit', rejectsOverload: false, spare: false }],
-  limits: { maxBodyBytes: 262_144 },
-  tenants: [{ name: 'zuu', apiKeys: [KEY], priority: 1, weight: 10_000, maximum: { cpu: 0, memMb: 0, gpu: 0 } }]
-}
-
 /**
  * Plays load on member processes against the stand-ins of the platform, and measures what they use.
  *
@@ -57,8 +50,9 @@
   const kv = await KvServer.listen()
   const advisor = await JsonServer.listen(async () => ({ status: 200, body: { good: [] } }))
   const workers = await Promise.all(Array.from({ length: load.targets }, (_, index) => WorkerServer.listen({ id: `w${index}`, needsTickets: false })))
-  kv.put('op/config', JSON.stringify(CONFIGURATION))
-  for (const worker of workers) kv.put(`servers/${worker.id}`, worker.entry())
+  const operator = StandinOperator.create(kv)
+  operator.configure({ version: 1, host: HOST, key: KEY, weight: 10_000, maxAttempts: 2, queues: [{ name: 'load', priority: 0 }] })
+  for (const worker of workers) operator.publish(worker)
   const places = Array.from({ length: load.members }, (_, index): MemberPlace => (
     { name: `member-${index}`, host: `127.0.0.${index + 2}`, failureDomain: 'east', storeAddress: kv.address, advisorAddress: advisor.address, cores: 1 }
   ))
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -5,10 +5,11 @@
 import { ProcessMember } from '../faults/processes/process-member.ts'
 import { JsonServer } from '../platform/standin/json-server.ts'
 import { KvServer } from '../platform/standin/kv-server.ts'
+import { callerAddressOf, memberSettings } from '../platform/standin/member-settings.ts'
+import type { MemberPlace } from '../platform/standin/member-settings.ts'
+import { StandinOperator } from '../platform/standin/operator.ts'
 import { WorkerServer } from '../platform/standin/worker-server.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
-import { callerAddressOf, memberSettings } from './member-settings.ts'
-import type { MemberPlace } from './member-settings.ts'
 import { RunHistory } from './run-history.ts'
 
 export const SOAK_HOST = 'soak.example'
@@ -41,7 +42,11 @@
   private version = 1
   private closing = false
 
-  private constructor (readonly kv: KvServer, private readonly advisor: JsonServer, readonly history: RunHistory, private readonly options: SoakCellOptions) {}
+  private readonly operator: StandinOperator
+
+  private constructor (readonly kv: KvServer, private readonly advisor: JsonServer, readonly history: RunHistory, private readonly options: SoakCellOptions) {
+    this.operator = StandinOperator.create(kv)
+  }
 
   /** Starts everything; members find the workers through the store. */
   static async start (options: SoakCellOptions): Promise<SoakCell> {
@@ -64,22 +69,14 @@
 
   /** Publishes the next version of the configuration. */
   configure (): void {
-    const common = { host: SOAK_HOST, kind: 'non_idempotent', timeoutMs: 3_000, targetLatencyMs: 250, service: 'kit', maxAttempts: MOST_ATTEMPTS, stretch: 2, public: false }
-    const routes = [
-      { ...common, name: 'plain', prefix: '/plain/', priority: 0 },
-      { ...common, name: 'advised', prefix: '/advised/', priority: 2, advice: ADVICE },
-      { ...common, name: `extra-${this.version}`, prefix: `/extra-${this.version}/`, priority: 0 }
-    ]
-    const tenants = [{ name: 'zuu', apiKeys: [SOAK_KEY], priority: 1, weight: 100, maximum: { cpu: 0, memMb: 0, gpu: 0 } }]
-    const services = [{ name: 'kit', rejectsOverload: false, spare: false }]
-    this.kv.put('op/config', JSON.stringify({ version: this.version, routes, services, limits: { maxBodyBytes: 262_144 }, tenants }))
+    const queues = [{ name: 'plain', priority: 0 }, { name: 'advised', priority: 2, advice: ADVICE }, { name: `extra-${this.version}`, priority: 0 }]
+    this.operator.configure({ version: this.version, host: SOAK_HOST, key: SOAK_KEY, weight: 100, maxAttempts: MOST_ATTEMPTS, queues })
     this.version += 1
   }
 
   /** Takes a failure domain out, or back. */
   setDomain (domain: string, out: boolean): void {
-    if (out) this.kv.put(`op/evacuate/${domain}`, '{}')
-    else this.kv.remove(`op/evacuate/${domain}`)
+    this.operator.setDomain(domain, out)
     this.history.noteDomain(domain, out ? performance.now() : undefined)
   }
 
@@ -138,7 +135,7 @@
 
   private publish (index: number): void {
     const { server, link, domain } = this.workers[index]!
-    this.kv.put(`servers/${server.id}`, server.entry('ready', link.address, domain))
+    this.operator.publish(server, domain, link.address)
   }
 
   private async addMember (index: number): Promise<void> {
