Let a scheduling pass cost what changed

Cause: each pass of the leader examined all targets for each step that could not start.

Change: the targets of a pool that accept work are listed once for each pass, with upper limits of what one of them has free, so that a step that fits nowhere examines none. A search for an advice request stops when it has found three times the slots that it needs. A step that found no target examines only those that may have more room since, and all again after 100 ms. Steps count their waiting tasks. The summary of the cell tells what the passes examined.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -83,6 +83,8 @@
   private lastTickAt = Date.now()
   private suspendedUntilConfirmed = false
   private lastSummaryAt = 0
+  /** Duration of the longest scheduling pass since the last summary. */
+  private longestPassMs = 0
   /** Earliest start of the next scheduling pass, on the monotonic clock. */
   private nextPassAt = 0
   /** Time after which the previous leader sends no more commands, on the monotonic clock. */
@@ -304,7 +306,10 @@
 
   private logSummary (): void {
     this.lastSummaryAt = performance.now()
-    this.options.reporter.log('info', 'cell-summary', { ...this.scheduler.summary, members: this.peers.size + 1, adviceWaiting: this.adviceDispatcher.queuedCount })
+    const { passes, steps, targets } = this.scheduler.takePassWork()
+    const work = { passes, examinedSteps: steps, examinedTargets: targets, longestPassMs: Math.round(this.longestPassMs) }
+    this.longestPassMs = 0
+    this.options.reporter.log('info', 'cell-summary', { ...this.scheduler.summary, ...work, members: this.peers.size + 1, adviceWaiting: this.adviceDispatcher.queuedCount })
   }
 
   private removeUnresponsivePeers (): void {
@@ -351,6 +356,7 @@
     const startedAt = performance.now()
     this.executeEffects(this.scheduler.startTasks(startedAt))
     const endedAt = performance.now()
+    this.longestPassMs = Math.max(this.longestPassMs, endedAt - startedAt)
     this.nextPassAt = endedAt + PASS_PAUSE_FACTOR * (endedAt - startedAt)
   }
 
--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -2,12 +2,16 @@
 import { updateAllowedRatio, selectAdviceTargets } from './advice-targets.ts'
 import { isUrgent, findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
-import { needsAdvice, findSuitableTargets } from './placement.ts'
-import type { TargetState } from './target-state.ts'
+import { needsAdvice } from './placement.ts'
 import type { Job, StepRun } from './task.ts'
 
 /** Tickets of a step are requested this long before they are needed, on top of the estimated duration of the request. */
 const PREFETCH_MARGIN_MS = 150
+/**
+ * A step for which no target could be selected searches all targets again after this time, in milliseconds; until then it
+ * examines the targets that may have more room than before. Pauses of targets and tickets end without such a change.
+ */
+const FULL_SEARCH_INTERVAL_MS = 100
 
 /**
  * Whether advice for the step may be requested now. This check is cheap and runs before targets are selected.
@@ -21,11 +25,18 @@
  * Requests tickets for a step, unless a request is pending or no target could use one. `prefetch`: the step is not ready
  * yet.
  */
-export function requestAdvice (state: CellState, step: StepRun, candidates: readonly TargetState[], prefetch = false): void {
+export function requestAdvice (state: CellState, step: StepRun, prefetch = false): void {
   if (!mayRequestAdvice(state, step, prefetch)) return
   const urgent = isUrgent(state, step.job.definition)
-  const targets = selectAdviceTargets(state, step, candidates)
-  if (targets.length === 0) return
+  const { advice } = step
+  const changed = advice.searchedTo === undefined || advice.fullSearchAt <= state.now ? undefined : state.roomLog.getSince(advice.searchedTo)
+  const targets = selectAdviceTargets(state, step, { prefetch, changed })
+  if (targets.length === 0) {
+    if (changed === undefined) advice.fullSearchAt = state.now + FULL_SEARCH_INTERVAL_MS
+    advice.searchedTo = state.roomLog.position
+    return
+  }
+  advice.searchedTo = undefined
   step.advice.requestPending = true
   state.pendingAdvice.add(step.key, urgent)
   state.effects.push({ type: 'request-advice', step: step.key, targets, costMs: computeAdviceCostMs(state, step, targets.length), urgent })
@@ -79,7 +90,7 @@
     if (!mayRequestAdvice(state, step, true)) continue
     const dueMs = estimateTimeUntilReadyMs(step.job, step, state.now)
     if (dueMs === undefined || dueMs > computeAdviceCostMs(state, step, step.spec.count) + PREFETCH_MARGIN_MS) continue
-    requestAdvice(state, step, findSuitableTargets(state, step), true)
+    requestAdvice(state, step, true)
   }
 }
 
--- a/src/workflow/advice-targets.ts
+++ b/src/workflow/advice-targets.ts
@@ -1,6 +1,10 @@
+import { findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
-import { acceptsTaskOf, computeScore, countFreeSlots, acceptsWork } from './placement.ts'
+import { getOpenTargets } from './open-targets.ts'
+import type { OpenTargets } from './open-targets.ts'
+import { computeScore } from './placement.ts'
 import { isStartable } from './startable.ts'
+import { acceptsTaskOf, countFreeSlots, isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun } from './task.ts'
 
@@ -10,6 +14,8 @@
 const CAPACITY_FACTOR = 2
 /** The first request of a step names at least this many targets, so that there is a choice. */
 const MIN_FIRST_REQUEST_TARGETS = 8
+/** The best targets are chosen among this many times as many as the request is expected to name. */
+const CHOICE_FACTOR = 3
 /**
  * Amount by which a hash varies the scores of targets from step to step, as a ratio of a target's capacity, so that steps do
  * not all name the same targets.
@@ -18,50 +24,109 @@
 /** Weight of the latest response in the moving average of the allowed ratio. */
 const ALLOWED_RATIO_SMOOTHING_FACTOR = 0.2
 
+/**
+ * `prefetch`: the step is not ready yet, so that its first request may name targets whose capacity is booked now. `changed`:
+ * the targets that may have more room since a search that found none; undefined to search all.
+ */
+export type TargetSearch = { readonly prefetch: boolean, readonly changed: readonly TargetState[] | undefined }
+
 /**
  * Selects the targets of an advice request: those with free capacity and without a valid ticket, best score first. It
  * selects no more than the waiting tasks can use, because the advisor takes time for each target.
  */
-export function selectAdviceTargets (state: CellState, step: StepRun, candidates: readonly TargetState[]): readonly string[] {
-  const usable = candidates.filter((target) => acceptsWork(state, target) && mayBeAllowed(step, target) &&
-    step.advice.findTicket(target.id, target.entry.incarnation, state.now) === undefined)
-  const withCapacity = usable.filter((target) => acceptsTaskOf(state, target, step))
+export function selectAdviceTargets (state: CellState, step: StepRun, { prefetch, changed }: TargetSearch): readonly string[] {
+  if (changed?.length === 0) return []
+  const pool = findQueue(state, step.job.definition)?.pool
+  const open = getOpenTargets(state, pool)
   const isFirstRequest = !step.advice.hasResponse
-  const selectable = withCapacity.length === 0 && isFirstRequest ? usable : withCapacity
+  const hasRoom = open.mayFit(state, step)
+  if (!hasRoom && !(prefetch && isFirstRequest)) return []
+  const seed = hashText(step.key)
   // Such a gang needs a whole rack, and the free capacity of single targets does not show which racks are suitable.
-  if (isFirstRequest && step.spec.gang && step.spec.sameRack) return usable.slice(0, state.options.maxAdviceTargets).map(({ id }) => id)
-  return limitToWaitingTasks(state, step, sortByScore(state, step, selectable), isFirstRequest ? MIN_FIRST_REQUEST_TARGETS : 1)
+  if (isFirstRequest && step.spec.gang && step.spec.sameRack) return selectForRack(state, step, open, prefetch)
+  const neededSlots = countStartableTasks(state, step) * CAPACITY_FACTOR
+  const choice = neededSlots * CHOICE_FACTOR
+  const source = changed?.filter(({ entry }) => entry.pool === pool) ?? open.walk(seed)
+  const withCapacity = hasRoom ? findCandidates(state, step, source, choice, (target) => acceptsTaskOf(state, target, step)) : []
+  const selectable = withCapacity.length === 0 && prefetch && isFirstRequest ? findCandidates(state, step, open.walk(seed), choice, () => true) : withCapacity
+  return limitToSlots(state, step, sortByScore(state, step, selectable, seed), neededSlots, isFirstRequest ? MIN_FIRST_REQUEST_TARGETS : 1)
 }
 
-function mayBeAllowed ({ advice }: StepRun, { id }: TargetState): boolean {
-  return advice.isAllowed(id) || !advice.hasResponseFor(id)
+function selectForRack (state: CellState, step: StepRun, open: OpenTargets, prefetch: boolean): readonly string[] {
+  if (!prefetch && !open.targets.some((target) => acceptsTaskOf(state, target, step))) return []
+  return open.targets.filter((target) => isSuitable(target, step)).slice(0, state.options.maxAdviceTargets).map(({ id }) => id)
 }
 
-function sortByScore (state: CellState, step: StepRun, targets: readonly TargetState[]): readonly TargetState[] {
-  const scored = targets.map((target) => ({ target, score: computeScore(state, target, step) + SCORE_SPREAD_RATIO * hashToFraction(`${step.key} ${target.id}`) }))
-  return scored.sort((left, right) => right.score - left.score).map(({ target }) => target)
+/**
+ * Finds candidates among the given targets, until they are expected to have `wantedSlots` slots, and all on the rack
+ * with its data.
+ */
+function findCandidates (state: CellState, step: StepRun, targets: Iterable<TargetState>, wantedSlots: number, accepts: (target: TargetState) => boolean): readonly TargetState[] {
+  const { dataRack } = step.spec
+  const candidates = new Set<TargetState>()
+  let expectedSlots = 0
+  for (const target of targets) {
+    state.passWork.targets += 1
+    const isEnough = expectedSlots >= wantedSlots && candidates.size >= MIN_FIRST_REQUEST_TARGETS * CHOICE_FACTOR
+    if (isEnough && dataRack === undefined) break
+    if (isEnough && target.entry.rack !== dataRack) continue
+    if (!isSuitable(target, step) || !accepts(target) || !needsTicket(state, step, target)) continue
+    candidates.add(target)
+    expectedSlots += estimateSlots(state, step, target)
+  }
+  return [...candidates]
+}
+
+/** Whether the advisor may allow the target and no ticket for it is valid. */
+function needsTicket (state: CellState, { advice }: StepRun, { id, entry }: TargetState): boolean {
+  if (advice.hasResponseFor(id) && !advice.isAllowed(id)) return false
+  return advice.findTicket(id, entry.incarnation, state.now) === undefined
 }
 
-/** Returns the first targets, as many as are expected to have capacity for all waiting tasks. */
-function limitToWaitingTasks (state: CellState, step: StepRun, targets: readonly TargetState[], minTargets: number): readonly string[] {
-  const waiting = step.tasks.filter((task) => isStartable(task, state.now)).length
+/** Number of tasks of the step that are expected to find a slot on the target, given how often the advisor allows one. */
+function estimateSlots (state: CellState, step: StepRun, target: TargetState): number {
   const allowedRatio = state.allowedRatios.get(step.job.definition.queue) ?? DEFAULT_ALLOWED_RATIO
+  return Math.max(1, countFreeSlots(target, step)) * (step.advice.isAllowed(target.id) ? 1 : allowedRatio)
+}
+
+function countStartableTasks (state: CellState, step: StepRun): number {
+  if (!step.spec.speculative) return step.waitingTasks
+  return step.tasks.filter((task) => isStartable(task, state.now)).length
+}
+
+function sortByScore (state: CellState, step: StepRun, targets: readonly TargetState[], seed: number): readonly TargetState[] {
+  const scored = targets.map((target, position) => ({ target, score: computeScore(state, target, step) + SCORE_SPREAD_RATIO * mixToFraction(seed, position) }))
+  return scored.sort((left, right) => right.score - left.score).map(({ target }) => target)
+}
+
+/** Returns the first targets, as many as are expected to have the needed slots. */
+function limitToSlots (state: CellState, step: StepRun, targets: readonly TargetState[], neededSlots: number, minTargets: number): readonly string[] {
   const selected: string[] = []
   let expectedSlots = 0
   for (const target of targets) {
     if (selected.length >= state.options.maxAdviceTargets) break
-    if (selected.length >= minTargets && expectedSlots >= waiting * CAPACITY_FACTOR) break
+    if (selected.length >= minTargets && expectedSlots >= neededSlots) break
     selected.push(target.id)
-    expectedSlots += Math.max(1, countFreeSlots(target, step)) * (step.advice.isAllowed(target.id) ? 1 : allowedRatio)
+    expectedSlots += estimateSlots(state, step, target)
   }
   return selected
 }
 
-/** Maps a text to a number from 0 to 1 with the FNV-1a hash. */
-function hashToFraction (text: string): number {
-  let hash = 0x811c9dc5
-  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193)
-  return (hash >>> 0) / 0xffffffff
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+
+/** Hashes a text to an unsigned 32-bit number with FNV-1a. */
+function hashText (text: string): number {
+  let hash = FNV_OFFSET
+  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
+  return hash >>> 0
+}
+
+/** Maps a hash and a position to a number from 0 to 1. */
+function mixToFraction (hash: number, position: number): number {
+  let mixed = Math.imul(hash ^ position, FNV_PRIME)
+  mixed = Math.imul(mixed ^ mixed >>> 15, FNV_PRIME)
+  return ((mixed ^ mixed >>> 13) >>> 0) / 0xffffffff
 }
 
 /** Adds a response to the moving average of the allowed ratio of a queue. */
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -3,7 +3,7 @@
 import { removeExpiredRuns, resendCommands, handleStartResponse, handleStopResponse } from './command-responses.ts'
 import type { CellConfiguration } from './cell-configuration.ts'
 import { log } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
+import type { CellState, PassWork } from './cell-state.ts'
 import { buildCellSummary } from './cell-summary.ts'
 import type { CellSummary } from './cell-summary.ts'
 import type { CellEffect } from './effect.ts'
@@ -16,6 +16,7 @@
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
 import { throttleTargets } from './throttling.ts'
+import { RoomLog } from './room-log.ts'
 import type { JobProgress } from './progress-record.ts'
 import { toJobProgress } from './progress-record.ts'
 import { runStartPass } from './start-pass.ts'
@@ -49,6 +50,8 @@
       endedJobs: new Map(),
       openSteps: new Set(),
       targets: new Map(),
+      openTargets: new Map(),
+      roomLog: RoomLog.create(),
       evacuatedDomains: new Set(),
       storedTargets: new Set(),
       earlierRunsPossible: false,
@@ -56,14 +59,14 @@
       allowedRatios: new Map(),
       uncertainUsage: NO_DEMAND,
       lastRunNumber: resolved.firstRunNumber - 1,
-      startPassNeeded: false
+      startPassNeeded: false,
+      passWork: { passes: 0, steps: 0, targets: 0 }
     })
   }
 
   /** Applies one event; `now` is the monotonic clock in milliseconds. */
   apply (event: CellEvent, now: number): readonly CellEffect[] {
-    this.state.now = now
-    this.state.effects = []
+    this.begin(now)
     this.handle(event)
     return this.state.effects
   }
@@ -71,8 +74,7 @@
   /** Starts the tasks that can start after the events since the last call. */
   startTasks (now: number): readonly CellEffect[] {
     if (!this.state.startPassNeeded) return []
-    this.state.now = now
-    this.state.effects = []
+    this.begin(now)
     runStartPass(this.state)
     return this.state.effects
   }
@@ -131,6 +133,20 @@
     return [...this.state.targets.values()].map(({ id, entry, lastProcessed }) => ({ target: id, incarnation: entry.incarnation, lastNumber: lastProcessed }))
   }
 
+  /** Work of the start passes since the last call. */
+  takePassWork (): Readonly<PassWork> {
+    const { passWork } = this.state
+    const work = { ...passWork }
+    Object.assign(passWork, { passes: 0, steps: 0, targets: 0 } satisfies PassWork)
+    return work
+  }
+
+  private begin (now: number): void {
+    this.state.now = now
+    this.state.effects = []
+    this.state.openTargets.clear()
+  }
+
   private handle (event: CellEvent): void {
     const { state } = this
     switch (event.type) {
@@ -138,6 +154,7 @@
       case 'domains-out':
         state.evacuatedDomains.clear()
         for (const domain of event.domains) state.evacuatedDomains.add(domain)
+        for (const target of state.targets.values()) state.roomLog.record(target)
         state.startPassNeeded = true
         return log(state, 'info', 'domains-out', { domains: event.domains.join(',') })
       case 'target-published': return handleTargetPublished(state, event.entry)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -3,7 +3,9 @@
 import type { CellEffect } from './effect.ts'
 import type { Demand, JobDefinition, JobPhase } from './job.ts'
 import { NO_DEMAND } from './job.ts'
+import type { OpenTargets } from './open-targets.ts'
 import type { CellOptions } from './options.ts'
+import type { RoomLog } from './room-log.ts'
 import type { SubmissionBucket } from './submission-share.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
@@ -11,6 +13,9 @@
 /** State of an ended job that is kept for the retention time, so that callers can read it. */
 export type EndedJob = { readonly phase: JobPhase, readonly endedAt: number }
 
+/** Work of the start passes since the last summary: passes, steps and targets that they examined. */
+export type PassWork = { passes: number, steps: number, targets: number }
+
 /** State of the scheduler of a cell. Event handlers change it and append effects. */
 export type CellState = {
   readonly options: CellOptions
@@ -27,6 +32,10 @@
   /** Steps of active jobs that have tasks to start. */
   readonly openSteps: Set<StepRun>
   readonly targets: Map<string, TargetState>
+  /** By pool, the targets that accept work; made when first needed by an event or a start pass. */
+  readonly openTargets: Map<string | undefined, OpenTargets>
+  /** Targets that may have more room than before, for steps that found none. */
+  readonly roomLog: RoomLog
   readonly evacuatedDomains: Set<string>
   /** Targets that are on the stored list of targets that may have runs. */
   readonly storedTargets: Set<string>
@@ -42,6 +51,7 @@
   lastRunNumber: number
   /** Whether a change since the last start pass may let a task start. */
   startPassNeeded: boolean
+  readonly passWork: PassWork
 }
 
 /** Adds a log line to the effects. */
@@ -54,6 +64,12 @@
   state.effects.push({ type: 'count', counter, reason })
 }
 
+/** Records that a target may have room that it did not have before. */
+export function recordRoom (state: CellState, target: TargetState): void {
+  state.roomLog.record(target)
+  state.startPassNeeded = true
+}
+
 /** Demand of all starting, running and stopping runs of an organisation. */
 export function getUsage (state: CellState, organisation: string): Demand {
   return state.usage.get(organisation) ?? NO_DEMAND
--- a/src/workflow/cell-summary.ts
+++ b/src/workflow/cell-summary.ts
@@ -1,5 +1,5 @@
 import type { CellState } from './cell-state.ts'
-import { acceptsWork } from './placement.ts'
+import { acceptsWork } from './target-acceptance.ts'
 import { isStartable } from './startable.ts'
 
 /** Utilisation and backlog of a cell, as written to the log. */
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -1,5 +1,5 @@
 import { assertNever } from '../util/assert-never.ts'
-import { count, findTask, log } from './cell-state.ts'
+import { count, findTask, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { countFailure, findListedTask, finishTask } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
@@ -21,14 +21,14 @@
     listedKeys.add(`${listed.task}#${listed.run}`)
     if (!handleListedRun(state, target, listed)) unknownRunCount += 1
   }
-  if (unknownRunCount !== target.unknownRunCount) state.startPassNeeded = true
+  if (unknownRunCount !== target.unknownRunCount) recordRoom(state, target)
   target.unknownRunCount = unknownRunCount
   for (const [key, live] of [...target.runs]) {
     if (!listedKeys.has(key) && respondedBefore(live, sentAt)) removeLostRun(state, live, 'not listed by its target')
   }
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
   if (!target.listed) target.leaseUntilMs = Math.max(target.leaseUntilMs, Math.floor(listing.clockMs + state.options.leaseMs))
-  if (!target.listed || !target.reachable) state.startPassNeeded = true
+  if (!target.listed || !target.reachable) recordRoom(state, target)
   target.listed = true
   target.reachable = true
 }
--- a/src/workflow/job.ts
+++ b/src/workflow/job.ts
@@ -21,6 +21,15 @@
   }
 }
 
+/** Takes the larger value of each resource. */
+export function maxDemand (left: Demand, right: Demand): Demand {
+  return {
+    cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
+    memoryMiB: Math.max(left.memoryMiB, right.memoryMiB),
+    accelerators: Math.max(left.accelerators, right.accelerators)
+  }
+}
+
 /** One step of a job: `count` tasks of the same shape. */
 export type Step = {
   readonly count: number
--- /dev/null
+++ b/src/workflow/open-targets.ts
@@ -0,0 +1,92 @@
+import { isUrgent } from './cell-state.ts'
+import type { CellState } from './cell-state.ts'
+import type { Demand } from './job.ts'
+import { NO_DEMAND, maxDemand } from './job.ts'
+import { NON_URGENT_CAPACITY_RATIO, acceptsWork } from './target-acceptance.ts'
+import type { TargetState } from './target-state.ts'
+import type { StepRun } from './task.ts'
+
+/** Ratio of the number of targets by which a walk advances, so that it visits the racks in turn. */
+const STRIDE_RATIO = 0.618
+
+/**
+ * The targets of one pool that accept work, as of one event or start pass, with upper limits of what one of them has free.
+ * Starts of the same pass only lower what is free, so that the limits hold until its end.
+ */
+export class OpenTargets {
+  private readonly stride: number
+
+  private constructor (readonly targets: readonly TargetState[], private readonly maxFree: Demand, private readonly maxFreeForNonUrgent: Demand) {
+    this.stride = findStride(targets.length)
+  }
+
+  /**
+   * Creates the list of one pool.
+   *
+   * @example
+   * const open = OpenTargets.create(state, 'kit-assembly')
+   * if (open.mayFit(state, step)) tryTargets(open.walk(hash))
+   */
+  static create (state: CellState, pool: string | undefined): OpenTargets {
+    const targets: TargetState[] = []
+    let maxFree = NO_DEMAND
+    let maxFreeForNonUrgent = NO_DEMAND
+    for (const target of state.targets.values()) {
+      if (target.entry.pool !== pool || !acceptsWork(state, target)) continue
+      targets.push(target)
+      maxFree = maxDemand(maxFree, target.getFreeCapacity())
+      maxFreeForNonUrgent = maxDemand(maxFreeForNonUrgent, getFreeForNonUrgent(target))
+    }
+    state.passWork.targets += state.targets.size
+    return new OpenTargets(targets, maxFree, maxFreeForNonUrgent)
+  }
+
+  /** False if certainly no target has room for a task of the step. */
+  mayFit (state: CellState, { spec, job }: StepRun): boolean {
+    const { demand } = spec
+    const free = isUrgent(state, job.definition) ? this.maxFree : this.maxFreeForNonUrgent
+    return (spec.fills || demand.cpuMillis <= free.cpuMillis) && demand.memoryMiB <= free.memoryMiB && demand.accelerators <= free.accelerators
+  }
+
+  /** Visits each target once, in an order that depends on `seed`: walks with different seeds start at different targets. */
+  * walk (seed: number): Iterable<TargetState> {
+    const { targets } = this
+    let index = seed % Math.max(1, targets.length)
+    for (let visited = 0; visited < targets.length; visited += 1) {
+      yield targets[index]!
+      index = (index + this.stride) % targets.length
+    }
+  }
+}
+
+/** Gets the open targets of a pool. The lists are made once for each event and each start pass. */
+export function getOpenTargets (state: CellState, pool: string | undefined): OpenTargets {
+  const known = state.openTargets.get(pool)
+  if (known !== undefined) return known
+  const open = OpenTargets.create(state, pool)
+  state.openTargets.set(pool, open)
+  return open
+}
+
+/** Free capacity of a target for non-urgent tasks. The first of them may use the reserve for urgent tasks. */
+function getFreeForNonUrgent (target: TargetState): Demand {
+  const free = target.getFreeCapacity()
+  const { capacity } = target.entry
+  const { cpuMillis, memoryMiB } = target.bookedNonUrgent
+  return {
+    cpuMillis: cpuMillis === 0 ? free.cpuMillis : Math.min(free.cpuMillis, capacity.cpuMillis * NON_URGENT_CAPACITY_RATIO - cpuMillis),
+    memoryMiB: memoryMiB === 0 ? free.memoryMiB : Math.min(free.memoryMiB, capacity.memoryMiB * NON_URGENT_CAPACITY_RATIO - memoryMiB),
+    accelerators: free.accelerators
+  }
+}
+
+/** Finds a stride that has no common divisor with the number of targets, so that a walk reaches all of them. */
+function findStride (count: number): number {
+  let stride = Math.max(1, Math.floor(count * STRIDE_RATIO))
+  while (computeGreatestCommonDivisor(stride, count) > 1) stride += 1
+  return stride
+}
+
+function computeGreatestCommonDivisor (left: number, right: number): number {
+  return right === 0 ? left : computeGreatestCommonDivisor(right, left % right)
+}
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -2,6 +2,8 @@
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
 import { addDemands } from './job.ts'
+import { getOpenTargets } from './open-targets.ts'
+import { acceptsTaskOf, isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
 
@@ -19,9 +21,6 @@
 /** Ratio of an organisation's maximum that jobs beyond its share of submissions, urgent jobs and other jobs may use. */
 const USABLE_MAXIMUM_RATIO = { exceedsShare: 0.6, urgent: 1, nonUrgent: 0.85 } as const
 
-/** Ratio of a target's capacity that non-urgent tasks may use. */
-const NON_URGENT_CAPACITY_RATIO = 0.85
-
 /** Weights in the score of a target, relative to its ratio of free capacity. */
 const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5 } as const
 /** Upper limit of the excess duration that lowers the score of a target, in multiples of the declared duration. */
@@ -50,67 +49,6 @@
   return maximum === 0 || requested === 0 || used === 0 || used + requested <= maximum * ratio
 }
 
-/** Whether a target accepts new tasks at all. */
-export function acceptsWork (state: CellState, target: TargetState): boolean {
-  return target.reachable && target.listed && target.published && target.unknownRunCount === 0 && !target.entry.draining &&
-    target.pausedUntil <= state.now && !state.evacuatedDomains.has(target.entry.failureDomain) && state.storedTargets.has(target.id)
-}
-
-/** Whether a target has free capacity for one task of the step. Advice is not checked. */
-export function hasFreeCapacity (target: TargetState, step: StepRun): boolean {
-  const { spec } = step
-  const free = target.getFreeCapacity()
-  if (!spec.fills && spec.demand.cpuMillis > free.cpuMillis) return false
-  return spec.demand.memoryMiB <= free.memoryMiB && spec.demand.accelerators <= free.accelerators
-}
-
-/** Counts the tasks of the step that fit a target. Advice is not checked. */
-export function countFreeSlots (target: TargetState, { spec }: StepRun): number {
-  const { demand } = spec
-  const free = target.getFreeCapacity()
-  const limit = spec.perTargetLimit === 0 ? Infinity : spec.perTargetLimit
-  const byCpu = spec.fills ? Infinity : countSlots(free.cpuMillis, demand.cpuMillis)
-  return Math.min(limit, byCpu, countSlots(free.memoryMiB, demand.memoryMiB), countSlots(free.accelerators, demand.accelerators))
-}
-
-function countSlots (free: number, demand: number): number {
-  return demand === 0 ? Infinity : Math.floor(free / demand)
-}
-
-/** Finds the targets that could run the step if advice allowed it, regardless of their free capacity. */
-export function findSuitableTargets (state: CellState, step: StepRun): readonly TargetState[] {
-  const { spec, job } = step
-  const pool = findQueue(state, job.definition)?.pool
-  return [...state.targets.values()].filter(({ entry }) => (
-    entry.pool === pool && (spec.requiredLabel === undefined || entry.labels.includes(spec.requiredLabel)) &&
-      spec.demand.memoryMiB <= entry.capacity.memoryMiB && spec.demand.accelerators <= entry.capacity.accelerators &&
-      (spec.fills || spec.demand.cpuMillis <= entry.capacity.cpuMillis)
-  ))
-}
-
-/**
- * Whether a task of the step leaves the reserve for urgent tasks on the target. A single non-urgent task is accepted even if
- * it uses the reserve.
- */
-function isWithinNonUrgentCapacity (state: CellState, target: TargetState, { spec, job }: StepRun): boolean {
-  if (isUrgent(state, job.definition)) return true
-  const { capacity } = target.entry
-  const { cpuMillis, memoryMiB } = target.bookedNonUrgent
-  const cpuFits = spec.fills || cpuMillis === 0 || cpuMillis + spec.demand.cpuMillis <= capacity.cpuMillis * NON_URGENT_CAPACITY_RATIO
-  return cpuFits && (memoryMiB === 0 || memoryMiB + spec.demand.memoryMiB <= capacity.memoryMiB * NON_URGENT_CAPACITY_RATIO)
-}
-
-/** Whether the target has fewer runs of the step than its limit for one target. */
-function isWithinPerTargetLimit (target: TargetState, step: StepRun): boolean {
-  const limit = step.spec.perTargetLimit
-  if (limit === 0) return true
-  let runCount = 0
-  for (const live of target.runs.values()) {
-    if (live.task.step === step) runCount += 1
-  }
-  return runCount < limit
-}
-
 /** Whether the target has a run of the task. */
 function hasRunOf (target: TargetState, task: Task): boolean {
   for (const live of task.runs) {
@@ -119,18 +57,16 @@
   return false
 }
 
-/** Whether the target accepts one more task of the step now. Advice is not checked. */
-export function acceptsTaskOf (state: CellState, target: TargetState, step: StepRun): boolean {
-  return acceptsWork(state, target) && hasFreeCapacity(target, step) && isWithinNonUrgentCapacity(state, target, step) && isWithinPerTargetLimit(target, step)
-}
-
 /**
  * Finds the targets on which tasks of the step may start if they have free capacity. For a step that needs advice, these
- * are the targets with a valid ticket.
+ * are the targets with a valid ticket; for others none if no target has room.
  */
 export function findAllowedTargets (state: CellState, step: StepRun): readonly TargetState[] {
-  if (!needsAdvice(state, step)) return findSuitableTargets(state, step)
   const pool = findQueue(state, step.job.definition)?.pool
+  if (!needsAdvice(state, step)) {
+    const open = getOpenTargets(state, pool)
+    return open.mayFit(state, step) ? open.targets.filter((target) => isSuitable(target, step)) : []
+  }
   return step.advice.findTargetsWithTicket(state.now).flatMap((id) => {
     const target = state.targets.get(id)
     return target !== undefined && target.entry.pool === pool ? [target] : []
@@ -153,6 +89,7 @@
 export function chooseTarget (state: CellState, candidates: readonly TargetState[], task: Task): TargetState | undefined {
   let best: TargetState | undefined
   let bestScore = -Infinity
+  state.passWork.targets += candidates.length
   for (const target of candidates) {
     if (!canStart(state, target, task) || isAvoided(state, target, task)) continue
     const score = computeScore(state, target, task.step)
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -1,4 +1,4 @@
-import { changeUsage, isUrgent, log } from './cell-state.ts'
+import { changeUsage, isUrgent, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { LivePhase, LiveRun } from './live-run.ts'
 import type { TargetState } from './target-state.ts'
@@ -44,6 +44,7 @@
   const { task, target } = live
   if (!task.runs.delete(live)) return
   target.remove(live)
+  recordRoom(state, target)
   changeUsage(state, task.step.job.definition.organisation, task.step.spec.demand, -1)
   if (task.phase === 'live' && task.runs.size === 0) {
     task.phase = 'waiting'
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,13 +1,13 @@
-import { requestAdvice, mayRequestAdvice } from './advice-requests.ts'
+import { requestAdvice } from './advice-requests.ts'
 import { log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
 import { compareRanks, computeRank } from './step-rank.ts'
-import { findAllowedTargets, chooseTarget, acceptsTaskOf, needsAdvice, findSuitableTargets, isWithinMaximum } from './placement.ts'
+import { findAllowedTargets, chooseTarget, needsAdvice, isWithinMaximum } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
-import { isStartable } from './startable.ts'
+import { hasStartableTask, isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun, Task } from './task.ts'
 import { computeUncertainUsage } from './uncertain-usage.ts'
@@ -15,13 +15,14 @@
 /** Starts all tasks that can start now, in the order of the ranks of their steps. */
 export function runStartPass (state: CellState): void {
   state.startPassNeeded = false
+  state.passWork.passes += 1
   state.uncertainUsage = computeUncertainUsage(state)
   for (const step of findReadySteps(state)) startStep(state, step)
 }
 
 /** Finds the steps that have a startable task and whose predecessors have ended, sorted by rank. */
 function findReadySteps (state: CellState): readonly StepRun[] {
-  const ready = [...state.openSteps].filter((step) => step.ready && mayStartStep(state, step) && step.tasks.some((task) => isStartable(task, state.now)))
+  const ready = [...state.openSteps].filter((step) => hasStartableTask(step, state.now) && step.ready && mayStartStep(state, step))
   const rank = new Map(ready.map((step) => [step, computeRank(state, step)]))
   return ready.sort((left, right) => compareRanks(rank.get(left)!, rank.get(right)!))
 }
@@ -35,19 +36,15 @@
 }
 
 function startStep (state: CellState, step: StepRun): void {
-  const candidates = findAllowedTargets(state, step)
+  state.passWork.steps += 1
   if (needsAdvice(state, step) && !step.advice.hasResponse) {
     if (!isWithinMaximum(state, step.job, step.spec.demand)) logBlocked(state, step, 'maximum')
-    else if (mayRequestAdvice(state, step)) requestFirstAdvice(state, step)
+    else requestAdvice(state, step)
     return
   }
+  const candidates = findAllowedTargets(state, step)
   const complete = step.spec.gang ? startGang(state, step, candidates) : startTasks(state, step, candidates)
-  if (!complete && needsAdvice(state, step) && mayRequestAdvice(state, step)) requestAdvice(state, step, findSuitableTargets(state, step))
-}
-
-function requestFirstAdvice (state: CellState, step: StepRun): void {
-  const candidates = findSuitableTargets(state, step)
-  if (candidates.some((target) => acceptsTaskOf(state, target, step))) requestAdvice(state, step, candidates)
+  if (!complete && needsAdvice(state, step)) requestAdvice(state, step)
 }
 
 /** Starts tasks of a step; returns false if more tickets could help. */
--- a/src/workflow/startable.ts
+++ b/src/workflow/startable.ts
@@ -1,5 +1,5 @@
 import type { LiveRun } from './live-run.ts'
-import type { Task } from './task.ts'
+import type { StepRun, Task } from './task.ts'
 
 /** Maximum number of runs of a speculative task at a time. */
 const MAX_COPIES = 2
@@ -22,6 +22,12 @@
   return true
 }
 
+/** Whether a task of the step may start now. Only speculative tasks can start while they have a run. */
+export function hasStartableTask (step: StepRun, now: number): boolean {
+  if (step.waitingTasks > 0) return true
+  return step.spec.speculative && step.tasks.some((task) => isStartable(task, now))
+}
+
 function isSlow (live: LiveRun, now: number): boolean {
   const { estimatedMs } = live.task.step.spec
   const elapsedMs = now - live.startedAt
--- a/src/workflow/step-advice.ts
+++ b/src/workflow/step-advice.ts
@@ -7,6 +7,10 @@
 export class StepAdvice {
   /** Whether a request has no response yet. */
   requestPending = false
+  /** After a search that found no target: position in the room log up to which targets were examined. */
+  searchedTo: number | undefined
+  /** When all targets are searched again, on the scheduler's clock. */
+  fullSearchAt = 0
   private readonly tickets = new Map<string, HeldTicket>()
   private readonly allowedTargets = new Set<string>()
   private readonly coveredTargets = new Set<string>()
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -1,4 +1,4 @@
-import { log } from './cell-state.ts'
+import { log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
@@ -11,6 +11,7 @@
   const known = state.targets.get(entry.id)
   state.startPassNeeded = true
   if (known !== undefined && known.entry.incarnation === entry.incarnation) {
+    recordRoom(state, known)
     if (known.entry.draining !== entry.draining) log(state, 'info', 'target-state', { target: entry.id, draining: entry.draining })
     known.entry = entry
     known.published = true
@@ -73,6 +74,7 @@
   for (const id of ids) {
     const target = state.targets.get(id)
     if (target === undefined || mayHoldRuns(state, target)) state.storedTargets.add(id)
+    if (target !== undefined) recordRoom(state, target)
   }
   state.startPassNeeded = true
 }
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -8,7 +8,7 @@
 
 /** One task of a step of an occurrence. */
 export class Task {
-  phase: TaskPhase = 'waiting'
+  private currentPhase: TaskPhase = 'waiting'
   /** Numbers of failed runs; a completion that is listed again after a change of owner counts once. */
   readonly failedRuns = new Set<number>()
   checkpoint = ''
@@ -23,6 +23,17 @@
     return new Task(formatTaskKey(step.job.definition.id, step.occurrence, step.stepNumber, index), index, step)
   }
 
+  get phase (): TaskPhase {
+    return this.currentPhase
+  }
+
+  set phase (phase: TaskPhase) {
+    if (phase === this.currentPhase) return
+    if (this.currentPhase === 'waiting') this.step.waitingTasks -= 1
+    if (phase === 'waiting') this.step.waitingTasks += 1
+    this.currentPhase = phase
+  }
+
   get failures (): number {
     return this.failedRuns.size
   }
@@ -38,11 +49,14 @@
   /** Last logged reason why its tasks do not start. */
   blockedBy: string | undefined
   unfinishedTasks: number
+  /** Tasks in the phase `waiting`; maintained by the tasks. */
+  waitingTasks: number
 
   private constructor (readonly job: Job, readonly occurrence: number, readonly stepNumber: number, readonly spec: Step) {
     this.key = formatStepKey(job.definition.id, occurrence, stepNumber)
     this.tasks = Array.from({ length: spec.count }, (_, index) => Task.create(this, index))
     this.unfinishedTasks = spec.count
+    this.waitingTasks = spec.count
   }
 
   static create (job: Job, occurrence: number, number: number, spec: Step): StepRun {
--- a/src/workflow/uncertain-usage.ts
+++ b/src/workflow/uncertain-usage.ts
@@ -1,6 +1,6 @@
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
-import { NO_DEMAND, addDemands } from './job.ts'
+import { NO_DEMAND, addDemands, maxDemand } from './job.ts'
 
 /**
  * Computes the maximum usage of unknown runs: those of a previous owner on targets that have not been listed yet, and those
@@ -25,11 +25,3 @@
   }
   return usage
 }
-
-function maxDemand (left: Demand, right: Demand): Demand {
-  return {
-    cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
-    memoryMiB: Math.max(left.memoryMiB, right.memoryMiB),
-    accelerators: Math.max(left.accelerators, right.accelerators)
-  }
-}
