Answer requests that arrive while a member closes

Change: while a member drains, each response closes its connection, so that callers go elsewhere; then the server stops listening, and idle connections stay open for 300 ms more.

--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -1,4 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server as TcpServer } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
 import polka from 'polka'
 import { publishConfiguration, showConfiguration, showHistory, showOverview } from './configuration-routes.ts'
 import type { ApiOptions } from './options.ts'
@@ -9,13 +11,21 @@
 /** Idle connections are closed after this time; longer than the usual idle time of load balancers. */
 const KEEP_ALIVE_TIMEOUT_MS = 75_000
 const HEADERS_TIMEOUT_MS = 10_000
+/** How long requests that were sent on idle connections before the server closed may take to arrive, in milliseconds. */
+const LINGER_MS = 300
 
 type RouteRequest = IncomingMessage & { readonly params: Readonly<Record<string, string | readonly string[] | undefined>> }
 type Handler = (request: RouteRequest, response: ServerResponse) => Promise<void>
 
 /** HTTP interface of one member for callers. */
 export class ApiServer {
-  private constructor (private readonly server: Server) {}
+  private draining = false
+
+  private constructor (private readonly server: Server) {
+    server.prependListener('request', (_request: IncomingMessage, response: ServerResponse) => {
+      if (this.draining) response.shouldKeepAlive = false
+    })
+  }
 
   /**
    * Creates a server with all routes; `listen` opens the port.
@@ -41,9 +51,20 @@
     return typeof address === 'object' && address !== null ? address.port : port
   }
 
-  /** Stops accepting connections and resolves when every response has ended. */
+  /** From now on each response closes its connection, so that callers send their next request to another member. */
+  startDraining (): void {
+    this.draining = true
+  }
+
+  /**
+   * Stops accepting connections and resolves when every response has ended. A caller may have sent a request on an idle
+   * connection that the server has not read yet, so idle connections stay open a little longer.
+   */
   async close (): Promise<void> {
-    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()))
+    this.startDraining()
+    // The method of the HTTP server would close idle connections immediately.
+    const closed = new Promise<void>((resolve) => TcpServer.prototype.close.call(this.server, () => resolve()))
+    await Promise.race([closed, delay(LINGER_MS)])
     this.server.closeIdleConnections()
     await closed
   }
--- a/src/runtime/start-member.ts
+++ b/src/runtime/start-member.ts
@@ -108,6 +108,7 @@
   const stop = async (): Promise<void> => {
     if (draining) return await finished.promise
     draining = true
+    api.startDraining()
     loop.dispatch({ type: 'leave-requested' })
     await memberLeft.promise
     await api.close()
