Send the leader's commands through members near the targets

Cause: one leader held a long poll at each of 380 targets and sent each start itself.

Ways weighed: several schedulers (quota, gangs and racks cross the groups; a larger step, not excluded by this one), a warm successor, and this one. The port for commands stays as it is, so that the scheduler does not know of relays.

Change: in a cell of 96 targets or more the largest members of each failure domain relay commands, one for 48 targets, over one gRPC stream each. A relay decides and retries nothing. It sends no command later than 0.8 s after the leader gave it out, by the time of day, so that a suspended relay does nothing late; it refuses commands of a term before the one that it has seen. A lost or silent relay (0.45 s) leaves its commands unanswered, as a lost response does; the targets go to the next relay or to the leader itself. A target that does not respond through its relay is called directly for 3 s. The response to a hello names six members, not all of them.

--- a/src/adapters/grpc-member-calls.ts
+++ b/src/adapters/grpc-member-calls.ts
@@ -1,10 +1,14 @@
 import { Client, Metadata, Server, ServerCredentials, credentials, status } from '@grpc/grpc-js'
-import type { ChannelOptions, ServerUnaryCall, ServiceError, sendUnaryData } from '@grpc/grpc-js'
+import type { ServerDuplexStream, ServerUnaryCall, ServiceError, sendUnaryData } from '@grpc/grpc-js'
 import { decode, encode } from '@msgpack/msgpack'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { MemberResponse, MemberCall, MemberCallFailure } from '../controller/member-call.ts'
+import type { RelayReply, RelayRequest } from '../controller/relay-message.ts'
 import { assertNever } from '../util/assert-never.ts'
+import { RELAY_METHOD, acceptRelayStream } from './grpc-relay-stream.ts'
+import type { RelayStreamAcceptor } from './grpc-relay-stream.ts'
+import { CHANNEL_OPTIONS } from './member-channel-options.ts'
 
 const MAX_MESSAGE_BYTES = 4_194_304
 
@@ -18,16 +22,6 @@
   responseDeserialize: (bytes: Buffer): MemberResponse => decode(bytes) as MemberResponse
 } as const
 
-const CHANNEL_OPTIONS: ChannelOptions = {
-  // With the global pool, a new client would reuse the unresponsive connection of an older client with the same address.
-  'grpc.use_local_subchannel_pool': 1,
-  'grpc.enable_retries': 0,
-  'grpc.service_config_disable_resolution': 1,
-  'grpc.enable_http_proxy': 0,
-  'grpc.initial_reconnect_backoff_ms': 100,
-  'grpc.max_reconnect_backoff_ms': 1_000
-}
-
 function encodeMessage (message: MemberCall | MemberResponse): Buffer {
   // Without this option, an undefined field would be decoded as null.
   return Buffer.from(encode(message, { ignoreUndefined: true }))
@@ -39,6 +33,8 @@
   readonly address: string
   /** Handles a call and returns the response. */
   readonly onCall: (call: MemberCall) => Promise<MemberResponse>
+  /** Accepts a stream on which the leader sends commands for targets; without it, such streams are refused. */
+  readonly onRelayStream?: RelayStreamAcceptor
 }
 
 /** Handles calls of other members. */
@@ -51,13 +47,16 @@
    * @example
    * const server = await MemberCallServer.listen({ address: '127.0.0.1:0', onCall: async () => ({ type: 'noted' }) })
    */
-  static listen ({ address, onCall }: MemberCallServerOptions): Promise<MemberCallServer> {
+  static listen ({ address, onCall, onRelayStream }: MemberCallServerOptions): Promise<MemberCallServer> {
     const server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES })
     server.addService({ call: CALL_METHOD }, {
       call: (call: ServerUnaryCall<MemberCall, MemberResponse>, respond: sendUnaryData<MemberResponse>) => {
         onCall(call.request).then((response) => respond(null, response), (error: unknown) => respond({ code: status.INTERNAL, details: String(error) }))
       }
     })
+    if (onRelayStream !== undefined) {
+      server.addService({ relay: RELAY_METHOD }, { relay: (stream: ServerDuplexStream<RelayRequest, RelayReply>) => acceptRelayStream(stream, onRelayStream) })
+    }
     return new Promise((resolve, reject) => {
       server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
         if (error === null) resolve(new MemberCallServer(server, port))
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -18,6 +18,8 @@
 import { readPrefix } from './store-calls.ts'
 import { CANCEL_SUFFIX, JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY, parseCancelKey } from './store-keys.ts'
 import type { TargetsRecord } from './store-keys.ts'
+import type { RelayStreamOpener } from './relay-message.ts'
+import { RelayedCommands } from './relayed-commands.ts'
 import { StoreFeed } from './store-feed.ts'
 import { parseRecord } from './stored-record.ts'
 import { TargetSession } from './target-session.ts'
@@ -41,6 +43,8 @@
   readonly store: Store
   readonly term: Term
   readonly commands: CommandClient
+  /** Opens the stream to a member that sends commands on behalf of this leader. */
+  readonly openRelayStream: RelayStreamOpener
   readonly advisor: Advisor
   readonly self: Peer
   readonly reporter: Reporter
@@ -68,6 +72,7 @@
 /** Runs the work of a cell's leader: the scheduler, a session for each target, the commits and the advice requests. */
 export class Controller {
   private readonly scheduler: CellScheduler
+  private readonly commands: RelayedCommands
   private readonly committer: Committer
   private readonly adviceDispatcher: AdviceDispatcher
   private readonly sessions = new Map<string, TargetSession>()
@@ -92,6 +97,12 @@
 
   private constructor (private readonly options: ControllerOptions) {
     this.scheduler = CellScheduler.create({ firstRunNumber: (options.term.term - 1) * RUNS_PER_TERM + 1, leaseMs: options.leaseMs, wallClockOffsetMs: Date.now() - performance.now() })
+    this.commands = RelayedCommands.create({
+      direct: options.commands,
+      open: options.openRelayStream,
+      reporter: options.reporter,
+      getFailureDomain: (target) => this.scheduler.getTarget(target)?.entry.failureDomain
+    })
     this.committer = Committer.create({
       store: options.store,
       term: options.term.term,
@@ -153,6 +164,13 @@
     return [...this.peers.values()].map(({ peer }) => peer)
   }
 
+  /** Some of the other members, beginning at a random one. */
+  sampleMembers (count: number): readonly Peer[] {
+    const { members } = this
+    const first = Math.floor(Math.random() * members.length)
+    return [...members.slice(first), ...members.slice(0, first)].slice(0, count)
+  }
+
   /** Records the hello of a member and uses the member as an advice channel. */
   recordPeer (peer: Peer): void {
     const knownPeer = this.peers.get(peer.member)
@@ -194,6 +212,7 @@
     this.adviceDispatcher.stop()
     this.storeFeed.stop()
     for (const session of this.sessions.values()) session.stop()
+    this.commands.close()
   }
 
   private addAdviceChannel (peer: Peer): void {
@@ -300,6 +319,7 @@
     if (this.suspendedUntilConfirmed && this.options.isLeaseConfirmed()) this.suspendedUntilConfirmed = false
     if (performance.now() - this.lastSummaryAt > SUMMARY_INTERVAL_MS) this.logSummary()
     this.removeUnresponsivePeers()
+    this.commands.update(this.members, this.scheduler.countTargetsByDomain())
     this.checkRunsOfEarlierTerms()
     this.applyEvent({ type: 'tick' })
   }
@@ -365,7 +385,8 @@
   }
 
   private executeEffect (effect: CellEffect): void {
-    const { commands, reporter, term } = this.options
+    const { commands } = this
+    const { reporter, term } = this.options
     switch (effect.type) {
       case 'start': return this.applyResponse(commands.start(effect, { ...effect.command, epoch: term.term }), (response) => ({ type: 'start-answered', target: effect.target, task: effect.command.task, run: effect.command.run, response }))
       case 'stop': return this.applyResponse(commands.stop(effect, { ...effect.command, epoch: term.term }), (response) => ({ type: 'stop-answered', target: effect.target, task: effect.command.task, run: effect.command.run, response }))
@@ -393,7 +414,7 @@
     this.sessions.get(id)?.stop()
     this.sessions.set(id, TargetSession.create({
       id,
-      commands: this.options.commands,
+      commands: this.commands,
       epoch: this.options.term.term,
       leaseMs: this.options.leaseMs,
       reporter: this.options.reporter,
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -2,7 +2,13 @@
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 
 /** A member of the cell and the address at which it accepts calls of other members. */
-export type Peer = { readonly member: string, readonly address: string }
+export type Peer = {
+  readonly member: string
+  readonly address: string
+  /** Failure domain and processor cores of its host, where the member has sent them. */
+  readonly failureDomain?: string
+  readonly cores?: number
+}
 
 /** A call from one member to another. */
 export type MemberCall =
@@ -26,7 +32,7 @@
 /** Response of a member to a call. */
 export type MemberResponse =
   | { readonly type: 'known-advice', readonly advice: readonly CachedAdvice[] }
-  /** `waiting`: number of jobs without a started task, by queue; undefined while the leader reads the store. */
+  /** `peers`: some other members. `waiting`: number of jobs without a started task, by queue; undefined while the leader reads the store. */
   | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined }
   /** The leader has applied what the sender has stored. */
   | { readonly type: 'noted' }
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -26,6 +26,8 @@
 /** Maximum number of attempts to announce a job or its cancellation to the leader. */
 const ANNOUNCE_ATTEMPTS = 8
 const ANNOUNCE_RETRY_DELAY_MS = 300
+/** Number of other members in the response to a hello; the whole list would grow with the square of the members. */
+const SAMPLED_MEMBERS = 6
 
 export type MemberLinkOptions = {
   readonly self: Peer
@@ -98,7 +100,7 @@
     const controller = this.options.getController()
     if (controller === undefined) return { type: 'not-leading' }
     controller.recordPeer(peer)
-    return { type: 'welcome', peers: controller.members, waiting: controller.waitingByQueue }
+    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue }
   }
 
   private handleAnnouncement (applyToController: (controller: Controller) => boolean): MemberResponse {
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -124,6 +124,13 @@
     return buildCellSummary(this.state)
   }
 
+  /** Counts the known targets of each failure domain. */
+  countTargetsByDomain (): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>()
+    for (const { entry } of this.state.targets.values()) counts.set(entry.failureDomain, (counts.get(entry.failureDomain) ?? 0) + 1)
+    return counts
+  }
+
   getTarget (id: string): TargetState | undefined {
     return this.state.targets.get(id)
   }
--- /dev/null
+++ b/test/adapters/relay-stream.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { test } from 'node:test'
+import { MemberCallServer } from '../../src/adapters/grpc-member-calls.ts'
+import { openRelayStream } from '../../src/adapters/grpc-relay-stream.ts'
+import type { RelayReply, RelayRequest } from '../../src/controller/relay-message.ts'
+
+const REQUEST: RelayRequest = {
+  sequence: 5,
+  entries: [{ number: 1, validUntilMs: 2_000, relayed: { type: 'start', target: { id: 't1', address: 't1:80' }, command: { task: 'a.0.0.0', run: 1, payload: '{"é":1}', leaseUntilMs: 10, epoch: 3, checkpoint: '', ticket: undefined } } }]
+}
+const REPLY: RelayReply = { sequence: 5, responses: [{ number: 1, response: { type: 'refused', reason: 'no-room', clockMs: 7 } }] }
+
+/** Serves relay streams that record each request and answer it with `REPLY`. */
+async function serve (): Promise<{ readonly server: MemberCallServer, readonly address: string, readonly requests: RelayRequest[], readonly closed: Promise<void> }> {
+  const requests: RelayRequest[] = []
+  let resolveClosed = (): void => {}
+  const closed = new Promise<void>((resolve) => { resolveClosed = resolve })
+  const server = await MemberCallServer.listen({
+    address: '127.0.0.1:0',
+    onCall: async () => ({ type: 'noted' }),
+    onRelayStream: (reply) => ({
+      handle: (request) => {
+        requests.push(request)
+        reply(REPLY)
+      },
+      close: resolveClosed
+    })
+  })
+  return { server, address: `127.0.0.1:${server.port}`, requests, closed }
+}
+
+test('relay stream: requests and replies arrive as they were sent, and the relay notices the end of the stream', async () => {
+  const { server, address, requests, closed } = await serve()
+  const reply = await new Promise<RelayReply>((resolve, reject) => {
+    const stream = openRelayStream(address, {
+      onReply: (received) => {
+        resolve(received)
+        stream.close()
+      },
+      onClosed: (reason) => reject(new Error(reason))
+    })
+    stream.send(REQUEST)
+  })
+  await closed
+  server.close()
+  assert.deepEqual(reply, REPLY)
+  assert.deepEqual(JSON.stringify(requests), JSON.stringify([REQUEST]))
+})
+
+test('relay stream: the leader is told once when the relay is killed', async () => {
+  const { server, address } = await serve()
+  const sockets: Socket[] = []
+  const proxy = createServer((socket) => {
+    const peer = connect(server.port, '127.0.0.1')
+    for (const end of [socket, peer]) sockets.push(end.on('error', () => {}))
+    socket.pipe(peer).pipe(socket)
+  })
+  await new Promise<void>((resolve) => proxy.listen(0, '127.0.0.1', resolve))
+  const ends: string[] = []
+  await new Promise<void>((resolve) => {
+    const stream = openRelayStream(`127.0.0.1:${(proxy.address() as AddressInfo).port}`, {
+      onReply: () => sockets.forEach((socket) => socket.destroy()),
+      onClosed: (reason) => {
+        ends.push(reason)
+        resolve()
+      }
+    })
+    stream.send(REQUEST)
+  })
+  proxy.close()
+  server.close()
+  assert.equal(ends.length, 1, address)
+})
+
+test('relay stream: an address without a listener ends the stream, and sending afterwards has no effect', async () => {
+  await new Promise<void>((resolve) => {
+    const stream = openRelayStream('127.0.0.1:1', {
+      onReply: () => {},
+      onClosed: () => setImmediate(() => {
+        stream.send(REQUEST)
+        resolve()
+      })
+    })
+    stream.send(REQUEST)
+  })
+})
