Gather relayed commands for 5 ms; let passes use half of the processor

Cause: with one message for each turn of the event loop, a relay cost the leader as much as the HTTP calls it replaced; and a pass that started hundreds of tasks after a takeover was followed by a pause of four times its duration (6 to 14 passes in 2 s).

Change: commands and responses are gathered for 5 ms into one message of a relay stream; messages are checked when they are decoded, so that a malformed one ends its stream only. The pause after a pass is as long as the pass. The summary of the cell has the processor time of the process.

--- a/src/adapters/grpc-relay-stream.ts
+++ b/src/adapters/grpc-relay-stream.ts
@@ -2,16 +2,17 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import type { RelayReply, RelayRequest, RelayStream, RelayStreamEvents } from '../controller/relay-message.ts'
 import { CHANNEL_OPTIONS } from './member-channel-options.ts'
+import { decodeRelayReply, decodeRelayRequest, encodeRelayMessage } from './relay-codec.ts'
 
-/** Method of the stream on which a member relays commands of the leader. JSON, because its codec is native code. */
+/** Method of the stream on which a member relays commands of the leader. */
 export const RELAY_METHOD = {
   path: '/damaskfield.Member/Relay',
   requestStream: true,
   responseStream: true,
-  requestSerialize: (request: RelayRequest): Buffer => Buffer.from(JSON.stringify(request)),
-  requestDeserialize: (bytes: Buffer): RelayRequest => JSON.parse(bytes.toString()) as RelayRequest,
-  responseSerialize: (reply: RelayReply): Buffer => Buffer.from(JSON.stringify(reply)),
-  responseDeserialize: (bytes: Buffer): RelayReply => JSON.parse(bytes.toString()) as RelayReply
+  requestSerialize: encodeRelayMessage,
+  requestDeserialize: decodeRelayRequest,
+  responseSerialize: encodeRelayMessage,
+  responseDeserialize: decodeRelayReply
 } as const
 
 /** The relay's end of a stream. */
--- a/src/controller/command-relay.ts
+++ b/src/controller/command-relay.ts
@@ -1,5 +1,6 @@
 import type { CommandClient } from '../ports/command-client.ts'
 import { assertNever } from '../util/assert-never.ts'
+import { RELAY_BATCH_MS } from './relay-message.ts'
 import type { RelayEntry, RelayReply, RelayRequest, RelayedCommand, RelayedResponse } from './relay-message.ts'
 import type { Reporter } from './reporter.ts'
 
@@ -64,7 +65,7 @@
   }
 }
 
-/** Executes the commands of one stream and gathers the responses of one turn of the event loop into one message. */
+/** Executes the commands of one stream and gathers the responses of a few milliseconds into one message. */
 export class RelaySession {
   private readonly responses: Array<RelayReply['responses'][number]> = []
   private lastSequence = 0
@@ -98,7 +99,7 @@
   private scheduleReply (): void {
     if (this.replyScheduled) return
     this.replyScheduled = true
-    setImmediate(() => this.sendReply())
+    setTimeout(() => this.sendReply(), RELAY_BATCH_MS)
   }
 
   private sendReply (): void {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -26,6 +26,7 @@
 
 const TICK_INTERVAL_MS = 50
 const SUMMARY_INTERVAL_MS = 2_000
+const US_PER_MS = 1_000
 /** Number of run numbers reserved for each term; far more than the runs that a term starts. */
 const RUNS_PER_TERM = 1_000_000
 const RESTORE_RETRY_DELAY_MS = 200
@@ -34,8 +35,8 @@
 const PEER_TIMEOUT_MS = 5_000
 /** If a tick is late by more than this, the process may have been suspended, in milliseconds. */
 const SUSPENSION_THRESHOLD_MS = 700
-/** Pause after a scheduling pass, as a multiple of its duration: passes use at most a fifth of the processor. */
-const PASS_PAUSE_FACTOR = 4
+/** Pause after a scheduling pass, as a multiple of its duration: passes use at most half of the processor. */
+const PASS_PAUSE_FACTOR = 1
 /** Factor on the lease of runs, because a target's clock may be slower than the clock of this process. */
 const CLOCK_DRIFT_FACTOR = 1.03
 
@@ -90,6 +91,8 @@
   private lastSummaryAt = 0
   /** Duration of the longest scheduling pass since the last summary. */
   private longestPassMs = 0
+  /** Processor time of this process at the last summary. */
+  private processorUsage = process.cpuUsage()
   /** Earliest start of the next scheduling pass, on the monotonic clock. */
   private nextPassAt = 0
   /** Time after which the previous leader sends no more commands, on the monotonic clock. */
@@ -327,7 +330,9 @@
   private logSummary (): void {
     this.lastSummaryAt = performance.now()
     const { passes, steps, targets } = this.scheduler.takePassWork()
-    const work = { passes, examinedSteps: steps, examinedTargets: targets, longestPassMs: Math.round(this.longestPassMs) }
+    const processor = process.cpuUsage(this.processorUsage)
+    this.processorUsage = process.cpuUsage()
+    const work = { passes, examinedSteps: steps, examinedTargets: targets, longestPassMs: Math.round(this.longestPassMs), processorMs: Math.round((processor.user + processor.system) / US_PER_MS) }
     this.longestPassMs = 0
     this.options.reporter.log('info', 'cell-summary', { ...this.scheduler.summary, ...work, members: this.peers.size + 1, adviceWaiting: this.adviceDispatcher.queuedCount })
   }
--- a/src/controller/relay-connection.ts
+++ b/src/controller/relay-connection.ts
@@ -1,4 +1,5 @@
 import type { Peer } from './member-call.ts'
+import { RELAY_BATCH_MS } from './relay-message.ts'
 import type { RelayEntry, RelayReply, RelayStream, RelayStreamOpener, RelayedCommand, RelayedResponse } from './relay-message.ts'
 
 /** A relay that has not sent anything for this time although a message was sent to it is lost, in milliseconds. */
@@ -29,7 +30,7 @@
 type Pending = { readonly expiresAt: number, readonly resolve: (response: RelayedResponse) => void }
 
 /**
- * The leader's connection to one relay. It gathers the commands of one turn of the event loop into one message. A relay that
+ * The leader's connection to one relay. It gathers commands for a few milliseconds into one message. A relay that
  * stops responding is detected by its silence, because an open connection may lose its messages without an error.
  */
 export class RelayConnection {
@@ -105,10 +106,10 @@
   private scheduleFlush (): void {
     if (this.flushScheduled) return
     this.flushScheduled = true
-    setImmediate(() => {
+    setTimeout(() => {
       this.flushScheduled = false
       if (this.outgoing.length > 0) this.flush()
-    })
+    }, RELAY_BATCH_MS)
   }
 
   private flush (): void {
--- a/src/controller/relay-message.ts
+++ b/src/controller/relay-message.ts
@@ -1,5 +1,8 @@
 import type { CommandResponse, CommandTarget, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
 
+/** How long commands, and responses, are gathered into one message, in milliseconds. */
+export const RELAY_BATCH_MS = 5
+
 /** A command or list request that a member sends to a target on behalf of the leader. */
 export type RelayedCommand =
   | { readonly type: 'start', readonly target: CommandTarget, readonly command: StartCommand }
--- a/test/adapters/relay-stream.test.ts
+++ b/test/adapters/relay-stream.test.ts
@@ -86,3 +86,25 @@
     stream.send(REQUEST)
   })
 })
+
+test('relay stream: a malformed message ends the stream and leaves the member running', async () => {
+  const { server, address, requests } = await serve()
+  const end = await new Promise<string>((resolve) => {
+    const stream = openRelayStream(address, { onReply: () => {}, onClosed: resolve })
+    stream.send({ sequence: 1, entries: [{ number: 1 }] } as unknown as RelayRequest)
+  })
+  assert.match(end, /INTERNAL: Error deserializing/)
+  assert.deepEqual(requests, [])
+  const reply = await new Promise<RelayReply>((resolve, reject) => {
+    const stream = openRelayStream(address, {
+      onReply: (received) => {
+        resolve(received)
+        stream.close()
+      },
+      onClosed: (reason) => reject(new Error(reason))
+    })
+    stream.send(REQUEST)
+  })
+  server.close()
+  assert.deepEqual(reply, REPLY)
+})
