Hold back only the tasks that may run on a target that left

Cause: a new leader started nothing of a restored job until it had listed every stored target or the leases of the runs on the others had expired.

Change: a target that drains gets no more starts, so the tasks that may run there are known. The leader stores them with the list of targets ("closed"). A new leader waits for open targets only; the tasks of closed targets that it cannot list wait until their leases have expired, and count towards the maximum of their organisation. A target that stops draining gets starts only after it is stored as open again.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -55,7 +55,7 @@
 export class Committer {
   private readonly jobsToStore = new Set<string>()
   private readonly progressToRemove = new Set<string>()
-  private targetsToStore: readonly string[] | undefined
+  private targetsToStore: TargetsRecord | undefined
   private commitVersion: number
   private committing = false
   private stopped = false
@@ -90,8 +90,8 @@
   }
 
   /** Stores the targets that may hold runs. */
-  storeTargets (ids: readonly string[]): void {
-    this.targetsToStore = ids
+  storeTargets (record: TargetsRecord): void {
+    this.targetsToStore = record
     this.startCommitting()
   }
 
@@ -131,12 +131,12 @@
     for (const { id, stored } of progress) puts.push({ key: progressKey(id), value: JSON.stringify(stored) })
     const { targetsToStore: targets } = this
     this.targetsToStore = undefined
-    if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify({ ids: targets } satisfies TargetsRecord) })
+    if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify(targets) })
     const deletes = [...released.flatMap((id) => [jobKey(id), cancelKey(id)]), ...removedProgress.map(progressKey)]
     const phases = new Map(progress.map(({ id, stored }) => [id, stored.phase]))
     // Completions of jobs that are left for the next transaction must not be acknowledged by this one.
     const completions = this.jobsToStore.size === 0 ? this.options.getProcessedCompletions() : []
-    return { nonce, puts, deletes, phases, released, completions, targets }
+    return { nonce, puts, deletes, phases, released, completions, targets: targets?.ids }
   }
 
   /**
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -283,7 +283,9 @@
     while (!this.stopped) {
       const [jobs, progress, targets] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, TARGETS_KEY)])
       if (jobs.isOk() && progress.isOk() && targets.isOk()) {
-        this.previousTargets = targets.value.entries.map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)?.ids ?? []
+        const previous = targets.value.entries.map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
+        this.previousTargets = previous?.ids ?? []
+        this.applyEvent({ type: 'closed-targets-restored', closed: previous?.closed ?? {} })
         this.applyEvent({ type: 'targets-stored', ids: this.previousTargets })
         this.restoreJobs(jobs.value.entries, progress.value.entries)
         reporter.log('info', 'jobs-restored', { jobs: jobs.value.entries.length, durationMs: Math.round(performance.now() - startedAt) })
@@ -353,7 +355,8 @@
     if (!this.restored || !this.scheduler.earlierRunsExpected) return
     const lapsed = performance.now() > this.previousCommandsEndAt + this.options.leaseMs * CLOCK_DRIFT_FACTOR
     const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    if (lapsed || listed || !this.options.term.hadPredecessor) this.applyEvent({ type: 'earlier-runs-lapsed' })
+    if (lapsed || !this.options.term.hadPredecessor) this.applyEvent({ type: 'earlier-runs-lapsed' })
+    else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
   }
 
   private applyEvent (event: CellEvent): void {
@@ -401,7 +404,7 @@
       case 'request-advice': return this.adviceDispatcher.enqueue(effect)
       case 'store-progress': return this.committer.storeProgress(effect.job)
       case 'forget-job': return this.committer.removeProgress(effect.job)
-      case 'store-targets': return this.committer.storeTargets(effect.ids)
+      case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed })
       case 'watch-target': return this.startSession(effect.id)
       case 'forget-target': return this.removeSession(effect.id)
       case 'fenced': return this.options.onFenced(`target ${effect.target} has seen a newer term`)
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -1,3 +1,4 @@
+import type { ClosedTargets } from '../workflow/closed-targets.ts'
 import type { Peer } from './member-call.ts'
 
 /**
@@ -44,4 +45,8 @@
 export type CommitRecord = { readonly term: number, readonly nonce: string, readonly leader: Peer }
 
 /** Targets that may hold runs, as stored under `state/targets`. */
-export type TargetsRecord = { readonly ids: readonly string[] }
+export type TargetsRecord = {
+  readonly ids: readonly string[]
+  /** Targets that get no more starts, with the tasks that may run there; they are not in `ids`. */
+  readonly closed?: ClosedTargets
+}
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -15,6 +15,7 @@
 import { PendingAdvice } from './pending-advice.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
+import { restoreClosedTargets } from './closed-targets.ts'
 import { throttleTargets } from './throttling.ts'
 import { RoomLog } from './room-log.ts'
 import type { JobProgress } from './progress-record.ts'
@@ -22,7 +23,7 @@
 import { runStartPass } from './start-pass.ts'
 import { stopStragglers } from './stragglers.ts'
 import type { TargetState } from './target-state.ts'
-import { removeGoneTargets, recordStoredTargets, handleTargetPublished, pruneStoredTargets, resolveEarlierRuns, handleTargetWithdrawn } from './targets.ts'
+import { removeGoneTargets, recordStoredTargets, handleTargetPublished, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
 
 /**
  * Schedules the steps of all jobs of a cell on its targets. It does no I/O and reads no clock: each event carries the
@@ -54,6 +55,8 @@
       roomLog: RoomLog.create(),
       evacuatedDomains: new Set(),
       storedTargets: new Set(),
+      closedTargets: new Map(),
+      heldBackTasks: new Map(),
       earlierRunsPossible: false,
       pendingAdvice: PendingAdvice.create(),
       allowedRatios: new Map(),
@@ -84,13 +87,14 @@
     this.state.earlierRunsPossible = true
   }
 
+  /** Whether some tasks wait because of runs of a previous owner. */
   get earlierRunsExpected (): boolean {
-    return this.state.earlierRunsPossible
+    return this.state.earlierRunsPossible || this.state.heldBackTasks.size > 0
   }
 
-  /** Whether every known target has been listed under this owner. */
+  /** Whether every known target has been listed under this owner, or is closed so that its possible runs are known. */
   get allTargetsListed (): boolean {
-    return [...this.state.targets.values()].every((target) => target.listed)
+    return [...this.state.targets.values()].every(({ listed, id }) => listed || this.state.closedTargets.has(id))
   }
 
   /** Phase of a job as callers may see it: `completed` or `failed` only once that is stored. Undefined if the job is unknown. */
@@ -183,6 +187,8 @@
       case 'job-cancelled': return this.handleJobCancelled(event.id)
       case 'progress-stored': return this.handleProgressStored(event)
       case 'targets-stored': return recordStoredTargets(state, event.ids)
+      case 'closed-targets-restored': return restoreClosedTargets(state, event.closed)
+      case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state)
       case 'tick': return this.handleTick()
       default: return assertNever(event)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -1,7 +1,7 @@
 import type { PendingAdvice } from './pending-advice.ts'
 import type { CellConfiguration, Organisation, Queue } from './cell-configuration.ts'
 import type { CellEffect } from './effect.ts'
-import type { Demand, JobDefinition, JobPhase } from './job.ts'
+import type { Demand, JobDefinition, JobPhase, TaskKey } from './job.ts'
 import { NO_DEMAND } from './job.ts'
 import type { OpenTargets } from './open-targets.ts'
 import type { CellOptions } from './options.ts'
@@ -39,6 +39,10 @@
   readonly evacuatedDomains: Set<string>
   /** Targets that are on the stored list of targets that may have runs. */
   readonly storedTargets: Set<string>
+  /** Targets that are stored as closed: they get no starts, and only these tasks may run there. */
+  readonly closedTargets: Map<string, ReadonlySet<TaskKey>>
+  /** Tasks that may run on a closed target of a previous owner, and the id of that target. */
+  readonly heldBackTasks: Map<Task, string>
   /** Whether unlisted targets may have runs of a previous owner; while true, tasks of restored jobs do not start. */
   earlierRunsPossible: boolean
   /** Advice requests without a response. */
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -1,4 +1,5 @@
 import type { ThrottleCommand, StartCommand, StopCommand } from '../ports/command-client.ts'
+import type { ClosedTargets } from './closed-targets.ts'
 
 type WithoutEpoch<Command> = Omit<Command, 'epoch'>
 
@@ -11,7 +12,7 @@
   | { readonly type: 'request-advice', readonly step: string, readonly targets: readonly string[], readonly costMs: number, readonly urgent: boolean }
   | { readonly type: 'store-progress', readonly job: string }
   | { readonly type: 'forget-job', readonly job: string }
-  | { readonly type: 'store-targets', readonly ids: readonly string[] }
+  | { readonly type: 'store-targets', readonly ids: readonly string[], readonly closed: ClosedTargets }
   | { readonly type: 'watch-target', readonly id: string }
   | { readonly type: 'forget-target', readonly id: string }
   /** A target has seen a newer epoch: this owner must stop. */
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -1,5 +1,6 @@
 import type { AdviceResponse, CachedAdvice, CommandResponse, CommandRefusal } from '../ports/command-client.ts'
 import type { CellConfiguration } from './cell-configuration.ts'
+import type { ClosedTargets } from './closed-targets.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
@@ -31,6 +32,10 @@
   /** All progress up to these completions has been stored. The definitions of `released` jobs have been removed. */
   | { readonly type: 'progress-stored', readonly phases: ReadonlyMap<string, JobPhase>, readonly released: readonly string[], readonly completions: readonly ProcessedCompletions[] }
   | { readonly type: 'targets-stored', readonly ids: readonly string[] }
+  /** Closed targets of previous owners, as stored. */
+  | { readonly type: 'closed-targets-restored', readonly closed: ClosedTargets }
+  /** All targets of previous owners have been listed, apart from closed ones. */
+  | { readonly type: 'earlier-runs-listed' }
   /** The leases of runs of a previous owner have expired on all targets that could not be listed. */
   | { readonly type: 'earlier-runs-lapsed' }
   | { readonly type: 'tick' }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -1,6 +1,7 @@
 import { assertNever } from '../util/assert-never.ts'
 import { count, findTask, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import { releaseTasks } from './closed-targets.ts'
 import { countFailure, findListedTask, finishTask } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
 import { addRun, removeRun, sendStop } from './runs.ts'
@@ -29,8 +30,10 @@
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
   if (!target.listed) target.leaseUntilMs = Math.max(target.leaseUntilMs, Math.floor(listing.clockMs + state.options.leaseMs))
   if (!target.listed || !target.reachable) recordRoom(state, target)
+  const isFirstListing = !target.listed
   target.listed = true
   target.reachable = true
+  if (isFirstListing) releaseTasks(state, target)
 }
 
 /** Whether the target responded to the last command for the run before the listing was requested. */
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -50,7 +50,7 @@
 /** Starts tasks of a step; returns false if more tickets could help. */
 function startTasks (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
   for (const task of step.tasks) {
-    if (!isStartable(task, state.now)) continue
+    if (!mayStart(state, task)) continue
     if (!isWithinMaximum(state, step.job, step.spec.demand)) return logBlocked(state, step, 'maximum')
     const target = chooseTarget(state, candidates, task)
     if (target === undefined) {
@@ -62,6 +62,11 @@
   return true
 }
 
+/** Whether a run of the task may start now; not while a run may be on a closed target of a previous owner. */
+function mayStart (state: CellState, task: Task): boolean {
+  return isStartable(task, state.now) && !state.heldBackTasks.has(task)
+}
+
 /** Logs why a step waits whenever the reason changes. Returns true for callers to report that tickets would not help. */
 function logBlocked (state: CellState, step: StepRun, reason: 'maximum' | 'no-room'): true {
   if (step.blockedBy === reason) return true
@@ -83,7 +88,7 @@
 
 /** Starts a gang; returns false if more tickets could help. */
 function startGang (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
-  if (!step.tasks.every((task) => isStartable(task, state.now))) return true
+  if (!step.tasks.every((task) => mayStart(state, task))) return true
   if (!isWithinMaximum(state, step.job, computeTotalDemand(step))) return logBlocked(state, step, 'maximum')
   const run = state.lastRunNumber + 1
   alignCheckpoints(step)
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -1,5 +1,6 @@
 import { log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
 
@@ -15,12 +16,14 @@
     if (known.entry.draining !== entry.draining) log(state, 'info', 'target-state', { target: entry.id, draining: entry.draining })
     known.entry = entry
     known.published = true
+    if (!entry.draining) state.closedTargets.delete(entry.id)
     if (!state.storedTargets.has(entry.id) && mayHoldRuns(state, known)) storeTargets(state)
     return
   }
   if (known !== undefined && known.entry.incarnation > entry.incarnation) return
   const target = TargetState.create(entry, state.now)
   if (known !== undefined) transferRuns(known, target)
+  if (known !== undefined || !entry.draining) state.closedTargets.delete(entry.id)
   state.targets.set(entry.id, target)
   state.effects.push({ type: 'watch-target', id: entry.id })
   if (!state.storedTargets.has(entry.id)) storeTargets(state)
@@ -53,49 +56,71 @@
     if (!isGone(target) || !isEmpty(state, target)) continue
     state.targets.delete(target.id)
     state.storedTargets.delete(target.id)
+    state.closedTargets.delete(target.id)
     state.effects.push({ type: 'forget-target', id: target.id })
     storeTargets(state)
   }
 }
 
 /**
- * Removes draining targets without runs from the stored list. They get no more tasks, and a new leader would wait until
- * the leases of each stored target that it cannot list have expired.
+ * Removes draining targets without runs from the stored list, and closes those with runs. They get no more tasks, and a new
+ * leader would wait until the leases of each open target that it cannot list have expired.
  */
 export function pruneStoredTargets (state: CellState): void {
-  const drained = [...state.targets.values()].filter((target) => state.storedTargets.has(target.id) && !mayHoldRuns(state, target))
-  if (drained.length === 0) return
-  for (const { id } of drained) state.storedTargets.delete(id)
-  storeTargets(state)
+  const drained = [...state.targets.values()].filter(({ id }) => state.storedTargets.has(id) || state.closedTargets.has(id)).filter((target) => !mayHoldRuns(state, target))
+  for (const { id } of drained) {
+    state.storedTargets.delete(id)
+    state.closedTargets.delete(id)
+  }
+  const closed = closeDrainingTargets(state)
+  if (drained.length > 0 || closed) storeTargets(state)
 }
 
 /** Records the list of targets that was stored, without those that can no longer have runs. */
 export function recordStoredTargets (state: CellState, ids: readonly string[]): void {
   for (const id of ids) {
     const target = state.targets.get(id)
+    if (state.closedTargets.has(id)) continue
     if (target === undefined || mayHoldRuns(state, target)) state.storedTargets.add(id)
     if (target !== undefined) recordRoom(state, target)
   }
   state.startPassNeeded = true
 }
 
+/**
+ * Handles that the runs of previous owners are known, apart from those on closed targets that cannot be listed: the tasks
+ * that may run there wait for the expiry of their leases.
+ */
+export function resolveListedRuns (state: CellState): void {
+  if (!state.earlierRunsPossible) return
+  state.earlierRunsPossible = false
+  state.startPassNeeded = true
+  holdBackTasks(state)
+  log(state, 'info', 'earlier-runs-listed', { targets: state.targets.size, heldBackTasks: state.heldBackTasks.size })
+  if (state.heldBackTasks.size === 0) resolveEarlierRuns(state)
+}
+
 /** Handles that all runs of previous owners are known or have expired. Only known targets remain on the stored list. */
 export function resolveEarlierRuns (state: CellState): void {
   state.earlierRunsPossible = false
-  state.startPassNeeded = true
-  const gone = [...state.storedTargets].filter((id) => !state.targets.has(id))
-  for (const id of gone) state.storedTargets.delete(id)
+  releaseTasks(state)
+  const gone = [...state.storedTargets, ...state.closedTargets.keys()].filter((id) => !state.targets.has(id))
+  for (const id of gone) {
+    state.storedTargets.delete(id)
+    state.closedTargets.delete(id)
+  }
   if (gone.length > 0) storeTargets(state)
   log(state, 'info', 'earlier-runs-settled', { targets: state.targets.size, gone: gone.length })
 }
 
 /** Stores the list of targets that may have runs. While previous owners may have runs, their targets stay on the list. */
 function storeTargets (state: CellState): void {
-  const ids = new Set([...state.targets.values()].filter((target) => mayHoldRuns(state, target)).map(({ id }) => id))
+  const open = [...state.targets.values()].filter((target) => mayHoldRuns(state, target) && !state.closedTargets.has(target.id))
+  const ids = new Set(open.map(({ id }) => id))
   if (state.earlierRunsPossible) {
     for (const id of state.storedTargets) ids.add(id)
   }
-  state.effects.push({ type: 'store-targets', ids: [...ids] })
+  state.effects.push({ type: 'store-targets', ids: [...ids], closed: toClosedTargets(state) })
 }
 
 function mayHoldRuns (state: CellState, target: TargetState): boolean {
--- a/src/workflow/uncertain-usage.ts
+++ b/src/workflow/uncertain-usage.ts
@@ -19,7 +19,7 @@
   const capacities = [...state.targets.values()].map(({ entry }) => entry.capacity)
   const largest = capacities.reduce(maxDemand, NO_DEMAND)
   let usage = NO_DEMAND
-  for (const id of new Set([...state.storedTargets, ...state.targets.keys()])) {
+  for (const id of new Set([...state.storedTargets, ...state.closedTargets.keys(), ...state.targets.keys()])) {
     const target = state.targets.get(id)
     if (target?.listed !== true) usage = addDemands(usage, target?.entry.capacity ?? largest)
   }
