--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -18,7 +18,7 @@
  * `prefetch`: the step is not ready yet.
  */
 export function mayRequestAdvice (state: CellState, step: StepRun, prefetch = false): boolean {
-  return !step.advice.requestPending && state.pendingAdvice.mayRequest(isUrgent(state, step.job.definition), prefetch)
+  return !step.advice.requestPending && state.pendingAdvice.mayRequest(isUrgent(state, step.job.definition), prefetch, state.now)
 }
 
 /**
--- a/src/workflow/pending-advice.ts
+++ b/src/workflow/pending-advice.ts
@@ -5,6 +5,8 @@
  * request that waits behind them would miss its objective.
  */
 const NON_URGENT_CHANNEL_RATIO = 0.65
+/** Without an urgent step that needs advice for this time, other queues may use all channels, in milliseconds. */
+const URGENT_RESERVE_MS = 3_000
 
 /** Tracks the steps with a pending advice request and limits their number: more requests would wait while tickets expire. */
 export class PendingAdvice {
@@ -12,6 +14,8 @@
   channels = 1
   private readonly urgent = new Set<string>()
   private readonly nonUrgent = new Set<string>()
+  /** When an urgent step last needed advice, on the scheduler's clock; the first time that is known counts as one. */
+  private lastUrgentAt: number | undefined
 
   private constructor () {}
 
@@ -24,13 +28,15 @@
   }
 
   /**
- * Whether another request may be sent now. `prefetch`: the step is not ready yet; such requests use only channels without
- * a request, so that those of ready steps take precedence.
- */
-  mayRequest (urgent: boolean, prefetch: boolean): boolean {
+   * Whether another request may be sent now. `prefetch`: the step is not ready yet; such requests use only channels without
+   * a request, so that those of ready steps take precedence.
+   */
+  mayRequest (urgent: boolean, prefetch: boolean, now: number): boolean {
+    if (urgent || this.lastUrgentAt === undefined) this.lastUrgentAt = now
     if (prefetch && this.size >= this.channels) return false
     if (this.size >= this.channels * REQUESTS_PER_CHANNEL) return false
-    return urgent || this.nonUrgent.size < Math.max(1, Math.floor(this.channels * NON_URGENT_CHANNEL_RATIO))
+    const ratio = now - this.lastUrgentAt < URGENT_RESERVE_MS ? NON_URGENT_CHANNEL_RATIO : 1
+    return urgent || this.nonUrgent.size < Math.max(1, Math.floor(this.channels * ratio))
   }
 
   add (step: string, urgent: boolean): void {
--- a/test/workflow/advice.test.ts
+++ b/test/workflow/advice.test.ts
@@ -56,6 +56,19 @@
   assert.equal(getAdviceRequests(harness).at(-1)!.step, 'u.0.0')
 })
 
+test('advice: without urgent steps for some seconds, requests of a backlog of batch jobs use all channels', () => {
+  const harness = createHarness(20)
+  harness.apply({ type: 'advice-channels', channels: 7 })
+  harness.apply({ type: 'job-accepted', definition: { ...buildJob('u', {}), queue: 'urgent' } })
+  harness.apply({ type: 'advised', step: 'u.0.0', requestedTargets: [], response: { type: 'failed', reason: 'timeout' } })
+  harness.apply({ type: 'job-cancelled', id: 'u' })
+  for (let index = 0; index < 20; index++) harness.apply({ type: 'job-accepted', definition: { ...buildJob(`b${index}`, {}), queue: 'batch' } })
+  const countBatchRequests = (): number => new Set(getAdviceRequests(harness).map(({ step }) => step).filter((step) => step.startsWith('b'))).size
+  assert.equal(countBatchRequests(), 4)
+  harness.advance(3_000)
+  assert.equal(countBatchRequests(), 7)
+})
+
 test('advice: a new leader uses the responses that members received for the previous leader', () => {
   const harness = createHarness(3)
   const known = { step: 'a.0.0', asked: ['t0', 't1'], tickets: [{ target: 't1', ticket: 'x' }], validForMs: 1_000 }
