Restore the jobs that can be read when a stored record cannot

Cause, by reading, and shown by tests on the code before: a definition that is JSON but no job ('{}') threw while a new leader restored, so that the term never scheduled anything, and the next one would meet the same record. Progress that could not be parsed was taken for none, so that a job would have run again from its first step.

Change: definitions and progress are checked when they are read. An unreadable definition is left out, a job with unreadable progress is shown as running and never started; both are logged with their key. The restore of a leader is a module of its own without network (`read-stored-jobs.ts`).

Tests: a table of damaged records, random and damaged JSON (fast-check), and that each body that is accepted can be restored.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,12 +1,11 @@
 import type { AdviceResponse, Advisor, CachedAdvice, CommandClient } from '../ports/command-client.ts'
-import type { Store, StoreEntry } from '../ports/store.ts'
+import type { Store } from '../ports/store.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { CellConfiguration } from '../workflow/cell-configuration.ts'
 import { CellScheduler } from '../workflow/cell-scheduler.ts'
 import type { CellEffect } from '../workflow/effect.ts'
 import type { CellEvent } from '../workflow/event.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
-import type { JobProgress } from '../workflow/progress-record.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import { AdviceDispatcher } from './advice-dispatcher.ts'
 import { Committer } from './committer.ts'
@@ -16,7 +15,8 @@
 import type { Peer } from './member-call.ts'
 import type { Reporter } from './reporter.ts'
 import { readPrefix } from './store-calls.ts'
-import { CANCEL_SUFFIX, JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY, parseCancelKey } from './store-keys.ts'
+import { readStoredJobs } from './read-stored-jobs.ts'
+import { JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY } from './store-keys.ts'
 import type { TargetsRecord } from './store-keys.ts'
 import type { RelayStreamOpener } from './relay-message.ts'
 import { RelayedCommands } from './relayed-commands.ts'
@@ -287,7 +287,7 @@
         this.previousTargets = previous?.ids ?? []
         this.applyEvent({ type: 'closed-targets-restored', closed: previous?.closed ?? {} })
         this.applyEvent({ type: 'targets-stored', ids: this.previousTargets })
-        this.restoreJobs(jobs.value.entries, progress.value.entries)
+        for (const event of readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))) this.applyEvent(event)
         reporter.log('info', 'jobs-restored', { jobs: jobs.value.entries.length, durationMs: Math.round(performance.now() - startedAt) })
         return jobs.value.version
       }
@@ -296,23 +296,6 @@
     return undefined
   }
 
-  private restoreJobs (jobs: readonly StoreEntry[], progress: readonly StoreEntry[]): void {
-    const progressByJob = new Map(progress.map(({ key, value }) => [key.slice(PROGRESS_PREFIX.length), value]))
-    const definitions = jobs.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX)).flatMap((entry) => this.storeFeed.parseJob(entry))
-    for (const definition of definitions.sort((left, right) => left.submittedAtMs - right.submittedAtMs)) {
-      const storedProgress = progressByJob.get(definition.id)
-      progressByJob.delete(definition.id)
-      this.applyEvent({ type: 'job-restored', definition, progress: storedProgress === undefined ? undefined : parseRecord<JobProgress>(storedProgress) })
-    }
-    for (const { key } of jobs) {
-      if (key.endsWith(CANCEL_SUFFIX)) this.cancelJob(parseCancelKey(key))
-    }
-    for (const [id, value] of progressByJob) {
-      const ended = parseRecord<JobProgress>(value)
-      if (ended !== undefined) this.applyEvent({ type: 'ended-job-restored', id, phase: ended.phase })
-    }
-  }
-
   private tick (): void {
     const now = Date.now()
     const lateMs = Math.abs(now - this.lastTickAt) - TICK_INTERVAL_MS
--- a/src/controller/job-service.ts
+++ b/src/controller/job-service.ts
@@ -1,9 +1,9 @@
 import type { Store } from '../ports/store.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
-import type { JobProgress } from '../workflow/progress-record.ts'
 import { delay } from './delay.ts'
 import type { Reporter } from './reporter.ts'
 import { readKey, transact } from './store-calls.ts'
+import { isJobDefinition, isJobProgress } from './record-guards.ts'
 import { parseRecord } from './stored-record.ts'
 import { cancelKey, jobKey, progressKey } from './store-keys.ts'
 
@@ -99,7 +99,7 @@
     const job = await readKey(store, jobKey(id))
     if (job.isErr()) return { type: 'unavailable', reason: job.error.reason }
     if (job.value === undefined) return this.readProgress(id, 'absent')
-    const definition = parseRecord<JobDefinition>(job.value.value)
+    const definition = parseRecord(job.value.value, isJobDefinition)
     if (definition !== undefined) this.options.announceJob(definition)
     return this.readProgress(id, 'queued')
   }
@@ -108,7 +108,7 @@
   private async readProgress (id: string, fallback: 'absent' | 'queued'): Promise<PhaseLookup> {
     const progress = await readKey(this.options.store, progressKey(id))
     if (progress.isErr()) return { type: 'unavailable', reason: progress.error.reason }
-    const stored = progress.value === undefined ? undefined : parseRecord<JobProgress>(progress.value.value)
+    const stored = progress.value === undefined ? undefined : parseRecord(progress.value.value, isJobProgress)
     if (stored !== undefined) return { type: 'found', phase: stored.phase }
     return fallback === 'absent' ? { type: 'absent' } : { type: 'found', phase: fallback }
   }
--- /dev/null
+++ b/src/controller/record-guards.ts
@@ -0,0 +1,55 @@
+import { isFinalPhase } from '../workflow/job.ts'
+import type { JobDefinition, JobPhase, Step } from '../workflow/job.ts'
+import type { JobProgress, StepProgress } from '../workflow/progress-record.ts'
+
+type Fields = Readonly<Record<string, unknown>>
+
+const MAX_TASKS_PER_STEP = 1_000_000
+const DECIMAL = /^\d+$/
+const HEXADECIMAL = /^[\da-f]+$/
+
+/** Whether a stored value has all that the scheduler reads of a job's definition. */
+export function isJobDefinition (value: unknown): value is JobDefinition {
+  return isObject(value) && [value.id, value.queue, value.organisation, value.payload].every(isString) &&
+    [value.firstAtMs, value.intervalMs, value.occurrences, value.submittedAtMs].every(isFiniteNumber) &&
+    Array.isArray(value.steps) && value.steps.length > 0 && value.steps.every(isStep)
+}
+
+function isStep (value: unknown, number: number): value is Step {
+  return isObject(value) && isFiniteNumber(value.count) && value.count >= 1 && value.count <= MAX_TASKS_PER_STEP &&
+    isObject(value.demand) && [value.demand.cpuMillis, value.demand.memoryMiB, value.demand.accelerators].every(isFiniteNumber) &&
+    [value.estimatedMs, value.perTargetLimit, value.latencyTargetMs].every(isFiniteNumber) &&
+    Array.isArray(value.after) && value.after.every((earlier) => isFiniteNumber(earlier) && earlier >= 0 && earlier < number)
+}
+
+/** Whether a stored value is the progress of a job. */
+export function isJobProgress (value: unknown): value is JobProgress {
+  return isObject(value) && isPhase(value.phase) && isFiniteNumber(value.nextOccurrence) && isObject(value.open) &&
+    Object.keys(value.open).every((occurrence) => DECIMAL.test(occurrence)) &&
+    Object.values(value.open).every((steps) => Array.isArray(steps) && steps.every(isStepProgress))
+}
+
+function isStepProgress (value: unknown): value is StepProgress {
+  return isObject(value) && isString(value.done) && HEXADECIMAL.test(value.done) && isRunNumbers(value.gangFailedRuns) &&
+    isObject(value.failedRuns) && Object.values(value.failedRuns).every(isRunNumbers)
+}
+
+function isRunNumbers (value: unknown): boolean {
+  return Array.isArray(value) && value.every(isFiniteNumber)
+}
+
+function isPhase (value: unknown): value is JobPhase {
+  return value === 'queued' || value === 'running' || isFinalPhase(value as JobPhase)
+}
+
+function isString (value: unknown): value is string {
+  return typeof value === 'string'
+}
+
+function isFiniteNumber (value: unknown): value is number {
+  return Number.isFinite(value)
+}
+
+function isObject (value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
--- a/src/controller/store-feed.ts
+++ b/src/controller/store-feed.ts
@@ -4,9 +4,9 @@
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import { PollInterval } from './poll-interval.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
+import { parseDefinition } from './read-stored-jobs.ts'
 import type { Reporter } from './reporter.ts'
 import { CANCEL_SUFFIX, JOB_PREFIX, parseCancelKey } from './store-keys.ts'
-import { parseRecord } from './stored-record.ts'
 
 const TARGET_WATCH_WAIT_MS = 1_500
 
@@ -112,19 +112,11 @@
 
   private applyJobEntry ({ key, value }: StoreEntry): void {
     if (key.endsWith(CANCEL_SUFFIX)) this.options.applyEvent({ type: 'job-cancelled', id: parseCancelKey(key) })
-    else this.parseJob({ key, value }).forEach((definition) => this.acceptJob(definition))
+    else parseDefinition({ key, value }, (message) => this.options.reporter.log('error', message, { key })).forEach((definition) => this.acceptJob(definition))
   }
 
   private acceptJob (definition: JobDefinition): void {
     if (!this.options.isKnownJob(definition.id)) this.pollInterval.recordUnannouncedJob(performance.now())
     this.options.applyEvent({ type: 'job-accepted', definition })
   }
-
-  /** Parses the job in an entry. Returns no job if it is unreadable, so that the others can still be restored. */
-  parseJob ({ key, value }: Pick<StoreEntry, 'key' | 'value'>): readonly JobDefinition[] {
-    const definition = parseRecord<JobDefinition>(value)
-    if (definition !== undefined) return [definition]
-    this.options.reporter.log('error', 'job-unreadable', { key })
-    return []
-  }
 }
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -10,7 +10,7 @@
 import { handleListing } from './handle-listing.ts'
 import type { CellEvent, ProcessedCompletions } from './event.ts'
 import type { JobPhase } from './job.ts'
-import { NO_DEMAND } from './job.ts'
+import { NO_DEMAND, isFinalPhase } from './job.ts'
 import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
 import { PendingAdvice } from './pending-advice.ts'
 import type { CellOptions } from './options.ts'
@@ -182,7 +182,8 @@
       case 'job-accepted': return acceptJob(state, event.definition)
       case 'job-restored': return restoreJob(state, event.definition, event.progress)
       case 'ended-job-restored':
-        state.endedJobs.set(event.id, { phase: event.phase, endedAt: state.now })
+        // Without a final phase it is a job that must not be started; it is kept until its record has been repaired.
+        state.endedJobs.set(event.id, { phase: event.phase, endedAt: isFinalPhase(event.phase) ? state.now : Infinity })
         return
       case 'job-cancelled': return this.handleJobCancelled(event.id)
       case 'progress-stored': return this.handleProgressStored(event)
--- /dev/null
+++ b/test/controller/read-stored-jobs.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { parseJob } from '../../platform/job-body.ts'
+import { readStoredJobs } from '../../src/controller/read-stored-jobs.ts'
+import { isJobDefinition } from '../../src/controller/record-guards.ts'
+import { cancelKey, jobKey, progressKey } from '../../src/controller/store-keys.ts'
+import type { CellEvent } from '../../src/workflow/event.ts'
+import { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
+import { CellHarness, buildEntry, buildJob, createHarnessWithTarget } from '../workflow/harness.ts'
+
+const SEED = 20261204
+const RUNS = 400
+const PROGRESS = JSON.stringify({ phase: 'running', nextOccurrence: 1, open: { 0: [{ done: '0', failedRuns: {}, gangFailedRuns: [] }] } })
+
+type Stored = { readonly key: string, readonly value: string }
+
+function read (jobs: readonly Stored[], progress: readonly Stored[] = []): { readonly events: readonly CellEvent[], readonly reports: readonly string[] } {
+  const reports: string[] = []
+  const events = readStoredJobs(jobs, progress, (message, key) => reports.push(`${message} ${key}`))
+  return { events, reports }
+}
+
+const good = { key: jobKey('a'), value: JSON.stringify(buildJob('a', {})) }
+
+const unreadable: ReadonlyArray<{ readonly guards: string, readonly jobs: readonly Stored[], readonly progress?: readonly Stored[], readonly events: readonly string[], readonly reports: readonly string[] }> = [
+  { guards: 'a definition that is not JSON', jobs: [{ key: jobKey('b'), value: '{' }, good], events: ['job-restored a'], reports: ['job-unreadable jobs/b'] },
+  { guards: 'a definition without steps', jobs: [{ key: jobKey('b'), value: '{"id":"b"}' }, good], events: ['job-restored a'], reports: ['job-unreadable jobs/b'] },
+  { guards: 'a definition that is null', jobs: [{ key: jobKey('b'), value: 'null' }, good], events: ['job-restored a'], reports: ['job-unreadable jobs/b'] },
+  { guards: 'progress of a job that nobody stored', jobs: [good], progress: [{ key: progressKey('gone'), value: '[]' }], events: ['job-restored a'], reports: ['progress-unreadable progress/gone'] },
+  { guards: 'progress whose finished tasks are no number', jobs: [good], progress: [{ key: progressKey('a'), value: PROGRESS.replace('"done":"0"', '"done":"z"') }], events: ['ended-job-restored a'], reports: ['progress-unreadable progress/a'] },
+  { guards: 'progress of an occurrence without a number', jobs: [good], progress: [{ key: progressKey('a'), value: PROGRESS.replace('"0":[', '"z":[') }], events: ['ended-job-restored a'], reports: ['progress-unreadable progress/a'] }
+]
+
+function describe (event: CellEvent): string {
+  switch (event.type) {
+    case 'job-restored': return `job-restored ${event.definition.id}`
+    case 'ended-job-restored':
+    case 'job-cancelled': return `${event.type} ${event.id}`
+    default: return event.type
+  }
+}
+
+for (const { guards, jobs, progress, events, reports } of unreadable) {
+  test(`stored jobs: ${guards} is reported and does not keep a new leader from the others`, () => {
+    const outcome = read(jobs, progress)
+    assert.deepEqual(outcome.events.map(describe), events)
+    assert.deepEqual(outcome.reports, reports)
+  })
+}
+
+test('stored jobs: jobs are restored in the order of submission, with their progress and cancellations', () => {
+  const early = { key: jobKey('z'), value: JSON.stringify({ ...buildJob('z', {}), submittedAtMs: -5 }) }
+  const { events } = read([good, { key: cancelKey('a'), value: '' }, early], [{ key: progressKey('a'), value: PROGRESS }, { key: progressKey('ended'), value: PROGRESS.replace('running', 'completed') }])
+  assert.deepEqual(events.map(describe), ['job-restored z', 'job-restored a', 'job-cancelled a', 'ended-job-restored ended'])
+})
+
+test('stored jobs: a job whose progress is unreadable is not run again, also when its definition is read once more, and is shown as running', () => {
+  const harness = createHarnessWithTarget()
+  for (const event of read([good], [{ key: progressKey('a'), value: 'null' }]).events) harness.apply(event)
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  harness.advance(200_000)
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  assert.equal(harness.getStarts().length, 0)
+  assert.equal(harness.scheduler.getPhase('a'), 'running')
+})
+
+test('stored jobs: whatever the store has, a new leader restores without an error', () => {
+  const fields = fc.constantFrom('id', 'queue', 'organisation', 'payload', 'steps', 'count', 'demand', 'after', 'estimatedMs', 'phase', 'open', 'done', 'failedRuns', 'gangFailedRuns', 'nextOccurrence', 'firstAtMs', '0')
+  const { record } = fc.letrec((tie) => ({
+    value: fc.oneof({ depthSize: 'small' }, fc.constantFrom(null, true, -1, 0, 1, 1e300, '', 'a', 'running', 'ff'), fc.array(tie('value'), { maxLength: 2 }), tie('record')),
+    record: fc.dictionary(fields, tie('value'), { maxKeys: 8 })
+  }))
+  const damaged = fc.tuple(fc.constantFrom(good.value, PROGRESS), fc.nat(400), fc.constantFrom('', '0', 'null', '}')).map(([text, at, replacement]) => text.slice(0, at) + replacement + text.slice(at + 1))
+  const value = fc.oneof(record.map((content) => JSON.stringify(content)), damaged, fc.string())
+  fc.assert(fc.property(value, value, (definition, progress) => {
+    const scheduler = CellScheduler.create()
+    const { events } = read([{ key: jobKey('a'), value: definition }], [{ key: progressKey('a'), value: progress }])
+    for (const event of events) scheduler.apply(event, 0)
+    scheduler.apply({ type: 'tick' }, 0)
+    scheduler.startTasks(0)
+  }), { seed: SEED, numRuns: RUNS })
+})
+
+test('stored jobs: each body that is accepted can be restored', () => {
+  const number = fc.oneof(fc.integer(), fc.double(), fc.constant(undefined))
+  const step = fc.record({ count: fc.integer({ min: 1, max: 50 }), cpu: number, memMb: number, gpu: number, estimatedMs: number, antiAffinity: number, targetMs: number, after: fc.constantFrom([], undefined) }, { requiredKeys: ['count'] })
+  fc.assert(fc.property(fc.record({ spec: fc.string({ maxLength: 20 }), steps: fc.array(step, { minLength: 1, maxLength: 3 }), repeatCount: number, firstMs: number, intervalMs: number }, { requiredKeys: ['spec', 'steps'] }), (body) => {
+    const parsed = parseJob(JSON.stringify(body), { id: 'a', queue: 'q', organisation: 'o' })
+    if (parsed.isOk()) assert.ok(isJobDefinition(JSON.parse(JSON.stringify(parsed.value))))
+  }), { seed: SEED, numRuns: RUNS })
+})
+
+test('stored jobs: a restored job starts', () => {
+  const harness = CellHarness.create([buildEntry('t1')])
+  for (const event of read([good]).events) harness.apply(event)
+  assert.equal(harness.getStarts().length, 1)
+})
