Wait for each hop in the tests of relays

Cause: one of six runs beside other load failed ("a member sends a start and returns the response"): the test waited 10 ms once, and in a busy process this timer and that of the reply, which is set later, were due in the same turn. No fault of the product: the reply came after the check.

Change: the tests wait once for each hop with timers of the same duration, which fire in the order in which they were set.

--- a/test/controller/command-relay.test.ts
+++ b/test/controller/command-relay.test.ts
@@ -1,10 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { setTimeout as wait } from 'node:timers/promises'
 import { CommandRelay } from '../../src/controller/command-relay.ts'
-import { RELAY_BATCH_MS } from '../../src/controller/relay-message.ts'
 import type { RelayReply, RelayedCommand } from '../../src/controller/relay-message.ts'
-import { LIST, LISTED, RecordingClient, SILENT_REPORTER, START, STOP, TARGET } from './relay-harness.ts'
+import { LIST, LISTED, RecordingClient, SILENT_REPORTER, START, STOP, TARGET, settle } from './relay-harness.ts'
 
 const NOW = 1_000_000
 
@@ -12,7 +10,7 @@
   const replies: RelayReply[] = []
   const relay = CommandRelay.create({ commands: client, reporter: SILENT_REPORTER, getLatestTerm: () => latestTerm, now: () => NOW })
   relay.open((reply) => replies.push(reply)).handle({ sequence: 7, entries: [{ number: 4, relayed, validUntilMs }] })
-  await wait(2 * RELAY_BATCH_MS)
+  await settle()
   return { client, replies }
 }
 
@@ -47,10 +45,10 @@
   const relay = CommandRelay.create({ commands: new RecordingClient(), reporter: SILENT_REPORTER, getLatestTerm: () => 3, now: () => NOW })
   const session = relay.open((reply) => replies.push(reply))
   session.handle({ sequence: 1, entries: [] })
-  await wait(2 * RELAY_BATCH_MS)
+  await settle()
   assert.deepEqual(replies, [{ sequence: 1, responses: [] }])
   session.handle({ sequence: 2, entries: [] })
   session.close()
-  await wait(2 * RELAY_BATCH_MS)
+  await settle()
   assert.equal(replies.length, 1)
 })
--- a/test/controller/relay-harness.ts
+++ b/test/controller/relay-harness.ts
@@ -1,6 +1,8 @@
+import { setTimeout as wait } from 'node:timers/promises'
 import type { CommandClient, CommandResponse, ListResponse } from '../../src/ports/command-client.ts'
 import type { Peer } from '../../src/controller/member-call.ts'
 import { CommandRelay } from '../../src/controller/command-relay.ts'
+import { RELAY_BATCH_MS } from '../../src/controller/relay-message.ts'
 import type { RelayReply, RelayRequest, RelayStreamEvents, RelayStreamOpener } from '../../src/controller/relay-message.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
 
@@ -11,6 +13,16 @@
 export const LIST = { epoch: 3, acknowledged: 0, leaseUntilMs: 4_000, waitMs: 1_000 }
 export const LISTED: ListResponse = { type: 'listed', listing: { incarnation: 1, clockMs: 500, running: [], ended: [] } }
 
+const HOPS = 4
+
+/**
+ * Waits until a command and its response have passed the relay. Timers of equal duration fire in the order in which they
+ * were set, so that each wait outlasts one hop, however busy the process is.
+ */
+export async function settle (): Promise<void> {
+  for (let hop = 0; hop < HOPS; hop += 1) await wait(RELAY_BATCH_MS)
+}
+
 /** Builds the member `m<number>` of a failure domain. */
 export function buildPeer (number: number, failureDomain = 'east', cores = 1): Peer {
   return { member: `m${number}`, address: `m${number}:1`, failureDomain, cores }
--- a/test/controller/relayed-commands.test.ts
+++ b/test/controller/relayed-commands.test.ts
@@ -1,12 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { setTimeout as wait } from 'node:timers/promises'
 import type { CommandResponse } from '../../src/ports/command-client.ts'
 import type { Peer } from '../../src/controller/member-call.ts'
-import { RELAY_BATCH_MS } from '../../src/controller/relay-message.ts'
 import { selectRelays } from '../../src/controller/relay-selection.ts'
 import { RelayedCommands } from '../../src/controller/relayed-commands.ts'
-import { LIST, LISTED, RecordingClient, RelayNetwork, SILENT_REPORTER, START, STOP, buildPeer } from './relay-harness.ts'
+import { LIST, LISTED, RecordingClient, RelayNetwork, SILENT_REPORTER, START, STOP, buildPeer, settle } from './relay-harness.ts'
 
 const LARGE_CELL = new Map([['east', 200]])
 
@@ -24,10 +22,6 @@
   return { network, direct, commands, clock, members, update }
 }
 
-async function settle (): Promise<void> {
-  await wait(3 * RELAY_BATCH_MS)
-}
-
 /** Advances the clock in steps of the leader's ticks. */
 async function advance ({ clock, update }: { readonly clock: { now: number }, readonly update: () => void }, durationMs: number): Promise<void> {
   for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 50) {
