--- a/src/controller/prefix-watcher.ts
+++ b/src/controller/prefix-watcher.ts
@@ -22,6 +22,8 @@
 }
 
 const RETRY_DELAY_MS = 200
+/** Pause after an unexpected error, in milliseconds; the same entry may cause it again. */
+const FAILURE_DELAY_MS = 1_000
 
 /**
  * Watches the entries below one prefix of the store until it is stopped. Reads all entries again when the store has
@@ -41,7 +43,7 @@
    */
   static create (options: PrefixWatcherOptions): PrefixWatcher {
     const watcher = new PrefixWatcher(options)
-    watcher.followEntries().catch((error: unknown) => options.reporter.log('error', 'watch-failed', { prefix: options.prefix, detail: String(error) }))
+    watcher.followEntries().catch((error: unknown) => watcher.reportFailure(error))
     return watcher
   }
 
@@ -52,12 +54,27 @@
   private async followEntries (): Promise<void> {
     let version: number | undefined
     while (!this.stopped.signal.aborted) {
-      version = version === undefined ? await this.readEntries() : await this.watch(version)
+      version = await this.continueFrom(version)
       const pauseMs = this.healthy === true ? this.options.getPauseMs?.() ?? 0 : RETRY_DELAY_MS
       if (pauseMs > 0) await delay(pauseMs, this.stopped.signal)
     }
   }
 
+  /** Does the next call. After an unexpected error of a listener all entries are read again, because some may be missing. */
+  private async continueFrom (version: number | undefined): Promise<number | undefined> {
+    try {
+      return version === undefined ? await this.readEntries() : await this.watch(version)
+    } catch (error) {
+      this.reportFailure(error)
+      await delay(FAILURE_DELAY_MS, this.stopped.signal)
+      return undefined
+    }
+  }
+
+  private reportFailure (error: unknown): void {
+    this.options.reporter.log('error', 'watch-failed', { prefix: this.options.prefix, detail: String(error) })
+  }
+
   /** Reads all entries. Returns the version to watch from; undefined if the entries could not be read. */
   private async readEntries (): Promise<number | undefined> {
     const snapshot = await readPrefix(this.options.store, this.options.prefix)
