--- a/test/adapters/relay-stream.test.ts
+++ b/test/adapters/relay-stream.test.ts
@@ -31,9 +31,9 @@
   return { server, address: `127.0.0.1:${server.port}`, requests, closed }
 }
 
-test('relay stream: requests and replies arrive as they were sent, and the relay notices the end of the stream', async () => {
-  const { server, address, requests, closed } = await serve()
-  const reply = await new Promise<RelayReply>((resolve, reject) => {
+/** Sends `REQUEST` on a new stream and returns the first reply. */
+function exchange (address: string): Promise<RelayReply> {
+  return new Promise((resolve, reject) => {
     const stream = openRelayStream(address, {
       onReply: (received) => {
         resolve(received)
@@ -43,6 +43,11 @@
     })
     stream.send(REQUEST)
   })
+}
+
+test('relay stream: requests and replies arrive as they were sent, and the relay notices the end of the stream', async () => {
+  const { server, address, requests, closed } = await serve()
+  const reply = await exchange(address)
   await closed
   server.close()
   assert.deepEqual(reply, REPLY)
@@ -95,16 +100,7 @@
   })
   assert.match(end, /INTERNAL: Error deserializing/)
   assert.deepEqual(requests, [])
-  const reply = await new Promise<RelayReply>((resolve, reject) => {
-    const stream = openRelayStream(address, {
-      onReply: (received) => {
-        resolve(received)
-        stream.close()
-      },
-      onClosed: (reason) => reject(new Error(reason))
-    })
-    stream.send(REQUEST)
-  })
+  const reply = await exchange(address)
   server.close()
   assert.deepEqual(reply, REPLY)
 })
