Bound the searches of a pass; keep small hosts from leading a large cell

Each waiting step searched all targets every 100 ms, that is in each pass, and passes that take half of the processor left too little for the rest. At 13.8 s, after all members had ended, a host of 0.324 cores won the term of the cell, because its process was up first.

Change: the searches of a pass examine 8,000 targets at most, the remaining steps follow in the next passes; a step searches all targets again after 500 ms; passes take a third of the processor. A host of less than half a core claims 0.5 s later.

Test: a backlog whose steps all have to search all targets.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -35,8 +35,8 @@
 const PEER_TIMEOUT_MS = 5_000
 /** If a tick is late by more than this, the process may have been suspended, in milliseconds. */
 const SUSPENSION_THRESHOLD_MS = 700
-/** Pause after a scheduling pass, as a multiple of its duration: passes use at most half of the processor. */
-const PASS_PAUSE_FACTOR = 1
+/** Pause after a scheduling pass, as a multiple of its duration: passes use at most a third of the processor. */
+const PASS_PAUSE_FACTOR = 2
 /** Factor on the lease of runs, because a target's clock may be slower than the clock of this process. */
 const CLOCK_DRIFT_FACTOR = 1.03
 
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -26,6 +26,9 @@
 const UNDELAYED_CORES = 1.5
 /** Delay for each core below `UNDELAYED_CORES`, in milliseconds. */
 const DELAY_PER_MISSING_CORE_MS = 150
+/** Hosts with fewer cores than this claim only after the others had time to start, because they are too slow for a cell. */
+const SMALL_HOST_CORES = 0.5
+const SMALL_HOST_DELAY_MS = 500
 const WATCH_WAIT_MS = 1_500
 const CLAIM_RETRY_DELAY_MS = 150
 
@@ -249,5 +252,6 @@
  * await delay(computeClaimDelayMs(0.675))
  */
 export function computeClaimDelayMs (cores: number): number {
-  return Math.max(0, UNDELAYED_CORES - cores) * DELAY_PER_MISSING_CORE_MS + Math.random() * CLAIM_JITTER_MS
+  const smallHostDelayMs = cores < SMALL_HOST_CORES ? SMALL_HOST_DELAY_MS : 0
+  return Math.max(0, UNDELAYED_CORES - cores) * DELAY_PER_MISSING_CORE_MS + smallHostDelayMs + Math.random() * CLAIM_JITTER_MS
 }
--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -11,7 +11,7 @@
  * A step for which no target could be selected searches all targets again after this time, in milliseconds; until then it
  * examines the targets that may have more room than before. Pauses of targets and tickets end without such a change.
  */
-const FULL_SEARCH_INTERVAL_MS = 100
+const FULL_SEARCH_INTERVAL_MS = 500
 
 /**
  * Whether advice for the step may be requested now. This check is cheap and runs before targets are selected.
@@ -28,6 +28,10 @@
 export function requestAdvice (state: CellState, step: StepRun, prefetch = false): void {
   if (!mayRequestAdvice(state, step, prefetch)) return
   const urgent = isUrgent(state, step.job.definition)
+  if (state.searchBudget <= 0) {
+    state.startPassNeeded = true
+    return
+  }
   const { advice } = step
   const changed = advice.searchedTo === undefined || advice.fullSearchAt <= state.now ? undefined : state.roomLog.getSince(advice.searchedTo)
   const targets = selectAdviceTargets(state, step, { prefetch, changed })
--- a/src/workflow/advice-targets.ts
+++ b/src/workflow/advice-targets.ts
@@ -67,6 +67,7 @@
   let expectedSlots = 0
   for (const target of targets) {
     state.passWork.targets += 1
+    state.searchBudget -= 1
     const isEnough = expectedSlots >= wantedSlots && candidates.size >= MIN_FIRST_REQUEST_TARGETS * CHOICE_FACTOR
     if (isEnough && dataRack === undefined) break
     if (isEnough && target.entry.rack !== dataRack) continue
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -25,6 +25,12 @@
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordStoredTargets, handleTargetPublished, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
 
+/**
+ * Number of targets that the searches of one start pass examine. The steps that are left are served by the next passes, so
+ * that a backlog cannot keep the process from its other work.
+ */
+const SEARCH_BUDGET_TARGETS = 8_000
+
 /**
  * Schedules the steps of all jobs of a cell on its targets. It does no I/O and reads no clock: each event carries the
  * current time and returns the effects to perform.
@@ -53,6 +59,7 @@
       targets: new Map(),
       openTargets: new Map(),
       roomLog: RoomLog.create(),
+      searchBudget: SEARCH_BUDGET_TARGETS,
       evacuatedDomains: new Set(),
       storedTargets: new Set(),
       closedTargets: new Map(),
@@ -156,6 +163,7 @@
     this.state.now = now
     this.state.effects = []
     this.state.openTargets.clear()
+    this.state.searchBudget = SEARCH_BUDGET_TARGETS
   }
 
   private handle (event: CellEvent): void {
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -34,6 +34,8 @@
   readonly targets: Map<string, TargetState>
   /** By pool, the targets that accept work; made when first needed by an event or a start pass. */
   readonly openTargets: Map<string | undefined, OpenTargets>
+  /** Number of targets that searches for advice requests may still examine in this event or start pass. */
+  searchBudget: number
   /** Targets that may have more room than before, for steps that found none. */
   readonly roomLog: RoomLog
   readonly evacuatedDomains: Set<string>
--- a/test/workflow/backlog.test.ts
+++ b/test/workflow/backlog.test.ts
@@ -97,3 +97,25 @@
   harness.advance(600)
   assert.deepEqual(getRequests(harness.effects).map(({ targets }) => targets), [[target]])
 })
+
+/** Spreads the free capacity so that each target has some room in one resource and none has room for a task. */
+function createFragmentedCell (): CellHarness {
+  const harness = CellHarness.create(Array.from({ length: TARGETS }, (_, index) => buildEntry(`t${index}`, { capacity: index % 2 === 0 ? { cpuMillis: 500, memoryMiB: 1_000, accelerators: 0 } : { cpuMillis: 4_000, memoryMiB: 50, accelerators: 0 } })), CELL)
+  harness.apply({ type: 'advice-channels', channels: MEMBERS })
+  return harness
+}
+
+test('backlog: when each step has to search all targets, a pass examines a bounded number, and the next passes the rest', () => {
+  const harness = createFragmentedCell()
+  submitBacklog(harness)
+  const budget = 8_000
+  const examined: number[] = []
+  for (let pass = 0; pass < 20; pass++) {
+    harness.now += 1
+    examined.push(measurePass(harness).targets)
+  }
+  assert.ok(Math.max(...examined) <= budget + 2 * TARGETS, `${Math.max(...examined)} targets examined`)
+  const total = examined.reduce((sum, count) => sum + count, 0)
+  assert.ok(total >= STEPS * TARGETS, `${total} targets examined in all passes`)
+  assert.ok(examined.at(-1)! <= TARGETS, `${examined.at(-1)} targets examined once all steps have searched`)
+})
