Tell a target whose process has ended from a silent one in the logs; count lost runs and steps without advice

A target without an answer looked the same whether its process had crashed or the way to it was cut, and nothing said why a step has no advice.

A refused connection is the failure 'no-listener' (it was 'unreachable', as a host without a route is; the test of the client asks for the exact reason). Log fields cause, replaces, lostRuns, ageMs, unadvisedSteps, longestUnadvisedMs and the reason no-advice-channel.

--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -1,5 +1,6 @@
+import { NO_LISTENER } from '../ports/command-client.ts'
 import type { ListResponse, CommandClient } from '../ports/command-client.ts'
-import type { CellEvent } from '../workflow/event.ts'
+import type { CellEvent, SilenceCause } from '../workflow/event.ts'
 import { buildListRequest } from '../workflow/list-request.ts'
 import type { TargetState } from '../workflow/target-state.ts'
 import { delay } from './delay.ts'
@@ -81,7 +82,7 @@
     }
     this.lastListUnanswered = false
     if (response.type !== 'listed') {
-      applyEvent({ type: 'target-silent', id, refusal: response.type === 'refused' ? response.reason : undefined })
+      applyEvent({ type: 'target-silent', id, cause: toSilenceCause(response) })
       return delay(RETRY_DELAY_MS, this.stopped.signal)
     }
     applyEvent({ type: 'target-listed', id, sentAt, listing: response.listing })
@@ -90,3 +91,8 @@
     if (target.lastProcessed !== target.lastAcknowledged && response.listing.ended.length > 0) await delay(UNACKNOWLEDGED_PAUSE_MS, this.stopped.signal)
   }
 }
+
+function toSilenceCause (response: Exclude<ListResponse, { type: 'listed' }>): SilenceCause {
+  if (response.type === 'refused') return response.reason
+  return response.reason === NO_LISTENER ? NO_LISTENER : 'no-answer'
+}
--- a/src/ports/command-client.ts
+++ b/src/ports/command-client.ts
@@ -41,6 +41,9 @@
  */
 export type CommandRefusal = 'fenced' | 'superseded' | 'expired' | 'no-room' | 'no-ticket' | 'invalid' | 'unhealthy' | 'other-incarnation'
 
+/** Reason of an unanswered request: no process listens at the address, so that the target's process has ended. */
+export const NO_LISTENER = 'no-listener'
+
 /** Response to a command; `clockMs` is the time on the target's clock. */
 export type CommandResponse =
   | { readonly type: 'accepted', readonly clockMs: number | undefined }
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -213,12 +213,12 @@
     handleTargetPublished(this.state, { ...target.entry, incarnation: event.listing.incarnation })
   }
 
-  private handleTargetUnreachable ({ id, refusal }: Extract<CellEvent, { type: 'target-silent' }>): void {
+  private handleTargetUnreachable ({ id, cause }: Extract<CellEvent, { type: 'target-silent' }>): void {
     const target = this.state.targets.get(id)
-    if (refusal === 'fenced') this.state.effects.push({ type: 'fenced', target: id })
+    if (cause === 'fenced') this.state.effects.push({ type: 'fenced', target: id })
     if (target === undefined || !target.reachable) return
     target.reachable = false
-    log(this.state, 'warn', 'target-silent', { target: id, runs: target.runs.size, refusal: refusal ?? 'no-answer' })
+    log(this.state, 'warn', 'target-silent', { target: id, runs: target.runs.size, cause })
   }
 
   private handleCommandResponse (event: Extract<CellEvent, { type: 'start-answered' | 'stop-answered' }>): void {
--- a/src/workflow/cell-summary.ts
+++ b/src/workflow/cell-summary.ts
@@ -1,4 +1,5 @@
 import type { CellState } from './cell-state.ts'
+import { needsAdvice } from './placement.ts'
 import { acceptsWork } from './target-acceptance.ts'
 import { isStartable } from './startable.ts'
 
@@ -18,6 +19,9 @@
   readonly surplusTasks: number
   /** Steps with a pending advice request. */
   readonly askingSteps: number
+  /** Ready steps without any advice and without a pending request, and how long the oldest of their jobs has waited. */
+  readonly unadvisedSteps: number
+  readonly longestUnadvisedMs: number
 }
 
 /** Builds the summary of a cell. Capacity and bookings count only targets that accept new tasks. */
@@ -25,6 +29,7 @@
   const targets = [...state.targets.values()]
   const usable = targets.filter((target) => acceptsWork(state, target))
   const ready = [...state.openSteps].filter((step) => step.ready)
+  const unadvised = ready.filter((step) => needsAdvice(state, step) && !step.advice.hasResponse && !step.advice.requestPending)
   const waiting = ready.map((step) => ({ step, tasks: step.tasks.filter((task) => isStartable(task, state.now)).length }))
   return {
     jobs: [...state.jobs.values()].filter((job) => job.active).length,
@@ -37,7 +42,9 @@
     runs: total(targets.map(({ runs }) => runs.size)),
     waitingTasks: total(waiting.map(({ tasks }) => tasks)),
     surplusTasks: total(waiting.filter(({ step }) => step.job.exceedsShare).map(({ tasks }) => tasks)),
-    askingSteps: ready.filter((step) => step.advice.requestPending).length
+    askingSteps: ready.filter((step) => step.advice.requestPending).length,
+    unadvisedSteps: unadvised.length,
+    longestUnadvisedMs: Math.round(Math.max(0, ...unadvised.map((step) => state.now - step.job.acceptedAt)))
   }
 }
 
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -1,4 +1,4 @@
-import type { AdviceResponse, CachedAdvice, CommandResponse, CommandRefusal } from '../ports/command-client.ts'
+import type { AdviceResponse, CachedAdvice, CommandResponse, CommandRefusal, NO_LISTENER } from '../ports/command-client.ts'
 import type { CellConfiguration } from './cell-configuration.ts'
 import type { ClosedTargets } from './closed-targets.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
@@ -8,6 +8,9 @@
 /** Completions of one incarnation of a target that have been processed, up to and including `lastNumber`. */
 export type ProcessedCompletions = { readonly target: string, readonly incarnation: number, readonly lastNumber: number }
 
+/** Why a list request gave no listing: the target refused it, no process listens at its address, or there was no answer. */
+export type SilenceCause = CommandRefusal | typeof NO_LISTENER | 'no-answer'
+
 /** Input of the scheduler of a cell. Times are in milliseconds of the process's monotonic clock. */
 export type CellEvent =
   | { readonly type: 'configured', readonly configuration: CellConfiguration }
@@ -16,7 +19,7 @@
   | { readonly type: 'target-withdrawn', readonly id: string }
   /** `sentAt`: when the list request was sent; the listing is at least as recent. */
   | { readonly type: 'target-listed', readonly id: string, readonly sentAt: number, readonly listing: TargetListing }
-  | { readonly type: 'target-silent', readonly id: string, readonly refusal: CommandRefusal | undefined }
+  | { readonly type: 'target-silent', readonly id: string, readonly cause: SilenceCause }
   | { readonly type: 'start-answered', readonly target: string, readonly task: string, readonly run: number, readonly response: CommandResponse }
   | { readonly type: 'stop-answered', readonly target: string, readonly task: string, readonly run: number, readonly response: CommandResponse }
   | { readonly type: 'advised', readonly step: string, readonly requestedTargets: readonly string[], readonly response: AdviceResponse }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -134,7 +134,8 @@
 
 /** Removes a run that has certainly ended although no completion of it was listed. */
 export function removeLostRun (state: CellState, live: LiveRun, reason: string): void {
-  log(state, 'warn', 'run-lost', { task: live.task.key, run: live.run, target: live.target.id, reason })
+  live.task.lostRuns += 1
+  log(state, 'warn', 'run-lost', { task: live.task.key, run: live.run, target: live.target.id, reason, phase: live.phase, ageMs: Math.round(state.now - live.startedAt), lostRuns: live.task.lostRuns })
   count(state, 'run-lost', live.phase)
   removeRun(state, live)
 }
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,4 +1,4 @@
-import { requestAdvice } from './advice-requests.ts'
+import { mayRequestAdvice, requestAdvice } from './advice-requests.ts'
 import { log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { placeGang } from './gang-placement.ts'
@@ -39,7 +39,8 @@
   state.passWork.steps += 1
   if (needsAdvice(state, step) && !step.advice.hasResponse) {
     if (!isWithinMaximum(state, step.job, step.spec.demand)) logBlocked(state, step, 'maximum')
-    else requestAdvice(state, step)
+    else if (step.advice.requestPending || mayRequestAdvice(state, step)) requestAdvice(state, step)
+    else logBlocked(state, step, 'no-advice-channel')
     return
   }
   const candidates = findAllowedTargets(state, step)
@@ -68,7 +69,7 @@
 }
 
 /** Logs why a step waits whenever the reason changes. Returns true for callers to report that tickets would not help. */
-function logBlocked (state: CellState, step: StepRun, reason: 'maximum' | 'no-room'): true {
+function logBlocked (state: CellState, step: StepRun, reason: 'maximum' | 'no-room' | 'no-advice-channel'): true {
   if (step.blockedBy === reason) return true
   step.blockedBy = reason
   const { definition } = step.job
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -27,7 +27,13 @@
   state.targets.set(entry.id, target)
   state.effects.push({ type: 'watch-target', id: entry.id })
   if (!state.storedTargets.has(entry.id)) storeTargets(state)
-  log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation })
+  const replaced = known ?? findReplacedTarget(state, target)
+  log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation, replaces: replaced?.id ?? '' })
+}
+
+/** Finds the earlier target at the address of a new one. Only one process can listen there, so that the earlier one has ended. */
+function findReplacedTarget (state: CellState, { id, entry }: TargetState): TargetState | undefined {
+  return [...state.targets.values()].find((other) => other.id !== id && other.entry.address === entry.address && other.entry.incarnation < entry.incarnation)
 }
 
 /**
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -12,6 +12,8 @@
   /** Numbers of failed runs; a completion that is listed again after a change of owner counts once. */
   readonly failedRuns = new Set<number>()
   checkpoint = ''
+  /** Runs that ended without a completion, under this owner. */
+  lostRuns = 0
   /** Runs that may still be present on a target. A new run starts only when there is none, except for speculative tasks. */
   readonly runs = new Set<LiveRun>()
   /** Target on which the task last failed. */
--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -72,7 +72,7 @@
   await new Promise((resolve) => server.close(resolve))
   const client = HttpClient.create(`127.0.0.1:${port}`, 1)
   const result = await client.send({ method: 'POST', path: '/a', body: {}, timeoutMs: TIMEOUT_MS })
-  assert.deepEqual(result._unsafeUnwrapErr(), { reason: 'unreachable', sent: false })
+  assert.deepEqual(result._unsafeUnwrapErr(), { reason: 'no-listener', sent: false })
   client.close()
 })
 
--- a/test/workflow/closed-targets.test.ts
+++ b/test/workflow/closed-targets.test.ts
@@ -108,7 +108,7 @@
 
 const openTargets = [
   { guards: 'with runs of unknown jobs', prepare: (harness: CellHarness) => { harness.listTarget('t1', { running: [{ task: 'gone.0.0.0', run: 1, checkpoint: '', percent: 1, gauge: undefined }] }) } },
-  { guards: 'that is unreachable', prepare: (harness: CellHarness) => { harness.apply({ type: 'target-silent', id: 't1', refusal: undefined }) } }
+  { guards: 'that is unreachable', prepare: (harness: CellHarness) => { harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' }) } }
 ]
 
 for (const { guards, prepare } of openTargets) {
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -305,7 +305,7 @@
     if (epoch !== this.epoch) return
     const known = this.scheduler.getTarget(target.id)
     if (known === undefined || target.unreachableUntil > this.now) {
-      if (known?.reachable === true) this.apply({ type: 'target-silent', id: target.id, refusal: undefined })
+      if (known?.reachable === true) this.apply({ type: 'target-silent', id: target.id, cause: 'no-answer' })
       return this.schedule(250, () => this.pollTarget(target, epoch))
     }
     const request = buildListRequest(known, this.now, LEASE_MS)
