--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,8 +1,10 @@
-// Runs every test file below test/, or only those whose path contains one of the arguments.
+// Runs every test file below test/, or only those whose path contains one of the arguments. A test that is listed in
+// KNOWN-RED.txt may fail; its name is printed.
 import { run } from 'node:test'
 import { spec } from 'node:test/reporters'
-import { readdirSync } from 'node:fs'
+import { existsSync, readFileSync, readdirSync } from 'node:fs'
 import { join } from 'node:path'
+import { parseKnownRed } from './known-red.ts'
 
 const words = process.argv.slice(2)
 const files = readdirSync('test', { recursive: true })
@@ -21,14 +23,20 @@
 const FILE_TIMEOUT_MS = 240_000
 
 process.env.NODE_OPTIONS = '--import tsx'
+const knownRed = existsSync('KNOWN-RED.txt') ? parseKnownRed(readFileSync('KNOWN-RED.txt', 'utf8')) : new Set()
 const counts = { passed: 0, failed: 0 }
+const passedOver = []
 const stream = run({ files: files.map((file) => join(process.cwd(), file)), concurrency: CONCURRENT_FILES, timeout: FILE_TIMEOUT_MS })
 stream.on('test:pass', (event) => { if (event.details.type !== 'suite') counts.passed += 1 })
 stream.on('test:fail', (event) => {
+  if (knownRed.has(event.name)) return passedOver.push(event.name)
   if (event.details.type !== 'suite') counts.failed += 1
   process.exitCode = 1
 })
 stream.on('end', () => {
-  setImmediate(() => console.log(`\n${counts.passed} passed, ${counts.failed} failed`))
+  setImmediate(() => {
+    for (const name of passedOver) console.log(`known failure, listed in KNOWN-RED.txt: ${name}`)
+    console.log(`\n${counts.passed} passed, ${counts.failed} failed`)
+  })
 })
 stream.compose(spec).pipe(process.stdout)
