Give up a task under which targets crash, and start a suspected one alone

Cause: an attempt was counted only when its target listed an end of its run. A target that crashes lists nothing, so such a run was only 'lost' and its task started again without limit: under one leader up to 22 times, at the same place in the rank as before, on the targets that had come back, beside the tasks that it had taken down.

Change: a target that falls silent while it is not draining is stored with each task on it as a possible crash; another incarnation at its address, or under its id, confirms it, and a listing of the same incarnation withdraws it, so that a target that was only cut off counts for nothing. Tasks that had just started there are suspected. A suspect gets no copy, starts where nothing else has just started, and nothing else starts beside it for 300 ms. Its job fails after three crashes for which it was suspected, or four in all. Long-running tasks that had worked for a while are not suspected.

--- a/src/controller/record-guards.ts
+++ b/src/controller/record-guards.ts
@@ -1,3 +1,4 @@
+import type { StoredCrashes } from '../workflow/crash-record.ts'
 import { isFinalPhase } from '../workflow/job.ts'
 import type { JobDefinition, JobPhase, Step } from '../workflow/job.ts'
 import type { JobProgress, StepProgress } from '../workflow/progress-record.ts'
@@ -31,7 +32,12 @@
 
 function isStepProgress (value: unknown): value is StepProgress {
   return isObject(value) && isString(value.done) && HEXADECIMAL.test(value.done) && isRunNumbers(value.gangFailedRuns) &&
-    isObject(value.failedRuns) && Object.values(value.failedRuns).every(isRunNumbers)
+    isObject(value.failedRuns) && Object.values(value.failedRuns).every(isRunNumbers) &&
+    (value.crashes === undefined || (isObject(value.crashes) && Object.values(value.crashes).every(isStoredCrashes)))
+}
+
+function isStoredCrashes (value: unknown): value is StoredCrashes {
+  return isObject(value) && isObject(value.confirmed) && isObject(value.possible)
 }
 
 function isRunNumbers (value: unknown): boolean {
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -1,4 +1,5 @@
 import { assertNever } from '../util/assert-never.ts'
+import { NO_LISTENER } from '../ports/command-client.ts'
 import { prefetchAdvice, restoreCachedAdvice, handleAdviceResponse } from './advice-requests.ts'
 import { removeExpiredRuns, resendCommands, handleStartResponse, handleStopResponse } from './command-responses.ts'
 import type { CellConfiguration } from './cell-configuration.ts'
@@ -16,6 +17,7 @@
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
 import { restoreClosedTargets } from './closed-targets.ts'
+import { confirmCrash, indexRestoredCrashes, prunePossibleCrashes, recordPossibleCrash } from './crashes.ts'
 import { throttleTargets } from './throttling.ts'
 import { RoomLog } from './room-log.ts'
 import type { JobProgress } from './progress-record.ts'
@@ -60,6 +62,7 @@
       openTargets: new Map(),
       roomLog: RoomLog.create(),
       searchBudget: SEARCH_BUDGET_TARGETS,
+      possibleCrashes: new Map(),
       evacuatedDomains: new Set(),
       storedTargets: new Set(),
       closedTargets: new Map(),
@@ -188,7 +191,9 @@
         return
       case 'advice-known': return restoreCachedAdvice(state, event.advice)
       case 'job-accepted': return acceptJob(state, event.definition)
-      case 'job-restored': return restoreJob(state, event.definition, event.progress)
+      case 'job-restored':
+        restoreJob(state, event.definition, event.progress)
+        return indexRestoredCrashes(state, event.definition.id)
       case 'ended-job-restored':
         // Without a final phase it is a job that must not be started; it is kept until its record has been repaired.
         state.endedJobs.set(event.id, { phase: event.phase, endedAt: isFinalPhase(event.phase) ? state.now : Infinity })
@@ -216,8 +221,12 @@
   private handleTargetUnreachable ({ id, cause }: Extract<CellEvent, { type: 'target-silent' }>): void {
     const target = this.state.targets.get(id)
     if (cause === 'fenced') this.state.effects.push({ type: 'fenced', target: id })
-    if (target === undefined || !target.reachable) return
+    if (target === undefined) return
+    target.processEnded = cause === NO_LISTENER || cause === 'other-incarnation'
+    if (cause === 'other-incarnation') confirmCrash(this.state, target)
+    if (!target.reachable) return
     target.reachable = false
+    recordPossibleCrash(this.state, target)
     log(this.state, 'warn', 'target-silent', { target: id, runs: target.runs.size, cause })
   }
 
@@ -256,6 +265,7 @@
     resendCommands(state)
     removeExpiredRuns(state)
     removeGoneTargets(state)
+    prunePossibleCrashes(state)
     pruneStoredTargets(state)
     stopStragglers(state)
     throttleTargets(state)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -39,6 +39,8 @@
   /** Targets that may have more room than before, for steps that found none. */
   readonly roomLog: RoomLog
   readonly evacuatedDomains: Set<string>
+  /** Incarnations of targets that may have crashed, and the tasks that ran there. */
+  readonly possibleCrashes: Map<string, Set<Task>>
   /** Targets that are on the stored list of targets that may have runs. */
   readonly storedTargets: Set<string>
   /** Targets that are stored as closed: they get no starts, and only these tasks may run there. */
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -2,6 +2,7 @@
 import { count, findTask, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { releaseTasks } from './closed-targets.ts'
+import { withdrawCrash } from './crashes.ts'
 import { countFailure, findListedTask, finishTask } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
 import { addRun, removeRun, sendStop } from './runs.ts'
@@ -33,6 +34,8 @@
   const isFirstListing = !target.listed
   target.listed = true
   target.reachable = true
+  target.processEnded = false
+  withdrawCrash(state, target)
   if (isFirstListing) releaseTasks(state, target)
 }
 
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -1,5 +1,6 @@
 import { isUrgent, findQueue, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import { hasRecentStart } from './crash-suspicion.ts'
 import type { Demand } from './job.ts'
 import { addDemands } from './job.ts'
 import { getOpenTargets } from './open-targets.ts'
@@ -22,7 +23,7 @@
 const USABLE_MAXIMUM_RATIO = { exceedsShare: 0.6, urgent: 1, nonUrgent: 0.85 } as const
 
 /** Weights in the score of a target, relative to its ratio of free capacity. */
-const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5 } as const
+const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5 } as const
 /** Upper limit of the excess duration that lowers the score of a target, in multiples of the declared duration. */
 const MAX_SLOWNESS_FACTOR = 6
 
@@ -92,7 +93,7 @@
   state.passWork.targets += candidates.length
   for (const target of candidates) {
     if (!canStart(state, target, task) || isAvoided(state, target, task)) continue
-    const score = computeScore(state, target, task.step)
+    const score = computeScore(state, target, task.step) - computeTrialPenalty(state, target, task)
     if (score <= bestScore) continue
     best = target
     bestScore = score
@@ -100,6 +101,11 @@
   return best
 }
 
+/** A task that may crash its target prefers targets where nothing else has just started, so that a crash can be attributed. */
+function computeTrialPenalty (state: CellState, target: TargetState, { crashes }: Task): number {
+  return crashes.isSuspect && hasRecentStart(state, target) ? SCORE_WEIGHTS.recentStart : 0
+}
+
 /** Whether the task avoids the target because of recent failures. The last attempt uses trusted targets only. */
 function isAvoided (state: CellState, target: TargetState, task: Task): boolean {
   if (task.step.spec.longRunning) return false
--- a/src/workflow/progress-record.ts
+++ b/src/workflow/progress-record.ts
@@ -1,3 +1,4 @@
+import type { StoredCrashes } from './crash-record.ts'
 import type { Job, StepRun } from './task.ts'
 import type { JobPhase } from './job.ts'
 
@@ -6,6 +7,8 @@
   readonly done: string
   readonly failedRuns: Readonly<Record<string, readonly number[]>>
   readonly gangFailedRuns: readonly number[]
+  /** By task index; missing in records without any. */
+  readonly crashes?: Readonly<Record<string, StoredCrashes>>
 }
 
 /** Stored progress of a job. With the definition it is enough for a new owner to continue the job. */
@@ -50,11 +53,13 @@
 function toStepProgress (step: StepRun): StepProgress {
   let bits = 0n
   const failedRuns: Record<string, readonly number[]> = {}
+  const crashes: Record<string, StoredCrashes> = {}
   for (const task of step.tasks) {
     if (task.phase === 'done') bits |= 1n << BigInt(task.index)
+    if (!task.crashes.isEmpty) crashes[String(task.index)] = task.crashes.toStored()
     if (task.failures > 0) failedRuns[String(task.index)] = [...task.failedRuns]
   }
-  return { done: bits.toString(16), failedRuns, gangFailedRuns: [...step.gangFailedRuns] }
+  return { done: bits.toString(16), failedRuns, gangFailedRuns: [...step.gangFailedRuns], ...(Object.keys(crashes).length === 0 ? {} : { crashes }) }
 }
 
 function restoreStepProgress (step: StepRun, stored: StepProgress): void {
@@ -62,6 +67,8 @@
   for (const run of stored.gangFailedRuns) step.gangFailedRuns.add(run)
   for (const task of step.tasks) {
     for (const run of stored.failedRuns[String(task.index)] ?? []) task.failedRuns.add(run)
+    const crashes = stored.crashes?.[String(task.index)]
+    if (crashes !== undefined) task.crashes.restore(crashes)
     if ((bits >> BigInt(task.index) & 1n) === 0n) continue
     task.phase = 'done'
     step.unfinishedTasks -= 1
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -62,6 +62,7 @@
   if (clockMs === undefined) return
   const leaseUntilMs = Math.floor(clockMs + state.options.leaseMs)
   target.leaseUntilMs = Math.max(target.leaseUntilMs, leaseUntilMs)
+  if (live.sendCount === 0) target.lastStartAt = state.now
   live.sendCount += 1
   live.lastSentAt = state.now
   const { payload } = task.step.job.definition
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,6 +1,7 @@
 import { mayRequestAdvice, requestAdvice } from './advice-requests.ts'
 import { log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import { beginTrials } from './crash-suspicion.ts'
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
@@ -85,6 +86,7 @@
   const live = addRun(state, { task, run: state.lastRunNumber, target, phase: 'starting', ticket })
   markJobStarted(state, step)
   sendStart(state, live)
+  beginTrials(state, [live])
 }
 
 /** Starts a gang; returns false if more tickets could help. */
@@ -101,6 +103,7 @@
   state.lastRunNumber = run
   markJobStarted(state, step)
   for (const live of placed) sendStart(state, live)
+  beginTrials(state, placed)
   return true
 }
 
--- a/src/workflow/startable.ts
+++ b/src/workflow/startable.ts
@@ -1,3 +1,4 @@
+import { mayCopy } from './crash-suspicion.ts'
 import type { LiveRun } from './live-run.ts'
 import type { StepRun, Task } from './task.ts'
 
@@ -15,7 +16,7 @@
 export function isStartable (task: Task, now: number): boolean {
   if (task.phase === 'done') return false
   if (task.runs.size === 0) return task.phase === 'waiting'
-  if (!task.step.spec.speculative || task.runs.size >= MAX_COPIES) return false
+  if (!task.step.spec.speculative || task.runs.size >= MAX_COPIES || !mayCopy(task)) return false
   for (const live of task.runs) {
     if (live.phase !== 'stopping' && live.target.reachable && !isSlow(live, now)) return false
   }
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -30,6 +30,10 @@
   lastAcknowledged = 0
   /** Latest lease expiry that any command or list request has set, on the target's clock. */
   leaseUntilMs = 0
+  /** Whether its host refuses connections or another target responds there; reset by a listing. */
+  processEnded = false
+  /** When the last start command was sent, on the scheduler's clock. */
+  lastStartAt = -Infinity
   /** No task starts before this time, on the scheduler's clock. */
   pausedUntil = 0
   /** Number of listed runs of unknown jobs; their demand is unknown too. */
@@ -68,6 +72,11 @@
     this.clock = { clockMs, readAt: now }
   }
 
+  /** When it last responded, on the scheduler's clock. */
+  get lastHeardAt (): number {
+    return this.clock?.readAt ?? this.firstSeenAt
+  }
+
   /** Upper estimate of the time on the target's clock; undefined before its first response. */
   estimateClockMs (now: number): number | undefined {
     return this.clock === undefined ? undefined : this.clock.clockMs + (now - this.clock.readAt)
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -1,6 +1,7 @@
 import { log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
+import { confirmCrash, confirmReplacedCrashes } from './crashes.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
 
@@ -22,18 +23,18 @@
   }
   if (known !== undefined && known.entry.incarnation > entry.incarnation) return
   const target = TargetState.create(entry, state.now)
-  if (known !== undefined) transferRuns(known, target)
+  if (known !== undefined) replaceTarget(state, known, target)
+  confirmReplacedCrashes(state, entry)
   if (known !== undefined || !entry.draining) state.closedTargets.delete(entry.id)
   state.targets.set(entry.id, target)
   state.effects.push({ type: 'watch-target', id: entry.id })
   if (!state.storedTargets.has(entry.id)) storeTargets(state)
-  const replaced = known ?? findReplacedTarget(state, target)
-  log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation, replaces: replaced?.id ?? '' })
+  log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation })
 }
 
-/** Finds the earlier target at the address of a new one. Only one process can listen there, so that the earlier one has ended. */
-function findReplacedTarget (state: CellState, { id, entry }: TargetState): TargetState | undefined {
-  return [...state.targets.values()].find((other) => other.id !== id && other.entry.address === entry.address && other.entry.incarnation < entry.incarnation)
+function replaceTarget (state: CellState, previous: TargetState, next: TargetState): void {
+  confirmCrash(state, previous)
+  transferRuns(previous, next)
 }
 
 /**
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -1,3 +1,4 @@
+import { CrashRecord } from './crash-record.ts'
 import type { JobDefinition, JobPhase, Step, TaskKey } from './job.ts'
 import { isFinalPhase, formatStepKey, formatTaskKey } from './job.ts'
 import type { LiveRun } from './live-run.ts'
@@ -11,6 +12,7 @@
   private currentPhase: TaskPhase = 'waiting'
   /** Numbers of failed runs; a completion that is listed again after a change of owner counts once. */
   readonly failedRuns = new Set<number>()
+  readonly crashes = CrashRecord.create()
   checkpoint = ''
   /** Runs that ended without a completion, under this owner. */
   lostRuns = 0
--- a/test/workflow/crashing-cell.ts
+++ b/test/workflow/crashing-cell.ts
@@ -120,7 +120,7 @@
     machine.runs.set(task, { run, endsAt: task.startsWith('deadly') ? Infinity : this.now + RUN_MS })
     if (task === 'deadly.0.0.0') {
       this.crashingStarts += 1
-      return this.crash(machine)
+      return this.schedule(CRASH_DELAY_MS, () => this.crash(machine))
     }
     const { term } = this
     this.schedule(1, () => { if (term === this.term) this.apply({ type: 'start-answered', target, task, run, response: { type: 'accepted', clockMs: this.now } }) })
@@ -132,6 +132,7 @@
     const id = evidence === 'port-closed' || evidence === 'replaced' ? `t${this.nextTarget++}` : entry.id
     machine.downUntil = this.now + (evidence === 'silent' ? RETURN_MS : RESTART_MS)
     machine.runs.clear()
+    if (this.options.step?.gang === true) this.breakGang()
     if (evidence === 'silent') this.schedule(WITHDRAWN_MS, () => this.apply({ type: 'target-withdrawn', id: entry.id }))
     else machine.ended = []
     this.schedule(machine.downUntil - this.now, () => {
@@ -144,6 +145,21 @@
     })
   }
 
+  /** Ends the other members of the crashing task's gang. */
+  private breakGang (): void {
+    for (const machine of this.machines) {
+      for (const [task, { run }] of [...machine.runs]) {
+        if (task.startsWith('deadly')) this.endRun(machine, task, run, 'gang-broken')
+      }
+    }
+  }
+
+  private endRun (machine: Machine, task: string, run: number, outcome: ListedCompletion['outcome']): void {
+    machine.runs.delete(task)
+    machine.number += 1
+    machine.ended.push({ number: machine.number, task, run, outcome, checkpoint: '' })
+  }
+
   private list (machine: Machine): void {
     const { entry, runs } = machine
     if (machine.downUntil > this.now) {
@@ -151,10 +167,7 @@
       return this.apply({ type: 'target-silent', id: entry.id, cause })
     }
     for (const [task, { run, endsAt }] of [...runs]) {
-      if (endsAt > this.now) continue
-      runs.delete(task)
-      machine.number += 1
-      machine.ended.push({ number: machine.number, task, run, outcome: 'done', checkpoint: '' })
+      if (endsAt <= this.now) this.endRun(machine, task, run, 'done')
     }
     const running: readonly ListedRun[] = [...runs].map(([task, { run }]) => ({ task, run, checkpoint: '', percent: 0, gauge: undefined }))
     this.apply({ type: 'target-listed', id: entry.id, sentAt: this.now - 1, listing: { incarnation: entry.incarnation, clockMs: this.now, running, ended: machine.ended } })
--- a/test/workflow/crashing-tasks.test.ts
+++ b/test/workflow/crashing-tasks.test.ts
@@ -3,6 +3,7 @@
 import type { Step } from '../../src/workflow/job.ts'
 import { CrashingCell } from './crashing-cell.ts'
 import type { CrashEvidence } from './crashing-cell.ts'
+import { CellHarness, buildEntry, buildJob } from './harness.ts'
 
 /** The rule allows two more starts after the third target has crashed under a task; a third one breaks it. */
 const MAX_STARTS = 5
@@ -45,3 +46,25 @@
   assert.ok(cell.crashingStarts > MAX_STARTS, `${cell.crashingStarts} starts`)
   assert.equal(cell.getPhase('deadly'), 'running')
 })
+
+const reports = [
+  { guards: 'twice by another target that answers at its address', report: ['other-incarnation', 'other-incarnation', 'replaced'] },
+  { guards: 'by an answer and by a new entry', report: ['replaced', 'other-incarnation'] },
+  { guards: 'by closed ports alone', report: ['no-listener', 'no-listener', 'no-listener'] }
+] as const
+
+// A task was given up after one crash, because each sign of it was counted.
+for (const { guards, report } of reports) {
+  test(`cell: a crash that is reported ${guards} does not give up the task`, () => {
+    const harness = CellHarness.create([buildEntry('t1'), buildEntry('t2'), buildEntry('t3')])
+    harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+    const [start] = harness.getStarts()
+    const id = start!.target
+    for (const sign of report) {
+      harness.advance(100)
+      if (sign === 'replaced') harness.apply({ type: 'target-published', entry: buildEntry('t4', { address: `${id}:80`, incarnation: 2 }) })
+      else harness.apply({ type: 'target-silent', id, cause: sign })
+    }
+    assert.equal(harness.scheduler.getPhase('a'), 'running')
+  })
+}
