Let both timers of the busy-process test be due at once

The test failed once in a full run, beside no other load: 'timeout' in place of the late response. Its second timer is registered after the first; when a millisecond passes in between, the loop runs them in two turns, which is not the case that the test is about. Traced: of 3,000 such pairs 7 ran in two turns; with 3 ms between them 2,965; none of 3,000 while the process stays busy until both are due, as the test's name says and it now does. The expected outcome is unchanged.

--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -7,6 +7,7 @@
 import { HttpExchange } from '../../platform/http-exchange.ts'
 
 const TIMEOUT_MS = 300
+const BUSY_MS = 5
 
 type ServerCase = { readonly scenario: string, readonly onRequest: (socket: Socket) => void, readonly expected: unknown }
 
@@ -85,5 +86,12 @@
     exchange.onResponseStart(controller, 200)
     exchange.onResponseEnd()
   }, 0)
+  stayBusy(BUSY_MS)
   assert.deepEqual(await exchange.outcome, { type: 'answered', response: { status: 200, body: undefined } })
 })
+
+/** Keeps the process busy until both timers of the test are due in one turn of the event loop. */
+function stayBusy (durationMs: number): void {
+  const until = performance.now() + durationMs
+  while (performance.now() < until);
+}
