Count a restart of the target under a task as a failed attempt in the groups, too

Change: a completion 'crashed', given when a target lists its tasks after a restart and the run is not among them, counts like 'failed': growing delays, and the task is given up after five. A target that only fell silent still gives 'lost', which does not count.

The test failed before with 600 starts in 300 s and passes with five or fewer.

--- a/src/group/completions.ts
+++ b/src/group/completions.ts
@@ -34,7 +34,8 @@
     case 'succeeded': return entry.work.kind === 'service'
     case 'stopped': return entry.work.idempotent || (outcome?.type === 'stopped' && outcome.checkpointed)
     case 'failed': return entry.work.kind === 'service' || (entry.work.kind !== 'request' && entry.work.idempotent)
-    case 'lost': return entry.work.idempotent || entry.work.kind === 'service'
+    case 'lost':
+    case 'crashed': return entry.work.idempotent || entry.work.kind === 'service'
   }
 }
 
--- a/src/group/target-reports.ts
+++ b/src/group/target-reports.ts
@@ -12,7 +12,7 @@
 /**
  * Compares the tasks that an adopted target lists with those that should run there.
  *
- * A running task that is not listed was lost in a restart of the target. A task whose start got no response and that is
+ * A running task that is not listed was lost in a restart of the target, which it may have caused. A task whose start got no response and that is
  * not listed has not run, unless the target has restarted since the start was sent. A copy of the start that is still in
  * transit carries the previous lease number and is refused.
  *
@@ -34,7 +34,7 @@
     const task = state.tasks.get(taskId)
     if (task === undefined || task.targetId !== session.id || listedTaskIds.has(taskId)) continue
     if (task.phase === 'waiting' || task.phase === 'intent') continue
-    endAttempt(state, now, task, mayHaveStarted(state, task, now - response.upMs) ? 'lost' : 'not-started', undefined)
+    endAttempt(state, now, task, mayHaveStarted(state, task, now - response.upMs) ? 'crashed' : 'not-started', undefined)
   }
 }
 
--- a/src/scheduling/event.ts
+++ b/src/scheduling/event.ts
@@ -6,9 +6,10 @@
 
 /**
  * How a run on a target ended, as far as the scheduler needs to know.
- * `not-started`: the target refused the start; the task has not run.
+ * `lost`: the lease of its target has lapsed. `crashed`: its target has restarted under it. `not-started`: the target refused
+ * the start; the task has not run.
  */
-export type TaskCompletion = 'succeeded' | 'failed' | 'stopped' | 'lost' | 'not-started'
+export type TaskCompletion = 'succeeded' | 'failed' | 'stopped' | 'lost' | 'crashed' | 'not-started'
 
 /** An input event of the scheduler of one group; `now` is in milliseconds and never decreases. */
 export type SchedulerEvent = { readonly now: number } & (
--- a/src/scheduling/retries.ts
+++ b/src/scheduling/retries.ts
@@ -5,7 +5,7 @@
 import type { TaskCompletion } from './event.ts'
 import { type Job, addWaitingIndex, type Task } from './task.ts'
 
-/** Number of failed attempts after which a task is given up; tasks of services are never given up. */
+/** Number of attempts that failed or crashed their target after which a task is given up; tasks of services are never given up. */
 const MAX_FAILURES = 5
 const FIRST_RETRY_DELAY_MS = 200
 const MAX_RETRY_DELAY_MS = 30_000
--- a/test/group/group.test.ts
+++ b/test/group/group.test.ts
@@ -133,3 +133,25 @@
   harness.advance(10_000)
   assert.equal(countRunning(), 0)
 })
+
+const MAX_STARTS = 5
+
+// The same task crashed target after target, because a run that was lost in a restart of its target was not counted.
+test('group: a task under which its targets restart again and again is given up before its sixth start', () => {
+  const targets = new Map(['t1', 't2', 't3'].map((id) => [id, InMemoryTarget.create({ capacity: CAPACITY })]))
+  const harness = GroupHarness.create(targets, 1, [])
+  harness.advance(500)
+  harness.grant({ ...GRANT, ...ONE_SLOT })
+  harness.submit(createRequest('g0-b', { payload: { runMs: 600_000 } }))
+  const seen = new Map<string, number>()
+  for (let step = 0; step < 600; step += 1) {
+    harness.advance(500)
+    for (const [id, target] of targets) {
+      if (target.executions.length === (seen.get(id) ?? 0)) continue
+      seen.set(id, target.executions.length)
+      target.restart(harness.now)
+    }
+  }
+  const starts = [...targets.values()].reduce((sum, { executions }) => sum + executions.length, 0)
+  assert.ok(starts > 1 && starts <= MAX_STARTS, `${starts} starts`)
+})
