Do not resend a start to a target whose capacity has shrunk

A start that got no answer was sent again every 150 ms, whatever the target said of its capacity meanwhile; if the first one had been lost, the second one brought the target over a capacity that had shrunk (LIMIT).

Change: such a start is stopped, with the other members of its gang; the task starts where there is room.

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -5,6 +5,7 @@
 import { countFailure } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
 import { removeRun, sendStart, sendStop } from './runs.ts'
+import { isOverCapacity } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 
 /** A target that refused a start gets no other start for this time, in milliseconds. */
@@ -90,12 +91,20 @@
 function resendCommand (state: CellState, live: LiveRun): void {
   if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.options.resendAfterMs) return
   switch (live.phase) {
-    case 'starting': return live.task.step.job.active ? sendStart(state, live) : sendStop(state, live, 'the job has ended')
+    case 'starting': return resendStart(state, live)
     case 'stopping': return sendStop(state, live, 'no response')
     case 'running':
   }
 }
 
+/** Resends a start, unless it is not wanted any more or would bring its target over a capacity that has shrunk. */
+function resendStart (state: CellState, live: LiveRun): void {
+  if (!live.task.step.job.active) return sendStop(state, live, 'the job has ended')
+  if (!isOverCapacity(live.target)) return sendStart(state, live)
+  sendStop(state, live, 'the capacity of its target has shrunk')
+  stopGangMembers(state, live)
+}
+
 /** Removes the runs of unreachable targets whose leases have certainly expired. */
 export function removeExpiredRuns (state: CellState): void {
   for (const target of state.targets.values()) {
--- a/src/workflow/target-acceptance.ts
+++ b/src/workflow/target-acceptance.ts
@@ -26,6 +26,12 @@
   return booked.memoryMiB + demand.memoryMiB <= capacity.memoryMiB && booked.accelerators + demand.accelerators <= capacity.accelerators
 }
 
+/** Whether more is booked on a target than its capacity, which may have shrunk since. */
+export function isOverCapacity (target: TargetState): boolean {
+  const free = target.getFreeCapacity()
+  return free.cpuMillis < 0 || free.memoryMiB < 0 || free.accelerators < 0
+}
+
 /** Counts the tasks of the step that fit a target. Advice is not checked. */
 export function countFreeSlots (target: TargetState, { spec }: StepRun): number {
   const { demand } = spec
