Start nothing on a target that has restarted until its new entry is read

A listing of a newer incarnation was taken together with the capacity and labels of the entry before, although a target may come back as one of another kind: a start could bring it over its capacity (LIMIT). Found by reading.

Change: such a target accepts no tasks until the entry of this incarnation is read. The test failed before: a task started on it at once.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -25,7 +25,7 @@
 import { runStartPass } from './start-pass.ts'
 import { stopStragglers } from './stragglers.ts'
 import type { TargetState } from './target-state.ts'
-import { removeGoneTargets, recordStoredTargets, handleTargetPublished, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
+import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
 
 /**
  * Number of targets that the searches of one start pass examine. The steps that are left are served by the next passes, so
@@ -214,8 +214,7 @@
     if (target === undefined) return
     if (target.matchesIncarnation(event.listing)) return handleListing(this.state, target, event.listing, event.sentAt)
     if (event.listing.incarnation < target.entry.incarnation) return
-    // The target restarted before its new entry was read. Capacity and labels are updated with the next entry.
-    handleTargetPublished(this.state, { ...target.entry, incarnation: event.listing.incarnation })
+    handleTargetRestarted(this.state, target, event.listing.incarnation)
   }
 
   private handleTargetUnreachable ({ id, cause }: Extract<CellEvent, { type: 'target-silent' }>): void {
--- a/src/workflow/target-acceptance.ts
+++ b/src/workflow/target-acceptance.ts
@@ -8,7 +8,7 @@
 
 /** Whether a target accepts new tasks at all. */
 export function acceptsWork (state: CellState, target: TargetState): boolean {
-  return target.reachable && target.listed && target.published && target.unknownRunCount === 0 && !target.entry.draining &&
+  return target.reachable && target.listed && target.published && !target.awaitsEntry && target.unknownRunCount === 0 && !target.entry.draining &&
     target.pausedUntil <= state.now && !state.evacuatedDomains.has(target.entry.failureDomain) && state.storedTargets.has(target.id)
 }
 
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -51,6 +51,8 @@
   /** Moving average of run durations as a multiple of the declared ones. */
   slowness = 1
   entry: TargetEntry
+  /** Whether its entry is that of an earlier incarnation, so that its capacity is unknown. */
+  awaitsEntry = false
   /** Whether the entry is still published. */
   published = true
   private clock: { readonly clockMs: number, readonly readAt: number } | undefined
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -17,6 +17,7 @@
     if (known.entry.draining !== entry.draining) log(state, 'info', 'target-state', { target: entry.id, draining: entry.draining })
     known.entry = entry
     known.published = true
+    known.awaitsEntry = false
     if (!entry.draining) state.closedTargets.delete(entry.id)
     if (!state.storedTargets.has(entry.id) && mayHoldRuns(state, known)) storeTargets(state)
     return
@@ -32,6 +33,15 @@
   log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation })
 }
 
+/**
+ * Handles a listing of an incarnation whose entry has not been read. It may be of another kind, so it gets no tasks until its
+ * capacity and labels are known.
+ */
+export function handleTargetRestarted (state: CellState, target: TargetState, incarnation: number): void {
+  handleTargetPublished(state, { ...target.entry, incarnation })
+  state.targets.get(target.id)!.awaitsEntry = true
+}
+
 function replaceTarget (state: CellState, previous: TargetState, next: TargetState): void {
   confirmCrash(state, previous)
   transferRuns(previous, next)
--- a/test/workflow/shrinking-capacity.test.ts
+++ b/test/workflow/shrinking-capacity.test.ts
@@ -39,3 +39,16 @@
   harness.advance(200)
   assert.equal(harness.getCommands('stop').length, 2)
 })
+
+// LIMIT: a target that had started again as one of another kind got tasks for the capacity that it had before.
+test('cell: a target that has started again gets no tasks until its new capacity is known', () => {
+  const harness = createHarnessWithTarget()
+  harness.listTarget('t1', { incarnation: 2 })
+  harness.listTarget('t1', { incarnation: 2 })
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  assert.equal(harness.getStarts().length, 0, 'capacity unknown')
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2, capacity: { cpuMillis: 500, memoryMiB: 1_000, accelerators: 0 } }) })
+  assert.equal(harness.getStarts().length, 0, 'too small')
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  assert.equal(harness.getStarts().length, 1)
+})
