--- a/src/workflow/crashes.ts
+++ b/src/workflow/crashes.ts
@@ -26,11 +26,17 @@
 function addPossibleCrash (state: CellState, live: LiveRun, incarnation: string): void {
   const { task } = live
   const suspected = hasJustStarted(live)
-  storeProgress(state, task)
-  // A long-running task that has worked for a while has shown that its start does not crash its target.
-  if (task.step.spec.longRunning && !suspected) return task.crashes.clear()
+  if (task.step.spec.longRunning && !suspected) return clearCrashes(state, task)
   task.crashes.addPossible(incarnation, suspected)
   indexPossibleCrash(state, task, incarnation)
+  storeProgress(state, task)
+}
+
+/** Clears the crashes under a long-running task that has worked for a while: its start does not crash its target. */
+function clearCrashes (state: CellState, task: Task): void {
+  if (task.crashes.isEmpty) return
+  task.crashes.clear()
+  storeProgress(state, task)
 }
 
 function indexPossibleCrash (state: CellState, task: Task, incarnation: string): void {
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -2,6 +2,7 @@
 import type { CellState } from './cell-state.ts'
 import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
 import { confirmCrash, confirmReplacedCrashes } from './crashes.ts'
+import { sendStop } from './runs.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
 
@@ -44,18 +45,20 @@
 
 function replaceTarget (state: CellState, previous: TargetState, next: TargetState): void {
   confirmCrash(state, previous)
-  transferRuns(previous, next)
+  transferRuns(state, previous, next)
 }
 
 /**
  * Moves the runs of the previous incarnation to the next one. A recent start command may have reached the new incarnation
- * before its entry was read, so only the next listing shows which runs are gone.
+ * before its entry was read, so only the next listing shows which runs are gone. It is stopped, not resent: the target may be
+ * of another kind now.
  */
-function transferRuns (previous: TargetState, next: TargetState): void {
+function transferRuns (state: CellState, previous: TargetState, next: TargetState): void {
   for (const live of [...previous.runs.values()]) {
     previous.remove(live)
     live.target = next
     next.add(live)
+    if (live.phase === 'starting') sendStop(state, live, 'its target has restarted')
   }
 }
 
--- a/test/workflow/shrinking-capacity.test.ts
+++ b/test/workflow/shrinking-capacity.test.ts
@@ -52,3 +52,14 @@
   harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
   assert.equal(harness.getStarts().length, 1)
 })
+
+// BUDGET, LIMIT: a start without an answer was resent to the next incarnation of its target, beside whatever started there.
+test('cell: a start without an answer is not resent to the next incarnation of its target', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  const [start] = harness.getStarts()
+  harness.publishTarget(buildEntry('t1', { incarnation: 2 }))
+  harness.advance(200)
+  assert.deepEqual(harness.getStarts().filter(({ command }) => command.run === start!.command.run), [start])
+  assert.equal(harness.getCommands('stop').at(-1)?.command.run, start!.command.run)
+})
