Count the crash of a target only for runs that this incarnation had

A task was given up after one crash: its run was carried to the next incarnation under the same id until that one would list its runs, and crashes of that one and the next were counted for it, too.

Change: a run that only an earlier incarnation had does not count until it is listed.

Tests: the new case failed before. The cases on signs of one crash looked at the phase that callers see, which stays 'running' until it is stored, and could not fail; they and the new one now look at the end of the job itself.

--- a/src/workflow/crashes.ts
+++ b/src/workflow/crashes.ts
@@ -9,13 +9,14 @@
 
 /**
  * Records that a target may have crashed under its runs. It has fallen silent, which does not show that: a target that cannot
- * be reached may come back with its runs. The tasks that had just started there are suspected if it has crashed.
+ * be reached may come back with its runs. The tasks that had just started there are suspected if it has crashed. Runs that are
+ * booked there only because an earlier incarnation had them do not count again.
  */
 export function recordPossibleCrash (state: CellState, target: TargetState): void {
   if (target.entry.draining) return
   const incarnation = formatIncarnation(target.entry)
   for (const live of target.runs.values()) {
-    if (isRelevant(live.task)) addPossibleCrash(state, live, incarnation)
+    if (isRelevant(live.task) && !live.carriedOver) addPossibleCrash(state, live, incarnation)
   }
 }
 
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -103,6 +103,7 @@
 function handleListedRun (state: CellState, target: TargetState, listed: ListedRun): boolean {
   const live = target.find(listed.task, listed.run) ?? adoptRun(state, target, listed)
   if (live === undefined) return false
+  live.carriedOver = false
   if (live.phase === 'starting') {
     live.phase = 'running'
     live.respondedAt = state.now
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -13,6 +13,8 @@
   readonly run: number
   /** Replaced when the target restarts with the same id. */
   target: TargetState
+  /** Whether it started on an earlier incarnation of the target and has not been listed by this one. */
+  carriedOver: boolean
   /** Whether its queue has the highest priority. */
   readonly urgent: boolean
   phase: LivePhase
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -19,6 +19,7 @@
     task,
     run,
     target,
+    carriedOver: false,
     urgent: isUrgent(state, task.step.job.definition),
     phase,
     ticket,
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -57,6 +57,7 @@
   for (const live of [...previous.runs.values()]) {
     previous.remove(live)
     live.target = next
+    live.carriedOver = true
     next.add(live)
     if (live.phase === 'starting') sendStop(state, live, 'its target has restarted')
   }
--- a/test/workflow/crashing-tasks.test.ts
+++ b/test/workflow/crashing-tasks.test.ts
@@ -65,6 +65,20 @@
       if (sign === 'replaced') harness.apply({ type: 'target-published', entry: buildEntry('t4', { address: `${id}:80`, incarnation: 2 }) })
       else harness.apply({ type: 'target-silent', id, cause: sign })
     }
-    assert.equal(harness.scheduler.getPhase('a'), 'running')
+    assert.deepEqual(getEndedJobs(harness), [])
   })
 }
+
+// A task was given up after one crash, because its target crashed twice more before it listed its runs.
+test('cell: the crashes of later incarnations of a target do not count for a run that only the first one had', () => {
+  const harness = CellHarness.create([buildEntry('t1')])
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  harness.acceptStart(harness.getStarts()[0]!)
+  for (let incarnation = 2; incarnation <= 5; incarnation++) harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation }) })
+  assert.deepEqual(getEndedJobs(harness), [])
+})
+
+/** The jobs that the scheduler has ended, whether that is stored or not. */
+function getEndedJobs (harness: CellHarness): readonly unknown[] {
+  return harness.effects.flatMap((effect) => effect.type === 'log' && effect.message === 'job-ended' ? [effect.fields.job] : [])
+}
--- a/test/workflow/simulation.test.ts
+++ b/test/workflow/simulation.test.ts
@@ -13,6 +13,7 @@
     assert.deepEqual(simulation.unfinishedJobs, [], `seed ${seed} leaves jobs unfinished`)
     for (const [fault, count] of Object.entries(simulation.faults)) faults[fault] = (faults[fault] ?? 0) + count
   }
+  delete faults.crashesByTasks
   for (const [fault, count] of Object.entries(faults)) assert.ok(count >= SEEDS, `too few faults of type ${fault}: ${count}`)
 })
 
@@ -29,3 +30,16 @@
   assert.ok(drained >= 5 * SEEDS, `too few drained targets: ${drained}`)
   assert.ok(takeovers >= SEEDS / 2, `too few takeovers while targets were closed: ${takeovers}`)
 })
+
+// BUDGET: the simulations crashed targets at random only, so that they did not show a task that crashes one after another.
+test(`cell: ${SEEDS} random simulations in which tasks crash their targets break no rule, and only jobs with a cause fail`, () => {
+  let crashes = 0
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+    const simulation = Simulation.run(seed, { crashing: true, draining: seed % 2 === 0 })
+    assert.deepEqual(simulation.violations, [])
+    assert.deepEqual(simulation.unfinishedJobs, [], `seed ${seed} leaves jobs unfinished`)
+    assert.deepEqual(simulation.failedWithoutCause, [], `seed ${seed} gives jobs up`)
+    crashes += simulation.faults.crashesByTasks
+  }
+  assert.ok(crashes >= SEEDS, `too few crashes by tasks: ${crashes}`)
+})
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -6,6 +6,7 @@
 import type { JobDefinition, JobPhase } from '../../src/workflow/job.ts'
 import { buildListRequest } from '../../src/workflow/list-request.ts'
 import type { JobProgress } from '../../src/workflow/progress-record.ts'
+import type { ListedCompletion } from '../../src/workflow/target-entry.ts'
 import { CONFIGURATION, QUEUE, STEP, buildJob } from './harness.ts'
 import { SimulatedTarget } from './simulated-target.ts'
 
@@ -15,6 +16,11 @@
 const FAULTS_UNTIL_MS = 30_000
 const END_MS = 75_000
 const MAX_ATTEMPTS = QUEUE.maxAttempts
+/** Crashes after which a task may be given up, and those after which it may start only so often again. */
+const MIN_CRASHES_TO_FAIL = 2
+const MAX_CRASHES = 3
+const MAX_STARTS_AFTER_CRASHES = 2
+const CRASH_DELAY_MS = 10
 
 type ScheduledCall = { readonly at: number, readonly sequence: number, readonly run: () => void }
 
@@ -24,7 +30,7 @@
  */
 export class Simulation {
   readonly violations: string[] = []
-  readonly faults = { lostResponses: 0, delayedCommands: 0, outages: 0, crashes: 0, takeovers: 0, cancellations: 0 }
+  readonly faults = { lostResponses: 0, delayedCommands: 0, outages: 0, crashes: 0, takeovers: 0, cancellations: 0, crashesByTasks: 0 }
   /** Draining targets, and leaders that took over while the stored record had closed targets. */
   readonly drains = { targets: 0, takeoversWithClosedTargets: 0 }
   private readonly random: Random
@@ -41,18 +47,28 @@
   private readonly cancelledAt = new Map<string, number>()
   private readonly completedTasks = new Set<string>()
   private readonly acknowledgedTasks = new Set<string>()
+  /** By task, or by step for gangs, the runs that have failed. */
+  private readonly failures = new Map<string, Set<number>>()
   private readonly acknowledgedFailures = new Map<string, Set<number>>()
+  /** Tasks that crash each target on which they start. */
+  private readonly crashingTasks = new Set<string>()
+  /** By task, the targets that have crashed while it ran there, and its starts after the third of them. */
+  private readonly crashesUnder = new Map<string, number>()
+  private readonly startsAfterCrashes = new Map<string, number>()
   private earlierRunsExpireAt = 0
   private storedTargets: { readonly ids: readonly string[], readonly closed: ClosedTargets } = { ids: [], closed: {} }
 
-  private constructor (private readonly seed: number, private readonly draining: boolean) {
+  private constructor (private readonly seed: number, private readonly draining: boolean, private readonly crashing: boolean) {
     this.random = Random.create(seed)
     this.scheduler = this.createScheduler()
   }
 
-  /** Runs the simulation of one seed to its end. `draining`: targets are drained, leave, and are replaced by others. */
-  static run (seed: number, { draining = false } = {}): Simulation {
-    const simulation = new Simulation(seed, draining)
+  /**
+   * Runs the simulation of one seed to its end. `draining`: targets are drained, leave, and are replaced by others.
+   * `crashing`: some tasks crash each target on which they start.
+   */
+  static run (seed: number, { draining = false, crashing = false } = {}): Simulation {
+    const simulation = new Simulation(seed, draining, crashing)
     simulation.runToEnd()
     return simulation
   }
@@ -103,6 +119,7 @@
   private addTarget (id: string): void {
     const target: SimulatedTarget = SimulatedTarget.create(id, this.random, (completion) => {
       if (completion.outcome === 'done') this.completedTasks.add(completion.task)
+      if (completion.outcome === 'failed') this.recordFailure(completion)
     }, (completion) => {
       if (completion.outcome === 'done') this.acknowledgedTasks.add(completion.task)
       if (completion.outcome === 'failed') this.acknowledgedFailures.set(completion.task, (this.acknowledgedFailures.get(completion.task) ?? new Set()).add(completion.run))
@@ -112,6 +129,13 @@
     this.pollTarget(target, this.epoch)
   }
 
+  /** The members of a gang share their attempts. */
+  private recordFailure ({ task, run }: ListedCompletion): void {
+    const [id, occurrence, step] = task.split('.')
+    const key = this.jobs.get(id!)!.steps[Number(step)]!.gang ? `${id}.${occurrence}.${step}` : task
+    this.failures.set(key, (this.failures.get(key) ?? new Set()).add(run))
+  }
+
   private publishTarget (target: SimulatedTarget): void {
     this.apply({ type: 'target-published', entry: target.toEntry() })
     if (!this.draining) this.apply({ type: 'targets-stored', ids: [target.id] })
@@ -124,6 +148,7 @@
     const kind = this.random.nextInt(4)
     const definition = buildJob(id, { count, gang: kind === 1, speculative: kind === 2 }, { count: 1, after: [0] })
     this.jobs.set(id, definition)
+    if (this.crashing && this.random.nextInt(8) === 0) this.crashingTasks.add(`${id}.0.0.0`)
     this.apply({ type: 'job-accepted', definition })
   }
 
@@ -136,13 +161,35 @@
         return
       case 1:
         this.faults.crashes += 1
-        target.crash(this.now)
+        this.crashTarget(target)
         return this.schedule(this.random.nextInt(500), () => this.publishTarget(target))
       case 2: return this.takeOver()
       default: return this.cancelJob()
     }
   }
 
+  private crashTarget (target: SimulatedTarget): void {
+    target.completeDueRuns(this.now)
+    for (const task of target.runs.keys()) this.crashesUnder.set(task, (this.crashesUnder.get(task) ?? 0) + 1)
+    target.crash(this.now)
+  }
+
+  /** Crashes a target because of a task; it comes back after some seconds. */
+  private crashByTask (target: SimulatedTarget, incarnation: number): void {
+    if (target.incarnation !== incarnation || target.left) return
+    this.faults.crashesByTasks += 1
+    this.crashTarget(target)
+    target.unreachableUntil = this.now + 1_000 + this.random.nextInt(4_000)
+    this.schedule(target.unreachableUntil - this.now, () => { if (!target.left) this.publishTarget(target) })
+  }
+
+  /** Whether a job is shown as failed although no task has failed too often or crashed targets. */
+  get failedWithoutCause (): readonly string[] {
+    const mayFail = (id: string): boolean => [...this.failures].some(([task, runs]) => task.startsWith(`${id}.`) && runs.size >= MAX_ATTEMPTS) ||
+      [...this.crashesUnder].some(([task, crashes]) => task.startsWith(`${id}.`) && crashes >= MIN_CRASHES_TO_FAIL)
+    return [...this.jobs.keys()].filter((id) => this.stored.get(id)?.phase === 'failed' && !mayFail(id))
+  }
+
   /** Drains a target, which leaves some seconds later; in between it may stop draining. Another one takes its place. */
   private drainTarget (): void {
     const open = [...this.targets.values()].filter(({ draining }) => !draining)
@@ -279,8 +326,10 @@
   private startRun (effect: Extract<CellEffect, { type: 'start' }>, target: SimulatedTarget, epoch: number): ReturnType<SimulatedTarget['start']> {
     const { task, run, leaseUntilMs } = effect.command
     const known = target.runs.get(task)?.run === run
+    const { incarnation } = target
     const outcome = target.start({ task, run, leaseUntilMs, epoch, durationMs: 300 + this.random.nextInt(1_200), fails: this.occurs(0.04) }, this.now)
     if (outcome === 'accepted' && !known) this.checkRules(target, task, run)
+    if (outcome === 'accepted' && this.crashingTasks.has(task)) this.schedule(CRASH_DELAY_MS, () => this.crashByTask(target, incarnation))
     return outcome
   }
 
@@ -296,6 +345,8 @@
     if (this.acknowledgedTasks.has(task) && !step.speculative) recordViolation('started after its completion was acknowledged')
     if (stepNumber === '1' && !Array.from({ length: this.jobs.get(id!)!.steps[0]!.count }, (_, index) => `${id}.0.0.${index}`).some((key) => this.completedTasks.has(key))) recordViolation('started before its predecessor ended')
     if ((this.acknowledgedFailures.get(task)?.size ?? 0) >= MAX_ATTEMPTS) recordViolation('started after its last attempt')
+    if ((this.crashesUnder.get(task) ?? 0) >= MAX_CRASHES && this.crashingTasks.has(task)) this.startsAfterCrashes.set(task, (this.startsAfterCrashes.get(task) ?? 0) + 1)
+    if ((this.startsAfterCrashes.get(task) ?? 0) > MAX_STARTS_AFTER_CRASHES) recordViolation('started too often after its targets crashed')
     const used = [...this.targets.values()].reduce((sum, other) => sum + cpuOn(other), 0)
     if (used > MAXIMUM_CPU_MILLIS * 1.1 + STEP.demand.cpuMillis) recordViolation('maximum exceeded')
   }
