Record a crash that is confirmed once; test damaged records of crashes

While a target that was replaced still had runs booked, each answer of the other one at its address wrote the line target-crashed and the progress of its jobs again, four times a second; the count was right. A confirmed incarnation is not recorded again. The test of the signs of one crash counts the lines; it failed before. The test of damaged records covers the records of crashes.

--- a/src/workflow/crash-record.ts
+++ b/src/workflow/crash-record.ts
@@ -52,9 +52,13 @@
     return this.possible.keys()
   }
 
+  isConfirmed (incarnation: string): boolean {
+    return this.confirmed.has(incarnation)
+  }
+
   /** Records a target that has fallen silent under the task. `suspected`: the task had just started there. */
   addPossible (incarnation: string, suspected: boolean): void {
-    if (!this.confirmed.has(incarnation)) this.possible.set(incarnation, suspected)
+    if (!this.isConfirmed(incarnation)) this.possible.set(incarnation, suspected)
   }
 
   /** Removes a target that has come back as it was. */
--- a/src/workflow/crashes.ts
+++ b/src/workflow/crashes.ts
@@ -16,7 +16,7 @@
   if (target.entry.draining) return
   const incarnation = formatIncarnation(target.entry)
   for (const live of target.runs.values()) {
-    if (isRelevant(live.task) && !live.carriedOver) addPossibleCrash(state, live, incarnation)
+    if (!live.carriedOver && isRelevant(live.task) && !live.task.crashes.isConfirmed(incarnation)) addPossibleCrash(state, live, incarnation)
   }
 }
 
--- a/test/controller/read-stored-jobs.test.ts
+++ b/test/controller/read-stored-jobs.test.ts
@@ -12,6 +12,7 @@
 const SEED = 20261204
 const RUNS = 400
 const PROGRESS = JSON.stringify({ phase: 'running', nextOccurrence: 1, open: { 0: [{ done: '0', failedRuns: {}, gangFailedRuns: [] }] } })
+const PROGRESS_WITH_CRASHES = JSON.stringify({ phase: 'running', nextOccurrence: 1, open: { 0: [{ done: '0', failedRuns: {}, gangFailedRuns: [], crashes: { 0: { confirmed: { 't1:80#1': true }, possible: { 't2:80#1': false } } } }] } })
 
 type Stored = { readonly key: string, readonly value: string }
 
@@ -66,12 +67,12 @@
 })
 
 test('stored jobs: whatever the store has, a new leader restores without an error', () => {
-  const fields = fc.constantFrom('id', 'queue', 'organisation', 'payload', 'steps', 'count', 'demand', 'after', 'estimatedMs', 'phase', 'open', 'done', 'failedRuns', 'gangFailedRuns', 'nextOccurrence', 'firstAtMs', '0')
+  const fields = fc.constantFrom('id', 'queue', 'organisation', 'payload', 'steps', 'count', 'demand', 'after', 'estimatedMs', 'phase', 'open', 'done', 'failedRuns', 'gangFailedRuns', 'crashes', 'confirmed', 'possible', 'nextOccurrence', 'firstAtMs', '0')
   const { record } = fc.letrec((tie) => ({
     value: fc.oneof({ depthSize: 'small' }, fc.constantFrom(null, true, -1, 0, 1, 1e300, '', 'a', 'running', 'ff'), fc.array(tie('value'), { maxLength: 2 }), tie('record')),
     record: fc.dictionary(fields, tie('value'), { maxKeys: 8 })
   }))
-  const damaged = fc.tuple(fc.constantFrom(good.value, PROGRESS), fc.nat(400), fc.constantFrom('', '0', 'null', '}')).map(([text, at, replacement]) => text.slice(0, at) + replacement + text.slice(at + 1))
+  const damaged = fc.tuple(fc.constantFrom(good.value, PROGRESS, PROGRESS_WITH_CRASHES), fc.nat(400), fc.constantFrom('', '0', 'null', '}')).map(([text, at, replacement]) => text.slice(0, at) + replacement + text.slice(at + 1))
   const value = fc.oneof(record.map((content) => JSON.stringify(content)), damaged, fc.string())
   fc.assert(fc.property(value, value, (definition, progress) => {
     const scheduler = CellScheduler.create()
--- a/test/workflow/crashing-tasks.test.ts
+++ b/test/workflow/crashing-tasks.test.ts
@@ -66,6 +66,7 @@
       else harness.apply({ type: 'target-silent', id, cause: sign })
     }
     assert.deepEqual(getEndedJobs(harness), [])
+    assert.ok(countLines(harness, 'target-crashed') <= 1, 'one line for a crash')
   })
 }
 
@@ -82,3 +83,7 @@
 function getEndedJobs (harness: CellHarness): readonly unknown[] {
   return harness.effects.flatMap((effect) => effect.type === 'log' && effect.message === 'job-ended' ? [effect.fields.job] : [])
 }
+
+function countLines (harness: CellHarness, message: string): number {
+  return harness.effects.filter((effect) => effect.type === 'log' && effect.message === message).length
+}
