--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -7,6 +7,7 @@
 import { buildListRequest } from '../../src/workflow/list-request.ts'
 import type { JobProgress } from '../../src/workflow/progress-record.ts'
 import type { ListedCompletion } from '../../src/workflow/target-entry.ts'
+import { AttemptHistory } from './attempt-history.ts'
 import { CONFIGURATION, QUEUE, STEP, buildJob } from './harness.ts'
 import { SimulatedTarget } from './simulated-target.ts'
 
@@ -16,10 +17,6 @@
 const FAULTS_UNTIL_MS = 30_000
 const END_MS = 75_000
 const MAX_ATTEMPTS = QUEUE.maxAttempts
-/** Crashes after which a task may be given up, and those after which it may start only so often again. */
-const MIN_CRASHES_TO_FAIL = 2
-const MAX_CRASHES = 3
-const MAX_STARTS_AFTER_CRASHES = 2
 const CRASH_DELAY_MS = 10
 
 type ScheduledCall = { readonly at: number, readonly sequence: number, readonly run: () => void }
@@ -47,14 +44,10 @@
   private readonly cancelledAt = new Map<string, number>()
   private readonly completedTasks = new Set<string>()
   private readonly acknowledgedTasks = new Set<string>()
-  /** By task, or by step for gangs, the runs that have failed. */
-  private readonly failures = new Map<string, Set<number>>()
+  private readonly attempts = AttemptHistory.create()
   private readonly acknowledgedFailures = new Map<string, Set<number>>()
   /** Tasks that crash each target on which they start. */
   private readonly crashingTasks = new Set<string>()
-  /** By task, the targets that have crashed while it ran there, and its starts after the third of them. */
-  private readonly crashesUnder = new Map<string, number>()
-  private readonly startsAfterCrashes = new Map<string, number>()
   private earlierRunsExpireAt = 0
   private storedTargets: { readonly ids: readonly string[], readonly closed: ClosedTargets } = { ids: [], closed: {} }
 
@@ -77,6 +70,11 @@
     return [...this.jobs.keys()].filter((id) => !['completed', 'failed', 'cancelled'].includes(this.stored.get(id)?.phase ?? 'queued'))
   }
 
+  /** The jobs that are shown as failed although no task has failed or crashed its targets often enough. */
+  get failedWithoutCause (): readonly string[] {
+    return [...this.jobs.keys()].filter((id) => this.stored.get(id)?.phase === 'failed' && !this.attempts.mayFail(id))
+  }
+
   private runToEnd (): void {
     for (let index = 0; index < 6; index++) this.addTarget(`t${index}`)
     this.scheduleEvery(100, () => this.apply({ type: 'tick' }))
@@ -129,11 +127,10 @@
     this.pollTarget(target, this.epoch)
   }
 
-  /** The members of a gang share their attempts. */
   private recordFailure ({ task, run }: ListedCompletion): void {
     const [id, occurrence, step] = task.split('.')
-    const key = this.jobs.get(id!)!.steps[Number(step)]!.gang ? `${id}.${occurrence}.${step}` : task
-    this.failures.set(key, (this.failures.get(key) ?? new Set()).add(run))
+    const isGang = this.jobs.get(id!)!.steps[Number(step)]!.gang
+    this.attempts.recordFailure(isGang ? `${id}.${occurrence}.${step}` : task, run)
   }
 
   private publishTarget (target: SimulatedTarget): void {
@@ -170,7 +167,7 @@
 
   private crashTarget (target: SimulatedTarget): void {
     target.completeDueRuns(this.now)
-    for (const task of target.runs.keys()) this.crashesUnder.set(task, (this.crashesUnder.get(task) ?? 0) + 1)
+    this.attempts.recordCrash(target.runs.keys())
     target.crash(this.now)
   }
 
@@ -183,13 +180,6 @@
     this.schedule(target.unreachableUntil - this.now, () => { if (!target.left) this.publishTarget(target) })
   }
 
-  /** Whether a job is shown as failed although no task has failed too often or crashed targets. */
-  get failedWithoutCause (): readonly string[] {
-    const mayFail = (id: string): boolean => [...this.failures].some(([task, runs]) => task.startsWith(`${id}.`) && runs.size >= MAX_ATTEMPTS) ||
-      [...this.crashesUnder].some(([task, crashes]) => task.startsWith(`${id}.`) && crashes >= MIN_CRASHES_TO_FAIL)
-    return [...this.jobs.keys()].filter((id) => this.stored.get(id)?.phase === 'failed' && !mayFail(id))
-  }
-
   /** Drains a target, which leaves some seconds later; in between it may stop draining. Another one takes its place. */
   private drainTarget (): void {
     const open = [...this.targets.values()].filter(({ draining }) => !draining)
@@ -345,8 +335,7 @@
     if (this.acknowledgedTasks.has(task) && !step.speculative) recordViolation('started after its completion was acknowledged')
     if (stepNumber === '1' && !Array.from({ length: this.jobs.get(id!)!.steps[0]!.count }, (_, index) => `${id}.0.0.${index}`).some((key) => this.completedTasks.has(key))) recordViolation('started before its predecessor ended')
     if ((this.acknowledgedFailures.get(task)?.size ?? 0) >= MAX_ATTEMPTS) recordViolation('started after its last attempt')
-    if ((this.crashesUnder.get(task) ?? 0) >= MAX_CRASHES && this.crashingTasks.has(task)) this.startsAfterCrashes.set(task, (this.startsAfterCrashes.get(task) ?? 0) + 1)
-    if ((this.startsAfterCrashes.get(task) ?? 0) > MAX_STARTS_AFTER_CRASHES) recordViolation('started too often after its targets crashed')
+    if (this.crashingTasks.has(task) && this.attempts.recordCrashingStart(task)) recordViolation('started too often after its targets crashed')
     const used = [...this.targets.values()].reduce((sum, other) => sum + cpuOn(other), 0)
     if (used > MAXIMUM_CPU_MILLIS * 1.1 + STEP.demand.cpuMillis) recordViolation('maximum exceeded')
   }
