--- a/test/workflow/advice.test.ts
+++ b/test/workflow/advice.test.ts
@@ -85,3 +85,30 @@
   harness.publishTarget(buildEntry('later'))
   assert.deepEqual(getAdviceRequests(harness).at(-1)!.targets, ['later'])
 })
+
+const FINISH_MS = 14_000
+const REPLACEMENT_MS = 500
+const ONE_CHANNEL = { type: 'advice-channels', channels: 1 } as const
+
+// LOST: while targets were replaced all the time, the steps of late jobs never got a channel to the advisor, with most of the room free.
+test('advice: a step of a late job gets a request although a job that has begun asks for each new target', () => {
+  const harness = createHarness(1)
+  harness.apply(ONE_CHANNEL)
+  harness.apply({ type: 'job-accepted', definition: { ...buildJob('begun', { count: 8 }), queue: 'batch' } })
+  answer(harness, ['t0'])
+  harness.publishTarget(buildEntry('t1'))
+  harness.apply({ type: 'job-accepted', definition: { ...buildJob('late', { estimatedMs: 1 }), queue: 'batch' } })
+  for (let id = 2; harness.now < 1_000 + FINISH_MS; id++) {
+    harness.now += REPLACEMENT_MS
+    harness.publishTarget(buildEntry(`t${id}`))
+    answer(harness, [])
+  }
+  assert.ok(getAdviceRequests(harness).some(({ step }) => step === 'late.0.0'), `${getAdviceRequests(harness).length} requests, none for the late job`)
+})
+
+/** Answers the last advice request: it allows the given targets. */
+function answer (harness: CellHarness, allowed: readonly string[]): void {
+  const { step, targets } = getAdviceRequests(harness).at(-1)!
+  const tickets = allowed.map((target) => ({ target, ticket: `ticket-${target}` }))
+  harness.apply({ type: 'advised', step, requestedTargets: targets, response: { type: 'advised', tickets, validityMs: 2_500 } })
+}
