Say why a connection of a caller broke in the tests with real processes

Nothing could be told from it (five earlier failures were as silent). The record holds both now; no check changed.

--- a/faults/processes/process-load.ts
+++ b/faults/processes/process-load.ts
@@ -11,11 +11,16 @@
 const RETRY_DELAY_MS = 200
 const STATUS_OK = 200
 
-/** Outcome of a request for its caller. `broken`: the connection broke and a retry is not allowed, or the retry period is over. */
+/**
+ * Outcome of a request for its caller. `broken`: the connection broke and a retry is not allowed, or the retry period is
+ * over; `cause` is the last error and `member` the process that the request was sent to.
+ */
 export type CallerOutcome =
   | { readonly type: 'answered', readonly echo: unknown, readonly work: string }
   | { readonly type: 'refused', readonly verdict: string, readonly code: string, readonly work: string | undefined }
-  | { readonly type: 'broken' }
+  | BrokenOutcome
+
+type BrokenOutcome = { readonly type: 'broken', readonly cause: string, readonly member: string }
 
 /** One request and its outcome, as its caller observed them. */
 export type CallerRecord = {
@@ -28,7 +33,7 @@
   readonly outcome: CallerOutcome
 }
 
-type Attempt = { readonly type: 'ended', readonly outcome: CallerOutcome } | { readonly type: 'again' } | { readonly type: 'connection-broken' }
+type Attempt = { readonly type: 'ended', readonly outcome: CallerOutcome } | { readonly type: 'again' } | { readonly type: 'connection-broken', readonly outcome: BrokenOutcome }
 
 /** Callers that send requests at a constant rate through all running members, as a load balancer would. */
 export class ProcessLoad {
@@ -74,7 +79,7 @@
     const sentAt = Date.now()
     const key = keyed ? createUuidV7(sentAt) : undefined
     let tries = 0
-    let outcome: CallerOutcome = { type: 'broken' }
+    let outcome: CallerOutcome = { type: 'broken', cause: 'not sent', member: '' }
     while (Date.now() - sentAt < RETRY_PERIOD_MS) {
       tries += 1
       const tried = await this.sendOnce(number, key)
@@ -82,7 +87,10 @@
         outcome = tried.outcome
         break
       }
-      if (tried.type === 'connection-broken' && !keyed) break
+      if (tried.type === 'connection-broken') {
+        outcome = tried.outcome
+        if (!keyed) break
+      }
       await delay(RETRY_DELAY_MS)
     }
     this.records.push({ number, keyed, sentAt, endedAt: Date.now(), tries, outcome })
@@ -101,7 +109,8 @@
       })
       return parseResponse(response.statusCode, await response.body.json() as ResponseBody)
     } catch (error) {
-      return isRefusedConnection(error) ? { type: 'again' } : { type: 'connection-broken' }
+      if (isRefusedConnection(error)) return { type: 'again' }
+      return { type: 'connection-broken', outcome: { type: 'broken', cause: describeError(error), member: member.id } }
     }
   }
 }
@@ -130,6 +139,17 @@
   return (error as { readonly code?: string }).code === 'ECONNREFUSED'
 }
 
+/**
+ * Describes a connection error by its code and message.
+ *
+ * @example
+ * describeError(error) // 'UND_ERR_SOCKET: other side closed'
+ */
+function describeError (error: unknown): string {
+  const { code, message } = error as { readonly code?: string, readonly message?: string }
+  return `${code ?? 'no code'}: ${message ?? String(error)}`
+}
+
 async function delay (durationMs: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, durationMs))
 }
