--- a/test/api/api-server-close.test.ts
+++ b/test/api/api-server-close.test.ts
@@ -38,7 +38,7 @@
 async function exchange (socket: Socket): Promise<string> {
   const received = once(socket, 'data') as Promise<[Buffer]>
   socket.write(REQUEST)
-  const ended = once(socket, 'close').then(() => 'closed without a response')
+  const ended = once(socket, 'close').then(() => 'closed without a response', (error: unknown) => String(error))
   return Promise.race([received.then(([bytes]) => bytes.toString()), ended])
 }
 
@@ -78,3 +78,36 @@
   await server.close()
   assert.ok(performance.now() - startedAt < 2_000)
 })
+
+// A planned replacement: the member closed its port, and a request on a connection that it had not accepted yet was reset.
+test('API server: a request on a connection that is not accepted yet when the server closes is answered', async () => {
+  const { server, port } = await createServer()
+  const socket = connect(port, '127.0.0.1')
+  let closed: Promise<void> | undefined
+  // The connection is established in the next tick, and accepted when the event loop polls.
+  process.nextTick(() => { closed = server.close() })
+  assert.match(await exchange(socket), /^HTTP\/1.1 200/)
+  await closed
+})
+
+// A planned replacement: the member closed its idle connections, and a request that it had not read yet was reset.
+test('API server: a request that is not read yet when the server closes its idle connections is answered', async () => {
+  const { server, port } = await createServer()
+  const socket = await openConnection(port)
+  await exchange(socket)
+  const closed = server.close()
+  await wait(200)
+  // After immediates the event loop runs the timers that are due, and reads only then.
+  const response = await new Promise<string>((resolve, reject) => setImmediate(() => {
+    exchange(socket).then(resolve, reject)
+    waitBusily(200)
+  }))
+  assert.match(response, /^HTTP\/1.1 200/)
+  await closed
+})
+
+/** Keeps the event loop from reading, as a long computation does. */
+function waitBusily (durationMs: number): void {
+  const endsAt = performance.now() + durationMs
+  while (performance.now() < endsAt);
+}
