Let a step that waits too long for a channel to the advisor take precedence

Cause: a free channel went to the first step in rank, and steps of jobs that had begun asked for each new target; a step of a late job never got one, for as long as the others asked. Class of fault: starvation by priority, without a bound on the wait.

Change: a step of work that does not run at all, or of a task that lasts, which has wanted a channel for 2 s while most of its pool is free, comes first; a quarter of the channels, at least one, serves such steps. While room is scarce, and for the other channels, the ranks decide as before.

--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -2,6 +2,7 @@
 import { updateAllowedRatio, selectAdviceTargets } from './advice-targets.ts'
 import { isUrgent, findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import { isOverdue } from './overdue-advice.ts'
 import { needsAdvice } from './placement.ts'
 import type { Job, StepRun } from './task.ts'
 
@@ -26,7 +27,11 @@
  * yet.
  */
 export function requestAdvice (state: CellState, step: StepRun, prefetch = false): void {
-  if (!mayRequestAdvice(state, step, prefetch)) return
+  if (step.advice.requestPending) return
+  if (!mayRequestAdvice(state, step, prefetch)) {
+    if (!prefetch) step.advice.waitsForChannelSince ??= state.now
+    return
+  }
   const urgent = isUrgent(state, step.job.definition)
   if (state.searchBudget <= 0) {
     state.startPassNeeded = true
@@ -38,11 +43,13 @@
   if (targets.length === 0) {
     if (changed === undefined) advice.fullSearchAt = state.now + FULL_SEARCH_INTERVAL_MS
     advice.searchedTo = state.roomLog.position
+    advice.waitsForChannelSince = undefined
     return
   }
+  state.pendingAdvice.add(step.key, { urgent, overdue: isOverdue(state, step) })
   advice.searchedTo = undefined
-  step.advice.requestPending = true
-  state.pendingAdvice.add(step.key, urgent)
+  advice.waitsForChannelSince = undefined
+  advice.requestPending = true
   state.effects.push({ type: 'request-advice', step: step.key, targets, costMs: computeAdviceCostMs(state, step, targets.length), urgent })
 }
 
--- a/src/workflow/open-targets.ts
+++ b/src/workflow/open-targets.ts
@@ -1,7 +1,7 @@
 import { isUrgent } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
-import { NO_DEMAND, maxDemand } from './job.ts'
+import { NO_DEMAND, addDemands, maxDemand } from './job.ts'
 import { NON_URGENT_CAPACITY_RATIO, acceptsWork } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun } from './task.ts'
@@ -16,6 +16,8 @@
 export class OpenTargets {
   private readonly stride: number
 
+  private mostlyFree: boolean | undefined
+
   private constructor (readonly targets: readonly TargetState[], private readonly maxFree: Demand, private readonly maxFreeForNonUrgent: Demand) {
     this.stride = findStride(targets.length)
   }
@@ -48,6 +50,12 @@
     return (spec.fills || demand.cpuMillis <= free.cpuMillis) && demand.memoryMiB <= free.memoryMiB && demand.accelerators <= free.accelerators
   }
 
+  /** Whether less than half of the processors and of the memory of all these targets was booked when this was first asked. */
+  get isMostlyFree (): boolean {
+    this.mostlyFree ??= computeMostlyFree(this.targets)
+    return this.mostlyFree
+  }
+
   /** Visits each target once, in an order that depends on `seed`: walks with different seeds start at different targets. */
   * walk (seed: number): Iterable<TargetState> {
     const { targets } = this
@@ -80,6 +88,12 @@
   }
 }
 
+function computeMostlyFree (targets: readonly TargetState[]): boolean {
+  const capacity = targets.reduce((sum, { entry }) => addDemands(sum, entry.capacity), NO_DEMAND)
+  const booked = targets.reduce((sum, target) => addDemands(sum, target.booked), NO_DEMAND)
+  return booked.cpuMillis < capacity.cpuMillis / 2 && booked.memoryMiB < capacity.memoryMiB / 2
+}
+
 /** Finds a stride that has no common divisor with the number of targets, so that a walk reaches all of them. */
 function findStride (count: number): number {
   let stride = Math.max(1, Math.floor(count * STRIDE_RATIO))
--- /dev/null
+++ b/src/workflow/overdue-advice.ts
@@ -0,0 +1,37 @@
+import type { CellState } from './cell-state.ts'
+import { findQueue } from './cell-state.ts'
+import { getOpenTargets } from './open-targets.ts'
+import type { Job, StepRun } from './task.ts'
+
+/** How long a step waits for a channel to the advisor before it takes precedence, in milliseconds. */
+const MAX_CHANNEL_WAIT_MS = 2_000
+
+/**
+ * Whether the step has waited for a channel to the advisor for too long. This holds only for work that does not run at all
+ * while most of its pool is free: otherwise capacity is what it waits for, and ranks decide who gets it.
+ */
+export function isOverdue (state: CellState, step: StepRun): boolean {
+  const { waitsForChannelSince } = step.advice
+  if (waitsForChannelSince === undefined || state.now - waitsForChannelSince < MAX_CHANNEL_WAIT_MS) return false
+  if (!getOpenTargets(state, findQueue(state, step.job.definition)?.pool).isMostlyFree) return false
+  return step.spec.longRunning || !hasRuns(step.job)
+}
+
+/**
+ * Selects the overdue steps that take precedence in a start pass: those that have waited longest, and only as many as
+ * there are channels for them, so that the ranks decide on the others.
+ */
+export function selectOverdueSteps (state: CellState, steps: readonly StepRun[]): ReadonlySet<StepRun> {
+  const { freeOverdueChannels } = state.pendingAdvice
+  if (freeOverdueChannels <= 0) return new Set()
+  const overdue = steps.filter((step) => isOverdue(state, step))
+  overdue.sort((left, right) => (left.advice.waitsForChannelSince ?? 0) - (right.advice.waitsForChannelSince ?? 0))
+  return new Set(overdue.slice(0, freeOverdueChannels))
+}
+
+function hasRuns (job: Job): boolean {
+  for (const task of job.tasks()) {
+    if (task.runs.size > 0) return true
+  }
+  return false
+}
--- a/src/workflow/pending-advice.ts
+++ b/src/workflow/pending-advice.ts
@@ -5,6 +5,8 @@
  * request that waits behind them would miss its objective.
  */
 const NON_URGENT_CHANNEL_RATIO = 0.65
+/** Ratio of the channels that steps may use because they have waited too long, whatever their rank; at least one channel. */
+const OVERDUE_CHANNEL_RATIO = 0.25
 /** Without an urgent step that needs advice for this time, other queues may use all channels, in milliseconds. */
 const URGENT_RESERVE_MS = 3_000
 
@@ -14,6 +16,8 @@
   channels = 1
   private readonly urgent = new Set<string>()
   private readonly nonUrgent = new Set<string>()
+  /** Those of both kinds that have waited too long. */
+  private readonly overdue = new Set<string>()
   /** When an urgent step last needed advice, on the scheduler's clock; the first time that is known counts as one. */
   private lastUrgentAt: number | undefined
 
@@ -27,6 +31,11 @@
     return this.urgent.size + this.nonUrgent.size
   }
 
+  /** Number of further steps that may take precedence because they have waited too long. */
+  get freeOverdueChannels (): number {
+    return Math.max(1, Math.floor(this.channels * OVERDUE_CHANNEL_RATIO)) - this.overdue.size
+  }
+
   /**
    * Whether another request may be sent now. `prefetch`: the step is not ready yet; such requests use only channels without
    * a request, so that those of ready steps take precedence.
@@ -39,12 +48,15 @@
     return urgent || this.nonUrgent.size < Math.max(1, Math.floor(this.channels * ratio))
   }
 
-  add (step: string, urgent: boolean): void {
-    (urgent ? this.urgent : this.nonUrgent).add(step)
+  add (step: string, { urgent, overdue }: { readonly urgent: boolean, readonly overdue: boolean }): void {
+    if (urgent) this.urgent.add(step)
+    else this.nonUrgent.add(step)
+    if (overdue) this.overdue.add(step)
   }
 
   remove (step: string): void {
     this.urgent.delete(step)
     this.nonUrgent.delete(step)
+    this.overdue.delete(step)
   }
 }
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,10 +1,11 @@
-import { mayRequestAdvice, requestAdvice } from './advice-requests.ts'
+import { requestAdvice } from './advice-requests.ts'
 import { log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { beginTrials } from './crash-suspicion.ts'
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
+import { selectOverdueSteps } from './overdue-advice.ts'
 import { compareRanks, computeRank } from './step-rank.ts'
 import { findAllowedTargets, chooseTarget, needsAdvice, isWithinMaximum } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
@@ -21,11 +22,15 @@
   for (const step of findReadySteps(state)) startStep(state, step)
 }
 
-/** Finds the steps that have a startable task and whose predecessors have ended, sorted by rank. */
+/**
+ * Finds the steps that have a startable task and whose predecessors have ended, sorted by rank, behind those that have
+ * waited too long for advice.
+ */
 function findReadySteps (state: CellState): readonly StepRun[] {
   const ready = [...state.openSteps].filter((step) => hasStartableTask(step, state.now) && step.ready && mayStartStep(state, step))
+  const overdue = selectOverdueSteps(state, ready)
   const rank = new Map(ready.map((step) => [step, computeRank(state, step)]))
-  return ready.sort((left, right) => compareRanks(rank.get(left)!, rank.get(right)!))
+  return ready.sort((left, right) => Number(overdue.has(right)) - Number(overdue.has(left)) || compareRanks(rank.get(left)!, rank.get(right)!))
 }
 
 /**
@@ -39,14 +44,19 @@
 function startStep (state: CellState, step: StepRun): void {
   state.passWork.steps += 1
   if (needsAdvice(state, step) && !step.advice.hasResponse) {
-    if (!isWithinMaximum(state, step.job, step.spec.demand)) logBlocked(state, step, 'maximum')
-    else if (step.advice.requestPending || mayRequestAdvice(state, step)) requestAdvice(state, step)
-    else logBlocked(state, step, 'no-advice-channel')
+    if (isWithinMaximum(state, step.job, step.spec.demand)) requestFirstAdvice(state, step)
+    else logBlocked(state, step, 'maximum')
     return
   }
   const candidates = findAllowedTargets(state, step)
   const complete = step.spec.gang ? startGang(state, step, candidates) : startTasks(state, step, candidates)
-  if (!complete && needsAdvice(state, step)) requestAdvice(state, step)
+  if (complete) step.advice.waitsForChannelSince = undefined
+  else if (needsAdvice(state, step)) requestAdvice(state, step)
+}
+
+function requestFirstAdvice (state: CellState, step: StepRun): void {
+  requestAdvice(state, step)
+  if (step.advice.waitsForChannelSince !== undefined) logBlocked(state, step, 'no-advice-channel')
 }
 
 /** Starts tasks of a step; returns false if more tickets could help. */
--- a/src/workflow/step-advice.ts
+++ b/src/workflow/step-advice.ts
@@ -7,6 +7,8 @@
 export class StepAdvice {
   /** Whether a request has no response yet. */
   requestPending = false
+  /** Since when a request has been wanted while no channel was free, on the scheduler's clock. */
+  waitsForChannelSince: number | undefined
   /** After a search that found no target: position in the room log up to which targets were examined. */
   searchedTo: number | undefined
   /** When all targets are searched again, on the scheduler's clock. */
