Move the readiness of queues out of the state of the group's scheduler

scheduler-state.ts had 472 lines: jobs, bookings and shares, and besides which queues can be tried and what the others wait for. The latter is one concern: QueueReadiness keeps these sets and orders; the state keeps 299 lines. No logic changed.

--- a/src/scheduling/claims.ts
+++ b/src/scheduling/claims.ts
@@ -78,7 +78,7 @@
 export function cancelClaim (state: SchedulerState, task: Task): void {
   const { target } = task
   releaseClaim(state, task)
-  state.unblockForTarget(target)
+  state.readiness.unblockForTarget(target)
 }
 
 /** Like `cancelClaim`, but does not unblock other work for the capacity. */
--- a/src/scheduling/estimates.ts
+++ b/src/scheduling/estimates.ts
@@ -94,7 +94,7 @@
   const shape = state.shapes.get(formatShapeKey(task.job.work))
   if (shape === undefined) return
   shape.booked = next
-  state.retryShape(shape)
+  state.readiness.retryShape(shape)
 }
 
 function differsEnough (next: number, current: number): boolean {
--- a/src/scheduling/evacuation.ts
+++ b/src/scheduling/evacuation.ts
@@ -100,6 +100,6 @@
   for (const [taskId, { target, reservedAt }] of state.moveReservations) {
     if (state.now - reservedAt < MOVE_RESERVATION_TIMEOUT_MS && acceptsWork(target)) continue
     releaseMoveReservation(state, taskId)
-    state.unblockForTarget(target)
+    state.readiness.unblockForTarget(target)
   }
 }
--- a/src/scheduling/gang-reservation.ts
+++ b/src/scheduling/gang-reservation.ts
@@ -59,7 +59,7 @@
 /** Selects the waiting gang with the fewest reservations so far; among equals, that of the team furthest below its share. */
 function selectNextGang (state: SchedulerState): ShapeQueue | undefined {
   let best: ShapeQueue | undefined
-  for (const queue of state.gangQueues) {
+  for (const queue of state.readiness.gangQueues) {
     if (!canReserve(state, queue)) continue
     if (best === undefined || comesBefore(queue, best)) best = queue
   }
@@ -175,7 +175,7 @@
 
 function findBackfillQueue (state: SchedulerState, target: TargetState, maxRunMs: number): ShapeQueue | undefined {
   let readCount = 0
-  for (const shape of state.blockedShapes) {
+  for (const shape of state.readiness.blockedShapes) {
     readCount += 1
     if (readCount > MAX_BACKFILL_QUEUES) return undefined
     const queue = findFairestQueue(shape)
--- a/src/scheduling/gang.ts
+++ b/src/scheduling/gang.ts
@@ -10,7 +10,7 @@
  * Starts all waiting tasks of a gang, or none.
  *
  * @example
- * if (!startGang(state, job)) state.block(queue, 'gang-waiting')
+ * if (!startGang(state, job)) state.readiness.block(queue, 'gang-waiting')
  */
 export function startGang (state: SchedulerState, job: Job): boolean {
   const { queue } = job
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -39,8 +39,8 @@
 }
 
 function selectNextQueue (state: SchedulerState): ShapeQueue | undefined {
-  const urgent = state.urgentReadyTeams.first()
-  const team = state.readyTeams.first()
+  const urgent = state.readiness.urgentReadyTeams.first()
+  const team = state.readiness.readyTeams.first()
   if (urgent !== undefined && (team === undefined || urgentPrecedes(urgent, team))) return findOldestQueue(urgent, 'urgent')
   return team === undefined ? undefined : selectTeamQueue(team)
 }
@@ -79,18 +79,18 @@
   }
   if (mustLeaveReserve(queue) && !state.leavesUrgentReserve(booked)) return blockQueue(state, queue, 'urgent-reserve')
   const { shape } = queue
-  const canSearch = !shape.searchFailed && !state.failedSearches.wouldFail(booked)
+  const canSearch = !shape.searchFailed && !state.readiness.failedSearches.wouldFail(booked)
   const target = canSearch ? searchTarget(state, job, booked) : consumeTargetHint(queue)
   if (target === undefined) {
     shape.searchFailed = true
     const cost = queue.workClass === 'urgent' ? PREEMPTION_COST : canSearch ? SEARCH_COST : 1
-    if (queue.workClass !== 'urgent' || !preemptForUrgent(state, job)) state.block(queue, 'no-room')
+    if (queue.workClass !== 'urgent' || !preemptForUrgent(state, job)) state.readiness.block(queue, 'no-room')
     return cost
   }
   startNextTask(state, job, target)
   shape.lastStartAt = state.now
-  if (canSearch) state.unblockNext(shape)
-  else state.unblockForTarget(target)
+  if (canSearch) state.readiness.unblockNext(shape)
+  else state.readiness.unblockForTarget(target)
   return SEARCH_COST
 }
 
@@ -103,7 +103,7 @@
 
 function searchTarget (state: SchedulerState, job: Job, booked: Resources): TargetState | undefined {
   const target = findTarget(state, job, booked)
-  if (target === undefined) state.failedSearches.recordFailure(booked)
+  if (target === undefined) state.readiness.failedSearches.recordFailure(booked)
   return target
 }
 
@@ -111,13 +111,13 @@
   const cost = SEARCH_COST * job.pendingCount
   if (!startGang(state, job)) {
     queue.retryAt = state.now + GANG_RETRY_PER_TASK_MS * job.pendingCount
-    state.block(queue, 'gang-waiting')
+    state.readiness.block(queue, 'gang-waiting')
   }
   return cost
 }
 
 function blockQueue (state: SchedulerState, queue: ShapeQueue, reason: 'team-limit' | 'urgent-reserve'): number {
-  state.block(queue, reason)
+  state.readiness.block(queue, reason)
   return 1
 }
 
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -186,7 +186,7 @@
 /** Tries again to free capacity for waiting urgent work. */
 export function preemptForWaitingUrgent (state: SchedulerState): void {
   let remaining = MAX_PREEMPTIONS_PER_TICK
-  for (const queue of [...state.blockedUrgentQueues]) {
+  for (const queue of [...state.readiness.blockedUrgentQueues]) {
     while (remaining > 0 && queue.head !== undefined && queue.blockedBy === 'no-room') {
       remaining -= 1
       if (!state.fitsGrant(queue.team, queue.shape.declared) || !preemptForUrgent(state, queue.head)) break
--- a/src/scheduling/quarantine.ts
+++ b/src/scheduling/quarantine.ts
@@ -106,7 +106,7 @@
   state.quarantines.delete(target)
   target.completions.length = 0
   state.fleet.setQuarantined(target, false)
-  state.unblockForTarget(target)
+  state.readiness.unblockForTarget(target)
   state.emit({ type: 'readmitted', targetId: target.id })
   state.emit({ type: 'log', level: 'info', message: 'target-readmitted', fields: { targetId: target.id } })
 }
--- a/src/scheduling/scheduler-state.ts
+++ b/src/scheduling/scheduler-state.ts
@@ -1,21 +1,20 @@
 import type { Organisation, Profile, Team } from '../model/configuration.ts'
 import type { TaskId, WorkId } from '../model/ids.ts'
-import { fits, type Resources } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
 import type { Work } from '../model/work.ts'
 import { KeyedHeap } from '../util/keyed-heap.ts'
 import { Random } from '../util/random.ts'
 import { computeDominantShare, fitsWithinLimit, addScaled } from './mutable-resources.ts'
 import type { SchedulerEffect } from './effect.ts'
-import { FairOrder } from './fair-order.ts'
-import { Fleet, acceptsWork, type TargetState } from './fleet.ts'
+import { Fleet, type TargetState } from './fleet.ts'
 import { getLatestStartTime } from './deadlines.ts'
 import type { Estimate } from './estimates.ts'
 import type { Family } from './family.ts'
 import { DecisionHistory } from './decision-history.ts'
 import { getProfileSettings, type ProfileSettings, type SchedulerOptions } from './options.ts'
 import type { MoveReservation } from './evacuation.ts'
-import { FailedSearches } from './failed-searches.ts'
-import { type BlockReason, findFairestQueue, type Shape, ShapeQueue, type WorkClass } from './queue.ts'
+import { type Shape, ShapeQueue, type WorkClass } from './queue.ts'
+import { QueueReadiness } from './queue-readiness.ts'
 import type { Quarantine } from './quarantine.ts'
 import type { GangReservation } from './gang-reservation.ts'
 import { Retries } from './retries.ts'
@@ -25,10 +24,6 @@
 
 /** Relative change of a sort key from which the team orders are updated; updating for smaller changes costs more than it gains. */
 const ORDER_TOLERANCE_RATIO = 0.01
-/** Maximum number of blocked shapes or queues compared with the free capacity of one target. */
-const MAX_ITEMS_READ = 256
-/** Maximum number of blocked queues of each team that are retried after capacity became free on many targets. */
-const MAX_UNBLOCKED_QUEUES_PER_TEAM = 8
 
 /** State of the scheduler of one group, with the operations that keep its totals and indexes consistent. */
 export class SchedulerState {
@@ -45,24 +40,14 @@
   readonly jobs = new Map<WorkId, Job>()
   readonly tasks = new Map<TaskId, Task>()
   readonly shapes = new Map<string, Shape>()
-  /** Shapes with queues that wait for free capacity. */
-  readonly blockedShapes = new Set<Shape>()
-  /** Teams with queues other than urgent ones that can be tried. */
-  readonly readyTeams = FairOrder.create()
-  /** Teams with urgent queues that can be tried. */
-  readonly urgentReadyTeams = FairOrder.create()
-  /** Teams with queues other than urgent ones that wait for free capacity. */
-  readonly blockedTeams = FairOrder.create()
-  /** Amounts for which a search found no target. */
-  readonly failedSearches = FailedSearches.create()
-  /** Teams with queues that wait until the free capacity exceeds the urgent reserve. */
-  readonly reserveBlockedTeams = FairOrder.create()
-  /** Queues whose first gang waits until all its tasks can start together. */
-  readonly gangQueues = new Set<ShapeQueue>()
+  /** Which queues can be tried, and what the others wait for. */
+  readonly readiness = QueueReadiness.create({
+    leavesUrgentReserve: (amount) => this.leavesUrgentReserve(amount),
+    getTeams: () => this.teams.byName.values()
+  })
+
   /** Number of waiting tasks of each class. */
   readonly waitingByClass: Record<WorkClass, number> = { urgent: 0, request: 0, service: 0, gang: 0, batch: 0 }
-  /** Urgent queues that wait for free capacity. */
-  readonly blockedUrgentQueues = new Set<ShapeQueue>()
   /** Waiting requests by the latest time at which a start can still meet the deadline. */
   readonly requestsByLatestStart = KeyedHeap.create<Job>()
   readonly families = new Map<string, Family>()
@@ -103,13 +88,10 @@
     const moved = teams.map(({ name, organisation }) => ({ team: this.teams.byName.get(name), organisation }))
       .flatMap(({ team, organisation }) => team !== undefined && team.organisation.name !== organisation ? [team] : [])
     const queues = moved.flatMap((team) => [...team.queues.values()])
-    for (const queue of queues) {
-      this.clearBlock(queue)
-      this.setNotReady(queue)
-    }
+    for (const queue of queues) this.readiness.remove(queue)
     this.teams.configure(organisations, teams)
     for (const team of this.teams.byName.values()) this.updateShare(team)
-    for (const queue of queues) this.setReady(queue)
+    for (const queue of queues) this.readiness.setReady(queue)
   }
 
   emit (effect: SchedulerEffect): void {
@@ -166,7 +148,7 @@
     const queue = this.getOrCreateQueue(job)
     if (atFront) queue.prepend(job)
     else queue.append(job)
-    if (queue.blockedBy === undefined) this.setReady(queue)
+    if (queue.blockedBy === undefined) this.readiness.setReady(queue)
     const latestStart = getLatestStartTime(this, job.work)
     if (latestStart !== undefined) this.requestsByLatestStart.set(job, latestStart)
   }
@@ -202,8 +184,7 @@
   }
 
   private removeQueue (queue: ShapeQueue): void {
-    this.clearBlock(queue)
-    this.setNotReady(queue)
+    this.readiness.remove(queue)
     const { shape, team, workClass } = queue
     team.queues.delete(`${workClass} ${shape.key}`)
     shape.queueCount -= 1
@@ -216,140 +197,6 @@
     this.jobs.delete(job.id)
   }
 
-  // Readiness of queues
-
-  private setReady (queue: ShapeQueue): void {
-    const { team, workClass } = queue
-    team.readyQueues[workClass].add(queue)
-    this.getReadyTeams(workClass).add(team)
-  }
-
-  private setNotReady (queue: ShapeQueue): void {
-    const { team, workClass } = queue
-    if (!team.readyQueues[workClass].delete(queue)) return
-    if (workClass === 'urgent') {
-      if (team.readyQueues.urgent.size === 0) this.urgentReadyTeams.delete(team)
-    } else if (!hasReadyNonUrgentQueue(team)) {
-      this.readyTeams.delete(team)
-    }
-  }
-
-  private getReadyTeams (workClass: WorkClass): FairOrder {
-    return workClass === 'urgent' ? this.urgentReadyTeams : this.readyTeams
-  }
-
-  /** Excludes the queue from placement until the reason for the block may have changed. */
-  block (queue: ShapeQueue, reason: BlockReason): void {
-    this.setNotReady(queue)
-    queue.blockedBy = reason
-    switch (reason) {
-      case 'no-room': return this.blockForCapacity(queue)
-      case 'team-limit': queue.team.grantBlockedQueues.add(queue); return
-      case 'urgent-reserve': queue.team.reserveBlockedQueues.add(queue); this.reserveBlockedTeams.add(queue.team); return
-      case 'gang-waiting': this.gangQueues.add(queue)
-    }
-  }
-
-  private blockForCapacity (queue: ShapeQueue): void {
-    const { team, shape, workClass } = queue
-    shape.blockedQueues.add(queue)
-    this.blockedShapes.add(shape)
-    if (workClass === 'urgent') {
-      this.blockedUrgentQueues.add(queue)
-    } else {
-      team.blockedQueues.add(queue)
-      this.blockedTeams.add(team)
-    }
-  }
-
-  private clearBlock (queue: ShapeQueue): void {
-    const { team, shape } = queue
-    queue.blockedBy = undefined
-    if (shape.blockedQueues.delete(queue) && shape.blockedQueues.size === 0) this.blockedShapes.delete(shape)
-    if (team.blockedQueues.delete(queue) && team.blockedQueues.size === 0) this.blockedTeams.delete(team)
-    if (team.reserveBlockedQueues.delete(queue) && team.reserveBlockedQueues.size === 0) this.reserveBlockedTeams.delete(team)
-    this.blockedUrgentQueues.delete(queue)
-    team.grantBlockedQueues.delete(queue)
-    this.gangQueues.delete(queue)
-  }
-
-  unblock (queue: ShapeQueue): void {
-    if (queue.blockedBy === undefined) return
-    this.clearBlock(queue)
-    if (!queue.isEmpty) this.setReady(queue)
-  }
-
-  /**
-   * Unblocks a queue whose tasks fit on the target now: an urgent one, else one of the team furthest below its share.
-   * Also unblocks queues that wait for the urgent reserve.
-   */
-  unblockForTarget (target: TargetState): void {
-    this.failedSearches.removeFitting(target.free)
-    if (!acceptsWork(target)) return
-    const queue = this.findQueueForTarget(target)
-    if (queue !== undefined) {
-      queue.targetHint = target
-      this.unblock(queue)
-    }
-    this.unblockReserveBlocked()
-  }
-
-  private findQueueForTarget (target: TargetState): ShapeQueue | undefined {
-    const shape = findFirstFitting(this.blockedShapes, (each) => each, target)
-    if (shape === undefined) return undefined
-    const urgent = findFirstFitting(this.blockedUrgentQueues, (queue) => queue.shape, target)
-    if (urgent !== undefined && urgent.team.share <= urgent.team.entitledShare) return urgent
-    return this.findAcceleratorQueue(target) ??
-      this.blockedTeams.find((team) => findFirstFitting(team.blockedQueues, (queue) => queue.shape, target)) ??
-      urgent ??
-      findFairestQueue(shape)
-  }
-
-  /**
-   * Queues that need accelerators come first on a target with free accelerators: other work could book the rest of the
-   * target and leave the accelerators unusable.
-   */
-  private findAcceleratorQueue (target: TargetState): ShapeQueue | undefined {
-    if (target.free.accelerators === 0) return undefined
-    return this.blockedTeams.find((team) => findFirstFitting(team.blockedQueues, ({ shape }) => shape, target, ({ booked }) => booked.accelerators > 0))
-  }
-
-  /** Allows a new search for the shape and unblocks the queue that is next for it. */
-  retryShape (shape: Shape): void {
-    shape.searchFailed = false
-    this.failedSearches.clear()
-    this.unblockNext(shape)
-  }
-
-  /** Unblocks the next queue of the shape, after a task of the shape was started. */
-  unblockNext (shape: Shape): void {
-    const queue = findFairestQueue(shape)
-    if (queue !== undefined) this.unblock(queue)
-  }
-
-  private unblockReserveBlocked (): void {
-    const team = this.reserveBlockedTeams.first()
-    if (team === undefined) return
-    for (const queue of [...team.reserveBlockedQueues]) {
-      if (this.leavesUrgentReserve(queue.shape.booked)) this.unblock(queue)
-    }
-  }
-
-  /** Unblocks some queues of every team after capacity became free on many targets; the others follow when these start tasks. */
-  unblockAllTeams (): void {
-    this.failedSearches.clear()
-    for (const shape of this.blockedShapes) shape.searchFailed = false
-    for (const queue of [...this.blockedUrgentQueues]) this.unblock(queue)
-    for (const team of this.teams.byName.values()) {
-      for (const queue of [...team.blockedQueues].slice(0, MAX_UNBLOCKED_QUEUES_PER_TEAM)) this.unblock(queue)
-      for (const queue of [...team.reserveBlockedQueues]) this.unblock(queue)
-    }
-  }
-
-  unblockGrantBlocked (team: TeamState): void {
-    for (const queue of [...team.grantBlockedQueues]) this.unblock(queue)
-  }
-
   // Booking
 
   /** Whether the amount fits in what is left of the team's grant. */
@@ -443,30 +290,10 @@
     if (!moved) return
     team.orderKey = key
     organisation.orderKey = organisationKey
-    this.readyTeams.update(team)
-    this.urgentReadyTeams.update(team)
-    this.reserveBlockedTeams.update(team)
-    this.blockedTeams.update(team)
+    this.readiness.updateOrder(team)
   }
 }
 
 function differs (left: number, right: number): boolean {
   return Math.abs(left - right) > ORDER_TOLERANCE_RATIO * Math.max(Math.abs(left), Math.abs(right))
 }
-
-/** Finds the first item whose shape fits in the free capacity of the target; reads a bounded number of items. */
-function findFirstFitting<Item> (items: Iterable<Item>, getShape: (item: Item) => Shape, { free }: TargetState, isCandidate: (shape: Shape) => boolean = () => true): Item | undefined {
-  let readCount = 0
-  for (const item of items) {
-    const shape = getShape(item)
-    if (isCandidate(shape) && fits(shape.booked, free)) return item
-    readCount += 1
-    if (readCount === MAX_ITEMS_READ) return undefined
-  }
-  return undefined
-}
-
-function hasReadyNonUrgentQueue (team: TeamState): boolean {
-  const { request, service, gang, batch } = team.readyQueues
-  return request.size + service.size + gang.size + batch.size > 0
-}
--- a/src/scheduling/target-events.ts
+++ b/src/scheduling/target-events.ts
@@ -7,7 +7,7 @@
 export function upsertTarget (state: SchedulerState, target: Target): void {
   const targetState = state.fleet.upsert(target)
   updateEvacuation(state, targetState)
-  state.unblockForTarget(targetState)
+  state.readiness.unblockForTarget(targetState)
 }
 
 /** Removes a lost target; its tasks stay booked until they are reported as ended. */
@@ -20,5 +20,5 @@
 export function changeDomain (state: SchedulerState, name: FailureDomainName, out: boolean): void {
   const domain = state.fleet.setDomainOut(name, out)
   for (const target of domain.targets) updateEvacuation(state, target)
-  if (!out) state.unblockAllTeams()
+  if (!out) state.readiness.unblockAllTeams()
 }
--- a/src/scheduling/team-events.ts
+++ b/src/scheduling/team-events.ts
@@ -18,6 +18,6 @@
   const team = state.teams.getOrCreateTeam(name)
   Object.assign(team.grant, amount)
   team.grantReceived = true
-  state.unblockGrantBlocked(team)
+  state.readiness.unblockGrantBlocked(team)
   startTeamClaims(state, team)
 }
--- a/src/scheduling/tick.ts
+++ b/src/scheduling/tick.ts
@@ -50,24 +50,24 @@
 /** Retries some blocked shapes in rotation, because a bounded search may miss free capacity. */
 function retryBlockedShapes (state: SchedulerState): void {
   let remaining = MAX_SHAPES_PER_TICK
-  for (const shape of state.blockedShapes) {
+  for (const shape of state.readiness.blockedShapes) {
     if (remaining === 0) return
     remaining -= 1
     // The shape goes to the end of the set.
-    state.blockedShapes.delete(shape)
-    state.blockedShapes.add(shape)
+    state.readiness.blockedShapes.delete(shape)
+    state.readiness.blockedShapes.add(shape)
     claimForStarvedShape(state, shape)
-    state.retryShape(shape)
+    state.readiness.retryShape(shape)
   }
 }
 
 function retryGangs (state: SchedulerState): void {
   let tried = 0
-  for (const queue of state.gangQueues) {
+  for (const queue of state.readiness.gangQueues) {
     if (tried === MAX_GANGS_PER_TICK) return
     if (queue.retryAt > state.now || queue.head === state.reservation?.job) continue
     tried += 1
-    state.unblock(queue)
+    state.readiness.unblock(queue)
   }
 }
 
--- a/src/scheduling/work-events.ts
+++ b/src/scheduling/work-events.ts
@@ -112,8 +112,8 @@
   state.removeJobIfEnded(job)
   startReadyClaims(state, target)
   claimForReservation(state, target)
-  state.unblockGrantBlocked(job.team)
-  state.unblockForTarget(target)
+  state.readiness.unblockGrantBlocked(job.team)
+  state.readiness.unblockForTarget(target)
 }
 
 /** Records what the completion shows about the family and the target. */
