--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -18,7 +18,7 @@
  * Whether advice for the step may be requested now. This check is cheap and runs before targets are selected.
  * `prefetch`: the step is not ready yet.
  */
-export function mayRequestAdvice (state: CellState, step: StepRun, prefetch = false): boolean {
+function mayRequestAdvice (state: CellState, step: StepRun, prefetch = false): boolean {
   return !step.advice.requestPending && state.pendingAdvice.mayRequest(isUrgent(state, step.job.definition), prefetch, state.now)
 }
 
--- a/src/workflow/open-targets.ts
+++ b/src/workflow/open-targets.ts
@@ -15,7 +15,6 @@
  */
 export class OpenTargets {
   private readonly stride: number
-
   private mostlyFree: boolean | undefined
 
   private constructor (readonly targets: readonly TargetState[], private readonly maxFree: Demand, private readonly maxFreeForNonUrgent: Demand) {
--- a/test/workflow/overdue-advice.test.ts
+++ b/test/workflow/overdue-advice.test.ts
@@ -38,6 +38,7 @@
   harness.apply({ type: 'advised', step: `${job}.0.0`, requestedTargets: allowed, response })
 }
 
+// LOST: late jobs never started, because steps before them in rank asked for every new target; the precedence that mends it is bounded.
 const cases = [
   { guards: 'steps that have waited too long get one channel', channels: 4, bookedTargets: 0, waitMs: WAIT_MS, expected: 1 },
   { guards: 'steps that have waited too long get a quarter of many channels', channels: 8, bookedTargets: 0, waitMs: WAIT_MS, expected: 2 },
