--- a/review/shared/worker.mjs
+++ b/review/shared/worker.mjs
@@ -32,6 +32,8 @@
     this.leaseUntilMs = 0
     this.sequence = 0
     this.waiters = new Set()
+    this.endTimes = new Map()
+    this.lapsedAt = -Infinity
   }
 
   async start () {
@@ -126,7 +128,7 @@
   async list ({ deadlineMs, ackCursor = 0, waitMs = 0 }) {
     if (deadlineMs !== undefined) this.extend(deadlineMs)
     for (const [number, task, run, how] of this.ends) {
-      if (number <= ackCursor) this.record('end-noted', { task, run, how, worker: this.id })
+      if (number <= ackCursor) this.record('end-noted', { task, run, how, worker: this.id, leaseLapsedBetween: this.lapsedAt >= this.endTimes.get(number) })
     }
     this.ends = this.ends.filter(([number]) => number > ackCursor)
     if (this.ends.length === 0 && waitMs > 0) await this.waitForEnd(Math.min(waitMs, MAX_HOLD_WAIT_MS))
@@ -152,6 +154,7 @@
 
   endDueRuns () {
     const lapsed = this.clock() > this.leaseUntilMs
+    if (lapsed) this.lapsedAt = performance.now()
     for (const { task, behaviour, startedAt } of [...this.runs.values()]) {
       if (lapsed) this.end(task, 'lapsed')
       else if (behaviour.lasts !== true && performance.now() - startedAt >= behaviour.ms) this.end(task, behaviour.fails === true ? 'failed' : 'done')
@@ -164,6 +167,7 @@
     this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0))
     this.lastEnd += 1
     this.ends.push([this.lastEnd, task, run, how, ''])
+    this.endTimes.set(this.lastEnd, performance.now())
     this.record('task-ended', { task, run, how, worker: this.id })
     for (const wake of [...this.waiters]) wake()
   }
