--- a/review/shared/cell.mjs
+++ b/review/shared/cell.mjs
@@ -201,15 +201,6 @@
     .map((job) => `LOST: job ${job.id} of ${job.route} is accepted (${states.get(job).state}), has tasks to run, and nothing of it runs for 3 s`)
 }
 
-/** Counts the ends that workers have listed for over `ackTimeoutMs`, and those of them that weren't taken note of. */
-export function countUnnotedEnds (cell) {
-  const until = performance.now() - BOUNDS.ackTimeoutMs
-  const runs = [...cell.jobs.values()].flatMap((job) => job.runs)
-  const noted = new Set(runs.filter(({ what }) => what === 'end-noted').map(({ task, run }) => `${task}#${run}`))
-  const ended = runs.filter(({ what, at }) => what === 'task-ended' && at < until)
-  return { ended: ended.length, notNoted: ended.filter(({ task, run }) => !noted.has(`${task}#${run}`)).length }
-}
-
 /** Whether the workers have listed an end `done` for each task of the job. */
 export function isDone ({ steps, runs }) {
   const done = new Set(runs.filter(({ how }) => how === 'done').map(({ task }) => task))
