--- a/src/controller/advice-dispatcher.ts
+++ b/src/controller/advice-dispatcher.ts
@@ -64,6 +64,16 @@
     return this.queue.length
   }
 
+  /** Number of channels with a request that has not settled. */
+  get busyCount (): number {
+    return this.busyChannels.size
+  }
+
+  /** Number of channels that are not used because their last request failed. */
+  get pausedCount (): number {
+    return [...this.channels.keys()].filter((name) => this.isPaused(name)).length
+  }
+
   stop (): void {
     this.queue = []
     this.channels.clear()
@@ -72,10 +82,14 @@
   private dispatch (): void {
     for (const channel of this.channels.values()) {
       if (this.queue.length === 0) return
-      if (!this.busyChannels.has(channel.name) && (this.pausedUntil.get(channel.name) ?? 0) <= performance.now()) this.sendRequest(channel, this.queue.shift()!)
+      if (!this.busyChannels.has(channel.name) && !this.isPaused(channel.name)) this.sendRequest(channel, this.queue.shift()!)
     }
   }
 
+  private isPaused (name: string): boolean {
+    return (this.pausedUntil.get(name) ?? 0) > performance.now()
+  }
+
   private sendRequest (channel: AdviceChannel, request: AdviceRequest): void {
     this.busyChannels.add(channel.name)
     channel.send(request).then((response) => {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -319,7 +319,9 @@
     this.processorUsage = process.cpuUsage()
     const work = { passes, examinedSteps: steps, examinedTargets: targets, longestPassMs: Math.round(this.longestPassMs), processorMs: Math.round((processor.user + processor.system) / US_PER_MS) }
     this.longestPassMs = 0
-    this.options.reporter.log('info', 'cell-summary', { ...this.scheduler.summary, ...work, members: this.peers.size + 1, adviceWaiting: this.adviceDispatcher.queuedCount })
+    const { channelCount, busyCount, pausedCount, queuedCount } = this.adviceDispatcher
+    const channels = { adviceChannels: channelCount, adviceBusy: busyCount, advicePaused: pausedCount, adviceWaiting: queuedCount }
+    this.options.reporter.log('info', 'cell-summary', { ...this.scheduler.summary, ...work, members: this.peers.size + 1, ...channels })
   }
 
   private removeUnresponsivePeers (): void {
