Give waiting advice requests to a channel when its pause ends

Cause: a channel to the advisor is paused for 1.5 s after a failed call. Waiting requests were given to channels when a request was added, when a response came and when a member joined, but not when a pause ended. With all channels paused at once the requests stayed in the queue; the scheduler counted them as pending and added no more, so that nothing gave them out any more.

Change: a channel is free, busy or paused; the timer that ends the pause frees it and gives it a request. There is no time to compare any more that nobody looks at. A channel that replaces another of its name starts free.

Test: test/controller/advice-dispatcher.test.ts failed before ('a' in place of 'a', 'c').

--- a/src/controller/advice-dispatcher.ts
+++ b/src/controller/advice-dispatcher.ts
@@ -20,11 +20,12 @@
 /** How long a channel is not used after a failed request, in milliseconds. */
 const FAILED_CHANNEL_PAUSE_MS = 1_500
 
+/** A channel and what it does now. A channel that replaces another of the same name has a state of its own. */
+type ChannelState = { readonly channel: AdviceChannel, phase: 'free' | 'busy' | 'paused' }
+
 /** Distributes requests over the channels, urgent requests first. Each channel handles one request at a time. */
 export class AdviceDispatcher {
-  private readonly channels = new Map<string, AdviceChannel>()
-  private readonly busyChannels = new Set<string>()
-  private readonly pausedUntil = new Map<string, number>()
+  private readonly states = new Map<string, ChannelState>()
   private queue: AdviceRequest[] = []
 
   private constructor (private readonly options: AdviceDispatcherOptions) {}
@@ -41,12 +42,12 @@
   }
 
   addChannel (channel: AdviceChannel): void {
-    this.channels.set(channel.name, channel)
+    this.states.set(channel.name, { channel, phase: 'free' })
     this.dispatch()
   }
 
   removeChannel (name: string): void {
-    this.channels.delete(name)
+    this.states.delete(name)
   }
 
   enqueue (request: AdviceRequest): void {
@@ -56,7 +57,7 @@
   }
 
   get channelCount (): number {
-    return this.channels.size
+    return this.states.size
   }
 
   /** Number of requests that wait for a channel. */
@@ -66,40 +67,50 @@
 
   /** Number of channels with a request that has not settled. */
   get busyCount (): number {
-    return this.busyChannels.size
+    return this.countChannels('busy')
   }
 
   /** Number of channels that are not used because their last request failed. */
   get pausedCount (): number {
-    return [...this.channels.keys()].filter((name) => this.isPaused(name)).length
+    return this.countChannels('paused')
   }
 
   stop (): void {
     this.queue = []
-    this.channels.clear()
+    this.states.clear()
+  }
+
+  private countChannels (phase: ChannelState['phase']): number {
+    return [...this.states.values()].filter((state) => state.phase === phase).length
   }
 
+  /** Gives requests to free channels. Must be called whenever a channel becomes free and whenever a request is added. */
   private dispatch (): void {
-    for (const channel of this.channels.values()) {
+    for (const state of this.states.values()) {
       if (this.queue.length === 0) return
-      if (!this.busyChannels.has(channel.name) && !this.isPaused(channel.name)) this.sendRequest(channel, this.queue.shift()!)
+      if (state.phase === 'free') this.sendRequest(state, this.queue.shift()!)
     }
   }
 
-  private isPaused (name: string): boolean {
-    return (this.pausedUntil.get(name) ?? 0) > performance.now()
-  }
-
-  private sendRequest (channel: AdviceChannel, request: AdviceRequest): void {
-    this.busyChannels.add(channel.name)
-    channel.send(request).then((response) => {
-      this.busyChannels.delete(channel.name)
-      if (response.type === 'failed') this.pausedUntil.set(channel.name, performance.now() + FAILED_CHANNEL_PAUSE_MS)
+  private sendRequest (state: ChannelState, request: AdviceRequest): void {
+    state.phase = 'busy'
+    state.channel.send(request).then((response) => {
+      if (response.type === 'failed') this.pause(state)
+      else state.phase = 'free'
       this.options.onResponse(request, response)
       this.dispatch()
     }, (error: unknown) => {
-      this.busyChannels.delete(channel.name)
+      state.phase = 'free'
       this.options.onResponse(request, { type: 'failed', reason: String(error) })
     })
   }
+
+  /** Requests may wait for this channel only, so the end of its pause must give it one. */
+  private pause (state: ChannelState): void {
+    state.phase = 'paused'
+    setTimeout(() => {
+      state.phase = 'free'
+      this.dispatch()
+    }, FAILED_CHANNEL_PAUSE_MS).unref()
+  }
 }
--- /dev/null
+++ b/test/controller/advice-dispatcher.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { AdviceDispatcher } from '../../src/controller/advice-dispatcher.ts'
+import type { AdviceRequest } from '../../src/controller/advice-dispatcher.ts'
+import type { AdviceResponse } from '../../src/ports/command-client.ts'
+
+/** Longer than the pause of a channel whose request failed, in milliseconds. */
+const PAUSE_MS = 2_000
+const FAILED: AdviceResponse = { type: 'failed', reason: 'broken' }
+
+/** Outcome of one call: a response, or an error that the call throws. */
+type CallOutcome = AdviceResponse | Error
+
+/** Channels whose calls end when the test says so, and the steps that were sent and responded to, in this order. */
+class Calls {
+  readonly sent: string[] = []
+  readonly responses: string[] = []
+  readonly dispatcher = AdviceDispatcher.create({ onResponse: ({ step }, { type }) => { this.responses.push(`${step} ${type}`) } })
+  private readonly pending: Array<(outcome: CallOutcome) => void> = []
+
+  private constructor () {}
+
+  static create (channelCount: number): Calls {
+    const calls = new Calls()
+    for (let index = 0; index < channelCount; index += 1) calls.addChannel(`m${index}`)
+    return calls
+  }
+
+  addChannel (name: string): void {
+    this.dispatcher.addChannel({
+      name,
+      send: ({ step }) => {
+        this.sent.push(step)
+        return new Promise((resolve, reject) => this.pending.push((outcome) => outcome instanceof Error ? reject(outcome) : resolve(outcome)))
+      }
+    })
+  }
+
+  enqueue (...steps: readonly string[]): void {
+    for (const step of steps) this.dispatcher.enqueue({ step, targets: ['t1'], costMs: 40, urgent: false } satisfies AdviceRequest)
+  }
+
+  /** Ends the calls that are pending now. */
+  async end (outcome: CallOutcome): Promise<void> {
+    for (const finish of this.pending.splice(0)) finish(outcome)
+    await new Promise((resolve) => setImmediate(resolve))
+  }
+}
+
+// LOST: after the calls of all channels had failed, requests waited for good, and no task of a queue with advice started.
+const pauses = [
+  { guards: 'one channel', channels: 1, waiting: ['c'], expected: ['a', 'c'] },
+  { guards: 'each of several channels', channels: 2, waiting: ['c', 'd', 'e'], expected: ['a', 'b', 'c', 'd'] }
+]
+
+for (const { guards, channels, waiting, expected } of pauses) {
+  test(`advice dispatcher: guards against requests that wait for good after the call of ${guards} failed`, async ({ mock }) => {
+    mock.timers.enable({ apis: ['setTimeout'] })
+    const calls = Calls.create(channels)
+    calls.enqueue(...['a', 'b'].slice(0, channels))
+    calls.enqueue(...waiting)
+    await calls.end(FAILED)
+    assert.equal(calls.sent.length, channels)
+    mock.timers.tick(PAUSE_MS)
+    assert.deepEqual(calls.sent, expected)
+  })
+}
