Keep channels for urgent advice requests only while urgent steps send them

Cause: a part of the channels is kept for urgent steps until none has needed advice for 3 s. Each urgent step with waiting tasks counted as one that needs advice, also when it had no target to ask for: one that no target suits, or whose allowed targets are full, kept the reserve up for good.

Change: an urgent step counts when it sends a request or finds no channel for one.

Test: 'an urgent step that no target suits does not keep channels from a backlog of batch jobs' failed before (4, not 7).

The tasks that last which wait are not mended by this.

--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -46,7 +46,7 @@
     advice.waitsForChannelSince = undefined
     return
   }
-  state.pendingAdvice.add(step.key, { urgent, overdue: isOverdue(state, step) })
+  state.pendingAdvice.add(step.key, { urgent, overdue: isOverdue(state, step), now: state.now })
   advice.searchedTo = undefined
   advice.waitsForChannelSince = undefined
   advice.requestPending = true
--- a/src/workflow/pending-advice.ts
+++ b/src/workflow/pending-advice.ts
@@ -18,7 +18,7 @@
   private readonly nonUrgent = new Set<string>()
   /** Those of both kinds that have waited too long. */
   private readonly overdue = new Set<string>()
-  /** When an urgent step last needed advice, on the scheduler's clock; the first time that is known counts as one. */
+  /** When an urgent step last sent a request or found no channel for one, on the scheduler's clock; at first the first known time. */
   private lastUrgentAt: number | undefined
 
   private constructor () {}
@@ -41,16 +41,23 @@
    * a request, so that those of ready steps take precedence.
    */
   mayRequest (urgent: boolean, prefetch: boolean, now: number): boolean {
-    if (urgent || this.lastUrgentAt === undefined) this.lastUrgentAt = now
+    this.lastUrgentAt ??= now
     if (prefetch && this.size >= this.channels) return false
-    if (this.size >= this.channels * REQUESTS_PER_CHANNEL) return false
+    if (this.size >= this.channels * REQUESTS_PER_CHANNEL) {
+      if (urgent) this.lastUrgentAt = now
+      return false
+    }
     const ratio = now - this.lastUrgentAt < URGENT_RESERVE_MS ? NON_URGENT_CHANNEL_RATIO : 1
     return urgent || this.nonUrgent.size < Math.max(1, Math.floor(this.channels * ratio))
   }
 
-  add (step: string, { urgent, overdue }: { readonly urgent: boolean, readonly overdue: boolean }): void {
-    if (urgent) this.urgent.add(step)
-    else this.nonUrgent.add(step)
+  add (step: string, { urgent, overdue, now }: { readonly urgent: boolean, readonly overdue: boolean, readonly now: number }): void {
+    if (urgent) {
+      this.urgent.add(step)
+      this.lastUrgentAt = now
+    } else {
+      this.nonUrgent.add(step)
+    }
     if (overdue) this.overdue.add(step)
   }
 
--- a/test/workflow/advice.test.ts
+++ b/test/workflow/advice.test.ts
@@ -69,6 +69,16 @@
   assert.equal(countBatchRequests(), 7)
 })
 
+// LOST: half of the channels stood idle for ten seconds while 20 steps without advice waited, kept free for an urgent step that had no use for one.
+test('advice: an urgent step that no target suits does not keep channels from a backlog of batch jobs', () => {
+  const harness = createHarness(20)
+  harness.apply({ type: 'advice-channels', channels: 7 })
+  harness.apply({ type: 'job-accepted', definition: { ...buildJob('u', { requiredLabel: 'missing' }), queue: 'urgent' } })
+  for (let index = 0; index < 20; index++) harness.apply({ type: 'job-accepted', definition: { ...buildJob(`b${index}`, {}), queue: 'batch' } })
+  for (let elapsedMs = 0; elapsedMs < 3_100; elapsedMs += 100) harness.advance(100)
+  assert.equal(getAdviceRequests(harness).length, 7)
+})
+
 test('advice: a new leader uses the responses that members received for the previous leader', () => {
   const harness = createHarness(3)
   const known = { step: 'a.0.0', asked: ['t0', 't1'], tickets: [{ target: 't1', ticket: 'x' }], validForMs: 1_000 }
