Log whether a job waits for its organisation's maximum or for the part of it that is reserved

Change: step-waiting has the reason 'reserve' where the whole maximum would have room. The check moves from placement.ts to a module of its own.

--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -1,12 +1,10 @@
-import { isUrgent, findQueue, getUsage } from './cell-state.ts'
+import { findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { hasRecentStart } from './crash-suspicion.ts'
-import type { Demand } from './job.ts'
-import { addDemands } from './job.ts'
 import { getOpenTargets } from './open-targets.ts'
 import { acceptsTaskOf, isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
-import type { Job, StepRun, Task } from './task.ts'
+import type { StepRun, Task } from './task.ts'
 
 /** A target with a higher ratio of recent failures gets no tasks for a while after its last failure. */
 const SUSPECT_FAILURE_RATIO = 0.45
@@ -19,37 +17,11 @@
  */
 const FAILURE_PAUSE_MS = { first: 1_500, last: 2_500 } as const
 
-/** Ratio of an organisation's maximum that jobs beyond its share of submissions, urgent jobs and other jobs may use. */
-const USABLE_MAXIMUM_RATIO = { exceedsShare: 0.6, urgent: 1, nonUrgent: 0.85 } as const
-
 /** Weights in the score of a target, relative to its ratio of free capacity. */
 const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5 } as const
 /** Upper limit of the excess duration that lowers the score of a target, in multiples of the declared duration. */
 const MAX_SLOWNESS_FACTOR = 6
 
-/** Whether the organisation of the job may start tasks with this total demand. */
-export function isWithinMaximum (state: CellState, job: Job, demand: Demand): boolean {
-  const { organisation } = job.definition
-  const maximum = state.organisations.get(organisation)?.maximum
-  if (maximum === undefined) return true
-  const usage = addDemands(getUsage(state, organisation), state.uncertainUsage)
-  const ratio = getUsableRatio(state, job)
-  return fitsMaximum(usage.cpuMillis, demand.cpuMillis, maximum.cpuMillis, ratio) &&
-    fitsMaximum(usage.memoryMiB, demand.memoryMiB, maximum.memoryMiB, ratio) &&
-    fitsMaximum(usage.accelerators, demand.accelerators, maximum.accelerators, ratio)
-}
-
-/** Ratio of the organisation's maximum that the job may use. Non-urgent jobs leave a reserve for urgent ones. */
-function getUsableRatio (state: CellState, job: Job): number {
-  if (job.exceedsShare) return USABLE_MAXIMUM_RATIO.exceedsShare
-  return isUrgent(state, job.definition) ? USABLE_MAXIMUM_RATIO.urgent : USABLE_MAXIMUM_RATIO.nonUrgent
-}
-
-/** Whether a demand fits a maximum. A single task fits even if it exceeds the whole maximum. */
-function fitsMaximum (used: number, requested: number, maximum: number, ratio: number): boolean {
-  return maximum === 0 || requested === 0 || used === 0 || used + requested <= maximum * ratio
-}
-
 /** Whether the target has a run of the task. */
 function hasRunOf (target: TargetState, task: Task): boolean {
   for (const live of task.runs) {
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,3 +1,4 @@
+import { assertNever } from '../util/assert-never.ts'
 import { requestAdvice } from './advice-requests.ts'
 import { log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
@@ -5,9 +6,10 @@
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
+import { checkMaximum } from './organisation-maximum.ts'
 import { selectOverdueSteps } from './overdue-advice.ts'
 import { compareRanks, computeRank } from './step-rank.ts'
-import { findAllowedTargets, chooseTarget, needsAdvice, isWithinMaximum } from './placement.ts'
+import { findAllowedTargets, chooseTarget, needsAdvice } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
 import { hasStartableTask, isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
@@ -44,8 +46,7 @@
 function startStep (state: CellState, step: StepRun): void {
   state.passWork.steps += 1
   if (needsAdvice(state, step) && !step.advice.hasResponse) {
-    if (isWithinMaximum(state, step.job, step.spec.demand)) requestFirstAdvice(state, step)
-    else logBlocked(state, step, 'maximum')
+    if (isWithinMaximum(state, step, step.spec.demand)) requestFirstAdvice(state, step)
     return
   }
   const candidates = findAllowedTargets(state, step)
@@ -63,7 +64,7 @@
 function startTasks (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
   for (const task of step.tasks) {
     if (!mayStart(state, task)) continue
-    if (!isWithinMaximum(state, step.job, step.spec.demand)) return logBlocked(state, step, 'maximum')
+    if (!isWithinMaximum(state, step, step.spec.demand)) return true
     const target = chooseTarget(state, candidates, task)
     if (target === undefined) {
       logBlocked(state, step, 'no-room')
@@ -79,14 +80,28 @@
   return isStartable(task, state.now) && !state.heldBackTasks.has(task)
 }
 
-/** Logs why a step waits whenever the reason changes. Returns true for callers to report that tickets would not help. */
-function logBlocked (state: CellState, step: StepRun, reason: 'maximum' | 'no-room' | 'no-advice-channel'): true {
-  if (step.blockedBy === reason) return true
+/** Whether the organisation may start tasks of the step with this total demand; logs why not. */
+function isWithinMaximum (state: CellState, step: StepRun, demand: Demand): boolean {
+  const check = checkMaximum(state, step.job, demand)
+  switch (check) {
+    case 'within': return true
+    case 'reserved':
+      logBlocked(state, step, 'reserve')
+      return false
+    case 'exceeded':
+      logBlocked(state, step, 'maximum')
+      return false
+    default: return assertNever(check)
+  }
+}
+
+/** Logs why a step waits whenever the reason changes. */
+function logBlocked (state: CellState, step: StepRun, reason: 'maximum' | 'reserve' | 'no-room' | 'no-advice-channel'): void {
+  if (step.blockedBy === reason) return
   step.blockedBy = reason
   const { definition } = step.job
   const allowed = [...state.targets.values()].filter((target) => step.advice.isAllowed(target.id)).length
   log(state, 'info', 'step-waiting', { step: step.key, reason, organisation: definition.organisation, usedCpuMillis: getUsage(state, definition.organisation).cpuMillis, allowedTargets: allowed, targets: state.targets.size })
-  return true
 }
 
 function startTask (state: CellState, task: Task, target: TargetState): void {
@@ -102,7 +117,7 @@
 /** Starts a gang; returns false if more tickets could help. */
 function startGang (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
   if (!step.tasks.every((task) => mayStart(state, task))) return true
-  if (!isWithinMaximum(state, step.job, computeTotalDemand(step))) return logBlocked(state, step, 'maximum')
+  if (!isWithinMaximum(state, step, computeTotalDemand(step))) return true
   const run = state.lastRunNumber + 1
   alignCheckpoints(step)
   const placed = placeGang(state, step, run, candidates, (live) => removeRun(state, live))
