Let an idle job use its organisation's reserve while less than half of the maximum is used

Cause: jobs that aren't urgent may use 85% of the maximum (60% beyond the share of submissions), so that urgent jobs find room. The rest was kept from them even where what runs never ends, so that a job could wait for good.

Change: while the organisation uses less than half of its maximum, a job of which nothing runs starts one task or gang whatever is reserved. It may exceed the maximum by less than one task, as a task larger than the whole maximum already could while nothing else ran; otherwise such a task would wait for good beside tasks that last. Further tasks of the job, and jobs of an organisation that uses half or more, leave the reserve as before.

--- a/src/workflow/organisation-maximum.ts
+++ b/src/workflow/organisation-maximum.ts
@@ -2,7 +2,7 @@
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
 import { addDemands } from './job.ts'
-import type { Job } from './task.ts'
+import type { Job, StepRun } from './task.ts'
 
 /** Ratio of an organisation's maximum that jobs beyond its share of submissions, urgent jobs and other jobs may use. */
 const USABLE_MAXIMUM_RATIO = { exceedsShare: 0.6, urgent: 1, nonUrgent: 0.85 } as const
@@ -10,14 +10,19 @@
 /** `reserved`: only the part of the maximum that is reserved for other jobs has room. `exceeded`: the maximum has no room. */
 export type MaximumCheck = 'within' | 'reserved' | 'exceeded'
 
-/** Checks whether the organisation of the job may start tasks with this total demand. */
-export function checkMaximum (state: CellState, job: Job, demand: Demand): MaximumCheck {
+/**
+ * Checks whether the organisation of the step may start tasks with this total demand, which is that of one task or of a
+ * gang.
+ */
+export function checkMaximum (state: CellState, step: StepRun, demand: Demand): MaximumCheck {
+  const { job, spec } = step
   const { organisation } = job.definition
   const maximum = state.organisations.get(organisation)?.maximum
   if (maximum === undefined) return 'within'
   const usage = addDemands(getUsage(state, organisation), state.uncertainUsage)
-  if (fitsMaximum(usage, demand, maximum, getUsableRatio(state, job))) return 'within'
-  return fitsMaximum(usage, demand, maximum, 1) ? 'reserved' : 'exceeded'
+  if (fitsLimit(usage, demand, scaleDemand(maximum, getUsableRatio(state, job)))) return 'within'
+  if (step.isIdle && isLessThanHalf(usage, maximum) && fitsLimit(usage, demand, addToLimit(maximum, spec.demand))) return 'within'
+  return fitsLimit(usage, demand, maximum) ? 'reserved' : 'exceeded'
 }
 
 /** Ratio of the organisation's maximum that the job may use. Non-urgent jobs leave a reserve for urgent ones. */
@@ -26,13 +31,33 @@
   return isUrgent(state, job.definition) ? USABLE_MAXIMUM_RATIO.urgent : USABLE_MAXIMUM_RATIO.nonUrgent
 }
 
-function fitsMaximum (usage: Demand, demand: Demand, maximum: Demand, ratio: number): boolean {
-  return fitsAmount(usage.cpuMillis, demand.cpuMillis, maximum.cpuMillis * ratio) &&
-    fitsAmount(usage.memoryMiB, demand.memoryMiB, maximum.memoryMiB * ratio) &&
-    fitsAmount(usage.accelerators, demand.accelerators, maximum.accelerators * ratio)
+/** Whether a demand fits a limit. A single task fits even if it exceeds the whole limit. */
+function fitsLimit (usage: Demand, demand: Demand, limit: Demand): boolean {
+  return fitsAmount(usage.cpuMillis, demand.cpuMillis, limit.cpuMillis) &&
+    fitsAmount(usage.memoryMiB, demand.memoryMiB, limit.memoryMiB) &&
+    fitsAmount(usage.accelerators, demand.accelerators, limit.accelerators)
 }
 
-/** Whether a requested amount fits a limit; 0 means no limit. A single task fits even if it exceeds the whole limit. */
+/** A limit of 0 means none. */
 function fitsAmount (used: number, requested: number, limit: number): boolean {
   return limit === 0 || requested === 0 || used === 0 || used + requested <= limit
 }
+
+/**
+ * Whether an organisation uses less than half of its maximum. It then starts an idle job even if that takes the reserve, or
+ * exceeds the maximum by less than one task: what runs may last, and the job would wait for good.
+ */
+function isLessThanHalf (usage: Demand, maximum: Demand): boolean {
+  const isLess = (used: number, limit: number): boolean => limit === 0 || used < limit / 2
+  return isLess(usage.cpuMillis, maximum.cpuMillis) && isLess(usage.memoryMiB, maximum.memoryMiB) && isLess(usage.accelerators, maximum.accelerators)
+}
+
+function scaleDemand ({ cpuMillis, memoryMiB, accelerators }: Demand, ratio: number): Demand {
+  return { cpuMillis: cpuMillis * ratio, memoryMiB: memoryMiB * ratio, accelerators: accelerators * ratio }
+}
+
+/** Adds a demand to a limit, in which 0 means none. */
+function addToLimit (limit: Demand, demand: Demand): Demand {
+  const add = (amount: number, more: number): number => amount === 0 ? 0 : amount + more
+  return { cpuMillis: add(limit.cpuMillis, demand.cpuMillis), memoryMiB: add(limit.memoryMiB, demand.memoryMiB), accelerators: add(limit.accelerators, demand.accelerators) }
+}
--- a/src/workflow/overdue-advice.ts
+++ b/src/workflow/overdue-advice.ts
@@ -2,7 +2,7 @@
 import { findQueue } from './cell-state.ts'
 import { getOpenTargets } from './open-targets.ts'
 import { computeObjectiveMs } from './step-rank.ts'
-import type { Job, StepRun } from './task.ts'
+import type { StepRun } from './task.ts'
 
 /** How long a step waits for a channel to the advisor before it takes precedence, in milliseconds. */
 const MAX_CHANNEL_WAIT_MS = 2_000
@@ -15,7 +15,7 @@
   const { waitsForChannelSince } = step.advice
   if (waitsForChannelSince === undefined || state.now - waitsForChannelSince < MAX_CHANNEL_WAIT_MS) return false
   if (!getOpenTargets(state, findQueue(state, step.job.definition)?.pool).isMostlyFree) return false
-  return step.spec.longRunning || !hasRuns(step.job)
+  return step.isIdle
 }
 
 /**
@@ -41,10 +41,3 @@
   const objectiveMs = queue === undefined || spec.longRunning ? 0 : computeObjectiveMs(queue, job)
   return waitedMs / Math.max(MAX_CHANNEL_WAIT_MS, objectiveMs)
 }
-
-function hasRuns (job: Job): boolean {
-  for (const task of job.tasks()) {
-    if (task.runs.size > 0) return true
-  }
-  return false
-}
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -82,7 +82,7 @@
 
 /** Whether the organisation may start tasks of the step with this total demand; logs why not. */
 function isWithinMaximum (state: CellState, step: StepRun, demand: Demand): boolean {
-  const check = checkMaximum(state, step.job, demand)
+  const check = checkMaximum(state, step, demand)
   switch (check) {
     case 'within': return true
     case 'reserved':
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -71,6 +71,11 @@
     return this.unfinishedTasks === 0
   }
 
+  /** Whether its caller gets nothing of it now: no task of its job runs. Each task that lasts counts for itself. */
+  get isIdle (): boolean {
+    return this.spec.longRunning || !this.job.hasRuns
+  }
+
   /** Whether all predecessors have ended. */
   get ready (): boolean {
     const siblings = this.job.occurrences.get(this.occurrence)!
@@ -107,6 +112,14 @@
     return !isFinalPhase(this.phase)
   }
 
+  /** Whether a task of it has a run that may be on a target. */
+  get hasRuns (): boolean {
+    for (const task of this.tasks()) {
+      if (task.runs.size > 0) return true
+    }
+    return false
+  }
+
   /** Creates the steps of the next occurrence. */
   openOccurrence (): readonly StepRun[] {
     const number = this.nextOccurrence
