Let one batch task at a time use its organisation's reserve beside tasks that last

Callers would see: with more than half of an organisation's maximum in use by tasks that last, a job that fits under the maximum, but not under the part for jobs that aren't urgent, stays queued for good.

Change: a task or gang that ends, and isn't urgent, may use the whole maximum while no other such run of its organisation is there. Tasks that last leave the reserve as before, because they would keep it.

Test: 'starts a batch job beside tasks that last and use more than half' failed before; 'only one task at a time' and 'exceeds no maximum' held before and after.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -54,6 +54,7 @@
       queues: new Map(),
       organisations: new Map(),
       usage: new Map(),
+      batchRuns: new Map(),
       submissionBuckets: new Map(),
       jobs: new Map(),
       endedJobs: new Map(),
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -25,6 +25,8 @@
   readonly queues: Map<string, Queue>
   readonly organisations: Map<string, Organisation>
   readonly usage: Map<string, Demand>
+  /** By organisation, its runs that are neither urgent nor of tasks that last. */
+  readonly batchRuns: Map<string, number>
   readonly submissionBuckets: Map<string, SubmissionBucket>
   readonly jobs: Map<string, Job>
   /** Ended jobs whose definitions are no longer stored. */
@@ -93,6 +95,11 @@
   })
 }
 
+/** Counts a run that is neither urgent nor of a task that lasts, or uncounts it. */
+export function changeBatchRuns (state: CellState, organisation: string, sign: 1 | -1): void {
+  state.batchRuns.set(organisation, (state.batchRuns.get(organisation) ?? 0) + sign)
+}
+
 /** Returns the queue of a job, or undefined until its configuration is known. */
 export function findQueue (state: CellState, definition: JobDefinition): Queue | undefined {
   return state.queues.get(definition.queue)
--- a/src/workflow/organisation-maximum.ts
+++ b/src/workflow/organisation-maximum.ts
@@ -22,7 +22,8 @@
   const usage = addDemands(getUsage(state, organisation), state.uncertainUsage)
   if (fitsLimit(usage, demand, scaleDemand(maximum, getUsableRatio(state, job)))) return 'within'
   if (step.isIdle && isLessThanHalf(usage, maximum) && fitsLimit(usage, demand, addToLimit(maximum, spec.demand))) return 'within'
-  return fitsLimit(usage, demand, maximum) ? 'reserved' : 'exceeded'
+  if (!fitsLimit(usage, demand, maximum)) return 'exceeded'
+  return isOnlyBatchJob(state, step) ? 'within' : 'reserved'
 }
 
 /** Ratio of the organisation's maximum that the job may use. Non-urgent jobs leave a reserve for urgent ones. */
@@ -52,6 +53,14 @@
   return isLess(usage.cpuMillis, maximum.cpuMillis) && isLess(usage.memoryMiB, maximum.memoryMiB) && isLess(usage.accelerators, maximum.accelerators)
 }
 
+/**
+ * Whether the step ends and no other such work of its organisation runs. It may use the reserve then: beside tasks that last
+ * there might never be room for it otherwise, and urgent jobs wait for one task or gang at most.
+ */
+function isOnlyBatchJob (state: CellState, { spec, job }: StepRun): boolean {
+  return !spec.longRunning && (state.batchRuns.get(job.definition.organisation) ?? 0) === 0
+}
+
 function scaleDemand ({ cpuMillis, memoryMiB, accelerators }: Demand, ratio: number): Demand {
   return { cpuMillis: cpuMillis * ratio, memoryMiB: memoryMiB * ratio, accelerators: accelerators * ratio }
 }
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -1,4 +1,4 @@
-import { changeUsage, isUrgent, log, recordRoom } from './cell-state.ts'
+import { changeBatchRuns, changeUsage, isUrgent, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { LivePhase, LiveRun } from './live-run.ts'
 import type { TargetState } from './target-state.ts'
@@ -36,17 +36,24 @@
   task.runs.add(live)
   if (task.phase === 'waiting') task.phase = 'live'
   target.add(live)
-  changeUsage(state, task.step.job.definition.organisation, task.step.spec.demand, 1)
+  countRun(state, live, 1)
   return live
 }
 
+/** Counts a run for its organisation, or uncounts it. */
+function countRun (state: CellState, { task: { step }, urgent }: LiveRun, sign: 1 | -1): void {
+  const { organisation } = step.job.definition
+  changeUsage(state, organisation, step.spec.demand, sign)
+  if (!urgent && !step.spec.longRunning) changeBatchRuns(state, organisation, sign)
+}
+
 /** Removes a run and its bookings. The task waits again unless it is done or has another run. */
 export function removeRun (state: CellState, live: LiveRun): void {
   const { task, target } = live
   if (!task.runs.delete(live)) return
   target.remove(live)
   recordRoom(state, target)
-  changeUsage(state, task.step.job.definition.organisation, task.step.spec.demand, -1)
+  countRun(state, live, -1)
   if (task.phase === 'live' && task.runs.size === 0) {
     task.phase = 'waiting'
     if (task.step.job.active) state.openSteps.add(task.step)
