Let an idle job use the reserve of a target while most of its pool is free

Change: while less than half of the pool is booked, a task or gang of a job of which nothing runs may use the reserve. The checks that need the pool move from target-acceptance.ts to task-acceptance.ts.

Test: test/workflow/task-acceptance.test.ts; the two cases with one task of a job that doesn't run failed before, those that keep the reserve held. The members of a gang have their own case, since each is placed beside those before it.

--- a/src/workflow/advice-targets.ts
+++ b/src/workflow/advice-targets.ts
@@ -4,8 +4,9 @@
 import type { OpenTargets } from './open-targets.ts'
 import { computeScore } from './placement.ts'
 import { isStartable } from './startable.ts'
-import { acceptsTaskOf, countFreeSlots, isSuitable } from './target-acceptance.ts'
+import { countFreeSlots, isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
+import { acceptsTaskOf } from './task-acceptance.ts'
 import type { StepRun } from './task.ts'
 
 /** Ratio of requested targets that is expected to be allowed until the first response for the queue. */
--- a/src/workflow/open-targets.ts
+++ b/src/workflow/open-targets.ts
@@ -2,10 +2,13 @@
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
 import { NO_DEMAND, addDemands, maxDemand } from './job.ts'
-import { NON_URGENT_CAPACITY_RATIO, acceptsWork } from './target-acceptance.ts'
+import { acceptsWork } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun } from './task.ts'
 
+/** Ratio of a target's capacity that non-urgent tasks may use. */
+export const NON_URGENT_CAPACITY_RATIO = 0.85
+
 /** Ratio of the number of targets by which a walk advances, so that it visits the racks in turn. */
 const STRIDE_RATIO = 0.618
 
@@ -43,9 +46,10 @@
   }
 
   /** False if certainly no target has room for a task of the step. */
-  mayFit (state: CellState, { spec, job }: StepRun): boolean {
+  mayFit (state: CellState, step: StepRun): boolean {
+    const { spec } = step
     const { demand } = spec
-    const free = isUrgent(state, job.definition) ? this.maxFree : this.maxFreeForNonUrgent
+    const free = isUrgent(state, step.job.definition) || this.mayUseReserve(step) ? this.maxFree : this.maxFreeForNonUrgent
     return (spec.fills || demand.cpuMillis <= free.cpuMillis) && demand.memoryMiB <= free.memoryMiB && demand.accelerators <= free.accelerators
   }
 
@@ -55,6 +59,14 @@
     return this.mostlyFree
   }
 
+  /**
+   * Whether tasks of a step that is not urgent may use what is reserved for urgent tasks on each target. A job that does not
+   * run may: where tasks that last use the rest, it would wait for good in a pool that is mostly free.
+   */
+  mayUseReserve (step: StepRun): boolean {
+    return this.isMostlyFree && step.isIdle
+  }
+
   /** Visits each target once, in an order that depends on `seed`: walks with different seeds start at different targets. */
   * walk (seed: number): Iterable<TargetState> {
     const { targets } = this
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -2,8 +2,9 @@
 import type { CellState } from './cell-state.ts'
 import { hasRecentStart } from './crash-suspicion.ts'
 import { getOpenTargets } from './open-targets.ts'
-import { acceptsTaskOf, isSuitable } from './target-acceptance.ts'
+import { isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
+import { acceptsTaskOf } from './task-acceptance.ts'
 import type { StepRun, Task } from './task.ts'
 
 /** A target with a higher ratio of recent failures gets no tasks for a while after its last failure. */
--- a/src/workflow/target-acceptance.ts
+++ b/src/workflow/target-acceptance.ts
@@ -1,11 +1,7 @@
-import { isUrgent } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun } from './task.ts'
 
-/** Ratio of a target's capacity that non-urgent tasks may use. */
-export const NON_URGENT_CAPACITY_RATIO = 0.85
-
 /** Whether a target accepts new tasks at all. */
 export function acceptsWork (state: CellState, target: TargetState): boolean {
   return target.reachable && target.listed && target.published && !target.awaitsEntry && target.unknownRunCount === 0 && !target.entry.draining &&
@@ -44,31 +40,3 @@
 function countSlots (free: number, demand: number): number {
   return demand === 0 ? Infinity : Math.floor(free / demand)
 }
-
-/**
- * Whether a task of the step leaves the reserve for urgent tasks on the target. A single non-urgent task is accepted even if
- * it uses the reserve.
- */
-function isWithinNonUrgentCapacity (state: CellState, target: TargetState, { spec, job }: StepRun): boolean {
-  if (isUrgent(state, job.definition)) return true
-  const { capacity } = target.entry
-  const { cpuMillis, memoryMiB } = target.bookedNonUrgent
-  const cpuFits = spec.fills || cpuMillis === 0 || cpuMillis + spec.demand.cpuMillis <= capacity.cpuMillis * NON_URGENT_CAPACITY_RATIO
-  return cpuFits && (memoryMiB === 0 || memoryMiB + spec.demand.memoryMiB <= capacity.memoryMiB * NON_URGENT_CAPACITY_RATIO)
-}
-
-/** Whether the target has fewer runs of the step than its limit for one target. */
-function isWithinPerTargetLimit (target: TargetState, step: StepRun): boolean {
-  const limit = step.spec.perTargetLimit
-  if (limit === 0) return true
-  let runCount = 0
-  for (const live of target.runs.values()) {
-    if (live.task.step === step) runCount += 1
-  }
-  return runCount < limit
-}
-
-/** Whether the target accepts one more task of the step now. Advice is not checked. */
-export function acceptsTaskOf (state: CellState, target: TargetState, step: StepRun): boolean {
-  return hasFreeCapacity(target, step) && acceptsWork(state, target) && isWithinNonUrgentCapacity(state, target, step) && isWithinPerTargetLimit(target, step)
-}
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -71,9 +71,12 @@
     return this.unfinishedTasks === 0
   }
 
-  /** Whether its caller gets nothing of it now: no task of its job runs. Each task that lasts counts for itself. */
+  /**
+   * Whether its caller gets nothing of it now: no task of its job runs. Each task that lasts counts for itself. The members
+   * of a gang are placed one after another, so that those placed before do not count.
+   */
   get isIdle (): boolean {
-    return this.spec.longRunning || !this.job.hasRuns
+    return this.spec.longRunning || !this.job.hasRuns(this.spec.gang ? this : undefined)
   }
 
   /** Whether all predecessors have ended. */
@@ -112,10 +115,10 @@
     return !isFinalPhase(this.phase)
   }
 
-  /** Whether a task of it has a run that may be on a target. */
-  get hasRuns (): boolean {
+  /** Whether a task of it has a run that may be on a target, those of one step left out. */
+  hasRuns (leftOut: StepRun | undefined): boolean {
     for (const task of this.tasks()) {
-      if (task.runs.size > 0) return true
+      if (task.step !== leftOut && task.runs.size > 0) return true
     }
     return false
   }
