Move the previous leader and the summary log out of the controller

Change: predecessor.ts asks the previous leader to stand down and knows when its runs have lapsed; summary-log.ts writes the summary.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -10,10 +10,9 @@
 import { AdviceDispatcher } from './advice-dispatcher.ts'
 import { Committer } from './committer.ts'
 import { delay } from './delay.ts'
-import { LEASE_GRACE_MS } from './leadership.ts'
-import type { Term } from './leadership.ts'
 import type { Peer } from './member-call.ts'
-import type { Reporter } from './reporter.ts'
+import { Predecessor } from './predecessor.ts'
+import type { PredecessorOptions } from './predecessor.ts'
 import { readPrefix } from './store-calls.ts'
 import { readStoredJobs } from './read-stored-jobs.ts'
 import { JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY } from './store-keys.ts'
@@ -22,34 +21,27 @@
 import { RelayedCommands } from './relayed-commands.ts'
 import { StoreFeed } from './store-feed.ts'
 import { parseRecord } from './stored-record.ts'
+import { SummaryLog } from './summary-log.ts'
+import type { LeaderState } from './summary-log.ts'
 import { TargetSession } from './target-session.ts'
 
 const TICK_INTERVAL_MS = 50
-const SUMMARY_INTERVAL_MS = 2_000
-const US_PER_MS = 1_000
 /** Number of run numbers reserved for each term; far more than the runs that a term starts. */
 const RUNS_PER_TERM = 1_000_000
 const RESTORE_RETRY_DELAY_MS = 200
-const PREDECESSOR_RETRY_DELAY_MS = 300
 /** A member that has not sent a hello for this time, in milliseconds, gets no more advice requests. */
 const PEER_TIMEOUT_MS = 5_000
 /** If a tick is late by more than this, the process may have been suspended, in milliseconds. */
 const SUSPENSION_THRESHOLD_MS = 700
 /** Pause after a scheduling pass, as a multiple of its duration: passes use at most a third of the processor. */
 const PASS_PAUSE_FACTOR = 2
-/** Factor on the lease of runs, because a target's clock may be slower than the clock of this process. */
-const CLOCK_DRIFT_FACTOR = 1.03
 
-export type ControllerOptions = {
+export type ControllerOptions = Omit<PredecessorOptions, 'isStopped'> & {
   readonly store: Store
-  readonly term: Term
   readonly commands: CommandClient
   /** Opens the stream to a member that sends commands on behalf of this leader. */
   readonly openRelayStream: RelayStreamOpener
   readonly advisor: Advisor
-  readonly self: Peer
-  readonly reporter: Reporter
-  readonly leaseMs: number
   /** Prefix of the keys under which targets publish themselves. */
   readonly targetPrefix: string
   /** Parses the value that a target has published; undefined if it is not a valid target. */
@@ -58,13 +50,6 @@
   readonly requestPeerAdvice: (peer: Peer, step: string, targets: readonly string[], timeoutMs: number) => Promise<AdviceResponse>
   /** Requests the advisor responses that a member has received for a previous leader. */
   readonly requestCachedAdvice: (peer: Peer) => Promise<readonly CachedAdvice[]>
-  /**
-   * Asks a member to stop leading any earlier term. Returns the time since it last led one, in milliseconds; undefined
-   * without a response.
-   */
-  readonly requestStandDown: (peer: Peer, term: number) => Promise<number | undefined>
-  /** Time since this process last led an earlier term, in milliseconds. */
-  readonly getTimeSinceLeadingMs: () => number
   /** Whether the store has confirmed the lease so recently that no other member can lead. */
   readonly isLeaseConfirmed: () => boolean
   readonly onFenced: (reason: string) => void
@@ -79,6 +64,8 @@
   private readonly sessions = new Map<string, TargetSession>()
   private readonly peers = new Map<string, { readonly peer: Peer, seenAt: number }>()
   private readonly storeFeed: StoreFeed
+  private readonly predecessor: Predecessor
+  private readonly summaryLog: SummaryLog
   private previousTargets: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
   private commitWaiters: Array<() => void> = []
@@ -88,15 +75,8 @@
   private targetsRead = false
   private lastTickAt = Date.now()
   private suspendedUntilConfirmed = false
-  private lastSummaryAt = 0
-  /** Duration of the longest scheduling pass since the last summary. */
-  private longestPassMs = 0
-  /** Processor time of this process at the last summary. */
-  private processorUsage = process.cpuUsage()
   /** Earliest start of the next scheduling pass, on the monotonic clock. */
   private nextPassAt = 0
-  /** Time after which the previous leader sends no more commands, on the monotonic clock. */
-  private previousCommandsEndAt = performance.now() + LEASE_GRACE_MS
 
   private constructor (private readonly options: ControllerOptions) {
     this.scheduler = CellScheduler.create({ firstRunNumber: (options.term.term - 1) * RUNS_PER_TERM + 1, leaseMs: options.leaseMs, wallClockOffsetMs: Date.now() - performance.now() })
@@ -106,6 +86,9 @@
       reporter: options.reporter,
       getFailureDomain: (target) => this.scheduler.getTarget(target)?.entry.failureDomain
     })
+    const { term, self, leaseMs, reporter, requestStandDown, getTimeSinceLeadingMs } = options
+    this.predecessor = Predecessor.create({ term, self, leaseMs, reporter, requestStandDown, getTimeSinceLeadingMs, isStopped: () => this.stopped })
+    this.summaryLog = SummaryLog.create(reporter)
     this.committer = Committer.create({
       store: options.store,
       term: options.term.term,
@@ -251,31 +234,13 @@
   private async beginTerm (): Promise<void> {
     this.scheduler.expectEarlierRuns()
     this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS)
-    this.stopPredecessor().catch((error: unknown) => this.options.reporter.log('error', 'predecessor-not-asked', { detail: String(error) }))
+    this.predecessor.stop().catch((error: unknown) => this.options.reporter.log('error', 'predecessor-not-asked', { detail: String(error) }))
     const version = await this.restore()
     if (version === undefined) return
     this.storeFeed.start()
     this.restored = true
   }
 
-  /**
-   * Asks the previous leader to stand down. A response from its address means that it has stopped, or that its process
-   * has ended.
-   */
-  private async stopPredecessor (): Promise<void> {
-    const { term, self, requestStandDown, reporter } = this.options
-    const { predecessor } = term
-    if (predecessor === undefined) return
-    while (!this.stopped && performance.now() < this.previousCommandsEndAt) {
-      const timeSinceLeadingMs = predecessor.address === self.address ? this.options.getTimeSinceLeadingMs() : await requestStandDown(predecessor, term.term)
-      if (timeSinceLeadingMs !== undefined) {
-        this.previousCommandsEndAt = performance.now() - timeSinceLeadingMs
-        return reporter.log('info', 'predecessor-stopped', { member: predecessor.member, term: term.term, quietForMs: Math.round(timeSinceLeadingMs) })
-      }
-      await delay(PREDECESSOR_RETRY_DELAY_MS)
-    }
-  }
-
   /** Reads the jobs, their progress and the targets of previous leaders; retries until it succeeds or the term ends. */
   private async restore (): Promise<number | undefined> {
     const { store, reporter } = this.options
@@ -305,23 +270,16 @@
       this.options.reporter.log('warn', 'process-was-suspended', { lateMs })
     }
     if (this.suspendedUntilConfirmed && this.options.isLeaseConfirmed()) this.suspendedUntilConfirmed = false
-    if (performance.now() - this.lastSummaryAt > SUMMARY_INTERVAL_MS) this.logSummary()
+    this.summaryLog.writeIfDue(() => this.readState())
     this.removeUnresponsivePeers()
     this.commands.update(this.members, this.scheduler.countTargetsByDomain())
     this.checkRunsOfEarlierTerms()
     this.applyEvent({ type: 'tick' })
   }
 
-  private logSummary (): void {
-    this.lastSummaryAt = performance.now()
-    const { passes, steps, targets } = this.scheduler.takePassWork()
-    const processor = process.cpuUsage(this.processorUsage)
-    this.processorUsage = process.cpuUsage()
-    const work = { passes, examinedSteps: steps, examinedTargets: targets, longestPassMs: Math.round(this.longestPassMs), processorMs: Math.round((processor.user + processor.system) / US_PER_MS) }
-    this.longestPassMs = 0
-    const { channelCount, busyCount, pausedCount, queuedCount } = this.adviceDispatcher
-    const channels = { adviceChannels: channelCount, adviceBusy: busyCount, advicePaused: pausedCount, adviceWaiting: queuedCount }
-    this.options.reporter.log('info', 'cell-summary', { ...this.scheduler.summary, ...work, members: this.peers.size + 1, ...channels })
+  private readState (): LeaderState {
+    const { scheduler, adviceDispatcher } = this
+    return { cell: scheduler.summary, passWork: scheduler.takePassWork(), members: this.peers.size + 1, adviceDispatcher }
   }
 
   private removeUnresponsivePeers (): void {
@@ -338,9 +296,8 @@
    */
   private checkRunsOfEarlierTerms (): void {
     if (!this.restored || !this.scheduler.earlierRunsExpected) return
-    const lapsed = performance.now() > this.previousCommandsEndAt + this.options.leaseMs * CLOCK_DRIFT_FACTOR
     const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    if (lapsed || !this.options.term.hadPredecessor) this.applyEvent({ type: 'earlier-runs-lapsed' })
+    if (this.predecessor.runsHaveLapsed) this.applyEvent({ type: 'earlier-runs-lapsed' })
     else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
   }
 
@@ -369,7 +326,7 @@
     const startedAt = performance.now()
     this.executeEffects(this.scheduler.startTasks(startedAt))
     const endedAt = performance.now()
-    this.longestPassMs = Math.max(this.longestPassMs, endedAt - startedAt)
+    this.summaryLog.recordPass(endedAt - startedAt)
     this.nextPassAt = endedAt + PASS_PAUSE_FACTOR * (endedAt - startedAt)
   }
 
