Disturb the members' links to the advisor in the soak

Change: a fault 'advisor-link' makes the links of all members to the advisor slow, silent, silent one way, or closed.

--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -40,7 +40,10 @@
 type SoakMember = { readonly options: MemberOptions, readonly storeLink: LoopbackProxy, readonly output: WriteStream, process: ProcessMember }
 type SoakWorker = { readonly server: WorkerServer, readonly link: LoopbackProxy, readonly domain: string }
 
-/** Member processes and stand-ins for the platform. A proxy for each member's store link and for each worker can simulate network faults. */
+/**
+ * Member processes and stand-ins for the platform. Proxies for each member's store link, for each worker and for the advisor
+ * can simulate network faults.
+ */
 export class SoakCell {
   readonly members: SoakMember[] = []
   readonly workers: SoakWorker[] = []
@@ -49,7 +52,7 @@
 
   private readonly operator: StandinOperator
 
-  private constructor (readonly kv: KvServer, private readonly advisor: JsonServer, readonly history: RunHistory, private readonly options: SoakCellOptions) {
+  private constructor (readonly kv: KvServer, private readonly advisor: JsonServer, readonly advisorLink: LoopbackProxy, readonly history: RunHistory, private readonly options: SoakCellOptions) {
     this.operator = StandinOperator.create(kv)
   }
 
@@ -61,7 +64,7 @@
       { status: 200, body: { good: (body as { workers: readonly string[] }).workers.map((id) => [id, `ticket-${id}`]), validityMs: ADVICE.validityMs } }
     ))
     const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
-    const cell = new SoakCell(kv, advisor, history, options)
+    const cell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
     for (let index = 0; index < options.workers; index += 1) await cell.addWorker(index)
     for (let index = 0; index < options.members; index += 1) await cell.addMember(index)
@@ -110,6 +113,7 @@
   /** Ends all faults of the store, the links and the failure domains. */
   repairAll (): void {
     this.kv.mode = 'up'
+    this.advisorLink.setState('open')
     for (const { storeLink } of this.members) storeLink.setState('open')
     for (const { link } of this.workers) link.setState('open')
     for (const domain of FAILURE_DOMAINS) this.setDomainEvacuated(domain, false)
@@ -128,6 +132,7 @@
       server.close()
     }
     this.kv.close()
+    this.advisorLink.close()
     this.advisor.close()
   }
 
@@ -150,7 +155,7 @@
       host: `127.0.${this.options.subnet}.${index + 2}`,
       failureDomain: getFailureDomain(index),
       storeAddress: storeLink.address,
-      advisorAddress: this.advisor.address,
+      advisorAddress: this.advisorLink.address,
       cores: 1
     }
     const output = createWriteStream(join(this.options.folder, `${options.name}.log`))
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -13,6 +13,7 @@
   | { readonly type: 'store-answers-lost', readonly count: number }
   | { readonly type: 'store-link', readonly member: number, readonly state: LinkState, readonly forMs: number }
   | { readonly type: 'worker-link', readonly worker: number, readonly state: LinkState, readonly forMs: number }
+  | { readonly type: 'advisor-link', readonly state: LinkState, readonly forMs: number }
   | { readonly type: 'worker-crash', readonly worker: number }
   | { readonly type: 'domain-out', readonly domain: string, readonly forMs: number }
   | { readonly type: 'configuration' }
@@ -51,6 +52,7 @@
     { type: 'store-link', member, state, forMs },
     { type: 'store-link', member, state, forMs },
     { type: 'worker-link', worker, state, forMs },
+    { type: 'advisor-link', state, forMs },
     { type: 'worker-crash', worker },
     { type: 'domain-out', domain: 'west', forMs },
     { type: 'configuration' }
@@ -76,6 +78,7 @@
       return
     case 'store-link': return disturbLink(cell.members[fault.member]!.storeLink, fault.state, fault.forMs)
     case 'worker-link': return disturbLink(cell.workers[fault.worker]!.link, fault.state, fault.forMs)
+    case 'advisor-link': return disturbLink(cell.advisorLink, fault.state, fault.forMs)
     case 'worker-crash': return cell.crashWorker(fault.worker)
     case 'domain-out':
       cell.setDomainEvacuated(fault.domain, true)
