--- a/test/workflow/advice.test.ts
+++ b/test/workflow/advice.test.ts
@@ -25,7 +25,7 @@
 for (const { guards, targets, tasks, minTargets, maxTargets } of requestSizes) {
   test(`advice: ${guards}`, () => {
     const harness = createHarness(targets)
-    harness.apply({ type: 'job-accepted', definition: { ...buildJob('a', { count: tasks }), queue: 'batch' } })
+    harness.acceptJob('a', 'batch', { count: tasks })
     const named = getAdviceRequests(harness)[0]!.targets.length
     assert.ok(named >= minTargets && named <= maxTargets, `${named} targets named`)
   })
@@ -34,7 +34,7 @@
 test('advice: steps that are submitted together do not all name the same targets', () => {
   const harness = createHarness(100)
   harness.apply({ type: 'advice-channels', channels: 8 })
-  for (const id of ['a', 'b', 'c']) harness.apply({ type: 'job-accepted', definition: { ...buildJob(id, {}), queue: 'batch' } })
+  for (const id of ['a', 'b', 'c']) harness.acceptJob(id, 'batch')
   const named = new Set(getAdviceRequests(harness).flatMap(({ targets }) => targets))
   assert.ok(named.size > 16, `${named.size} different targets named in three requests of eight`)
 })
@@ -43,26 +43,26 @@
   const harness = createHarness(20)
   harness.apply({ type: 'domains-out', domains: [] })
   for (let index = 0; index < 10; index++) harness.apply({ type: 'target-published', entry: buildEntry(`t${index}`, { draining: true }) })
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('a', { count: 30 }), queue: 'batch' } })
+  harness.acceptJob('a', 'batch', { count: 30 })
   assert.deepEqual(getAdviceRequests(harness)[0]!.targets.filter((target) => Number(target.slice(1)) < 10), [])
 })
 
 test('advice: requests of batch jobs leave channels free for urgent steps', () => {
   const harness = createHarness(20)
   harness.apply({ type: 'advice-channels', channels: 7 })
-  for (let index = 0; index < 20; index++) harness.apply({ type: 'job-accepted', definition: { ...buildJob(`b${index}`, {}), queue: 'batch' } })
+  for (let index = 0; index < 20; index++) harness.acceptJob(`b${index}`, 'batch')
   assert.equal(getAdviceRequests(harness).length, 4)
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('u', {}), queue: 'urgent' } })
+  harness.acceptJob('u', 'urgent')
   assert.equal(getAdviceRequests(harness).at(-1)!.step, 'u.0.0')
 })
 
 test('advice: without urgent steps for some seconds, requests of a backlog of batch jobs use all channels', () => {
   const harness = createHarness(20)
   harness.apply({ type: 'advice-channels', channels: 7 })
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('u', {}), queue: 'urgent' } })
+  harness.acceptJob('u', 'urgent')
   harness.apply({ type: 'advised', step: 'u.0.0', requestedTargets: [], response: { type: 'failed', reason: 'timeout' } })
   harness.apply({ type: 'job-cancelled', id: 'u' })
-  for (let index = 0; index < 20; index++) harness.apply({ type: 'job-accepted', definition: { ...buildJob(`b${index}`, {}), queue: 'batch' } })
+  for (let index = 0; index < 20; index++) harness.acceptJob(`b${index}`, 'batch')
   const countBatchRequests = (): number => new Set(getAdviceRequests(harness).map(({ step }) => step).filter((step) => step.startsWith('b'))).size
   assert.equal(countBatchRequests(), 4)
   harness.advance(3_000)
@@ -73,8 +73,8 @@
 test('advice: an urgent step that no target suits does not keep channels from a backlog of batch jobs', () => {
   const harness = createHarness(20)
   harness.apply({ type: 'advice-channels', channels: 7 })
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('u', { requiredLabel: 'missing' }), queue: 'urgent' } })
-  for (let index = 0; index < 20; index++) harness.apply({ type: 'job-accepted', definition: { ...buildJob(`b${index}`, {}), queue: 'batch' } })
+  harness.acceptJob('u', 'urgent', { requiredLabel: 'missing' })
+  for (let index = 0; index < 20; index++) harness.acceptJob(`b${index}`, 'batch')
   for (let elapsedMs = 0; elapsedMs < 3_100; elapsedMs += 100) harness.advance(100)
   assert.equal(getAdviceRequests(harness).length, 7)
 })
@@ -90,7 +90,7 @@
 
 test('advice: a target that was unknown when its response arrived stays allowed', () => {
   const harness = createHarness(1)
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('a', { count: 5 }), queue: 'batch' } })
+  harness.acceptJob('a', 'batch', { count: 5 })
   harness.apply({ type: 'advised', step: 'a.0.0', requestedTargets: ['t0', 'later'], response: { type: 'advised', tickets: [{ target: 't0', ticket: 'x' }, { target: 'later', ticket: 'y' }], validityMs: undefined } })
   harness.publishTarget(buildEntry('later'))
   assert.deepEqual(getAdviceRequests(harness).at(-1)!.targets, ['later'])
@@ -104,10 +104,10 @@
 test('advice: a step of a late job gets a request although a job that has begun asks for each new target', () => {
   const harness = createHarness(1)
   harness.apply(ONE_CHANNEL)
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('begun', { count: 8 }), queue: 'batch' } })
+  harness.acceptJob('begun', 'batch', { count: 8 })
   answer(harness, ['t0'])
   harness.publishTarget(buildEntry('t1'))
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('late', { estimatedMs: 1 }), queue: 'batch' } })
+  harness.acceptJob('late', 'batch', { estimatedMs: 1 })
   for (let id = 2; harness.now < 1_000 + FINISH_MS; id++) {
     harness.now += REPLACEMENT_MS
     harness.publishTarget(buildEntry(`t${id}`))
--- a/test/workflow/backlog.test.ts
+++ b/test/workflow/backlog.test.ts
@@ -86,7 +86,7 @@
   const harness = createFullCell()
   const { target, command } = harness.getStarts()[0]!
   harness.completeRun({ target, command }, 'done')
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('probe', {}), queue: 'filler' } })
+  harness.acceptJob('probe', 'filler')
   const start = harness.getStarts().at(-1)!
   assert.equal(start.target, target)
   harness.apply({ type: 'start-answered', target, task: start.command.task, run: start.command.run, response: { type: 'refused', reason: 'unhealthy', clockMs: harness.now } })
--- a/test/workflow/cell-scheduler.test.ts
+++ b/test/workflow/cell-scheduler.test.ts
@@ -54,7 +54,7 @@
   const harness = CellHarness.create([buildEntry('t1')], { ...CONFIGURATION, queues: [{ ...QUEUE, priority: 2 }, urgent] })
   harness.apply({ type: 'job-accepted', definition: buildJob('a', { count: 4 }) })
   assert.equal(harness.getStarts().length, 3)
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('b', {}), queue: 'urgent' } })
+  harness.acceptJob('b', 'urgent')
   assert.equal(harness.getStarts().length, 4)
 })
 
@@ -313,7 +313,7 @@
 test('cell: no advice is requested while no target has free capacity', () => {
   const harness = CellHarness.create([buildEntry('t1')], { ...CONFIGURATION, queues: [QUEUE, { ...QUEUE, name: 'advised', advice: ADVICE }] })
   harness.apply({ type: 'job-accepted', definition: buildJob('full', { count: 4 }) })
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob('a', {}), queue: 'advised' } })
+  harness.acceptJob('a', 'advised')
   assert.equal(harness.effects.filter((effect) => effect.type === 'request-advice').length, 0)
 })
 
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -87,6 +87,11 @@
     return effects
   }
 
+  /** Accepts a job of one step in a queue. */
+  acceptJob (id: string, queue: string, step: Partial<Step> = {}): void {
+    this.apply({ type: 'job-accepted', definition: { ...buildJob(id, step), queue } })
+  }
+
   /** Advances the time and applies a tick. */
   advance (elapsedMs: number): readonly CellEffect[] {
     this.now += elapsedMs
@@ -107,6 +112,12 @@
     return effects.filter((effect): effect is Extract<CellEffect, { type: 'start' }> => effect.type === 'start')
   }
 
+  /** Number of tasks of a job that were started, however often. */
+  countStartedTasks (job: string): number {
+    const tasks = this.getStarts().map(({ command }) => command.task)
+    return new Set(tasks.filter((task) => task.startsWith(`${job}.`))).size
+  }
+
   /** Applies the response of a target that accepted a start. */
   acceptStart ({ target, command }: Extract<CellEffect, { type: 'start' }>): void {
     this.apply({ type: 'start-answered', target, task: command.task, run: command.run, response: { type: 'accepted', clockMs: this.now } })
--- a/test/workflow/organisation-maximum.test.ts
+++ b/test/workflow/organisation-maximum.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { CellConfiguration, Queue } from '../../src/workflow/cell-configuration.ts'
 import type { Step } from '../../src/workflow/job.ts'
-import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
+import { CONFIGURATION, CellHarness, QUEUE, buildEntry } from './harness.ts'
 
 const QUEUES: readonly Queue[] = [{ ...QUEUE, name: 'urgent' }, { ...QUEUE, name: 'watch', priority: 1 }, { ...QUEUE, name: 'batch', priority: 2 }]
 const MAXIMUM_CPU_MILLIS = 10_000
@@ -19,13 +19,7 @@
 
 function accept (harness: CellHarness, id: string, { queue, cpu, count = 1, changes }: Tasks): void {
   const step = { count, demand: { cpuMillis: cpu, memoryMiB: 10, accelerators: 0 }, ...changes }
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob(id, step), queue } })
-}
-
-/** Number of tasks of a job that were started. */
-function countStartedTasks (harness: CellHarness, job: string): number {
-  const tasks = harness.getStarts().map(({ command }) => command.task)
-  return new Set(tasks.filter((task) => task.startsWith(`${job}.`))).size
+  harness.acceptJob(id, queue, step)
 }
 
 const LASTS: Partial<Step> = { longRunning: true }
@@ -56,6 +50,6 @@
     running.forEach((tasks, index) => accept(harness, `r${index}`, tasks))
     accept(harness, 'job', job)
     harness.advance(3_000)
-    assert.equal(countStartedTasks(harness, 'job'), started)
+    assert.equal(harness.countStartedTasks('job'), started)
   })
 }
--- a/test/workflow/overdue-advice.test.ts
+++ b/test/workflow/overdue-advice.test.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { CellConfiguration, Queue } from '../../src/workflow/cell-configuration.ts'
-import type { Step } from '../../src/workflow/job.ts'
-import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
+import { CONFIGURATION, CellHarness, QUEUE, buildEntry } from './harness.ts'
 
 const ADVICE = { decisionMs: 400, perTargetMs: 6, validityMs: 2_500 }
 /** Jobs of the queue `filler` need no advice. */
@@ -22,10 +21,6 @@
   return harness
 }
 
-function accept (harness: CellHarness, id: string, queue: string, step: Partial<Step> = {}): void {
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob(id, step), queue } })
-}
-
 /** Ids of the jobs whose steps were asked for since the given effect. */
 function getAskingJobs (harness: CellHarness, from = 0): readonly string[] {
   return harness.effects.slice(from).flatMap((effect) => effect.type === 'request-advice' ? [effect.step.split('.')[0]!] : [])
@@ -49,9 +44,9 @@
 for (const { guards, channels, bookedTargets, waitMs, expected } of cases) {
   test(`overdue advice: ${guards}`, () => {
     const harness = createHarness(channels)
-    if (bookedTargets > 0) accept(harness, 'filler', 'filler', { count: bookedTargets, demand: MOST_OF_A_TARGET })
-    for (let index = 0; getAskingJobs(harness).length === index; index++) accept(harness, `batch${index}`, 'batch')
-    for (const id of ['late0', 'late1', 'late2']) accept(harness, id, 'late')
+    if (bookedTargets > 0) harness.acceptJob('filler', 'filler', { count: bookedTargets, demand: MOST_OF_A_TARGET })
+    for (let index = 0; getAskingJobs(harness).length === index; index++) harness.acceptJob(`batch${index}`, 'batch')
+    for (const id of ['late0', 'late1', 'late2']) harness.acceptJob(id, 'late')
     const asking = getAskingJobs(harness)
     harness.apply({ type: 'job-cancelled', id: `batch${asking.length}` })
     harness.now += waitMs
@@ -69,12 +64,12 @@
 for (const { guards, step, expected } of running) {
   test(`overdue advice: ${guards}`, () => {
     const harness = createHarness(1)
-    accept(harness, 'late', 'late', { count: 2, perTargetLimit: 1, estimatedMs: 60_000, ...step })
+    harness.acceptJob('late', 'late', { count: 2, perTargetLimit: 1, estimatedMs: 60_000, ...step })
     respond(harness, 'late', ['t0'])
     assert.equal(harness.getStarts().length, 1)
     // Later, so that the job does not exceed the share of its organisation.
     harness.now += WAIT_MS
-    accept(harness, 'batch', 'batch')
+    harness.acceptJob('batch', 'batch')
     respond(harness, 'late', [])
     harness.now += WAIT_MS
     const from = harness.effects.length
@@ -92,11 +87,11 @@
 for (const { guards, batchEstimatedMs, expected } of orders) {
   test(`overdue advice: ${guards}`, () => {
     const harness = createHarness(1)
-    accept(harness, 'busy', 'batch')
+    harness.acceptJob('busy', 'batch')
     harness.apply({ type: 'advice-channels', channels: 0 })
-    accept(harness, 'batch', 'batch', { estimatedMs: batchEstimatedMs })
+    harness.acceptJob('batch', 'batch', { estimatedMs: batchEstimatedMs })
     harness.now += WAIT_MS
-    accept(harness, 'late', 'late', { longRunning: true })
+    harness.acceptJob('late', 'late', { longRunning: true })
     harness.now += WAIT_MS
     harness.apply({ type: 'job-cancelled', id: 'busy' })
     const from = harness.effects.length
--- a/test/workflow/task-acceptance.test.ts
+++ b/test/workflow/task-acceptance.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { Queue } from '../../src/workflow/cell-configuration.ts'
 import type { Step } from '../../src/workflow/job.ts'
-import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
+import { CONFIGURATION, CellHarness, QUEUE, buildEntry } from './harness.ts'
 
 const QUEUES: readonly Queue[] = [{ ...QUEUE, name: 'urgent' }, { ...QUEUE, name: 'batch', priority: 2 }]
 const TARGETS = 8
@@ -13,11 +13,7 @@
 
 function accept (harness: CellHarness, id: string, queue: string, cpuMillis: number, changes: Partial<Step> = {}): void {
   const step = { demand: { cpuMillis, memoryMiB: 10, accelerators: 0 }, ...changes }
-  harness.apply({ type: 'job-accepted', definition: { ...buildJob(id, step), queue } })
-}
-
-function countStartedTasks (harness: CellHarness, job: string): number {
-  return new Set(harness.getStarts().map(({ command }) => command.task).filter((task) => task.startsWith(`${job}.`))).size
+  harness.acceptJob(id, queue, step)
 }
 
 const ONE_A_TARGET: Partial<Step> = { count: TARGETS, perTargetLimit: 1, longRunning: true }
@@ -37,6 +33,6 @@
     accept(harness, 'lasting', 'batch', lasting, ONE_A_TARGET)
     accept(harness, 'job', queue, cpu, { count, ...changes })
     harness.advance(500)
-    assert.deepEqual([countStartedTasks(harness, 'lasting'), countStartedTasks(harness, 'job')], [TARGETS, started])
+    assert.deepEqual([harness.countStartedTasks('lasting'), harness.countStartedTasks('job')], [TARGETS, started])
   })
 }
