Log claims that are given up, targets that count as empty unlisted, and jobs found without a lease

Cause: the logs can't tell the hypotheses about doubled work apart: whether the leader on record ever led, whether earlier runs were settled by listings or only by time, and whether a leader took up a job while its lease was unconfirmed. Change: leadership-won names the leader on record before and its term; claim-given-up; the number of unlisted targets in earlier-runs-settled; job-found with the state of the lease. No logic changes.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -118,6 +118,7 @@
       parseTarget: options.parseTarget,
       applyEvent: (event) => this.applyEvent(event),
       isKnownJob: (job) => this.scheduler.getPhase(job) !== undefined,
+      isLeaseConfirmed: options.isLeaseConfirmed,
       onTargetsRead: () => this.handleTargetsRead()
     })
     this.addAdviceChannel(options.self)
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -206,12 +206,13 @@
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
     const version = result.isOk() ? (result.value.committed ? result.value.version : undefined) : await this.findCommitVersion(nonce)
     if (version === undefined || !this.isCandidate) {
+      if (result.isErr() || version !== undefined) this.options.reporter.log('warn', 'claim-given-up', { term, recorded: version !== undefined, reason: result.isErr() ? result.error.reason : 'this member is stopping' })
       await this.revokeLease(lease.value.lease)
       return result.isOk()
     }
     this.held = { lease: lease.value.lease, term, nonce, renewedAt: sentAt }
     this.leaderRecord = record
-    this.options.reporter.log('info', 'leadership-won', { term, version })
+    this.options.reporter.log('info', 'leadership-won', { term, version, predecessor: previous?.leader.member ?? 'none', predecessorTerm: previous?.term ?? 0 })
     this.options.onElected({ term, commitVersion: version, hadPredecessor: previous !== undefined, predecessor: previous?.leader })
     return true
   }
--- a/src/controller/store-feed.ts
+++ b/src/controller/store-feed.ts
@@ -19,6 +19,8 @@
   readonly parseTarget: (key: string, value: string) => TargetEntry | undefined
   readonly applyEvent: (event: CellEvent) => void
   readonly isKnownJob: (job: string) => boolean
+  /** Whether the store has confirmed the lease so recently that no other member can lead. */
+  readonly isLeaseConfirmed: () => boolean
   /** Called each time all published targets have been read. */
   readonly onTargetsRead: () => void
 }
@@ -116,7 +118,10 @@
   }
 
   private acceptJob (definition: JobDefinition): void {
-    if (!this.options.isKnownJob(definition.id)) this.pollInterval.recordUnannouncedJob(performance.now())
+    if (!this.options.isKnownJob(definition.id)) {
+      this.pollInterval.recordUnannouncedJob(performance.now())
+      this.options.reporter.log('info', 'job-found', { job: definition.id, leaseConfirmed: this.options.isLeaseConfirmed() })
+    }
     this.options.applyEvent({ type: 'job-accepted', definition })
   }
 }
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -131,7 +131,8 @@
     state.closedTargets.delete(id)
   }
   if (gone.length > 0) storeTargets(state)
-  log(state, 'info', 'earlier-runs-settled', { targets: state.targets.size, gone: gone.length })
+  const unlisted = [...state.targets.values()].filter(({ listed }) => !listed).length
+  log(state, 'info', 'earlier-runs-settled', { targets: state.targets.size, unlisted, gone: gone.length })
 }
 
 /** Stores the list of targets that may have runs. While previous owners may have runs, their targets stay on the list. */
--- a/test/controller/store-feed.test.ts
+++ b/test/controller/store-feed.test.ts
@@ -47,6 +47,7 @@
     parseTarget: (key, value) => value === 'good' ? { id: key.slice('servers/'.length) } as never : undefined,
     applyEvent: (event) => { events.push(event.type) },
     isKnownJob: () => false,
+    isLeaseConfirmed: () => true,
     onTargetsRead: () => { events.push('targets-read') }
   })
   feed.start()
