Stop a leader's watches when its term ends while it reads the store

Seen: test/platform/takeover.test.ts didn't end (stopped after 240 s): a member that wins a term and gives it up within the first reads goes on watching targets and jobs until its process ends, which costs a read of the store each second and again with each such term. Cause: Controller.beginTerm started the feed after the reads whether or not the term had ended meanwhile. Change: the feed starts only if the term still stands.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -237,7 +237,8 @@
     this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS)
     this.predecessor.stop().catch((error: unknown) => this.options.reporter.log('error', 'predecessor-not-asked', { detail: String(error) }))
     const version = await this.restore()
-    if (version === undefined) return
+    // The term may have ended while the store was read; its feed would be stopped by nobody.
+    if (version === undefined || this.stopped) return
     this.storeFeed.start()
     this.restored = true
   }
