Keep the terms that are not settled in the store until a leader has settled them

Seen by callers: tasks that ran twice around changes of the leader, by the dozen; one task on two targets, and tasks that started again after their end as done. Cause: a new leader waits for the runs of the leader on record only, and takes its time without commands for that of all earlier leaders. The leader on record may never have led: its claim was recorded, its response and the read after it were lost, or it was stopping. It then answers with the time since its process started, and all earlier runs count as lapsed at once, although another leader sent commands a moment ago. In the same way a leader that ends before it has settled the term before hides that term from the next one. Change: the commit record lists the unsettled terms with their leaders; each claim adds the one before, and a leader removes them with the commit that follows its settling. A new leader asks all of them and waits for the last. A member whose process has never led says so. The logs name the unsettled terms, each answer, and whether listings or time settled them.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -8,7 +8,7 @@
 import type { Reporter } from './reporter.ts'
 import { readKey, transact, requireUnchanged } from './store-calls.ts'
 import { COMMIT_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
-import type { CommitRecord, TargetsRecord } from './store-keys.ts'
+import type { CommitRecord, TargetsRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
 /**
@@ -39,6 +39,8 @@
   readonly commitVersion: number
   readonly self: Peer
   readonly reporter: Reporter
+  /** Earlier terms whose runs this leader does not know yet. */
+  readonly getUnsettledTerms: () => readonly UnsettledTerm[]
   readonly getProgress: (job: string) => JobProgress | undefined
   /** Whether a new leader would need the definition of a job; otherwise it is deleted. */
   readonly needsDefinition: (job: string) => boolean
@@ -69,7 +71,7 @@
    * Creates a committer for one term.
    *
    * @example
-   * const committer = Committer.create({ store, term: 3, commitVersion: 812, reporter, getProgress, getProcessedCompletions, onStored, onFenced })
+   * const committer = Committer.create({ store, term: 3, commitVersion: 812, reporter, getUnsettledTerms, getProgress, getProcessedCompletions, onStored, onFenced })
    * committer.storeProgress('5c0e7a21d94b36f8')
    */
   static create (options: CommitterOptions): Committer {
@@ -126,7 +128,7 @@
       return stored === undefined ? [] : [{ id, stored }]
     })
     const nonce = randomUUID()
-    const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self }
+    const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self, unsettled: this.options.getUnsettledTerms() }
     const puts: Put[] = [{ key: COMMIT_KEY, value: JSON.stringify(record) }]
     for (const { id, stored } of progress) puts.push({ key: progressKey(id), value: JSON.stringify(stored) })
     const { targetsToStore: targets } = this
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -10,9 +10,9 @@
 import { AdviceDispatcher } from './advice-dispatcher.ts'
 import { Committer } from './committer.ts'
 import { delay } from './delay.ts'
+import { EarlierLeaders } from './earlier-leaders.ts'
+import type { EarlierLeadersOptions } from './earlier-leaders.ts'
 import type { Peer } from './member-call.ts'
-import { Predecessor } from './predecessor.ts'
-import type { PredecessorOptions } from './predecessor.ts'
 import { readPrefix } from './store-calls.ts'
 import { readStoredJobs } from './read-stored-jobs.ts'
 import { JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY } from './store-keys.ts'
@@ -36,7 +36,7 @@
 /** Pause after a scheduling pass, as a multiple of its duration: passes use at most a third of the processor. */
 const PASS_PAUSE_FACTOR = 2
 
-export type ControllerOptions = Omit<PredecessorOptions, 'isStopped'> & {
+export type ControllerOptions = Omit<EarlierLeadersOptions, 'isStopped' | 'now'> & {
   readonly store: Store
   readonly commands: CommandClient
   /** Opens the stream to a member that sends commands on behalf of this leader. */
@@ -64,7 +64,7 @@
   private readonly sessions = new Map<string, TargetSession>()
   private readonly peers = new Map<string, { readonly peer: Peer, seenAt: number }>()
   private readonly storeFeed: StoreFeed
-  private readonly predecessor: Predecessor
+  private readonly earlierLeaders: EarlierLeaders
   private readonly summaryLog: SummaryLog
   private previousTargets: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
@@ -86,8 +86,8 @@
       reporter: options.reporter,
       getFailureDomain: (target) => this.scheduler.getTarget(target)?.entry.failureDomain
     })
-    const { term, self, leaseMs, reporter, requestStandDown, getTimeSinceLeadingMs } = options
-    this.predecessor = Predecessor.create({ term, self, leaseMs, reporter, requestStandDown, getTimeSinceLeadingMs, isStopped: () => this.stopped })
+    const { term, self, leaseMs, reporter, requestStandDown, standDown } = options
+    this.earlierLeaders = EarlierLeaders.create({ term, self, leaseMs, reporter, requestStandDown, standDown, isStopped: () => this.stopped })
     this.summaryLog = SummaryLog.create(reporter)
     this.committer = Committer.create({
       store: options.store,
@@ -95,6 +95,7 @@
       commitVersion: options.term.commitVersion,
       self: options.self,
       reporter: options.reporter,
+      getUnsettledTerms: () => this.scheduler.earlierRunsExpected ? options.term.unsettled : [],
       getProgress: (job) => this.scheduler.getProgress(job),
       needsDefinition: (job) => this.scheduler.needsDefinition(job),
       getProcessedCompletions: () => this.scheduler.getProcessedCompletions(),
@@ -235,7 +236,7 @@
   private async beginTerm (): Promise<void> {
     this.scheduler.expectEarlierRuns()
     this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS)
-    this.predecessor.stop().catch((error: unknown) => this.options.reporter.log('error', 'predecessor-not-asked', { detail: String(error) }))
+    this.earlierLeaders.stop().catch((error: unknown) => this.options.reporter.log('error', 'earlier-leaders-not-asked', { detail: String(error) }))
     const version = await this.restore()
     // The term may have ended while the store was read; its feed would be stopped by nobody.
     if (version === undefined || this.stopped) return
@@ -299,7 +300,7 @@
   private checkRunsOfEarlierTerms (): void {
     if (!this.restored || !this.scheduler.earlierRunsExpected) return
     const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    if (this.predecessor.runsHaveLapsed) this.applyEvent({ type: 'earlier-runs-lapsed' })
+    if (this.earlierLeaders.runsHaveLapsed) this.applyEvent({ type: 'earlier-runs-lapsed' })
     else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
   }
 
--- /dev/null
+++ b/src/controller/earlier-leaders.ts
@@ -0,0 +1,84 @@
+import { delay } from './delay.ts'
+import { LEASE_GRACE_MS } from './leadership.ts'
+import type { StandDown, Term } from './leadership.ts'
+import type { Peer } from './member-call.ts'
+import type { Reporter } from './reporter.ts'
+import type { UnsettledTerm } from './store-keys.ts'
+
+const RETRY_DELAY_MS = 300
+/** Factor on the lease of runs, because a target's clock may be slower than the clock of this process. */
+const CLOCK_DRIFT_FACTOR = 1.03
+
+export type EarlierLeadersOptions = {
+  readonly term: Term
+  readonly self: Peer
+  readonly leaseMs: number
+  readonly reporter: Reporter
+  /** Asks a member to stop leading any earlier term; undefined without a response. */
+  readonly requestStandDown: (peer: Peer, term: number) => Promise<StandDown | undefined>
+  /** Answers the same for this process. */
+  readonly standDown: () => StandDown
+  readonly isStopped: () => boolean
+  /** The monotonic clock. */
+  readonly now?: () => number
+}
+
+/**
+ * The leaders of the earlier terms that are not settled: when the last of them sends no more commands, and when the leases of
+ * their runs have expired. A term may have been recorded without its member's knowledge, or have ended before its leader knew
+ * what the leaders before it had left running, so that the last of them alone says nothing.
+ */
+export class EarlierLeaders {
+  /** When each of them sends no more commands, by address, on the monotonic clock. */
+  private readonly commandsEndAt = new Map<string, number>()
+
+  private constructor (private readonly options: EarlierLeadersOptions) {
+    const latest = this.now() + LEASE_GRACE_MS
+    for (const { leader } of options.term.unsettled) this.commandsEndAt.set(leader.address, latest)
+  }
+
+  /**
+   * Creates the leaders before a term, which may all still send commands.
+   *
+   * @example
+   * const earlierLeaders = EarlierLeaders.create({ term, self, leaseMs: 3_500, reporter, requestStandDown, standDown, isStopped })
+   * await earlierLeaders.stop()
+   */
+  static create (options: EarlierLeadersOptions): EarlierLeaders {
+    return new EarlierLeaders(options)
+  }
+
+  /** Asks each of them to stand down. */
+  async stop (): Promise<void> {
+    await Promise.all(this.options.term.unsettled.map((earlier) => this.stopLeader(earlier)))
+  }
+
+  /** Whether no run of an earlier term can be on a target any more. */
+  get runsHaveLapsed (): boolean {
+    const lapsedAt = Math.max(-Infinity, ...this.commandsEndAt.values()) + this.options.leaseMs * CLOCK_DRIFT_FACTOR
+    return this.commandsEndAt.size === 0 || this.now() > lapsedAt
+  }
+
+  /** A response from its address means that it has stopped, or that its process has ended. */
+  private async stopLeader ({ leader, term }: UnsettledTerm): Promise<void> {
+    const { reporter, isStopped } = this.options
+    while (!isStopped() && this.now() < this.commandsEndAt.get(leader.address)!) {
+      const standDown = await this.requestStandDown(leader)
+      if (standDown !== undefined) {
+        this.commandsEndAt.set(leader.address, this.now() - standDown.quietForMs)
+        return reporter.log('info', 'earlier-leader-stopped', { member: leader.member, term, answer: standDown.type, quietForMs: Math.round(standDown.quietForMs) })
+      }
+      await delay(RETRY_DELAY_MS)
+    }
+    if (!isStopped()) reporter.log('warn', 'earlier-leader-silent', { member: leader.member, term })
+  }
+
+  private async requestStandDown (leader: Peer): Promise<StandDown | undefined> {
+    const { term, self, requestStandDown, standDown } = this.options
+    return leader.address === self.address ? standDown() : requestStandDown(leader, term.term)
+  }
+
+  private now (): number {
+    return this.options.now?.() ?? performance.now()
+  }
+}
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -1,13 +1,13 @@
 import { randomUUID } from 'node:crypto'
 import type { LeaseId, Store, StoreEntry } from '../ports/store.ts'
 import { delay } from './delay.ts'
-import type { Peer } from './member-call.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
 import type { Reporter } from './reporter.ts'
 import { callStore, readKey, transact, requireUnchanged } from './store-calls.ts'
 import { COMMIT_KEY, LEADER_KEY, LEADER_PREFIX } from './store-keys.ts'
-import type { CommitRecord, LeaderRecord } from './store-keys.ts'
+import type { CommitRecord, LeaderRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
+import { listUnsettledTerms } from './unsettled-terms.ts'
 
 /** How long the store keeps the leader's key without a renewal, in milliseconds. */
 const LEASE_TTL_MS = 1_500
@@ -37,12 +37,17 @@
   readonly term: number
   /** Version of the commit key at the start of the term. */
   readonly commitVersion: number
-  /** False if no member has ever led. */
-  readonly hadPredecessor: boolean
-  /** The previous leader, if the store has a record of it. */
-  readonly predecessor: Peer | undefined
+  /** Earlier terms whose runs may still be on targets, the last one at the end; empty if no member has ever led. */
+  readonly unsettled: readonly UnsettledTerm[]
 }
 
+/**
+ * How a member answers the leader of a later term. `stopped`: it led an earlier term; `quietForMs` is the time since it last
+ * sent commands. `never-led`: its process has never led; `quietForMs` is the time since it started, when any process
+ * before it at its address had ended.
+ */
+export type StandDown = { readonly type: 'stopped' | 'never-led', readonly quietForMs: number }
+
 export type LeadershipOptions = {
   readonly store: Store
   readonly member: string
@@ -70,8 +75,8 @@
   private held: HeldLeadership | undefined
   private leaderRecord: LeaderRecord | undefined
   private leaderVersion: number | undefined
-  /** When this process last led, on the monotonic clock; 0, the start of the process, if it never has. */
-  private lastLedAt = 0
+  /** When this process last led, on the monotonic clock; undefined if it never has. */
+  private lastLedAt: number | undefined
   /** Nonce of the last claim of this process. */
   private lastClaimNonce: string | undefined
   private claiming = false
@@ -120,13 +125,12 @@
     this.options.onLeadershipLost(reason)
   }
 
-  /**
-   * Gives up the leadership if `term` is later than the current one. Returns the time in milliseconds since this process
-   * last sent commands of an earlier term; for a process that has never led, the time since its start.
-   */
-  stepDownForTerm (term: number): number {
+  /** Gives up the leadership if `term` is later than the current one, and tells how long no commands have been sent. */
+  stepDownForTerm (term: number): StandDown {
     if (this.held !== undefined && this.held.term < term) this.stepDown('the leader of a later term requested it')
-    return performance.now() - this.lastLedAt
+    // The monotonic clock of this process starts with it.
+    if (this.lastLedAt === undefined) return { type: 'never-led', quietForMs: performance.now() }
+    return { type: 'stopped', quietForMs: performance.now() - this.lastLedAt }
   }
 
   /** Deletes the record of a leader whose process has ended, so that the members do not wait until its lease expires. */
@@ -201,7 +205,8 @@
     const nonce = randomUUID()
     this.lastClaimNonce = nonce
     const record: LeaderRecord = { member, address, term, nonce }
-    const commit: CommitRecord = { term, nonce, leader: { member, address } }
+    const unsettled = listUnsettledTerms(previous)
+    const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled }
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }]
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
     const version = result.isOk() ? (result.value.committed ? result.value.version : undefined) : await this.findCommitVersion(nonce)
@@ -212,8 +217,8 @@
     }
     this.held = { lease: lease.value.lease, term, nonce, renewedAt: sentAt }
     this.leaderRecord = record
-    this.options.reporter.log('info', 'leadership-won', { term, version, predecessor: previous?.leader.member ?? 'none', predecessorTerm: previous?.term ?? 0 })
-    this.options.onElected({ term, commitVersion: version, hadPredecessor: previous !== undefined, predecessor: previous?.leader })
+    this.options.reporter.log('info', 'leadership-won', { term, version, unsettled: unsettled.map((earlier) => `${earlier.leader.member}/${earlier.term}`).join(',') })
+    this.options.onElected({ term, commitVersion: version, unsettled })
     return true
   }
 
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -1,5 +1,6 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
+import type { StandDown } from './leadership.ts'
 
 /** A member of the cell and the address at which it accepts calls of other members. */
 export type Peer = {
@@ -36,8 +37,8 @@
   | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined }
   /** The leader has applied what the sender has stored. */
   | { readonly type: 'noted' }
-  /** The member leads no earlier term; `quietForMs` is the time since it last sent commands of one, in milliseconds. */
-  | { readonly type: 'stood-down', readonly quietForMs: number }
+  /** The member leads no earlier term. */
+  | { readonly type: 'stood-down', readonly standDown: StandDown }
   /** `refused`: whether the address refused the connection. */
   | { readonly type: 'probed', readonly refused: boolean }
   | { readonly type: 'phase', readonly phase: JobPhase | undefined }
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -6,7 +6,7 @@
 import type { Controller } from './controller.ts'
 import { delay } from './delay.ts'
 import { LeaderFailureDetector } from './leader-failure-detector.ts'
-import type { Leadership } from './leadership.ts'
+import type { Leadership, StandDown } from './leadership.ts'
 import type { MemberResponse, MemberCall, Peer } from './member-call.ts'
 import type { AdviceCache } from './advice-cache.ts'
 import type { Reporter } from './reporter.ts'
@@ -88,7 +88,7 @@
       case 'cancel-stored': return this.handleAnnouncement((controller) => controller.cancelJob(call.id))
       case 'phase': return this.handlePhaseRequest(call.id)
       case 'stand-down':
-        return { type: 'stood-down', quietForMs: this.options.getLeadership().stepDownForTerm(call.term) }
+        return { type: 'stood-down', standDown: this.options.getLeadership().stepDownForTerm(call.term) }
       case 'probe': return { type: 'probed', refused: await this.options.probe(call.address) === 'refused' }
       case 'advise': return { type: 'advice', answer: await this.options.advisor.advise(call.step, call.targets, call.timeoutMs) }
       case 'known-advice': return { type: 'known-advice', advice: this.options.advisor.getCachedAdvice() }
@@ -170,13 +170,10 @@
     return []
   }
 
-  /**
-   * Asks a member to stop leading terms before `term`. Returns the time since it last led one, in milliseconds;
-   * undefined if it does not respond.
-   */
-  async requestStandDown (peer: Peer, term: number): Promise<number | undefined> {
+  /** Asks a member to stop leading terms before `term`; undefined if it does not respond. */
+  async requestStandDown (peer: Peer, term: number): Promise<StandDown | undefined> {
     const response = await this.options.client.call(peer.address, { type: 'stand-down', term }, CALL_TIMEOUT_MS)
-    return response.isOk() && response.value.type === 'stood-down' ? response.value.quietForMs : undefined
+    return response.isOk() && response.value.type === 'stood-down' ? response.value.standDown : undefined
   }
 
   /** Gets the number of waiting jobs of a queue; undefined if no leader has sent it recently. */
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -41,8 +41,17 @@
   readonly nonce: string
 }
 
+/** A term whose runs may still be on targets, because no later leader has listed them or waited for their leases. */
+export type UnsettledTerm = { readonly term: number, readonly leader: Peer }
+
 /** The last commit or takeover, as stored under `state/commit`. */
-export type CommitRecord = { readonly term: number, readonly nonce: string, readonly leader: Peer }
+export type CommitRecord = {
+  readonly term: number
+  readonly nonce: string
+  readonly leader: Peer
+  /** Earlier terms that are not settled; missing if there are none. */
+  readonly unsettled?: readonly UnsettledTerm[]
+}
 
 /** Targets that may hold runs, as stored under `state/targets`. */
 export type TargetsRecord = {
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -204,7 +204,7 @@
       case 'targets-stored': return recordStoredTargets(state, event.ids)
       case 'closed-targets-restored': return restoreClosedTargets(state, event.closed)
       case 'earlier-runs-listed': return resolveListedRuns(state)
-      case 'earlier-runs-lapsed': return resolveEarlierRuns(state)
+      case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
       case 'tick': return this.handleTick()
       default: return assertNever(event)
     }
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -118,11 +118,14 @@
   state.startPassNeeded = true
   holdBackTasks(state)
   log(state, 'info', 'earlier-runs-listed', { targets: state.targets.size, heldBackTasks: state.heldBackTasks.size })
-  if (state.heldBackTasks.size === 0) resolveEarlierRuns(state)
+  if (state.heldBackTasks.size === 0) resolveEarlierRuns(state, 'listed')
 }
 
-/** Handles that all runs of previous owners are known or have expired. Only known targets remain on the stored list. */
-export function resolveEarlierRuns (state: CellState): void {
+/**
+ * Handles that all runs of previous owners are known or have expired. Only known targets remain on the stored list, which is
+ * stored in any case so that the next owner learns that the terms before this one are settled.
+ */
+export function resolveEarlierRuns (state: CellState, by: 'listed' | 'lapsed'): void {
   state.earlierRunsPossible = false
   releaseTasks(state)
   const gone = [...state.storedTargets, ...state.closedTargets.keys()].filter((id) => !state.targets.has(id))
@@ -130,9 +133,9 @@
     state.storedTargets.delete(id)
     state.closedTargets.delete(id)
   }
-  if (gone.length > 0) storeTargets(state)
+  storeTargets(state)
   const unlisted = [...state.targets.values()].filter(({ listed }) => !listed).length
-  log(state, 'info', 'earlier-runs-settled', { targets: state.targets.size, unlisted, gone: gone.length })
+  log(state, 'info', 'earlier-runs-settled', { by, targets: state.targets.size, unlisted, gone: gone.length })
 }
 
 /** Stores the list of targets that may have runs. While previous owners may have runs, their targets stay on the list. */
--- a/test/controller/committer.test.ts
+++ b/test/controller/committer.test.ts
@@ -58,6 +58,7 @@
     term: 1,
     commitVersion: store.inner.version,
     self: SELF,
+    getUnsettledTerms: () => [],
     reporter: NO_REPORTER,
     getProgress: () => ({ phase: phase(), nextOccurrence: 1, open: {} }),
     needsDefinition: () => !['completed', 'failed', 'cancelled'].includes(phase()),
