Claim the leadership again after a claim that nobody has won

Seen by callers: accepted jobs that never start, and a cell that logs leader-seen none for good. Cause: a claim requires that the commit record is as the member has read it. The last leader commits until its lease and its grace have ended, and a commit that is delayed lands later still. A member whose claim failed for that reason took it for won by another member and waited for a change of the leader's record, which nobody was bound to write. All members that claimed in that time stopped claiming. Found by reading; the operators' record has members that see no leader. Change: a refused claim ends the attempt only if the store returns a leader's record; else it is repeated.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -192,7 +192,7 @@
     return this.isCandidate && !this.stopped.signal.aborted && this.leaderRecord === undefined && this.held === undefined
   }
 
-  /** Returns whether the outcome of the claim is known, whether this member won it or not. */
+  /** Returns whether the claim is decided: this member or another one leads. */
   private async tryClaim (): Promise<boolean> {
     const { store, member, address } = this.options
     const previousEntry = await readKey(store, COMMIT_KEY)
@@ -209,11 +209,17 @@
     const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled }
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }]
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
-    const version = result.isOk() ? (result.value.committed ? result.value.version : undefined) : await this.findCommitVersion(nonce)
-    if (version === undefined || !this.isCandidate) {
-      if (result.isErr() || version !== undefined) this.options.reporter.log('warn', 'claim-given-up', { term, recorded: version !== undefined, reason: result.isErr() ? result.error.reason : 'this member is stopping' })
+    if (result.isOk() && !result.value.committed) {
       await this.revokeLease(lease.value.lease)
-      return result.isOk()
+      // Only another leader ends the claim; a commit of the previous one may have changed the commit key.
+      return result.value.current.some(({ key }) => key === LEADER_KEY)
+    }
+    const version = result.isOk() ? result.value.version : await this.findCommitVersion(nonce)
+    const obstacle = version === undefined ? 'the outcome of the claim is unknown' : (this.isCandidate ? undefined : 'this member is stopping')
+    if (version === undefined || obstacle !== undefined) {
+      this.options.reporter.log('warn', 'claim-given-up', { term, recorded: version !== undefined, reason: obstacle ?? '' })
+      await this.revokeLease(lease.value.lease)
+      return false
     }
     this.held = { lease: lease.value.lease, term, nonce, renewedAt: sentAt }
     this.leaderRecord = record
--- /dev/null
+++ b/test/controller/claims.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { setTimeout as wait } from 'node:timers/promises'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { Leadership } from '../../src/controller/leadership.ts'
+import { COMMIT_KEY } from '../../src/controller/store-keys.ts'
+import type { Store, StoreCall, StoreFailure, StoreResponse } from '../../src/ports/store.ts'
+import { InMemoryStore } from '../../src/standins/store.ts'
+
+const POLL_INTERVAL_MS = 10
+const TIMEOUT_MS = 5_000
+/** The leadership must last for this time after it was won. */
+const SETTLE_MS = 600
+const OTHER = { member: 'm1', address: 'm1:1' }
+
+/** A store that other members use at the same time. `interfere` is called before each call; a number delays its response. */
+class SharedStore implements Store {
+  readonly inner = InMemoryStore.create()
+  interfere: (call: StoreCall) => number | undefined = () => undefined
+
+  private constructor () {}
+
+  static create (): SharedStore {
+    const store = new SharedStore()
+    store.putCommit()
+    return store
+  }
+
+  /** Stores a commit of the earlier leader. */
+  putCommit (): void {
+    this.inner.call(performance.now(), { type: 'transact', compares: [], puts: [{ key: COMMIT_KEY, value: JSON.stringify({ term: 1, nonce: String(this.inner.version), leader: OTHER }) }], deletes: [] })
+  }
+
+  async call (call: StoreCall): Promise<Result<StoreResponse, StoreFailure>> {
+    const delayMs = this.interfere(call)
+    const startedAt = performance.now()
+    let response = this.inner.call(startedAt, call)
+    while (response === 'waiting') {
+      await wait(POLL_INTERVAL_MS)
+      if (call.type !== 'watch') return err({ reason: 'unavailable', verdict: 'not-applied' })
+      response = this.inner.resume(performance.now(), call, startedAt)
+    }
+    if (delayMs !== undefined) await wait(delayMs)
+    return ok(response)
+  }
+}
+
+type Claim = {
+  readonly guards: string
+  readonly disturb: (store: SharedStore, leadership: () => Leadership) => void
+  /** Terms that the member leads, in order. */
+  readonly terms: readonly number[]
+}
+
+const claims: readonly Claim[] = [
+  {
+    guards: 'nobody leads any more after a commit of the last leader came between the read and the write of a claim',
+    disturb: (store) => {
+      let commits = 1
+      store.interfere = ({ type }) => {
+        if (type === 'grant-lease' && commits > 0) {
+          commits -= 1
+          store.putCommit()
+        }
+        return undefined
+      }
+    },
+    terms: [2]
+  }
+]
+
+// Work waits or runs twice if the members disagree on who leads, or nobody does.
+for (const { guards, disturb, terms } of claims) {
+  test(`claims: guards against the failure that ${guards}`, async () => {
+    const store = SharedStore.create()
+    const won: number[] = []
+    disturb(store, () => leadership)
+    const leadership = Leadership.create({ store, member: 'm2', address: 'm2:1', cores: 2, reporter: { log: () => {}, count: () => {}, observe: () => {} }, onElected: ({ term }) => { won.push(term) }, onLeadershipLost: () => {} })
+    try {
+      const deadline = performance.now() + TIMEOUT_MS
+      while (won.at(-1) !== terms.at(-1) && performance.now() < deadline) await wait(POLL_INTERVAL_MS)
+      await wait(SETTLE_MS)
+      assert.deepEqual(won, terms)
+      assert.ok(leadership.isLeading)
+    } finally {
+      leadership.stop()
+    }
+  })
+}
