Give up a claim whose permission ran out while it was on its way

Seen: not by callers; looked for on paths near the doubled work. A member acts on a term after its lease may have ended, or after it has told the leader of a later term that it sends no commands. Cause: the response to a claim can take longer than the lease, or arrive after a stand-down request; the member then led the term until its next renewal, and its listings could extend leases on targets that the later leader had not listed. Change: a claim is given up, and its lease ended, if the lease was requested longer ago than it lasts or if the leader of a later term has asked.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -77,6 +77,8 @@
   private leaderVersion: number | undefined
   /** When this process last led, on the monotonic clock; undefined if it never has. */
   private lastLedAt: number | undefined
+  /** Latest term whose leader has asked this member not to lead an earlier one. */
+  private latestRequestedTerm = 0
   /** Nonce of the last claim of this process. */
   private lastClaimNonce: string | undefined
   private claiming = false
@@ -127,6 +129,7 @@
 
   /** Gives up the leadership if `term` is later than the current one, and tells how long no commands have been sent. */
   stepDownForTerm (term: number): StandDown {
+    this.latestRequestedTerm = Math.max(this.latestRequestedTerm, term)
     if (this.held !== undefined && this.held.term < term) this.stepDown('the leader of a later term requested it')
     // The monotonic clock of this process starts with it.
     if (this.lastLedAt === undefined) return { type: 'never-led', quietForMs: performance.now() }
@@ -215,7 +218,7 @@
       return result.value.current.some(({ key }) => key === LEADER_KEY)
     }
     const version = result.isOk() ? result.value.version : await this.findCommitVersion(nonce)
-    const obstacle = version === undefined ? 'the outcome of the claim is unknown' : (this.isCandidate ? undefined : 'this member is stopping')
+    const obstacle = version === undefined ? 'the outcome of the claim is unknown' : this.findObstacle(term, sentAt)
     if (version === undefined || obstacle !== undefined) {
       this.options.reporter.log('warn', 'claim-given-up', { term, recorded: version !== undefined, reason: obstacle ?? '' })
       await this.revokeLease(lease.value.lease)
@@ -228,6 +231,13 @@
     return true
   }
 
+  /** Returns why a recorded claim must not be used any more; undefined if it may. */
+  private findObstacle (term: number, leaseRequestedAt: number): string | undefined {
+    if (!this.isCandidate) return 'this member is stopping'
+    if (term < this.latestRequestedTerm) return 'the leader of a later term requested it'
+    return performance.now() - leaseRequestedAt > LEASE_TTL_MS ? 'its lease may have expired' : undefined
+  }
+
   /** Returns the version of the commit key if the claim with this nonce was applied although its response was lost. */
   private async findCommitVersion (nonce: string): Promise<number | undefined> {
     const entry = await readKey(this.options.store, COMMIT_KEY)
--- a/test/controller/claims.test.ts
+++ b/test/controller/claims.test.ts
@@ -67,6 +67,31 @@
       }
     },
     terms: [2]
+  },
+  {
+    guards: 'a member leads a term although it has told the leader of a later one that it does not',
+    disturb: (store, leadership) => {
+      let claimsToDisturb = 1
+      store.interfere = (call) => {
+        if (call.type !== 'transact' || call.deletes.length > 0 || claimsToDisturb === 0) return undefined
+        claimsToDisturb -= 1
+        setTimeout(() => leadership().stepDownForTerm(3), 50)
+        return 200
+      }
+    },
+    terms: [3]
+  },
+  {
+    guards: 'a member leads on a lease that has ended while its claim was on its way',
+    disturb: (store) => {
+      let claimsToDisturb = 1
+      store.interfere = ({ type }) => {
+        if (type !== 'transact' || claimsToDisturb === 0) return undefined
+        claimsToDisturb -= 1
+        return 1_700
+      }
+    },
+    terms: [3]
   }
 ]
 
