Ignore changes of the leadership that are older than the own claim

Seen: not by callers; found by reading. A leader that had just won gave its term up. Cause: a watch reports changes late. The end of an earlier term that arrives after the own claim was taken for the loss of the own term; nobody led until the lease of the abandoned record had expired. Evidence: claims, 'an older change', failed before: the member did not lead 0.6 s after it had won. Change: changes of versions before the claim are ignored while the term is held. Result: the member still leads.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { LeaseId, Store, StoreEntry } from '../ports/store.ts'
+import type { LeaseId, Store, StoreChange, StoreEntry } from '../ports/store.ts'
 import { delay } from './delay.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
 import type { Reporter } from './reporter.ts'
@@ -61,7 +61,7 @@
   readonly onOtherLeader?: (leader: LeaderRecord) => void
 }
 
-type HeldLeadership = { readonly lease: LeaseId, readonly term: number, readonly nonce: string, renewedAt: number }
+type HeldLeadership = { readonly lease: LeaseId, readonly term: number, readonly nonce: string, readonly version: number, renewedAt: number }
 
 /**
  * Claims the leadership whenever no member holds it, and keeps it by renewing a lease of the store.
@@ -93,7 +93,7 @@
       onEntries: (entries) => this.handleLeaderEntry(entries.find((entry) => entry.key === LEADER_KEY)),
       onChanges: (changes) => {
         const last = changes.filter((change) => (change.type === 'put' ? change.entry.key : change.key) === LEADER_KEY).at(-1)
-        if (last !== undefined) this.handleLeaderEntry(last.type === 'put' ? last.entry : undefined)
+        if (last !== undefined && !this.isOlderThanClaim(last)) this.handleLeaderEntry(last.type === 'put' ? last.entry : undefined)
       }
     })
     this.runRenewalLoop().catch((error: unknown) => options.reporter.log('error', 'renewal-failed', { detail: String(error) }))
@@ -158,6 +158,12 @@
     this.watcher.stop()
   }
 
+  /** Whether a change that the watch reports late came before the claim of the current term. */
+  private isOlderThanClaim (change: StoreChange): boolean {
+    const version = change.type === 'put' ? change.entry.version : change.version
+    return this.held !== undefined && version < this.held.version
+  }
+
   private handleLeaderEntry (entry: StoreEntry | undefined): void {
     this.leaderRecord = entry === undefined ? undefined : parseRecord<LeaderRecord>(entry.value)
     this.leaderVersion = entry?.version
@@ -224,7 +230,7 @@
       await this.revokeLease(lease.value.lease)
       return false
     }
-    this.held = { lease: lease.value.lease, term, nonce, renewedAt: sentAt }
+    this.held = { lease: lease.value.lease, term, nonce, version, renewedAt: sentAt }
     this.leaderRecord = record
     this.options.reporter.log('info', 'leadership-won', { term, version, unsettled: unsettled.map((earlier) => `${earlier.leader.member}/${earlier.term}`).join(',') })
     this.options.onElected({ term, commitVersion: version, unsettled })
--- a/test/controller/claims.test.ts
+++ b/test/controller/claims.test.ts
@@ -4,7 +4,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { Leadership } from '../../src/controller/leadership.ts'
-import { COMMIT_KEY } from '../../src/controller/store-keys.ts'
+import { COMMIT_KEY, LEADER_KEY } from '../../src/controller/store-keys.ts'
 import type { Store, StoreCall, StoreFailure, StoreResponse } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
 
@@ -32,6 +32,12 @@
     this.inner.call(performance.now(), { type: 'transact', compares: [], puts: [{ key: COMMIT_KEY, value: JSON.stringify({ term: 1, nonce: String(this.inner.version), leader: OTHER }) }], deletes: [] })
   }
 
+  /** Lets another member hold the leadership for a moment. */
+  passLeadership (): void {
+    this.inner.call(performance.now(), { type: 'transact', compares: [], puts: [{ key: LEADER_KEY, value: JSON.stringify({ ...OTHER, term: 1, nonce: 'other' }) }], deletes: [] })
+    this.inner.call(performance.now(), { type: 'transact', compares: [], puts: [], deletes: [LEADER_KEY] })
+  }
+
   async call (call: StoreCall): Promise<Result<StoreResponse, StoreFailure>> {
     const delayMs = this.interfere(call)
     const startedAt = performance.now()
@@ -92,6 +98,23 @@
       }
     },
     terms: [3]
+  },
+  {
+    guards: 'a leader gives up because of an older change of the leadership that it learns late',
+    disturb: (store) => {
+      let passes = 1
+      store.interfere = ({ type }) => {
+        if (type === 'watch') return 300
+        if (type === 'grant-lease' && passes > 0) {
+          passes -= 1
+          store.passLeadership()
+          // The watch answers before the claim is written.
+          return 50
+        }
+        return undefined
+      }
+    },
+    terms: [2]
   }
 ]
 
