Take up jobs from the store only while the lease is confirmed

Seen by callers: tasks that ran twice, and tasks that started again after their end as done. Cause: a member that announces a job is turned away while the leader's lease is not confirmed, but the leader took up the jobs that it read from the store itself. After its lease had ended without its knowledge it started tasks of jobs that its successor read as new ones and started at once, since only restored jobs wait for the listings. The successor also counts a completion of a job that it doesn't know yet as processed and lets the target discard it. Evidence: platform/takeover, the fourth test, failed before: the task started while nobody held the lease. Change: jobs that are read without a confirmed lease wait until it is confirmed. A lease that is confirmed then has never ended, so that any successor reads these jobs when it restores.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -277,6 +277,7 @@
     this.removeUnresponsivePeers()
     this.commands.update(this.members, this.scheduler.countTargetsByDomain())
     this.checkRunsOfEarlierTerms()
+    this.storeFeed.acceptWaitingJobs()
     this.applyEvent({ type: 'tick' })
   }
 
--- a/src/controller/store-feed.ts
+++ b/src/controller/store-feed.ts
@@ -30,6 +30,8 @@
   private readonly watchers: PrefixWatcher[] = []
   private readonly publishedTargets = new Set<string>()
   private readonly pollInterval = PollInterval.create()
+  /** Jobs that were read while the lease was not confirmed, by id. */
+  private readonly jobsWithoutLease = new Map<string, JobDefinition>()
 
   private constructor (private readonly options: StoreFeedOptions) {}
 
@@ -113,15 +115,33 @@
   }
 
   private applyJobEntry ({ key, value }: StoreEntry): void {
-    if (key.endsWith(CANCEL_SUFFIX)) this.options.applyEvent({ type: 'job-cancelled', id: parseCancelKey(key) })
+    if (key.endsWith(CANCEL_SUFFIX)) this.cancelJob(parseCancelKey(key))
     else parseDefinition({ key, value }, (message) => this.options.reporter.log('error', message, { key })).forEach((definition) => this.acceptJob(definition))
   }
 
+  private cancelJob (id: string): void {
+    // A cancellation applies to known jobs only.
+    const waiting = this.jobsWithoutLease.get(id)
+    this.jobsWithoutLease.delete(id)
+    if (waiting !== undefined) this.options.applyEvent({ type: 'job-accepted', definition: waiting })
+    this.options.applyEvent({ type: 'job-cancelled', id })
+  }
+
   private acceptJob (definition: JobDefinition): void {
+    const leaseConfirmed = this.options.isLeaseConfirmed()
     if (!this.options.isKnownJob(definition.id)) {
       this.pollInterval.recordUnannouncedJob(performance.now())
-      this.options.reporter.log('info', 'job-found', { job: definition.id, leaseConfirmed: this.options.isLeaseConfirmed() })
+      this.options.reporter.log('info', 'job-found', { job: definition.id, leaseConfirmed })
     }
-    this.options.applyEvent({ type: 'job-accepted', definition })
+    // Without the lease another member may lead and start the job as a new one.
+    if (leaseConfirmed) this.options.applyEvent({ type: 'job-accepted', definition })
+    else this.jobsWithoutLease.set(definition.id, definition)
+  }
+
+  /** Accepts the jobs that were read while the lease was not confirmed, once it is. */
+  acceptWaitingJobs (): void {
+    if (this.jobsWithoutLease.size === 0 || !this.options.isLeaseConfirmed()) return
+    for (const definition of this.jobsWithoutLease.values()) this.options.applyEvent({ type: 'job-accepted', definition })
+    this.jobsWithoutLease.clear()
   }
 }
