Let the soak fail the leader while the store and the workers are in trouble

A takeover of the soak kills, stops, pauses or cuts off the current leader and disturbs the store soon after: claims are applied and not answered, applied late, answered late, refused, or the winners are killed. Workers can be slow, members can stutter, and some jobs last longer than a takeover. The history reports a start after a completion that is acknowledged later, and a request that ends without an answer in calm time.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { Builtins, Cli, Command, Option } from 'clipanion'
+import type { SoakFault } from './soak-faults.ts'
 import { runSoak } from './soak-run.ts'
 
 const EXIT_FAILED = 1
@@ -25,6 +26,11 @@
   workers = Option.String('--workers', '6', { description: 'stand-in workers' })
   rate = Option.String('--rate', '6', { description: 'jobs per second' })
 
+  faults = Option.String('--faults', '', { description: 'types of faults, separated by commas; all types by default' })
+
+  interval = Option.String('--interval', '1000', { description: 'mean time between two faults in milliseconds' })
+  keepLogs = Option.Boolean('--keep-logs', false, { description: 'keep the logs of seeds that pass too' })
+
   async execute (): Promise<number> {
     const built = spawnSync(process.execPath, ['scripts/build-platform.mjs'], { encoding: 'utf8' })
     if (built.status !== 0) throw new Error(`the bundle could not be built: ${built.stderr}`)
@@ -44,6 +50,8 @@
       members: Number(this.members),
       workers: Number(this.workers),
       jobsPerSecond: Number(this.rate),
+      faultIntervalMs: Number(this.interval),
+      faultTypes: this.faults.split(',').filter((type) => type !== '') as ReadonlyArray<SoakFault['type']>,
       bundle: 'target/damaskfield-platform.mjs',
       folder,
       subnet: FIRST_SUBNET + process.pid % SUBNET_COUNT
@@ -51,7 +59,7 @@
     const { stdout } = this.context
     stdout.write(`seed ${seed}: ${faults.length} faults, ${accepted} jobs accepted, ${refused} refused, ${doubtful} in doubt, ${breaches.length} breaches\n`)
     for (const breach of breaches) stdout.write(`  ${breach}\n`)
-    if (breaches.length === 0) rmSync(folder, { recursive: true })
+    if (breaches.length === 0 && !this.keepLogs) rmSync(folder, { recursive: true })
     else stdout.write(`  faults: ${JSON.stringify(faults)}\n  logs: ${folder}\n`)
     return breaches.length === 0
   }
--- a/soak/run-history.ts
+++ b/soak/run-history.ts
@@ -3,9 +3,16 @@
 /** The properties of a submitted job that the checks need. `counts` are the tasks of each step; step 1 starts after step 0. */
 export type SoakJob = { readonly id: string, readonly counts: readonly number[], readonly cpuMillis: number, readonly maxAttempts: number }
 
+type WorkerCompletion = Extract<WorkerEvent, { type: 'ended' }>
+type WorkerAcknowledgement = Extract<WorkerEvent, { type: 'acknowledged' }>
+
+type PresentRun = { readonly run: number, readonly startedAtMs: number }
+
 type TaskHistory = {
-  /** Run numbers by the worker on which the run is present. */
-  readonly running: Map<string, number>
+  /** The runs that are present, by their workers. */
+  readonly running: Map<string, PresentRun>
+  /** Starts after the completion of a run that ended as done, by that run and its worker. They are breaches once it is acknowledged. */
+  readonly startsAfterDone: Map<string, string[]>
   done: boolean
   failures: number
   doneAcknowledged: boolean
@@ -17,6 +24,10 @@
 const CANCEL_GRACE_MS = 3_000
 /** Tasks may still start in a failure domain for this time after its evacuation was requested (`evacuateMs`). */
 const EVACUATION_GRACE_MS = 5_000
+/** Time without unplanned disruption before a request from which it must be answered in full (`contactMs`). */
+const CALM_MS = 3_000
+/** A connection may end without an answer within this time after the request was sent (`lossSlackMs`). */
+const LOSS_SLACK_MS = 200
 
 /**
  * Checks the guarantees of the platform's rules against the events of workers and the responses to callers. Each breach
@@ -32,6 +43,8 @@
   private readonly completedJobs = new Set<string>()
   /** Start of the evacuation by failure domain. */
   private readonly evacuatedSinceMs = new Map<string, number>()
+  private currentDisruptions = 0
+  private lastDisruptionEndMs = -Infinity
 
   private constructor (private readonly capacityCpuMillis: number, private readonly getDomain: (worker: string) => string) {}
 
@@ -52,6 +65,18 @@
     else this.evacuatedSinceMs.set(domain, sinceMs)
   }
 
+  /** Records that an unplanned disruption begins or, with `ended`, that it is over. */
+  recordDisruption (atMs: number, ended: boolean): void {
+    this.currentDisruptions += ended ? -1 : 1
+    this.lastDisruptionEndMs = atMs
+  }
+
+  /** Records a request whose connection has ended without a complete response. */
+  recordBrokenRequest (request: string, sentAtMs: number, endedAtMs: number): void {
+    const isCalm = this.currentDisruptions === 0 && this.lastDisruptionEndMs < sentAtMs - CALM_MS
+    if (isCalm && endedAtMs - sentAtMs > LOSS_SLACK_MS) this.recordBreach('LOST', `${request} ended without an answer after ${Math.round(endedAtMs - sentAtMs)} ms`)
+  }
+
   /** Records a job; must be called before the caller submits it. */
   recordSubmission (job: SoakJob): void {
     this.jobs.set(job.id, job)
@@ -90,8 +115,8 @@
   recordWorkerEvent (worker: string, event: WorkerEvent, atMs: number): void {
     switch (event.type) {
       case 'started': return this.recordStart(worker, event.task, event.run, atMs)
-      case 'ended': return this.recordCompletion(worker, event.task, event.outcome)
-      case 'acknowledged': return this.recordAcknowledgement(event.task, event.outcome)
+      case 'ended': return this.recordCompletion(worker, event)
+      case 'acknowledged': return this.recordAcknowledgement(worker, event)
       case 'crashed':
         this.bookedCpuMillis.set(worker, 0)
         for (const task of this.tasks.values()) task.running.delete(worker)
@@ -105,32 +130,41 @@
     const task = this.getTask(taskId)
     task.starts += 1
     if (this.refusedJobs.has(id)) this.recordBreach('REFUSED', `${taskId} starts although its job was refused`)
-    if (task.running.size > 0) this.recordBreach('TWICE', `${taskId} run ${run} starts on ${worker} concurrently with ${[...task.running].map(([other, number]) => `run ${number} on ${other}`).join(', ')}`)
+    if (task.running.size > 0) this.recordBreach('TWICE', `${taskId} run ${run} starts on ${worker} concurrently with ${[...task.running].map(([other, present]) => `run ${present.run} on ${other}, started ${Math.round(atMs - present.startedAtMs)} ms before`).join(', ')}`)
     if (task.done && (task.doneAcknowledged || this.completedJobs.has(id))) this.recordBreach('TWICE', `${taskId} starts after its completion was acknowledged`)
+    for (const starts of task.startsAfterDone.values()) starts.push(`run ${run} on ${worker}`)
     if (step === '1' && !this.isStepDone(job, 0)) this.recordBreach('ORDER', `${taskId} starts before the preceding step has completed`)
     if (task.acknowledgedFailures >= job.maxAttempts) this.recordBreach('BUDGET', `${taskId} starts after ${task.acknowledgedFailures} failures`)
     const cancelledAtMs = this.cancelledAtMs.get(id)
     if (cancelledAtMs !== undefined && atMs > cancelledAtMs + CANCEL_GRACE_MS) this.recordBreach('UNASKED', `${taskId} starts ${Math.round(atMs - cancelledAtMs)} ms after its cancellation was acknowledged`)
     const evacuatedSinceMs = this.evacuatedSinceMs.get(this.getDomain(worker))
     if (evacuatedSinceMs !== undefined && atMs > evacuatedSinceMs + EVACUATION_GRACE_MS) this.recordBreach('EVAC', `${taskId} starts on ${worker} ${Math.round(atMs - evacuatedSinceMs)} ms after the evacuation of its failure domain`)
-    task.running.set(worker, run)
+    task.running.set(worker, { run, startedAtMs: atMs })
     const bookedCpuMillis = (this.bookedCpuMillis.get(worker) ?? 0) + job.cpuMillis
     this.bookedCpuMillis.set(worker, bookedCpuMillis)
     if (bookedCpuMillis > this.capacityCpuMillis) this.recordBreach('LIMIT', `${taskId} raises the booked CPU of ${worker} to ${bookedCpuMillis} of ${this.capacityCpuMillis}`)
   }
 
-  private recordCompletion (worker: string, taskId: string, outcome: string): void {
+  private recordCompletion (worker: string, { task: taskId, run, outcome }: WorkerCompletion): void {
     const task = this.getTask(taskId)
     if (!task.running.delete(worker)) return
     this.bookedCpuMillis.set(worker, (this.bookedCpuMillis.get(worker) ?? 0) - (this.jobs.get(taskId.split('.')[0]!)?.cpuMillis ?? 0))
-    if (outcome === 'done') task.done = true
+    if (outcome === 'done') {
+      task.done = true
+      task.startsAfterDone.set(`run ${run} on ${worker}`, [])
+    }
     if (outcome === 'failed') task.failures += 1
   }
 
-  private recordAcknowledgement (taskId: string, outcome: string): void {
+  private recordAcknowledgement (worker: string, { task: taskId, run, outcome, leaseLapsed }: WorkerAcknowledgement): void {
     const task = this.getTask(taskId)
-    if (outcome === 'done') task.doneAcknowledged = true
     if (outcome === 'failed') task.acknowledgedFailures += 1
+    if (outcome !== 'done') return
+    task.doneAcknowledged = true
+    const completed = `run ${run} on ${worker}`
+    const starts = task.startsAfterDone.get(completed) ?? []
+    task.startsAfterDone.delete(completed)
+    if (starts.length > 0 && !leaseLapsed) this.recordBreach('TWICE', `${taskId} has started (${starts.join(', ')}) after ${completed} was done, which has been acknowledged since`)
   }
 
   private isStepDone (job: SoakJob, step: number): boolean {
@@ -140,7 +174,7 @@
   private getTask (taskId: string): TaskHistory {
     const existing = this.tasks.get(taskId)
     if (existing !== undefined) return existing
-    const task: TaskHistory = { running: new Map(), done: false, failures: 0, doneAcknowledged: false, acknowledgedFailures: 0, starts: 0 }
+    const task: TaskHistory = { running: new Map(), startsAfterDone: new Map(), done: false, failures: 0, doneAcknowledged: false, acknowledgedFailures: 0, starts: 0 }
     this.tasks.set(taskId, task)
     return task
   }
@@ -150,6 +184,6 @@
   }
 
   private recordBreach (rule: string, detail: string): void {
-    this.breaches.push(`${rule}: ${detail}`)
+    this.breaches.push(`${rule}: ${detail} (${new Date().toISOString()})`)
   }
 }
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -13,6 +13,12 @@
 const FAILING_JOBS_RATIO = 0.06
 /** Ratio of jobs that their callers cancel. */
 const CANCELLED_JOBS_RATIO = 0.08
+/** Ratio of jobs whose tasks last longer than a takeover. */
+const LONG_JOBS_RATIO = 0.3
+const SHORT_TASK_MS = { min: 80, spread: 1_500 } as const
+const LONG_TASK_MS = { min: 2_000, spread: 4_000 } as const
+/** Errors of a connection that ends. Refused connections and timeouts have others. */
+const ENDED_CONNECTION_CODES: readonly string[] = ['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']
 const FINAL_STATES: readonly string[] = ['completed', 'failed', 'cancelled']
 
 type CallerResponse = { readonly status: number, readonly body: unknown }
@@ -38,7 +44,8 @@
     const id = number.toString(16).padStart(16, '0')
     const shouldFail = random.next() < FAILING_JOBS_RATIO
     const shouldCancel = random.next() < CANCELLED_JOBS_RATIO
-    const durationMs = 80 + random.nextInt(1_500)
+    const { min, spread } = random.next() < LONG_JOBS_RATIO ? LONG_TASK_MS : SHORT_TASK_MS
+    const durationMs = min + random.nextInt(spread)
     const job: SoakJob = { id, counts, cpuMillis: TASK_CPU_MILLIS, maxAttempts: MAX_ATTEMPTS }
     const path = `/${QUEUES[random.nextInt(QUEUES.length)]!}/${id}`
     const steps = counts.map((count, index) => ({ count, cpu: TASK_CPU_MILLIS, memMb: 64, estimatedMs: durationMs, ...(index === 0 ? {} : { after: [index - 1] }) }))
@@ -105,6 +112,7 @@
 
   private async send (method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<CallerResponse | undefined> {
     const address = this.cell.callerAddresses[this.random.nextInt(this.cell.callerAddresses.length)]!
+    const sentAtMs = performance.now()
     try {
       const response = await request(`${address}${path}`, {
         method,
@@ -115,9 +123,15 @@
       })
       const text = await response.body.text()
       return { status: response.statusCode, body: text === '' ? {} : JSON.parse(text) }
-    } catch {
+    } catch (error) {
       // The process has exited, is paused or was too slow, so the caller does not know whether its request took effect.
+      if (isConnectionEnd(error)) this.cell.history.recordBrokenRequest(`${method} ${path}`, sentAtMs, performance.now())
       return undefined
     }
   }
 }
+
+/** Whether a connection that was set up has ended before the whole response was received. */
+function isConnectionEnd (error: unknown): boolean {
+  return ENDED_CONNECTION_CODES.includes((error as { readonly code?: string }).code ?? '')
+}
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -8,7 +8,10 @@
 import { getCallerAddress, createMemberSettings } from '../platform/standin/member-settings.ts'
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
-import { WorkerServer } from '../platform/standin/worker-server.ts'
+import { NO_DELAY, WorkerServer } from '../platform/standin/worker-server.ts'
+import type { WorkerDelay } from '../platform/standin/worker-server.ts'
+import { LEADER_KEY } from '../src/controller/store-keys.ts'
+import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
 import { RunHistory } from './run-history.ts'
 
@@ -75,6 +78,17 @@
     return this.members.map(({ options }) => getCallerAddress(options))
   }
 
+  /** Index of the member whose claim the store has recorded last; undefined if no member leads. */
+  findLeader (): number | undefined {
+    const value = this.kv.read(LEADER_KEY)
+    return value === undefined ? undefined : this.findMember((JSON.parse(value) as LeaderRecord).member)
+  }
+
+  findMember (name: string): number | undefined {
+    const index = this.members.findIndex(({ options }) => options.name === name)
+    return index === -1 ? undefined : index
+  }
+
   /** Publishes the next version of the configuration. */
   publishConfiguration (): void {
     const queues = [{ name: 'plain', priority: 0 }, { name: 'advised', priority: 2, advice: ADVICE }, { name: `extra-${this.nextVersion}`, priority: 0 }]
@@ -110,9 +124,24 @@
     process.signal('SIGCONT')
   }
 
+  delayWorkers (delay: WorkerDelay): void {
+    for (const { server } of this.workers) server.delay = delay
+  }
+
+  /** Suspends members for a part of each interval, as an overloaded host does. */
+  async stutterMembers (indexes: readonly number[], runMs: number, pauseMs: number, ms: number): Promise<void> {
+    const endAt = performance.now() + ms
+    while (performance.now() < endAt) {
+      await wait(runMs)
+      await Promise.all(indexes.map((index) => this.pauseMember(index, pauseMs)))
+    }
+  }
+
   /** Ends all faults of the store, the links and the failure domains. */
   repairAll (): void {
     this.kv.mode = 'up'
+    this.kv.disturbance = undefined
+    this.delayWorkers(NO_DELAY)
     this.advisorLink.setState('open')
     for (const { storeLink } of this.members) storeLink.setState('open')
     for (const { link } of this.workers) link.setState('open')
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -1,8 +1,12 @@
 import { setTimeout as wait } from 'node:timers/promises'
+import { NO_DELAY } from '../platform/standin/worker-server.ts'
+import type { WorkerDelay } from '../platform/standin/worker-server.ts'
 import { assertNever } from '../src/util/assert-never.ts'
-import type { Random } from '../src/util/random.ts'
+import { Random } from '../src/util/random.ts'
 import type { LinkState, LoopbackProxy } from './loopback-proxy.ts'
 import type { SoakCell } from './soak-cell.ts'
+import { STORE_TROUBLES, troubleStore } from './store-trouble.ts'
+import type { StoreTrouble } from './store-trouble.ts'
 
 /** A fault that is caused from outside the member processes. Several faults may overlap. */
 export type SoakFault =
@@ -17,27 +21,49 @@
   | { readonly type: 'worker-crash', readonly worker: number }
   | { readonly type: 'domain-out', readonly domain: string, readonly forMs: number }
   | { readonly type: 'configuration' }
+  | { readonly type: 'stutter', readonly members: 'all' | 'leader', readonly runMs: number, readonly pauseMs: number, readonly forMs: number }
+  | { readonly type: 'slow-workers', readonly delay: WorkerDelay, readonly forMs: number }
+  /** The current leader fails, and after a while the store too, so that the members take over during its trouble. */
+  | Takeover
+
+type Takeover = { readonly type: 'takeover', readonly leader: LeaderFailure, readonly afterMs: number, readonly trouble: StoreTrouble, readonly delay: WorkerDelay, readonly forMs: number, readonly seed: number }
+
+type LeaderFailure = 'kill' | 'terminate' | 'pause' | 'cut' | 'none'
 
 const LINK_STATES: readonly LinkState[] = ['slow', 'silent', 'one-way', 'reset']
 const STORE_MODES = ['busy', 'silent', 'reset'] as const
+const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'terminate', 'pause', 'cut', 'none']
+/** Faults that are planned work: requests must be answered during these. */
+const PLANNED_FAULTS: ReadonlyArray<SoakFault['type']> = ['terminate', 'terminate-all', 'domain-out', 'configuration']
 const MAX_LOST_RESPONSES = 6
 /** Bounds of the duration of a fault. */
 const MIN_FAULT_MS = 500
 const MAX_FAULT_MS = 4_500
+/** Longest time between the failure of a leader and the trouble of the store. */
+const MAX_TROUBLE_DELAY_MS = 1_500
+/** Bounds of the times for which an overloaded host runs and suspends a member. */
+const STUTTER_MS = { run: 150, pause: 1_000 } as const
+const MAX_WORKER_DELAY_MS = 900
+/** Number of takeovers in the list from which a fault is chosen. */
+const TAKEOVER_SHARE = 5
+const SEED_RANGE = 1_000_000
 /** Time between the stops of two members when all members are terminated in turn. */
 const RESTART_INTERVAL_MS = 500
 
 /**
- * Creates a random fault. The same sequence of random numbers gives the same fault.
+ * Creates a random fault, of one of the given types if there are any. The same sequence of random numbers gives the same fault.
  *
  * @example
  * createRandomFault(Random.create(7), 4, 8)
  */
-export function createRandomFault (random: Random, members: number, workers: number): SoakFault {
+export function createRandomFault (random: Random, members: number, workers: number, types: ReadonlyArray<SoakFault['type']> = []): SoakFault {
   const forMs = MIN_FAULT_MS + random.nextInt(MAX_FAULT_MS - MIN_FAULT_MS)
   const member = random.nextInt(members)
   const worker = random.nextInt(workers)
   const state = LINK_STATES[random.nextInt(LINK_STATES.length)]!
+  const delay: WorkerDelay = { calls: random.next() < 0.5 ? 'all' : 'starts', beforeMs: random.nextInt(MAX_WORKER_DELAY_MS), afterMs: random.nextInt(MAX_WORKER_DELAY_MS) }
+  const leader = LEADER_FAILURES[random.nextInt(LEADER_FAILURES.length)]!
+  const trouble = STORE_TROUBLES[random.nextInt(STORE_TROUBLES.length)]!
   const mode = STORE_MODES[random.nextInt(STORE_MODES.length)]!
   const faults: readonly SoakFault[] = [
     { type: 'kill', member },
@@ -55,13 +81,24 @@
     { type: 'advisor-link', state, forMs },
     { type: 'worker-crash', worker },
     { type: 'domain-out', domain: 'west', forMs },
-    { type: 'configuration' }
+    { type: 'configuration' },
+    { type: 'stutter', members: random.next() < 0.5 ? 'all' : 'leader', runMs: 10 + random.nextInt(STUTTER_MS.run), pauseMs: 50 + random.nextInt(STUTTER_MS.pause), forMs },
+    { type: 'slow-workers', delay, forMs },
+    ...Array.from({ length: TAKEOVER_SHARE }, (): SoakFault => ({ type: 'takeover', leader, afterMs: random.nextInt(MAX_TROUBLE_DELAY_MS), trouble, delay: random.next() < 0.5 ? delay : NO_DELAY, forMs, seed: random.nextInt(SEED_RANGE) }))
   ]
-  return faults[random.nextInt(faults.length)]!
+  const chosen = types.length === 0 ? faults : faults.filter(({ type }) => types.includes(type))
+  return chosen[random.nextInt(chosen.length)]!
 }
 
 /** Starts a fault and ends it after its duration. */
 export async function injectFault (cell: SoakCell, fault: SoakFault): Promise<void> {
+  const isUnplanned = !PLANNED_FAULTS.includes(fault.type)
+  if (isUnplanned) cell.history.recordDisruption(performance.now(), false)
+  await causeFault(cell, fault)
+  if (isUnplanned) cell.history.recordDisruption(performance.now(), true)
+}
+
+async function causeFault (cell: SoakCell, fault: SoakFault): Promise<void> {
   switch (fault.type) {
     case 'kill': return cell.restartMember(fault.member, 'SIGKILL')
     case 'terminate': return cell.restartMember(fault.member, 'SIGTERM')
@@ -86,10 +123,41 @@
       cell.setDomainEvacuated(fault.domain, false)
       return
     case 'configuration': return cell.publishConfiguration()
+    case 'stutter': return cell.stutterMembers(fault.members === 'all' ? [...cell.members.keys()] : findLeaders(cell), fault.runMs, fault.pauseMs, fault.forMs)
+    case 'slow-workers': return delayWorkers(cell, fault.delay, fault.forMs)
+    case 'takeover': return forceTakeover(cell, fault)
     default: return assertNever(fault)
   }
 }
 
+function findLeaders (cell: SoakCell): readonly number[] {
+  const leader = cell.findLeader()
+  return leader === undefined ? [] : [leader]
+}
+
+async function forceTakeover (cell: SoakCell, { leader, afterMs, trouble, delay, forMs, seed }: Takeover): Promise<void> {
+  const failures = findLeaders(cell).map((member) => failLeader(cell, member, leader, forMs))
+  await wait(afterMs)
+  await Promise.all([...failures, troubleStore(cell, trouble, forMs, Random.create(seed)), delayWorkers(cell, delay, forMs)])
+}
+
+async function failLeader (cell: SoakCell, member: number, failure: LeaderFailure, forMs: number): Promise<void> {
+  switch (failure) {
+    case 'kill': return cell.restartMember(member, 'SIGKILL')
+    case 'terminate': return cell.restartMember(member, 'SIGTERM')
+    case 'pause': return cell.pauseMember(member, forMs)
+    case 'cut': return disturbLink(cell.members[member]!.storeLink, 'silent', forMs)
+    case 'none': return
+    default: return assertNever(failure)
+  }
+}
+
+async function delayWorkers (cell: SoakCell, delay: WorkerDelay, forMs: number): Promise<void> {
+  cell.delayWorkers(delay)
+  await wait(forMs)
+  cell.delayWorkers(NO_DELAY)
+}
+
 async function restartAllMembers (cell: SoakCell, signal: 'SIGKILL' | 'SIGTERM', intervalMs: number): Promise<void> {
   await Promise.all(cell.members.map(async (_member, index) => {
     await wait(index * intervalMs)
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -12,6 +12,10 @@
   /** Duration of traffic and faults. */
   readonly seconds: number
   readonly jobsPerSecond: number
+  /** Mean time between two faults. */
+  readonly faultIntervalMs?: number
+  /** Types of the faults; all types if empty. */
+  readonly faultTypes?: ReadonlyArray<SoakFault['type']>
 }
 
 /** Injected faults, numbers of jobs by outcome, and breaches of one soak run. */
@@ -26,8 +30,9 @@
 
 const STARTUP_MS = 2_500
 const MS_PER_SECOND = 1_000
-/** Minimum time between two faults, and the range of the random time that is added to it. */
-const FAULT_INTERVAL_MS = { min: 300, spread: 1_400 } as const
+const DEFAULT_FAULT_INTERVAL_MS = 1_000
+/** Minimum time between two faults, and the range of the random time that is added to it, as ratios of the mean. */
+const FAULT_INTERVAL = { min: 0.3, spread: 1.4 } as const
 /** No fault starts in this last part of the traffic. */
 const FAULT_FREE_MS = 2_000
 /** Jobs must reach a final state within this time after the traffic ends: `finish_s` plus a margin for a busy machine. */
@@ -56,14 +61,14 @@
   }
 }
 
-async function injectFaults (cell: SoakCell, { seed, seconds, members, workers }: SoakOptions): Promise<readonly SoakFault[]> {
+async function injectFaults (cell: SoakCell, { seed, seconds, members, workers, faultTypes = [], faultIntervalMs = DEFAULT_FAULT_INTERVAL_MS }: SoakOptions): Promise<readonly SoakFault[]> {
   const random = Random.create(seed)
   const deadline = performance.now() + seconds * MS_PER_SECOND - FAULT_FREE_MS
   const faults: SoakFault[] = []
   const pending: Array<Promise<void>> = []
   while (performance.now() < deadline) {
-    await wait(FAULT_INTERVAL_MS.min + random.nextInt(FAULT_INTERVAL_MS.spread))
-    const fault = createRandomFault(random, members, workers)
+    await wait(FAULT_INTERVAL.min * faultIntervalMs + random.nextInt(FAULT_INTERVAL.spread * faultIntervalMs))
+    const fault = createRandomFault(random, members, workers, faultTypes)
     faults.push(fault)
     pending.push(injectFault(cell, fault))
   }
--- /dev/null
+++ b/soak/store-trouble.ts
@@ -0,0 +1,98 @@
+import { setTimeout as wait } from 'node:timers/promises'
+import { asJsonObject, asList, asString } from '../platform/json.ts'
+import type { JsonRequest } from '../platform/standin/json-server.ts'
+import type { KvDisturbance } from '../platform/standin/kv-server.ts'
+import { LEADER_KEY } from '../src/controller/store-keys.ts'
+import type { LeaderRecord } from '../src/controller/store-keys.ts'
+import { assertNever } from '../src/util/assert-never.ts'
+import type { Random } from '../src/util/random.ts'
+import type { SoakCell } from './soak-cell.ts'
+
+/**
+ * How the store fails while members claim the leadership. `claims-unanswered`: claims are applied, but neither their response
+ * nor the following calls of the claimant are answered. `claims-late`: claims are applied late and not answered. `slow`:
+ * all calls are answered late. `lossy`: some calls are refused, and some are applied and not answered. `refuses-some`: some
+ * members are refused. `winners-killed`: members are killed soon after their claim was applied.
+ */
+export type StoreTrouble = 'claims-unanswered' | 'claims-late' | 'slow' | 'lossy' | 'refuses-some' | 'winners-killed'
+
+export const STORE_TROUBLES: readonly StoreTrouble[] = ['claims-unanswered', 'claims-unanswered', 'claims-late', 'slow', 'lossy', 'refuses-some', 'winners-killed']
+
+/** Bounds of the delay of a slow response. */
+const SLOW_RESPONSE_MS = { min: 500, spread: 1_000 } as const
+/** Bounds of the time for which a claimant gets no answers. Some last longer than the lease of a claim. */
+const UNANSWERED_MS = { min: 300, spread: 2_500 } as const
+const MAX_LATE_CLAIM_MS = 1_800
+const MAX_WINNER_LIFE_MS = 700
+const REFUSED_CALLS_RATIO = 0.3
+const LOST_RESPONSES_RATIO = 0.3
+
+/** Causes a trouble of the store and ends it after its duration. */
+export async function troubleStore (cell: SoakCell, trouble: StoreTrouble, forMs: number, random: Random): Promise<void> {
+  if (trouble === 'refuses-some') return refuseSomeMembers(cell, forMs, random)
+  const disturbance = createDisturbance(cell, trouble, random)
+  cell.kv.disturbance = disturbance
+  await wait(forMs)
+  if (cell.kv.disturbance === disturbance) cell.kv.disturbance = undefined
+}
+
+function createDisturbance (cell: SoakCell, trouble: Exclude<StoreTrouble, 'refuses-some'>, random: Random): KvDisturbance {
+  switch (trouble) {
+    case 'claims-unanswered': return async (request, serve) => {
+      const response = await serve()
+      const claimant = findClaimant(cell, request)
+      if (claimant === undefined) return response
+      const state = random.next() < 0.5 ? 'reset' : 'silent'
+      disturbStoreLink(cell, claimant, state, UNANSWERED_MS.min + random.nextInt(UNANSWERED_MS.spread))
+      return 'drop'
+    }
+    case 'claims-late': return async (request, serve) => {
+      if (findClaimant(cell, request) === undefined) return serve()
+      await wait(random.nextInt(MAX_LATE_CLAIM_MS))
+      await serve()
+      return 'drop'
+    }
+    case 'slow': return async (request, serve) => {
+      const response = await serve()
+      if (request.path !== '/kv-watch') await wait(SLOW_RESPONSE_MS.min + random.nextInt(SLOW_RESPONSE_MS.spread))
+      return response
+    }
+    case 'lossy': return async (_request, serve) => {
+      if (random.next() < REFUSED_CALLS_RATIO) return { status: 503 }
+      const response = await serve()
+      return random.next() < LOST_RESPONSES_RATIO ? 'drop' : response
+    }
+    case 'winners-killed': return async (request, serve) => {
+      const response = await serve()
+      const claimant = findClaimant(cell, request)
+      if (claimant !== undefined) killLater(cell, claimant, random.nextInt(MAX_WINNER_LIFE_MS))
+      return response
+    }
+    default: return assertNever(trouble)
+  }
+}
+
+/** The member that claims the leadership with this call; undefined for any other call. */
+function findClaimant (cell: SoakCell, { path, body }: JsonRequest): number | undefined {
+  if (path !== '/kv-txn') return undefined
+  const claim = asList(asJsonObject(body).puts).map(asJsonObject).find(({ key }) => key === LEADER_KEY)
+  if (claim === undefined) return undefined
+  return cell.findMember((JSON.parse(Buffer.from(asString(claim.value) ?? '', 'base64').toString()) as LeaderRecord).member)
+}
+
+async function refuseSomeMembers (cell: SoakCell, forMs: number, random: Random): Promise<void> {
+  const links = cell.members.filter(() => random.next() < 0.5).map(({ storeLink }) => storeLink)
+  for (const link of links) link.setState(random.next() < 0.5 ? 'reset' : 'silent')
+  await wait(forMs)
+  for (const link of links) link.setState('open')
+}
+
+function disturbStoreLink (cell: SoakCell, member: number, state: 'reset' | 'silent', forMs: number): void {
+  const { storeLink } = cell.members[member]!
+  storeLink.setState(state)
+  setTimeout(() => storeLink.setState('open'), forMs)
+}
+
+function killLater (cell: SoakCell, member: number, afterMs: number): void {
+  setTimeout(() => { cell.restartMember(member, 'SIGKILL').catch(() => {}) }, afterMs)
+}
