--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,7 +3,6 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { Builtins, Cli, Command, Option } from 'clipanion'
-import type { SoakFault } from './soak-faults.ts'
 import { runSoak } from './soak-run.ts'
 
 const EXIT_FAILED = 1
@@ -26,7 +25,7 @@
   workers = Option.String('--workers', '6', { description: 'stand-in workers' })
   rate = Option.String('--rate', '6', { description: 'jobs per second' })
 
-  faults = Option.String('--faults', '', { description: 'types of faults, separated by commas; all types by default' })
+  faults = Option.String('--faults', '', { description: 'kinds of faults, separated by commas, such as takeover/slow; all kinds by default' })
 
   interval = Option.String('--interval', '1000', { description: 'mean time between two faults in milliseconds' })
   keepLogs = Option.Boolean('--keep-logs', false, { description: 'keep the logs of seeds that pass too' })
@@ -51,7 +50,7 @@
       workers: Number(this.workers),
       jobsPerSecond: Number(this.rate),
       faultIntervalMs: Number(this.interval),
-      faultTypes: this.faults.split(',').filter((type) => type !== '') as ReadonlyArray<SoakFault['type']>,
+      faultKinds: this.faults.split(',').filter((kind) => kind !== ''),
       bundle: 'target/damaskfield-platform.mjs',
       folder,
       subnet: FIRST_SUBNET + process.pid % SUBNET_COUNT
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -25,6 +25,8 @@
 export const MAX_ATTEMPTS = 2
 const WORKER_CPU_MILLIS = 16_000
 const FAILURE_DOMAINS = ['east', 'west'] as const
+/** Number of different delays of slow workers. */
+const DELAY_STEPS = 4
 const RESTART_DELAY_MS = 300
 const ADVICE = { decisionMs: 5, eachMs: 0, validityMs: 2_000 }
 
@@ -124,8 +126,12 @@
     process.signal('SIGCONT')
   }
 
-  delayWorkers (delay: WorkerDelay): void {
-    for (const { server } of this.workers) server.delay = delay
+  /** Delays the calls to some workers by the given times, to others by parts of these, and to some not at all. */
+  delayWorkers ({ calls, beforeMs, afterMs }: WorkerDelay): void {
+    for (const [index, { server }] of this.workers.entries()) {
+      const ratio = (index % DELAY_STEPS) / (DELAY_STEPS - 1)
+      server.delay = { calls, beforeMs: beforeMs * ratio, afterMs: afterMs * ratio }
+    }
   }
 
   /** Suspends members for a part of each interval, as an overloaded host does. */
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -51,12 +51,12 @@
 const RESTART_INTERVAL_MS = 500
 
 /**
- * Creates a random fault, of one of the given types if there are any. The same sequence of random numbers gives the same fault.
+ * Creates a random fault, of a kind that begins with one of `kinds` if there are any. The same sequence of random numbers gives the same fault.
  *
  * @example
  * createRandomFault(Random.create(7), 4, 8)
  */
-export function createRandomFault (random: Random, members: number, workers: number, types: ReadonlyArray<SoakFault['type']> = []): SoakFault {
+export function createRandomFault (random: Random, members: number, workers: number, kinds: readonly string[] = []): SoakFault {
   const forMs = MIN_FAULT_MS + random.nextInt(MAX_FAULT_MS - MIN_FAULT_MS)
   const member = random.nextInt(members)
   const worker = random.nextInt(workers)
@@ -84,10 +84,15 @@
     { type: 'configuration' },
     { type: 'stutter', members: random.next() < 0.5 ? 'all' : 'leader', runMs: 10 + random.nextInt(STUTTER_MS.run), pauseMs: 50 + random.nextInt(STUTTER_MS.pause), forMs },
     { type: 'slow-workers', delay, forMs },
-    ...Array.from({ length: TAKEOVER_SHARE }, (): SoakFault => ({ type: 'takeover', leader, afterMs: random.nextInt(MAX_TROUBLE_DELAY_MS), trouble, delay: random.next() < 0.5 ? delay : NO_DELAY, forMs, seed: random.nextInt(SEED_RANGE) }))
+    ...Array.from({ length: TAKEOVER_SHARE }, (): SoakFault => ({ type: 'takeover', leader, afterMs: random.next() < 0.5 ? 0 : random.nextInt(MAX_TROUBLE_DELAY_MS), trouble, delay: random.next() < 0.5 ? delay : NO_DELAY, forMs, seed: random.nextInt(SEED_RANGE) }))
   ]
-  const chosen = types.length === 0 ? faults : faults.filter(({ type }) => types.includes(type))
-  return chosen[random.nextInt(chosen.length)]!
+  const fault = faults[random.nextInt(faults.length)]!
+  return kinds.length === 0 || kinds.some((kind) => getKind(fault).startsWith(kind)) ? fault : createRandomFault(random, members, workers, kinds)
+}
+
+/** The type of a fault; for a takeover with the trouble of the store and the failure of the leader. */
+function getKind (fault: SoakFault): string {
+  return fault.type === 'takeover' ? `${fault.type}/${fault.trouble}/${fault.leader}` : fault.type
 }
 
 /** Starts a fault and ends it after its duration. */
@@ -136,9 +141,11 @@
 }
 
 async function forceTakeover (cell: SoakCell, { leader, afterMs, trouble, delay, forMs, seed }: Takeover): Promise<void> {
-  const failures = findLeaders(cell).map((member) => failLeader(cell, member, leader, forMs))
-  await wait(afterMs)
-  await Promise.all([...failures, troubleStore(cell, trouble, forMs, Random.create(seed)), delayWorkers(cell, delay, forMs)])
+  const causeTrouble = async (): Promise<void> => {
+    if (afterMs > 0) await wait(afterMs)
+    await Promise.all([troubleStore(cell, trouble, forMs, Random.create(seed)), delayWorkers(cell, delay, forMs)])
+  }
+  await Promise.all([causeTrouble(), ...findLeaders(cell).map((member) => failLeader(cell, member, leader, forMs))])
 }
 
 async function failLeader (cell: SoakCell, member: number, failure: LeaderFailure, forMs: number): Promise<void> {
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -14,8 +14,8 @@
   readonly jobsPerSecond: number
   /** Mean time between two faults. */
   readonly faultIntervalMs?: number
-  /** Types of the faults; all types if empty. */
-  readonly faultTypes?: ReadonlyArray<SoakFault['type']>
+  /** Beginnings of the kinds of the faults; all kinds if empty. */
+  readonly faultKinds?: readonly string[]
 }
 
 /** Injected faults, numbers of jobs by outcome, and breaches of one soak run. */
@@ -61,14 +61,14 @@
   }
 }
 
-async function injectFaults (cell: SoakCell, { seed, seconds, members, workers, faultTypes = [], faultIntervalMs = DEFAULT_FAULT_INTERVAL_MS }: SoakOptions): Promise<readonly SoakFault[]> {
+async function injectFaults (cell: SoakCell, { seed, seconds, members, workers, faultKinds = [], faultIntervalMs = DEFAULT_FAULT_INTERVAL_MS }: SoakOptions): Promise<readonly SoakFault[]> {
   const random = Random.create(seed)
   const deadline = performance.now() + seconds * MS_PER_SECOND - FAULT_FREE_MS
   const faults: SoakFault[] = []
   const pending: Array<Promise<void>> = []
   while (performance.now() < deadline) {
     await wait(FAULT_INTERVAL.min * faultIntervalMs + random.nextInt(FAULT_INTERVAL.spread * faultIntervalMs))
-    const fault = createRandomFault(random, members, workers, faultTypes)
+    const fault = createRandomFault(random, members, workers, faultKinds)
     faults.push(fault)
     pending.push(injectFault(cell, fault))
   }
--- a/soak/store-trouble.ts
+++ b/soak/store-trouble.ts
@@ -22,6 +22,7 @@
 const SLOW_RESPONSE_MS = { min: 500, spread: 1_000 } as const
 /** Bounds of the time for which a claimant gets no answers. Some last longer than the lease of a claim. */
 const UNANSWERED_MS = { min: 300, spread: 2_500 } as const
+const MAX_UNANSWERED_CLAIMS = 2
 const MAX_LATE_CLAIM_MS = 1_800
 const MAX_WINNER_LIFE_MS = 700
 const REFUSED_CALLS_RATIO = 0.3
@@ -37,11 +38,13 @@
 }
 
 function createDisturbance (cell: SoakCell, trouble: Exclude<StoreTrouble, 'refuses-some'>, random: Random): KvDisturbance {
+  let claimsLeft = 1 + random.nextInt(MAX_UNANSWERED_CLAIMS)
   switch (trouble) {
     case 'claims-unanswered': return async (request, serve) => {
       const response = await serve()
       const claimant = findClaimant(cell, request)
-      if (claimant === undefined) return response
+      if (claimant === undefined || response === 'drop' || response.status !== 200 || claimsLeft === 0) return response
+      claimsLeft -= 1
       const state = random.next() < 0.5 ? 'reset' : 'silent'
       disturbStoreLink(cell, claimant, state, UNANSWERED_MS.min + random.nextInt(UNANSWERED_MS.spread))
       return 'drop'
