--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -43,6 +43,10 @@
 const MAX_TROUBLE_DELAY_MS = 1_500
 /** Bounds of the times for which an overloaded host runs and suspends a member. */
 const STUTTER_MS = { run: 150, pause: 1_000 } as const
+/** The leader's lease: a takeover lasts at least until the others may claim. */
+const LEASE_MS = 1_500
+/** Ratio of slow workers that delay all calls and not only starts. */
+const SLOW_LISTS_RATIO = 0.75
 const MAX_WORKER_DELAY_MS = 900
 /** Number of takeovers in the list from which a fault is chosen. */
 const TAKEOVER_SHARE = 5
@@ -61,7 +65,7 @@
   const member = random.nextInt(members)
   const worker = random.nextInt(workers)
   const state = LINK_STATES[random.nextInt(LINK_STATES.length)]!
-  const delay: WorkerDelay = { calls: random.next() < 0.5 ? 'all' : 'starts', beforeMs: random.nextInt(MAX_WORKER_DELAY_MS), afterMs: random.nextInt(MAX_WORKER_DELAY_MS) }
+  const delay: WorkerDelay = { calls: random.next() < SLOW_LISTS_RATIO ? 'all' : 'starts', beforeMs: random.nextInt(MAX_WORKER_DELAY_MS), afterMs: random.nextInt(MAX_WORKER_DELAY_MS) }
   const leader = LEADER_FAILURES[random.nextInt(LEADER_FAILURES.length)]!
   const trouble = STORE_TROUBLES[random.nextInt(STORE_TROUBLES.length)]!
   const mode = STORE_MODES[random.nextInt(STORE_MODES.length)]!
@@ -84,7 +88,7 @@
     { type: 'configuration' },
     { type: 'stutter', members: random.next() < 0.5 ? 'all' : 'leader', runMs: 10 + random.nextInt(STUTTER_MS.run), pauseMs: 50 + random.nextInt(STUTTER_MS.pause), forMs },
     { type: 'slow-workers', delay, forMs },
-    ...Array.from({ length: TAKEOVER_SHARE }, (): SoakFault => ({ type: 'takeover', leader, afterMs: random.next() < 0.5 ? 0 : random.nextInt(MAX_TROUBLE_DELAY_MS), trouble, delay: random.next() < 0.5 ? delay : NO_DELAY, forMs, seed: random.nextInt(SEED_RANGE) }))
+    ...Array.from({ length: TAKEOVER_SHARE }, (): SoakFault => ({ type: 'takeover', leader, afterMs: random.next() < 0.5 ? 0 : random.nextInt(MAX_TROUBLE_DELAY_MS), trouble, delay: random.next() < 0.5 ? delay : NO_DELAY, forMs: forMs + LEASE_MS, seed: random.nextInt(SEED_RANGE) }))
   ]
   const fault = faults[random.nextInt(faults.length)]!
   return kinds.length === 0 || kinds.some((kind) => getKind(fault).startsWith(kind)) ? fault : createRandomFault(random, members, workers, kinds)
