--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -49,15 +49,16 @@
 function loseFirstClaim (kv: KvServer): void {
   let responsesToLose = 1
   let readsToLose = 0
-  kv.disturb = (request) => {
+  kv.disturbance = async (request, serve) => {
     if (responsesToLose > 0 && isClaim(request)) {
       responsesToLose -= 1
       readsToLose = 1
-      return 'lose-response'
+      await serve()
+      return 'drop'
     }
-    if (readsToLose === 0 || !isReadOfCommit(request)) return undefined
+    if (readsToLose === 0 || !isReadOfCommit(request)) return serve()
     readsToLose -= 1
-    return 'lose-request'
+    return 'drop'
   }
 }
 
@@ -131,12 +132,12 @@
   try {
     await waitUntil('the member leads', () => readTerm(cell.kv, LEADER_KEY) === 1)
     await wait(500)
-    cell.kv.disturb = ({ path, query }) => path.startsWith('/kv-keep') || query.get('prefix')?.startsWith('lead/') === true ? 'lose-request' : undefined
+    cell.kv.disturbance = async ({ path, query }, serve) => path.startsWith('/kv-keep') || query.get('prefix')?.startsWith('lead/') === true ? 'drop' : serve()
     await waitUntil('the lease has ended', () => cell.kv.read(LEADER_KEY) === undefined)
     putJob(cell.kv)
     await wait(2_000)
     assert.deepEqual(cell.workers[0]!.starts, [])
-    cell.kv.disturb = () => undefined
+    cell.kv.disturbance = undefined
     await waitUntil('the job runs once a member leads again', () => cell.workers[0]!.starts.length === 1)
   } finally {
     await cell.close()
