--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -1,7 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Server as TcpServer } from 'node:net'
-import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises'
 import polka from 'polka'
+import { ServerDrain } from '../util/server-drain.ts'
 import { publishConfiguration, showConfiguration, showHistory, showOverview } from './configuration-routes.ts'
 import type { ApiOptions } from './options.ts'
 import { createProblemDocument } from './problem-document.ts'
@@ -11,26 +10,16 @@
 /** Idle connections are closed after this time; longer than the usual idle time of load balancers. */
 const KEEP_ALIVE_TIMEOUT_MS = 75_000
 const HEADERS_TIMEOUT_MS = 10_000
-/** How long requests that were sent on idle connections before the server closed may take to arrive, in milliseconds. */
-const LINGER_MS = 300
-/** A turn of the event loop that takes longer may leave new arrivals unread at its end, in milliseconds. */
-const QUIET_TURN_MS = 1
 
 type RouteRequest = IncomingMessage & { readonly params: Readonly<Record<string, string | readonly string[] | undefined>> }
 type Handler = (request: RouteRequest, response: ServerResponse) => Promise<void>
 
 /** HTTP interface of one member for callers. */
 export class ApiServer {
-  private draining = false
-  /** Number of connections and requests since the start. */
-  private arrivals = 0
+  private readonly drain: ServerDrain
 
   private constructor (private readonly server: Server) {
-    server.on('connection', () => { this.arrivals += 1 })
-    server.prependListener('request', (_request: IncomingMessage, response: ServerResponse) => {
-      this.arrivals += 1
-      if (this.draining) response.shouldKeepAlive = false
-    })
+    this.drain = ServerDrain.create(server)
   }
 
   /**
@@ -59,35 +48,12 @@
 
   /** From now on each response closes its connection, so that callers send their next request to another member. */
   startDraining (): void {
-    this.draining = true
+    this.drain.start()
   }
 
-  /**
-   * Stops accepting connections and resolves when every response has ended. A caller may have opened a connection that is
-   * not accepted yet, or sent a request on an idle one that is not read yet; the operating system would reset both. So the
-   * port and the idle connections are closed after a turn without arrivals, and idle connections a little later.
-   */
+  /** Stops accepting connections and resolves when every response has ended. */
   async close (): Promise<void> {
-    this.startDraining()
-    await this.waitForQuietTurn()
-    // The method of the HTTP server would close idle connections immediately.
-    const closed = new Promise<void>((resolve) => TcpServer.prototype.close.call(this.server, () => resolve()))
-    await Promise.race([closed, delay(LINGER_MS)])
-    await this.waitForQuietTurn()
-    this.server.closeIdleConnections()
-    await closed
-  }
-
-  /** Waits until a short turn of the event loop has brought neither a connection nor a request, for `LINGER_MS` at most. */
-  private async waitForQuietTurn (): Promise<void> {
-    const deadline = performance.now() + LINGER_MS
-    let startedAt: number
-    let arrivals: number
-    do {
-      startedAt = performance.now()
-      arrivals = this.arrivals
-      await nextTurn()
-    } while (performance.now() < deadline && (this.arrivals !== arrivals || performance.now() - startedAt > QUIET_TURN_MS))
+    await this.drain.close()
   }
 }
 
--- /dev/null
+++ b/src/util/server-drain.ts
@@ -0,0 +1,68 @@
+import { Server as TcpServer } from 'node:net'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises'
+
+/** How long requests that were sent on idle connections before the server closed may take to arrive, in milliseconds. */
+const LINGER_MS = 300
+/** A turn of the event loop that takes longer may leave new arrivals unread at its end, in milliseconds. */
+const QUIET_TURN_MS = 1
+
+/** Closes an HTTP server without breaking off the requests that were sent to it. */
+export class ServerDrain {
+  private draining = false
+  /** Number of connections and requests since the start. */
+  private arrivals = 0
+
+  private constructor (private readonly server: Server) {
+    server.on('connection', () => { this.arrivals += 1 })
+    server.prependListener('request', (_request: IncomingMessage, response: ServerResponse) => {
+      this.arrivals += 1
+      if (this.draining) response.shouldKeepAlive = false
+    })
+  }
+
+  /**
+   * Creates the drain of a server, before the server listens.
+   *
+   * @example
+   * const drain = ServerDrain.create(server)
+   * drain.start()
+   * await drain.close()
+   */
+  static create (server: Server): ServerDrain {
+    return new ServerDrain(server)
+  }
+
+  /** From now on each response closes its connection, so that callers send their next request to another member. */
+  start (): void {
+    this.draining = true
+  }
+
+  /**
+   * Stops accepting connections and resolves when every response has ended. A caller may have opened a connection that is
+   * not accepted yet, or sent a request on an idle one that is not read yet; the operating system would reset both. So the
+   * port and the idle connections are closed after a turn without arrivals, and idle connections a little later.
+   */
+  async close (): Promise<void> {
+    this.start()
+    await this.waitForQuietTurn()
+    // The method of the HTTP server would close idle connections immediately.
+    const closed = new Promise<void>((resolve) => TcpServer.prototype.close.call(this.server, () => resolve()))
+    await Promise.race([closed, delay(LINGER_MS)])
+    await this.waitForQuietTurn()
+    this.server.closeIdleConnections()
+    await closed
+  }
+
+  /** Waits until a short turn of the event loop has brought neither a connection nor a request, for `LINGER_MS` at most. */
+  private async waitForQuietTurn (): Promise<void> {
+    const deadline = performance.now() + LINGER_MS
+    let startedAt: number
+    let arrivals: number
+    do {
+      startedAt = performance.now()
+      arrivals = this.arrivals
+      await nextTurn()
+    } while (performance.now() < deadline && (this.arrivals !== arrivals || performance.now() - startedAt > QUIET_TURN_MS))
+  }
+}
