Close connections without a request when a server closes

What callers saw: a member took until the end of its grace period to stop, and was then killed with what was pending, if any caller had opened a connection in advance.

Cause: the HTTP server does not count a connection without a request as idle, so that it waits for its first request until the timeout of headers has passed.

Change: the drain of a server knows the connections without a request, and closes those that have sent nothing together with the idle ones.

--- a/src/util/server-drain.ts
+++ b/src/util/server-drain.ts
@@ -1,4 +1,5 @@
 import { Server as TcpServer } from 'node:net'
+import type { Socket } from 'node:net'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises'
 
@@ -13,10 +14,18 @@
   /** Number of connections and requests since the start. */
   private arrivals = 0
 
+  /** Connections without a request so far. The server does not count them as idle. */
+  private readonly unusedConnections = new Set<Socket>()
+
   private constructor (private readonly server: Server) {
-    server.on('connection', () => { this.arrivals += 1 })
-    server.prependListener('request', (_request: IncomingMessage, response: ServerResponse) => {
+    server.on('connection', (socket: Socket) => {
+      this.arrivals += 1
+      this.unusedConnections.add(socket)
+      socket.once('close', () => this.unusedConnections.delete(socket))
+    })
+    server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
       this.arrivals += 1
+      this.unusedConnections.delete(request.socket)
       if (this.draining) response.shouldKeepAlive = false
     })
   }
@@ -50,10 +59,17 @@
     const closed = new Promise<void>((resolve) => TcpServer.prototype.close.call(this.server, () => resolve()))
     await Promise.race([closed, delay(LINGER_MS)])
     await this.waitForQuietTurn()
-    this.server.closeIdleConnections()
+    this.closeIdleConnections()
     await closed
   }
 
+  private closeIdleConnections (): void {
+    this.server.closeIdleConnections()
+    for (const socket of this.unusedConnections) {
+      if (socket.bytesRead === 0) socket.destroy()
+    }
+  }
+
   /** Waits until a short turn of the event loop has brought neither a connection nor a request, for `LINGER_MS` at most. */
   private async waitForQuietTurn (): Promise<void> {
     const deadline = performance.now() + LINGER_MS
--- a/test/api/api-server-close.test.ts
+++ b/test/api/api-server-close.test.ts
@@ -79,6 +79,16 @@
   assert.ok(performance.now() - startedAt < 2_000)
 })
 
+// A caller had opened a connection in advance: the server waited for its first request until the timeout of headers.
+test('API server: guards against the failure that a connection without a request keeps it from closing', async () => {
+  const { server, port } = await createServer()
+  await openConnection(port)
+  await wait(20)
+  const startedAt = performance.now()
+  await server.close()
+  assert.ok(performance.now() - startedAt < 2_000)
+})
+
 // A planned replacement: the member closed its port, and a request on a connection that it had not accepted yet was reset.
 test('API server: a request on a connection that is not accepted yet when the server closes is answered', async () => {
   const { server, port } = await createServer()
