--- a/faults/processes/process-member.ts
+++ b/faults/processes/process-member.ts
@@ -63,7 +63,7 @@
   get standardError (): string { return this.standardErrorText }
 
   /** Sends a signal to this process only. */
-  signal (name: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM'): void {
+  signal (name: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM' | 'SIGHUP'): void {
     if (!this.hasExited) this.child.kill(name)
   }
 
