Do not count refused starts as failed attempts

What callers saw: a job was shown as failed although none of its runs had ended as failed.

Cause: a refusal that is not understood (a malformed command, or any status that the protocol does not have) counted as a failed run, so that two of them ended the job. A task that lasts was started again at each such response, without a pause.

Change: such a refusal no longer counts. The refusals are logged and counted as before.

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -2,9 +2,9 @@
 import { count, log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { removeLostRun } from './handle-listing.ts'
-import { countFailure } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
 import { removeRun, sendStart, sendStop } from './runs.ts'
+import { recordStartRefusal } from './start-refusal.ts'
 import { isOverCapacity } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 
@@ -27,6 +27,7 @@
   switch (response.type) {
     case 'accepted':
       live.phase = 'running'
+      live.task.refusal = undefined
       live.respondedAt = state.now
       live.startedAt = state.now
       live.percentChangedAt = state.now
@@ -42,11 +43,11 @@
   log(state, 'warn', 'start-refused', { task: live.task.key, run: live.run, target: target.id, reason, sends: live.sendCount })
   target.pausedUntil = Math.max(target.pausedUntil, state.now + REFUSAL_PAUSE_MS[reason])
   if (reason === 'fenced') state.effects.push({ type: 'fenced', target: target.id })
+  if (reason === 'invalid') recordStartRefusal(state, live.task, target)
   if (reason === 'no-ticket') live.task.step.advice.removeTicket(target.id)
   // An earlier send of the same start may have been executed. Only a stop makes sure that the run is not present.
   if (live.sendCount > 1 || reason === 'superseded') return sendStop(state, live, `start refused: ${reason}`)
   removeRun(state, live)
-  if (reason === 'invalid') countFailure(state, live.task, live.run)
   stopGangMembers(state, live)
 }
 
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -2,6 +2,7 @@
 import type { CellState } from './cell-state.ts'
 import { hasRecentStart } from './crash-suspicion.ts'
 import { getOpenTargets } from './open-targets.ts'
+import { hasJustRefused } from './start-refusal.ts'
 import { isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import { acceptsTaskOf } from './task-acceptance.ts'
@@ -79,8 +80,9 @@
   return crashes.isSuspect && hasRecentStart(state, target) ? SCORE_WEIGHTS.recentStart : 0
 }
 
-/** Whether the task avoids the target because of recent failures. The last attempt uses trusted targets only. */
+/** Whether the task avoids the target because of recent refusals or failures. The last attempt uses trusted targets only. */
 function isAvoided (state: CellState, target: TargetState, task: Task): boolean {
+  if (hasJustRefused(target, task, state.now)) return true
   if (task.step.spec.longRunning) return false
   const sinceFailureMs = state.now - target.lastFailureAt
   if (sinceFailureMs > FAILURE_PAUSE_MS.last) return false
--- a/src/workflow/startable.ts
+++ b/src/workflow/startable.ts
@@ -1,5 +1,6 @@
 import { mayCopy } from './crash-suspicion.ts'
 import type { LiveRun } from './live-run.ts'
+import { waitsAfterRefusal } from './start-refusal.ts'
 import type { StepRun, Task } from './task.ts'
 
 /** Maximum number of runs of a speculative task at a time. */
@@ -14,7 +15,7 @@
  * an unreachable target or is stopping, or when the run is so slow that a copy would end first.
  */
 export function isStartable (task: Task, now: number): boolean {
-  if (task.phase === 'done') return false
+  if (task.phase === 'done' || waitsAfterRefusal(task, now)) return false
   if (task.runs.size === 0) return task.phase === 'waiting'
   if (!task.step.spec.speculative || task.runs.size >= MAX_COPIES || !mayCopy(task)) return false
   for (const live of task.runs) {
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -2,6 +2,7 @@
 import type { JobDefinition, JobPhase, Step, TaskKey } from './job.ts'
 import { isFinalPhase, formatStepKey, formatTaskKey } from './job.ts'
 import type { LiveRun } from './live-run.ts'
+import type { StartRefusal } from './start-refusal.ts'
 import { StepAdvice } from './step-advice.ts'
 
 /** `live`: the task has a run that may be present on a target. */
@@ -20,6 +21,8 @@
   readonly runs = new Set<LiveRun>()
   /** Target on which the task last failed. */
   lastFailedTarget: string | undefined
+  /** Undefined while no start has been refused since the last one that was accepted. */
+  refusal: StartRefusal | undefined
 
   private constructor (readonly key: TaskKey, readonly index: number, readonly step: StepRun) {}
 
--- /dev/null
+++ b/test/workflow/refused-starts.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { CommandRefusal } from '../../src/ports/command-client.ts'
+import type { Step } from '../../src/workflow/job.ts'
+import type { ListedRun } from '../../src/workflow/target-entry.ts'
+import { CellHarness, buildEntry, buildJob } from './harness.ts'
+import type { SentCommand } from './harness.ts'
+
+/** Ticks that show how often a refused task starts, and their distance in milliseconds. */
+const OBSERVED_TICKS = 200
+const TICK_MS = 50
+/** Starts of one task that are not a busy loop in the observed time. */
+const MAX_STARTS = 20
+
+type Start = ReturnType<CellHarness['getStarts']>[number]
+
+/**
+ * Advances the time. The targets with the given ids refuse all starts, the others accept them and run them without an end.
+ * Stops are carried out.
+ */
+function refuseStartsOn (harness: CellHarness, ids: readonly string[], reason: CommandRefusal): void {
+  const present = new Map<string, Start>()
+  let handled = 0
+  for (let tick = 0; tick < OBSERVED_TICKS; tick += 1) {
+    const commands = harness.effects.filter((effect): effect is SentCommand => effect.type === 'start' || effect.type === 'stop').slice(handled)
+    handled += commands.length
+    for (const command of commands) answer(harness, command, ids.includes(command.target) ? reason : undefined, present)
+    harness.advance(TICK_MS)
+    for (const id of ['t1', 't2']) harness.listTarget(id, { running: [...present.values()].filter(({ target }) => target === id).map((start) => toListedRun(start, tick)) })
+  }
+}
+
+function answer (harness: CellHarness, sent: SentCommand, refusal: CommandRefusal | undefined, present: Map<string, Start>): void {
+  const { target, command: { task, run } } = sent
+  if (sent.type === 'stop') {
+    present.delete(task)
+    harness.apply({ type: 'stop-answered', target, task, run, response: { type: 'accepted', clockMs: harness.now } })
+  } else if (refusal === undefined) {
+    present.set(task, sent)
+    harness.acceptStart(sent)
+  } else {
+    harness.apply({ type: 'start-answered', target, task, run, response: { type: 'refused', reason: refusal, clockMs: harness.now } })
+  }
+}
+
+/** The percentage rises, because a run without progress would be moved. */
+function toListedRun ({ command: { task, run } }: Start, tick: number): ListedRun {
+  return { task, run, checkpoint: '', percent: Math.floor(100 * tick / OBSERVED_TICKS), gauge: undefined }
+}
+
+const steps: ReadonlyArray<{ readonly kind: string, readonly step: Partial<Step> }> = [
+  { kind: 'a task', step: {} },
+  { kind: 'a gang', step: { count: 2, gang: true } },
+  { kind: 'a task that lasts', step: { longRunning: true } }
+]
+
+for (const { kind, step } of steps) {
+  // A target answered starts with a status that is not understood: the refusals counted as failed runs, and the job failed.
+  test(`command responses: guards against the failure that ${kind} fails its job because its starts are refused as invalid`, () => {
+    const harness = CellHarness.create([buildEntry('t1'), buildEntry('t2')])
+    harness.apply({ type: 'job-accepted', definition: buildJob('a', step) })
+    refuseStartsOn(harness, ['t1', 't2'], 'invalid')
+    assert.equal(harness.scheduler.getProgress('a')!.phase, 'running')
+    const starts = harness.getStarts().filter(({ command }) => command.task === 'a.0.0.0')
+    assert.ok(starts.length >= 2 && starts.length <= MAX_STARTS, `${starts.length} starts`)
+  })
+
+  test(`command responses: ${kind} that one target refuses as invalid runs on another`, () => {
+    const harness = CellHarness.create([buildEntry('t1'), buildEntry('t2')])
+    harness.apply({ type: 'job-accepted', definition: buildJob('a', step) })
+    const refusing = harness.getStarts()[0]!.target
+    refuseStartsOn(harness, [refusing], 'invalid')
+    const other = refusing === 't1' ? 't2' : 't1'
+    assert.equal(harness.runningOn(other).length, step.count ?? 1)
+  })
+}
