Stop a gang when a repeated start of a member is refused

What callers saw: a gang stood still for the timeout of gangs, and its runs ended because they had waited for a member alone.

Cause: the members of a gang were stopped after a refused start only if it was the first send of that start. After a send without a response the refused member alone was stopped.

Change: all members are stopped after each refusal.

The test failed before: stops for ['t1'] in place of ['t1', 't2'].

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -46,8 +46,8 @@
   if (reason === 'invalid') recordStartRefusal(state, live.task, target)
   if (reason === 'no-ticket') live.task.step.advice.removeTicket(target.id)
   // An earlier send of the same start may have been executed. Only a stop makes sure that the run is not present.
-  if (live.sendCount > 1 || reason === 'superseded') return sendStop(state, live, `start refused: ${reason}`)
-  removeRun(state, live)
+  if (live.sendCount > 1 || reason === 'superseded') sendStop(state, live, `start refused: ${reason}`)
+  else removeRun(state, live)
   stopGangMembers(state, live)
 }
 
--- a/test/workflow/refused-starts.test.ts
+++ b/test/workflow/refused-starts.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import type { CommandRefusal } from '../../src/ports/command-client.ts'
 import type { Step } from '../../src/workflow/job.ts'
+import { DEFAULT_CELL_OPTIONS } from '../../src/workflow/options.ts'
 import type { ListedRun } from '../../src/workflow/target-entry.ts'
 import { CellHarness, buildEntry, buildJob } from './harness.ts'
 import type { SentCommand } from './harness.ts'
@@ -39,10 +40,14 @@
     present.set(task, sent)
     harness.acceptStart(sent)
   } else {
-    harness.apply({ type: 'start-answered', target, task, run, response: { type: 'refused', reason: refusal, clockMs: harness.now } })
+    refuse(harness, sent, refusal)
   }
 }
 
+function refuse (harness: CellHarness, { target, command: { task, run } }: Start, reason: CommandRefusal): void {
+  harness.apply({ type: 'start-answered', target, task, run, response: { type: 'refused', reason, clockMs: harness.now } })
+}
+
 /** The percentage rises, because a run without progress would be moved. */
 function toListedRun ({ command: { task, run } }: Start, tick: number): ListedRun {
   return { task, run, checkpoint: '', percent: Math.floor(100 * tick / OBSERVED_TICKS), gauge: undefined }
@@ -74,3 +79,14 @@
     assert.equal(harness.runningOn(other).length, step.count ?? 1)
   })
 }
+
+// The first start of a gang's member had no response, and the second was refused: the others waited for it until their timeout.
+test('command responses: guards against the failure that a gang waits for a member whose repeated start is refused', () => {
+  const harness = CellHarness.create([buildEntry('t1'), buildEntry('t2')])
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', { count: 2, gang: true, perTargetLimit: 1 }) })
+  const [first, second] = harness.getStarts()
+  harness.acceptStart(second!)
+  harness.advance(DEFAULT_CELL_OPTIONS.resendAfterMs)
+  refuse(harness, first!, 'no-room')
+  assert.deepEqual(harness.getCommands('stop').map(({ target }) => target).sort(), ['t1', 't2'])
+})
