Do not assume a number of attempts while a queue is unknown

What callers saw: a job of a queue with three or more attempts was shown as failed after two runs had ended as failed.

Cause: a leader that has not read the configuration yet, or that never knew a removed queue, assumed two attempts, and ended the job at the second failed run that a target listed.

Change: failed runs are recorded as before, and the job is failed only by the number that its queue has, if necessary as soon as the queue becomes known.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -12,7 +12,7 @@
 import type { CellEvent, ProcessedCompletions } from './event.ts'
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
-import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
+import { acceptJob, endJob, failExhaustedJobs, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
 import { PendingAdvice } from './pending-advice.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
@@ -282,10 +282,12 @@
 
 function applyConfiguration (state: CellState, configuration: CellConfiguration): void {
   state.configuration = configuration
+  const newQueues = new Set(configuration.queues.map(({ name }) => name).filter((name) => !state.queues.has(name)))
   // A removed queue keeps its last settings for the jobs that were accepted on it.
   for (const queue of configuration.queues) state.queues.set(queue.name, queue)
   state.organisations.clear()
   for (const organisation of configuration.organisations) state.organisations.set(organisation.name, organisation)
+  failExhaustedJobs(state, newQueues)
   state.startPassNeeded = true
 }
 
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -9,9 +9,6 @@
 import type { StepRun, Task } from './task.ts'
 import { Job } from './task.ts'
 
-/** Number of failed runs of one task after which its job fails, if the queue is unknown. */
-const DEFAULT_MAX_ATTEMPTS = 2
-
 /** Adds a job that a caller submitted; a known job is left unchanged. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
   if (state.jobs.has(definition.id) || state.endedJobs.has(definition.id)) return
@@ -118,9 +115,24 @@
   task.failedRuns.add(run)
   if (step.spec.gang) step.gangFailedRuns.add(run)
   state.effects.push({ type: 'store-progress', job: step.job.definition.id })
-  const limit = findQueue(state, step.job.definition)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS
-  const failures = step.spec.gang ? step.gangFailedRuns.size : task.failures
-  if (failures >= limit) endJob(state, step.job, 'failed', `task ${task.key} failed ${failures} times`)
+  failIfExhausted(state, task)
+}
+
+/** Fails the job of a task that has no attempts left. How many it has is unknown until its queue is known. */
+function failIfExhausted (state: CellState, { key, step, failures: ownFailures }: Task): void {
+  const limit = findQueue(state, step.job.definition)?.maxAttempts
+  const failures = step.spec.gang ? step.gangFailedRuns.size : ownFailures
+  if (limit !== undefined && failures >= limit) endJob(state, step.job, 'failed', `task ${key} failed ${failures} times`)
+}
+
+/** Fails the jobs of queues that were unknown until now if runs that failed meanwhile have exhausted their attempts. */
+export function failExhaustedJobs (state: CellState, newQueues: ReadonlySet<string>): void {
+  for (const job of state.jobs.values()) {
+    if (!newQueues.has(job.definition.queue)) continue
+    for (const task of job.tasks()) {
+      if (job.active && task.failures > 0) failIfExhausted(state, task)
+    }
+  }
 }
 
 /** Ends a job: closes its steps and stops its runs. */
