Go on listing a target after an unexpected error

What callers saw: nothing yet; jobs with runs on the target would never have ended.

Cause: the loop of a target's session ended with the first error that was not expected, for example of an address that is no valid URL in an entry of another writer. The target stayed in use, but its completions were never read again under that leader.

The tests failed before: no listing within 3 s in place of 'target-listed'.

--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -44,7 +44,7 @@
    */
   static create (options: TargetSessionOptions): TargetSession {
     const session = new TargetSession(options)
-    session.runListLoop().catch((error: unknown) => options.reporter.log('error', 'target-session-failed', { target: options.id, detail: String(error) }))
+    session.runListLoop().catch((error: unknown) => session.reportFailure(error))
     return session
   }
 
@@ -60,10 +60,24 @@
         await delay(RETRY_DELAY_MS, this.stopped.signal)
         continue
       }
+      await this.tryListRuns(target)
+    }
+  }
+
+  /** Lists the runs of the target. An unexpected error must not end the session: nothing else reads the ends of its runs. */
+  private async tryListRuns (target: TargetState): Promise<void> {
+    try {
       await this.listRuns(target)
+    } catch (error) {
+      this.reportFailure(error)
+      await delay(RETRY_DELAY_MS, this.stopped.signal)
     }
   }
 
+  private reportFailure (error: unknown): void {
+    this.options.reporter.log('error', 'target-session-failed', { target: this.options.id, detail: String(error) })
+  }
+
   private async listRuns (target: TargetState): Promise<void> {
     const { id, commands, epoch } = this.options
     const sentAt = performance.now()
--- /dev/null
+++ b/test/controller/target-session.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { setTimeout as wait } from 'node:timers/promises'
+import { TargetSession } from '../../src/controller/target-session.ts'
+import type { CommandClient } from '../../src/ports/command-client.ts'
+import type { CellEvent } from '../../src/workflow/event.ts'
+import { TargetState } from '../../src/workflow/target-state.ts'
+import { buildEntry } from '../workflow/harness.ts'
+
+const TIMEOUT_MS = 3_000
+const POLL_INTERVAL_MS = 10
+const LIST_MS = 20
+
+const failures = [
+  { place: 'the call', list: () => { throw new TypeError('Invalid URL') }, applyEvent: () => {} },
+  { place: 'the scheduler', list: undefined, applyEvent: () => { throw new Error('unexpected listing') } }
+]
+
+for (const { place, list, applyEvent } of failures) {
+  // An error in one listing ended the session: the target looked reachable, but the ends of its runs were never read again.
+  test(`target session: guards against the failure that a target is never listed again after an error in ${place}`, async () => {
+    const target = TargetState.create(buildEntry('t1'), 0)
+    const events: CellEvent[] = []
+    let calls = 0
+    const commands = {
+      list: async () => {
+        calls += 1
+        if (calls === 1) list?.()
+        await wait(LIST_MS)
+        return { type: 'listed', listing: { incarnation: 1, clockMs: 1, running: [], ended: [] } }
+      }
+    } as unknown as CommandClient
+    const logged: string[] = []
+    const session = TargetSession.create({
+      id: 't1',
+      commands,
+      epoch: 1,
+      leaseMs: 1_000,
+      reporter: { log: (_level, message) => logged.push(message), count: () => {}, observe: () => {} },
+      getTarget: () => target,
+      applyEvent: (event) => {
+        if (calls === 1) applyEvent()
+        events.push(event)
+      },
+      waitForCommit: async () => {},
+      canSendCommands: () => true
+    })
+    const deadline = performance.now() + TIMEOUT_MS
+    while (events.length === 0 && performance.now() < deadline) await wait(POLL_INTERVAL_MS)
+    session.stop()
+    assert.deepEqual([events[0]?.type, logged[0]], ['target-listed', 'target-session-failed'])
+  })
+}
