--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -95,3 +95,12 @@
   const until = performance.now() + durationMs
   while (performance.now() < until);
 }
+
+// The host became unreachable after a request had been written: the request was reported as not sent, and so as never to run.
+test('http exchange: guards against the failure that a request on an open connection to a host that becomes unreachable is reported as not sent', async () => {
+  const exchange = HttpExchange.create(TIMEOUT_MS)
+  const controller = { abort: () => {} } as unknown as Dispatcher.DispatchController
+  exchange.onRequestStart(controller)
+  exchange.onResponseError(controller, Object.assign(new Error('read EHOSTUNREACH'), { code: 'EHOSTUNREACH' }))
+  assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'broken', sent: true } })
+})
