Open the occurrences of a job only as far as it may have open tasks

What callers saw: nothing yet. A job with very many occurrences that are due (a repeat count of 1e300 and a first time in the past) would have kept each leader busy until its memory was full, one leader after the other.

Cause: all due occurrences of a job were opened at once, and neither their number nor the stored number of the next one was bounded.

Change: a job with 10,000 tasks that have not ended opens no further occurrence until some have; a stored next occurrence has to be the number of one.

The tests failed before: 30,000 occurrences were open in place of 5,000, and a job whose next occurrence is -1e300 was restored.

--- a/src/controller/record-guards.ts
+++ b/src/controller/record-guards.ts
@@ -25,7 +25,7 @@
 
 /** Whether a stored value is the progress of a job. */
 export function isJobProgress (value: unknown): value is JobProgress {
-  return isObject(value) && isPhase(value.phase) && isFiniteNumber(value.nextOccurrence) && isObject(value.open) &&
+  return isObject(value) && isPhase(value.phase) && isOccurrence(value.nextOccurrence) && isObject(value.open) &&
     Object.keys(value.open).every((occurrence) => DECIMAL.test(occurrence)) &&
     Object.values(value.open).every((steps) => Array.isArray(steps) && steps.every(isStepProgress))
 }
@@ -44,6 +44,10 @@
   return Array.isArray(value) && value.every(isFiniteNumber)
 }
 
+function isOccurrence (value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0
+}
+
 function isPhase (value: unknown): value is JobPhase {
   return value === 'queued' || value === 'running' || isFinalPhase(value as JobPhase)
 }
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -9,6 +9,9 @@
 import type { StepRun, Task } from './task.ts'
 import { Job } from './task.ts'
 
+/** While a job has as many tasks that have not ended, no further occurrence of it opens, so that it leaves time for others. */
+const MAX_OPEN_TASKS = 10_000
+
 /** Adds a job that a caller submitted; a known job is left unchanged. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
   if (state.jobs.has(definition.id) || state.endedJobs.has(definition.id)) return
@@ -43,15 +46,25 @@
   return true
 }
 
-/** Opens the occurrences of a job that are due. */
+/** Opens the occurrences of a job that are due, as far as it may have open tasks. */
 export function openDueOccurrences (state: CellState, job: Job): void {
-  const { occurrences } = job.definition
-  while (job.active && job.nextOccurrence < occurrences) {
-    if (!isDue(state, job.definition, job.nextOccurrence)) return
-    openSteps(state, job.openOccurrence())
+  if (!mayOpenOccurrence(state, job)) return
+  let openTasks = countOpenTasks([...job.occurrences.values()].flat())
+  while (openTasks < MAX_OPEN_TASKS && mayOpenOccurrence(state, job)) {
+    const steps = job.openOccurrence()
+    openTasks += countOpenTasks(steps)
+    openSteps(state, steps)
   }
 }
 
+function mayOpenOccurrence (state: CellState, { active, nextOccurrence, definition }: Job): boolean {
+  return active && nextOccurrence < definition.occurrences && isDue(state, definition, nextOccurrence)
+}
+
+function countOpenTasks (steps: readonly StepRun[]): number {
+  return steps.reduce((sum, { unfinishedTasks }) => sum + unfinishedTasks, 0)
+}
+
 /** Whether an occurrence is due. */
 export function isDue (state: CellState, { firstAtMs, intervalMs }: JobDefinition, occurrence: number): boolean {
   return firstAtMs === 0 || firstAtMs + occurrence * intervalMs <= getWallTimeMs(state)
--- a/test/controller/read-stored-jobs.test.ts
+++ b/test/controller/read-stored-jobs.test.ts
@@ -30,6 +30,7 @@
   { guards: 'a definition that is null', jobs: [{ key: jobKey('b'), value: 'null' }, good], events: ['job-restored a'], reports: ['job-unreadable jobs/b'] },
   { guards: 'progress of a job that nobody stored', jobs: [good], progress: [{ key: progressKey('gone'), value: '[]' }], events: ['job-restored a'], reports: ['progress-unreadable progress/gone'] },
   { guards: 'progress whose finished tasks are no number', jobs: [good], progress: [{ key: progressKey('a'), value: PROGRESS.replace('"done":"0"', '"done":"z"') }], events: ['ended-job-restored a'], reports: ['progress-unreadable progress/a'] },
+  { guards: 'progress whose next occurrence is no number of one', jobs: [good], progress: [{ key: progressKey('a'), value: PROGRESS.replace('"nextOccurrence":1', '"nextOccurrence":-1e300') }], events: ['ended-job-restored a'], reports: ['progress-unreadable progress/a'] },
   { guards: 'progress of an occurrence without a number', jobs: [good], progress: [{ key: progressKey('a'), value: PROGRESS.replace('"0":[', '"z":[') }], events: ['ended-job-restored a'], reports: ['progress-unreadable progress/a'] }
 ]
 
