Reject a job with too many tasks

What callers saw: nothing yet. A body within the limit of the configuration can describe some hundred million tasks; it was accepted, and each leader in turn would have run out of memory.

Cause: the number of tasks was bounded for each step, and not for all of them.

--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -16,6 +16,7 @@
   { scenario: 'a spec that is too long', body: JSON.stringify({ spec: 'x'.repeat(4_001), steps: [{ count: 1 }] }), problem: /spec/ },
   { scenario: 'no steps', body: '{"spec":"a","steps":[]}', problem: /steps/ },
   { scenario: 'a step without tasks', body: '{"spec":"a","steps":[{"count":0}]}', problem: /step 0/ },
+  { scenario: 'steps that together have too many tasks', body: JSON.stringify({ spec: 'a', steps: Array.from({ length: 11 }, () => ({ count: 10_000 })) }), problem: /tasks/ },
   { scenario: 'a step that depends on itself', body: '{"spec":"a","steps":[{"count":1,"after":[0]}]}', problem: /step 0/ }
 ]
 
