Treat a start that failed at its target as one that may have been executed

What callers saw: nothing yet. A task could run twice after a target had answered its start with a server error.

Cause: each status that is not understood was taken as a sign that nothing had been done, so that the task started on another target at once.

The run is stopped first, as after a start without a response, and the task starts again once the run is certainly gone.

--- a/src/ports/command-client.ts
+++ b/src/ports/command-client.ts
@@ -32,14 +32,15 @@
 }
 
 /**
- * Why a target did not execute a command.
+ * Why a target did not execute a command, or may not have.
  *
  * `fenced`: the target has seen a newer epoch. `superseded`: the target already had this or a later run of the task.
  * `expired`: the command's lease had expired. `no-room`: the target has too little free capacity. `no-ticket`: the command
  * has no valid ticket. `invalid`: the command itself is malformed.
- * `unhealthy`: the target did nothing. `other-incarnation`: another target responds at the address.
+ * `unhealthy`: the target did nothing. `failed`: the target failed while it handled the command, and may have executed it.
+ * `other-incarnation`: another target responds at the address.
  */
-export type CommandRefusal = 'fenced' | 'superseded' | 'expired' | 'no-room' | 'no-ticket' | 'invalid' | 'unhealthy' | 'other-incarnation'
+export type CommandRefusal = 'fenced' | 'superseded' | 'expired' | 'no-room' | 'no-ticket' | 'invalid' | 'unhealthy' | 'failed' | 'other-incarnation'
 
 /** Reason of an unanswered request: no process listens at the address, so that the target's process has ended. */
 export const NO_LISTENER = 'no-listener'
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -17,6 +17,7 @@
   'no-ticket': 0,
   invalid: 0,
   unhealthy: 1_000,
+  failed: 1_000,
   'other-incarnation': 1_000
 }
 
@@ -43,10 +44,10 @@
   log(state, 'warn', 'start-refused', { task: live.task.key, run: live.run, target: target.id, reason, sends: live.sendCount })
   target.pausedUntil = Math.max(target.pausedUntil, state.now + REFUSAL_PAUSE_MS[reason])
   if (reason === 'fenced') state.effects.push({ type: 'fenced', target: target.id })
-  if (reason === 'invalid') recordStartRefusal(state, live.task, target)
+  if (reason === 'invalid' || reason === 'failed') recordStartRefusal(state, live.task, target)
   if (reason === 'no-ticket') live.task.step.advice.removeTicket(target.id)
-  // An earlier send of the same start may have been executed. Only a stop makes sure that the run is not present.
-  if (live.sendCount > 1 || reason === 'superseded') sendStop(state, live, `start refused: ${reason}`)
+  // This send or an earlier one of the same start may have been executed. Only a stop makes sure that the run is not present.
+  if (live.sendCount > 1 || reason === 'superseded' || reason === 'failed') sendStop(state, live, `start refused: ${reason}`)
   else removeRun(state, live)
   stopGangMembers(state, live)
 }
--- a/test/workflow/refused-starts.test.ts
+++ b/test/workflow/refused-starts.test.ts
@@ -90,3 +90,16 @@
   refuse(harness, first!, 'no-room')
   assert.deepEqual(harness.getCommands('stop').map(({ target }) => target).sort(), ['t1', 't2'])
 })
+
+// A target answered a start with a status of a server error and ran it nevertheless: the task started on another one at once.
+test('command responses: guards against the failure that a task runs twice after a start that failed at its target and may have been executed', () => {
+  const harness = CellHarness.create([buildEntry('t1'), buildEntry('t2')])
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  const [start] = harness.getStarts()
+  refuse(harness, start!, 'failed')
+  harness.advance(OBSERVED_TICKS * TICK_MS)
+  assert.equal(harness.getStarts().length, 1)
+  assert.equal(harness.getCommands('stop')[0]?.target, start!.target)
+  harness.completeRun(start!, 'stopped')
+  assert.equal(harness.getStarts().length, 2)
+})
