Leave ended occurrences out of the stored progress

What callers saw: nothing yet. The stored progress of a job with many occurrences grew with each of them; beyond the limit of the store for one value, every commit that contains it would have been refused, and with it the progress of all other jobs.

Cause: the record had all occurrences that were ever opened.

Change: an occurrence whose steps have all ended is left out. The number of the next occurrence says already that all earlier ones that are missing have ended.

The test failed before: occurrences ['0', '1', '2'] in place of ['2'].

--- a/src/workflow/progress-record.ts
+++ b/src/workflow/progress-record.ts
@@ -15,7 +15,7 @@
 export type JobProgress = {
   readonly phase: JobPhase
   readonly nextOccurrence: number
-  /** Progress of the steps of each open occurrence, by step number. */
+  /** Progress of the steps of each open occurrence, by step number. An occurrence that has ended is left out. */
   readonly open: Readonly<Record<string, readonly StepProgress[]>>
 }
 
@@ -26,7 +26,8 @@
  * store.put(`progress/${job.definition.id}`, JSON.stringify(toJobProgress(job)))
  */
 export function toJobProgress (job: Job): JobProgress {
-  const open = job.active ? [...job.occurrences].map(([occurrence, steps]) => [occurrence, steps.map(toStepProgress)] as const) : []
+  const unfinished = [...job.occurrences].filter(([, steps]) => steps.some(({ done }) => !done))
+  const open = job.active ? unfinished.map(([occurrence, steps]) => [occurrence, steps.map(toStepProgress)] as const) : []
   return { phase: job.phase, nextOccurrence: job.nextOccurrence, open: Object.fromEntries(open) }
 }
 
--- a/test/workflow/many-occurrences.test.ts
+++ b/test/workflow/many-occurrences.test.ts
@@ -19,3 +19,19 @@
   harness.apply({ type: 'job-restored', definition: { ...buildJob('a', { count: MAX_OPEN_TASKS }), occurrences: 2 }, progress })
   assert.equal(harness.scheduler.getProgress('a')!.nextOccurrence, 2)
 })
+
+// The record of a job with many occurrences grew with each, until the store refused it and with it every later commit.
+test('progress record: guards against the failure that the record of a job grows with each occurrence that has ended', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: { ...buildJob('a', {}), occurrences: 3 } })
+  const [first, second] = harness.getStarts()
+  harness.completeRun(first!, 'done')
+  harness.completeRun(second!, 'done')
+  const progress = harness.scheduler.getProgress('a')!
+  assert.deepEqual([Object.keys(progress.open), progress.nextOccurrence], [['2'], 3])
+  const successor = createHarnessWithTarget()
+  successor.apply({ type: 'job-restored', definition: { ...buildJob('a', {}), occurrences: 3 }, progress })
+  assert.deepEqual(successor.getStarts().map(({ command }) => command.task), ['a.2.0.0'])
+  successor.completeRun(successor.getStarts()[0]!, 'done')
+  assert.equal(successor.scheduler.getProgress('a')!.phase, 'completed')
+})
