Tell callers that a cancellation whose response was lost may have taken effect

What callers saw: a cancellation was refused with 503 and a time to come back, as if nothing had been done, although it could be stored, so that the job was shown as cancelled.

Cause: a lost response of the store was handled like a store that was not reached.

The tests failed before: 'unavailable' in place of 'found' after one lost response, and in place of 'unknown' while all are lost.

--- a/src/controller/job-service.ts
+++ b/src/controller/job-service.ts
@@ -22,6 +22,9 @@
   | { readonly type: 'absent' }
   | { readonly type: 'unavailable', readonly reason: string }
 
+/** Outcome of a cancellation. `unknown`: it may be stored. */
+export type CancelOutcome = PhaseLookup | { readonly type: 'unknown', readonly reason: string }
+
 /** Delay before a write whose response was lost is retried, in milliseconds. */
 const RETRY_DELAY_MS = 100
 
@@ -81,15 +84,30 @@
     return this.readPhase(id)
   }
 
-  /** Cancels a job; the result is `found` once the cancellation is stored or if the job had already ended. */
-  async cancel (id: string): Promise<PhaseLookup> {
+  /**
+   * Cancels a job; the result is `found` once the cancellation is stored or if the job had already ended. Retries until
+   * `deadline` (monotonic clock, milliseconds) once a write may have been applied.
+   */
+  async cancel (id: string, deadline: number): Promise<CancelOutcome> {
+    let mayBeStored = false
+    for (;;) {
+      const outcome = await this.tryCancel(id)
+      mayBeStored ||= outcome.type === 'unknown'
+      if (outcome.type === 'found' || outcome.type === 'absent') return outcome
+      if (!mayBeStored) return outcome
+      if (performance.now() + RETRY_DELAY_MS > deadline) return { type: 'unknown', reason: outcome.reason }
+      await delay(RETRY_DELAY_MS)
+    }
+  }
+
+  private async tryCancel (id: string): Promise<CancelOutcome> {
     const { store } = this.options
     const job = await readKey(store, jobKey(id))
     if (job.isErr()) return { type: 'unavailable', reason: job.error.reason }
     if (job.value === undefined) return this.readProgress(id, 'absent')
     const key = cancelKey(id)
     const result = await transact(store, [{ type: 'version', key: jobKey(id), version: job.value.version }], [{ key, value: '{}' }])
-    if (result.isErr()) return { type: 'unavailable', reason: result.error.reason }
+    if (result.isErr()) return { type: result.error.verdict === 'may-have-applied' ? 'unknown' : 'unavailable', reason: result.error.reason }
     this.options.announceCancellation(id)
     return { type: 'found', phase: 'cancelled' }
   }
--- a/test/controller/job-service.test.ts
+++ b/test/controller/job-service.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import { JobService } from '../../src/controller/job-service.ts'
 import { cancelKey, jobKey, progressKey } from '../../src/controller/store-keys.ts'
 import type { Store } from '../../src/ports/store.ts'
@@ -11,13 +11,18 @@
 const DEFINITION = buildJob(ID, {})
 const COMPLETED = JSON.stringify({ phase: 'completed', nextOccurrence: 1, open: {} })
 
-function createJobService (puts: ReadonlyArray<{ readonly key: string, readonly value: string }>): { readonly jobService: JobService, readonly has: (key: string) => boolean } {
+function createJobService (puts: ReadonlyArray<{ readonly key: string, readonly value: string }>, lostResponses = 0): { readonly jobService: JobService, readonly has: (key: string) => boolean } {
   const inner = InMemoryStore.create()
   if (puts.length > 0) inner.call(0, { type: 'transact', compares: [], puts, deletes: [] })
+  let lost = 0
   const store: Store = {
     call: async (call) => {
       const answer = inner.call(0, call)
       assert.notEqual(answer, 'waiting')
+      if (call.type === 'transact' && lost < lostResponses) {
+        lost += 1
+        return err({ reason: 'timeout', verdict: 'may-have-applied' })
+      }
       return ok(answer as Exclude<typeof answer, 'waiting'>)
     }
   }
@@ -60,7 +65,21 @@
   test(`job service: without the leader, ${guards} is looked up and cancelled according to the store`, async () => {
     const { jobService, has } = createJobService(puts)
     assert.deepEqual(await jobService.getPhase(ID), phase === undefined ? { type: 'absent' } : { type: 'found', phase })
-    assert.deepEqual(await jobService.cancel(ID), cancelled === undefined ? { type: 'absent' } : { type: 'found', phase: cancelled })
+    assert.deepEqual(await jobService.cancel(ID, performance.now() + 1_000), cancelled === undefined ? { type: 'absent' } : { type: 'found', phase: cancelled })
     assert.equal(has(cancelKey(ID)), cancelled === 'cancelled')
   })
 }
+
+const lostCancellations = [
+  { guards: 'is answered once it is stored', lostResponses: 1, outcome: { type: 'found', phase: 'cancelled' } },
+  { guards: 'is not reported as without effect', lostResponses: Infinity, outcome: { type: 'unknown', reason: 'timeout' } }
+] as const
+
+for (const { guards, lostResponses, outcome } of lostCancellations) {
+  // The store applied a cancellation and its response was lost: the caller was told that nothing had been done.
+  test(`job service: guards against the failure that a cancellation whose response was lost is refused: it ${guards}`, async () => {
+    const { jobService, has } = createJobService([{ key: jobKey(ID), value: JSON.stringify(DEFINITION) }], lostResponses)
+    assert.deepEqual(await jobService.cancel(ID, performance.now() + 300), outcome)
+    assert.ok(has(cancelKey(ID)))
+  })
+}
