--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -9,8 +9,8 @@
 import type { StepRun, Task } from './task.ts'
 import { Job } from './task.ts'
 
-/** Number of failed runs of one task after which its job fails, if the queue is unknown. */
-const DEFAULT_MAX_ATTEMPTS = 2
+/** While a job has as many tasks that have not ended, no further occurrence of it opens, so that it leaves time for others. */
+const MAX_OPEN_TASKS = 10_000
 
 /** Adds a job that a caller submitted; a known job is left unchanged. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
@@ -46,15 +46,25 @@
   return true
 }
 
-/** Opens the occurrences of a job that are due. */
+/** Opens the occurrences of a job that are due, as far as it may have open tasks. */
 export function openDueOccurrences (state: CellState, job: Job): void {
-  const { occurrences } = job.definition
-  while (job.active && job.nextOccurrence < occurrences) {
-    if (!isDue(state, job.definition, job.nextOccurrence)) return
-    openSteps(state, job.openOccurrence())
+  if (!mayOpenOccurrence(state, job)) return
+  let openTasks = countOpenTasks([...job.occurrences.values()].flat())
+  while (openTasks < MAX_OPEN_TASKS && mayOpenOccurrence(state, job)) {
+    const steps = job.openOccurrence()
+    openTasks += countOpenTasks(steps)
+    openSteps(state, steps)
   }
 }
 
+function mayOpenOccurrence (state: CellState, { active, nextOccurrence, definition }: Job): boolean {
+  return active && nextOccurrence < definition.occurrences && isDue(state, definition, nextOccurrence)
+}
+
+function countOpenTasks (steps: readonly StepRun[]): number {
+  return steps.reduce((sum, { unfinishedTasks }) => sum + unfinishedTasks, 0)
+}
+
 /** Whether an occurrence is due. */
 export function isDue (state: CellState, { firstAtMs, intervalMs }: JobDefinition, occurrence: number): boolean {
   return firstAtMs === 0 || firstAtMs + occurrence * intervalMs <= getWallTimeMs(state)
@@ -118,9 +128,24 @@
   task.failedRuns.add(run)
   if (step.spec.gang) step.gangFailedRuns.add(run)
   state.effects.push({ type: 'store-progress', job: step.job.definition.id })
-  const limit = findQueue(state, step.job.definition)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS
-  const failures = step.spec.gang ? step.gangFailedRuns.size : task.failures
-  if (failures >= limit) endJob(state, step.job, 'failed', `task ${task.key} failed ${failures} times`)
+  failIfExhausted(state, task)
+}
+
+/** Fails the job of a task that has no attempts left. How many it has is unknown until its queue is known. */
+function failIfExhausted (state: CellState, { key, step, failures: ownFailures }: Task): void {
+  const limit = findQueue(state, step.job.definition)?.maxAttempts
+  const failures = step.spec.gang ? step.gangFailedRuns.size : ownFailures
+  if (limit !== undefined && failures >= limit) endJob(state, step.job, 'failed', `task ${key} failed ${failures} times`)
+}
+
+/** Fails the jobs of queues that were unknown until now if runs that failed meanwhile have exhausted their attempts. */
+export function failExhaustedJobs (state: CellState, newQueues: ReadonlySet<string>): void {
+  for (const job of state.jobs.values()) {
+    if (!newQueues.has(job.definition.queue)) continue
+    for (const task of job.tasks()) {
+      if (job.active && task.failures > 0) failIfExhausted(state, task)
+    }
+  }
 }
 
 /** Ends a job: closes its steps and stops its runs. */
