Let jobs of removed queues and organisations go on after a takeover

Beside it, found on the way: jobs of an organisation that is removed run without any maximum, also under the same leader.

Cause: a stored job had only the names of its queue and its organisation. The last settings of a removed queue were in the memory of the leader that had read them, those of a removed organisation were dropped at once. A new leader looked for targets of the pool `undefined`, gave failing tasks two attempts whatever the queue said, took the steps for urgent, and asked for no advice.

Change: a member stores the settings with each job that it accepts, with the version of the configuration that they are from. A leader that applies a version which removes what active jobs refer to stores the last settings in one record, state/settings; it is read together with the other records of the leader, so that a takeover costs no call more. Each of the two covers what the other cannot: jobs of older releases and settings that changed before the removal, and a leader that ends before it has stored anything. The present configuration wins, then the later version. Nothing that is stored is used before the configuration is known. Unreadable settings are left out and logged; their job is kept. A job of which nobody knows the queue says so (`step-waiting`, `unknown-queue`).

The random records of controller/read-stored-jobs now have settings too.

No write more for a job; one for a version that removes what is in use.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -3,17 +3,18 @@
 import type { ProcessedCompletions } from '../workflow/event.ts'
 import type { JobPhase } from '../workflow/job.ts'
 import type { JobProgress } from '../workflow/progress-record.ts'
+import type { RemovedSettings } from '../workflow/removed-settings.ts'
 import { delay } from './delay.ts'
 import type { Peer } from './member-call.ts'
 import type { Reporter } from './reporter.ts'
 import { readKey, transact, requireUnchanged } from './store-calls.ts'
-import { COMMIT_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
+import { COMMIT_KEY, SETTINGS_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
 import type { CommitRecord, TargetsRecord } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
 /**
- * Maximum number of job entries in one transaction, not counting its condition, the commit key and the record of
- * targets.
+ * Maximum number of job entries in one transaction, not counting its condition, the commit key and the records of targets and
+ * of removed settings.
  */
 const MAX_ENTRIES = 28
 /** Entries for a completed job: its progress is written, its definition and its cancellation marker are deleted. */
@@ -56,6 +57,7 @@
   private readonly jobsToStore = new Set<string>()
   private readonly progressToRemove = new Set<string>()
   private targetsToStore: TargetsRecord | undefined
+  private settingsToStore: RemovedSettings | undefined
   private commitVersion: number
   private committing = false
   private stopped = false
@@ -95,6 +97,12 @@
     this.startCommitting()
   }
 
+  /** Stores the last settings of what was removed while jobs refer to it. */
+  storeSettings (record: RemovedSettings): void {
+    this.settingsToStore = record
+    this.startCommitting()
+  }
+
   stop (): void {
     this.stopped = true
   }
@@ -105,9 +113,13 @@
     this.commitPending().catch((error: unknown) => this.options.reporter.log('error', 'commit-failed', { detail: String(error) }))
   }
 
+  private get hasPending (): boolean {
+    return this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined || this.settingsToStore !== undefined
+  }
+
   private async commitPending (): Promise<void> {
     try {
-      while (!this.stopped && (this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined)) {
+      while (!this.stopped && this.hasPending) {
         await delay(Math.max(0, this.lastCommitStartedAt + MIN_COMMIT_INTERVAL_MS - performance.now()))
         this.lastCommitStartedAt = performance.now()
         await this.commit(this.createBatch())
@@ -129,8 +141,10 @@
     const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self }
     const puts: Put[] = [{ key: COMMIT_KEY, value: JSON.stringify(record) }]
     for (const { id, stored } of progress) puts.push({ key: progressKey(id), value: JSON.stringify(stored) })
-    const { targetsToStore: targets } = this
+    const { targetsToStore: targets, settingsToStore: settings } = this
     this.targetsToStore = undefined
+    this.settingsToStore = undefined
+    if (settings !== undefined) puts.push({ key: SETTINGS_KEY, value: JSON.stringify(settings) })
     if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify(targets) })
     const deletes = [...released.flatMap((id) => [jobKey(id), cancelKey(id)]), ...removedProgress.map(progressKey)]
     const phases = new Map(progress.map(({ id, stored }) => [id, stored.phase]))
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -15,7 +15,8 @@
 import type { PredecessorOptions } from './predecessor.ts'
 import { readPrefix } from './store-calls.ts'
 import { readStoredJobs } from './read-stored-jobs.ts'
-import { JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY } from './store-keys.ts'
+import { readStoredSettings } from './read-stored-settings.ts'
+import { JOB_PREFIX, PROGRESS_PREFIX, STATE_PREFIX, TARGETS_KEY } from './store-keys.ts'
 import type { TargetsRecord } from './store-keys.ts'
 import type { RelayStreamOpener } from './relay-message.ts'
 import { RelayedCommands } from './relayed-commands.ts'
@@ -246,12 +247,13 @@
     const { store, reporter } = this.options
     const startedAt = performance.now()
     while (!this.stopped) {
-      const [jobs, progress, targets] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, TARGETS_KEY)])
-      if (jobs.isOk() && progress.isOk() && targets.isOk()) {
-        const previous = targets.value.entries.map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
+      const [jobs, progress, state] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, STATE_PREFIX)])
+      if (jobs.isOk() && progress.isOk() && state.isOk()) {
+        const previous = state.value.entries.filter(({ key }) => key === TARGETS_KEY).map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
         this.previousTargets = previous?.ids ?? []
         this.applyEvent({ type: 'closed-targets-restored', closed: previous?.closed ?? {} })
         this.applyEvent({ type: 'targets-stored', ids: this.previousTargets })
+        for (const event of readStoredSettings(state.value.entries, (key) => reporter.log('error', 'settings-unreadable', { key }))) this.applyEvent(event)
         for (const event of readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))) this.applyEvent(event)
         reporter.log('info', 'jobs-restored', { jobs: jobs.value.entries.length, durationMs: Math.round(performance.now() - startedAt) })
         return jobs.value.version
@@ -347,6 +349,7 @@
       case 'store-progress': return this.committer.storeProgress(effect.job)
       case 'forget-job': return this.committer.removeProgress(effect.job)
       case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed })
+      case 'store-settings': return this.committer.storeSettings(effect.record)
       case 'watch-target': return this.startSession(effect.id)
       case 'forget-target': return this.removeSession(effect.id)
       case 'fenced': return this.options.onFenced(`target ${effect.target} has seen a newer term`)
--- a/src/controller/job-service.ts
+++ b/src/controller/job-service.ts
@@ -3,7 +3,8 @@
 import { delay } from './delay.ts'
 import type { Reporter } from './reporter.ts'
 import { readKey, transact } from './store-calls.ts'
-import { isJobDefinition, isJobProgress } from './record-guards.ts'
+import { parseJobDefinition } from './parse-job-definition.ts'
+import { isJobProgress } from './record-guards.ts'
 import { parseRecord } from './stored-record.ts'
 import { cancelKey, jobKey, progressKey } from './store-keys.ts'
 
@@ -99,7 +100,7 @@
     const job = await readKey(store, jobKey(id))
     if (job.isErr()) return { type: 'unavailable', reason: job.error.reason }
     if (job.value === undefined) return this.readProgress(id, 'absent')
-    const definition = parseRecord(job.value.value, isJobDefinition)
+    const definition = parseJobDefinition(job.value.value, () => this.options.reporter.log('error', 'settings-unreadable', { key: jobKey(id) }))
     if (definition !== undefined) this.options.announceJob(definition)
     return this.readProgress(id, 'queued')
   }
--- a/src/controller/read-stored-jobs.ts
+++ b/src/controller/read-stored-jobs.ts
@@ -1,14 +1,15 @@
 import type { StoreEntry } from '../ports/store.ts'
 import type { CellEvent } from '../workflow/event.ts'
 import type { JobDefinition } from '../workflow/job.ts'
-import { isJobDefinition, isJobProgress } from './record-guards.ts'
+import { parseJobDefinition } from './parse-job-definition.ts'
+import { isJobProgress } from './record-guards.ts'
 import { CANCEL_SUFFIX, PROGRESS_PREFIX, parseCancelKey } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
 type Entry = Pick<StoreEntry, 'key' | 'value'>
 
 /** Reports an unreadable record by its message id and key. */
-export type UnreadableReport = (message: 'job-unreadable' | 'progress-unreadable', key: string) => void
+export type UnreadableReport = (message: 'job-unreadable' | 'progress-unreadable' | 'settings-unreadable', key: string) => void
 
 /**
  * Converts the jobs and progress that previous leaders have stored into events of the scheduler, in the order of submission.
@@ -39,7 +40,7 @@
 
 /** Parses the job in an entry. Returns no job if it is unreadable, so that the others can still be restored. */
 export function parseDefinition ({ key, value }: Entry, report: UnreadableReport): readonly JobDefinition[] {
-  const definition = parseRecord(value, isJobDefinition)
+  const definition = parseJobDefinition(value, () => report('settings-unreadable', key))
   if (definition !== undefined) return [definition]
   report('job-unreadable', key)
   return []
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -2,7 +2,6 @@
 import { NO_LISTENER } from '../ports/command-client.ts'
 import { prefetchAdvice, restoreCachedAdvice, handleAdviceResponse } from './advice-requests.ts'
 import { removeExpiredRuns, resendCommands, handleStartResponse, handleStopResponse } from './command-responses.ts'
-import type { CellConfiguration } from './cell-configuration.ts'
 import { log } from './cell-state.ts'
 import type { CellState, PassWork } from './cell-state.ts'
 import { buildCellSummary } from './cell-summary.ts'
@@ -13,6 +12,7 @@
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
 import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
+import { KnownSettings } from './known-settings.ts'
 import { PendingAdvice } from './pending-advice.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
@@ -22,6 +22,7 @@
 import { RoomLog } from './room-log.ts'
 import type { JobProgress } from './progress-record.ts'
 import { toJobProgress } from './progress-record.ts'
+import { applyConfiguration, restoreRemovedSettings } from './removed-settings.ts'
 import { runStartPass } from './start-pass.ts'
 import { stopStragglers } from './stragglers.ts'
 import type { TargetState } from './target-state.ts'
@@ -51,8 +52,8 @@
       now: 0,
       effects: [],
       configuration: undefined,
-      queues: new Map(),
-      organisations: new Map(),
+      queues: KnownSettings.create(),
+      organisations: KnownSettings.create(),
       usage: new Map(),
       batchRuns: new Map(),
       submissionBuckets: new Map(),
@@ -203,6 +204,7 @@
       case 'progress-stored': return this.handleProgressStored(event)
       case 'targets-stored': return recordStoredTargets(state, event.ids)
       case 'closed-targets-restored': return restoreClosedTargets(state, event.closed)
+      case 'settings-restored': return restoreRemovedSettings(state, event.record)
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state)
       case 'tick': return this.handleTick()
@@ -280,15 +282,6 @@
   }
 }
 
-function applyConfiguration (state: CellState, configuration: CellConfiguration): void {
-  state.configuration = configuration
-  // A removed queue keeps its last settings for the jobs that were accepted on it.
-  for (const queue of configuration.queues) state.queues.set(queue.name, queue)
-  state.organisations.clear()
-  for (const organisation of configuration.organisations) state.organisations.set(organisation.name, organisation)
-  state.startPassNeeded = true
-}
-
 /** Removes an ended job after the retention time, here and from the store. */
 function removeEndedJob (state: CellState, id: string): void {
   state.endedJobs.delete(id)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -1,8 +1,10 @@
 import type { PendingAdvice } from './pending-advice.ts'
-import type { CellConfiguration, Organisation, Queue } from './cell-configuration.ts'
+import type { CellConfiguration } from './cell-configuration.ts'
 import type { CellEffect } from './effect.ts'
 import type { Demand, JobDefinition, JobPhase, TaskKey } from './job.ts'
 import { NO_DEMAND } from './job.ts'
+import type { OrganisationSettings, QueueSettings } from './job-settings.ts'
+import type { KnownSettings } from './known-settings.ts'
 import type { OpenTargets } from './open-targets.ts'
 import type { CellOptions } from './options.ts'
 import type { RoomLog } from './room-log.ts'
@@ -22,8 +24,8 @@
   now: number
   effects: CellEffect[]
   configuration: CellConfiguration | undefined
-  readonly queues: Map<string, Queue>
-  readonly organisations: Map<string, Organisation>
+  readonly queues: KnownSettings<QueueSettings>
+  readonly organisations: KnownSettings<OrganisationSettings>
   readonly usage: Map<string, Demand>
   /** By organisation, its runs that are neither urgent nor of tasks that last. */
   readonly batchRuns: Map<string, number>
@@ -100,9 +102,9 @@
   state.batchRuns.set(organisation, (state.batchRuns.get(organisation) ?? 0) + sign)
 }
 
-/** Returns the queue of a job, or undefined until its configuration is known. */
-export function findQueue (state: CellState, definition: JobDefinition): Queue | undefined {
-  return state.queues.get(definition.queue)
+/** Returns the settings of a job's queue; undefined if they are not known, or not yet. */
+export function findQueue (state: CellState, definition: JobDefinition): QueueSettings | undefined {
+  return state.queues.find(definition.queue)
 }
 
 /** Whether a job is in a queue with priority 0, the highest. */
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -3,6 +3,7 @@
 import type { ClosedTargets } from './closed-targets.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
+import type { RemovedSettings } from './removed-settings.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
 
 /** Completions of one incarnation of a target that have been processed, up to and including `lastNumber`. */
@@ -37,6 +38,8 @@
   | { readonly type: 'targets-stored', readonly ids: readonly string[] }
   /** Closed targets of previous owners, as stored. */
   | { readonly type: 'closed-targets-restored', readonly closed: ClosedTargets }
+  /** Settings of removed queues and organisations, as a previous owner stored them. */
+  | { readonly type: 'settings-restored', readonly record: RemovedSettings }
   /** All targets of previous owners have been listed, apart from closed ones. */
   | { readonly type: 'earlier-runs-listed' }
   /** The leases of runs of a previous owner have expired on all targets that could not be listed. */
--- a/src/workflow/job.ts
+++ b/src/workflow/job.ts
@@ -1,3 +1,5 @@
+import type { JobSettings } from './job-settings.ts'
+
 /** Resources of a task or a target, in thousandths of a core, mebibytes and whole accelerators. */
 export type Demand = {
   readonly cpuMillis: number
@@ -78,6 +80,8 @@
   readonly occurrences: number
   /** When its caller submitted it, in milliseconds since 1970. */
   readonly submittedAtMs: number
+  /** What it refers to, as of its submission; missing in records of older releases. */
+  readonly settings?: JobSettings
 }
 
 /** Phase of a job, as it is stored. */
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -4,6 +4,7 @@
 import { isFinalPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
 import { restoreProgress } from './progress-record.ts'
+import { learnJobSettings, storeSettingsOf } from './removed-settings.ts'
 import { consumeSubmissionShare } from './submission-share.ts'
 import { stopRuns } from './runs.ts'
 import type { StepRun, Task } from './task.ts'
@@ -15,6 +16,7 @@
 /** Adds a job that a caller submitted; a known job is left unchanged. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
   if (state.jobs.has(definition.id) || state.endedJobs.has(definition.id)) return
+  learnJobSettings(state, definition)
   const job = Job.create(definition, state.now, false)
   job.exceedsShare = !consumeSubmissionShare(state, definition.organisation, state.now)
   addJob(state, job)
@@ -23,6 +25,7 @@
 /** Adds a job that was in the store when this owner took over. */
 export function restoreJob (state: CellState, definition: JobDefinition, progress: JobProgress | undefined): void {
   if (state.jobs.has(definition.id)) return
+  learnJobSettings(state, definition)
   const ageMs = Math.max(0, getWallTimeMs(state) - definition.submittedAtMs)
   const job = Job.create(definition, state.now - ageMs, true)
   job.exceedsShare = !consumeSubmissionShare(state, definition.organisation, job.acceptedAt)
@@ -33,6 +36,7 @@
 
 function addJob (state: CellState, job: Job): void {
   state.jobs.set(job.definition.id, job)
+  storeSettingsOf(state, job.definition)
   for (const steps of job.occurrences.values()) openSteps(state, steps)
   openDueOccurrences(state, job)
 }
--- a/src/workflow/organisation-maximum.ts
+++ b/src/workflow/organisation-maximum.ts
@@ -17,7 +17,7 @@
 export function checkMaximum (state: CellState, step: StepRun, demand: Demand): MaximumCheck {
   const { job, spec } = step
   const { organisation } = job.definition
-  const maximum = state.organisations.get(organisation)?.maximum
+  const maximum = state.organisations.find(organisation)?.maximum
   if (maximum === undefined) return 'within'
   const usage = addDemands(getUsage(state, organisation), state.uncertainUsage)
   if (fitsLimit(usage, demand, scaleDemand(maximum, getUsableRatio(state, job)))) return 'within'
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,6 +1,6 @@
 import { assertNever } from '../util/assert-never.ts'
 import { requestAdvice } from './advice-requests.ts'
-import { log, getUsage } from './cell-state.ts'
+import { findQueue, log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { beginTrials } from './crash-suspicion.ts'
 import { placeGang } from './gang-placement.ts'
@@ -45,6 +45,10 @@
 
 function startStep (state: CellState, step: StepRun): void {
   state.passWork.steps += 1
+  if (findQueue(state, step.job.definition) === undefined) {
+    if (state.configuration !== undefined) logBlocked(state, step, 'unknown-queue')
+    return
+  }
   if (needsAdvice(state, step) && !step.advice.hasResponse) {
     if (isWithinMaximum(state, step, step.spec.demand)) requestFirstAdvice(state, step)
     return
@@ -96,7 +100,7 @@
 }
 
 /** Logs why a step waits whenever the reason changes. */
-function logBlocked (state: CellState, step: StepRun, reason: 'maximum' | 'reserve' | 'no-room' | 'no-advice-channel'): void {
+function logBlocked (state: CellState, step: StepRun, reason: 'unknown-queue' | 'maximum' | 'reserve' | 'no-room' | 'no-advice-channel'): void {
   if (step.blockedBy === reason) return
   step.blockedBy = reason
   const { definition } = step.job
--- a/src/workflow/step-rank.ts
+++ b/src/workflow/step-rank.ts
@@ -1,6 +1,6 @@
-import type { Queue } from './cell-configuration.ts'
 import { findQueue, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import type { QueueSettings } from './job-settings.ts'
 import type { Job, StepRun } from './task.ts'
 
 /** A job that takes longer than this many times its objective is no longer useful to its caller. */
@@ -37,13 +37,13 @@
 }
 
 /** Time within which a job of the queue is expected to end after it was accepted, in milliseconds. */
-export function computeObjectiveMs ({ stretch, latencyObjectiveMs }: Queue, { chainsMs }: Job): number {
+export function computeObjectiveMs ({ stretch, latencyObjectiveMs }: QueueSettings, { chainsMs }: Job): number {
   return stretch * Math.max(...chainsMs) + latencyObjectiveMs
 }
 
 /** Usage of an organisation divided by its weight. Organisations with a smaller value are served first. */
 function computeWeightedUsage (state: CellState, organisation: string): number {
-  const weight = state.organisations.get(organisation)?.weight ?? 1
+  const weight = state.organisations.find(organisation)?.weight ?? 1
   return getUsage(state, organisation).cpuMillis / Math.max(weight, Number.MIN_VALUE)
 }
 
--- a/src/workflow/submission-share.ts
+++ b/src/workflow/submission-share.ts
@@ -13,7 +13,7 @@
  * of `submittedAt`.
  */
 export function consumeSubmissionShare (state: CellState, organisation: string, submittedAt: number): boolean {
-  const weight = state.organisations.get(organisation)?.weight
+  const weight = state.organisations.find(organisation)?.weight
   if (weight === undefined) return true
   const capacity = Math.max(1, weight * BURST_S)
   const bucket = state.submissionBuckets.get(organisation) ?? { jobs: capacity, refilledAt: submittedAt }
--- a/test/controller/committer.test.ts
+++ b/test/controller/committer.test.ts
@@ -5,12 +5,14 @@
 import type { Result } from 'neverthrow'
 import { Committer } from '../../src/controller/committer.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
-import { COMMIT_KEY, cancelKey, jobKey, progressKey } from '../../src/controller/store-keys.ts'
+import { COMMIT_KEY, SETTINGS_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from '../../src/controller/store-keys.ts'
 import type { Store, StoreResponse, StoreCall, StoreFailure } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
 import type { JobPhase } from '../../src/workflow/job.ts'
 
 const NO_REPORTER: Reporter = { log: () => {}, count: () => {}, observe: () => {} }
+/** Limit of the store. */
+const MAX_TRANSACTION_ENTRIES = 32
 const SELF = { member: 'm1', address: 'm1:1' }
 
 /** A store that can apply the next transactions without a response, or apply the next one only later. */
@@ -117,3 +119,22 @@
   assert.deepEqual(ids.flatMap((id) => [store.readValue(jobKey(id)), store.readValue(cancelKey(id))]).filter((value) => value !== undefined), [])
   assert.equal(JSON.parse(store.readValue(progressKey('j39'))!).phase, 'cancelled')
 })
+
+test('committer: removed settings are stored with whatever else waits, in transactions that the store accepts', async () => {
+  const store = await createStoreWithTerm()
+  const entryCounts: number[] = []
+  const call = store.call.bind(store)
+  store.call = (request) => {
+    if (request.type === 'transact') entryCounts.push(request.compares.length + request.puts.length + request.deletes.length)
+    return call(request)
+  }
+  const { committer } = createCommitter(store, () => 'running')
+  const record = { queues: [], organisations: [] }
+  for (let index = 0; index < 40; index += 1) committer.storeProgress(`j${index}`)
+  committer.storeTargets({ ids: ['t1'], closed: {} })
+  committer.storeSettings(record)
+  await wait(400)
+  assert.deepEqual(JSON.parse(store.readValue(SETTINGS_KEY)!), record)
+  assert.ok(store.readValue(TARGETS_KEY) !== undefined && store.readValue(progressKey('j39')) !== undefined)
+  assert.deepEqual(entryCounts.map((count) => count <= MAX_TRANSACTION_ENTRIES), [true, true])
+})
--- a/test/controller/read-stored-jobs.test.ts
+++ b/test/controller/read-stored-jobs.test.ts
@@ -4,10 +4,11 @@
 import { parseJob } from '../../platform/job-body.ts'
 import { readStoredJobs } from '../../src/controller/read-stored-jobs.ts'
 import { isJobDefinition } from '../../src/controller/record-guards.ts'
-import { cancelKey, jobKey, progressKey } from '../../src/controller/store-keys.ts'
+import { readStoredSettings } from '../../src/controller/read-stored-settings.ts'
+import { SETTINGS_KEY, cancelKey, jobKey, progressKey } from '../../src/controller/store-keys.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
 import { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
-import { CellHarness, buildEntry, buildJob, createHarnessWithTarget } from '../workflow/harness.ts'
+import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob, createHarnessWithTarget } from '../workflow/harness.ts'
 
 const SEED = 20261204
 const RUNS = 400
@@ -24,10 +25,15 @@
 
 const good = { key: jobKey('a'), value: JSON.stringify(buildJob('a', {})) }
 
+const SETTINGS = { version: 3, queue: QUEUE, organisation: CONFIGURATION.organisations[0] }
+const GOOD_WITH_SETTINGS = JSON.stringify({ ...buildJob('b', {}), settings: SETTINGS })
+
 const unreadable: ReadonlyArray<{ readonly guards: string, readonly jobs: readonly Stored[], readonly progress?: readonly Stored[], readonly events: readonly string[], readonly reports: readonly string[] }> = [
   { guards: 'a definition that is not JSON', jobs: [{ key: jobKey('b'), value: '{' }, good], events: ['job-restored a'], reports: ['job-unreadable jobs/b'] },
   { guards: 'a definition without steps', jobs: [{ key: jobKey('b'), value: '{"id":"b"}' }, good], events: ['job-restored a'], reports: ['job-unreadable jobs/b'] },
   { guards: 'a definition that is null', jobs: [{ key: jobKey('b'), value: 'null' }, good], events: ['job-restored a'], reports: ['job-unreadable jobs/b'] },
+  { guards: 'settings without a pool', jobs: [{ key: jobKey('b'), value: GOOD_WITH_SETTINGS.replace('"pool":"kit"', '"pool":1') }, good], events: ['job-restored b', 'job-restored a'], reports: ['settings-unreadable jobs/b'] },
+  { guards: 'settings that are null', jobs: [{ key: jobKey('b'), value: JSON.stringify({ ...buildJob('b', {}), settings: null }) }, good], events: ['job-restored b', 'job-restored a'], reports: ['settings-unreadable jobs/b'] },
   { guards: 'progress of a job that nobody stored', jobs: [good], progress: [{ key: progressKey('gone'), value: '[]' }], events: ['job-restored a'], reports: ['progress-unreadable progress/gone'] },
   { guards: 'progress whose finished tasks are no number', jobs: [good], progress: [{ key: progressKey('a'), value: PROGRESS.replace('"done":"0"', '"done":"z"') }], events: ['ended-job-restored a'], reports: ['progress-unreadable progress/a'] },
   { guards: 'progress of an occurrence without a number', jobs: [good], progress: [{ key: progressKey('a'), value: PROGRESS.replace('"0":[', '"z":[') }], events: ['ended-job-restored a'], reports: ['progress-unreadable progress/a'] }
@@ -50,6 +56,29 @@
   })
 }
 
+test('stored jobs: unreadable settings are left out, readable ones are kept', () => {
+  const jobs = [{ key: jobKey('b'), value: GOOD_WITH_SETTINGS }, { key: jobKey('c'), value: GOOD_WITH_SETTINGS.replace('"b"', '"c"').replace('"maxAttempts":2', '"maxAttempts":"2"') }]
+  const settings = read(jobs).events.map((event) => event.type === 'job-restored' ? event.definition.settings : undefined)
+  assert.deepEqual(settings, [JSON.parse(JSON.stringify(SETTINGS)), undefined])
+})
+
+const storedSettings = [
+  { guards: 'a missing record', value: undefined, queues: undefined, reported: false },
+  { guards: 'a record that is not JSON', value: '{', queues: [], reported: true },
+  { guards: 'a record without lists', value: '{}', queues: [], reported: true },
+  { guards: 'a record with an unreadable queue', value: JSON.stringify({ queues: [{ version: 3, settings: { ...QUEUE, name: 'bad', stretch: null } }, null, { version: 3, settings: QUEUE }], organisations: [] }), queues: ['stock'], reported: true },
+  { guards: 'a readable record', value: JSON.stringify({ queues: [{ version: 3, settings: QUEUE }], organisations: [{ version: 3, settings: SETTINGS.organisation }] }), queues: ['stock'], reported: false }
+]
+
+for (const { guards, value, queues, reported } of storedSettings) {
+  test(`stored settings: ${guards} keeps a new leader from nothing else`, () => {
+    const reports: string[] = []
+    const events = readStoredSettings(value === undefined ? [] : [{ key: SETTINGS_KEY, value }], (key) => reports.push(key))
+    assert.deepEqual(events.map((event) => event.type === 'settings-restored' ? event.record.queues.map(({ settings }) => settings.name) : undefined)[0], queues)
+    assert.deepEqual(reports, reported ? [SETTINGS_KEY] : [])
+  })
+}
+
 test('stored jobs: jobs are restored in the order of submission, with their progress and cancellations', () => {
   const early = { key: jobKey('z'), value: JSON.stringify({ ...buildJob('z', {}), submittedAtMs: -5 }) }
   const { events } = read([good, { key: cancelKey('a'), value: '' }, early], [{ key: progressKey('a'), value: PROGRESS }, { key: progressKey('ended'), value: PROGRESS.replace('running', 'completed') }])
@@ -67,17 +96,18 @@
 })
 
 test('stored jobs: whatever the store has, a new leader restores without an error', () => {
-  const fields = fc.constantFrom('id', 'queue', 'organisation', 'payload', 'steps', 'count', 'demand', 'after', 'estimatedMs', 'phase', 'open', 'done', 'failedRuns', 'gangFailedRuns', 'crashes', 'confirmed', 'possible', 'nextOccurrence', 'firstAtMs', '0')
+  const fields = fc.constantFrom('id', 'queue', 'organisation', 'payload', 'steps', 'count', 'demand', 'after', 'estimatedMs', 'phase', 'open', 'done', 'failedRuns', 'gangFailedRuns', 'crashes', 'confirmed', 'possible', 'nextOccurrence', 'firstAtMs', 'settings', 'version', 'maximum', '0')
   const { record } = fc.letrec((tie) => ({
     value: fc.oneof({ depthSize: 'small' }, fc.constantFrom(null, true, -1, 0, 1, 1e300, '', 'a', 'running', 'ff'), fc.array(tie('value'), { maxLength: 2 }), tie('record')),
     record: fc.dictionary(fields, tie('value'), { maxKeys: 8 })
   }))
-  const damaged = fc.tuple(fc.constantFrom(good.value, PROGRESS, PROGRESS_WITH_CRASHES), fc.nat(400), fc.constantFrom('', '0', 'null', '}')).map(([text, at, replacement]) => text.slice(0, at) + replacement + text.slice(at + 1))
+  const damaged = fc.tuple(fc.constantFrom(good.value, GOOD_WITH_SETTINGS, PROGRESS, PROGRESS_WITH_CRASHES), fc.nat(800), fc.constantFrom('', '0', 'null', '}')).map(([text, at, replacement]) => text.slice(0, at) + replacement + text.slice(at + 1))
   const value = fc.oneof(record.map((content) => JSON.stringify(content)), damaged, fc.string())
   fc.assert(fc.property(value, value, (definition, progress) => {
     const scheduler = CellScheduler.create()
     const { events } = read([{ key: jobKey('a'), value: definition }], [{ key: progressKey('a'), value: progress }])
-    for (const event of events) scheduler.apply(event, 0)
+    for (const event of [...readStoredSettings([{ key: SETTINGS_KEY, value: progress }], () => {}), ...events]) scheduler.apply(event, 0)
+    scheduler.apply({ type: 'configured', configuration: { ...CONFIGURATION, queues: [], organisations: [] } }, 0)
     scheduler.apply({ type: 'tick' }, 0)
     scheduler.startTasks(0)
   }), { seed: SEED, numRuns: RUNS })
--- a/test/platform/end-to-end.test.ts
+++ b/test/platform/end-to-end.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
-import { StandinCell } from '../../platform/standin/cell.ts'
+import { CELL_HOST, CELL_KEY, StandinCell } from '../../platform/standin/cell.ts'
+import { StandinOperator } from '../../platform/standin/operator.ts'
 
 const TIMEOUT_MS = 15_000
 const POLL_INTERVAL_MS = 50
@@ -147,6 +148,37 @@
   }
 })
 
+const removedQueue = [
+  { call: 'a submission', method: 'POST', path: '/short/00000000000000f3', status: 404 },
+  { call: 'the state of its job', method: 'GET', path: '/short/00000000000000f2', status: 404 },
+  { call: 'the cancellation of its job', method: 'DELETE', path: '/short/00000000000000f2', status: 404 },
+  { call: 'the number of its waiting jobs', method: 'GET', path: '/short/', status: 404 },
+  { call: 'the state of its job, through a queue that is left', method: 'GET', path: '/advised/00000000000000f2', status: 200 }
+]
+
+// The second step of a job of a removed queue never started once the leader that had read the queue was gone.
+test('platform: guards against the failure that a job of a removed queue never goes on after its leader fails', async (context) => {
+  const cell = await StandinCell.start({ members: 3, workers: 2 })
+  try {
+    await submit(cell, '/short/00000000000000f2', [TASK, { ...TASK, after: [0] }], { ms: 1_500 })
+    const { settings } = JSON.parse(cell.kv.read('jobs/00000000000000f2')!) as { readonly settings: { readonly version: number, readonly queue: { readonly pool: string } } }
+    assert.deepEqual([settings.version, settings.queue.pool, JSON.stringify(settings).includes(CELL_KEY)], [1, 'kit', false])
+    StandinOperator.create(cell.kv).configure({ version: 2, host: CELL_HOST, key: CELL_KEY, weight: 100, maxAttempts: 2, queues: [{ name: 'advised', priority: 2 }] })
+    await waitUntil('the queue is removed', async () => (await cell.request(0, 'GET', '/short/')).status === 404)
+    const leader = await findLeader(cell)
+    await cell.closeMember(leader)
+    const other = leader === 0 ? 1 : 0
+    for (const { call, method, path, status } of removedQueue) {
+      await context.test(`${call} is answered ${status}`, async () => {
+        await waitUntil('answered', async () => (await cell.request(other, method, path, method === 'POST' ? { spec: '{}', steps: [TASK] } : undefined)).status === status)
+      })
+    }
+    await waitForState(cell, other, '/advised/00000000000000f2', 'completed')
+  } finally {
+    await cell.close()
+  }
+})
+
 test('platform: other jobs are restored when one job record is unreadable', async () => {
   const cell = await StandinCell.start({ members: 1, workers: 1, prepareStore: (kv) => kv.put('jobs/00000000000000bb', '{') })
   try {
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -74,6 +74,11 @@
     return harness
   }
 
+  /** Creates a scheduler that has no configuration and no targets. */
+  static createUnconfigured (): CellHarness {
+    return new CellHarness(CellScheduler.create())
+  }
+
   publishTarget (entry: TargetEntry): void {
     this.apply({ type: 'target-published', entry })
     this.apply({ type: 'targets-stored', ids: [entry.id] })
