Take note of completions of occurrences that only the previous leader had opened

Callers would see: tasks of a job with times run twice, or once more than their queue's attempts, after a leader whose clock was ahead has been replaced.

Cause: an occurrence is opened when it is due by the leader's own clock. A new leader whose clock is behind adopts listed runs of an occurrence that it has not opened, but looked up completions only in open ones: a completion was dropped as one of an unknown job, acknowledged with the next commit, and the task started again when it was due.

Change: for an active job the occurrence is opened, as for a listed run. Its other tasks still wait until it is due. A job that has ended opens nothing, since its completions change nothing.

--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -112,8 +112,13 @@
   return (findQueue(state, definition)?.priority ?? 0) === 0
 }
 
+/** Returns the job of the task with the given key if it is known. */
+export function findJob (state: CellState, key: TaskKey): Job | undefined {
+  return state.jobs.get(key.slice(0, key.indexOf('.')))
+}
+
 /** Returns the task with the given key if its job is known and its occurrence is open. */
-export function findTask (state: CellState, key: string): Task | undefined {
-  const [job, occurrence, step, index] = key.split('.')
-  return state.jobs.get(job!)?.findTask(Number(occurrence), Number(step), Number(index))
+export function findTask (state: CellState, key: TaskKey): Task | undefined {
+  const [, occurrence, step, index] = key.split('.')
+  return findJob(state, key)?.findTask(Number(occurrence), Number(step), Number(index))
 }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -1,8 +1,9 @@
 import { assertNever } from '../util/assert-never.ts'
-import { count, findTask, log, recordRoom } from './cell-state.ts'
+import { count, findJob, findTask, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { releaseTasks } from './closed-targets.ts'
 import { withdrawCrash } from './crashes.ts'
+import type { TaskKey } from './job.ts'
 import { countFailure, findListedTask, finishTask } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
 import { addRun, removeRun, sendStop } from './runs.ts'
@@ -48,7 +49,7 @@
   if (completion.number <= target.lastProcessed) return
   target.lastProcessed = completion.number
   const live = target.find(completion.task, completion.run)
-  const task = live?.task ?? findTask(state, completion.task)
+  const task = live?.task ?? findCompletedTask(state, completion.task)
   if (task === undefined) {
     log(state, 'warn', 'unknown-run-ended', { task: completion.task, run: completion.run, target: target.id, ending: completion.outcome })
     return
@@ -63,6 +64,15 @@
   applyOutcome(state, target, task, completion)
 }
 
+/**
+ * Returns the task of a completion. For an active job it opens the occurrence if necessary: a previous owner whose clock is ahead
+ * may have started it, and the target discards a completion that is acknowledged, so that the task would run again.
+ */
+function findCompletedTask (state: CellState, key: TaskKey): Task | undefined {
+  const job = findJob(state, key)
+  return job?.active === true ? findListedTask(state, key) : findTask(state, key)
+}
+
 function applyOutcome (state: CellState, target: TargetState, task: Task, completion: ListedCompletion): void {
   switch (completion.outcome) {
     case 'done': return handleTaskDone(state, target, task)
