Keep run numbers rising after a term that started more than a million runs

Callers would see: after the change of such a leader, a task that has to run again is refused by each target on which it has ended or was stopped before, and a failed run with a number of the past isn't counted as an attempt. Found by reading; at 400 starts a second a term gets there in 42 minutes.

Cause: a term had a million run numbers, its leader went on beyond them, and the next term began at its own million.

Change: each commit records the last term whose numbers its leader may use before the next commit, half a million starts ahead, and the next leader takes a later term. Nothing more is written, and no number grows faster than before. A record without the field counts as before. Between an older release and this one, a million starts in one term of either still reuse numbers.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -7,6 +7,7 @@
 import { delay } from './delay.ts'
 import type { Peer } from './member-call.ts'
 import type { Reporter } from './reporter.ts'
+import { computeReservedTerm } from './run-numbers.ts'
 import { readKey, transact, requireUnchanged } from './store-calls.ts'
 import { COMMIT_KEY, SETTINGS_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
 import type { CommitRecord, TargetsRecord } from './store-keys.ts'
@@ -44,6 +45,8 @@
   /** Whether a new leader would need the definition of a job; otherwise it is deleted. */
   readonly needsDefinition: (job: string) => boolean
   readonly getProcessedCompletions: () => readonly ProcessedCompletions[]
+  /** Number of the last run that was started. */
+  readonly getLastRun: () => number
   readonly onStored: (batch: Pick<Batch, 'phases' | 'released' | 'completions' | 'targets'>) => void
   /** Called when another leader has written to the store. */
   readonly onFenced: () => void
@@ -138,7 +141,7 @@
       return stored === undefined ? [] : [{ id, stored }]
     })
     const nonce = randomUUID()
-    const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self }
+    const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self, reservedTerm: computeReservedTerm(this.options.getLastRun()) }
     const puts: Put[] = [{ key: COMMIT_KEY, value: JSON.stringify(record) }]
     for (const { id, stored } of progress) puts.push({ key: progressKey(id), value: JSON.stringify(stored) })
     const { targetsToStore: targets, settingsToStore: settings } = this
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -20,6 +20,7 @@
 import type { TargetsRecord } from './store-keys.ts'
 import type { RelayStreamOpener } from './relay-message.ts'
 import { RelayedCommands } from './relayed-commands.ts'
+import { computeFirstRun } from './run-numbers.ts'
 import { StoreFeed } from './store-feed.ts'
 import { parseRecord } from './stored-record.ts'
 import { SummaryLog } from './summary-log.ts'
@@ -27,8 +28,6 @@
 import { TargetSession } from './target-session.ts'
 
 const TICK_INTERVAL_MS = 50
-/** Number of run numbers reserved for each term; far more than the runs that a term starts. */
-const RUNS_PER_TERM = 1_000_000
 const RESTORE_RETRY_DELAY_MS = 200
 /** A member that has not sent a hello for this time, in milliseconds, gets no more advice requests. */
 const PEER_TIMEOUT_MS = 5_000
@@ -80,7 +79,7 @@
   private nextPassAt = 0
 
   private constructor (private readonly options: ControllerOptions) {
-    this.scheduler = CellScheduler.create({ firstRunNumber: (options.term.term - 1) * RUNS_PER_TERM + 1, leaseMs: options.leaseMs, wallClockOffsetMs: Date.now() - performance.now() })
+    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, wallClockOffsetMs: Date.now() - performance.now() })
     this.commands = RelayedCommands.create({
       direct: options.commands,
       open: options.openRelayStream,
@@ -99,6 +98,7 @@
       getProgress: (job) => this.scheduler.getProgress(job),
       needsDefinition: (job) => this.scheduler.needsDefinition(job),
       getProcessedCompletions: () => this.scheduler.getProcessedCompletions(),
+      getLastRun: () => this.scheduler.lastRunNumber,
       onStored: ({ phases, released, completions, targets }) => {
         this.applyEvent({ type: 'progress-stored', phases, released, completions })
         if (targets !== undefined) this.applyEvent({ type: 'targets-stored', ids: targets })
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -197,7 +197,7 @@
     const lease = await callStore(store, { type: 'grant-lease', ttlMs: LEASE_TTL_MS })
     if (lease.isErr()) return false
     const previous = previousEntry.value === undefined ? undefined : parseRecord<CommitRecord>(previousEntry.value.value)
-    const term = (previous?.term ?? 0) + 1
+    const term = Math.max(previous?.term ?? 0, previous?.reservedTerm ?? 0) + 1
     const nonce = randomUUID()
     this.lastClaimNonce = nonce
     const record: LeaderRecord = { member, address, term, nonce }
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -45,7 +45,13 @@
 }
 
 /** The last commit or takeover, as stored under `state/commit`. */
-export type CommitRecord = { readonly term: number, readonly nonce: string, readonly leader: Peer }
+export type CommitRecord = {
+  readonly term: number
+  readonly nonce: string
+  readonly leader: Peer
+  /** Last term whose run numbers the leader may use; missing at the start of a term and in records of older releases. */
+  readonly reservedTerm?: number
+}
 
 /** Targets that may hold runs, as stored under `state/targets`. */
 export type TargetsRecord = {
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -147,6 +147,11 @@
     return counts
   }
 
+  /** Number of the last started run. */
+  get lastRunNumber (): number {
+    return this.state.lastRunNumber
+  }
+
   getTarget (id: string): TargetState | undefined {
     return this.state.targets.get(id)
   }
--- a/test/controller/committer.test.ts
+++ b/test/controller/committer.test.ts
@@ -64,6 +64,7 @@
     getProgress: () => ({ phase: phase(), nextOccurrence: 1, open: {} }),
     needsDefinition: () => !['completed', 'failed', 'cancelled'].includes(phase()),
     getProcessedCompletions: () => [],
+    getLastRun: () => 0,
     onStored: ({ phases }) => stored.push(...phases.values()),
     onFenced: () => { fenced = true }
   })
