--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -3,17 +3,19 @@
 import type { ProcessedCompletions } from '../workflow/event.ts'
 import type { JobPhase } from '../workflow/job.ts'
 import type { JobProgress } from '../workflow/progress-record.ts'
+import type { RemovedSettings } from '../workflow/removed-settings.ts'
 import { delay } from './delay.ts'
 import type { Peer } from './member-call.ts'
 import type { Reporter } from './reporter.ts'
+import { computeReservedTerm } from './run-numbers.ts'
 import { readKey, transact, requireUnchanged } from './store-calls.ts'
-import { COMMIT_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
+import { COMMIT_KEY, SETTINGS_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
 import type { CommitRecord, TargetsRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
 /**
- * Maximum number of job entries in one transaction, not counting its condition, the commit key and the record of
- * targets.
+ * Maximum number of job entries in one transaction, not counting its condition, the commit key and the records of targets and
+ * of removed settings.
  */
 const MAX_ENTRIES = 28
 /** Entries for a completed job: its progress is written, its definition and its cancellation marker are deleted. */
@@ -45,6 +47,8 @@
   /** Whether a new leader would need the definition of a job; otherwise it is deleted. */
   readonly needsDefinition: (job: string) => boolean
   readonly getProcessedCompletions: () => readonly ProcessedCompletions[]
+  /** Number of the last run that was started. */
+  readonly getLastRun: () => number
   readonly onStored: (batch: Pick<Batch, 'phases' | 'released' | 'completions' | 'targets'>) => void
   /** Called when another leader has written to the store. */
   readonly onFenced: () => void
@@ -58,6 +62,7 @@
   private readonly jobsToStore = new Set<string>()
   private readonly progressToRemove = new Set<string>()
   private targetsToStore: TargetsRecord | undefined
+  private settingsToStore: RemovedSettings | undefined
   private commitVersion: number
   private committing = false
   private stopped = false
@@ -97,6 +102,12 @@
     this.startCommitting()
   }
 
+  /** Stores the last settings of what was removed while jobs refer to it. */
+  storeSettings (record: RemovedSettings): void {
+    this.settingsToStore = record
+    this.startCommitting()
+  }
+
   stop (): void {
     this.stopped = true
   }
@@ -107,9 +118,13 @@
     this.commitPending().catch((error: unknown) => this.options.reporter.log('error', 'commit-failed', { detail: String(error) }))
   }
 
+  private get hasPending (): boolean {
+    return this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined || this.settingsToStore !== undefined
+  }
+
   private async commitPending (): Promise<void> {
     try {
-      while (!this.stopped && (this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined)) {
+      while (!this.stopped && this.hasPending) {
         await delay(Math.max(0, this.lastCommitStartedAt + MIN_COMMIT_INTERVAL_MS - performance.now()))
         this.lastCommitStartedAt = performance.now()
         await this.commit(this.createBatch())
@@ -128,11 +143,13 @@
       return stored === undefined ? [] : [{ id, stored }]
     })
     const nonce = randomUUID()
-    const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self, unsettled: this.options.getUnsettledTerms() }
+    const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self, unsettled: this.options.getUnsettledTerms(), reservedTerm: computeReservedTerm(this.options.getLastRun()) }
     const puts: Put[] = [{ key: COMMIT_KEY, value: JSON.stringify(record) }]
     for (const { id, stored } of progress) puts.push({ key: progressKey(id), value: JSON.stringify(stored) })
-    const { targetsToStore: targets } = this
+    const { targetsToStore: targets, settingsToStore: settings } = this
     this.targetsToStore = undefined
+    this.settingsToStore = undefined
+    if (settings !== undefined) puts.push({ key: SETTINGS_KEY, value: JSON.stringify(settings) })
     if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify(targets) })
     const deletes = [...released.flatMap((id) => [jobKey(id), cancelKey(id)]), ...removedProgress.map(progressKey)]
     const phases = new Map(progress.map(({ id, stored }) => [id, stored.phase]))
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -15,10 +15,12 @@
 import type { Peer } from './member-call.ts'
 import { readPrefix } from './store-calls.ts'
 import { readStoredJobs } from './read-stored-jobs.ts'
-import { JOB_PREFIX, PROGRESS_PREFIX, TARGETS_KEY } from './store-keys.ts'
+import { readStoredSettings } from './read-stored-settings.ts'
+import { JOB_PREFIX, PROGRESS_PREFIX, STATE_PREFIX, TARGETS_KEY } from './store-keys.ts'
 import type { TargetsRecord } from './store-keys.ts'
 import type { RelayStreamOpener } from './relay-message.ts'
 import { RelayedCommands } from './relayed-commands.ts'
+import { computeFirstRun } from './run-numbers.ts'
 import { StoreFeed } from './store-feed.ts'
 import { parseRecord } from './stored-record.ts'
 import { SummaryLog } from './summary-log.ts'
@@ -26,8 +28,6 @@
 import { TargetSession } from './target-session.ts'
 
 const TICK_INTERVAL_MS = 50
-/** Number of run numbers reserved for each term; far more than the runs that a term starts. */
-const RUNS_PER_TERM = 1_000_000
 const RESTORE_RETRY_DELAY_MS = 200
 /** A member that has not sent a hello for this time, in milliseconds, gets no more advice requests. */
 const PEER_TIMEOUT_MS = 5_000
@@ -79,7 +79,7 @@
   private nextPassAt = 0
 
   private constructor (private readonly options: ControllerOptions) {
-    this.scheduler = CellScheduler.create({ firstRunNumber: (options.term.term - 1) * RUNS_PER_TERM + 1, leaseMs: options.leaseMs, wallClockOffsetMs: Date.now() - performance.now() })
+    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, wallClockOffsetMs: Date.now() - performance.now() })
     this.commands = RelayedCommands.create({
       direct: options.commands,
       open: options.openRelayStream,
@@ -99,6 +99,7 @@
       getProgress: (job) => this.scheduler.getProgress(job),
       needsDefinition: (job) => this.scheduler.needsDefinition(job),
       getProcessedCompletions: () => this.scheduler.getProcessedCompletions(),
+      getLastRun: () => this.scheduler.lastRunNumber,
       onStored: ({ phases, released, completions, targets }) => {
         this.applyEvent({ type: 'progress-stored', phases, released, completions })
         if (targets !== undefined) this.applyEvent({ type: 'targets-stored', ids: targets })
@@ -249,12 +250,13 @@
     const { store, reporter } = this.options
     const startedAt = performance.now()
     while (!this.stopped) {
-      const [jobs, progress, targets] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, TARGETS_KEY)])
-      if (jobs.isOk() && progress.isOk() && targets.isOk()) {
-        const previous = targets.value.entries.map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
+      const [jobs, progress, state] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, STATE_PREFIX)])
+      if (jobs.isOk() && progress.isOk() && state.isOk()) {
+        const previous = state.value.entries.filter(({ key }) => key === TARGETS_KEY).map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
         this.previousTargets = previous?.ids ?? []
         this.applyEvent({ type: 'closed-targets-restored', closed: previous?.closed ?? {} })
         this.applyEvent({ type: 'targets-stored', ids: this.previousTargets })
+        for (const event of readStoredSettings(state.value.entries, (key) => reporter.log('error', 'settings-unreadable', { key }))) this.applyEvent(event)
         for (const event of readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))) this.applyEvent(event)
         reporter.log('info', 'jobs-restored', { jobs: jobs.value.entries.length, durationMs: Math.round(performance.now() - startedAt) })
         return jobs.value.version
@@ -351,6 +353,7 @@
       case 'store-progress': return this.committer.storeProgress(effect.job)
       case 'forget-job': return this.committer.removeProgress(effect.job)
       case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed })
+      case 'store-settings': return this.committer.storeSettings(effect.record)
       case 'watch-target': return this.startSession(effect.id)
       case 'forget-target': return this.removeSession(effect.id)
       case 'fenced': return this.options.onFenced(`target ${effect.target} has seen a newer term`)
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -9,6 +9,9 @@
 export const LEADER_KEY = 'lead/holder'
 export const COMMIT_KEY = 'state/commit'
 export const TARGETS_KEY = 'state/targets'
+export const SETTINGS_KEY = 'state/settings'
+/** Prefix of the leader's own records. */
+export const STATE_PREFIX = 'state/'
 export const JOB_PREFIX = 'jobs/'
 export const CANCEL_SUFFIX = '/cancelled'
 export const PROGRESS_PREFIX = 'progress/'
@@ -51,6 +54,8 @@
   readonly leader: Peer
   /** Earlier terms that are not settled; missing if there are none. */
   readonly unsettled?: readonly UnsettledTerm[]
+  /** Last term whose run numbers the leader may use; missing at the start of a term and in records of older releases. */
+  readonly reservedTerm?: number
 }
 
 /** Targets that may hold runs, as stored under `state/targets`. */
