Check at the moment of sending whether the leader may command

A leader that was paused or suspended sent the starts that a scheduling pass had decided before it noticed, to targets that had not seen the later term. Cause: only listings asked whether the process had been suspended, and only a tick noticed it. The age of the lease was taken on the monotonic clock, which stands still while a host is suspended, so that an ended lease passed for confirmed. The paused leader itself wasn't reproduced with a run on real processes. Change: each command asks CommandPermission at the moment of sending; what may not be sent counts as unanswered and is sent again later. Ages of the lease count on the monotonic clock and on the time of day, whichever is longer. Also: tests of member processes use loopback addresses of their own (127.1.x.2), which those of the soak don't share.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -8,11 +8,13 @@
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import { AdviceDispatcher } from './advice-dispatcher.ts'
+import { CommandPermission } from './command-permission.ts'
 import { Committer } from './committer.ts'
 import { delay } from './delay.ts'
 import { EarlierLeaders } from './earlier-leaders.ts'
 import type { EarlierLeadersOptions } from './earlier-leaders.ts'
 import type { Peer } from './member-call.ts'
+import { PermittedCommands } from './permitted-commands.ts'
 import { readPrefix } from './store-calls.ts'
 import { readStoredJobs } from './read-stored-jobs.ts'
 import { readStoredSettings } from './read-stored-settings.ts'
@@ -31,8 +33,6 @@
 const RESTORE_RETRY_DELAY_MS = 200
 /** A member that has not sent a hello for this time, in milliseconds, gets no more advice requests. */
 const PEER_TIMEOUT_MS = 5_000
-/** If a tick is late by more than this, the process may have been suspended, in milliseconds. */
-const SUSPENSION_THRESHOLD_MS = 700
 /** Pause after a scheduling pass, as a multiple of its duration: passes use at most a third of the processor. */
 const PASS_PAUSE_FACTOR = 2
 
@@ -58,7 +58,9 @@
 /** Runs the work of a cell's leader: the scheduler, a session for each target, the commits and the advice requests. */
 export class Controller {
   private readonly scheduler: CellScheduler
-  private readonly commands: RelayedCommands
+  private readonly permission: CommandPermission
+  private readonly relayedCommands: RelayedCommands
+  private readonly commands: CommandClient
   private readonly committer: Committer
   private readonly adviceDispatcher: AdviceDispatcher
   private readonly sessions = new Map<string, TargetSession>()
@@ -73,19 +75,19 @@
   private stopped = false
   private restored = false
   private targetsRead = false
-  private lastTickAt = Date.now()
-  private suspendedUntilConfirmed = false
   /** Earliest start of the next scheduling pass, on the monotonic clock. */
   private nextPassAt = 0
 
   private constructor (private readonly options: ControllerOptions) {
     this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, wallClockOffsetMs: Date.now() - performance.now() })
-    this.commands = RelayedCommands.create({
+    this.permission = CommandPermission.create({ isLeaseConfirmed: options.isLeaseConfirmed, reporter: options.reporter })
+    this.relayedCommands = RelayedCommands.create({
       direct: options.commands,
       open: options.openRelayStream,
       reporter: options.reporter,
       getFailureDomain: (target) => this.scheduler.getTarget(target)?.entry.failureDomain
     })
+    this.commands = PermittedCommands.create(this.relayedCommands, () => this.permission.isGranted())
     const { term, self, leaseMs, reporter, requestStandDown, standDown } = options
     this.earlierLeaders = EarlierLeaders.create({ term, self, leaseMs, reporter, requestStandDown, standDown, isStopped: () => this.stopped })
     this.summaryLog = SummaryLog.create(reporter)
@@ -201,7 +203,7 @@
     this.adviceDispatcher.stop()
     this.storeFeed.stop()
     for (const session of this.sessions.values()) session.stop()
-    this.commands.close()
+    this.relayedCommands.close()
   }
 
   private addAdviceChannel (peer: Peer): void {
@@ -267,17 +269,10 @@
   }
 
   private tick (): void {
-    const now = Date.now()
-    const lateMs = Math.abs(now - this.lastTickAt) - TICK_INTERVAL_MS
-    this.lastTickAt = now
-    if (lateMs > SUSPENSION_THRESHOLD_MS && !this.options.isLeaseConfirmed()) {
-      this.suspendedUntilConfirmed = true
-      this.options.reporter.log('warn', 'process-was-suspended', { lateMs })
-    }
-    if (this.suspendedUntilConfirmed && this.options.isLeaseConfirmed()) this.suspendedUntilConfirmed = false
+    this.permission.isGranted()
     this.summaryLog.writeIfDue(() => this.readState())
     this.removeUnresponsivePeers()
-    this.commands.update(this.members, this.scheduler.countTargetsByDomain())
+    this.relayedCommands.update(this.members, this.scheduler.countTargetsByDomain())
     this.checkRunsOfEarlierTerms()
     this.storeFeed.acceptWaitingJobs()
     this.applyEvent({ type: 'tick' })
@@ -378,7 +373,7 @@
       getTarget: () => this.scheduler.getTarget(id),
       applyEvent: (event) => this.applyEvent(event),
       waitForCommit: () => new Promise((resolve) => this.commitWaiters.push(resolve)),
-      canSendCommands: () => !this.suspendedUntilConfirmed
+      canSendCommands: () => this.permission.isGranted()
     }))
   }
 
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { LeaseId, Store, StoreChange, StoreEntry } from '../ports/store.ts'
+import { Moment } from '../util/moment.ts'
 import { delay } from './delay.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
 import type { Reporter } from './reporter.ts'
@@ -61,7 +62,7 @@
   readonly onOtherLeader?: (leader: LeaderRecord) => void
 }
 
-type HeldLeadership = { readonly lease: LeaseId, readonly term: number, readonly nonce: string, readonly version: number, renewedAt: number }
+type HeldLeadership = { readonly lease: LeaseId, readonly term: number, readonly nonce: string, readonly version: number, renewedAt: Moment }
 
 /**
  * Claims the leadership whenever no member holds it, and keeps it by renewing a lease of the store.
@@ -114,7 +115,7 @@
 
   /** Whether the store has confirmed the lease so recently that no other member can lead. */
   get isLeaseConfirmed (): boolean {
-    return this.held !== undefined && performance.now() - this.held.renewedAt < MAX_CONFIRMATION_AGE_MS
+    return this.held !== undefined && this.held.renewedAt.ageMs < MAX_CONFIRMATION_AGE_MS
   }
 
   /** Gives up the leadership, for example because a target has seen a newer term. */
@@ -206,7 +207,7 @@
     const { store, member, address } = this.options
     const previousEntry = await readKey(store, COMMIT_KEY)
     if (previousEntry.isErr()) return false
-    const sentAt = performance.now()
+    const sentAt = Moment.now()
     const lease = await callStore(store, { type: 'grant-lease', ttlMs: LEASE_TTL_MS })
     if (lease.isErr()) return false
     const previous = previousEntry.value === undefined ? undefined : parseRecord<CommitRecord>(previousEntry.value.value)
@@ -238,10 +239,10 @@
   }
 
   /** Returns why a recorded claim must not be used any more; undefined if it may. */
-  private findObstacle (term: number, leaseRequestedAt: number): string | undefined {
+  private findObstacle (term: number, leaseRequestedAt: Moment): string | undefined {
     if (!this.isCandidate) return 'this member is stopping'
     if (term < this.latestRequestedTerm) return 'the leader of a later term requested it'
-    return performance.now() - leaseRequestedAt > LEASE_TTL_MS ? 'its lease may have expired' : undefined
+    return leaseRequestedAt.ageMs > LEASE_TTL_MS ? 'its lease may have expired' : undefined
   }
 
   /** Returns the version of the commit key if the claim with this nonce was applied although its response was lost. */
@@ -264,12 +265,12 @@
   }
 
   private async renewLease (held: HeldLeadership): Promise<void> {
-    const sentAt = performance.now()
+    const sentAt = Moment.now()
     const response = await callStore(this.options.store, { type: 'renew-lease', lease: held.lease })
     if (this.held !== held) return
     if (response.isOk() && response.value.alive) held.renewedAt = sentAt
     else if (response.isOk()) this.stepDown('its lease has expired')
-    else if (performance.now() - held.renewedAt > LEASE_TTL_MS + LEASE_GRACE_MS) this.stepDown('the store has not responded for too long')
+    else if (held.renewedAt.ageMs > LEASE_TTL_MS + LEASE_GRACE_MS) this.stepDown('the store has not responded for too long')
   }
 }
 
--- a/test/platform/process-harness.ts
+++ b/test/platform/process-harness.ts
@@ -21,13 +21,13 @@
   private constructor (readonly process: ProcessMember, readonly kv: KvServer, readonly settingsPath: string, private readonly address: URL, private readonly readinessUrl: string) {}
 
   /**
-   * Starts the process; `octet` is the third of its loopback address, which differs between concurrent tests. The test can
+   * Starts the process; `octet` is the third of its loopback address 127.1.x.2, which differs between concurrent tests. The test can
    * write the settings itself, to a path that it has prepared.
    */
   static async start (octet: number, writeSettings: (path: string, text: string) => void = writeFileSync): Promise<MemberProcess> {
     const kv = await KvServer.listen()
     StandinOperator.create(kv).configure({ version: 1, host: HOST, key: KEY, weight: 100, maxAttempts: 2, queues: [{ name: 'short', priority: 0 }] })
-    const options = { name: 'm1', host: `127.0.${octet}.2`, failureDomain: 'east', storeAddress: kv.address, advisorAddress: kv.address, cores: 1 }
+    const options = { name: 'm1', host: `127.1.${octet}.2`, failureDomain: 'east', storeAddress: kv.address, advisorAddress: kv.address, cores: 1 }
     const settings = { ...createMemberSettings(options) as object, bounds: { maxHoldMs: 6_000, graceS: GRACE_S } }
     const settingsPath = join(mkdtempSync(join(tmpdir(), 'damaskfield-signals-')), 'settings.json')
     writeSettings(settingsPath, JSON.stringify(settings))
