Give a task up only for crashes in a row just after its starts

Cause: a task was given up after four crashes of targets on which it had a run, whatever it had done there, or after three within a second of its start or before its start was answered. Tasks beside one that crashes its targets were charged as well.

Change: a crash counts only if it is noticed within 300 ms of the start and no suspect had started there too. Three in a row give the task up, four where many targets fall silent. A target that still has the run 100 ms after it had accepted it clears the task. A suspect's crash is stored as possible with its start, so that a leader that ends at that moment does not lose it. Runs that a new leader finds are not charged.

The log line target-crashed no longer counts the tasks beside the suspects.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -17,6 +17,7 @@
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
 import { restoreClosedTargets } from './closed-targets.ts'
+import { CrashRate } from './crash-rate.ts'
 import { confirmCrash, indexRestoredCrashes, prunePossibleCrashes, recordPossibleCrash } from './crashes.ts'
 import { throttleTargets } from './throttling.ts'
 import { RoomLog } from './room-log.ts'
@@ -64,6 +65,7 @@
       roomLog: RoomLog.create(),
       searchBudget: SEARCH_BUDGET_TARGETS,
       possibleCrashes: new Map(),
+      crashRate: CrashRate.create(),
       evacuatedDomains: new Set(),
       storedTargets: new Set(),
       closedTargets: new Map(),
@@ -223,11 +225,12 @@
     if (cause === 'fenced') this.state.effects.push({ type: 'fenced', target: id })
     if (target === undefined) return
     target.processEnded = cause === NO_LISTENER || cause === 'other-incarnation'
+    if (target.reachable) {
+      recordPossibleCrash(this.state, target)
+      target.reachable = false
+      log(this.state, 'warn', 'target-silent', { target: id, runs: target.runs.size, cause })
+    }
     if (cause === 'other-incarnation') confirmCrash(this.state, target)
-    if (!target.reachable) return
-    target.reachable = false
-    recordPossibleCrash(this.state, target)
-    log(this.state, 'warn', 'target-silent', { target: id, runs: target.runs.size, cause })
   }
 
   private handleCommandResponse (event: Extract<CellEvent, { type: 'start-answered' | 'stop-answered' }>): void {
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -1,5 +1,6 @@
 import type { PendingAdvice } from './pending-advice.ts'
 import type { CellConfiguration, Organisation, Queue } from './cell-configuration.ts'
+import type { CrashRate } from './crash-rate.ts'
 import type { CellEffect } from './effect.ts'
 import type { Demand, JobDefinition, JobPhase, TaskKey } from './job.ts'
 import { NO_DEMAND } from './job.ts'
@@ -43,6 +44,7 @@
   readonly evacuatedDomains: Set<string>
   /** Incarnations of targets that may have crashed, and the tasks that ran there. */
   readonly possibleCrashes: Map<string, Set<Task>>
+  readonly crashRate: CrashRate
   /** Targets that are on the stored list of targets that may have runs. */
   readonly storedTargets: Set<string>
   /** Targets that are stored as closed: they get no starts, and only these tasks may run there. */
--- a/src/workflow/crash-record.ts
+++ b/src/workflow/crash-record.ts
@@ -1,18 +1,16 @@
-/** Number of crashes for which a task was suspected after which it is given up. */
-const MAX_SUSPECTED_CRASHES = 3
-/** Number of crashes under a task, whatever else had started on the targets, after which it is given up. */
-const MAX_CRASHES = 4
-
-/** By the key of an incarnation of a target, whether the task is suspected to have crashed it. */
-type Suspicions = Readonly<Record<string, boolean>>
+/** Keys of incarnations of targets. An entry that is not `true` was stored by an earlier version and shows nothing about the task. */
+type StoredIncarnations = Readonly<Record<string, unknown>>
 
 /** Crashes under a task as they are stored. `possible`: the targets that have fallen silent, and may have crashed. */
-export type StoredCrashes = { readonly confirmed: Suspicions, readonly possible: Suspicions }
+export type StoredCrashes = { readonly confirmed: StoredIncarnations, readonly possible: StoredIncarnations }
 
-/** The incarnations of targets that have crashed under one task. A crash that shows in several ways counts once. */
+/**
+ * The incarnations of targets that have crashed just after the start of one task, since it last worked on a target. A crash
+ * that shows in several ways counts once.
+ */
 export class CrashRecord {
-  private readonly confirmed = new Map<string, boolean>()
-  private readonly possible = new Map<string, boolean>()
+  private readonly confirmed = new Set<string>()
+  private readonly possible = new Set<string>()
 
   private constructor () {}
 
@@ -21,26 +19,22 @@
    *
    * @example
    * const crashes = CrashRecord.create()
-   * crashes.addPossible('10.128.0.9:8080#1770390718037', true)
+   * crashes.addPossible('10.128.0.9:8080#1770390718037')
    * crashes.confirm('10.128.0.9:8080#1770390718037')
-   * crashes.isSuspect // true
+   * crashes.count // 1
    */
   static create (): CrashRecord {
     return new CrashRecord()
   }
 
+  /** Number of certain crashes. */
   get count (): number {
     return this.confirmed.size
   }
 
   /** Whether the task may crash the targets on which it starts. */
   get isSuspect (): boolean {
-    return this.suspectedCount > 0
-  }
-
-  /** Whether so many targets have crashed under the task that it must not start again. */
-  get isExhausted (): boolean {
-    return this.suspectedCount >= MAX_SUSPECTED_CRASHES || this.count >= MAX_CRASHES
+    return !this.isEmpty
   }
 
   get isEmpty (): boolean {
@@ -49,16 +43,12 @@
 
   /** Keys of the incarnations that may have crashed under the task. */
   get possibleCrashes (): Iterable<string> {
-    return this.possible.keys()
-  }
-
-  isConfirmed (incarnation: string): boolean {
-    return this.confirmed.has(incarnation)
+    return this.possible
   }
 
-  /** Records a target that has fallen silent under the task. `suspected`: the task had just started there. */
-  addPossible (incarnation: string, suspected: boolean): void {
-    if (!this.isConfirmed(incarnation)) this.possible.set(incarnation, suspected)
+  /** Records a target that has fallen silent just after the start of the task. */
+  addPossible (incarnation: string): void {
+    if (!this.confirmed.has(incarnation)) this.possible.add(incarnation)
   }
 
   /** Removes a target that has come back as it was. */
@@ -68,10 +58,7 @@
 
   /** Counts a target that has certainly crashed. */
   confirm (incarnation: string): void {
-    const suspected = this.possible.get(incarnation)
-    if (suspected === undefined) return
-    this.possible.delete(incarnation)
-    this.confirmed.set(incarnation, suspected)
+    if (this.possible.delete(incarnation)) this.confirmed.add(incarnation)
   }
 
   clear (): void {
@@ -80,15 +67,19 @@
   }
 
   toStored (): StoredCrashes {
-    return { confirmed: Object.fromEntries(this.confirmed), possible: Object.fromEntries(this.possible) }
+    return { confirmed: toStoredIncarnations(this.confirmed), possible: toStoredIncarnations(this.possible) }
   }
 
   restore ({ confirmed, possible }: StoredCrashes): void {
-    for (const [incarnation, suspected] of Object.entries(confirmed)) this.confirmed.set(incarnation, suspected)
-    for (const [incarnation, suspected] of Object.entries(possible)) this.possible.set(incarnation, suspected)
+    for (const incarnation of readStoredIncarnations(confirmed)) this.confirmed.add(incarnation)
+    for (const incarnation of readStoredIncarnations(possible)) this.possible.add(incarnation)
   }
+}
 
-  private get suspectedCount (): number {
-    return [...this.confirmed.values()].filter((suspected) => suspected).length
-  }
+function toStoredIncarnations (incarnations: ReadonlySet<string>): StoredIncarnations {
+  return Object.fromEntries([...incarnations].map((incarnation) => [incarnation, true]))
+}
+
+function readStoredIncarnations (stored: StoredIncarnations): readonly string[] {
+  return Object.keys(stored).filter((incarnation) => stored[incarnation] === true)
 }
--- a/src/workflow/crashes.ts
+++ b/src/workflow/crashes.ts
@@ -1,45 +1,66 @@
 import { count, log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
-import { hasJustStarted } from './crash-suspicion.ts'
+import { findSuspects } from './crash-suspicion.ts'
 import { endJob } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
 import type { TargetEntry } from './target-entry.ts'
 import type { TargetState } from './target-state.ts'
 import type { Task } from './task.ts'
+import { SETTLED_MS, TRIAL_MS } from './trial.ts'
 
 /**
- * Records that a target may have crashed under its runs. It has fallen silent, which does not show that: a target that cannot
- * be reached may come back with its runs. The tasks that had just started there are suspected if it has crashed. Runs that are
- * booked there only because an earlier incarnation had them do not count again.
+ * Records that a target may have crashed under the tasks that have just started there. It has fallen silent, which does not
+ * show a crash: a target that cannot be reached may come back with its runs.
  */
 export function recordPossibleCrash (state: CellState, target: TargetState): void {
-  if (target.entry.draining) return
+  const { draining } = target.entry
+  const suspects = new Set((draining ? [] : findSuspects(state, target)).map(({ task }) => task))
+  if (!draining && ![...suspects].some(({ crashes }) => crashes.isSuspect)) state.crashRate.record(state.now)
   const incarnation = formatIncarnation(target.entry)
-  for (const live of target.runs.values()) {
-    if (!live.carriedOver && isRelevant(live.task) && !live.task.crashes.isConfirmed(incarnation)) addPossibleCrash(state, live, incarnation)
+  for (const task of takePossibleCrash(state, incarnation)) {
+    if (!suspects.has(task)) withdrawFrom(state, task, incarnation)
+  }
+  for (const task of suspects) {
+    if (isRelevant(task)) addPossibleCrash(state, task, incarnation)
+  }
+}
+
+function withdrawFrom (state: CellState, task: Task, incarnation: string): void {
+  task.crashes.withdraw(incarnation)
+  storeProgress(state, task)
+}
+
+/**
+ * Begins the trials of the started tasks that may crash their targets: nothing else starts there for a while. The crash is
+ * stored as possible before it can happen, so that it counts even if this owner is replaced at the same time.
+ */
+export function beginTrials (state: CellState, started: readonly LiveRun[]): void {
+  for (const { task, target } of started) {
+    if (!task.crashes.isSuspect) continue
+    target.pausedUntil = Math.max(target.pausedUntil, state.now + TRIAL_MS)
+    addPossibleCrash(state, task, formatIncarnation(target.entry))
   }
 }
 
+/** Handles that a run is listed: a task whose target was asked some time after it had accepted the run does not crash it. */
+export function settleRun (state: CellState, live: LiveRun, sentAt: number): void {
+  if (live.settled || live.respondedAt === undefined || sentAt - live.respondedAt < SETTLED_MS) return
+  live.settled = true
+  if (live.task.crashes.isEmpty) return
+  live.task.crashes.clear()
+  storeProgress(state, live.task)
+}
+
 function isRelevant ({ phase, step }: Task): boolean {
   return step.job.active && phase !== 'done'
 }
 
-function addPossibleCrash (state: CellState, live: LiveRun, incarnation: string): void {
-  const { task } = live
-  const suspected = hasJustStarted(live)
-  if (task.step.spec.longRunning && !suspected) return clearCrashes(state, task)
-  task.crashes.addPossible(incarnation, suspected)
+function addPossibleCrash (state: CellState, task: Task, incarnation: string): void {
+  task.crashes.addPossible(incarnation)
   indexPossibleCrash(state, task, incarnation)
   storeProgress(state, task)
 }
 
-/** Clears the crashes under a long-running task that has worked for a while: its start does not crash its target. */
-function clearCrashes (state: CellState, task: Task): void {
-  if (task.crashes.isEmpty) return
-  task.crashes.clear()
-  storeProgress(state, task)
-}
-
 function indexPossibleCrash (state: CellState, task: Task, incarnation: string): void {
   const tasks = state.possibleCrashes.get(incarnation) ?? new Set()
   state.possibleCrashes.set(incarnation, tasks.add(task))
@@ -52,18 +73,22 @@
   }
 }
 
-/** Records that a target responds, so that it has not crashed. */
+/** Records that a target responds, so that it has not crashed. The trials of tasks that have just started there go on. */
 export function withdrawCrash (state: CellState, target: TargetState): void {
   const incarnation = formatIncarnation(target.entry)
   for (const task of takePossibleCrash(state, incarnation)) {
-    task.crashes.withdraw(incarnation)
-    storeProgress(state, task)
+    if (isOnTrial(task, target)) indexPossibleCrash(state, task, incarnation)
+    else withdrawFrom(state, task, incarnation)
   }
 }
 
+function isOnTrial (task: Task, target: TargetState): boolean {
+  return [...task.runs].some((live) => live.target === target && !live.settled && !live.adopted)
+}
+
 /** Records that the process of a target has certainly ended although it was not draining: another one is in its place. */
 export function confirmCrash (state: CellState, target: TargetState): void {
-  recordPossibleCrash(state, target)
+  if (target.reachable) recordPossibleCrash(state, target)
   confirmPossibleCrash(state, formatIncarnation(target.entry))
 }
 
@@ -81,14 +106,17 @@
     task.crashes.confirm(incarnation)
     storeProgress(state, task)
   }
-  if (tasks.length > 0) log(state, 'warn', 'target-crashed', { incarnation, tasks: tasks.length, suspects: tasks.filter(({ crashes }) => crashes.isSuspect).map(({ key }) => key).join(',') })
+  if (tasks.length > 0) log(state, 'warn', 'target-crashed', { incarnation, suspects: tasks.map(({ key }) => key).join(',') })
   for (const task of tasks) giveUpIfExhausted(state, task)
 }
 
-function giveUpIfExhausted (state: CellState, { key, crashes, step }: Task): void {
-  if (!crashes.isExhausted || !step.job.active) return
+/** Fails the job of a task that has crashed so many targets that it must not start again; returns whether it has. */
+export function giveUpIfExhausted (state: CellState, { key, crashes, step }: Task): boolean {
+  if (crashes.count === 0 || !step.job.active) return false
+  if (crashes.count < state.crashRate.computeCrashLimit(state.now, state.targets.size)) return false
   count(state, 'task-given-up', 'crashes')
   endJob(state, step.job, 'failed', `${crashes.count} targets have crashed under task ${key}`)
+  return true
 }
 
 function takePossibleCrash (state: CellState, incarnation: string): ReadonlySet<Task> {
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -2,7 +2,7 @@
 import { count, findTask, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { releaseTasks } from './closed-targets.ts'
-import { withdrawCrash } from './crashes.ts'
+import { settleRun, withdrawCrash } from './crashes.ts'
 import { countFailure, findListedTask, finishTask } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
 import { addRun, removeRun, sendStop } from './runs.ts'
@@ -21,7 +21,7 @@
   let unknownRunCount = 0
   for (const listed of listing.running) {
     listedKeys.add(`${listed.task}#${listed.run}`)
-    if (!handleListedRun(state, target, listed)) unknownRunCount += 1
+    if (!handleListedRun(state, target, listed, sentAt)) unknownRunCount += 1
   }
   if (unknownRunCount !== target.unknownRunCount) recordRoom(state, target)
   target.unknownRunCount = unknownRunCount
@@ -100,10 +100,11 @@
 }
 
 /** Updates the state of a listed run; returns whether the run belongs to a known job. */
-function handleListedRun (state: CellState, target: TargetState, listed: ListedRun): boolean {
+function handleListedRun (state: CellState, target: TargetState, listed: ListedRun, sentAt: number): boolean {
   const live = target.find(listed.task, listed.run) ?? adoptRun(state, target, listed)
   if (live === undefined) return false
   live.carriedOver = false
+  settleRun(state, live, sentAt)
   if (live.phase === 'starting') {
     live.phase = 'running'
     live.respondedAt = state.now
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -13,10 +13,14 @@
   readonly run: number
   /** Replaced when the target restarts with the same id. */
   target: TargetState
+  /** Whether a previous owner started it. */
+  readonly adopted: boolean
   /** Whether it started on an earlier incarnation of the target and has not been listed by this one. */
   carriedOver: boolean
   /** Whether its queue has the highest priority. */
   readonly urgent: boolean
+  /** Whether its target has listed it some time after its start, so that the start has not crashed the target. */
+  settled: boolean
   phase: LivePhase
   ticket: string | undefined
   /** Number of commands sent in the current phase. */
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -2,7 +2,7 @@
 import { requestAdvice } from './advice-requests.ts'
 import { log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
-import { beginTrials } from './crash-suspicion.ts'
+import { beginTrials, giveUpIfExhausted } from './crashes.ts'
 import { placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
@@ -44,6 +44,7 @@
 }
 
 function startStep (state: CellState, step: StepRun): void {
+  if (!step.job.active) return
   state.passWork.steps += 1
   if (needsAdvice(state, step) && !step.advice.hasResponse) {
     if (isWithinMaximum(state, step, step.spec.demand)) requestFirstAdvice(state, step)
@@ -64,6 +65,8 @@
 function startTasks (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
   for (const task of step.tasks) {
     if (!mayStart(state, task)) continue
+    // The number of crashes after which a task is given up may have fallen since its last one.
+    if (giveUpIfExhausted(state, task)) return true
     if (!isWithinMaximum(state, step, step.spec.demand)) return true
     const target = chooseTarget(state, candidates, task)
     if (target === undefined) {
@@ -116,7 +119,7 @@
 
 /** Starts a gang; returns false if more tickets could help. */
 function startGang (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
-  if (!step.tasks.every((task) => mayStart(state, task))) return true
+  if (!step.tasks.every((task) => mayStart(state, task)) || step.tasks.some((task) => giveUpIfExhausted(state, task))) return true
   if (!isWithinMaximum(state, step, computeTotalDemand(step))) return true
   const run = state.lastRunNumber + 1
   alignCheckpoints(step)
