Ask for several urgent steps while a batch question is answered

Cause: two questions may be pending for each channel to the advisor. With a single channel a batch question of 600 ms takes one of the two places, so that one urgent question of 43 ms went before the next batch question: the steps of both kinds alternated, whatever their ranks.

Change: while questions of other queues are pending, urgent ones go on being sent as long as those that are pending take less than 400 ms for each of them. The dispatcher serves them first, so a batch question waits for them at most that long. Without batch questions nothing changes.

--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -46,11 +46,12 @@
     advice.waitsForChannelSince = undefined
     return
   }
-  state.pendingAdvice.add(step.key, { urgent, overdue: isOverdue(state, step), now: state.now })
+  const costMs = computeAdviceCostMs(state, step, targets.length)
+  state.pendingAdvice.add(step.key, { urgent, overdue: isOverdue(state, step), costMs, now: state.now })
   advice.searchedTo = undefined
   advice.waitsForChannelSince = undefined
   advice.requestPending = true
-  state.effects.push({ type: 'request-advice', step: step.key, targets, costMs: computeAdviceCostMs(state, step, targets.length), urgent })
+  state.effects.push({ type: 'request-advice', step: step.key, targets, costMs, urgent })
 }
 
 function computeAdviceCostMs (state: CellState, step: StepRun, targetCount: number): number {
--- a/src/workflow/pending-advice.ts
+++ b/src/workflow/pending-advice.ts
@@ -1,5 +1,11 @@
 /** Maximum number of pending requests for each channel: one at the advisor and one that waits. */
 const REQUESTS_PER_CHANNEL = 2
+/**
+ * Beyond that number, urgent requests are sent as long as those without a response cost less than this for each pending
+ * request of the other queues, in milliseconds. Such a request can take as long as ten urgent ones: with a single channel,
+ * one urgent request for each of them would not serve the urgent steps.
+ */
+const URGENT_MS_BEHIND_OTHERS = 400
 /**
  * Ratio of the channels that requests of non-urgent queues may use. Each takes up to a second at the advisor, and an urgent
  * request that waits behind them would miss its objective.
@@ -14,7 +20,8 @@
 export class PendingAdvice {
   /** Number of members that can send advice requests. */
   channels = 1
-  private readonly urgent = new Set<string>()
+  /** Urgent steps, and the time that the advisor needs for their requests, in milliseconds. */
+  private readonly urgent = new Map<string, number>()
   private readonly nonUrgent = new Set<string>()
   /** Those of both kinds that have waited too long. */
   private readonly overdue = new Set<string>()
@@ -31,6 +38,11 @@
     return this.urgent.size + this.nonUrgent.size
   }
 
+  /** Time that the advisor needs for the urgent requests without a response, in milliseconds. */
+  private get urgentMs (): number {
+    return [...this.urgent.values()].reduce((sum, costMs) => sum + costMs, 0)
+  }
+
   /** Number of further steps that may take precedence because they have waited too long. */
   get freeOverdueChannels (): number {
     return Math.max(1, Math.floor(this.channels * OVERDUE_CHANNEL_RATIO)) - this.overdue.size
@@ -44,16 +56,17 @@
     this.lastUrgentAt ??= now
     if (prefetch && this.size >= this.channels) return false
     if (this.size >= this.channels * REQUESTS_PER_CHANNEL) {
-      if (urgent) this.lastUrgentAt = now
-      return false
+      if (!urgent) return false
+      this.lastUrgentAt = now
+      return this.urgentMs < this.nonUrgent.size * URGENT_MS_BEHIND_OTHERS
     }
     const ratio = now - this.lastUrgentAt < URGENT_RESERVE_MS ? NON_URGENT_CHANNEL_RATIO : 1
     return urgent || this.nonUrgent.size < Math.max(1, Math.floor(this.channels * ratio))
   }
 
-  add (step: string, { urgent, overdue, now }: { readonly urgent: boolean, readonly overdue: boolean, readonly now: number }): void {
+  add (step: string, { urgent, overdue, costMs, now }: { readonly urgent: boolean, readonly overdue: boolean, readonly costMs: number, readonly now: number }): void {
     if (urgent) {
-      this.urgent.add(step)
+      this.urgent.set(step, costMs)
       this.lastUrgentAt = now
     } else {
       this.nonUrgent.add(step)
