Name more targets in a question that had to wait for a channel

What callers saw: with one member left, batch jobs that had begun waited again and again for the advisor, and others behind them.

Cause: the first question of a step names eight targets if their expected room suffices. Of eight, one or two were often allowed (a third on average), with room for a part of the tasks: the step asked again, and each question takes 530 ms for the decision and 7 ms for a target.

Change: a question of a step that has waited for a channel names targets until they take a quarter of the time of the decision. Nothing changes for a step that finds a free channel. To name fewer targets, the first idea, would have saved 15% of a question and cost whole ones.

Test: failed before (8 targets named, 16 expected).

--- a/src/workflow/advice-targets.ts
+++ b/src/workflow/advice-targets.ts
@@ -15,6 +15,11 @@
 const CAPACITY_FACTOR = 2
 /** The first request of a step names at least this many targets, so that there is a choice. */
 const MIN_FIRST_REQUEST_TARGETS = 8
+/**
+ * A request of a step that has waited for a channel names more targets, until they take this ratio of the time of the
+ * decision: another request for the same step would take that time once more.
+ */
+const SCARCE_TARGETS_TIME_RATIO = 0.25
 /** The best targets are chosen among this many times as many as the request is expected to name. */
 const CHOICE_FACTOR = 3
 /**
@@ -50,7 +55,15 @@
   const source = changed?.filter(({ entry }) => entry.pool === pool) ?? open.walk(seed)
   const withCapacity = hasRoom ? findCandidates(state, step, source, choice, (target) => acceptsTaskOf(state, target, step)) : []
   const selectable = withCapacity.length === 0 && prefetch && isFirstRequest ? findCandidates(state, step, open.walk(seed), choice, () => true) : withCapacity
-  return limitToSlots(state, step, sortByScore(state, step, selectable, seed), neededSlots, isFirstRequest ? MIN_FIRST_REQUEST_TARGETS : 1)
+  return limitToSlots(state, step, sortByScore(state, step, selectable, seed), neededSlots, computeMinTargets(state, step))
+}
+
+/** Number of targets that a request of the step names even if fewer are expected to have the needed slots. */
+function computeMinTargets (state: CellState, { advice, job }: StepRun): number {
+  const minTargets = advice.hasResponse ? 1 : MIN_FIRST_REQUEST_TARGETS
+  const timings = findQueue(state, job.definition)?.advice
+  if (advice.waitsForChannelSince === undefined || timings === undefined) return minTargets
+  return Math.max(minTargets, Math.floor(timings.decisionMs * SCARCE_TARGETS_TIME_RATIO / timings.perTargetMs))
 }
 
 function selectForRack (state: CellState, step: StepRun, open: OpenTargets, prefetch: boolean): readonly string[] {
@@ -65,11 +78,12 @@
 function findCandidates (state: CellState, step: StepRun, targets: Iterable<TargetState>, wantedSlots: number, accepts: (target: TargetState) => boolean): readonly TargetState[] {
   const { dataRack } = step.spec
   const candidates = new Set<TargetState>()
+  const minCandidates = Math.max(MIN_FIRST_REQUEST_TARGETS, computeMinTargets(state, step)) * CHOICE_FACTOR
   let expectedSlots = 0
   for (const target of targets) {
     state.passWork.targets += 1
     state.searchBudget -= 1
-    const isEnough = expectedSlots >= wantedSlots && candidates.size >= MIN_FIRST_REQUEST_TARGETS * CHOICE_FACTOR
+    const isEnough = expectedSlots >= wantedSlots && candidates.size >= minCandidates
     if (isEnough && dataRack === undefined) break
     if (isEnough && target.entry.rack !== dataRack) continue
     if (!isSuitable(target, step) || !accepts(target) || !needsTicket(state, step, target)) continue
--- a/test/workflow/few-channels.test.ts
+++ b/test/workflow/few-channels.test.ts
@@ -36,3 +36,20 @@
     assert.equal(getAskingJobs(harness, 'urgent').length, expected)
   })
 }
+
+// Half the questions of a single channel went to steps that had asked before: the first question had named eight targets, one of them allowed.
+const firstQuestions = [
+  { guards: 'a step that had to wait for a channel names so few targets that it soon has to ask again', channels: 0, expected: 16 },
+  { guards: 'a step that finds a free channel names more targets than it needs', channels: 1, expected: 8 }
+]
+
+for (const { guards, channels, expected } of firstQuestions) {
+  test(`advice targets: guards against the failure that ${guards}`, () => {
+    const harness = createHarness(channels)
+    harness.acceptJob('batch', 'batch')
+    harness.apply({ type: 'advice-channels', channels: 1 })
+    harness.advance(600)
+    const [request] = harness.effects.flatMap((effect) => effect.type === 'request-advice' ? [effect] : [])
+    assert.equal(request?.targets.length, expected)
+  })
+}
