Refuse jobs that would wait too long for a channel to the advisor

Cause: nothing told the members that the leader can't ask for more. One channel answers a batch question in 600 ms; what was accepted needs more than a second of it each second.

Change: the leader adds up the time that the channels need for the steps that wait for one and for the steps after them. Where that takes more than 3 s for 2 s on end, members get it with the responses to their hellos, and refuse a job that would wait longer than its objective leaves it time (at least 3 s, at most 8 s). An organisation below its share of the channels isn't refused for the backlog of others. A refused job isn't stored: the store is asked for an earlier submission first, and a job found there is accepted. Retry-After is the time until the job would be accepted, one after another for callers that are refused, and stays with a caller that comes back early.

--- /dev/null
+++ b/src/controller/admission.ts
@@ -0,0 +1,71 @@
+import { MIN_BEARABLE_WAIT_MS, computeWaitMs } from '../workflow/advice-backlog.ts'
+import type { Overload } from '../workflow/advice-backlog.ts'
+import type { JobDefinition } from '../workflow/job.ts'
+import { computeChainsMs } from '../workflow/task.ts'
+
+/** No job is accepted that would wait longer for a channel, in milliseconds, however late its objective is. */
+const MAX_BEARABLE_WAIT_MS = 8_000
+
+/** Callers are never told to come back sooner than this, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 1_000
+
+export type AdmissionOptions = {
+  /** The leader's overloads; empty if they are not known. */
+  readonly getOverloads: () => readonly Overload[]
+  readonly now?: () => number
+}
+
+/** Decides which submissions are refused because the leader could not start their jobs in time. */
+export class Admission {
+  /** By queue and organisation, and by job, when callers that were refused are to come back, on the monotonic clock. */
+  private readonly promises = new Map<string, Map<string, number>>()
+
+  private constructor (private readonly getOverloads: () => readonly Overload[], private readonly now: () => number) {}
+
+  /**
+   * Creates the admission of a member.
+   *
+   * @example
+   * const admission = Admission.create({ getOverloads: () => link.getOverloads() })
+   * const retryAfterMs = admission.getRetryAfterMs(definition) // undefined: the job is welcome
+   */
+  static create ({ getOverloads, now = () => performance.now() }: AdmissionOptions): Admission {
+    return new Admission(getOverloads, now)
+  }
+
+  /**
+   * Returns after which time the caller should submit the job again, in milliseconds, or undefined if the job is
+   * welcome. Callers that are refused one after another get times one after another, as far apart as their jobs take; a
+   * caller that comes back too early keeps its time.
+   */
+  getRetryAfterMs ({ id, queue, organisation, steps }: JobDefinition): number | undefined {
+    const key = JSON.stringify([queue, organisation])
+    const overload = this.getOverloads().find((each) => each.queue === queue && each.organisation === organisation)
+    if (overload === undefined) {
+      this.promises.delete(key)
+      return undefined
+    }
+    const costMs = steps.length * overload.stepMs
+    const excessMs = computeWaitMs(overload, costMs) - computeBearableWaitMs(steps, overload)
+    if (excessMs <= 0) return undefined
+    const promises = this.getPromises(key)
+    const promisedAt = promises.get(id) ?? Math.max(this.now() + excessMs, ...promises.values()) + costMs
+    promises.set(id, promisedAt)
+    return Math.max(MIN_RETRY_AFTER_MS, promisedAt - this.now())
+  }
+
+  /** Returns the times that have not passed. */
+  private getPromises (key: string): Map<string, number> {
+    const valid = [...this.promises.get(key) ?? []].filter(([, at]) => at > this.now())
+    const promises = new Map(valid)
+    this.promises.set(key, promises)
+    return promises
+  }
+}
+
+/** Time that a job can wait and still end by its objective. Tasks that last have none. */
+function computeBearableWaitMs (steps: JobDefinition['steps'], { objective }: Overload): number {
+  if (steps.some(({ longRunning }) => longRunning)) return MIN_BEARABLE_WAIT_MS
+  const slackMs = (objective.stretch - 1) * Math.max(...computeChainsMs(steps)) + objective.latencyObjectiveMs
+  return Math.min(MAX_BEARABLE_WAIT_MS, Math.max(MIN_BEARABLE_WAIT_MS, slackMs))
+}
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,6 +1,7 @@
 import type { AdviceResponse, Advisor, CachedAdvice, CommandClient } from '../ports/command-client.ts'
 import type { Store } from '../ports/store.ts'
 import { assertNever } from '../util/assert-never.ts'
+import type { Overload } from '../workflow/advice-backlog.ts'
 import type { CellConfiguration } from '../workflow/cell-configuration.ts'
 import { CellScheduler } from '../workflow/cell-scheduler.ts'
 import type { CellEffect } from '../workflow/effect.ts'
@@ -147,6 +148,11 @@
     return this.restored ? this.scheduler.countQueuedJobsByQueue() : undefined
   }
 
+  /** Long waits for advice, for which members refuse jobs. */
+  get overloads (): readonly Overload[] {
+    return this.scheduler.overloads
+  }
+
   /** The other members that have sent a hello recently. */
   get members (): readonly Peer[] {
     return [...this.peers.values()].map(({ peer }) => peer)
--- a/src/controller/job-service.ts
+++ b/src/controller/job-service.ts
@@ -9,11 +9,12 @@
 
 /**
  * Outcome of a submission. `accepted`: the job is stored, by this or an earlier submission. `refused`: the job is not
- * stored and never will be. `unknown`: the job may be stored.
+ * stored and never will be; `retryAfterMs` says when it is expected to be accepted, if that is known. `unknown`: the job may
+ * be stored.
  */
 export type SubmissionOutcome =
   | { readonly type: 'accepted', readonly alreadyStored: boolean }
-  | { readonly type: 'refused', readonly reason: string }
+  | { readonly type: 'refused', readonly reason: string, readonly retryAfterMs?: number }
   | { readonly type: 'unknown', readonly reason: string }
 
 /** Result of looking up a job. `absent`: no such job is known. `unavailable`: the store could not be read or written. */
@@ -30,6 +31,8 @@
   readonly reporter: Reporter
   /** False while the store does not respond or refuses calls: the outcome of a write would be unknown. */
   readonly isStoreResponsive: () => boolean
+  /** Returns when to submit the job again if it could not be started in time now, in milliseconds; otherwise undefined. */
+  readonly getRetryAfterMs: (definition: JobDefinition) => number | undefined
   /** Requests the phase of a job from the leader; undefined without a reliable response. */
   readonly requestPhase: (id: string) => Promise<{ readonly phase: JobPhase | undefined } | undefined>
   readonly announceJob: (definition: JobDefinition) => void
@@ -55,6 +58,8 @@
   /** Stores a job. Retries until `deadline` (monotonic clock, milliseconds) once a write may have been applied. */
   async submit (definition: JobDefinition, deadline: number): Promise<SubmissionOutcome> {
     if (!this.options.isStoreResponsive()) return { type: 'refused', reason: 'store-silent' }
+    const retryAfterMs = this.options.getRetryAfterMs(definition)
+    if (retryAfterMs !== undefined && await this.isAbsent(definition.id)) return { type: 'refused', reason: 'overloaded', retryAfterMs }
     const key = jobKey(definition.id)
     // The definition of a completed job is deleted, but its progress stays.
     const absentConditions = [key, progressKey(definition.id)].map((absentKey) => ({ type: 'absent', key: absentKey }) as const)
@@ -74,6 +79,12 @@
     }
   }
 
+  /** Whether the store says that no earlier submission of the job has been stored. */
+  private async isAbsent (id: string): Promise<boolean> {
+    const entries = await Promise.all([jobKey(id), progressKey(id)].map((key) => readKey(this.options.store, key)))
+    return entries.every((entry) => entry.isOk() && entry.value === undefined)
+  }
+
   /** Gets the phase of a job from the leader, or from the store if the leader has none. */
   async getPhase (id: string): Promise<PhaseLookup> {
     const leaderResponse = await this.options.requestPhase(id)
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -1,4 +1,5 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
+import type { Overload } from '../workflow/advice-backlog.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 
 /** A member of the cell and the address at which it accepts calls of other members. */
@@ -32,8 +33,11 @@
 /** Response of a member to a call. */
 export type MemberResponse =
   | { readonly type: 'known-advice', readonly advice: readonly CachedAdvice[] }
-  /** `peers`: some other members. `waiting`: number of jobs without a started task, by queue; undefined while the leader reads the store. */
-  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined }
+  /**
+   * `peers`: some other members. `waiting`: number of jobs without a started task, by queue; undefined while the leader reads
+   * the store. `overloads`: long waits for advice; not sent by leaders of an earlier version.
+   */
+  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined, readonly overloads?: readonly Overload[] }
   /** The leader has applied what the sender has stored. */
   | { readonly type: 'noted' }
   /** The member leads no earlier term; `quietForMs` is the time since it last sent commands of one, in milliseconds. */
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -2,6 +2,7 @@
 import type { ProbeResult } from '../adapters/probe-address.ts'
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
 import { assertNever } from '../util/assert-never.ts'
+import type { Overload } from '../workflow/advice-backlog.ts'
 import type { JobPhase } from '../workflow/job.ts'
 import type { Controller } from './controller.ts'
 import { delay } from './delay.ts'
@@ -21,6 +22,8 @@
  * count.
  */
 const MAX_WAITING_COUNT_AGE_MS = 2_000
+/** Jobs are not refused on what the leader has sent longer ago, in milliseconds. */
+const MAX_OVERLOADS_AGE_MS = 2_000
 /** Number of members that are asked whether the leader's address refuses connections. */
 const CONFIRMING_MEMBERS = 2
 /** Maximum number of attempts to announce a job or its cancellation to the leader. */
@@ -46,6 +49,9 @@
   /** Number of waiting jobs by queue, as last received from the leader. */
   private waitingJobs: { readonly counts: Readonly<Record<string, number>>, readonly at: number } | undefined
 
+  /** Long waits for advice, as last received from the leader. */
+  private overloads: { readonly list: readonly Overload[], readonly at: number } | undefined
+
   /** The other members, as last received from the leader. */
   private peers: readonly Peer[] = []
   private readonly leaderFailureDetector: LeaderFailureDetector
@@ -100,7 +106,7 @@
     const controller = this.options.getController()
     if (controller === undefined) return { type: 'not-leading' }
     controller.recordPeer(peer)
-    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue }
+    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads }
   }
 
   private handleAnnouncement (applyToController: (controller: Controller) => boolean): MemberResponse {
@@ -187,6 +193,14 @@
     return this.waitingJobs.counts[queue] ?? 0
   }
 
+  /** Gets the long waits for advice; empty if no leader has sent them recently. */
+  getOverloads (): readonly Overload[] {
+    const controller = this.options.getController()
+    if (controller !== undefined) return controller.overloads
+    if (this.overloads === undefined || performance.now() - this.overloads.at > MAX_OVERLOADS_AGE_MS) return []
+    return this.overloads.list
+  }
+
   private async runHelloLoop (): Promise<void> {
     while (!this.stopped.signal.aborted) {
       await this.sendHello()
@@ -205,6 +219,7 @@
     const response = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_TIMEOUT_MS)
     if (response.isErr() || response.value.type !== 'welcome') return
     if (response.value.waiting !== undefined) this.waitingJobs = { counts: response.value.waiting, at: sentAt }
+    this.overloads = { list: response.value.overloads ?? [], at: sentAt }
     this.peers = response.value.peers.filter(({ member }) => member !== this.options.self.member)
   }
 
--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -54,7 +54,8 @@
   state.effects.push({ type: 'request-advice', step: step.key, targets, costMs, urgent })
 }
 
-function computeAdviceCostMs (state: CellState, step: StepRun, targetCount: number): number {
+/** Time that the advisor needs for a request of the step, in milliseconds. */
+export function computeAdviceCostMs (state: CellState, step: StepRun, targetCount: number): number {
   const timings = findQueue(state, step.job.definition)?.advice
   return timings === undefined ? 0 : timings.decisionMs + timings.perTargetMs * targetCount
 }
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -1,5 +1,7 @@
 import { assertNever } from '../util/assert-never.ts'
 import { NO_LISTENER } from '../ports/command-client.ts'
+import { AdviceBacklog } from './advice-backlog.ts'
+import type { Overload } from './advice-backlog.ts'
 import { prefetchAdvice, restoreCachedAdvice, handleAdviceResponse } from './advice-requests.ts'
 import { removeExpiredRuns, resendCommands, handleStartResponse, handleStopResponse } from './command-responses.ts'
 import type { CellConfiguration } from './cell-configuration.ts'
@@ -70,6 +72,7 @@
       heldBackTasks: new Map(),
       earlierRunsPossible: false,
       pendingAdvice: PendingAdvice.create(),
+      adviceBacklog: AdviceBacklog.create(),
       allowedRatios: new Map(),
       uncertainUsage: NO_DEMAND,
       lastRunNumber: resolved.firstRunNumber - 1,
@@ -135,6 +138,11 @@
     return counts
   }
 
+  /** Long waits for advice, for which members refuse jobs. */
+  get overloads (): readonly Overload[] {
+    return this.state.adviceBacklog.overloads
+  }
+
   get summary (): CellSummary {
     return buildCellSummary(this.state)
   }
@@ -270,6 +278,7 @@
     stopStragglers(state)
     throttleTargets(state)
     prefetchAdvice(state)
+    state.adviceBacklog.update(state)
     for (const job of state.jobs.values()) {
       if (job.active) openDueOccurrences(state, job)
     }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -1,3 +1,4 @@
+import type { AdviceBacklog } from './advice-backlog.ts'
 import type { PendingAdvice } from './pending-advice.ts'
 import type { CellConfiguration, Organisation, Queue } from './cell-configuration.ts'
 import type { CellEffect } from './effect.ts'
@@ -53,6 +54,8 @@
   earlierRunsPossible: boolean
   /** Advice requests without a response. */
   readonly pendingAdvice: PendingAdvice
+  /** Work for the advisor that accepted jobs wait for. */
+  readonly adviceBacklog: AdviceBacklog
   /** By queue, the ratio of targets in recent advice responses that the advisor allowed. */
   readonly allowedRatios: Map<string, number>
   /** Maximum usage of runs that are not known here, as of the last start pass. */
--- a/src/workflow/cell-summary.ts
+++ b/src/workflow/cell-summary.ts
@@ -22,6 +22,8 @@
   /** Ready steps without any advice and without a pending request, and how long the oldest of their jobs has waited. */
   readonly unadvisedSteps: number
   readonly longestUnadvisedMs: number
+  /** Time that the channels to the advisor need for what accepted jobs wait for. */
+  readonly adviceBacklogMs: number
 }
 
 /** Builds the summary of a cell. Capacity and bookings count only targets that accept new tasks. */
@@ -44,7 +46,8 @@
     surplusTasks: total(waiting.filter(({ step }) => step.job.exceedsShare).map(({ tasks }) => tasks)),
     askingSteps: ready.filter((step) => step.advice.requestPending).length,
     unadvisedSteps: unadvised.length,
-    longestUnadvisedMs: Math.round(Math.max(0, ...unadvised.map((step) => state.now - step.job.acceptedAt)))
+    longestUnadvisedMs: Math.round(Math.max(0, ...unadvised.map((step) => state.now - step.job.acceptedAt))),
+    adviceBacklogMs: Math.round(state.adviceBacklog.backlogMs)
   }
 }
 
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -145,7 +145,7 @@
 }
 
 /** Computes the longest declared duration from the start of each step to the end of the job. */
-function computeChainsMs (steps: readonly Step[]): readonly number[] {
+export function computeChainsMs (steps: readonly Step[]): readonly number[] {
   const chains = steps.map(({ estimatedMs }) => estimatedMs)
   for (let later = steps.length - 1; later >= 0; later--) {
     for (const earlier of steps[later]!.after) {
--- a/test/controller/job-service.test.ts
+++ b/test/controller/job-service.test.ts
@@ -11,7 +11,7 @@
 const DEFINITION = buildJob(ID, {})
 const COMPLETED = JSON.stringify({ phase: 'completed', nextOccurrence: 1, open: {} })
 
-function createJobService (puts: ReadonlyArray<{ readonly key: string, readonly value: string }>): { readonly jobService: JobService, readonly has: (key: string) => boolean } {
+function createJobService (puts: ReadonlyArray<{ readonly key: string, readonly value: string }>, retryAfterMs?: number): { readonly jobService: JobService, readonly has: (key: string) => boolean } {
   const inner = InMemoryStore.create()
   if (puts.length > 0) inner.call(0, { type: 'transact', compares: [], puts, deletes: [] })
   const store: Store = {
@@ -25,6 +25,7 @@
     store,
     reporter: { log: () => {}, count: () => {}, observe: () => {} },
     isStoreResponsive: () => true,
+    getRetryAfterMs: () => retryAfterMs,
     requestPhase: async () => undefined,
     announceJob: () => {},
     announceCancellation: () => {}
@@ -50,6 +51,23 @@
   })
 }
 
+const RETRY_AFTER_MS = 4_200
+
+// REFUSED: a caller that is told that its job has not run and never will must be able to rely on it.
+const refusals = [
+  { guards: 'a job that can\'t be started in time is stored', puts: [], expected: { type: 'refused', reason: 'overloaded', retryAfterMs: RETRY_AFTER_MS }, stored: false },
+  { guards: 'a job is refused that an earlier submission has stored', puts: [{ key: jobKey(ID), value: JSON.stringify(DEFINITION) }], expected: { type: 'accepted', alreadyStored: true }, stored: true },
+  { guards: 'a job is refused that has completed', puts: [{ key: progressKey(ID), value: COMPLETED }], expected: { type: 'accepted', alreadyStored: true }, stored: false }
+]
+
+for (const { guards, puts, expected, stored } of refusals) {
+  test(`job service: guards against the failure that ${guards}`, async () => {
+    const { jobService, has } = createJobService(puts, RETRY_AFTER_MS)
+    assert.deepEqual(await jobService.submit(DEFINITION, performance.now() + 1_000), expected)
+    assert.equal(has(jobKey(ID)), stored)
+  })
+}
+
 const lookups = [
   { guards: 'a job without a progress record', puts: [{ key: jobKey(ID), value: JSON.stringify(DEFINITION) }], phase: 'queued', cancelled: 'cancelled' },
   { guards: 'a job that has ended and whose definition is deleted', puts: [{ key: progressKey(ID), value: COMPLETED }], phase: 'completed', cancelled: 'completed' },
