Keep no channel free for urgent steps while jobs are refused

What callers saw: with two and three members left, batch jobs were refused for want of channels to the advisor while 1.5 of 2 and 1.8 of 3 were busy.

Cause: 65% of the channels, rounded down, serve queues that aren't urgent: one of two, and one of three.

Change: while jobs are refused nothing is reserved. Urgent questions still go first on each channel that becomes free.

Test: failed before (1 batch question pending, 3 expected).

--- a/src/workflow/advice-backlog.ts
+++ b/src/workflow/advice-backlog.ts
@@ -73,7 +73,8 @@
     for (const priority of new Set(queues.map((queue) => queue.priority))) this.recordBacklog(state, priority, sumLoads(selectLoads(loads, priority)))
     const wasOverloaded = this.current.length > 0
     this.current = queues.flatMap((queue) => this.isOverloaded(state, queue.priority) ? findOverloads(state, queue, selectLoads(loads, queue.priority)) : [])
-    if ((this.current.length > 0) === wasOverloaded) return
+    state.pendingAdvice.overloaded = this.current.length > 0
+    if (state.pendingAdvice.overloaded === wasOverloaded) return
     log(state, 'warn', wasOverloaded ? 'advice-overload-ended' : 'advice-overloaded', { backlogMs: Math.round(this.totalMs), channels: state.pendingAdvice.channels })
   }
 
--- a/src/workflow/pending-advice.ts
+++ b/src/workflow/pending-advice.ts
@@ -20,6 +20,8 @@
 export class PendingAdvice {
   /** Number of members that can send advice requests. */
   channels = 1
+  /** Whether jobs are refused because there are too few channels; none is then kept free for urgent steps. */
+  overloaded = false
   /** Urgent steps, and the time that the advisor needs for their requests, in milliseconds. */
   private readonly urgent = new Map<string, number>()
   private readonly nonUrgent = new Set<string>()
@@ -60,7 +62,7 @@
       this.lastUrgentAt = now
       return this.urgentMs < this.nonUrgent.size * URGENT_MS_BEHIND_OTHERS
     }
-    const ratio = now - this.lastUrgentAt < URGENT_RESERVE_MS ? NON_URGENT_CHANNEL_RATIO : 1
+    const ratio = !this.overloaded && now - this.lastUrgentAt < URGENT_RESERVE_MS ? NON_URGENT_CHANNEL_RATIO : 1
     return urgent || this.nonUrgent.size < Math.max(1, Math.floor(this.channels * ratio))
   }
 
--- a/test/workflow/advice-backlog.test.ts
+++ b/test/workflow/advice-backlog.test.ts
@@ -78,3 +78,18 @@
     assert.equal(computeWaitMs(load, costMs), expected)
   })
 }
+
+// With two and three members left, one channel and two were kept free for urgent steps while batch jobs were refused for want of channels.
+const reserves = [
+  { guards: 'a channel is kept free while jobs are refused', channels: 3, waitMs: SUSTAINED_MS, expected: 3 },
+  { guards: 'batch jobs take all channels before jobs would have to be refused', channels: 3, waitMs: TICK_MS, expected: 1 }
+]
+
+for (const { guards, channels, waitMs, expected } of reserves) {
+  test(`advice backlog: guards against the failure that ${guards}`, () => {
+    const harness = createCell(channels, [{ queue: 'urgent', organisation: 'calm', count: 1 }, { queue: 'batch', organisation: 'busy', count: 30 }])
+    waitFor(harness, waitMs)
+    const asking = harness.effects.filter((effect) => effect.type === 'request-advice' && effect.step.startsWith('batch'))
+    assert.equal(asking.length, expected)
+  })
+}
