--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,6 +1,7 @@
 import type { AdviceResponse, Advisor, CachedAdvice, CommandClient } from '../ports/command-client.ts'
 import type { Store } from '../ports/store.ts'
 import { assertNever } from '../util/assert-never.ts'
+import type { Overload } from '../workflow/advice-backlog.ts'
 import type { CellConfiguration } from '../workflow/cell-configuration.ts'
 import { CellScheduler } from '../workflow/cell-scheduler.ts'
 import type { CellEffect } from '../workflow/effect.ts'
@@ -75,6 +76,8 @@
   private stopped = false
   private restored = false
   private targetsRead = false
+  /** Number of channels that the scheduler knows of. */
+  private reportedChannels = 0
   /** Earliest start of the next scheduling pass, on the monotonic clock. */
   private nextPassAt = 0
 
@@ -150,6 +153,11 @@
     return this.restored ? this.scheduler.countQueuedJobsByQueue() : undefined
   }
 
+  /** Long waits for advice, for which members refuse jobs. */
+  get overloads (): readonly Overload[] {
+    return this.scheduler.overloads
+  }
+
   /** The other members that have sent a hello recently. */
   get members (): readonly Peer[] {
     return [...this.peers.values()].map(({ peer }) => peer)
@@ -215,10 +223,18 @@
         return peer.member === self.member ? advisor.advise(step, targets, timeoutMs) : requestPeerAdvice(peer, step, targets, timeoutMs)
       }
     })
-    this.applyEvent({ type: 'advice-channels', channels: this.adviceDispatcher.channelCount })
+    this.reportChannels()
     if (this.targetsRead) this.importCachedAdvice(peer)
   }
 
+  /** A channel that has just failed may belong to a member that has left; work must not be planned for it. */
+  private reportChannels (): void {
+    const { usableCount } = this.adviceDispatcher
+    if (usableCount === this.reportedChannels) return
+    this.reportedChannels = usableCount
+    this.applyEvent({ type: 'advice-channels', channels: usableCount })
+  }
+
   /**
    * Imports the advisor responses that a member has received for a previous leader. The jobs and targets must be known
    * already.
@@ -272,6 +288,7 @@
     this.permission.isGranted()
     this.summaryLog.writeIfDue(() => this.readState())
     this.removeUnresponsivePeers()
+    this.reportChannels()
     this.relayedCommands.update(this.members, this.scheduler.countTargetsByDomain())
     this.checkRunsOfEarlierTerms()
     this.storeFeed.acceptWaitingJobs()
@@ -288,7 +305,6 @@
       if (performance.now() - seenAt < PEER_TIMEOUT_MS) continue
       this.peers.delete(member)
       this.adviceDispatcher.removeChannel(member)
-      this.applyEvent({ type: 'advice-channels', channels: this.adviceDispatcher.channelCount })
     }
   }
 
