--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -104,3 +104,14 @@
   exchange.onResponseError(controller, Object.assign(new Error('read EHOSTUNREACH'), { code: 'EHOSTUNREACH' }))
   assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'broken', sent: true } })
 })
+
+// A process that was paused with a command in its queue got a free connection before its timers ran, and sent the command.
+test('http exchange: guards against the failure that a request which waited for a connection during a pause of the process is sent after its timeout', async () => {
+  let pausedMs = 0
+  const exchange = HttpExchange.create(TIMEOUT_MS, { monotonic: () => 0, timeOfDay: () => pausedMs })
+  pausedMs = 5_000
+  let aborted = false
+  exchange.onRequestStart({ abort: () => { aborted = true } } as unknown as Dispatcher.DispatchController)
+  assert.ok(aborted)
+  assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'timeout', sent: false } })
+})
