Play random chains of terms against the leaders that a new one asks

Guards the fix of doubled work: claims that are recorded and not led, leaders that end before they have settled, that are cut off and go on, and restarts, in random order; no run may be taken for lapsed while its leader may command or its lease lasts.

--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -48,29 +48,38 @@
     return new EarlierLeaders(options)
   }
 
-  /** Asks each of them to stand down. */
+  /** Asks each of them to stand down until it responds, or until it must have stopped. */
   async stop (): Promise<void> {
     await Promise.all(this.options.term.unsettled.map((earlier) => this.stopLeader(earlier)))
   }
 
+  /** Asks each of them once. */
+  async askOnce (): Promise<void> {
+    await Promise.all(this.options.term.unsettled.map((earlier) => this.askLeader(earlier)))
+  }
+
   /** Whether no run of an earlier term can be on a target any more. */
   get runsHaveLapsed (): boolean {
     const lapsedAt = Math.max(-Infinity, ...this.commandsEndAt.values()) + this.options.leaseMs * CLOCK_DRIFT_FACTOR
     return this.commandsEndAt.size === 0 || this.now() > lapsedAt
   }
 
-  /** A response from its address means that it has stopped, or that its process has ended. */
-  private async stopLeader ({ leader, term }: UnsettledTerm): Promise<void> {
+  private async stopLeader (earlier: UnsettledTerm): Promise<void> {
     const { reporter, isStopped } = this.options
-    while (!isStopped() && this.now() < this.commandsEndAt.get(leader.address)!) {
-      const standDown = await this.requestStandDown(leader)
-      if (standDown !== undefined) {
-        this.commandsEndAt.set(leader.address, this.now() - standDown.quietForMs)
-        return reporter.log('info', 'earlier-leader-stopped', { member: leader.member, term, answer: standDown.type, quietForMs: Math.round(standDown.quietForMs) })
-      }
+    while (!isStopped() && this.now() < this.commandsEndAt.get(earlier.leader.address)!) {
+      if (await this.askLeader(earlier)) return
       await delay(RETRY_DELAY_MS)
     }
-    if (!isStopped()) reporter.log('warn', 'earlier-leader-silent', { member: leader.member, term })
+    if (!isStopped()) reporter.log('warn', 'earlier-leader-silent', { member: earlier.leader.member, term: earlier.term })
+  }
+
+  /** Returns whether it has responded. A response from its address means that it has stopped, or that its process has ended. */
+  private async askLeader ({ leader, term }: UnsettledTerm): Promise<boolean> {
+    const standDown = await this.requestStandDown(leader)
+    if (standDown === undefined) return false
+    this.commandsEndAt.set(leader.address, this.now() - standDown.quietForMs)
+    this.options.reporter.log('info', 'earlier-leader-stopped', { member: leader.member, term, answer: standDown.type, quietForMs: Math.round(standDown.quietForMs) })
+    return true
   }
 
   private async requestStandDown (leader: Peer): Promise<StandDown | undefined> {
--- /dev/null
+++ b/test/controller/term-chains.test.ts
@@ -0,0 +1,172 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { EarlierLeaders } from '../../src/controller/earlier-leaders.ts'
+import { LEASE_GRACE_MS } from '../../src/controller/leadership.ts'
+import type { StandDown } from '../../src/controller/leadership.ts'
+import type { Peer } from '../../src/controller/member-call.ts'
+import type { CommitRecord, UnsettledTerm } from '../../src/controller/store-keys.ts'
+import { listUnsettledTerms } from '../../src/controller/unsettled-terms.ts'
+import { Random } from '../../src/util/random.ts'
+
+const MEMBERS = 4
+const STEPS = 300
+const LEASE_MS = 3_500
+/** Seeds of one run. */
+const SEEDS = 300
+const NO_REPORTER = { log: () => {}, count: () => {}, observe: () => {} }
+
+/** What a new leader takes over of the record before: all unsettled terms, or only the last one as a variant that is wrong. */
+type Inheritance = (record: CommitRecord) => readonly UnsettledTerm[]
+
+type SimulatedMember = {
+  readonly peer: Peer
+  startedAt: number
+  lastLedAt: number | undefined
+  /** Whether others reach it; a leader that they cannot reach goes on for the grace of its lease. */
+  reachable: boolean
+  leading: { readonly term: number, readonly earlier: EarlierLeaders | undefined, settled: boolean, commandsUntil: number } | undefined
+}
+
+/** Members that claim terms, lead them or not, are killed or cut off, and the commands that they send. */
+class TermChain {
+  private now = 0
+  private record: CommitRecord | undefined
+  /** Time of the last command, by term. */
+  private readonly lastCommandAt = new Map<number, number>()
+  private readonly members: readonly SimulatedMember[] = Array.from({ length: MEMBERS }, (_, index) => ({ peer: { member: `m${index}`, address: `m${index}:1` }, startedAt: 0, lastLedAt: undefined, reachable: true, leading: undefined }))
+
+  private constructor (private readonly random: Random, private readonly inherit: Inheritance) {}
+
+  static create (seed: number, inherit: Inheritance): TermChain {
+    return new TermChain(Random.create(seed), inherit)
+  }
+
+  /** Plays random steps. Returns what was taken for lapsed too early; undefined if nothing was. */
+  async play (): Promise<string | undefined> {
+    for (let step = 0; step < STEPS; step += 1) {
+      this.now += this.random.nextInt(900)
+      const member = this.members[this.random.nextInt(MEMBERS)]!
+      switch (this.random.nextInt(8)) {
+        case 0: await this.claim(member, false); break
+        case 1:
+        case 2: await this.claim(member, true); break
+        case 3: this.restart(member); break
+        case 4: member.reachable = !member.reachable; break
+        case 5: this.settleByListing(); break
+        default:
+      }
+      this.command()
+      const breach = this.settleByTime()
+      if (breach !== undefined) return breach
+      await this.askEarlierLeaders()
+    }
+    return undefined
+  }
+
+  /** A claim is recorded. `led`: its member learns of it. The leader before has lost its lease by then. */
+  private async claim (member: SimulatedMember, led: boolean): Promise<void> {
+    if (member.leading !== undefined) return
+    for (const { leading } of this.members) {
+      if (leading !== undefined) leading.commandsUntil = Math.min(leading.commandsUntil, this.now + LEASE_GRACE_MS)
+    }
+    const unsettled = this.record === undefined ? [] : this.inherit(this.record)
+    const term = (this.record?.term ?? 0) + 1
+    this.record = { term, nonce: String(term), leader: member.peer, unsettled }
+    if (!led) return
+    const earlier = EarlierLeaders.create({
+      term: { term, commitVersion: term, unsettled },
+      self: member.peer,
+      leaseMs: LEASE_MS,
+      reporter: NO_REPORTER,
+      requestStandDown: async (peer) => this.standDown(this.members.find(({ peer: { address } }) => address === peer.address)!, term, false),
+      standDown: () => this.standDown(member, term, true)!,
+      isStopped: () => true,
+      now: () => this.now
+    })
+    member.leading = { term, earlier, settled: unsettled.length === 0, commandsUntil: Infinity }
+  }
+
+  /** Lets each leader that has not settled the earlier terms ask their leaders once. */
+  private async askEarlierLeaders (): Promise<void> {
+    for (const { leading } of this.members) {
+      if (leading !== undefined && !leading.settled) await leading.earlier?.askOnce()
+    }
+  }
+
+  private standDown (member: SimulatedMember, term: number, isSelf: boolean): StandDown | undefined {
+    if (!member.reachable && !isSelf) return undefined
+    if (member.leading !== undefined && member.leading.term < term) this.endTerm(member)
+    if (member.lastLedAt === undefined) return { type: 'never-led', quietForMs: this.now - member.startedAt }
+    return { type: 'stopped', quietForMs: this.now - member.lastLedAt }
+  }
+
+  private endTerm (member: SimulatedMember): void {
+    member.leading = undefined
+    member.lastLedAt = this.now
+  }
+
+  private restart (member: SimulatedMember): void {
+    member.leading = undefined
+    member.lastLedAt = undefined
+    member.startedAt = this.now
+  }
+
+  /** Each leader commands, whether it still has its lease or not, until its grace ends. */
+  private command (): void {
+    for (const member of this.members) {
+      const { leading } = member
+      if (leading === undefined) continue
+      if (this.now > leading.commandsUntil) this.endTerm(member)
+      else this.lastCommandAt.set(leading.term, this.now)
+    }
+  }
+
+  /** The leader on record lists all targets: it knows all runs, and the targets refuse earlier leaders. */
+  private settleByListing (): void {
+    const member = this.members.find(({ leading }) => leading?.term === this.record?.term)
+    if (member?.leading === undefined || member.leading.settled) return
+    for (const other of this.members) {
+      if (other !== member && other.leading !== undefined) this.endTerm(other)
+    }
+    for (const term of this.lastCommandAt.keys()) {
+      if (term < member.leading.term) this.lastCommandAt.delete(term)
+    }
+    this.settle(member)
+  }
+
+  /** Settles the earlier terms where their leases count as ended; reports if a run of them may still be there. */
+  private settleByTime (): string | undefined {
+    for (const member of this.members) {
+      const { leading } = member
+      if (leading === undefined || leading.settled || leading.earlier?.runsHaveLapsed !== true) continue
+      for (const [term, at] of this.lastCommandAt) {
+        if (term < leading.term && this.now <= at + LEASE_MS) return `term ${leading.term} took term ${term} for lapsed ${this.now - at} ms after its last command`
+      }
+      this.settle(member)
+    }
+    return undefined
+  }
+
+  private settle (member: SimulatedMember): void {
+    member.leading!.settled = true
+    // Only the leader on record can commit.
+    if (this.record?.term === member.leading!.term) this.record = { ...this.record, unsettled: [] }
+  }
+}
+
+async function findBreach (inherit: Inheritance): Promise<string | undefined> {
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    const breach = await TermChain.create(seed, inherit).play()
+    if (breach !== undefined) return `seed ${seed}: ${breach}`
+  }
+  return undefined
+}
+
+// Claims that nobody leads, leaders that end before they have settled, and ones that are cut off and go on.
+test('term chains: guards against the failure that a new leader takes the runs of any earlier term for lapsed while they may go on', async () => {
+  assert.equal(await findBreach(listUnsettledTerms), undefined)
+})
+
+test('term chains: the simulation finds a leader that asks only the last one on record', async () => {
+  assert.match(await findBreach((record) => listUnsettledTerms(record).slice(-1)) ?? '', /took term \d+ for lapsed/)
+})
