Restore the jobs only while the lease is confirmed

A leader whose reads fail until its lease has ended restored jobs that were stored after that, which its successor starts as new ones. Evidence: platform/takeover, the last test, failed before: the task started while nobody held the lease. Change: what was read is used only if the lease is confirmed after the reads; else they are repeated. Result: the test passes.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -269,7 +269,8 @@
     const startedAt = performance.now()
     while (!this.stopped) {
       const [jobs, progress, state] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, STATE_PREFIX)])
-      if (jobs.isOk() && progress.isOk() && state.isOk()) {
+      // Without the lease another member may lead, and a job that was read may be a new one of its term.
+      if (jobs.isOk() && progress.isOk() && state.isOk() && this.options.isLeaseConfirmed()) {
         const previous = state.value.entries.filter(({ key }) => key === TARGETS_KEY).map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
         this.previousTargets = previous?.ids ?? []
         this.applyEvent({ type: 'closed-targets-restored', closed: previous?.closed ?? {} })
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -143,3 +143,34 @@
     await cell.close()
   }
 })
+
+// A job that was stored after the lease had ended may be running under the successor already.
+test('takeover: guards against the failure that a leader whose lease has ended while it read the store starts a new job that it finds there, which its successor starts too', async () => {
+  let jobsReadable = false
+  const cell = await StandinCell.start({
+    members: 1,
+    workers: 1,
+    prepareStore: (kv) => {
+      kv.disturbance = async ({ path, query }, serve) => {
+        const prefix = query.get('prefix') ?? ''
+        const isLost = path.startsWith('/kv-keep') || (prefix.startsWith('lead/') && kv.read(LEADER_KEY) !== undefined) || (prefix.startsWith('lead/') && jobsReadable) || (prefix.startsWith('jobs/') && !jobsReadable)
+        return isLost ? 'drop' : serve()
+      }
+    }
+  })
+  try {
+    await waitUntil('the member leads', () => cell.kv.read(LEADER_KEY) !== undefined)
+    jobsReadable = false
+    // From here on the member neither renews its lease nor learns of its end.
+    const { disturbance } = cell.kv
+    cell.kv.disturbance = async (request, serve) => request.query.get('prefix')?.startsWith('lead/') === true ? 'drop' : disturbance!(request, serve)
+    await waitUntil('the lease has ended', () => cell.kv.read(LEADER_KEY) === undefined)
+    putJob(cell.kv)
+    jobsReadable = true
+    await wait(2_000)
+    assert.equal(cell.kv.read(LEADER_KEY), undefined)
+    assert.deepEqual(cell.workers[0]!.starts, [])
+  } finally {
+    await cell.close()
+  }
+})
