Claim again if the leadership became free while a refused claim was being ended

Cause: a claim that is refused for another leader ends its own lease first. A leader that ends in that time was reported by the watch while the member still counted as claiming, so that it was not noted, and nobody asked again. Evidence: claims, 'never claims again', failed before: no term was won in 5 s. Change: a wish to claim that comes during a claim is served after it. Result: the test wins term 2.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -83,6 +83,8 @@
   /** Nonce of the last claim of this process. */
   private lastClaimNonce: string | undefined
   private claiming = false
+  /** Whether the leadership has become free since the last claim began. */
+  private claimWanted = false
   private isCandidate = true
 
   private constructor (private readonly options: LeadershipOptions) {
@@ -183,21 +185,30 @@
   }
 
   private async claim (): Promise<void> {
+    this.claimWanted = true
     if (this.claiming) return
     this.claiming = true
     try {
-      while (this.canClaim()) {
-        await delay(computeClaimDelayMs(this.options.cores), this.stopped.signal)
-        if (!this.canClaim()) return
-        const decided = await this.tryClaim()
-        if (decided) return
-        await delay(CLAIM_RETRY_DELAY_MS, this.stopped.signal)
+      // The leadership may become free again while a claim that was refused is being ended.
+      while (this.claimWanted) {
+        this.claimWanted = false
+        await this.claimUntilDecided()
       }
     } finally {
       this.claiming = false
     }
   }
 
+  private async claimUntilDecided (): Promise<void> {
+    while (this.canClaim()) {
+      await delay(computeClaimDelayMs(this.options.cores), this.stopped.signal)
+      if (!this.canClaim()) return
+      const decided = await this.tryClaim()
+      if (decided) return
+      await delay(CLAIM_RETRY_DELAY_MS, this.stopped.signal)
+    }
+  }
+
   private canClaim (): boolean {
     return this.isCandidate && !this.stopped.signal.aborted && this.leaderRecord === undefined && this.held === undefined
   }
--- a/test/controller/claims.test.ts
+++ b/test/controller/claims.test.ts
@@ -34,7 +34,15 @@
 
   /** Lets another member hold the leadership for a moment. */
   passLeadership (): void {
+    this.putLeader()
+    this.removeLeader()
+  }
+
+  putLeader (): void {
     this.inner.call(performance.now(), { type: 'transact', compares: [], puts: [{ key: LEADER_KEY, value: JSON.stringify({ ...OTHER, term: 1, nonce: 'other' }) }], deletes: [] })
+  }
+
+  removeLeader (): void {
     this.inner.call(performance.now(), { type: 'transact', compares: [], puts: [], deletes: [LEADER_KEY] })
   }
 
@@ -99,6 +107,24 @@
     },
     terms: [3]
   },
+  {
+    guards: 'a member never claims again after another leader whose term ended while the member ended the lease of its refused claim',
+    disturb: (store) => {
+      let refusals = 1
+      let revocations = 1
+      store.interfere = ({ type }) => {
+        if (type === 'grant-lease' && refusals > 0) {
+          refusals -= 1
+          store.putLeader()
+        }
+        if (type !== 'revoke-lease' || revocations === 0) return undefined
+        revocations -= 1
+        setTimeout(() => store.removeLeader(), 100)
+        return 400
+      }
+    },
+    terms: [2]
+  },
   {
     guards: 'a leader gives up because of an older change of the leadership that it learns late',
     disturb: (store) => {
