Step down when the grace of the lease ends, also while a call to the store is pending

Seen: not by callers; found by the review. Two leaders could command at once after a partition of more than nine seconds. Evidence: leadership-grace failed before: led for 9,794 ms where 9,500 ms is the limit (by reading up to 10.9 s). Change: a timer ends the term at the limit. Result: the test passes; it allows a timer 100 ms.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -82,6 +82,7 @@
   private latestRequestedTerm = 0
   /** Nonce of the last claim of this process. */
   private lastClaimNonce: string | undefined
+  private graceTimer: NodeJS.Timeout | undefined
   private claiming = false
   /** Whether the leadership has become free since the last claim began. */
   private claimWanted = false
@@ -124,6 +125,7 @@
   stepDown (reason: string): void {
     if (this.held === undefined) return
     const { term } = this.held
+    clearTimeout(this.graceTimer)
     this.held = undefined
     this.lastLedAt = performance.now()
     this.options.reporter.log('warn', 'leadership-lost', { term, reason })
@@ -158,6 +160,7 @@
 
   stop (): void {
     this.stopped.abort()
+    clearTimeout(this.graceTimer)
     this.watcher.stop()
   }
 
@@ -243,6 +246,7 @@
       return false
     }
     this.held = { lease: lease.value.lease, term, nonce, version, renewedAt: sentAt }
+    this.limitGrace(sentAt)
     this.leaderRecord = record
     this.options.reporter.log('info', 'leadership-won', { term, version, unsettled: unsettled.map((earlier) => `${earlier.leader.member}/${earlier.term}`).join(',') })
     this.options.onElected({ term, commitVersion: version, unsettled })
@@ -279,9 +283,17 @@
     const sentAt = Moment.now()
     const response = await callStore(this.options.store, { type: 'renew-lease', lease: held.lease })
     if (this.held !== held) return
-    if (response.isOk() && response.value.alive) held.renewedAt = sentAt
-    else if (response.isOk()) this.stepDown('its lease has expired')
-    else if (held.renewedAt.ageMs > LEASE_TTL_MS + LEASE_GRACE_MS) this.stepDown('the store has not responded for too long')
+    if (response.isErr()) return
+    if (!response.value.alive) return this.stepDown('its lease has expired')
+    held.renewedAt = sentAt
+    this.limitGrace(sentAt)
+  }
+
+  /** Steps down when the grace ends, whether or not a call to the store is pending then: a successor waits no longer. */
+  private limitGrace (renewedAt: Moment): void {
+    clearTimeout(this.graceTimer)
+    this.graceTimer = setTimeout(() => this.stepDown('the store has not responded for too long'), LEASE_TTL_MS + LEASE_GRACE_MS - renewedAt.ageMs)
+    this.graceTimer.unref()
   }
 }
 
