Hold a task back until all closed targets on which it may run are listed

Seen: not by callers; found by the review on paths near the doubled work. Cause: for a task that may run on several draining targets of the leader before, only one was kept. When that was listed, the task was released while it could run on another. Change: the targets are kept as a set for each task, and a task is released when the last one is listed.

--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -52,8 +52,8 @@
   readonly storedTargets: Set<string>
   /** Targets that are stored as closed: they get no starts, and only these tasks may run there. */
   readonly closedTargets: Map<string, ReadonlySet<TaskKey>>
-  /** Tasks that may run on a closed target of a previous owner, and the id of that target. */
-  readonly heldBackTasks: Map<Task, string>
+  /** Tasks that may run on closed targets of previous owners, and the ids of these targets. */
+  readonly heldBackTasks: Map<Task, Set<string>>
   /** Whether unlisted targets may have runs of a previous owner; while true, tasks of restored jobs do not start. */
   earlierRunsPossible: boolean
   /** Advice requests without a response. */
--- a/src/workflow/closed-targets.ts
+++ b/src/workflow/closed-targets.ts
@@ -48,16 +48,22 @@
 
 function holdBackTask (state: CellState, key: TaskKey, target: string): void {
   const task = findListedTask(state, key)
-  if (task === undefined || task.phase === 'done' || task.runs.size > 0 || state.heldBackTasks.has(task)) return
-  state.heldBackTasks.set(task, target)
+  if (task === undefined || task.phase === 'done' || task.runs.size > 0) return
+  const targets = state.heldBackTasks.get(task)
+  if (targets !== undefined) {
+    targets.add(target)
+    return
+  }
+  state.heldBackTasks.set(task, new Set([target]))
   // The task may be running, so it counts towards the maximum of its organisation.
   changeUsage(state, task.step.job.definition.organisation, task.step.spec.demand, 1)
 }
 
-/** Releases the tasks that were held back because of a target which is listed now, or of all targets. */
+/** Releases the tasks that were held back only because of a target which is listed now, or all tasks. */
 export function releaseTasks (state: CellState, listed?: TargetState): void {
-  for (const [task, target] of state.heldBackTasks) {
-    if (listed === undefined || target === listed.id) releaseTask(state, task)
+  for (const [task, targets] of state.heldBackTasks) {
+    if (listed !== undefined) targets.delete(listed.id)
+    if (listed === undefined || targets.size === 0) releaseTask(state, task)
   }
   if (listed !== undefined) recordRoom(state, listed)
   state.startPassNeeded = true
--- a/test/workflow/closed-targets.test.ts
+++ b/test/workflow/closed-targets.test.ts
@@ -123,3 +123,24 @@
     assert.deepEqual([stored.ids, stored.closed], [['t1'], {}])
   })
 }
+
+/** A new leader; `a.0.0.0` may run on the closed targets given, which are not listed yet. */
+function createSuccessorOf (closed: Readonly<Record<string, readonly string[]>>): CellHarness {
+  const harness = CellHarness.create([])
+  harness.scheduler.expectEarlierRuns()
+  harness.apply({ type: 'closed-targets-restored', closed })
+  harness.apply({ type: 'targets-stored', ids: ['t3'] })
+  harness.apply({ type: 'job-restored', definition: buildJob('a', { count: 1 }), progress: undefined })
+  harness.publishTarget(buildEntry('t3'))
+  harness.apply({ type: 'earlier-runs-listed' })
+  assert.equal(harness.getStarts().length, 0)
+  return harness
+}
+
+// The run on the first target has ended, and the task runs on the second one.
+test('closed targets: guards against the failure that a task which may run on two of them starts when the first is listed', () => {
+  const harness = createSuccessorOf({ t1: ['a.0.0.0'], t2: ['a.0.0.0'] })
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { draining: true }) })
+  harness.listTarget('t1', {})
+  assert.equal(harness.getStarts().length, 0)
+})
