Keep a closed target on the stored list while tasks wait for it

Seen: not by callers; found by the review on paths near the doubled work. Cause: a closed target that was withdrawn before it was listed counted as empty as soon as the open targets were listed, although tasks were still held back because of it. It left the stored list, and the next leader settled at once. Evidence: closed targets, 'leaves the stored list while tasks wait for it', failed before. Change: such a target is not empty while tasks are held back. Result: npm test -- workflow/closed workflow/takeover workflow/simulation passes.

--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -163,5 +163,5 @@
  */
 function isEmpty (state: CellState, target: TargetState): boolean {
   if (target.runs.size > 0 || target.unknownRunCount > 0) return false
-  return target.listed || !state.earlierRunsPossible
+  return target.listed || !(state.earlierRunsPossible || state.heldBackTasks.size > 0)
 }
--- a/test/workflow/closed-targets.test.ts
+++ b/test/workflow/closed-targets.test.ts
@@ -144,3 +144,14 @@
   harness.listTarget('t1', {})
   assert.equal(harness.getStarts().length, 0)
 })
+
+// The next leader reads the list and starts the task while its run may go on.
+test('closed targets: guards against the failure that one which has not been listed leaves the stored list while tasks wait for it', () => {
+  const harness = createSuccessorOf({ t1: ['a.0.0.0'] })
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { draining: true }) })
+  harness.apply({ type: 'target-withdrawn', id: 't1' })
+  harness.advance(50)
+  assert.equal(harness.scheduler.earlierRunsExpected, true)
+  const stored = harness.effects.filter((effect): effect is StoreTargets => effect.type === 'store-targets').at(-1)
+  if (stored !== undefined) assert.deepEqual(Object.keys(stored.closed), ['t1'])
+})
