End the lease of a leader whose record is removed

Seen: not by callers; found by the review. A leader that was taken for ended goes on taking its lease for confirmed. Cause: only the record was removed. The lease lived on, its renewals succeeded, and a leader whose watch is disturbed took up new jobs beside its successor. A member that leads a later term also answered the leader of an earlier one with an old time. Evidence: claims, 'whose record was removed', failed before: it led on after a second. Change: the record names its lease, which ends with it. A leader of a later term answers that it sends commands. Result: it steps down with its next renewal.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -136,6 +136,7 @@
   stepDownForTerm (term: number): StandDown {
     this.latestRequestedTerm = Math.max(this.latestRequestedTerm, term)
     if (this.held !== undefined && this.held.term < term) this.stepDown('the leader of a later term requested it')
+    if (this.held !== undefined && this.held.term > term) return { type: 'stopped', quietForMs: 0 }
     // The monotonic clock of this process starts with it.
     if (this.lastLedAt === undefined) return { type: 'never-led', quietForMs: performance.now() }
     return { type: 'stopped', quietForMs: performance.now() - this.lastLedAt }
@@ -145,6 +146,8 @@
   async removeEndedLeader (leader: LeaderRecord): Promise<void> {
     if (this.leaderRecord?.nonce !== leader.nonce) return
     const result = await transact(this.options.store, [requireUnchanged(LEADER_KEY, this.leaderVersion)], [], [LEADER_KEY])
+    // A leader that runs on learns from its next renewal that it has lost the lease.
+    if (leader.lease !== undefined && (result.isErr() || result.value.committed)) await this.revokeLease(leader.lease)
     const outcome = result.isErr() ? result.error.reason : result.value.committed ? 'removed' : 'changed'
     this.options.reporter.log('info', 'ended-leader-removed', { leader: leader.member, term: leader.term, outcome })
   }
@@ -228,7 +231,7 @@
     const term = Math.max(previous?.term ?? 0, previous?.reservedTerm ?? 0) + 1
     const nonce = randomUUID()
     this.lastClaimNonce = nonce
-    const record: LeaderRecord = { member, address, term, nonce }
+    const record: LeaderRecord = { member, address, term, nonce, lease: lease.value.lease }
     const unsettled = listUnsettledTerms(previous)
     const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled }
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }]
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -1,3 +1,4 @@
+import type { LeaseId } from '../ports/store.ts'
 import type { ClosedTargets } from '../workflow/closed-targets.ts'
 import type { Peer } from './member-call.ts'
 
@@ -42,6 +43,8 @@
   readonly term: number
   /** Distinguishes this claim from other claims of the same member. */
   readonly nonce: string
+  /** Lease to which the record is bound; missing in records of older releases. */
+  readonly lease?: LeaseId
 }
 
 /** A term whose runs may still be on targets, because no later leader has listed them or waited for their leases. */
--- a/test/controller/claims.test.ts
+++ b/test/controller/claims.test.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'neverthrow'
 import { Leadership } from '../../src/controller/leadership.ts'
 import { COMMIT_KEY, LEADER_KEY } from '../../src/controller/store-keys.ts'
+import type { LeaderRecord } from '../../src/controller/store-keys.ts'
 import type { Store, StoreCall, StoreFailure, StoreResponse } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
 
@@ -162,3 +163,30 @@
     }
   })
 }
+
+// Another member takes the leader's process for ended, and the leader's watch is disturbed.
+test('claims: guards against the failure that a leader whose record was removed goes on renewing its lease', async () => {
+  const store = SharedStore.create()
+  const reporter = { log: () => {}, count: () => {}, observe: () => {} }
+  const records: LeaderRecord[] = []
+  const won: number[] = []
+  const disturbed: Store = {
+    call: async (call) => {
+      if (won.length === 0 || (call.type !== 'watch' && call.type !== 'read')) return store.call(call)
+      await wait(POLL_INTERVAL_MS)
+      return err({ reason: 'timeout', verdict: 'not-applied' })
+    }
+  }
+  const leader = Leadership.create({ store: disturbed, member: 'm2', address: 'm2:1', cores: 2, reporter, onElected: ({ term }) => { won.push(term) }, onLeadershipLost: () => {} })
+  while (won.length === 0) await wait(POLL_INTERVAL_MS)
+  const other = Leadership.create({ store, member: 'm3', address: 'm3:1', cores: 0.1, reporter, onElected: () => {}, onLeadershipLost: () => {}, onOtherLeader: (record) => records.push(record) })
+  try {
+    while (records.length === 0) await wait(POLL_INTERVAL_MS)
+    await other.removeEndedLeader(records[0]!)
+    await wait(1_000)
+    assert.equal(leader.isLeading, false)
+  } finally {
+    leader.stop()
+    other.stop()
+  }
+})
