--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -45,20 +45,21 @@
   return path === '/kv-range' && query.get('prefix') === COMMIT_KEY
 }
 
-/** Loses the response to the first claim, and the next read that would show that the claim was recorded. */
+/** How long reads that would show that the claim was recorded are lost, whichever member sends them, in milliseconds. */
+const LOST_READS_MS = 1_000
+
+/** Loses the response to the first claim, and the reads after it. */
 function loseFirstClaim (kv: KvServer): void {
   let responsesToLose = 1
-  let readsToLose = 0
+  let losesReadsUntil = 0
   kv.disturbance = async (request, serve) => {
     if (responsesToLose > 0 && isClaim(request)) {
       responsesToLose -= 1
-      readsToLose = 1
+      losesReadsUntil = performance.now() + LOST_READS_MS
       await serve()
       return 'drop'
     }
-    if (readsToLose === 0 || !isReadOfCommit(request)) return serve()
-    readsToLose -= 1
-    return 'drop'
+    return isReadOfCommit(request) && performance.now() < losesReadsUntil ? 'drop' : serve()
   }
 }
 
