Carry out a share of the calls to a stand-in worker late, and without an answer

The platform says that a call that gets no answer may be carried out seconds later, after newer calls. The stand-in delayed all calls alike and kept the connection, so that an order of an earlier leader never came after those of a later one. By default they are lost when the worker crashes; with `survivesCrash` they reach the next incarnation. Two rows in test/soak/worker-server.test.ts show both.

--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -173,7 +173,7 @@
 
   private async addWorker (index: number): Promise<void> {
     const id = `w${index}`
-    const server = await WorkerServer.listen({ id, needsTickets: false, observe: (event) => this.history.recordWorkerEvent(id, event, performance.now()) })
+    const server = await WorkerServer.listen({ id, needsTickets: false, seed: index, observe: (event) => this.history.recordWorkerEvent(id, event, performance.now()) })
     this.workers.push({ server, link: await LoopbackProxy.listen(server.address), domain: getFailureDomain(index) })
     this.publishWorker(index)
   }
--- a/test/soak/worker-server.test.ts
+++ b/test/soak/worker-server.test.ts
@@ -53,3 +53,27 @@
     worker.close()
   }
 })
+
+const crashes: ReadonlyArray<{ readonly scenario: string, readonly survivesCrash: boolean, readonly starts: number }> = [
+  { scenario: 'reaches the next incarnation', survivesCrash: true, starts: 2 },
+  { scenario: 'is lost with the incarnation that received it', survivesCrash: false, starts: 1 }
+]
+
+for (const { scenario, survivesCrash, starts } of crashes) {
+  test(`stand-in of a worker: an order that is carried out late ${scenario}`, async () => {
+    const { worker, events, call } = await startWorker(10_000)
+    try {
+      worker.lateOrders = { share: 1, survivesCrash }
+      const isAnswered = call('/run-start', { task: 'a.0.0.1', run: 1, spec: '{}', deadlineMs: 30_000 }).then(() => true, () => false)
+      await wait(TASK_MS)
+      worker.crash()
+      assert.equal(await isAnswered, false)
+      assert.equal(worker.starts.length, starts)
+      const late = events.flatMap((event) => event.type === 'started' && event.lateByMs !== undefined ? [event.lateByMs] : [])
+      assert.ok(late.every((ms) => ms >= 2_000 && ms <= 12_000))
+      assert.equal(late.length, starts - 1)
+    } finally {
+      worker.close()
+    }
+  })
+}
