--- a/test/soak/run-history.test.ts
+++ b/test/soak/run-history.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import type { WorkerOutcome } from '../../platform/standin/worker-run.ts'
 import type { WorkerEvent } from '../../platform/standin/worker-server.ts'
 import { RunHistory } from '../../soak/run-history.ts'
 
@@ -14,11 +15,11 @@
   return { type: 'started', task, run }
 }
 
-function endedEvent (task: string, outcome: string, run = 1): WorkerEvent {
+function endedEvent (task: string, outcome: WorkerOutcome, run = 1): WorkerEvent {
   return { type: 'ended', task, run, outcome }
 }
 
-function acknowledgedEvent (task: string, outcome: string, run = 1, leaseLapsed = false): WorkerEvent {
+function acknowledgedEvent (task: string, outcome: WorkerOutcome, run = 1, leaseLapsed = false): WorkerEvent {
   return { type: 'acknowledged', task, run, outcome, leaseLapsed }
 }
 
