Play jobs of seven kinds in the soak, and check what holds for each of them

The soak played one kind of job, of one or two steps of one to four tasks. It now also plays steps of up to 36 tasks, saved work, gangs, tasks that last until their callers cancel them, repeated jobs whose occurrences overlap, steps of which copies may run, and limits per worker; a job depends on the seed and its number only. The advisor takes its time and permits seven tenths of the workers in cells of 16 or more. The events of all workers are kept beside the logs.

The history checks TWICE for gangs, where one end as done represents all members, and not for steps with copies, where only a start in calm time a second after the end is one; ORDER for the times and steps of occurrences; ROUTE for the limits per worker; checkpoints of other tasks. A breach names the term of a run and, for an order that was held up, its age.

--- a/soak/run-history.ts
+++ b/soak/run-history.ts
@@ -1,29 +1,43 @@
 import type { WorkerEvent } from '../platform/standin/worker-server.ts'
+import type { SoakJob, SoakStep } from './soak-jobs.ts'
 
-/** The properties of a submitted job that the checks need. `counts` are the tasks of each step; step 1 starts after step 0. */
-export type SoakJob = { readonly id: string, readonly counts: readonly number[], readonly cpuMillis: number, readonly maxAttempts: number }
-
+type WorkerStart = Extract<WorkerEvent, { type: 'started' }>
 type WorkerCompletion = Extract<WorkerEvent, { type: 'ended' }>
 type WorkerAcknowledgement = Extract<WorkerEvent, { type: 'acknowledged' }>
 
-type PresentRun = { readonly run: number, readonly startedAtMs: number }
+type PresentRun = { readonly worker: string, readonly text: string, readonly startedAtMs: number }
 
-type TaskHistory = {
-  /** The runs that are present, by their workers. */
-  readonly running: Map<string, PresentRun>
+/** What is known of a task, or of a gang: the end of one of its members represents all of them. */
+type WorkHistory = {
   /** Starts after the completion of a run that ended as done, by that run and its worker. They are breaches once it is acknowledged. */
   readonly startsAfterDone: Map<string, string[]>
   done: boolean
+  doneAcknowledgedAtMs: number | undefined
   failures: number
-  doneAcknowledged: boolean
+}
+
+type TaskHistory = {
+  readonly work: WorkHistory
+  /** The runs that are present, by their workers and numbers. */
+  readonly running: Map<string, PresentRun>
   acknowledgedFailures: number
+  lastFailureAcknowledgedAtMs: number
   starts: number
 }
 
+/** A task of a submitted job and its step. */
+type KnownTask = { readonly id: string, readonly job: SoakJob, readonly step: SoakStep, readonly occurrence: number }
+
 /** Tasks of a cancelled job may still start for this time after the cancellation was acknowledged (`cancel_ms`). */
 const CANCEL_GRACE_MS = 3_000
 /** Tasks may still start in a failure domain for this time after its evacuation was requested (`evacuateMs`). */
 const EVACUATION_GRACE_MS = 5_000
+/** An occurrence may start this long before it is due (`early_ms`). */
+const EARLY_MS = 250
+/** A copy of a task may start within this time after the end of another was acknowledged. */
+const COPY_GRACE_MS = 1_000
+/** Number of run numbers that belong to each term of a leader. */
+const RUNS_PER_TERM = 1_000_000
 /** Time without unplanned disruption before a request from which it must be answered in full (`contactMs`). */
 const CALM_MS = 3_000
 /** A connection may end without an answer within this time after the request was sent (`lossSlackMs`). */
@@ -37,10 +51,13 @@
   readonly breaches: string[] = []
   private readonly jobs = new Map<string, SoakJob>()
   private readonly tasks = new Map<string, TaskHistory>()
+  /** By task, or by gang. */
+  private readonly works = new Map<string, WorkHistory>()
   private readonly bookedCpuMillis = new Map<string, number>()
   private readonly refusedJobs = new Set<string>()
   private readonly cancelledAtMs = new Map<string, number>()
-  private readonly completedJobs = new Set<string>()
+  /** Time at which jobs were first shown as completed. */
+  private readonly completedAtMs = new Map<string, number>()
   /** Start of the evacuation by failure domain. */
   private readonly evacuatedSinceMs = new Map<string, number>()
   private currentDisruptions = 0
@@ -73,8 +90,7 @@
 
   /** Records a request whose connection has ended without a complete response. */
   recordBrokenRequest (request: string, sentAtMs: number, endedAtMs: number): void {
-    const isCalm = this.currentDisruptions === 0 && this.lastDisruptionEndMs < sentAtMs - CALM_MS
-    if (isCalm && endedAtMs - sentAtMs > LOSS_SLACK_MS) this.recordBreach('LOST', `${request} ended without an answer after ${Math.round(endedAtMs - sentAtMs)} ms`)
+    if (this.isCalmSince(sentAtMs) && endedAtMs - sentAtMs > LOSS_SLACK_MS) this.recordBreach('LOST', `${request} ended without an answer after ${Math.round(endedAtMs - sentAtMs)} ms`)
   }
 
   /** Records a job; must be called before the caller submits it. */
@@ -93,15 +109,15 @@
   }
 
   /** Checks a job state that was returned to a caller. */
-  recordState (id: string, state: string): void {
+  recordState (id: string, state: string, atMs: number): void {
     const job = this.jobs.get(id)
     if (state === 'completed' && job !== undefined) {
-      this.completedJobs.add(id)
-      const done = this.findTasks(id).filter((task) => task.done).length
-      const total = job.counts.reduce((sum, count) => sum + count, 0)
+      this.completedAtMs.set(id, Math.min(atMs, this.completedAtMs.get(id) ?? Infinity))
+      const done = this.countDone(id)
+      const total = countTasks(job)
       if (done < total) this.recordBreach('MIXED', `${id} is shown as completed with ${done} of ${total} tasks done`)
     }
-    if (state === 'failed' && job !== undefined && !this.findTasks(id).some(({ failures }) => failures >= job.maxAttempts)) this.recordBreach('LOST', `${id} is shown as failed before its last attempt`)
+    if (state === 'failed' && job !== undefined && !this.findTasks(id).some(({ work }) => work.failures >= job.maxAttempts)) this.recordBreach('LOST', `${id} is shown as failed before its last attempt`)
     if (state === 'absent') this.recordBreach('LOST', `${id} was accepted and is not known`)
     if (state === 'cancelled' && !this.cancelledAtMs.has(id)) this.recordBreach('LOST', `${id} is shown as cancelled, but no caller has cancelled it`)
   }
@@ -109,81 +125,164 @@
   /** Whether all tasks of a job have completed with the outcome `done`. */
   isDone (id: string): boolean {
     const job = this.jobs.get(id)
-    return job !== undefined && this.findTasks(id).filter(({ done }) => done).length === job.counts.reduce((sum, count) => sum + count, 0)
+    return job !== undefined && this.countDone(id) === countTasks(job)
   }
 
   recordWorkerEvent (worker: string, event: WorkerEvent, atMs: number): void {
     switch (event.type) {
-      case 'started': return this.recordStart(worker, event.task, event.run, atMs)
+      case 'started': return this.recordStart(worker, event, atMs)
       case 'ended': return this.recordCompletion(worker, event)
-      case 'acknowledged': return this.recordAcknowledgement(worker, event)
+      case 'acknowledged': return this.recordAcknowledgement(worker, event, atMs)
       case 'crashed':
         this.bookedCpuMillis.set(worker, 0)
-        for (const task of this.tasks.values()) task.running.delete(worker)
+        for (const { running } of this.tasks.values()) for (const [name, run] of running) if (run.worker === worker) running.delete(name)
     }
   }
 
-  private recordStart (worker: string, taskId: string, run: number, atMs: number): void {
-    const [id, , step] = taskId.split('.') as [string, string, string]
-    const job = this.jobs.get(id)
-    if (job === undefined) return this.recordBreach('UNASKED', `${taskId} does not belong to a submitted job`)
-    const task = this.getTask(taskId)
+  private recordStart (worker: string, event: WorkerStart, atMs: number): void {
+    const known = this.findKnownTask(event.task)
+    if (known === undefined) return this.recordBreach('UNASKED', `${event.task} does not belong to a submitted job`)
+    const { run, lateByMs, foreignCheckpoint } = event
+    const text = describeStart(worker, event)
+    const task = this.getTask(known.id)
     task.starts += 1
-    if (this.refusedJobs.has(id)) this.recordBreach('REFUSED', `${taskId} starts although its job was refused`)
-    if (task.running.size > 0) this.recordBreach('TWICE', `${taskId} run ${run} starts on ${worker} concurrently with ${[...task.running].map(([other, present]) => `run ${present.run} on ${other}, started ${Math.round(atMs - present.startedAtMs)} ms before`).join(', ')}`)
-    if (task.done && (task.doneAcknowledged || this.completedJobs.has(id))) this.recordBreach('TWICE', `${taskId} starts after its completion was acknowledged`)
-    for (const starts of task.startsAfterDone.values()) starts.push(`run ${run} on ${worker}`)
-    if (step === '1' && !this.isStepDone(job, 0)) this.recordBreach('ORDER', `${taskId} starts before the preceding step has completed`)
-    if (task.acknowledgedFailures >= job.maxAttempts) this.recordBreach('BUDGET', `${taskId} starts after ${task.acknowledgedFailures} failures`)
-    const cancelledAtMs = this.cancelledAtMs.get(id)
-    if (cancelledAtMs !== undefined && atMs > cancelledAtMs + CANCEL_GRACE_MS) this.recordBreach('UNASKED', `${taskId} starts ${Math.round(atMs - cancelledAtMs)} ms after its cancellation was acknowledged`)
-    const evacuatedSinceMs = this.evacuatedSinceMs.get(this.getDomain(worker))
-    if (evacuatedSinceMs !== undefined && atMs > evacuatedSinceMs + EVACUATION_GRACE_MS) this.recordBreach('EVAC', `${taskId} starts on ${worker} ${Math.round(atMs - evacuatedSinceMs)} ms after the evacuation of its failure domain`)
-    task.running.set(worker, { run, startedAtMs: atMs })
-    const bookedCpuMillis = (this.bookedCpuMillis.get(worker) ?? 0) + job.cpuMillis
+    if (this.refusedJobs.has(known.job.id)) this.recordBreach('REFUSED', `${known.id} starts although its job was refused`)
+    if (foreignCheckpoint !== undefined) this.recordBreach('UNASKED', `${known.id} starts with the checkpoint ${foreignCheckpoint} of another task`)
+    this.checkRepetition(known, task, text, lateByMs !== undefined, atMs)
+    this.checkOrder(known, text, atMs)
+    this.checkAttempts(known, task, text, lateByMs !== undefined, atMs)
+    // Bounds of time do not hold for an order that was held up.
+    if (lateByMs === undefined) this.checkPermission(known, worker, atMs)
+    task.running.set(`${worker}/${run}`, { worker, text, startedAtMs: atMs })
+    this.checkSpread(known, worker)
+    const bookedCpuMillis = (this.bookedCpuMillis.get(worker) ?? 0) + known.step.cpuMillis
     this.bookedCpuMillis.set(worker, bookedCpuMillis)
-    if (bookedCpuMillis > this.capacityCpuMillis) this.recordBreach('LIMIT', `${taskId} raises the booked CPU of ${worker} to ${bookedCpuMillis} of ${this.capacityCpuMillis}`)
+    if (bookedCpuMillis > this.capacityCpuMillis) this.recordBreach('LIMIT', `${known.id} raises the booked CPU of ${worker} to ${bookedCpuMillis} of ${this.capacityCpuMillis}: ${text}`)
+  }
+
+  /** Checks that a start does not repeat work that is in progress or done. */
+  private checkRepetition (known: KnownTask, { running, work }: TaskHistory, text: string, isLate: boolean, atMs: number): void {
+    if (known.step.speculative === true) return this.checkLateCopy(known, work, text, isLate, atMs)
+    if (running.size > 0) this.recordBreach('TWICE', `${known.id} ${text} starts concurrently with ${[...running.values()].map((present) => `${present.text}, started ${Math.round(atMs - present.startedAtMs)} ms before`).join(', ')}`)
+    if (work.done && (work.doneAcknowledgedAtMs !== undefined || this.completedAtMs.has(known.job.id))) this.recordBreach('TWICE', `${known.id} ${text} starts after its completion was acknowledged`)
+    for (const starts of work.startsAfterDone.values()) starts.push(text)
+  }
+
+  /** Copies may run at the same time, but none starts in calm time after the completion of another is known. */
+  private checkLateCopy (known: KnownTask, work: WorkHistory, text: string, isLate: boolean, atMs: number): void {
+    const knownSinceMs = Math.min(work.doneAcknowledgedAtMs ?? Infinity, this.completedAtMs.get(known.job.id) ?? Infinity)
+    if (isLate || atMs <= knownSinceMs + COPY_GRACE_MS || !this.isCalmSince(atMs)) return
+    this.recordBreach('TWICE', `${known.id} ${text} starts ${Math.round(atMs - knownSinceMs)} ms after the completion of another copy was acknowledged`)
+  }
+
+  private checkAttempts ({ id, job, step }: KnownTask, { acknowledgedFailures, lastFailureAcknowledgedAtMs }: TaskHistory, text: string, isLate: boolean, atMs: number): void {
+    if (step.longRunning === true || acknowledgedFailures < job.maxAttempts) return
+    const isAllowedCopy = step.speculative === true && (isLate || atMs <= lastFailureAcknowledgedAtMs + COPY_GRACE_MS || !this.isCalmSince(atMs))
+    if (!isAllowedCopy) this.recordBreach('BUDGET', `${id} ${text} starts after ${acknowledgedFailures} failures`)
+  }
+
+  private checkOrder ({ id, job, step, occurrence }: KnownTask, text: string, atMs: number): void {
+    if (step.after !== undefined && !this.isStepDone(job, occurrence, step.after)) this.recordBreach('ORDER', `${id} ${text} starts before the preceding step has completed`)
+    const earlyMs = job.firstAtMs + occurrence * job.intervalMs - atMs
+    if (job.occurrences > 1 && earlyMs > EARLY_MS) this.recordBreach('ORDER', `${id} ${text} starts ${Math.round(earlyMs)} ms before it is due`)
+  }
+
+  /** Checks that a start does not come long after a cancellation or an evacuation. */
+  private checkPermission ({ id, job }: KnownTask, worker: string, atMs: number): void {
+    const cancelledAtMs = this.cancelledAtMs.get(job.id)
+    if (cancelledAtMs !== undefined && atMs > cancelledAtMs + CANCEL_GRACE_MS) this.recordBreach('UNASKED', `${id} starts ${Math.round(atMs - cancelledAtMs)} ms after its cancellation was acknowledged`)
+    const evacuatedSinceMs = this.evacuatedSinceMs.get(this.getDomain(worker))
+    if (evacuatedSinceMs !== undefined && atMs > evacuatedSinceMs + EVACUATION_GRACE_MS) this.recordBreach('EVAC', `${id} starts on ${worker} ${Math.round(atMs - evacuatedSinceMs)} ms after the evacuation of its failure domain`)
+  }
+
+  private checkSpread ({ id, step }: KnownTask, worker: string): void {
+    if (step.perTargetLimit === undefined) return
+    const stepName = id.slice(0, id.lastIndexOf('.'))
+    const tasks = Array.from({ length: step.count }, (_, index) => this.tasks.get(`${stepName}.${index}`))
+    const count = tasks.filter((task) => task !== undefined && [...task.running.values()].some((run) => run.worker === worker)).length
+    if (count > step.perTargetLimit) this.recordBreach('ROUTE', `${id} is one of ${count} tasks of its step on ${worker}, where ${step.perTargetLimit} may run`)
   }
 
   private recordCompletion (worker: string, { task: taskId, run, outcome }: WorkerCompletion): void {
-    const task = this.getTask(taskId)
-    if (!task.running.delete(worker)) return
-    this.bookedCpuMillis.set(worker, (this.bookedCpuMillis.get(worker) ?? 0) - (this.jobs.get(taskId.split('.')[0]!)?.cpuMillis ?? 0))
+    const { running, work } = this.getTask(taskId)
+    if (!running.delete(`${worker}/${run}`)) return
+    this.bookedCpuMillis.set(worker, (this.bookedCpuMillis.get(worker) ?? 0) - (this.findKnownTask(taskId)?.step.cpuMillis ?? 0))
     if (outcome === 'done') {
-      task.done = true
-      task.startsAfterDone.set(`run ${run} on ${worker}`, [])
+      work.done = true
+      work.startsAfterDone.set(describeRun(worker, run), [])
     }
-    if (outcome === 'failed') task.failures += 1
+    if (outcome === 'failed') work.failures += 1
   }
 
-  private recordAcknowledgement (worker: string, { task: taskId, run, outcome, leaseLapsed }: WorkerAcknowledgement): void {
+  private recordAcknowledgement (worker: string, { task: taskId, run, outcome, leaseLapsed }: WorkerAcknowledgement, atMs: number): void {
     const task = this.getTask(taskId)
-    if (outcome === 'failed') task.acknowledgedFailures += 1
+    if (outcome === 'failed') {
+      task.acknowledgedFailures += 1
+      task.lastFailureAcknowledgedAtMs = atMs
+    }
     if (outcome !== 'done') return
-    task.doneAcknowledged = true
-    const completed = `run ${run} on ${worker}`
-    const starts = task.startsAfterDone.get(completed) ?? []
-    task.startsAfterDone.delete(completed)
+    const { work } = task
+    work.doneAcknowledgedAtMs ??= atMs
+    const completed = describeRun(worker, run)
+    const starts = work.startsAfterDone.get(completed) ?? []
+    work.startsAfterDone.delete(completed)
     if (starts.length > 0 && !leaseLapsed) this.recordBreach('TWICE', `${taskId} has started (${starts.join(', ')}) after ${completed} was done, which has been acknowledged since`)
   }
 
-  private isStepDone (job: SoakJob, step: number): boolean {
-    return Array.from({ length: job.counts[step]! }, (_, index) => this.getTask(`${job.id}.0.${step}.${index}`)).every(({ done }) => done)
+  private isStepDone (job: SoakJob, occurrence: number, step: number): boolean {
+    return Array.from({ length: job.steps[step]!.count }, (_, index) => this.getTask(`${job.id}.${occurrence}.${step}.${index}`)).every(({ work }) => work.done)
+  }
+
+  private isCalmSince (sentAtMs: number): boolean {
+    return this.currentDisruptions === 0 && this.lastDisruptionEndMs < sentAtMs - CALM_MS
+  }
+
+  private findKnownTask (id: string): KnownTask | undefined {
+    const [jobId, occurrence, step, index] = id.split('.')
+    const job = this.jobs.get(jobId!)
+    const knownStep = job?.steps[Number(step)]
+    if (job === undefined || knownStep === undefined || Number(index) >= knownStep.count || Number(occurrence) >= job.occurrences) return undefined
+    return { id, job, step: knownStep, occurrence: Number(occurrence) }
   }
 
   private getTask (taskId: string): TaskHistory {
     const existing = this.tasks.get(taskId)
     if (existing !== undefined) return existing
-    const task: TaskHistory = { running: new Map(), startsAfterDone: new Map(), done: false, failures: 0, doneAcknowledged: false, acknowledgedFailures: 0, starts: 0 }
+    const task: TaskHistory = { work: this.getWork(taskId), running: new Map(), acknowledgedFailures: 0, lastFailureAcknowledgedAtMs: -Infinity, starts: 0 }
     this.tasks.set(taskId, task)
     return task
   }
 
+  private getWork (taskId: string): WorkHistory {
+    const name = this.findKnownTask(taskId)?.step.gang === true ? taskId.slice(0, taskId.lastIndexOf('.')) : taskId
+    const existing = this.works.get(name)
+    if (existing !== undefined) return existing
+    const work: WorkHistory = { startsAfterDone: new Map(), done: false, doneAcknowledgedAtMs: undefined, failures: 0 }
+    this.works.set(name, work)
+    return work
+  }
+
   private findTasks (id: string): readonly TaskHistory[] {
     return [...this.tasks].filter(([taskId]) => taskId.startsWith(`${id}.`)).map(([, task]) => task)
   }
 
+  private countDone (id: string): number {
+    return this.findTasks(id).filter(({ work }) => work.done).length
+  }
+
   private recordBreach (rule: string, detail: string): void {
     this.breaches.push(`${rule}: ${detail} (${new Date().toISOString()})`)
   }
 }
+
+function countTasks ({ steps, occurrences }: SoakJob): number {
+  return occurrences * steps.reduce((sum, { count }) => sum + count, 0)
+}
+
+function describeRun (worker: string, run: number): string {
+  return `run ${run} of term ${Math.ceil(run / RUNS_PER_TERM)} on ${worker}`
+}
+
+function describeStart (worker: string, { run, lateByMs }: WorkerStart): string {
+  return describeRun(worker, run) + (lateByMs === undefined ? '' : `, whose order was held up for ${lateByMs} ms`)
+}
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -1,22 +1,17 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { Agent, request } from 'undici'
-import type { Random } from '../src/util/random.ts'
-import type { SoakJob } from './run-history.ts'
+import { Random } from '../src/util/random.ts'
 import type { SoakCell } from './soak-cell.ts'
-import { MAX_ATTEMPTS, QUEUES, SOAK_HOST, SOAK_KEY } from './soak-cell.ts'
+import { ADVISED_QUEUE, MAX_ATTEMPTS, QUEUES, SOAK_HOST, SOAK_KEY } from './soak-cell.ts'
+import { createSoakJob } from './soak-jobs.ts'
 
 const DEADLINE_MS = 3_000
 const MAX_REQUEST_ATTEMPTS = 4
 const RETRY_DELAY_MS = 400
-const TASK_CPU_MILLIS = 1_500
-/** Ratio of jobs whose tasks always fail. */
-const FAILING_JOBS_RATIO = 0.06
-/** Ratio of jobs that their callers cancel. */
-const CANCELLED_JOBS_RATIO = 0.08
-/** Ratio of jobs whose tasks last longer than a takeover. */
-const LONG_JOBS_RATIO = 0.3
-const SHORT_TASK_MS = { min: 80, spread: 1_500 } as const
-const LONG_TASK_MS = { min: 2_000, spread: 4_000 } as const
+/** Bounds of the time after which a caller asks for the state of its job. */
+const QUERY_DELAY_MS = { min: 200, spread: 1_500 } as const
+/** Range of the seeds of single jobs. */
+const SEED_RANGE = 1_000_000_000
 /** Errors of a connection that ends. Refused connections and timeouts have others. */
 const ENDED_CONNECTION_CODES: readonly string[] = ['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']
 const FINAL_STATES: readonly string[] = ['completed', 'failed', 'cancelled']
@@ -31,35 +26,40 @@
   /** Connections are kept open until the member process exits. */
   private readonly agent = new Agent({ keepAliveTimeout: 60_000, connections: 8 })
 
-  private constructor (private readonly cell: SoakCell, private readonly random: Random) {}
+  /** Accepted jobs that run until they are cancelled. */
+  private readonly lastingIds = new Set<string>()
+  private readonly jobSeed: number
 
-  static create (cell: SoakCell, random: Random): SoakCallers {
-    return new SoakCallers(cell, random)
+  private constructor (private readonly cell: SoakCell, private readonly random: Random, private readonly jobKinds: readonly string[]) {
+    this.jobSeed = random.nextInt(SEED_RANGE)
   }
 
-  /** Submits one job, waits for a random time, and then cancels it or queries its state. */
+  /** Creates callers that submit jobs of the given kinds, or of all kinds if there are none. */
+  static create (cell: SoakCell, random: Random, jobKinds: readonly string[] = []): SoakCallers {
+    return new SoakCallers(cell, random, jobKinds)
+  }
+
+  /** Submits one job, waits for a random time, and then cancels it or queries its state. The number and the seed determine the job. */
   async runJob (number: number): Promise<void> {
-    const { random } = this
-    const counts = Array.from({ length: 1 + random.nextInt(2) }, () => 1 + random.nextInt(4))
+    const random = Random.create(this.jobSeed + number)
     const id = number.toString(16).padStart(16, '0')
-    const shouldFail = random.next() < FAILING_JOBS_RATIO
-    const shouldCancel = random.next() < CANCELLED_JOBS_RATIO
-    const { min, spread } = random.next() < LONG_JOBS_RATIO ? LONG_TASK_MS : SHORT_TASK_MS
-    const durationMs = min + random.nextInt(spread)
-    const job: SoakJob = { id, counts, cpuMillis: TASK_CPU_MILLIS, maxAttempts: MAX_ATTEMPTS }
-    const path = `/${QUEUES[random.nextInt(QUEUES.length)]!}/${id}`
-    const steps = counts.map((count, index) => ({ count, cpu: TASK_CPU_MILLIS, memMb: 64, estimatedMs: durationMs, ...(index === 0 ? {} : { after: [index - 1] }) }))
+    const queue = QUEUES[random.nextInt(QUEUES.length)]!
+    const queryDelayMs = QUERY_DELAY_MS.min + random.nextInt(QUERY_DELAY_MS.spread)
+    const { kind, job, body, cancelAfterMs } = createSoakJob(random, id, { maxAttempts: MAX_ATTEMPTS, needsTicket: queue === ADVISED_QUEUE, kinds: this.jobKinds })
+    const path = `/${queue}/${id}`
     this.cell.history.recordSubmission(job)
-    if (!await this.submit(path, { spec: JSON.stringify({ ms: durationMs, fails: shouldFail }), steps }, id)) return
+    if (!await this.submit(path, body, id)) return
     this.acceptedPaths.set(id, path)
-    await wait(200 + random.nextInt(1_500))
-    if (shouldCancel) await this.cancel(path, id)
+    if (kind === 'lasting') this.lastingIds.add(id)
+    await wait(cancelAfterMs ?? queryDelayMs)
+    if (cancelAfterMs !== undefined) await this.cancel(path, id)
     else await this.queryState(path, id)
   }
 
-  /** Polls accepted jobs until all have reached a final state or the deadline has passed. Returns the ids of the unfinished jobs. */
+  /** Cancels the jobs that last, and polls accepted jobs until all have reached a final state or the deadline has passed. Returns the ids of the unfinished jobs. */
   async waitForFinalStates (deadline: number): Promise<readonly string[]> {
     const unfinished = new Map(this.acceptedPaths)
+    await Promise.all([...this.lastingIds].map((id) => this.cancel(unfinished.get(id)!, id)))
     while (unfinished.size > 0 && performance.now() < deadline) {
       for (const [id, path] of unfinished) {
         const state = await this.queryState(path, id)
@@ -104,9 +104,9 @@
   private async queryState (path: string, id: string): Promise<string | undefined> {
     const response = await this.send('GET', path)
     if (response === undefined) return undefined
-    if (response.status === 410) this.cell.history.recordState(id, 'absent')
+    if (response.status === 410) this.cell.history.recordState(id, 'absent', performance.now())
     const { state } = response.body as { readonly state?: string }
-    if (state !== undefined) this.cell.history.recordState(id, state)
+    if (state !== undefined) this.cell.history.recordState(id, state, performance.now())
     return state
   }
 
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -3,13 +3,15 @@
 import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
 import { ProcessMember } from '../faults/processes/process-member.ts'
-import { JsonServer } from '../platform/standin/json-server.ts'
+import { listenAdvisor } from '../platform/standin/advisor-server.ts'
+import { GangRegistry } from '../platform/standin/gang-registry.ts'
+import type { JsonServer } from '../platform/standin/json-server.ts'
 import { KvServer } from '../platform/standin/kv-server.ts'
-import { getCallerAddress, createMemberSettings } from '../platform/standin/member-settings.ts'
+import { getCallerAddress, createMemberSettings, MAX_LEASE_MS } from '../platform/standin/member-settings.ts'
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
 import { NO_DELAY, WorkerServer } from '../platform/standin/worker-server.ts'
-import type { WorkerDelay } from '../platform/standin/worker-server.ts'
+import type { WorkerDelay, WorkerEvent } from '../platform/standin/worker-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
@@ -21,6 +23,8 @@
 export const SOAK_KEY = 'key-of-soak'
 /** Names of the queues to which jobs are submitted. */
 export const QUEUES = ['plain', 'advised'] as const
+/** Name of the queue whose tasks need a ticket. */
+export const ADVISED_QUEUE = 'advised'
 /** Maximum number of attempts of a task in each queue. */
 export const MAX_ATTEMPTS = 2
 const WORKER_CPU_MILLIS = 16_000
@@ -28,7 +32,14 @@
 /** Number of different delays of slow workers. */
 const DELAY_STEPS = 4
 const RESTART_DELAY_MS = 300
-const ADVICE = { decisionMs: 5, eachMs: 0, validityMs: 2_000 }
+const ADVICE = { decisionMs: 28, eachMs: 0.4, validityMs: 2_000 }
+/** Ratio of workers that may run a step, in a cell that is large enough for a policy. */
+const GOOD_WORKERS_RATIO = 0.7
+const MIN_WORKERS_WITH_POLICY = 16
+/** Longest time that a stop takes. */
+const MAX_STOP_MS = 200
+/** Every third worker has a slow clock. */
+const SLOW_CLOCK = { interval: 3, rate: 0.98 } as const
 
 /** Size and files of a cell. */
 export type SoakCellOptions = {
@@ -52,24 +63,26 @@
 export class SoakCell {
   readonly members: SoakMember[] = []
   readonly workers: SoakWorker[] = []
+  private readonly gangs = GangRegistry.create()
   private nextVersion = 1
   private isClosing = false
 
   private readonly operator: StandinOperator
+  /** The events of all workers. */
+  private readonly workerLog: WriteStream
 
   private constructor (readonly kv: KvServer, private readonly advisor: JsonServer, readonly advisorLink: LoopbackProxy, readonly history: RunHistory, private readonly options: SoakCellOptions) {
     this.operator = StandinOperator.create(kv)
+    this.workerLog = createWriteStream(join(options.folder, 'workers.log'))
   }
 
   /** Starts the stand-ins and the members. Members find the workers through the store. */
   static async start (options: SoakCellOptions): Promise<SoakCell> {
     mkdirSync(options.folder, { recursive: true })
     const kv = await KvServer.listen()
-    const advisor = await JsonServer.listen(async ({ body }) => (
-      { status: 200, body: { good: (body as { workers: readonly string[] }).workers.map((id) => [id, `ticket-${id}`]), validityMs: ADVICE.validityMs } }
-    ))
+    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.workers[Number(id.slice(1))]?.server.startedAtMs })
     const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
-    const cell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
+    const cell: SoakCell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
     for (let index = 0; index < options.workers; index += 1) await cell.addWorker(index)
     for (let index = 0; index < options.members; index += 1) await cell.addMember(index)
@@ -93,7 +106,7 @@
 
   /** Publishes the next version of the configuration. */
   publishConfiguration (): void {
-    const queues = [{ name: 'plain', priority: 0 }, { name: 'advised', priority: 2, advice: ADVICE }, { name: `extra-${this.nextVersion}`, priority: 0 }]
+    const queues = [{ name: 'plain', priority: 0 }, { name: ADVISED_QUEUE, priority: 2, advice: ADVICE }, { name: `extra-${this.nextVersion}`, priority: 0 }]
     this.operator.configure({ version: this.nextVersion, host: SOAK_HOST, key: SOAK_KEY, weight: 100, maxAttempts: MAX_ATTEMPTS, queues })
     this.nextVersion += 1
   }
@@ -166,6 +179,7 @@
       link.close()
       server.close()
     }
+    this.workerLog.end()
     this.kv.close()
     this.advisorLink.close()
     this.advisor.close()
@@ -173,11 +187,27 @@
 
   private async addWorker (index: number): Promise<void> {
     const id = `w${index}`
-    const server = await WorkerServer.listen({ id, needsTickets: false, seed: index, observe: (event) => this.history.recordWorkerEvent(id, event, performance.now()) })
+    const server = await WorkerServer.listen({
+      id,
+      needsTickets: true,
+      maxLeaseMs: MAX_LEASE_MS,
+      maxStopMs: MAX_STOP_MS,
+      clockRate: index % SLOW_CLOCK.interval === 0 ? SLOW_CLOCK.rate : 1,
+      gangs: this.gangs,
+      seed: index,
+      observe: (event) => this.recordWorkerEvent(id, event)
+    })
     this.workers.push({ server, link: await LoopbackProxy.listen(server.address), domain: getFailureDomain(index) })
     this.publishWorker(index)
   }
 
+  /** Passes an event to the history, after runs of other workers that are due have ended, also if their timers are late. */
+  private recordWorkerEvent (id: string, event: WorkerEvent): void {
+    if (event.type === 'started') for (const { server } of this.workers) if (server.id !== id) server.settle()
+    this.workerLog.write(`${JSON.stringify({ time: new Date().toISOString(), worker: id, ...event })}\n`)
+    this.history.recordWorkerEvent(id, event, performance.now())
+  }
+
   private publishWorker (index: number): void {
     const { server, link, domain } = this.workers[index]!
     this.operator.publishWorker(server, domain, link.address)
--- a/test/soak/run-history.test.ts
+++ b/test/soak/run-history.test.ts
@@ -3,6 +3,7 @@
 import type { WorkerOutcome } from '../../platform/standin/worker-run.ts'
 import type { WorkerEvent } from '../../platform/standin/worker-server.ts'
 import { RunHistory } from '../../soak/run-history.ts'
+import type { SoakJob } from '../../soak/soak-jobs.ts'
 
 type HistoryEntry =
   | { readonly at: number, readonly worker: string, readonly event: WorkerEvent }
@@ -11,8 +12,8 @@
   | { readonly at: number, readonly disruption: 'begins' | 'ends' }
   | { readonly at: number, readonly sentAt: number }
 
-function startedEvent (task: string, run = 1): WorkerEvent {
-  return { type: 'started', task, run }
+function startedEvent (task: string, run = 1, lateByMs?: number): WorkerEvent {
+  return { type: 'started', task, run, ...(lateByMs === undefined ? {} : { lateByMs }) }
 }
 
 function endedEvent (task: string, outcome: WorkerOutcome, run = 1): WorkerEvent {
@@ -38,7 +39,7 @@
 const histories: ReadonlyArray<{ readonly scenario: string, readonly entries: readonly HistoryEntry[], readonly breach: RegExp | undefined }> = [
   { scenario: 'two concurrent runs of a task', entries: [{ at: 0, worker: 'w1', event: startedEvent('a.0.0.0') }, { at: 1, worker: 'w2', event: startedEvent('a.0.0.0', 2) }], breach: /^TWICE/ },
   { scenario: 'a start after an acknowledged completion', entries: [{ at: 0, worker: 'w1', event: startedEvent('a.0.0.0') }, { at: 1, worker: 'w1', event: endedEvent('a.0.0.0', 'done') }, { at: 2, worker: 'w1', event: acknowledgedEvent('a.0.0.0', 'done') }, { at: 3, worker: 'w2', event: startedEvent('a.0.0.0', 2) }], breach: /^TWICE/ },
-  { scenario: 'a start after a completion that is acknowledged later', entries: [...startAfterDone, { at: 3, worker: 'w1', event: acknowledgedEvent('a.0.0.0', 'done') }], breach: /^TWICE.*run 2 on w2.*after run 1 on w1/ },
+  { scenario: 'a start after a completion that is acknowledged later', entries: [...startAfterDone, { at: 3, worker: 'w1', event: acknowledgedEvent('a.0.0.0', 'done') }], breach: /^TWICE.*run 2 of term 1 on w2.*after run 1 of term 1 on w1/ },
   { scenario: 'a start after a completion that is not acknowledged is allowed', entries: [...startAfterDone, { at: 3, worker: 'w1', event: { type: 'crashed' } }, { at: 4, worker: 'w2', event: endedEvent('a.0.0.0', 'done', 2) }, { at: 5, worker: 'w2', event: acknowledgedEvent('a.0.0.0', 'done', 2) }], breach: undefined },
   { scenario: 'a start after a completion that is acknowledged after the lease has lapsed is allowed', entries: [...startAfterDone, { at: 3, worker: 'w1', event: acknowledgedEvent('a.0.0.0', 'done', 1, true) }], breach: undefined },
   { scenario: 'a request that ends without an answer in calm time', entries: [{ at: 0, disruption: 'begins' }, { at: 1_000, disruption: 'ends' }, { at: 4_500, sentAt: 4_100 }], breach: /^LOST: GET \/a ended without an answer after 400 ms/ },
@@ -57,13 +58,68 @@
   { scenario: 'a job that is shown as failed too early', entries: [{ at: 5, caller: 'failed' }], breach: /^LOST/ },
   { scenario: 'a job that is shown as completed too early', entries: [{ at: 5, caller: 'completed' }], breach: /^MIXED/ },
   { scenario: 'an accepted job that is not known', entries: [{ at: 5, caller: 'absent' }], breach: /^LOST/ },
-  { scenario: 'a start in an evacuated failure domain', entries: [{ at: 0, evacuated: 'west' }, { at: 6_000, worker: 'w1', event: startedEvent('a.0.0.0') }], breach: /^EVAC/ }
+  { scenario: 'a start in an evacuated failure domain', entries: [{ at: 0, evacuated: 'west' }, { at: 6_000, worker: 'w1', event: startedEvent('a.0.0.0') }], breach: /^EVAC/ },
+  { scenario: 'a late start in an evacuated failure domain is allowed', entries: [{ at: 0, evacuated: 'west' }, { at: 6_000, worker: 'w1', event: startedEvent('a.0.0.0', 1, 4_000) }], breach: undefined },
+  { scenario: 'a late start long after the cancellation is allowed', entries: [{ at: 0, caller: 'cancelled' }, { at: 4_000, worker: 'w1', event: startedEvent('a.0.0.0', 1, 3_500) }], breach: undefined },
+  { scenario: 'a start with the checkpoint of another task', entries: [{ at: 0, worker: 'w1', event: { type: 'started', task: 'a.0.0.0', run: 1, foreignCheckpoint: '000003e800000000' } }], breach: /^UNASKED.*000003e800000000/ },
+  { scenario: 'a start of a task beyond the count of its step', entries: [{ at: 0, worker: 'w1', event: startedEvent('a.0.0.3') }], breach: /^UNASKED/ },
+  { scenario: 'two concurrent runs of a task on one worker', entries: [{ at: 0, worker: 'w1', event: startedEvent('a.0.0.0') }, { at: 1, worker: 'w1', event: startedEvent('a.0.0.0', 2) }], breach: /^TWICE/ },
+  { scenario: 'a concurrent run whose order was held up, with its age and term,', entries: [{ at: 0, worker: 'w1', event: startedEvent('a.0.0.0', 1_000_004) }, { at: 1, worker: 'w2', event: startedEvent('a.0.0.0', 1_000_000, 4_200) }], breach: /^TWICE: a\.0\.0\.0 run 1000000 of term 1 on w2, whose order was held up for 4200 ms starts concurrently with run 1000004 of term 2 on w1/ },
+  { scenario: 'a late start after an acknowledged completion', entries: [{ at: 0, worker: 'w1', event: startedEvent('a.0.0.0') }, { at: 1, worker: 'w1', event: endedEvent('a.0.0.0', 'done') }, { at: 2, worker: 'w1', event: acknowledgedEvent('a.0.0.0', 'done') }, { at: 3, worker: 'w2', event: startedEvent('a.0.0.0', 2, 2_500) }], breach: /^TWICE.*held up for 2500 ms/ }
 ]
 
-for (const { scenario, entries, breach } of histories) {
+const GANG_MEMBERS = ['g.0.0.0', 'g.0.0.1']
+
+const gangIsDone: readonly HistoryEntry[] = [
+  ...GANG_MEMBERS.map((task, index) => ({ at: index, worker: `w${index}`, event: startedEvent(task) })),
+  ...GANG_MEMBERS.map((task, index) => ({ at: 10, worker: `w${index}`, event: endedEvent(task, 'done') }))
+]
+
+const copyIsDone: readonly HistoryEntry[] = [
+  { at: 0, worker: 'w1', event: startedEvent('s.0.0.0') },
+  { at: 1, worker: 'w1', event: endedEvent('s.0.0.0', 'done') },
+  { at: 2, worker: 'w1', event: acknowledgedEvent('s.0.0.0', 'done') }
+]
+
+const copyHasFailed: readonly HistoryEntry[] = [1, 2].flatMap((run) => [
+  { at: run, worker: 'w1', event: startedEvent('s.0.0.0', run) },
+  { at: run, worker: 'w1', event: endedEvent('s.0.0.0', 'failed', run) },
+  { at: run, worker: 'w1', event: acknowledgedEvent('s.0.0.0', 'failed', run) }
+])
+
+const kinds: typeof histories = [
+  { scenario: 'a start of a member after another member of its gang has ended as done, which is acknowledged later,', entries: [...gangIsDone, { at: 11, worker: 'w2', event: startedEvent('g.0.0.1', 2) }, { at: 12, worker: 'w0', event: acknowledgedEvent('g.0.0.0', 'done') }], breach: /^TWICE: g\.0\.0\.0 has started \(run 2 of term 1 on w2\)/ },
+  { scenario: 'a start of a member after the completion of another member of its gang was acknowledged', entries: [...gangIsDone, { at: 11, worker: 'w0', event: acknowledgedEvent('g.0.0.0', 'done') }, { at: 12, worker: 'w2', event: startedEvent('g.0.0.1', 2) }], breach: /^TWICE: g\.0\.0\.1/ },
+  { scenario: 'a start of a member after a completion that is not acknowledged is allowed', entries: [...gangIsDone, { at: 11, worker: 'w2', event: startedEvent('g.0.0.1', 2) }], breach: undefined },
+  { scenario: 'concurrent copies of a task are allowed', entries: [{ at: 0, worker: 'w1', event: startedEvent('s.0.0.0') }, { at: 1, worker: 'w2', event: startedEvent('s.0.0.0', 2) }], breach: undefined },
+  { scenario: 'a copy that starts soon after the acknowledged completion of another is allowed', entries: [...copyIsDone, { at: 900, worker: 'w2', event: startedEvent('s.0.0.0', 2) }], breach: undefined },
+  { scenario: 'a copy that starts long after the acknowledged completion of another', entries: [...copyIsDone, { at: 1_100, worker: 'w2', event: startedEvent('s.0.0.0', 2) }], breach: /^TWICE.*1098 ms after/ },
+  { scenario: 'a late copy after the acknowledged completion of another is allowed', entries: [...copyIsDone, { at: 2_500, worker: 'w2', event: startedEvent('s.0.0.0', 2, 2_400) }], breach: undefined },
+  { scenario: 'a copy after the acknowledged completion of another in a disruption is allowed', entries: [...copyIsDone, { at: 1_000, disruption: 'begins' }, { at: 1_500, worker: 'w2', event: startedEvent('s.0.0.0', 2) }], breach: undefined },
+  { scenario: 'a copy that starts soon after the last attempt is allowed', entries: [...copyHasFailed, { at: 900, worker: 'w2', event: startedEvent('s.0.0.0', 3) }], breach: undefined },
+  { scenario: 'a copy that starts long after the last attempt', entries: [...copyHasFailed, { at: 1_100, worker: 'w2', event: startedEvent('s.0.0.0', 3) }], breach: /^BUDGET/ },
+  { scenario: 'an occurrence that starts before it is due', entries: [{ at: 1_700, worker: 'w1', event: startedEvent('r.1.0.0') }], breach: /^ORDER.*300 ms before it is due/ },
+  { scenario: 'occurrences that overlap are allowed', entries: [{ at: 1_000, worker: 'w1', event: startedEvent('r.0.0.0') }, { at: 1_800, worker: 'w2', event: startedEvent('r.1.0.0') }], breach: undefined },
+  { scenario: 'a step of an occurrence that starts before the preceding step of the same occurrence is done', entries: [{ at: 1_000, worker: 'w1', event: startedEvent('r.0.0.0') }, { at: 1_500, worker: 'w1', event: endedEvent('r.0.0.0', 'done') }, { at: 2_000, worker: 'w1', event: startedEvent('r.1.1.0') }], breach: /^ORDER.*preceding step/ },
+  { scenario: 'an occurrence that the job does not have', entries: [{ at: 9_000, worker: 'w1', event: startedEvent('r.2.0.0') }], breach: /^UNASKED/ },
+  { scenario: 'a task beyond the limit of its step on one worker', entries: [{ at: 0, worker: 'w1', event: startedEvent('p.0.0.0') }, { at: 1, worker: 'w1', event: startedEvent('p.0.0.1') }], breach: /^ROUTE/ },
+  { scenario: 'a task that lasts and starts again after it has failed is allowed', entries: [1, 2, 3].flatMap((run) => [{ at: run, worker: 'w1', event: startedEvent('p.0.0.0', run) }, { at: run, worker: 'w1', event: endedEvent('p.0.0.0', 'failed', run) }, { at: run, worker: 'w1', event: acknowledgedEvent('p.0.0.0', 'failed', run) }]), breach: undefined }
+]
+
+const JOB: SoakJob = { id: 'a', steps: [{ count: 3, cpuMillis: 1_000 }, { count: 1, cpuMillis: 1_000, after: 0 }], maxAttempts: 2, occurrences: 1, firstAtMs: 0, intervalMs: 0 }
+
+const JOBS: readonly SoakJob[] = [
+  JOB,
+  { ...JOB, id: 'g', steps: [{ count: 2, cpuMillis: 1_000, gang: true }] },
+  { ...JOB, id: 's', steps: [{ count: 1, cpuMillis: 1_000, speculative: true }] },
+  { ...JOB, id: 'r', steps: [{ count: 1, cpuMillis: 1_000 }, { count: 1, cpuMillis: 1_000, after: 0 }], occurrences: 2, firstAtMs: 1_000, intervalMs: 1_000 },
+  { ...JOB, id: 'p', steps: [{ count: 2, cpuMillis: 1_000, perTargetLimit: 1, longRunning: true }] }
+]
+
+for (const { scenario, entries, breach } of [...histories, ...kinds]) {
   test(`soak history: ${scenario}${breach === undefined ? '' : ' is reported'}`, () => {
     const history = RunHistory.create(2_000, () => 'west')
-    history.recordSubmission({ id: 'a', counts: [3, 1], cpuMillis: 1_000, maxAttempts: 2 })
+    for (const job of JOBS) history.recordSubmission(job)
     for (const entry of entries) {
       if ('worker' in entry) history.recordWorkerEvent(entry.worker, entry.event, entry.at)
       else if ('evacuated' in entry) history.recordEvacuation(entry.evacuated, entry.at)
@@ -71,7 +127,7 @@
       else if ('sentAt' in entry) history.recordBrokenRequest('GET /a', entry.sentAt, entry.at)
       else if (entry.caller === 'refused') history.recordRefusal('a')
       else if (entry.caller === 'cancelled') history.recordCancellation('a', entry.at)
-      else history.recordState('a', entry.caller)
+      else history.recordState('a', entry.caller, entry.at)
     }
     if (breach === undefined) assert.deepEqual(history.breaches, [])
     else assert.match(history.breaches[0] ?? '', breach)
