--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,5 +1,5 @@
 import { spawnSync } from 'node:child_process'
-import { mkdtempSync, rmSync } from 'node:fs'
+import { existsSync, mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { Builtins, Cli, Command, Option } from 'clipanion'
@@ -7,6 +7,7 @@
 
 const EXIT_FAILED = 1
 const DEFAULT_SEED_RANGE = 1_000_000
+const BUILT_BUNDLE = 'target/damaskfield-platform.mjs'
 /** Range of loopback subnets. Each process uses one, so that concurrent runs do not share addresses. */
 const FIRST_SUBNET = 20
 const SUBNET_COUNT = 200
@@ -28,20 +29,21 @@
   faults = Option.String('--faults', '', { description: 'kinds of faults, separated by commas, such as takeover/slow; all kinds by default' })
 
   interval = Option.String('--interval', '1000', { description: 'mean time between two faults in milliseconds' })
+  bundle = Option.String('--bundle', { description: 'bundle of the member processes, such as that of an earlier version; by default it is built' })
   keepLogs = Option.Boolean('--keep-logs', false, { description: 'keep the logs of seeds that pass too' })
 
   async execute (): Promise<number> {
-    const built = spawnSync(process.execPath, ['scripts/build-platform.mjs'], { encoding: 'utf8' })
-    if (built.status !== 0) throw new Error(`the bundle could not be built: ${built.stderr}`)
+    const bundle = this.bundle ?? buildBundle()
+    if (!existsSync(bundle)) throw new Error(`there is no bundle at ${bundle}`)
     let failed = 0
     for (let index = 0; index < Number(this.seeds); index += 1) {
-      if (!await this.runSeed(Number(this.seed) + index)) failed += 1
+      if (!await this.runSeed(Number(this.seed) + index, bundle)) failed += 1
     }
     this.context.stdout.write(`${Number(this.seeds) - failed} passed, ${failed} failed\n`)
     return failed === 0 ? 0 : EXIT_FAILED
   }
 
-  private async runSeed (seed: number): Promise<boolean> {
+  private async runSeed (seed: number, bundle: string): Promise<boolean> {
     const folder = mkdtempSync(join(tmpdir(), `damaskfield-soak-${seed}-`))
     const { faults, accepted, refused, doubtful, breaches } = await runSoak({
       seed,
@@ -51,7 +53,7 @@
       jobsPerSecond: Number(this.rate),
       faultIntervalMs: Number(this.interval),
       faultKinds: this.faults.split(',').filter((kind) => kind !== ''),
-      bundle: 'target/damaskfield-platform.mjs',
+      bundle,
       folder,
       subnet: FIRST_SUBNET + process.pid % SUBNET_COUNT
     })
@@ -64,6 +66,12 @@
   }
 }
 
+function buildBundle (): string {
+  const built = spawnSync(process.execPath, ['scripts/build-platform.mjs'], { encoding: 'utf8' })
+  if (built.status !== 0) throw new Error(`the bundle could not be built: ${built.stderr}`)
+  return BUILT_BUNDLE
+}
+
 const cli = new Cli({ binaryName: 'npm run soak --', binaryLabel: 'damaskfield soak' })
 cli.register(SoakCommand)
 cli.register(Builtins.HelpCommand)
