Apply some of all writes to the store late during takeovers in the soak

The soak played claims up to 1.8 s late, and no other write; the deployments have writes of every kind that are carried out 1 to 6 s late and not answered. The new trouble of the store, writes-late, does that to 35% of the transactions, lease grants, renewals and ends of leases.

--- a/soak/store-trouble.ts
+++ b/soak/store-trouble.ts
@@ -10,13 +10,14 @@
 
 /**
  * How the store fails while members claim the leadership. `claims-unanswered`: claims are applied, but neither their response
- * nor the following calls of the claimant are answered. `claims-late`: claims are applied late and not answered. `slow`:
- * all calls are answered late. `lossy`: some calls are refused, and some are applied and not answered. `refuses-some`: some
+ * nor the following calls of the claimant are answered. `claims-late`: claims are applied late and not answered.
+ * `writes-late`: some of all writing calls are applied seconds late, if they still can be, and not answered. `slow`: all
+ * calls are answered late. `lossy`: some calls are refused, and some are applied and not answered. `refuses-some`: some
  * members are refused. `winners-killed`: members are killed soon after their claim was applied.
  */
-export type StoreTrouble = 'claims-unanswered' | 'claims-late' | 'slow' | 'lossy' | 'refuses-some' | 'winners-killed'
+export type StoreTrouble = 'claims-unanswered' | 'claims-late' | 'writes-late' | 'slow' | 'lossy' | 'refuses-some' | 'winners-killed'
 
-export const STORE_TROUBLES: readonly StoreTrouble[] = ['claims-unanswered', 'claims-unanswered', 'claims-late', 'slow', 'lossy', 'refuses-some', 'winners-killed']
+export const STORE_TROUBLES: readonly StoreTrouble[] = ['claims-unanswered', 'claims-unanswered', 'claims-late', 'writes-late', 'writes-late', 'slow', 'lossy', 'refuses-some', 'winners-killed']
 
 /** Bounds of the delay of a slow response. */
 const SLOW_RESPONSE_MS = { min: 500, spread: 1_000 } as const
@@ -24,6 +25,9 @@
 const UNANSWERED_MS = { min: 300, spread: 2_500 } as const
 const MAX_UNANSWERED_CLAIMS = 2
 const MAX_LATE_CLAIM_MS = 1_800
+/** Bounds of the time after which a late write is applied. */
+const LATE_WRITE_MS = { min: 1_000, spread: 5_000 } as const
+const LATE_WRITES_RATIO = 0.35
 const MAX_WINNER_LIFE_MS = 700
 const REFUSED_CALLS_RATIO = 0.3
 const LOST_RESPONSES_RATIO = 0.3
@@ -55,6 +59,12 @@
       await serve()
       return 'drop'
     }
+    case 'writes-late': return async (request, serve) => {
+      if (!isWrite(request) || random.next() >= LATE_WRITES_RATIO) return serve()
+      await wait(LATE_WRITE_MS.min + random.nextInt(LATE_WRITE_MS.spread))
+      await serve()
+      return 'drop'
+    }
     case 'slow': return async (request, serve) => {
       const response = await serve()
       if (request.path !== '/kv-watch') await wait(SLOW_RESPONSE_MS.min + random.nextInt(SLOW_RESPONSE_MS.spread))
@@ -75,6 +85,11 @@
   }
 }
 
+/** Whether a call changes entries or leases. */
+function isWrite ({ method }: JsonRequest): boolean {
+  return method !== 'GET'
+}
+
 /** The member that claims the leadership with this call; undefined for any other call. */
 function findClaimant (cell: SoakCell, { path, body }: JsonRequest): number | undefined {
   if (path !== '/kv-txn') return undefined
