Cut the power of members for seconds and replace members in the soak

The soak killed members and started them again after 0.3 s. On the deployments a power cut takes all members, a third or one of them away for 3 to 9.5 s, while targets go on under their leases, and all start at the same time; and a member that is replaced, planned or not, comes back at another address.

--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -28,6 +28,7 @@
 /** Number of different delays of slow workers. */
 const DELAY_STEPS = 4
 const RESTART_DELAY_MS = 300
+const FIRST_HOST_NUMBER = 2
 const ADVICE = { decisionMs: 5, eachMs: 0, validityMs: 2_000 }
 
 /** Size and files of a cell. */
@@ -42,7 +43,14 @@
   readonly subnet: number
 }
 
-type SoakMember = { readonly options: MemberOptions, readonly storeLink: LoopbackProxy, readonly output: WriteStream, process: ProcessMember }
+type SoakMember = {
+  readonly storeLink: LoopbackProxy
+  readonly output: WriteStream
+  options: MemberOptions
+  process: ProcessMember
+  /** Whether the member has no power. Nothing starts it until the power is back. */
+  isOff: boolean
+}
 type SoakWorker = { readonly server: WorkerServer, readonly link: LoopbackProxy, readonly domain: string }
 
 /**
@@ -53,6 +61,8 @@
   readonly members: SoakMember[] = []
   readonly workers: SoakWorker[] = []
   private nextVersion = 1
+  /** Fourth octet of the next member's address. */
+  private nextHostNumber = FIRST_HOST_NUMBER
   private isClosing = false
 
   private readonly operator: StandinOperator
@@ -116,7 +126,29 @@
     member.process.signal(signal)
     await member.process.waitForExit()
     await wait(RESTART_DELAY_MS)
-    if (!this.isClosing && !member.process.isRunning) member.process = this.startProcess(member.options, member.output)
+    this.startMember(member)
+  }
+
+  /** Stops a member with a signal and starts it again at another address, as on another host. */
+  async replaceMember (index: number, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+    const member = this.members[index]!
+    member.options = { ...member.options, host: this.createHost() }
+    await this.restartMember(index, signal)
+  }
+
+  /** Kills members and starts them again at the same time after the given time. */
+  async cutPower (indexes: readonly number[], ms: number): Promise<void> {
+    const members = indexes.map((index) => this.members[index]!).filter(({ isOff }) => !isOff)
+    for (const member of members) {
+      member.isOff = true
+      member.process.signal('SIGKILL')
+    }
+    await Promise.all(members.map(({ process }) => process.waitForExit()))
+    await wait(ms)
+    for (const member of members) {
+      member.isOff = false
+      this.startMember(member)
+    }
   }
 
   async pauseMember (index: number, ms: number): Promise<void> {
@@ -187,14 +219,25 @@
     const storeLink = await LoopbackProxy.listen(this.kv.address)
     const options: MemberOptions = {
       name: `member-${index}`,
-      host: `127.0.${this.options.subnet}.${index + 2}`,
+      host: this.createHost(),
       failureDomain: getFailureDomain(index),
       storeAddress: storeLink.address,
       advisorAddress: this.advisorLink.address,
       cores: 1
     }
     const output = createWriteStream(join(this.options.folder, `${options.name}.log`))
-    this.members.push({ options, storeLink, output, process: this.startProcess(options, output) })
+    this.members.push({ options, storeLink, output, process: this.startProcess(options, output), isOff: false })
+  }
+
+  private createHost (): string {
+    const number = this.nextHostNumber
+    this.nextHostNumber += 1
+    return `127.0.${this.options.subnet}.${number}`
+  }
+
+  /** Starts a member, unless it runs already or has no power. */
+  private startMember (member: SoakMember): void {
+    if (!this.isClosing && !member.isOff && !member.process.isRunning) member.process = this.startProcess(member.options, member.output)
   }
 
   private startProcess (options: MemberOptions, output: WriteStream): ProcessMember {
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -13,6 +13,10 @@
   | { readonly type: 'kill' | 'terminate', readonly member: number }
   | { readonly type: 'pause', readonly member: number, readonly forMs: number }
   | { readonly type: 'kill-all' | 'terminate-all' }
+  /** The members are away for a while and start at the same time. */
+  | { readonly type: 'power-cut', readonly members: readonly number[], readonly forMs: number }
+  /** The member starts again at another address. */
+  | { readonly type: 'replace' | 'replace-planned', readonly member: number }
   | { readonly type: 'store', readonly mode: 'busy' | 'silent' | 'reset', readonly forMs: number }
   | { readonly type: 'store-answers-lost', readonly count: number }
   | { readonly type: 'store-link', readonly member: number, readonly state: LinkState, readonly forMs: number }
@@ -28,17 +32,21 @@
 
 type Takeover = { readonly type: 'takeover', readonly leader: LeaderFailure, readonly afterMs: number, readonly trouble: StoreTrouble, readonly delay: WorkerDelay, readonly forMs: number, readonly seed: number }
 
-type LeaderFailure = 'kill' | 'terminate' | 'pause' | 'cut' | 'none'
+type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-planned' | 'pause' | 'cut' | 'none'
 
 const LINK_STATES: readonly LinkState[] = ['slow', 'silent', 'one-way', 'reset']
 const STORE_MODES = ['busy', 'silent', 'reset'] as const
-const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'terminate', 'pause', 'cut', 'none']
+const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'terminate', 'power', 'replace', 'replace-planned', 'pause', 'cut', 'none']
 /** Faults that are planned work: requests must be answered during these. */
-const PLANNED_FAULTS: ReadonlyArray<SoakFault['type']> = ['terminate', 'terminate-all', 'domain-out', 'configuration']
+const PLANNED_FAULTS: ReadonlyArray<SoakFault['type']> = ['terminate', 'terminate-all', 'replace-planned', 'domain-out', 'configuration']
 const MAX_LOST_RESPONSES = 6
 /** Bounds of the duration of a fault. */
 const MIN_FAULT_MS = 500
 const MAX_FAULT_MS = 4_500
+/** Bounds of the time for which members have no power. */
+const POWER_CUT_MS = { min: 3_000, spread: 6_500 } as const
+/** Ratios of the members that lose their power together. */
+const POWER_CUT_RATIOS = [0, 0.33, 1, 1] as const
 /** Longest time between the failure of a leader and the trouble of the store. */
 const MAX_TROUBLE_DELAY_MS = 1_500
 /** Bounds of the times for which an overloaded host runs and suspends a member. */
@@ -48,6 +56,8 @@
 /** Ratio of slow workers that delay all calls and not only starts. */
 const SLOW_LISTS_RATIO = 0.75
 const MAX_WORKER_DELAY_MS = 900
+/** Number of power cuts in the list from which a fault is chosen. */
+const POWER_CUT_SHARE = 2
 /** Number of takeovers in the list from which a fault is chosen. */
 const TAKEOVER_SHARE = 5
 const SEED_RANGE = 1_000_000
@@ -76,6 +86,9 @@
     { type: 'pause', member, forMs },
     { type: 'pause', member, forMs },
     { type: 'kill-all' },
+    ...Array.from({ length: POWER_CUT_SHARE }, (): SoakFault => ({ type: 'power-cut', members: chooseMembers(random, members, POWER_CUT_RATIOS[random.nextInt(POWER_CUT_RATIOS.length)]!), forMs: POWER_CUT_MS.min + random.nextInt(POWER_CUT_MS.spread) })),
+    { type: 'replace', member },
+    { type: 'replace-planned', member },
     { type: 'terminate-all' },
     { type: 'store', mode, forMs },
     { type: 'store-answers-lost', count: 1 + random.nextInt(MAX_LOST_RESPONSES) },
@@ -94,6 +107,12 @@
   return kinds.length === 0 || kinds.some((kind) => getKind(fault).startsWith(kind)) ? fault : createRandomFault(random, members, workers, kinds)
 }
 
+/** Random members: the given ratio of all, but at least one. */
+function chooseMembers (random: Random, members: number, ratio: number): readonly number[] {
+  const order = Array.from({ length: members }, (_, index) => ({ index, rank: random.next() })).sort((left, right) => left.rank - right.rank)
+  return order.slice(0, Math.max(1, Math.floor(ratio * members))).map(({ index }) => index)
+}
+
 /** The type of a fault; for a takeover with the trouble of the store and the failure of the leader. */
 function getKind (fault: SoakFault): string {
   return fault.type === 'takeover' ? `${fault.type}/${fault.trouble}/${fault.leader}` : fault.type
@@ -113,6 +132,9 @@
     case 'terminate': return cell.restartMember(fault.member, 'SIGTERM')
     case 'pause': return cell.pauseMember(fault.member, fault.forMs)
     case 'kill-all': return restartAllMembers(cell, 'SIGKILL', 0)
+    case 'power-cut': return cell.cutPower(fault.members, fault.forMs)
+    case 'replace': return cell.replaceMember(fault.member, 'SIGKILL')
+    case 'replace-planned': return cell.replaceMember(fault.member, 'SIGTERM')
     case 'terminate-all': return restartAllMembers(cell, 'SIGTERM', RESTART_INTERVAL_MS)
     case 'store':
       cell.kv.mode = fault.mode
@@ -156,6 +178,9 @@
   switch (failure) {
     case 'kill': return cell.restartMember(member, 'SIGKILL')
     case 'terminate': return cell.restartMember(member, 'SIGTERM')
+    case 'power': return cell.cutPower([member], forMs)
+    case 'replace': return cell.replaceMember(member, 'SIGKILL')
+    case 'replace-planned': return cell.replaceMember(member, 'SIGTERM')
     case 'pause': return cell.pauseMember(member, forMs)
     case 'cut': return disturbLink(cell.members[member]!.storeLink, 'silent', forMs)
     case 'none': return
