Hold the bytes of a link until it heals in the soak

A cut link of the soak lost its bytes for good. In a real network the kernel sends them again, also what a closed socket had accepted, so that requests whose sender has given up arrive seconds later, after newer ones. Links have the new state held: bytes and ends of connections are kept and delivered at the retransmission that follows the heal. The leader's link to the store can hold its bytes in a takeover (hold).

Tests: test/soak/loopback-proxy.test.ts, 10 cases pass.

--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -1,19 +1,15 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { ProxiedStream } from './proxied-stream.ts'
+import type { LinkState } from './proxied-stream.ts'
 
-/**
- * How a proxy handles its connections. `open`: bytes are forwarded. `slow`: bytes are forwarded with a delay. `silent`:
- * bytes are discarded in both directions. `one-way`: requests are forwarded and responses are discarded. `reset`: open
- * and new connections are closed immediately.
- */
-export type LinkState = 'open' | 'slow' | 'silent' | 'one-way' | 'reset'
-
-const SLOW_LINK_DELAY_MS = 150
+/** `isEstablished`: whether the network has set up the connection; on a link that holds its bytes, this waits until it is open. */
+type ProxiedConnection = { readonly client: Socket, readonly peer: Socket, readonly requests: ProxiedStream, readonly responses: ProxiedStream, isEstablished: boolean }
 
 /** A TCP proxy on the loopback address that can simulate network faults. Bytes that it discards are not sent later. */
 export class LoopbackProxy {
   private state: LinkState = 'open'
-  private readonly connections = new Set<{ readonly client: Socket, readonly peer: Socket }>()
+  private readonly connections = new Set<ProxiedConnection>()
 
   private constructor (private readonly server: Server, readonly address: string) {}
 
@@ -33,9 +29,14 @@
     return proxy
   }
 
-  /** Changes the state. Bytes that open connections have already lost stay lost, as after a real network failure. */
+  /** Changes the state. Bytes that open connections have already lost stay lost. */
   setState (state: LinkState): void {
     this.state = state
+    for (const connection of this.connections) {
+      connection.isEstablished ||= state !== 'held'
+      connection.requests.setState(state)
+      connection.responses.setState(state)
+    }
     if (state === 'reset') this.resetAll()
   }
 
@@ -45,10 +46,13 @@
   }
 
   private resetAll (): void {
-    for (const { client, peer } of this.connections) {
-      client.destroy()
-      peer.destroy()
-    }
+    for (const connection of this.connections) this.reset(connection)
+  }
+
+  private reset (connection: ProxiedConnection): void {
+    this.connections.delete(connection)
+    connection.client.destroy()
+    connection.peer.destroy()
   }
 
   private connectPair (client: Socket, peer: Socket): void {
@@ -57,21 +61,19 @@
       peer.destroy()
       return
     }
-    const pair = { client, peer }
-    this.connections.add(pair)
-    const closePair = (): void => {
-      this.connections.delete(pair)
-      client.destroy()
-      peer.destroy()
-    }
-    for (const socket of [client, peer]) socket.on('error', closePair).on('close', closePair)
-    client.on('data', (bytes) => this.forward(peer, bytes, this.state === 'silent'))
-    peer.on('data', (bytes) => this.forward(client, bytes, this.state === 'silent' || this.state === 'one-way'))
+    const { state } = this
+    const requests = ProxiedStream.create(peer, 'requests', state)
+    const responses = ProxiedStream.create(client, 'responses', state)
+    const connection: ProxiedConnection = { client, peer, requests, responses, isEstablished: state !== 'held' }
+    this.connections.add(connection)
+    client.on('data', (bytes) => requests.write(bytes)).on('error', () => {}).on('close', () => this.closeSide(connection, requests))
+    peer.on('data', (bytes) => responses.write(bytes)).on('error', () => {}).on('close', () => this.closeSide(connection, responses))
   }
 
-  private forward (destination: Socket, bytes: Buffer, discard: boolean): void {
-    if (discard) return
-    if (this.state === 'slow') setTimeout(() => { if (!destination.destroyed) destination.write(bytes) }, SLOW_LINK_DELAY_MS)
-    else destination.write(bytes)
+  /** Passes on that one side has closed, which may have to wait like the bytes that it has sent before. */
+  private closeSide (connection: ProxiedConnection, stream: ProxiedStream): void {
+    const { client, peer, isEstablished } = connection
+    if (!isEstablished || !stream.isHolding || (client.destroyed && peer.destroyed)) this.reset(connection)
+    else stream.end()
   }
 }
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -3,7 +3,8 @@
 import type { WorkerDelay } from '../platform/standin/worker-server.ts'
 import { assertNever } from '../src/util/assert-never.ts'
 import { Random } from '../src/util/random.ts'
-import type { LinkState, LoopbackProxy } from './loopback-proxy.ts'
+import type { LoopbackProxy } from './loopback-proxy.ts'
+import type { LinkState } from './proxied-stream.ts'
 import type { SoakCell } from './soak-cell.ts'
 import { STORE_TROUBLES, troubleStore } from './store-trouble.ts'
 import type { StoreTrouble } from './store-trouble.ts'
@@ -32,11 +33,11 @@
 
 type Takeover = { readonly type: 'takeover', readonly leader: LeaderFailure, readonly afterMs: number, readonly trouble: StoreTrouble, readonly delay: WorkerDelay, readonly forMs: number, readonly seed: number }
 
-type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-planned' | 'pause' | 'cut' | 'none'
+type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
 
-const LINK_STATES: readonly LinkState[] = ['slow', 'silent', 'one-way', 'reset']
+const LINK_STATES: readonly LinkState[] = ['slow', 'held', 'held', 'silent', 'one-way', 'reset']
 const STORE_MODES = ['busy', 'silent', 'reset'] as const
-const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'terminate', 'power', 'replace', 'replace-planned', 'pause', 'cut', 'none']
+const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'terminate', 'power', 'replace', 'replace-planned', 'pause', 'cut', 'hold', 'none']
 /** Faults that are planned work: requests must be answered during these. */
 const PLANNED_FAULTS: ReadonlyArray<SoakFault['type']> = ['terminate', 'terminate-all', 'replace-planned', 'domain-out', 'configuration']
 const MAX_LOST_RESPONSES = 6
@@ -183,6 +184,7 @@
     case 'replace-planned': return cell.replaceMember(member, 'SIGTERM')
     case 'pause': return cell.pauseMember(member, forMs)
     case 'cut': return disturbLink(cell.members[member]!.storeLink, 'silent', forMs)
+    case 'hold': return disturbLink(cell.members[member]!.storeLink, 'held', forMs)
     case 'none': return
     default: return assertNever(failure)
   }
--- /dev/null
+++ b/test/soak/loopback-proxy.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { test } from 'node:test'
+import { setTimeout as wait } from 'node:timers/promises'
+import { LoopbackProxy } from '../../soak/loopback-proxy.ts'
+import { computeRetransmissionDelay } from '../../soak/proxied-stream.ts'
+import type { LinkState } from '../../soak/proxied-stream.ts'
+
+/** `opened`: when the connection was opened. `closed`: whether its sender closes it while the link is disturbed. */
+type Case = { readonly state: LinkState, readonly opened: 'before' | 'meanwhile', readonly closed: boolean, readonly received: string }
+
+const DISTURBED_MS = 250
+/** Longer than from the end of the disturbance to the next retransmission. */
+const RETRANSMITTED_MS = 500
+
+const CASES: readonly Case[] = [
+  { state: 'held', opened: 'before', closed: false, received: 'ab' },
+  // The kernel goes on sending what a closed socket has accepted.
+  { state: 'held', opened: 'before', closed: true, received: 'ab' },
+  { state: 'held', opened: 'meanwhile', closed: false, received: 'ab' },
+  // Without an answer to its first packet a connection never sends any bytes.
+  { state: 'held', opened: 'meanwhile', closed: true, received: '' },
+  { state: 'silent', opened: 'before', closed: false, received: '' },
+  { state: 'silent', opened: 'before', closed: true, received: '' },
+  { state: 'reset', opened: 'before', closed: false, received: '' }
+]
+
+for (const { state, opened, closed, received } of CASES) {
+  test(`loopback proxy: ${received === '' ? 'loses' : 'delivers later'} what is sent while a link is ${state}, on a connection opened ${opened}${closed ? ' and closed by its sender' : ''}`, async () => {
+    let text = ''
+    const server = createServer((socket) => socket.on('data', (bytes) => { text += bytes.toString() }).on('error', () => {}))
+    await once(server.listen(0, '127.0.0.1'), 'listening')
+    const link = await LoopbackProxy.listen(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+    const openSocket = async (): Promise<Socket> => {
+      const socket = connect(Number(link.address.split(':')[1]), '127.0.0.1').on('error', () => {})
+      await once(socket, 'connect')
+      return socket
+    }
+    const earlier = opened === 'before' ? await openSocket() : undefined
+    // The proxy must have accepted the connection before its link is disturbed.
+    await wait(20)
+    link.setState(state)
+    const client = earlier ?? await openSocket()
+    client.write('a')
+    await wait(DISTURBED_MS / 2)
+    if (closed) client.end('b')
+    else client.write('b')
+    await wait(DISTURBED_MS / 2)
+    assert.equal(text, '')
+    link.setState('open')
+    await wait(RETRANSMITTED_MS)
+    client.destroy()
+    link.close()
+    server.close()
+    assert.equal(text, received)
+  })
+}
+
+for (const { elapsedMs, delayMs } of [{ elapsedMs: 0, delayMs: 200 }, { elapsedMs: 500, delayMs: 100 }, { elapsedMs: 5_500, delayMs: 700 }]) {
+  test(`loopback proxy: bytes held for ${elapsedMs} ms are delivered ${delayMs} ms later`, () => {
+    assert.equal(computeRetransmissionDelay(elapsedMs), delayMs)
+  })
+}
