Cut off, flap, drain and replace workers in the soak, and carry out orders late

The soak crashed single workers and disturbed the link of one. On the deployments several are cut off together, some crash behind the cut and start again under their ids, others are down and up by turns, drain and leave for good or join, and a part of the orders is carried out 2 to 12 s late. All of it also happens during takeovers.

--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -40,6 +40,11 @@
     if (state === 'reset') this.resetAll()
   }
 
+  /** Closes the target's side of all connections, as a process that ends does. A disturbed link holds back that they have ended. */
+  closeTargetSides (): void {
+    for (const { peer } of this.connections) peer.destroy()
+  }
+
   close (): void {
     this.server.close()
     this.resetAll()
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -8,12 +8,13 @@
 import { getCallerAddress, createMemberSettings } from '../platform/standin/member-settings.ts'
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
-import { NO_DELAY, WorkerServer } from '../platform/standin/worker-server.ts'
-import type { WorkerDelay } from '../platform/standin/worker-server.ts'
+import { NO_DELAY } from '../platform/standin/worker-server.ts'
+import type { LateOrders, WorkerDelay } from '../platform/standin/worker-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
 import { RunHistory } from './run-history.ts'
+import { SoakWorker } from './soak-worker.ts'
 
 /** Host name of the queues. */
 export const SOAK_HOST = 'soak.example'
@@ -51,7 +52,6 @@
   /** Whether the member has no power. Nothing starts it until the power is back. */
   isOff: boolean
 }
-type SoakWorker = { readonly server: WorkerServer, readonly link: LoopbackProxy, readonly domain: string }
 
 /**
  * Member processes and stand-ins for the platform. Proxies for each member's store link, for each worker and for the advisor
@@ -63,6 +63,7 @@
   private nextVersion = 1
   /** Fourth octet of the next member's address. */
   private nextHostNumber = FIRST_HOST_NUMBER
+  private nextWorkerNumber = 0
   private isClosing = false
 
   private readonly operator: StandinOperator
@@ -81,7 +82,7 @@
     const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
     const cell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
-    for (let index = 0; index < options.workers; index += 1) await cell.addWorker(index)
+    for (let index = 0; index < options.workers; index += 1) cell.workers.push(await cell.startWorker())
     for (let index = 0; index < options.members; index += 1) await cell.addMember(index)
     return cell
   }
@@ -114,10 +115,13 @@
     this.history.recordEvacuation(domain, evacuated ? performance.now() : undefined)
   }
 
-  /** Makes a worker lose all state and restart with the same id. */
-  crashWorker (index: number): void {
-    this.workers[index]!.server.crash()
-    this.publishWorker(index)
+  /** Lets a worker drain and leave for good. A new worker joins in its place, with another id. */
+  async drainWorker (index: number, ms: number): Promise<void> {
+    const leaving = this.workers[index]!
+    const joining = await this.startWorker()
+    if (this.isClosing) return joining.close()
+    this.workers[index] = joining
+    await leaving.drain(ms)
   }
 
   /** Stops a member with a signal and starts it again after it has exited. */
@@ -166,6 +170,11 @@
     }
   }
 
+  /** Lets all workers carry out a part of their calls late, or none of them. */
+  setLateOrders (lateOrders: LateOrders | undefined): void {
+    for (const { server } of this.workers) server.lateOrders = lateOrders
+  }
+
   /** Suspends members for a part of each interval, as an overloaded host does. */
   async stutterMembers (indexes: readonly number[], runMs: number, pauseMs: number, ms: number): Promise<void> {
     const endAt = performance.now() + ms
@@ -180,6 +189,7 @@
     this.kv.mode = 'up'
     this.kv.disturbance = undefined
     this.delayWorkers(NO_DELAY)
+    this.setLateOrders(undefined)
     this.advisorLink.setState('open')
     for (const { storeLink } of this.members) storeLink.setState('open')
     for (const { link } of this.workers) link.setState('open')
@@ -194,25 +204,17 @@
       storeLink.close()
       output.end()
     }
-    for (const { server, link } of this.workers) {
-      link.close()
-      server.close()
-    }
+    for (const worker of this.workers) worker.close()
     this.kv.close()
     this.advisorLink.close()
     this.advisor.close()
   }
 
-  private async addWorker (index: number): Promise<void> {
-    const id = `w${index}`
-    const server = await WorkerServer.listen({ id, needsTickets: false, seed: index, observe: (event) => this.history.recordWorkerEvent(id, event, performance.now()) })
-    this.workers.push({ server, link: await LoopbackProxy.listen(server.address), domain: getFailureDomain(index) })
-    this.publishWorker(index)
-  }
-
-  private publishWorker (index: number): void {
-    const { server, link, domain } = this.workers[index]!
-    this.operator.publishWorker(server, domain, link.address)
+  private async startWorker (): Promise<SoakWorker> {
+    const number = this.nextWorkerNumber
+    this.nextWorkerNumber += 1
+    const id = `w${number}`
+    return SoakWorker.start(this.kv, getFailureDomain(number), { id, needsTickets: false, seed: number, observe: (event) => this.history.recordWorkerEvent(id, event, performance.now()) })
   }
 
   private async addMember (index: number): Promise<void> {
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -6,6 +6,7 @@
 import type { LoopbackProxy } from './loopback-proxy.ts'
 import type { LinkState } from './proxied-stream.ts'
 import type { SoakCell } from './soak-cell.ts'
+import type { CutState } from './soak-worker.ts'
 import { STORE_TROUBLES, troubleStore } from './store-trouble.ts'
 import type { StoreTrouble } from './store-trouble.ts'
 
@@ -24,6 +25,12 @@
   | { readonly type: 'worker-link', readonly worker: number, readonly state: LinkState, readonly forMs: number }
   | { readonly type: 'advisor-link', readonly state: LinkState, readonly forMs: number }
   | { readonly type: 'worker-crash', readonly worker: number }
+  /** Some workers are cut off from the members and the store; with `reborn` they crash behind the cut. */
+  | { readonly type: 'workers-cut', readonly cut: WorkersCut, readonly forMs: number }
+  | { readonly type: 'workers-flap', readonly workers: readonly number[], readonly reborn: boolean, readonly forMs: number }
+  /** Some workers drain for a while and leave for good, and new ones join. */
+  | { readonly type: 'workers-drain', readonly workers: readonly number[], readonly forMs: number }
+  | { readonly type: 'late-orders', readonly share: number, readonly forMs: number }
   | { readonly type: 'domain-out', readonly domain: string, readonly forMs: number }
   | { readonly type: 'configuration' }
   | { readonly type: 'stutter', readonly members: 'all' | 'leader', readonly runMs: number, readonly pauseMs: number, readonly forMs: number }
@@ -31,7 +38,21 @@
   /** The current leader fails, and after a while the store too, so that the members take over during its trouble. */
   | Takeover
 
-type Takeover = { readonly type: 'takeover', readonly leader: LeaderFailure, readonly afterMs: number, readonly trouble: StoreTrouble, readonly delay: WorkerDelay, readonly forMs: number, readonly seed: number }
+type Takeover = {
+  readonly type: 'takeover'
+  readonly leader: LeaderFailure
+  readonly afterMs: number
+  readonly trouble: StoreTrouble
+  readonly delay: WorkerDelay
+  /** The workers that are cut off meanwhile. */
+  readonly cut: WorkersCut
+  /** Ratio of the calls to workers that are carried out late meanwhile. */
+  readonly lateOrders: number
+  readonly forMs: number
+  readonly seed: number
+}
+
+type WorkersCut = { readonly workers: readonly number[], readonly state: CutState, readonly reborn: boolean }
 
 type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
 
@@ -57,6 +78,12 @@
 /** Ratio of slow workers that delay all calls and not only starts. */
 const SLOW_LISTS_RATIO = 0.75
 const MAX_WORKER_DELAY_MS = 900
+/** Bounds of the ratio of the workers that fail together, and of the time for which they do. */
+const WORKERS_RATIO = { min: 0.05, spread: 0.3 } as const
+const WORKERS_FAULT_MS = { min: 1_000, spread: 7_000 } as const
+const MAX_LATE_ORDERS_RATIO = 0.5
+/** Ratio of the takeovers during which workers are also cut off, and of those during which orders are late. */
+const WORKER_TROUBLE_RATIO = 0.35
 /** Number of power cuts in the list from which a fault is chosen. */
 const POWER_CUT_SHARE = 2
 /** Number of takeovers in the list from which a fault is chosen. */
@@ -78,6 +105,9 @@
   const state = LINK_STATES[random.nextInt(LINK_STATES.length)]!
   const delay: WorkerDelay = { calls: random.next() < SLOW_LISTS_RATIO ? 'all' : 'starts', beforeMs: random.nextInt(MAX_WORKER_DELAY_MS), afterMs: random.nextInt(MAX_WORKER_DELAY_MS) }
   const leader = LEADER_FAILURES[random.nextInt(LEADER_FAILURES.length)]!
+  const cut: WorkersCut = { workers: choose(random, workers, WORKERS_RATIO.min + WORKERS_RATIO.spread * random.next()), state: random.next() < 0.5 ? 'held' : 'silent', reborn: random.next() < 0.5 }
+  const workersForMs = WORKERS_FAULT_MS.min + random.nextInt(WORKERS_FAULT_MS.spread)
+  const share = MAX_LATE_ORDERS_RATIO * random.next()
   const trouble = STORE_TROUBLES[random.nextInt(STORE_TROUBLES.length)]!
   const mode = STORE_MODES[random.nextInt(STORE_MODES.length)]!
   const faults: readonly SoakFault[] = [
@@ -87,7 +117,7 @@
     { type: 'pause', member, forMs },
     { type: 'pause', member, forMs },
     { type: 'kill-all' },
-    ...Array.from({ length: POWER_CUT_SHARE }, (): SoakFault => ({ type: 'power-cut', members: chooseMembers(random, members, POWER_CUT_RATIOS[random.nextInt(POWER_CUT_RATIOS.length)]!), forMs: POWER_CUT_MS.min + random.nextInt(POWER_CUT_MS.spread) })),
+    ...Array.from({ length: POWER_CUT_SHARE }, (): SoakFault => ({ type: 'power-cut', members: choose(random, members, POWER_CUT_RATIOS[random.nextInt(POWER_CUT_RATIOS.length)]!), forMs: POWER_CUT_MS.min + random.nextInt(POWER_CUT_MS.spread) })),
     { type: 'replace', member },
     { type: 'replace-planned', member },
     { type: 'terminate-all' },
@@ -98,20 +128,35 @@
     { type: 'worker-link', worker, state, forMs },
     { type: 'advisor-link', state, forMs },
     { type: 'worker-crash', worker },
+    { type: 'workers-cut', cut, forMs: workersForMs },
+    { type: 'workers-cut', cut, forMs: workersForMs },
+    { type: 'workers-flap', workers: cut.workers, reborn: cut.reborn, forMs: workersForMs },
+    { type: 'workers-drain', workers: cut.workers, forMs: workersForMs },
+    { type: 'late-orders', share, forMs: workersForMs },
     { type: 'domain-out', domain: 'west', forMs },
     { type: 'configuration' },
     { type: 'stutter', members: random.next() < 0.5 ? 'all' : 'leader', runMs: 10 + random.nextInt(STUTTER_MS.run), pauseMs: 50 + random.nextInt(STUTTER_MS.pause), forMs },
     { type: 'slow-workers', delay, forMs },
-    ...Array.from({ length: TAKEOVER_SHARE }, (): SoakFault => ({ type: 'takeover', leader, afterMs: random.next() < 0.5 ? 0 : random.nextInt(MAX_TROUBLE_DELAY_MS), trouble, delay: random.next() < 0.5 ? delay : NO_DELAY, forMs: forMs + LEASE_MS, seed: random.nextInt(SEED_RANGE) }))
+    ...Array.from({ length: TAKEOVER_SHARE }, (): SoakFault => ({
+      type: 'takeover',
+      leader,
+      afterMs: random.next() < 0.5 ? 0 : random.nextInt(MAX_TROUBLE_DELAY_MS),
+      trouble,
+      delay: random.next() < 0.5 ? delay : NO_DELAY,
+      cut: random.next() < WORKER_TROUBLE_RATIO ? cut : { ...cut, workers: [] },
+      lateOrders: random.next() < WORKER_TROUBLE_RATIO ? share : 0,
+      forMs: forMs + LEASE_MS,
+      seed: random.nextInt(SEED_RANGE)
+    }))
   ]
   const fault = faults[random.nextInt(faults.length)]!
   return kinds.length === 0 || kinds.some((kind) => getKind(fault).startsWith(kind)) ? fault : createRandomFault(random, members, workers, kinds)
 }
 
-/** Random members: the given ratio of all, but at least one. */
-function chooseMembers (random: Random, members: number, ratio: number): readonly number[] {
-  const order = Array.from({ length: members }, (_, index) => ({ index, rank: random.next() })).sort((left, right) => left.rank - right.rank)
-  return order.slice(0, Math.max(1, Math.floor(ratio * members))).map(({ index }) => index)
+/** Random indexes below `total`: the given ratio of them, but at least one. */
+function choose (random: Random, total: number, ratio: number): readonly number[] {
+  const order = Array.from({ length: total }, (_, index) => ({ index, rank: random.next() })).sort((left, right) => left.rank - right.rank)
+  return order.slice(0, Math.max(1, Math.floor(ratio * total))).map(({ index }) => index)
 }
 
 /** The type of a fault; for a takeover with the trouble of the store and the failure of the leader. */
@@ -148,7 +193,11 @@
     case 'store-link': return disturbLink(cell.members[fault.member]!.storeLink, fault.state, fault.forMs)
     case 'worker-link': return disturbLink(cell.workers[fault.worker]!.link, fault.state, fault.forMs)
     case 'advisor-link': return disturbLink(cell.advisorLink, fault.state, fault.forMs)
-    case 'worker-crash': return cell.crashWorker(fault.worker)
+    case 'worker-crash': return cell.workers[fault.worker]!.crash()
+    case 'workers-cut': return cutWorkers(cell, fault.cut, fault.forMs)
+    case 'workers-flap': return runAll(fault.workers, (worker) => cell.workers[worker]!.flap(fault.reborn, fault.forMs))
+    case 'workers-drain': return runAll(fault.workers, (worker) => cell.drainWorker(worker, fault.forMs))
+    case 'late-orders': return delayOrders(cell, fault.share, fault.forMs)
     case 'domain-out':
       cell.setDomainEvacuated(fault.domain, true)
       await wait(fault.forMs)
@@ -167,10 +216,10 @@
   return leader === undefined ? [] : [leader]
 }
 
-async function forceTakeover (cell: SoakCell, { leader, afterMs, trouble, delay, forMs, seed }: Takeover): Promise<void> {
+async function forceTakeover (cell: SoakCell, { leader, afterMs, trouble, delay, cut, lateOrders, forMs, seed }: Takeover): Promise<void> {
   const causeTrouble = async (): Promise<void> => {
     if (afterMs > 0) await wait(afterMs)
-    await Promise.all([troubleStore(cell, trouble, forMs, Random.create(seed)), delayWorkers(cell, delay, forMs)])
+    await Promise.all([troubleStore(cell, trouble, forMs, Random.create(seed)), delayWorkers(cell, delay, forMs), cutWorkers(cell, cut, forMs), delayOrders(cell, lateOrders, forMs)])
   }
   await Promise.all([causeTrouble(), ...findLeaders(cell).map((member) => failLeader(cell, member, leader, forMs))])
 }
@@ -196,6 +245,21 @@
   cell.delayWorkers(NO_DELAY)
 }
 
+async function cutWorkers (cell: SoakCell, { workers, state, reborn }: WorkersCut, forMs: number): Promise<void> {
+  await runAll(workers, (worker) => cell.workers[worker]!.cutOff(state, reborn, forMs))
+}
+
+async function delayOrders (cell: SoakCell, share: number, forMs: number): Promise<void> {
+  if (share === 0) return
+  cell.setLateOrders({ share, survivesCrash: false })
+  await wait(forMs)
+  cell.setLateOrders(undefined)
+}
+
+async function runAll (indexes: readonly number[], run: (index: number) => Promise<void>): Promise<void> {
+  await Promise.all(indexes.map(run))
+}
+
 async function restartAllMembers (cell: SoakCell, signal: 'SIGKILL' | 'SIGTERM', intervalMs: number): Promise<void> {
   await Promise.all(cell.members.map(async (_member, index) => {
     await wait(index * intervalMs)
--- /dev/null
+++ b/soak/soak-worker.ts
@@ -0,0 +1,90 @@
+import { setTimeout as wait } from 'node:timers/promises'
+import type { KvServer } from '../platform/standin/kv-server.ts'
+import { WorkerServer } from '../platform/standin/worker-server.ts'
+import type { WorkerServerOptions } from '../platform/standin/worker-server.ts'
+import { LoopbackProxy } from './loopback-proxy.ts'
+
+/** How a link fails for a while: bytes are held until it heals, or lost. */
+export type CutState = 'held' | 'silent'
+
+/** Three heartbeat intervals of silence, after which the entry of a worker is removed. */
+const REGISTRATION_TIMEOUT_MS = 4_500
+/** Half of the period in which a flapping worker is down and up by turns. */
+const FLAP_MS = 500
+
+/** A stand-in worker, its entry in the store and the link on which the members reach it. */
+export class SoakWorker {
+  private state: 'ready' | 'draining' | 'left' = 'ready'
+
+  private constructor (readonly server: WorkerServer, readonly link: LoopbackProxy, private readonly kv: KvServer, readonly domain: string) {}
+
+  /** Starts a worker and registers it. */
+  static async start (kv: KvServer, domain: string, options: WorkerServerOptions): Promise<SoakWorker> {
+    const server = await WorkerServer.listen(options)
+    const worker = new SoakWorker(server, await LoopbackProxy.listen(server.address), kv, domain)
+    worker.register()
+    return worker
+  }
+
+  /** Loses all state and starts again under the same id. */
+  crash (): void {
+    this.restart()
+    this.register()
+  }
+
+  /** Cuts the worker off from all members and from the store. With `reborn` it crashes meanwhile and starts again under its id. */
+  async cutOff (state: CutState, reborn: boolean, ms: number): Promise<void> {
+    this.link.setState(state)
+    const expiry = setTimeout(() => this.unregister(), REGISTRATION_TIMEOUT_MS)
+    await wait(ms / 2)
+    if (reborn) this.restart()
+    await wait(ms / 2)
+    clearTimeout(expiry)
+    this.link.setState('open')
+    this.register()
+  }
+
+  /** Is unreachable and reachable by turns; with `reborn` it crashes each time. */
+  async flap (reborn: boolean, ms: number): Promise<void> {
+    for (const endAt = performance.now() + ms; performance.now() < endAt;) {
+      this.link.setState('reset')
+      if (reborn) this.crash()
+      await wait(FLAP_MS)
+      this.link.setState('open')
+      await wait(FLAP_MS)
+    }
+  }
+
+  /** Drains for the given time and leaves for good. */
+  async drain (ms: number): Promise<void> {
+    this.state = 'draining'
+    this.register()
+    await wait(ms)
+    this.state = 'left'
+    this.restart()
+    this.close()
+    this.unregister()
+  }
+
+  close (): void {
+    this.link.close()
+    this.server.close()
+  }
+
+  private get key (): string {
+    return `servers/${this.server.id}`
+  }
+
+  private restart (): void {
+    this.server.crash()
+    this.link.closeTargetSides()
+  }
+
+  private register (): void {
+    if (this.state !== 'left') this.kv.put(this.key, this.server.createEntry(this.state, this.link.address, this.domain))
+  }
+
+  private unregister (): void {
+    this.kv.remove(this.key)
+  }
+}
