--- a/soak/store-trouble.ts
+++ b/soak/store-trouble.ts
@@ -1,6 +1,7 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { asJsonObject, asList, asString } from '../platform/json.ts'
 import type { JsonRequest } from '../platform/standin/json-server.ts'
+import { withholdResponse } from '../platform/standin/kv-server.ts'
 import type { KvDisturbance } from '../platform/standin/kv-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
@@ -51,19 +52,19 @@
       claimsLeft -= 1
       const state = random.next() < 0.5 ? 'reset' : 'silent'
       disturbStoreLink(cell, claimant, state, UNANSWERED_MS.min + random.nextInt(UNANSWERED_MS.spread))
-      return 'drop'
+      return withholdResponse()
     }
     case 'claims-late': return async (request, serve) => {
       if (findClaimant(cell, request) === undefined) return serve()
       await wait(random.nextInt(MAX_LATE_CLAIM_MS))
       await serve()
-      return 'drop'
+      return withholdResponse()
     }
     case 'writes-late': return async (request, serve) => {
       if (!isWrite(request) || random.next() >= LATE_WRITES_RATIO) return serve()
       await wait(LATE_WRITE_MS.min + random.nextInt(LATE_WRITE_MS.spread))
       await serve()
-      return 'drop'
+      return withholdResponse()
     }
     case 'slow': return async (request, serve) => {
       const response = await serve()
@@ -73,7 +74,7 @@
     case 'lossy': return async (_request, serve) => {
       if (random.next() < REFUSED_CALLS_RATIO) return { status: 503 }
       const response = await serve()
-      return random.next() < LOST_RESPONSES_RATIO ? 'drop' : response
+      return random.next() < LOST_RESPONSES_RATIO ? withholdResponse() : response
     }
     case 'winners-killed': return async (request, serve) => {
       const response = await serve()
