--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -10,12 +10,13 @@
 import { getCallerAddress, createMemberSettings, MAX_LEASE_MS } from '../platform/standin/member-settings.ts'
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
-import { NO_DELAY, WorkerServer } from '../platform/standin/worker-server.ts'
-import type { WorkerDelay, WorkerEvent } from '../platform/standin/worker-server.ts'
+import { NO_DELAY } from '../platform/standin/worker-server.ts'
+import type { LateOrders, WorkerDelay, WorkerEvent } from '../platform/standin/worker-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
 import { RunHistory } from './run-history.ts'
+import { SoakWorker } from './soak-worker.ts'
 
 /** Host name of the queues. */
 export const SOAK_HOST = 'soak.example'
@@ -32,6 +33,7 @@
 /** Number of different delays of slow workers. */
 const DELAY_STEPS = 4
 const RESTART_DELAY_MS = 300
+const FIRST_HOST_NUMBER = 2
 const ADVICE = { decisionMs: 28, eachMs: 0.4, validityMs: 2_000 }
 /** Ratio of workers that may run a step, in a cell that is large enough for a policy. */
 const GOOD_WORKERS_RATIO = 0.7
@@ -53,8 +55,14 @@
   readonly subnet: number
 }
 
-type SoakMember = { readonly options: MemberOptions, readonly storeLink: LoopbackProxy, readonly output: WriteStream, process: ProcessMember }
-type SoakWorker = { readonly server: WorkerServer, readonly link: LoopbackProxy, readonly domain: string }
+type SoakMember = {
+  readonly storeLink: LoopbackProxy
+  readonly output: WriteStream
+  options: MemberOptions
+  process: ProcessMember
+  /** Whether the member has no power. Nothing starts it until the power is back. */
+  isOff: boolean
+}
 
 /**
  * Member processes and stand-ins for the platform. Proxies for each member's store link, for each worker and for the advisor
@@ -65,6 +73,9 @@
   readonly workers: SoakWorker[] = []
   private readonly gangs = GangRegistry.create()
   private nextVersion = 1
+  /** Fourth octet of the next member's address. */
+  private nextHostNumber = FIRST_HOST_NUMBER
+  private nextWorkerNumber = 0
   private isClosing = false
 
   private readonly operator: StandinOperator
@@ -80,11 +91,11 @@
   static async start (options: SoakCellOptions): Promise<SoakCell> {
     mkdirSync(options.folder, { recursive: true })
     const kv = await KvServer.listen()
-    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.workers[Number(id.slice(1))]?.server.startedAtMs })
+    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.findWorker(id)?.server.startedAtMs })
     const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
     const cell: SoakCell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
-    for (let index = 0; index < options.workers; index += 1) await cell.addWorker(index)
+    for (let index = 0; index < options.workers; index += 1) cell.workers.push(await cell.startWorker())
     for (let index = 0; index < options.members; index += 1) await cell.addMember(index)
     return cell
   }
@@ -104,6 +115,10 @@
     return index === -1 ? undefined : index
   }
 
+  findWorker (id: string): SoakWorker | undefined {
+    return this.workers.find(({ server }) => server.id === id)
+  }
+
   /** Publishes the next version of the configuration. */
   publishConfiguration (): void {
     const queues = [{ name: 'plain', priority: 0 }, { name: ADVISED_QUEUE, priority: 2, advice: ADVICE }, { name: `extra-${this.nextVersion}`, priority: 0 }]
@@ -117,10 +132,13 @@
     this.history.recordEvacuation(domain, evacuated ? performance.now() : undefined)
   }
 
-  /** Makes a worker lose all state and restart with the same id. */
-  crashWorker (index: number): void {
-    this.workers[index]!.server.crash()
-    this.publishWorker(index)
+  /** Lets a worker drain and leave for good. A new worker joins in its place, with another id. */
+  async drainWorker (index: number, ms: number): Promise<void> {
+    const leaving = this.workers[index]!
+    const joining = await this.startWorker()
+    if (this.isClosing) return joining.close()
+    this.workers[index] = joining
+    await leaving.drain(ms)
   }
 
   /** Stops a member with a signal and starts it again after it has exited. */
@@ -129,7 +147,29 @@
     member.process.signal(signal)
     await member.process.waitForExit()
     await wait(RESTART_DELAY_MS)
-    if (!this.isClosing && !member.process.isRunning) member.process = this.startProcess(member.options, member.output)
+    this.startMember(member)
+  }
+
+  /** Stops a member with a signal and starts it again at another address, as on another host. */
+  async replaceMember (index: number, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+    const member = this.members[index]!
+    member.options = { ...member.options, host: this.createHost() }
+    await this.restartMember(index, signal)
+  }
+
+  /** Kills members and starts them again at the same time after the given time. */
+  async cutPower (indexes: readonly number[], ms: number): Promise<void> {
+    const members = indexes.map((index) => this.members[index]!).filter(({ isOff }) => !isOff)
+    for (const member of members) {
+      member.isOff = true
+      member.process.signal('SIGKILL')
+    }
+    await Promise.all(members.map(({ process }) => process.waitForExit()))
+    await wait(ms)
+    for (const member of members) {
+      member.isOff = false
+      this.startMember(member)
+    }
   }
 
   async pauseMember (index: number, ms: number): Promise<void> {
@@ -147,6 +187,11 @@
     }
   }
 
+  /** Lets all workers carry out a part of their calls late, or none of them. */
+  setLateOrders (lateOrders: LateOrders | undefined): void {
+    for (const { server } of this.workers) server.lateOrders = lateOrders
+  }
+
   /** Suspends members for a part of each interval, as an overloaded host does. */
   async stutterMembers (indexes: readonly number[], runMs: number, pauseMs: number, ms: number): Promise<void> {
     const endAt = performance.now() + ms
@@ -161,6 +206,7 @@
     this.kv.mode = 'up'
     this.kv.disturbance = undefined
     this.delayWorkers(NO_DELAY)
+    this.setLateOrders(undefined)
     this.advisorLink.setState('open')
     for (const { storeLink } of this.members) storeLink.setState('open')
     for (const { link } of this.workers) link.setState('open')
@@ -175,30 +221,27 @@
       storeLink.close()
       output.end()
     }
-    for (const { server, link } of this.workers) {
-      link.close()
-      server.close()
-    }
+    for (const worker of this.workers) worker.close()
     this.workerLog.end()
     this.kv.close()
     this.advisorLink.close()
     this.advisor.close()
   }
 
-  private async addWorker (index: number): Promise<void> {
-    const id = `w${index}`
-    const server = await WorkerServer.listen({
+  private async startWorker (): Promise<SoakWorker> {
+    const number = this.nextWorkerNumber
+    this.nextWorkerNumber += 1
+    const id = `w${number}`
+    return SoakWorker.start(this.kv, getFailureDomain(number), {
       id,
       needsTickets: true,
       maxLeaseMs: MAX_LEASE_MS,
       maxStopMs: MAX_STOP_MS,
-      clockRate: index % SLOW_CLOCK.interval === 0 ? SLOW_CLOCK.rate : 1,
+      clockRate: number % SLOW_CLOCK.interval === 0 ? SLOW_CLOCK.rate : 1,
       gangs: this.gangs,
-      seed: index,
+      seed: number,
       observe: (event) => this.recordWorkerEvent(id, event)
     })
-    this.workers.push({ server, link: await LoopbackProxy.listen(server.address), domain: getFailureDomain(index) })
-    this.publishWorker(index)
   }
 
   /** Passes an event to the history, after runs of other workers that are due have ended, also if their timers are late. */
@@ -208,23 +251,29 @@
     this.history.recordWorkerEvent(id, event, performance.now())
   }
 
-  private publishWorker (index: number): void {
-    const { server, link, domain } = this.workers[index]!
-    this.operator.publishWorker(server, domain, link.address)
-  }
-
   private async addMember (index: number): Promise<void> {
     const storeLink = await LoopbackProxy.listen(this.kv.address)
     const options: MemberOptions = {
       name: `member-${index}`,
-      host: `127.0.${this.options.subnet}.${index + 2}`,
+      host: this.createHost(),
       failureDomain: getFailureDomain(index),
       storeAddress: storeLink.address,
       advisorAddress: this.advisorLink.address,
       cores: 1
     }
     const output = createWriteStream(join(this.options.folder, `${options.name}.log`))
-    this.members.push({ options, storeLink, output, process: this.startProcess(options, output) })
+    this.members.push({ options, storeLink, output, process: this.startProcess(options, output), isOff: false })
+  }
+
+  private createHost (): string {
+    const number = this.nextHostNumber
+    this.nextHostNumber += 1
+    return `127.0.${this.options.subnet}.${number}`
+  }
+
+  /** Starts a member, unless it runs already or has no power. */
+  private startMember (member: SoakMember): void {
+    if (!this.isClosing && !member.isOff && !member.process.isRunning) member.process = this.startProcess(member.options, member.output)
   }
 
   private startProcess (options: MemberOptions, output: WriteStream): ProcessMember {
