Take the clock of a target from its listings only

Responses to starts and stops carry a clock reading, but not the incarnation that sent it. The reading of the next incarnation, which begins at 0, was recorded for the one before: the lease of its runs then seemed to last for minutes, so that the tasks of a silent target did not start elsewhere. The reverse made the ends of leases far too late. Listings name their incarnation and arrive each second.

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -21,9 +21,11 @@
   'other-incarnation': 1_000
 }
 
-/** Handles the response to a start command. */
+/**
+ * Handles the response to a start command. Its clock reading is not used: a response doesn't say which incarnation of the target
+ * sent it. Only listings do.
+ */
 export function handleStartResponse (state: CellState, target: TargetState, live: LiveRun, response: CommandResponse): void {
-  if (response.type !== 'unanswered' && response.clockMs !== undefined) target.recordClock(response.clockMs, state.now)
   if (live.phase !== 'starting') return
   switch (response.type) {
     case 'accepted':
@@ -67,7 +69,6 @@
  * shows that it never started.
  */
 export function handleStopResponse (state: CellState, target: TargetState, live: LiveRun, response: CommandResponse): void {
-  if (response.type !== 'unanswered' && response.clockMs !== undefined) target.recordClock(response.clockMs, state.now)
   if (live.phase !== 'stopping') return
   switch (response.type) {
     case 'accepted':
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -103,8 +103,8 @@
     return this.apply({ type: 'tick' })
   }
 
-  listTarget (id: string, { running = [], ended = [], incarnation = 1, sentAt = this.now }: { running?: readonly ListedRun[], ended?: readonly ListedCompletion[], incarnation?: number, sentAt?: number } = {}): readonly CellEffect[] {
-    return this.apply({ type: 'target-listed', id, sentAt, listing: { incarnation, clockMs: this.now, running, ended } })
+  listTarget (id: string, { running = [], ended = [], incarnation = 1, sentAt = this.now, clockMs = this.now }: { running?: readonly ListedRun[], ended?: readonly ListedCompletion[], incarnation?: number, sentAt?: number, clockMs?: number } = {}): readonly CellEffect[] {
+    return this.apply({ type: 'target-listed', id, sentAt, listing: { incarnation, clockMs, running, ended } })
   }
 
   /** Returns all commands of one type that were sent so far. */
