Stop runs with unanswered starts on the next incarnation of their target

A start that had no answer may be executed up to 12 s later. If its target restarts meanwhile, the new incarnation knows neither the run nor a term. The task had started elsewhere by then, because the run was gone with the incarnation before; or it had ended as done. Unanswered starts are now recorded by run, and the new incarnation rejects these runs before their tasks start again; also runs that have ended, until it answers. Runs whose starts were all answered need no stop, so that their tasks start again as soon as before.

Responses to commands name the incarnation that they were sent to: a stop that the incarnation before had answered counted as answered by the next one.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -356,8 +356,8 @@
     const { commands } = this
     const { reporter, term } = this.options
     switch (effect.type) {
-      case 'start': return this.applyResponse(commands.start(effect, { ...effect.command, epoch: term.term }), (response) => ({ type: 'start-answered', target: effect.target, task: effect.command.task, run: effect.command.run, response }))
-      case 'stop': return this.applyResponse(commands.stop(effect, { ...effect.command, epoch: term.term }), (response) => ({ type: 'stop-answered', target: effect.target, task: effect.command.task, run: effect.command.run, response }))
+      case 'start': return this.applyResponse(commands.start(effect, { ...effect.command, epoch: term.term }), (response) => ({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
+      case 'stop': return this.applyResponse(commands.stop(effect, { ...effect.command, epoch: term.term }), (response) => ({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
       case 'throttle':
         commands.throttle(effect, { ...effect.command, epoch: term.term }).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
         return
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -30,6 +30,7 @@
 import { stopStragglers } from './stragglers.ts'
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
+import { recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
 
 /**
  * Number of targets that the searches of one start pass examine. The steps that are left are served by the next passes, so
@@ -250,8 +251,13 @@
 
   private handleCommandResponse (event: Extract<CellEvent, { type: 'start-answered' | 'stop-answered' }>): void {
     const target = this.state.targets.get(event.target)
-    const live = target?.find(event.task, event.run)
-    if (target === undefined || live === undefined) return
+    if (target === undefined) return
+    if (event.type === 'start-answered') recordStartResponse(target, event.task, event.run, event.response)
+    // The response may be one of the incarnation before, which knows nothing of this one.
+    if (target.entry.incarnation !== event.incarnation) return
+    if (event.type === 'stop-answered' && event.response.type === 'accepted') recordRejection(target, event.task, event.run)
+    const live = target.find(event.task, event.run)
+    if (live === undefined) return
     if (event.type === 'start-answered') handleStartResponse(this.state, target, live, event.response)
     else handleStopResponse(this.state, target, live, event.response)
   }
@@ -281,6 +287,7 @@
   private handleTick (): void {
     const { state } = this
     resendCommands(state)
+    resendRejections(state)
     removeExpiredRuns(state)
     removeGoneTargets(state)
     prunePossibleCrashes(state)
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -6,8 +6,8 @@
 
 /** Action that the scheduler of a cell requests. */
 export type CellEffect =
-  | { readonly type: 'start', readonly target: string, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StartCommand> }
-  | { readonly type: 'stop', readonly target: string, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StopCommand> }
+  | { readonly type: 'start', readonly target: string, readonly incarnation: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StartCommand> }
+  | { readonly type: 'stop', readonly target: string, readonly incarnation: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StopCommand> }
   | { readonly type: 'throttle', readonly target: string, readonly id: string, readonly address: string, readonly command: WithoutEpoch<ThrottleCommand> }
   /** `urgent`: the step is in a queue with the highest priority. */
   | { readonly type: 'request-advice', readonly step: string, readonly targets: readonly string[], readonly costMs: number, readonly urgent: boolean }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -21,8 +21,9 @@
   /** `sentAt`: when the list request was sent; the listing is at least as recent. */
   | { readonly type: 'target-listed', readonly id: string, readonly sentAt: number, readonly listing: TargetListing }
   | { readonly type: 'target-silent', readonly id: string, readonly cause: SilenceCause }
-  | { readonly type: 'start-answered', readonly target: string, readonly task: string, readonly run: number, readonly response: CommandResponse }
-  | { readonly type: 'stop-answered', readonly target: string, readonly task: string, readonly run: number, readonly response: CommandResponse }
+  /** `incarnation`: the one of the target that the command was sent to; another one may have sent the response. */
+  | { readonly type: 'start-answered', readonly target: string, readonly incarnation: number, readonly task: string, readonly run: number, readonly response: CommandResponse }
+  | { readonly type: 'stop-answered', readonly target: string, readonly incarnation: number, readonly task: string, readonly run: number, readonly response: CommandResponse }
   | { readonly type: 'advised', readonly step: string, readonly requestedTargets: readonly string[], readonly response: AdviceResponse }
   /** Responses that members received from the advisor on behalf of a previous owner. */
   | { readonly type: 'advice-known', readonly advice: readonly CachedAdvice[] }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -6,6 +6,7 @@
 import type { TaskKey } from './job.ts'
 import { countFailure, findListedTask, finishTask } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
+import { formatRunKey } from './run-key.ts'
 import { addRun, removeRun, sendStop } from './runs.ts'
 import type { ListedCompletion, ListedRun, TargetListing } from './target-entry.ts'
 import type { TargetState } from './target-state.ts'
@@ -21,7 +22,7 @@
   const listedKeys = new Set<string>()
   let unknownRunCount = 0
   for (const listed of listing.running) {
-    listedKeys.add(`${listed.task}#${listed.run}`)
+    listedKeys.add(formatRunKey(listed.task, listed.run))
     if (!handleListedRun(state, target, listed, sentAt)) unknownRunCount += 1
   }
   if (unknownRunCount !== target.unknownRunCount) recordRoom(state, target)
@@ -135,7 +136,7 @@
 function adoptRun (state: CellState, target: TargetState, listed: ListedRun): LiveRun | undefined {
   const task = findListedTask(state, listed.task)
   if (task === undefined) {
-    state.effects.push({ type: 'stop', target: target.id, id: target.id, address: target.entry.address, command: { task: listed.task, run: listed.run } })
+    state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, id: target.id, address: target.entry.address, command: { task: listed.task, run: listed.run } })
     log(state, 'warn', 'stop-ordered-for-unknown', { task: listed.task, run: listed.run, target: target.id })
     return undefined
   }
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -3,6 +3,7 @@
 import type { LivePhase, LiveRun } from './live-run.ts'
 import type { TargetState } from './target-state.ts'
 import type { Task } from './task.ts'
+import { recordStartSent } from './unanswered-starts.ts'
 
 /** Arguments of `addRun`. */
 export type NewRun = {
@@ -75,9 +76,10 @@
   if (live.sendCount === 0) target.lastStartAt = state.now
   live.sendCount += 1
   live.lastSentAt = state.now
+  recordStartSent(target, live, state.now)
   const { payload } = task.step.job.definition
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
-  state.effects.push({ type: 'start', target: target.id, id: target.id, address: target.entry.address, command })
+  state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, id: target.id, address: target.entry.address, command })
 }
 
 /** Sends the stop command of a run, or resends it. */
@@ -91,7 +93,7 @@
   }
   live.sendCount += 1
   live.lastSentAt = state.now
-  state.effects.push({ type: 'stop', target: target.id, id: target.id, address: target.entry.address, command: { task: task.key, run: live.run } })
+  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, id: target.id, address: target.entry.address, command: { task: task.key, run: live.run } })
 }
 
 /** Stops all runs of the given tasks. */
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -1,7 +1,9 @@
 import type { Demand } from './job.ts'
 import { NO_DEMAND, addDemands } from './job.ts'
 import type { LiveRun } from './live-run.ts'
+import { formatRunKey } from './run-key.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
+import type { UnansweredStart } from './unanswered-starts.ts'
 
 /** Minimum rate of a target's monotonic clock relative to ours. */
 const MIN_CLOCK_RATE_RATIO = 0.98
@@ -20,6 +22,8 @@
 /** State of one incarnation of a target: its bookings, its runs, and when all their leases have certainly expired. */
 export class TargetState {
   readonly runs = new Map<string, LiveRun>()
+  /** Starts that may still be executed, by the keys of their runs; also of runs that have ended. */
+  readonly unansweredStarts = new Map<string, UnansweredStart>()
   /** False before the first listing, and from a failed list request until the next listing. */
   reachable = false
   /** Whether its runs have been listed in the current epoch. */
@@ -102,16 +106,16 @@
   }
 
   add (run: LiveRun): void {
-    this.runs.set(formatRunKey(run), run)
+    this.runs.set(formatRunKey(run.task.key, run.run), run)
     this.updateBookings(run, 1)
   }
 
   remove (run: LiveRun): void {
-    if (this.runs.delete(formatRunKey(run))) this.updateBookings(run, -1)
+    if (this.runs.delete(formatRunKey(run.task.key, run.run))) this.updateBookings(run, -1)
   }
 
   find (task: string, run: number): LiveRun | undefined {
-    return this.runs.get(`${task}#${run}`)
+    return this.runs.get(formatRunKey(task, run))
   }
 
   /** Whether a listing is of this incarnation of the target. */
@@ -155,7 +159,3 @@
     if (latencyTargetMs > 0) this.latencyBoundRuns += sign
   }
 }
-
-function formatRunKey (run: LiveRun): string {
-  return `${run.task.key}#${run.run}`
-}
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -5,6 +5,7 @@
 import { sendStop } from './runs.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
+import { hasUnansweredStarts, transferUnansweredStarts } from './unanswered-starts.ts'
 
 /**
  * Handles a published entry. A new incarnation with the same id replaces the previous one and no longer has its runs, apart
@@ -51,7 +52,7 @@
 /**
  * Moves the runs of the previous incarnation to the next one. A recent start command may have reached the new incarnation
  * before its entry was read, so only the next listing shows which runs are gone. It is stopped, not resent: the target may be
- * of another kind now.
+ * of another kind now. So is a run with another start that has had no answer, which may still reach the new incarnation.
  */
 function transferRuns (state: CellState, previous: TargetState, next: TargetState): void {
   for (const live of [...previous.runs.values()]) {
@@ -59,8 +60,11 @@
     live.target = next
     live.carriedOver = true
     next.add(live)
-    if (live.phase === 'starting') sendStop(state, live, 'its target has restarted')
+    if (live.phase !== 'starting' && !hasUnansweredStarts(previous, live)) continue
+    live.respondedAt = undefined
+    sendStop(state, live, 'its target has restarted')
   }
+  transferUnansweredStarts(state, previous, next)
 }
 
 /** Handles a removed entry. The target is kept, because it may have left or crashed, or may only be disconnected. */
--- a/test/workflow/backlog.test.ts
+++ b/test/workflow/backlog.test.ts
@@ -23,7 +23,7 @@
   harness.apply({ type: 'advice-channels', channels: MEMBERS })
   const filler = buildJob('filler', { count: TARGETS, demand: { cpuMillis: 4_000, memoryMiB: 100, accelerators: 0 } })
   harness.apply({ type: 'job-accepted', definition: { ...filler, queue: 'filler' } })
-  harness.getStarts().forEach((start) => harness.scheduler.apply({ type: 'start-answered', target: start.target, task: start.command.task, run: start.command.run, response: { type: 'accepted', clockMs: harness.now } }, harness.now))
+  harness.getStarts().forEach((start) => harness.scheduler.apply({ type: 'start-answered', incarnation: 1, target: start.target, task: start.command.task, run: start.command.run, response: { type: 'accepted', clockMs: harness.now } }, harness.now))
   assert.equal(harness.getStarts().length, TARGETS)
   return harness
 }
@@ -89,7 +89,7 @@
   harness.acceptJob('probe', 'filler')
   const start = harness.getStarts().at(-1)!
   assert.equal(start.target, target)
-  harness.apply({ type: 'start-answered', target, task: start.command.task, run: start.command.run, response: { type: 'refused', reason: 'unhealthy', clockMs: harness.now } })
+  harness.apply({ type: 'start-answered', incarnation: 1, target, task: start.command.task, run: start.command.run, response: { type: 'refused', reason: 'unhealthy', clockMs: harness.now } })
   harness.apply({ type: 'job-cancelled', id: 'probe' })
   harness.apply({ type: 'job-accepted', definition: buildJob('late', {}) })
   assert.equal(getRequests(harness.effects).length, 0)
--- a/test/workflow/cell-scheduler.test.ts
+++ b/test/workflow/cell-scheduler.test.ts
@@ -114,7 +114,7 @@
   harness.publishTarget(buildEntry('t2'))
   harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
   const [first] = harness.getStarts()
-  harness.apply({ type: 'start-answered', target: first!.target, task: first!.command.task, run: first!.command.run, response: { type: 'unanswered', reason: 'timeout' } })
+  harness.apply({ type: 'start-answered', incarnation: 1, target: first!.target, task: first!.command.task, run: first!.command.run, response: { type: 'unanswered', reason: 'timeout' } })
   harness.advance(500)
   assert.deepEqual(harness.getStarts().map(({ target, command }) => [target, command.run]), [[first!.target, first!.command.run], [first!.target, first!.command.run]])
 })
@@ -125,11 +125,11 @@
   harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
   const [first] = harness.getStarts()
   const { target, command: { task, run } } = first!
-  harness.apply({ type: 'start-answered', target, task, run, response: { type: 'unanswered', reason: 'timeout' } })
+  harness.apply({ type: 'start-answered', incarnation: 1, target, task, run, response: { type: 'unanswered', reason: 'timeout' } })
   harness.advance(500)
-  harness.apply({ type: 'start-answered', target, task, run, response: { type: 'refused', reason: 'expired', clockMs: harness.now } })
+  harness.apply({ type: 'start-answered', incarnation: 1, target, task, run, response: { type: 'refused', reason: 'expired', clockMs: harness.now } })
   assert.equal(harness.getStarts().length, 2, 'no other run before the stop')
-  harness.apply({ type: 'stop-answered', target, task, run, response: { type: 'accepted', clockMs: harness.now } })
+  harness.apply({ type: 'stop-answered', incarnation: 1, target, task, run, response: { type: 'accepted', clockMs: harness.now } })
   harness.listTarget(target, { sentAt: harness.now - 1 })
   assert.equal(harness.getStarts().length, 2, 'the listing was requested before the response to the stop')
   harness.now += 10
--- a/test/workflow/crashing-cell.ts
+++ b/test/workflow/crashing-cell.ts
@@ -114,14 +114,14 @@
       case 'start': return this.start(effect)
       case 'stop': {
         this.machines.find(({ entry }) => entry.id === effect.target)?.runs.delete(effect.command.task)
-        return whileLeading(() => this.apply({ type: 'stop-answered', target: effect.target, task: effect.command.task, run: effect.command.run, response: { type: 'accepted', clockMs: this.now } }))
+        return whileLeading(() => this.apply({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response: { type: 'accepted', clockMs: this.now } }))
       }
       case 'store-progress': return whileLeading(() => this.store())
       default:
     }
   }
 
-  private start ({ target, command: { task, run } }: Extract<CellEffect, { type: 'start' }>): void {
+  private start ({ target, incarnation, command: { task, run } }: Extract<CellEffect, { type: 'start' }>): void {
     const machine = this.machines.find(({ entry }) => entry.id === target)
     if (machine === undefined || machine.downUntil > this.now) return
     machine.runs.set(task, { run, startedAt: this.now, endsAt: this.now + (task.startsWith('deadly') ? this.options.workMs ?? Infinity : RUN_MS) })
@@ -133,7 +133,7 @@
       if (crashDelayMs === CRASH_DELAY_MS) return
     }
     const { term } = this
-    this.schedule(1, () => { if (term === this.term) this.apply({ type: 'start-answered', target, task, run, response: { type: 'accepted', clockMs: this.now } }) })
+    this.schedule(1, () => { if (term === this.term) this.apply({ type: 'start-answered', target, incarnation, task, run, response: { type: 'accepted', clockMs: this.now } }) })
   }
 
   private crash (machine: Machine): void {
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -124,8 +124,8 @@
   }
 
   /** Applies the response of a target that accepted a start. */
-  acceptStart ({ target, command }: Extract<CellEffect, { type: 'start' }>): void {
-    this.apply({ type: 'start-answered', target, task: command.task, run: command.run, response: { type: 'accepted', clockMs: this.now } })
+  acceptStart ({ target, incarnation, command }: Extract<CellEffect, { type: 'start' }>): void {
+    this.apply({ type: 'start-answered', target, incarnation, task: command.task, run: command.run, response: { type: 'accepted', clockMs: this.now } })
   }
 
   /** Applies a listing that contains the completion of a run. */
--- a/test/workflow/refused-starts.test.ts
+++ b/test/workflow/refused-starts.test.ts
@@ -35,7 +35,7 @@
   const { target, command: { task, run } } = sent
   if (sent.type === 'stop') {
     present.delete(task)
-    harness.apply({ type: 'stop-answered', target, task, run, response: { type: 'accepted', clockMs: harness.now } })
+    harness.apply({ type: 'stop-answered', incarnation: 1, target, task, run, response: { type: 'accepted', clockMs: harness.now } })
   } else if (refusal === undefined) {
     present.set(task, sent)
     harness.acceptStart(sent)
@@ -45,7 +45,7 @@
 }
 
 function refuse (harness: CellHarness, { target, command: { task, run } }: Start, reason: CommandRefusal): void {
-  harness.apply({ type: 'start-answered', target, task, run, response: { type: 'refused', reason, clockMs: harness.now } })
+  harness.apply({ type: 'start-answered', incarnation: 1, target, task, run, response: { type: 'refused', reason, clockMs: harness.now } })
 }
 
 /** The percentage rises, because a run without progress would be moved. */
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -351,7 +351,7 @@
 
   private deliverResponse (effect: Extract<CellEffect, { type: 'start' | 'stop' }>, outcome: ReturnType<SimulatedTarget['start']>): void {
     const response = outcome === 'accepted' ? { type: 'accepted', clockMs: undefined } as const : { type: 'refused', reason: outcome, clockMs: undefined } as const
-    this.apply({ type: effect.type === 'start' ? 'start-answered' : 'stop-answered', target: effect.target, task: effect.command.task, run: effect.command.run, response })
+    this.apply({ type: effect.type === 'start' ? 'start-answered' : 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response })
   }
 
   private startRun (effect: Extract<CellEffect, { type: 'start' }>, target: SimulatedTarget, epoch: number, delayed: boolean): ReturnType<SimulatedTarget['start']> {
--- a/test/workflow/takeover.test.ts
+++ b/test/workflow/takeover.test.ts
@@ -21,7 +21,7 @@
     after.apply({ type: 'job-accepted', definition: buildJob('b', {}) })
     assert.equal(after.getStarts().length, 0, 'runs that are being stopped are still booked')
     after.now += 500
-    after.getCommands('stop').forEach(({ target, command }) => after.apply({ type: 'stop-answered', target, task: command.task, run: command.run, response: { type: 'accepted', clockMs: after.now } }))
+    after.getCommands('stop').forEach(({ target, command }) => after.apply({ type: 'stop-answered', incarnation: 1, target, task: command.task, run: command.run, response: { type: 'accepted', clockMs: after.now } }))
     after.now += 500
     after.listTarget('t1', { ended: running.map(({ task, run }, index) => ({ number: index + 1, task, run, outcome: 'stopped' as const, checkpoint: '' })) })
     assert.equal(after.getStarts().length, 1)
