Ignore a reading of all entries of the leadership that is older than the claim of the term

Cause: when the history of a watch is gone, all entries are read again. If that response is late and the member has won a term meanwhile, it showed the leadership as free, and the new leader gave up its term. Only late changes were compared with the version of the claim.

Change: readings carry the version of the store that they are as recent as and are compared in the same way.

Failed before: controller/claims, 'because of an older reading of all entries that it receives late': the term was lost with 'the store has another leader or none'.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { LeaseId, Store, StoreChange, StoreEntry } from '../ports/store.ts'
+import type { LeaseId, Store, StoreEntry } from '../ports/store.ts'
 import { Moment } from '../util/moment.ts'
 import { delay } from './delay.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
@@ -95,10 +95,12 @@
       prefix: LEADER_PREFIX,
       waitMs: WATCH_WAIT_MS,
       reporter: options.reporter,
-      onEntries: (entries) => this.handleLeaderEntry(entries.find((entry) => entry.key === LEADER_KEY)),
+      onEntries: (entries, version) => {
+        if (!this.isOlderThanClaim(version)) this.handleLeaderEntry(entries.find((entry) => entry.key === LEADER_KEY))
+      },
       onChanges: (changes) => {
         const last = changes.filter((change) => (change.type === 'put' ? change.entry.key : change.key) === LEADER_KEY).at(-1)
-        if (last !== undefined && !this.isOlderThanClaim(last)) this.handleLeaderEntry(last.type === 'put' ? last.entry : undefined)
+        if (last !== undefined && !this.isOlderThanClaim(last.type === 'put' ? last.entry.version : last.version)) this.handleLeaderEntry(last.type === 'put' ? last.entry : undefined)
       }
     })
     this.runRenewalLoop().catch((error: unknown) => options.reporter.log('error', 'renewal-failed', { detail: String(error) }))
@@ -168,9 +170,8 @@
     this.watcher.stop()
   }
 
-  /** Whether a change that the watch reports late came before the claim of the current term. */
-  private isOlderThanClaim (change: StoreChange): boolean {
-    const version = change.type === 'put' ? change.entry.version : change.version
+  /** Whether what the watch reports late, as of this version of the store, came before the claim of the current term. */
+  private isOlderThanClaim (version: number): boolean {
     return this.held !== undefined && version < this.held.version
   }
 
--- a/src/controller/prefix-watcher.ts
+++ b/src/controller/prefix-watcher.ts
@@ -14,8 +14,11 @@
   /** Pause between two watch calls, in milliseconds; batches changes that are not urgent. */
   readonly getPauseMs?: () => number
   readonly reporter: Reporter
-  /** Called with all entries below the prefix, initially and whenever changes may have been missed. */
-  readonly onEntries: (entries: readonly StoreEntry[]) => void
+  /**
+   * Called with all entries below the prefix, initially and whenever changes may have been missed, and with the version of the
+   * store that they are at least as recent as.
+   */
+  readonly onEntries: (entries: readonly StoreEntry[], version: number) => void
   readonly onChanges: (changes: readonly StoreChange[]) => void
   /** Called when the watch starts or stops working; while it is healthy, the entries are up to date. */
   readonly onHealthChange?: (healthy: boolean) => void
@@ -81,7 +84,7 @@
     if (this.stopped.signal.aborted) return undefined
     this.updateHealth(snapshot.isOk())
     if (snapshot.isErr()) return undefined
-    this.options.onEntries(snapshot.value.entries)
+    this.options.onEntries(snapshot.value.entries, snapshot.value.version)
     return snapshot.value.version
   }
 
--- a/test/controller/claims.test.ts
+++ b/test/controller/claims.test.ts
@@ -4,7 +4,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { Leadership } from '../../src/controller/leadership.ts'
-import { COMMIT_KEY, LEADER_KEY } from '../../src/controller/store-keys.ts'
+import { COMMIT_KEY, LEADER_KEY, LEADER_PREFIX } from '../../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../../src/controller/store-keys.ts'
 import type { Store, StoreCall, StoreFailure, StoreResponse } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
@@ -190,3 +190,31 @@
     other.stop()
   }
 })
+
+// The history that a watch needs is gone, and the answer to the reading that replaces it is late.
+test('claims: guards against the failure that a leader gives up because of an older reading of all entries that it receives late', async () => {
+  const store = SharedStore.create()
+  const won: number[] = []
+  const lost: string[] = []
+  let compactions = 1
+  const delayed: Store = {
+    call: async (call) => {
+      if (call.type === 'watch' && compactions > 0) {
+        compactions -= 1
+        return ok({ type: 'watch', changes: [], version: 0, compacted: true })
+      }
+      const response = await store.call(call)
+      if (call.type === 'read' && call.prefix === LEADER_PREFIX && compactions === 0 && won.length === 0) await wait(SETTLE_MS / 2)
+      return response
+    }
+  }
+  const leadership = Leadership.create({ store: delayed, member: 'm2', address: 'm2:1', cores: 2, reporter: { log: () => {}, count: () => {}, observe: () => {} }, onElected: ({ term }) => { won.push(term) }, onLeadershipLost: (reason) => { lost.push(reason) } })
+  try {
+    const deadline = performance.now() + TIMEOUT_MS
+    while (won.length === 0 && performance.now() < deadline) await wait(POLL_INTERVAL_MS)
+    await wait(SETTLE_MS)
+    assert.deepEqual([won, lost, leadership.isLeading], [[2], [], true])
+  } finally {
+    leadership.stop()
+  }
+})
