Play random chains of leaders with the product's own classes in virtual time

The chains of terms so far play EarlierLeaders alone, on a model of the rest. These run Leadership, MemberLink, JobService and Controller of four members, each a process of its own that can be paused or ended at any moment, with simulated targets and a store that carries out writes 1 to 6 s late, loses responses, and serves some members and not others. Also played: power cuts, members at other addresses and others at theirs, leaders whose record is removed by mistake, commands that are carried out 2 to 12 s late.

Checked: no task runs twice, no record of an earlier term is written in a later one, no start of an earlier term is accepted after a later one took the terms before for over.

--- /dev/null
+++ b/test/controller/virtual-cell.ts
@@ -0,0 +1,163 @@
+import type { MemberCall } from '../../src/controller/member-call.ts'
+import type { Reporter } from '../../src/controller/reporter.ts'
+import { Random } from '../../src/util/random.ts'
+import { buildJob } from '../workflow/harness.ts'
+import { RunHistory } from './run-history.ts'
+import { VirtualMember, answerCall, failCall } from './virtual-member.ts'
+import type { MemberCallResult } from './virtual-member.ts'
+import { VirtualStore } from './virtual-store.ts'
+import type { VirtualConnection } from './virtual-store.ts'
+import { VirtualTargets } from './virtual-targets.ts'
+import { VirtualTime } from './virtual-time.ts'
+import type { VirtualProcess } from './virtual-time.ts'
+
+const CALL_LATENCY_MS = 2
+const SUBMISSION_TIMEOUT_MS = 3_000
+
+/** A host with the process of a member on it, and what of the network is cut there. */
+export type VirtualHost = {
+  readonly name: string
+  address: string
+  process: VirtualProcess
+  connection: VirtualConnection
+  member: VirtualMember
+  refusesConnections: boolean
+  cutFromMembers: boolean
+  cutFromTargets: boolean
+}
+
+/** One line of a member's log. */
+export type LogLine = { readonly at: number, readonly member: string, readonly message: string, readonly fields: Parameters<Reporter['log']>[2] }
+
+/** Members, a store and targets in virtual time, with the product's classes; describes each violation in a text. */
+export class VirtualCell {
+  readonly violations: string[] = []
+  readonly logs: LogLine[] = []
+  readonly acceptedJobs = new Set<string>()
+  readonly cancelledJobs = new Set<string>()
+  readonly hosts: VirtualHost[] = []
+  readonly store: VirtualStore
+  readonly history: RunHistory
+  readonly targets: VirtualTargets
+  readonly random: Random
+  private readonly originalRandom = Math.random
+
+  private constructor (seed: number, readonly time: VirtualTime) {
+    this.random = Random.create(seed)
+    Math.random = () => this.random.next()
+    const report = (text: string): void => { this.violations.push(`at ${Math.round(time.nowMs)}: ${text}`) }
+    this.store = VirtualStore.create(time, this.random, report)
+    this.history = RunHistory.create(report)
+    this.targets = VirtualTargets.create(time, this.random, this.store, this.history)
+  }
+
+  /**
+   * Creates a cell and starts its members. Replaces the timers of this process until `close`.
+   *
+   * @example
+   * const cell = VirtualCell.create(7, { members: 4, targets: 6 })
+   * await cell.time.advance(2_000)
+   * cell.close()
+   */
+  static create (seed: number, { members, targets }: { readonly members: number, readonly targets: number }): VirtualCell {
+    const cell = new VirtualCell(seed, VirtualTime.install())
+    for (let index = 0; index < targets; index += 1) cell.targets.add(`t${index}`)
+    for (let index = 0; index < members; index += 1) cell.addHost(`m${index}`)
+    return cell
+  }
+
+  close (): void {
+    for (const { process } of this.hosts) this.time.end(process)
+    Math.random = this.originalRandom
+    this.time.uninstall()
+  }
+
+  get leaders (): readonly VirtualHost[] {
+    return this.hosts.filter(({ process, member }) => process.state !== 'ended' && member.leadsController)
+  }
+
+  /** Ends the process of a host: nothing of it runs any more. */
+  kill (host: VirtualHost): void {
+    this.time.end(host.process)
+  }
+
+  /** Starts a new process on a host, at an address that nobody else uses. */
+  restart (host: VirtualHost, address = host.address): void {
+    this.time.end(host.process)
+    host.address = address
+    Object.assign(host, this.startMember(host.name, address))
+  }
+
+  /** Submits a job of some steps at a member; `maxDurationMs` bounds the time that each task runs. */
+  submit (host: VirtualHost, id: string, counts: readonly number[], maxDurationMs: number): void {
+    const definition = { ...buildJob(id, ...counts.map((count, step) => ({ count, after: step === 0 ? [] : [step - 1] }))), payload: String(maxDurationMs), submittedAtMs: Date.now() }
+    this.time.schedule(0, () => {
+      host.member.jobService.submit(definition, performance.now() + SUBMISSION_TIMEOUT_MS).then(({ type }) => {
+        if (type === 'accepted') this.acceptedJobs.add(id)
+      }, (error: unknown) => this.violations.push(String(error)))
+    }, host.process)
+  }
+
+  cancel (host: VirtualHost, id: string): void {
+    this.cancelledJobs.add(id)
+    this.time.schedule(0, () => { host.member.jobService.cancel(id, performance.now() + SUBMISSION_TIMEOUT_MS).catch((error: unknown) => this.violations.push(String(error))) }, host.process)
+  }
+
+  private addHost (name: string): void {
+    const address = `${name}:1`
+    const host: VirtualHost = { name, address, refusesConnections: false, cutFromMembers: false, cutFromTargets: false, ...this.startMember(name, address) }
+    this.hosts.push(host)
+  }
+
+  private startMember (name: string, address: string): Pick<VirtualHost, 'process' | 'connection' | 'member'> {
+    const process = this.time.startProcess()
+    const connection = this.store.connect()
+    const findHost = (): VirtualHost | undefined => this.hosts.find((host) => host.name === name)
+    const member = this.time.runIn(process, () => VirtualMember.start({
+      self: { member: name, address },
+      store: connection,
+      commands: this.targets.connect(() => findHost()?.cutFromTargets === true),
+      callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
+      probe: async (to) => {
+        await this.time.wait(CALL_LATENCY_MS)
+        return this.findListener(to) === undefined ? 'refused' : 'listening'
+      },
+      reporter: this.createReporter(name)
+    }))
+    return { process, connection, member }
+  }
+
+  private createReporter (member: string): Reporter {
+    return {
+      log: (_level, message, fields) => {
+        this.logs.push({ at: Math.round(this.time.nowMs), member, message, fields })
+        if (message === 'earlier-runs-settled') this.history.recordSettled(this.findTerm(member))
+      },
+      count: () => {},
+      observe: () => {}
+    }
+  }
+
+  /** The last term that a member has won. */
+  private findTerm (member: string): number {
+    return Number(this.logs.findLast((line) => line.member === member && line.message === 'leadership-won')?.fields.term ?? 0)
+  }
+
+  private findListener (address: string): VirtualHost | undefined {
+    return this.hosts.find((host) => host.address === address && host.process.state !== 'ended' && !host.refusesConnections)
+  }
+
+  private callMember (from: VirtualHost | undefined, address: string, call: MemberCall, timeoutMs: number): Promise<MemberCallResult> {
+    const owner = this.time.currentProcess
+    return new Promise((resolve) => {
+      const respond = (result: MemberCallResult, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(result), owner) }
+      const listener = this.findListener(address)
+      if (from?.cutFromMembers === true || listener?.cutFromMembers === true) return respond(failCall('timeout'), timeoutMs)
+      if (listener === undefined) return respond(failCall('unavailable'), CALL_LATENCY_MS)
+      respond(failCall('timeout'), timeoutMs)
+      this.time.schedule(CALL_LATENCY_MS, () => {
+        listener.member.link.handleCall(call).then((response) => respond(answerCall(response), CALL_LATENCY_MS), () => respond(failCall('rejected'), CALL_LATENCY_MS))
+      }, listener.process)
+    })
+  }
+}
--- /dev/null
+++ b/test/controller/virtual-faults.ts
@@ -0,0 +1,134 @@
+import type { VirtualCell, VirtualHost } from './virtual-cell.ts'
+
+const MAX_OUTAGE_MS = 6_000
+const MAX_PAUSE_MS = 12_000
+const MAX_POWER_CUT_MS = 9_500
+/** Time after a removal by mistake in which the leader refuses connections. */
+const REFUSAL_MS = 3_000
+
+/** A disturbance of a cell, which ends by itself. */
+export type VirtualFault = { readonly name: string, readonly begin: (cell: VirtualCell) => void }
+
+/** All disturbances; a leader is hit as often as all other members together. */
+export const VIRTUAL_FAULTS: readonly VirtualFault[] = [
+  { name: 'member killed', begin: (cell) => restartAfterPause(cell, pickHost(cell)) },
+  { name: 'member at another address, another at its address', begin: exchangeAddresses },
+  { name: 'member paused', begin: pauseMember },
+  { name: 'member stops as planned', begin: stopMember },
+  { name: 'power cut', begin: cutPower },
+  { name: 'store rejects a member', begin: (cell) => refuseMember(cell, 'rejected') },
+  { name: 'store is silent to a member', begin: (cell) => refuseMember(cell, 'silent') },
+  { name: 'store down', begin: stopStore },
+  { name: 'writes carried out late', begin: (cell) => changeFor(cell, (active) => { cell.store.lateRatio = active ? 0.35 : 0 }) },
+  { name: 'responses of the store lost', begin: (cell) => changeFor(cell, (active) => { cell.store.lostRatio = active ? 0.35 : 0 }) },
+  { name: 'commands carried out late', begin: (cell) => changeFor(cell, (active) => { cell.targets.lateRatio = active ? 0.3 : 0 }) },
+  { name: 'member cut from the others', begin: (cell) => changeHost(cell, 'cutFromMembers') },
+  { name: 'member cut from the targets', begin: (cell) => changeHost(cell, 'cutFromTargets') },
+  { name: 'member cut off', begin: cutMember },
+  { name: 'leader removed by mistake', begin: removeLeader },
+  { name: 'targets unreachable', begin: cutTargets }
+]
+
+function pickHost (cell: VirtualCell): VirtualHost {
+  const { leaders, hosts, random } = cell
+  const candidates = leaders.length > 0 && random.next() < 0.5 ? leaders : hosts
+  return candidates[random.nextInt(candidates.length)]!
+}
+
+function changeFor (cell: VirtualCell, change: (active: boolean) => void): void {
+  change(true)
+  cell.time.schedule(500 + cell.random.nextInt(MAX_OUTAGE_MS), () => change(false))
+}
+
+function changeHost (cell: VirtualCell, flag: 'cutFromMembers' | 'cutFromTargets' | 'refusesConnections'): void {
+  const host = pickHost(cell)
+  changeFor(cell, (active) => { host[flag] = active })
+}
+
+function restartAfterPause (cell: VirtualCell, host: VirtualHost): void {
+  cell.kill(host)
+  cell.time.schedule(cell.random.nextInt(4_000), () => {
+    if (host.process.state === 'ended') cell.restart(host)
+  })
+}
+
+/** A member starts again at a new address, and another one at the address that it had. */
+function exchangeAddresses (cell: VirtualCell): void {
+  const { hosts, random } = cell
+  const first = pickHost(cell)
+  const second = hosts[random.nextInt(hosts.length)]!
+  if (first === second) return
+  cell.kill(first)
+  cell.kill(second)
+  const { address } = first
+  cell.time.schedule(random.nextInt(2_000), () => {
+    cell.restart(first, `${first.name}:${Math.round(cell.time.nowMs)}`)
+    cell.time.schedule(random.nextInt(2_000), () => cell.restart(second, address))
+  })
+}
+
+function pauseMember (cell: VirtualCell): void {
+  const { process } = pickHost(cell)
+  cell.time.pause(process)
+  cell.time.schedule(300 + cell.random.nextInt(MAX_PAUSE_MS), () => cell.time.resume(process))
+}
+
+function stopMember (cell: VirtualCell): void {
+  const host = pickHost(cell)
+  const { process } = host
+  cell.time.schedule(0, () => { host.member.leadership.resign().catch(() => {}) }, process)
+  cell.time.schedule(500, () => {
+    if (host.process === process) restartAfterPause(cell, host)
+  })
+}
+
+/** All members end and start again at the same time; nobody remembers anything. */
+function cutPower (cell: VirtualCell): void {
+  for (const host of cell.hosts) cell.kill(host)
+  cell.time.schedule(100 + cell.random.nextInt(MAX_POWER_CUT_MS), () => {
+    for (const host of cell.hosts) cell.restart(host)
+  })
+}
+
+function refuseMember (cell: VirtualCell, service: 'rejected' | 'silent'): void {
+  const host = pickHost(cell)
+  const { connection } = host
+  changeFor(cell, (active) => { connection.service = active ? service : 'served' })
+}
+
+function stopStore (cell: VirtualCell): void {
+  const service = cell.random.nextInt(2) === 0 ? 'rejected' : 'silent'
+  changeFor(cell, (active) => { cell.store.service = active ? service : 'served' })
+}
+
+/** A member reaches nothing but, sometimes, the targets. */
+function cutMember (cell: VirtualCell): void {
+  const host = pickHost(cell)
+  const { connection } = host
+  const cutsTargets = cell.random.nextInt(2) === 0
+  changeFor(cell, (active) => {
+    connection.service = active ? 'silent' : 'served'
+    host.cutFromMembers = active
+    host.cutFromTargets = active && cutsTargets
+  })
+}
+
+/** Others take the leader for ended, because it refuses connections; sometimes it has lost the store too. */
+function removeLeader (cell: VirtualCell): void {
+  const leader = cell.leaders[0]
+  const record = leader?.member.leadership.leader
+  const remover = cell.hosts.find((host) => host !== leader && host.process.state === 'running')
+  if (leader === undefined || record === undefined || remover === undefined) return
+  const { connection } = leader
+  leader.refusesConnections = true
+  if (cell.random.nextInt(2) === 0) connection.service = 'silent'
+  cell.time.schedule(0, () => { remover.member.leadership.removeEndedLeader(record).catch(() => {}) }, remover.process)
+  cell.time.schedule(cell.random.nextInt(REFUSAL_MS), () => { leader.refusesConnections = false })
+  cell.time.schedule(cell.random.nextInt(2 * MAX_OUTAGE_MS), () => { connection.service = 'served' })
+}
+
+function cutTargets (cell: VirtualCell): void {
+  for (const target of cell.targets.targets.values()) {
+    if (cell.random.nextInt(3) === 0) target.unreachableUntil = cell.time.nowMs + cell.random.nextInt(MAX_OUTAGE_MS)
+  }
+}
--- /dev/null
+++ b/test/controller/virtual-member.ts
@@ -0,0 +1,121 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { MemberCallClient } from '../../src/adapters/grpc-member-calls.ts'
+import type { ProbeResult } from '../../src/adapters/probe-address.ts'
+import { AdviceCache } from '../../src/controller/advice-cache.ts'
+import { Controller } from '../../src/controller/controller.ts'
+import { JobService } from '../../src/controller/job-service.ts'
+import { Leadership } from '../../src/controller/leadership.ts'
+import type { Term } from '../../src/controller/leadership.ts'
+import { MemberLink } from '../../src/controller/member-link.ts'
+import type { MemberCall, MemberCallFailure, MemberResponse, Peer } from '../../src/controller/member-call.ts'
+import type { Reporter } from '../../src/controller/reporter.ts'
+import type { CommandClient } from '../../src/ports/command-client.ts'
+import type { Store } from '../../src/ports/store.ts'
+import type { TargetEntry } from '../../src/workflow/target-entry.ts'
+import { CONFIGURATION } from '../workflow/harness.ts'
+
+export const TARGET_PREFIX = 'servers/'
+const LEASE_MS = 3_500
+
+export type MemberCallResult = Result<MemberResponse, MemberCallFailure>
+
+/** What a member reaches: the store, the targets and the other members. */
+export type VirtualMemberOptions = {
+  readonly self: Peer
+  readonly store: Store
+  readonly commands: CommandClient
+  readonly callMember: (address: string, call: MemberCall, timeoutMs: number) => Promise<MemberCallResult>
+  readonly probe: (address: string) => Promise<ProbeResult>
+  readonly reporter: Reporter
+}
+
+/** A member with the product's own classes, composed as on the platform, without its connections. */
+export class VirtualMember {
+  readonly leadership: Leadership
+  readonly link: MemberLink
+  readonly jobService: JobService
+  private controller: Controller | undefined
+
+  private constructor (private readonly options: VirtualMemberOptions) {
+    const { self, store, reporter, callMember, probe } = options
+    const advisor = AdviceCache.create({ advise: async () => ({ type: 'failed', reason: 'none' }) })
+    this.link = MemberLink.create({
+      self,
+      client: { call: callMember, close: () => {} } as unknown as MemberCallClient,
+      advisor,
+      reporter,
+      probe,
+      getLeadership: () => this.leadership,
+      getController: () => this.controller
+    })
+    this.jobService = JobService.create({
+      store,
+      reporter,
+      isStoreResponsive: () => true,
+      getRetryAfterMs: () => undefined,
+      requestPhase: (id) => this.link.requestPhase(id),
+      announceJob: (definition) => this.link.announce({ type: 'job-stored', definition }),
+      announceCancellation: (id) => this.link.announce({ type: 'cancel-stored', id })
+    })
+    this.leadership = Leadership.create({
+      store,
+      member: self.member,
+      address: self.address,
+      cores: 2,
+      reporter,
+      onElected: (term) => this.startController(term, advisor),
+      onLeadershipLost: () => this.stopController(),
+      onOtherLeader: () => { this.link.sendHello().catch(() => {}) }
+    })
+    this.link.start()
+  }
+
+  /** Starts a member; to be called as part of its process. */
+  static start (options: VirtualMemberOptions): VirtualMember {
+    return new VirtualMember(options)
+  }
+
+  get leadsController (): boolean {
+    return this.controller !== undefined
+  }
+
+  private startController (term: Term, advisor: AdviceCache): void {
+    const { self, store, commands, reporter } = this.options
+    this.controller?.stop()
+    this.controller = Controller.create({
+      store,
+      term,
+      commands,
+      openRelayStream: () => { throw new Error('too few targets for relays') },
+      advisor,
+      self,
+      reporter,
+      leaseMs: LEASE_MS,
+      targetPrefix: TARGET_PREFIX,
+      parseTarget: (_key, value) => JSON.parse(value) as TargetEntry,
+      requestPeerAdvice: (peer, step, targets, timeoutMs) => this.link.requestAdvice(peer, step, targets, timeoutMs),
+      requestCachedAdvice: (peer) => this.link.requestCachedAdvice(peer),
+      standDown: () => this.leadership.stepDownForTerm(term.term),
+      requestStandDown: (peer, laterTerm) => this.link.requestStandDown(peer, laterTerm),
+      isLeaseConfirmed: () => this.leadership.isLeaseConfirmed,
+      onFenced: (reason) => this.leadership.stepDown(reason)
+    })
+    this.controller.configure(CONFIGURATION)
+  }
+
+  private stopController (): void {
+    this.controller?.stop()
+    this.controller = undefined
+  }
+}
+
+/** The result of a call that got no response. */
+export function failCall (reason: MemberCallFailure['reason']): MemberCallResult {
+  return err({ reason })
+}
+
+/** The result of a call that was answered. */
+export function answerCall (response: MemberResponse): MemberCallResult {
+  return ok(response)
+}
--- /dev/null
+++ b/test/controller/virtual-targets.ts
@@ -0,0 +1,128 @@
+import type { CommandClient, CommandResponse, ListRequest, ListResponse, StartCommand } from '../../src/ports/command-client.ts'
+import type { Random } from '../../src/util/random.ts'
+import { SimulatedTarget } from '../workflow/simulated-target.ts'
+import type { CommandOutcome } from '../workflow/simulated-target.ts'
+import type { RunHistory } from './run-history.ts'
+import { TARGET_PREFIX } from './virtual-member.ts'
+import type { VirtualStore } from './virtual-store.ts'
+import type { VirtualProcess, VirtualTime } from './virtual-time.ts'
+
+const TIMEOUT_MS = 300
+const MAX_LATENCY_MS = 4
+/** A command that is carried out late is so after this time and up to `LATE_SPREAD_MS` more. */
+const LATE_MS = 2_000
+const LATE_SPREAD_MS = 10_000
+const MIN_DURATION_MS = 50
+
+const UNANSWERED = { type: 'unanswered', reason: 'timeout' } as const
+
+/** The targets of a cell in virtual time, and the ways to them from the members. */
+export class VirtualTargets {
+  readonly targets = new Map<string, SimulatedTarget>()
+  /** Ratio of the commands that are carried out late and not answered. */
+  lateRatio = 0
+  /** End of each target's lease, on its own clock. */
+  private readonly leases = new Map<string, number>()
+
+  private constructor (private readonly time: VirtualTime, private readonly random: Random, private readonly store: VirtualStore, private readonly history: RunHistory) {}
+
+  static create (time: VirtualTime, random: Random, store: VirtualStore, history: RunHistory): VirtualTargets {
+    return new VirtualTargets(time, random, store, history)
+  }
+
+  add (id: string): void {
+    const { history, time } = this
+    const target = SimulatedTarget.create(id, this.random, ({ task, run, outcome }) => {
+      if (outcome === 'done') history.recordDone(task, run, id, time.nowMs)
+    }, ({ task, run, outcome }) => {
+      if (outcome === 'done') history.recordAcknowledged(task, run)
+    })
+    this.targets.set(id, target)
+    this.publish(target)
+  }
+
+  publish (target: SimulatedTarget): void {
+    this.store.put(`${TARGET_PREFIX}${target.id}`, JSON.stringify(target.toEntry()))
+  }
+
+  /** Creates the client of a member; `isCut` says whether it reaches the targets now. */
+  connect (isCut: () => boolean): CommandClient {
+    const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome): Promise<CommandResponse> => {
+      const target = this.targets.get(id)!
+      return this.send<CommandResponse>(target, isCut, () => this.toResponse(target, carryOut(target)), UNANSWERED)
+    }
+    return {
+      start: ({ id }, start) => command(id, (target) => this.start(target, start)),
+      stop: ({ id }, { task, run, epoch }) => command(id, (target) => target.stop(task, run, epoch, this.time.nowMs)),
+      throttle: async () => UNANSWERED,
+      list: ({ id }, request) => this.list(this.targets.get(id)!, request, isCut)
+    }
+  }
+
+  private start (target: SimulatedTarget, { task, run, leaseUntilMs, epoch, payload }: StartCommand): CommandOutcome {
+    const { nowMs } = this.time
+    target.completeDueRuns(nowMs)
+    this.noteLapse(target)
+    const isKnown = target.runs.get(task)?.run === run
+    const durationMs = MIN_DURATION_MS + this.random.nextInt(Number(payload))
+    const outcome = target.start({ task, run, leaseUntilMs, epoch, durationMs, fails: false }, nowMs)
+    if (outcome === 'accepted' || outcome === 'superseded') this.noteLease(target, leaseUntilMs)
+    if (outcome === 'accepted' && !isKnown) this.history.recordStart(task, run, epoch, target, this.targets.values(), nowMs)
+    return outcome
+  }
+
+  private toResponse (target: SimulatedTarget, outcome: CommandOutcome): CommandResponse {
+    const clockMs = Math.floor(target.clockAt(this.time.nowMs))
+    return outcome === 'accepted' ? { type: 'accepted', clockMs } : { type: 'refused', reason: outcome, clockMs }
+  }
+
+  /** Lists as the target does: at once if a run has ended, else when one ends or the request has waited. */
+  private async list (target: SimulatedTarget, { epoch, acknowledged, leaseUntilMs, waitMs }: ListRequest, isCut: () => boolean): Promise<ListResponse> {
+    const first = await this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, leaseUntilMs), UNANSWERED)
+    if (waitMs === 0 || first.type !== 'listed' || first.listing.ended.length > 0) return first
+    const { nowMs } = this.time
+    const nextEndAt = Math.min(nowMs + waitMs, ...[...target.runs.values()].map(({ endsAt }) => endsAt))
+    await this.time.wait(nextEndAt - nowMs + 1)
+    return this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, undefined), UNANSWERED)
+  }
+
+  private listNow (target: SimulatedTarget, epoch: number, acknowledged: number, leaseUntilMs: number | undefined): ListResponse {
+    this.noteLapse(target)
+    const listing = target.list(epoch, acknowledged, leaseUntilMs, this.time.nowMs)
+    if (listing === 'fenced') return { type: 'refused', reason: 'fenced' }
+    if (leaseUntilMs !== undefined) this.noteLease(target, leaseUntilMs)
+    return { type: 'listed', listing }
+  }
+
+  /** Notes whether the lease has ended before the call that may extend it. */
+  private noteLapse (target: SimulatedTarget): void {
+    if (target.clockAt(this.time.nowMs) > (this.leases.get(target.id) ?? 0)) this.history.recordLapse(target.id)
+  }
+
+  private noteLease (target: SimulatedTarget, leaseUntilMs: number): void {
+    this.leases.set(target.id, Math.max(this.leases.get(target.id) ?? 0, leaseUntilMs))
+  }
+
+  /** Carries out a call of the process that sends it, which gets the response unless it is lost. */
+  private send<Response> (target: SimulatedTarget, isCut: () => boolean, carryOut: () => Response, timedOut: Response): Promise<Response> {
+    const owner: VirtualProcess | undefined = this.time.currentProcess
+    return new Promise((resolve) => {
+      const respond = (response: Response, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(response), owner) }
+      const isReachable = (): boolean => !isCut() && target.unreachableUntil <= this.time.nowMs
+      if (!isReachable()) return respond(timedOut, TIMEOUT_MS)
+      if (this.random.next() < this.lateRatio) {
+        this.time.schedule(LATE_MS + this.random.nextInt(LATE_SPREAD_MS), () => { carryOut() })
+        return respond(timedOut, TIMEOUT_MS)
+      }
+      this.time.schedule(this.drawLatencyMs(), () => {
+        const response = carryOut()
+        if (isReachable()) respond(response, this.drawLatencyMs())
+        else respond(timedOut, TIMEOUT_MS)
+      })
+    })
+  }
+
+  private drawLatencyMs (): number {
+    return 1 + this.random.next() * MAX_LATENCY_MS
+  }
+}
--- a/test/controller/virtual-time.ts
+++ b/test/controller/virtual-time.ts
@@ -79,6 +79,11 @@
     return this.now
   }
 
+  /** The process whose code runs now. */
+  get currentProcess (): VirtualProcess | undefined {
+    return this.owners.getStore()
+  }
+
   startProcess (): VirtualProcess {
     return VirtualProcess.create(this.now)
   }
