--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { LeaseId, Store, StoreChange, StoreEntry } from '../ports/store.ts'
+import type { LeaseId, Store, StoreEntry } from '../ports/store.ts'
 import { Moment } from '../util/moment.ts'
 import { delay } from './delay.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
@@ -14,9 +14,10 @@
 const LEASE_TTL_MS = 1_500
 const RENEW_INTERVAL_MS = 400
 /**
- * How long the leader continues after its lease may have expired, in milliseconds: while the store does not respond, no
- * other member can take over. A new leader that cannot reach a target waits for this time, and for the lease of the runs,
- * before it starts that target's tasks elsewhere.
+ * How long the leader continues after the last confirmed renewal of its lease, in milliseconds: while the store does not
+ * respond, no other member can take over. A new leader that cannot reach a target waits for this time, and for the lease of
+ * the runs, before it starts that target's tasks elsewhere. It counts from its own election, which may follow the renewal at
+ * once: the record of a leader that refuses connections is removed before its lease expires.
  */
 export const LEASE_GRACE_MS = 8_000
 /** Maximum age of the last renewal for the leader to accept new work, in milliseconds. */
@@ -94,10 +95,12 @@
       prefix: LEADER_PREFIX,
       waitMs: WATCH_WAIT_MS,
       reporter: options.reporter,
-      onEntries: (entries) => this.handleLeaderEntry(entries.find((entry) => entry.key === LEADER_KEY)),
+      onEntries: (entries, version) => {
+        if (!this.isOlderThanClaim(version)) this.handleLeaderEntry(entries.find((entry) => entry.key === LEADER_KEY))
+      },
       onChanges: (changes) => {
         const last = changes.filter((change) => (change.type === 'put' ? change.entry.key : change.key) === LEADER_KEY).at(-1)
-        if (last !== undefined && !this.isOlderThanClaim(last)) this.handleLeaderEntry(last.type === 'put' ? last.entry : undefined)
+        if (last !== undefined && !this.isOlderThanClaim(last.type === 'put' ? last.entry.version : last.version)) this.handleLeaderEntry(last.type === 'put' ? last.entry : undefined)
       }
     })
     this.runRenewalLoop().catch((error: unknown) => options.reporter.log('error', 'renewal-failed', { detail: String(error) }))
@@ -167,9 +170,8 @@
     this.watcher.stop()
   }
 
-  /** Whether a change that the watch reports late came before the claim of the current term. */
-  private isOlderThanClaim (change: StoreChange): boolean {
-    const version = change.type === 'put' ? change.entry.version : change.version
+  /** Whether what the watch reports late, as of this version of the store, came before the claim of the current term. */
+  private isOlderThanClaim (version: number): boolean {
     return this.held !== undefined && version < this.held.version
   }
 
@@ -295,7 +297,7 @@
   /** Steps down when the grace ends, whether or not a call to the store is pending then: a successor waits no longer. */
   private limitGrace (renewedAt: Moment): void {
     clearTimeout(this.graceTimer)
-    this.graceTimer = setTimeout(() => this.stepDown('the store has not responded for too long'), LEASE_TTL_MS + LEASE_GRACE_MS - renewedAt.ageMs)
+    this.graceTimer = setTimeout(() => this.stepDown('the store has not responded for too long'), LEASE_GRACE_MS - renewedAt.ageMs)
     this.graceTimer.unref()
   }
 }
