Count the leases on a target that restarted with the longest lease

A command to the incarnation before asks for a lease on its clock. The next incarnation, whose clock begins at 0, shortens it to the longest lease of a target: 10 s on some sites, where the leader asks for 3.5 s and started the tasks of a silent target elsewhere after 3.6 s. Such a command may also be executed 12 s late.

The leader now knows the longest lease from the settings. The leases of a target that restarted under it end that long after the last command to the incarnation before can have been executed. At the first listing of a target whose clock is young, a previous leader may have given such a lease; later ones are fenced by the listing. Targets that did not restart are waited for as before.

Failed before: five tests of workflow/restarted-targets (4 s in place of 23 s and of 11 s, 12 s in place of 23 s for one that was never listed). After: workflow/ and controller/target, 285 passed.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -43,6 +43,8 @@
   /** Opens the stream to a member that sends commands on behalf of this leader. */
   readonly openRelayStream: RelayStreamOpener
   readonly advisor: Advisor
+  /** The longest lease of a target. */
+  readonly longestLeaseMs: number
   /** Prefix of the keys under which targets publish themselves. */
   readonly targetPrefix: string
   /** Parses the value that a target has published; undefined if it is not a valid target. */
@@ -82,7 +84,7 @@
   private nextPassAt = 0
 
   private constructor (private readonly options: ControllerOptions) {
-    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, wallClockOffsetMs: Date.now() - performance.now() })
+    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, wallClockOffsetMs: Date.now() - performance.now() })
     this.permission = CommandPermission.create({ isLeaseConfirmed: options.isLeaseConfirmed, reporter: options.reporter })
     this.relayedCommands = RelayedCommands.create({
       direct: options.commands,
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -31,7 +31,7 @@
     if (!listedKeys.has(key) && respondedBefore(live, sentAt)) removeLostRun(state, live, 'not listed by its target')
   }
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
-  if (!target.listed) target.leaseUntilMs = Math.max(target.leaseUntilMs, Math.floor(listing.clockMs + state.options.leaseMs))
+  if (!target.listed) target.recordEarlierLeases(listing.clockMs, state.options)
   if (!target.listed || !target.reachable) recordRoom(state, target)
   const isFirstListing = !target.listed
   target.listed = true
--- a/src/workflow/list-request.ts
+++ b/src/workflow/list-request.ts
@@ -19,7 +19,7 @@
 export function buildListRequest (target: TargetState, now: number, leaseMs: number, immediate = false): Omit<ListRequest, 'epoch'> {
   const clockMs = target.reachable ? target.estimateClockMs(now) : undefined
   const leaseUntilMs = clockMs === undefined ? undefined : Math.floor(clockMs + leaseMs)
-  if (leaseUntilMs !== undefined) target.leaseUntilMs = Math.max(target.leaseUntilMs, leaseUntilMs)
+  if (leaseUntilMs !== undefined) target.extendLease(leaseUntilMs, now)
   return { acknowledged: target.lastAcknowledged, leaseUntilMs, waitMs: immediate ? 0 : computeWaitMs(target) }
 }
 
--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -1,7 +1,9 @@
 /** Times and limits of the scheduler of a cell. */
 export type CellOptions = {
-  /** How long runs may continue after the last command or list request; at most the limit of the targets. */
+  /** How long runs may continue after the last command or list request; at most `longestLeaseMs`. */
   readonly leaseMs: number
+  /** The longest lease of a target: a lease that ends later, on its clock, is shortened. */
+  readonly longestLeaseMs: number
   /** A command without a response is sent again after this time. */
   readonly resendAfterMs: number
   /** Maximum number of targets in one advice request. */
@@ -17,6 +19,7 @@
 /** Options of the scheduler that apply unless they are overridden. */
 export const DEFAULT_CELL_OPTIONS: CellOptions = {
   leaseMs: 3_500,
+  longestLeaseMs: 10_000,
   resendAfterMs: 150,
   maxAdviceTargets: 100,
   firstRunNumber: 1,
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -72,7 +72,7 @@
   const clockMs = target.estimateClockMs(state.now)
   if (clockMs === undefined) return
   const leaseUntilMs = Math.floor(clockMs + state.options.leaseMs)
-  target.leaseUntilMs = Math.max(target.leaseUntilMs, leaseUntilMs)
+  target.extendLease(leaseUntilMs, state.now)
   if (live.sendCount === 0) target.lastStartAt = state.now
   live.sendCount += 1
   live.lastSentAt = state.now
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -1,8 +1,10 @@
 import type { Demand } from './job.ts'
 import { NO_DEMAND, addDemands } from './job.ts'
 import type { LiveRun } from './live-run.ts'
+import type { CellOptions } from './options.ts'
 import { formatRunKey } from './run-key.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
+import { LATE_COMMAND_MS } from './unanswered-starts.ts'
 import type { UnansweredStart } from './unanswered-starts.ts'
 
 /** Minimum rate of a target's monotonic clock relative to ours. */
@@ -13,6 +15,12 @@
 /** Leases on a target that never responded have expired after this time, which is longer than any lease. */
 const UNKNOWN_CLOCK_EXPIRY_MS = 12_000
 
+/**
+ * Leases that were measured on the clock of the incarnation before are given at the latest at this time on the clock of a new
+ * one: its owner may take some time to notice that the target has restarted, and its last command may be executed late.
+ */
+const EARLIER_LEASES_GIVEN_MS = LATE_COMMAND_MS + 3_000
+
 /** Weight of the latest run in the moving average of a target's slowness. */
 const SLOWNESS_SMOOTHING_FACTOR = 0.25
 
@@ -60,6 +68,10 @@
   /** Whether the entry is still published. */
   published = true
   private clock: { readonly clockMs: number, readonly readAt: number } | undefined
+  /** When a command or list request last asked for a lease, on the scheduler's clock. */
+  private leaseRequestedAt = -Infinity
+  /** When the leases that were measured on the clocks of earlier incarnations have expired, on the scheduler's clock. */
+  private earlierLeasesEndAt = -Infinity
   private decayedAt = 0
 
   private constructor (entry: TargetEntry, readonly firstSeenAt: number) {
@@ -78,6 +90,26 @@
     this.clock = { clockMs, readAt: now }
   }
 
+  /** Records that a command or list request asks for a lease, which ends at this time on the target's clock. */
+  extendLease (leaseUntilMs: number, now: number): void {
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, leaseUntilMs)
+    this.leaseRequestedAt = now
+  }
+
+  /**
+   * Records the leases that other owners may have given until the first listing. They asked for `leaseMs`; but to an
+   * incarnation whose clock began at 0 a while ago a lease measured on the clock before is as long as a lease can be.
+   */
+  recordEarlierLeases (clockMs: number, { leaseMs, longestLeaseMs }: Pick<CellOptions, 'leaseMs' | 'longestLeaseMs'>): void {
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(clockMs + leaseMs), Math.min(clockMs, EARLIER_LEASES_GIVEN_MS) + longestLeaseMs)
+  }
+
+  /** Records that commands to the incarnation before may still reach this one, which takes their leases for the longest ones. */
+  inheritLeases (previous: TargetState, longestLeaseMs: number): void {
+    const lastEndsAt = previous.leaseRequestedAt + LATE_COMMAND_MS + toSchedulerTime(longestLeaseMs) + EXPIRY_MARGIN_MS
+    this.earlierLeasesEndAt = Math.max(previous.earlierLeasesEndAt, lastEndsAt)
+  }
+
   /** When it last responded, on the scheduler's clock. */
   get lastHeardAt (): number {
     return this.clock?.readAt ?? this.firstSeenAt
@@ -90,9 +122,13 @@
 
   /** When all leases have certainly expired, on the scheduler's clock. */
   getExpiryTime (): number {
+    return Math.max(this.earlierLeasesEndAt, this.getOwnLeaseExpiryTime())
+  }
+
+  private getOwnLeaseExpiryTime (): number {
     if (this.clock === undefined) return this.firstSeenAt + UNKNOWN_CLOCK_EXPIRY_MS
     const remainingMs = Math.max(0, this.leaseUntilMs - this.clock.clockMs)
-    return this.clock.readAt + remainingMs / MIN_CLOCK_RATE_RATIO + EXPIRY_MARGIN_MS
+    return this.clock.readAt + toSchedulerTime(remainingMs) + EXPIRY_MARGIN_MS
   }
 
   /** Capacity that is not booked. */
@@ -159,3 +195,8 @@
     if (latencyTargetMs > 0) this.latencyBoundRuns += sign
   }
 }
+
+/** Longest time that a period on a target's clock takes on the scheduler's clock. */
+function toSchedulerTime (periodMs: number): number {
+  return periodMs / MIN_CLOCK_RATE_RATIO
+}
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -46,6 +46,7 @@
 
 function replaceTarget (state: CellState, previous: TargetState, next: TargetState): void {
   confirmCrash(state, previous)
+  next.inheritLeases(previous, state.options.longestLeaseMs)
   transferRuns(state, previous, next)
 }
 
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -56,6 +56,9 @@
   }
 }
 
+/** Clock of a target that did not restart recently, at the time 0 of a harness. */
+const ESTABLISHED_CLOCK_MS = 60_000
+
 export type SentCommand = Extract<CellEffect, { type: 'start' | 'stop' }>
 
 /** Runs a scheduler with simulated responses of its targets. Time passes only in `advance`, or when `now` is set. */
@@ -103,7 +106,7 @@
     return this.apply({ type: 'tick' })
   }
 
-  listTarget (id: string, { running = [], ended = [], incarnation = 1, sentAt = this.now, clockMs = this.now }: { running?: readonly ListedRun[], ended?: readonly ListedCompletion[], incarnation?: number, sentAt?: number, clockMs?: number } = {}): readonly CellEffect[] {
+  listTarget (id: string, { running = [], ended = [], incarnation = 1, sentAt = this.now, clockMs = this.now + ESTABLISHED_CLOCK_MS }: { running?: readonly ListedRun[], ended?: readonly ListedCompletion[], incarnation?: number, sentAt?: number, clockMs?: number } = {}): readonly CellEffect[] {
     return this.apply({ type: 'target-listed', id, sentAt, listing: { incarnation, clockMs, running, ended } })
   }
 
--- a/test/workflow/restarted-targets.test.ts
+++ b/test/workflow/restarted-targets.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { CommandResponse } from '../../src/ports/command-client.ts'
-import type { SentCommand, CellHarness } from './harness.ts'
-import { buildEntry, buildJob, createHarnessWithTarget } from './harness.ts'
+import { buildListRequest } from '../../src/workflow/list-request.ts'
+import type { SentCommand } from './harness.ts'
+import { CellHarness, buildEntry, buildJob, createHarnessWithTarget } from './harness.ts'
 
 /** Clock of a target that has worked for long. */
 const OLD_CLOCK_MS = 400_000
@@ -109,3 +110,52 @@
   harness.advance(200)
   assert.equal(stopsOfRun(), 2)
 })
+
+const LEASE_MS = 3_500
+const LONGEST_LEASE_MS = 10_000
+
+/** Seconds from the silence of `t1` until the task that runs there starts on another target. */
+function countSecondsUntilRestart (harness: CellHarness): number {
+  harness.publishTarget(buildEntry('t2'))
+  const started = harness.getStarts().length
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  for (let seconds = 1; seconds <= 60; seconds++) {
+    harness.advance(1_000)
+    if (harness.getStarts().length > started) return seconds
+  }
+  return Infinity
+}
+
+const leases = [
+  // A lease that was measured on the old clock lasts for 10 s from its arrival, up to 12 s after it was sent.
+  { guards: 'restarted under this leader', clocksMs: [OLD_CLOCK_MS, 40], expectedSeconds: 23 },
+  { guards: 'restarted under this leader twice', clocksMs: [OLD_CLOCK_MS, 40, 30], expectedSeconds: 23 },
+  { guards: 'restarted just before this leader listed it', clocksMs: [40], expectedSeconds: 11 },
+  { guards: 'restarted some seconds before this leader listed it', clocksMs: [14_000], expectedSeconds: 11 },
+  { guards: 'restarted longer ago than any lease of the earlier leader lasts', clocksMs: [30_000], expectedSeconds: 4 },
+  { guards: 'did not restart', clocksMs: [OLD_CLOCK_MS], expectedSeconds: 4 }
+]
+
+for (const { guards, clocksMs, expectedSeconds } of leases) {
+  // TWICE: the leases of a target that had restarted were taken for those that the leader asks for, 3.5 s in place of 10 s.
+  test(`cell: the task of a silent target starts elsewhere after ${expectedSeconds} s if the target ${guards}`, () => {
+    const harness = CellHarness.create([], undefined, { leaseMs: LEASE_MS, longestLeaseMs: LONGEST_LEASE_MS })
+    clocksMs.forEach((clockMs, index) => {
+      harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: index + 1 }) })
+      harness.apply({ type: 'targets-stored', ids: ['t1'] })
+      harness.listTarget('t1', { incarnation: index + 1, clockMs })
+      buildListRequest(harness.scheduler.getTarget('t1')!, harness.now, LEASE_MS)
+    })
+    harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+    harness.acceptStart(harness.getStarts()[0]!)
+    assert.equal(countSecondsUntilRestart(harness), expectedSeconds)
+  })
+}
+
+// TWICE: the lease of a run that was started on the old clock reached the new incarnation, which was never listed.
+test('cell: the task of a target that restarted and was not listed since starts elsewhere after all its leases', () => {
+  const harness = CellHarness.create([buildEntry('t1')], undefined, { leaseMs: LEASE_MS, longestLeaseMs: LONGEST_LEASE_MS })
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  assert.equal(countSecondsUntilRestart(harness), 23)
+})
