Send nothing of one incarnation after a list request without an answer

The target may have restarted. The next list request carried the cursor of the incarnation before: the new one discarded completions with low numbers that nobody had read, and their tasks started again after an acknowledged end. It also carried a lease on the old clock, as did starts that went out meanwhile. Until the target lists its runs, requests now acknowledge nothing and extend no lease, and it gets no starts.

A list request may also be executed late, by the next incarnation. So a cursor is sent only until the target has answered it.

--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -81,7 +81,7 @@
   private async listRuns (target: TargetState): Promise<void> {
     const { id, commands, epoch } = this.options
     const sentAt = performance.now()
-    const request = buildListRequest(target, sentAt, this.options.leaseMs, this.lastListUnanswered)
+    const request = buildListRequest(target, sentAt, this.options.leaseMs)
     const response = await commands.list({ id, address: target.entry.address }, { ...request, epoch })
     if (this.stopped.signal.aborted) return
     await this.handleListResponse(target, response, sentAt)
@@ -92,7 +92,7 @@
     if (response.type === 'unanswered' && !this.lastListUnanswered) {
       // A single lost response must not take the target out of use or delay the completions of its runs.
       this.lastListUnanswered = true
-      return
+      return applyEvent({ type: 'list-unanswered', id })
     }
     this.lastListUnanswered = false
     if (response.type !== 'listed') {
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -200,6 +200,7 @@
       case 'target-published': return handleTargetPublished(state, event.entry)
       case 'target-withdrawn': return handleTargetWithdrawn(state, event.id)
       case 'target-listed': return this.handleTargetListed(event)
+      case 'list-unanswered': return this.handleListUnanswered(event.id)
       case 'target-silent': return this.handleTargetUnreachable(event)
       case 'start-answered':
       case 'stop-answered': return this.handleCommandResponse(event)
@@ -236,10 +237,16 @@
     handleTargetRestarted(this.state, target, event.listing.incarnation)
   }
 
+  private handleListUnanswered (id: string): void {
+    const target = this.state.targets.get(id)
+    if (target !== undefined) target.listUnanswered = true
+  }
+
   private handleTargetUnreachable ({ id, cause }: Extract<CellEvent, { type: 'target-silent' }>): void {
     const target = this.state.targets.get(id)
     if (cause === 'fenced') this.state.effects.push({ type: 'fenced', target: id })
     if (target === undefined) return
+    target.listUnanswered = true
     target.processEnded = cause === NO_LISTENER || cause === 'other-incarnation'
     if (target.reachable) {
       recordPossibleCrash(this.state, target)
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -94,7 +94,8 @@
 function resendCommand (state: CellState, live: LiveRun): void {
   if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.options.resendAfterMs) return
   switch (live.phase) {
-    case 'starting': return resendStart(state, live)
+    // A target whose last list request had no answer may have restarted.
+    case 'starting': return live.target.listUnanswered ? undefined : resendStart(state, live)
     case 'stopping': return sendStop(state, live, 'no response')
     case 'running':
   }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -20,6 +20,8 @@
   | { readonly type: 'target-withdrawn', readonly id: string }
   /** `sentAt`: when the list request was sent; the listing is at least as recent. */
   | { readonly type: 'target-listed', readonly id: string, readonly sentAt: number, readonly listing: TargetListing }
+  /** A single list request had no answer. */
+  | { readonly type: 'list-unanswered', readonly id: string }
   | { readonly type: 'target-silent', readonly id: string, readonly cause: SilenceCause }
   /** `incarnation`: the one of the target that the command was sent to; another one may have sent the response. */
   | { readonly type: 'start-answered', readonly target: string, readonly incarnation: number, readonly task: string, readonly run: number, readonly response: CommandResponse }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -18,6 +18,7 @@
  */
 export function handleListing (state: CellState, target: TargetState, listing: TargetListing, sentAt: number): void {
   target.recordClock(listing.clockMs, state.now)
+  target.answeredCursor = Math.max(target.answeredCursor, target.sentCursor)
   for (const completion of listing.ended) handleCompletion(state, target, completion)
   const listedKeys = new Set<string>()
   let unknownRunCount = 0
@@ -32,10 +33,11 @@
   }
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
   if (!target.listed) target.recordEarlierLeases(listing.clockMs, state.options)
-  if (!target.listed || !target.reachable) recordRoom(state, target)
+  if (!target.listed || !target.reachable || target.listUnanswered) recordRoom(state, target)
   const isFirstListing = !target.listed
   target.listed = true
   target.reachable = true
+  target.listUnanswered = false
   target.processEnded = false
   withdrawCrash(state, target)
   if (isFirstListing) releaseTasks(state, target)
--- a/src/workflow/list-request.ts
+++ b/src/workflow/list-request.ts
@@ -10,21 +10,23 @@
 
 /**
  * Builds the next list request for a target. It extends the lease of the runs only while the target is reachable: leases
- * on an unreachable target must expire, so that the tasks can start elsewhere. With `immediate` the target responds without
- * waiting for a completion.
+ * on an unreachable target must expire, so that the tasks can start elsewhere. After a request without an answer the target
+ * may have restarted, so that the next one carries nothing that holds for one incarnation only, and is answered at once. For
+ * the same reason a cursor is sent until it has been answered, and no longer: a request may be executed late.
  *
  * @example
  * const request = buildListRequest(target, performance.now(), 5_000)
  */
-export function buildListRequest (target: TargetState, now: number, leaseMs: number, immediate = false): Omit<ListRequest, 'epoch'> {
-  const clockMs = target.reachable ? target.estimateClockMs(now) : undefined
+export function buildListRequest (target: TargetState, now: number, leaseMs: number): Omit<ListRequest, 'epoch'> {
+  const isCertain = target.reachable && !target.listUnanswered
+  const clockMs = isCertain ? target.estimateClockMs(now) : undefined
   const leaseUntilMs = clockMs === undefined ? undefined : Math.floor(clockMs + leaseMs)
   if (leaseUntilMs !== undefined) target.extendLease(leaseUntilMs, now)
-  return { acknowledged: target.lastAcknowledged, leaseUntilMs, waitMs: immediate ? 0 : computeWaitMs(target) }
+  target.sentCursor = isCertain && target.lastAcknowledged > target.answeredCursor ? target.lastAcknowledged : 0
+  return { acknowledged: target.sentCursor, leaseUntilMs, waitMs: isCertain ? computeWaitMs(target) : 0 }
 }
 
 function computeWaitMs (target: TargetState): number {
-  if (!target.reachable) return 0
   if (hasCarriedOverRuns(target)) return CARRIED_OVER_LIST_WAIT_MS
   return target.latencyBoundRuns > 0 && target.bestEffortCpuMillis > 0 ? THROTTLED_LIST_WAIT_MS : LIST_WAIT_MS
 }
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -40,6 +40,12 @@
   lastProcessed = 0
   /** The target may discard completions up to this number. */
   lastAcknowledged = 0
+  /** Cursor in the last list request. */
+  sentCursor = 0
+  /** Highest cursor that the target has answered. */
+  answeredCursor = 0
+  /** Whether the last list request had no answer, so that the target may have restarted. */
+  listUnanswered = false
   /** Latest lease expiry that any command or list request has set, on the target's clock. */
   leaseUntilMs = 0
   /** Whether its host refuses connections or another target responds there; reset by a listing. */
--- a/test/controller/target-session.test.ts
+++ b/test/controller/target-session.test.ts
@@ -2,10 +2,10 @@
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
 import { TargetSession } from '../../src/controller/target-session.ts'
-import type { CommandClient } from '../../src/ports/command-client.ts'
+import type { CommandClient, CommandTarget, ListRequest } from '../../src/ports/command-client.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
 import { TargetState } from '../../src/workflow/target-state.ts'
-import { buildEntry } from '../workflow/harness.ts'
+import { CellHarness, buildEntry } from '../workflow/harness.ts'
 
 const TIMEOUT_MS = 3_000
 const POLL_INTERVAL_MS = 10
@@ -51,3 +51,34 @@
     assert.deepEqual([events[0]?.type, logged[0]], ['target-listed', 'target-session-failed'])
   })
 }
+
+// TWICE: the request after an unanswered one carried the cursor and the lease of the incarnation before to the next one.
+test('target session: the request after an unanswered one acknowledges nothing and extends no lease', async () => {
+  const harness = CellHarness.create([buildEntry('t1')])
+  const target = harness.scheduler.getTarget('t1')!
+  target.lastAcknowledged = 7
+  const requests: ListRequest[] = []
+  const commands = {
+    list: async (_target: CommandTarget, request: ListRequest) => {
+      requests.push(request)
+      await wait(LIST_MS)
+      if (requests.length === 1) return { type: 'unanswered', reason: 'reset' }
+      return { type: 'listed', listing: { incarnation: 1, clockMs: 1, running: [], ended: [] } }
+    }
+  } as unknown as CommandClient
+  const session = TargetSession.create({
+    id: 't1',
+    commands,
+    epoch: 1,
+    leaseMs: 1_000,
+    reporter: { log: () => {}, count: () => {}, observe: () => {} },
+    getTarget: () => target,
+    applyEvent: (event) => { harness.apply(event) },
+    waitForCommit: async () => {},
+    canSendCommands: () => true
+  })
+  const deadline = performance.now() + TIMEOUT_MS
+  while (requests.length < 3 && performance.now() < deadline) await wait(POLL_INTERVAL_MS)
+  session.stop()
+  assert.deepEqual(requests.slice(0, 3).map(({ acknowledged, leaseUntilMs }) => [acknowledged, leaseUntilMs !== undefined]), [[7, true], [0, false], [7, true]])
+})
--- a/test/workflow/restarted-targets.test.ts
+++ b/test/workflow/restarted-targets.test.ts
@@ -159,3 +159,50 @@
   harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
   assert.equal(countSecondsUntilRestart(harness), 23)
 })
+
+/** A target with a run that has ended and been acknowledged: its cursor is 1. */
+function createAcknowledged (): CellHarness {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  harness.completeRun(harness.getStarts()[0]!, 'done')
+  harness.apply({ type: 'progress-stored', phases: new Map(), released: [], completions: harness.scheduler.getProcessedCompletions() })
+  return harness
+}
+
+function buildRequest (harness: CellHarness): ReturnType<typeof buildListRequest> {
+  return buildListRequest(harness.scheduler.getTarget('t1')!, harness.now, LEASE_MS)
+}
+
+// TWICE: the cursor of the incarnation before let the next one discard completions that nobody had read, and their tasks ran again.
+test('cell: after a list request without an answer the next ones acknowledge nothing and extend no lease until one is answered', () => {
+  const harness = createAcknowledged()
+  assert.deepEqual(buildRequest(harness), { acknowledged: 1, leaseUntilMs: harness.now + 60_000 + LEASE_MS, waitMs: 1_000 })
+  harness.apply({ type: 'list-unanswered', id: 't1' })
+  assert.deepEqual(buildRequest(harness), { acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 })
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  assert.deepEqual(buildRequest(harness), { acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 })
+  harness.listTarget('t1')
+  assert.equal(buildRequest(harness).acknowledged, 1)
+})
+
+// TWICE: a late list request with the cursor of the incarnation before did the same to the next one.
+test('cell: a cursor that a target has answered is not sent again', () => {
+  const harness = createAcknowledged()
+  assert.equal(buildRequest(harness).acknowledged, 1)
+  assert.equal(buildRequest(harness).acknowledged, 1, 'no answer yet')
+  harness.listTarget('t1')
+  assert.equal(buildRequest(harness).acknowledged, 0)
+})
+
+// TWICE: a start that was sent after an unanswered list request gave the next incarnation a lease measured on the old clock.
+test('cell: a target whose last list request had no answer gets no starts until it lists its runs', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  harness.apply({ type: 'list-unanswered', id: 't1' })
+  harness.apply({ type: 'job-accepted', definition: buildJob('b', {}) })
+  harness.advance(200)
+  assert.deepEqual(harness.getStarts().map(({ command }) => command.task), ['a.0.0.0'], 'neither a new start nor one again')
+  harness.listTarget('t1')
+  harness.advance(200)
+  assert.deepEqual(harness.getStarts().map(({ command }) => command.task), ['a.0.0.0', 'b.0.0.0', 'a.0.0.0', 'b.0.0.0'])
+})
