Log what a restart of a target leaves to be mistaken

A line a restart: the starts without an answer, the cursor and the lease that the last requests to the incarnation before carried. The logs could not tell whether a double came from values of the incarnation before.

--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -75,7 +75,7 @@
   published = true
   private clock: { readonly clockMs: number, readonly readAt: number } | undefined
   /** When a command or list request last asked for a lease, on the scheduler's clock. */
-  private leaseRequestedAt = -Infinity
+  leaseRequestedAt = -Infinity
   /** When the leases that were measured on the clocks of earlier incarnations have expired, on the scheduler's clock. */
   private earlierLeasesEndAt = -Infinity
   private decayedAt = 0
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -45,11 +45,27 @@
 }
 
 function replaceTarget (state: CellState, previous: TargetState, next: TargetState): void {
+  logRestart(state, previous, next)
   confirmCrash(state, previous)
   next.inheritLeases(previous, state.options.longestLeaseMs)
   transferRuns(state, previous, next)
 }
 
+/** Logs what the previous incarnation leaves that may be applied to the next one by mistake. */
+function logRestart (state: CellState, previous: TargetState, next: TargetState): void {
+  log(state, 'info', 'target-restarted', {
+    target: next.id,
+    incarnation: next.entry.incarnation,
+    previousIncarnation: previous.entry.incarnation,
+    runs: previous.runs.size,
+    unansweredStarts: previous.unansweredStarts.size,
+    lastCursor: previous.sentCursor,
+    listUnanswered: previous.listUnanswered,
+    ...(previous.leaseRequestedAt === -Infinity ? {} : { leaseRequestedMsAgo: Math.round(state.now - previous.leaseRequestedAt) }),
+    longestLeaseMs: state.options.longestLeaseMs
+  })
+}
+
 /**
  * Moves the runs of the previous incarnation to the next one. A recent start command may have reached the new incarnation
  * before its entry was read, so only the next listing shows which runs are gone. It is stopped, not resent: the target may be
--- a/test/workflow/restarted-targets.test.ts
+++ b/test/workflow/restarted-targets.test.ts
@@ -206,3 +206,13 @@
   harness.advance(200)
   assert.deepEqual(harness.getStarts().map(({ command }) => command.task), ['a.0.0.0', 'b.0.0.0', 'a.0.0.0', 'b.0.0.0'])
 })
+
+test('cell: the log tells once what the incarnation before a restart may have left', () => {
+  const harness = createAcknowledged()
+  buildRequest(harness)
+  harness.apply({ type: 'list-unanswered', id: 't1' })
+  harness.now += 300
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  const lines = harness.effects.flatMap((effect) => effect.type === 'log' && effect.message === 'target-restarted' ? [effect.fields] : [])
+  assert.deepEqual(lines, [{ target: 't1', incarnation: 2, previousIncarnation: 1, runs: 0, unansweredStarts: 1, lastCursor: 1, listUnanswered: true, leaseRequestedMsAgo: 300, longestLeaseMs: 10_000 }])
+})
