--- a/test/workflow/restarted-targets.test.ts
+++ b/test/workflow/restarted-targets.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { CommandResponse } from '../../src/ports/command-client.ts'
-import type { SentCommand, CellHarness } from './harness.ts'
-import { buildEntry, buildJob, createHarnessWithTarget } from './harness.ts'
+import { buildListRequest } from '../../src/workflow/list-request.ts'
+import type { SentCommand } from './harness.ts'
+import { CellHarness, buildEntry, buildJob, createHarnessWithTarget } from './harness.ts'
 
 /** Clock of a target that has worked for long. */
 const OLD_CLOCK_MS = 400_000
@@ -109,3 +110,109 @@
   harness.advance(200)
   assert.equal(stopsOfRun(), 2)
 })
+
+const LEASE_MS = 3_500
+const LONGEST_LEASE_MS = 10_000
+
+/** Seconds from the silence of `t1` until the task that runs there starts on another target. */
+function countSecondsUntilRestart (harness: CellHarness): number {
+  harness.publishTarget(buildEntry('t2'))
+  const started = harness.getStarts().length
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  for (let seconds = 1; seconds <= 60; seconds++) {
+    harness.advance(1_000)
+    if (harness.getStarts().length > started) return seconds
+  }
+  return Infinity
+}
+
+const leases = [
+  // A lease that was measured on the old clock lasts for 10 s from its arrival, up to 12 s after it was sent.
+  { guards: 'restarted under this leader', clocksMs: [OLD_CLOCK_MS, 40], expectedSeconds: 23 },
+  { guards: 'restarted under this leader twice', clocksMs: [OLD_CLOCK_MS, 40, 30], expectedSeconds: 23 },
+  { guards: 'restarted just before this leader listed it', clocksMs: [40], expectedSeconds: 11 },
+  { guards: 'restarted some seconds before this leader listed it', clocksMs: [14_000], expectedSeconds: 11 },
+  { guards: 'restarted longer ago than any lease of the earlier leader lasts', clocksMs: [30_000], expectedSeconds: 4 },
+  { guards: 'did not restart', clocksMs: [OLD_CLOCK_MS], expectedSeconds: 4 }
+]
+
+for (const { guards, clocksMs, expectedSeconds } of leases) {
+  // TWICE: the leases of a target that had restarted were taken for those that the leader asks for, 3.5 s in place of 10 s.
+  test(`cell: the task of a silent target starts elsewhere after ${expectedSeconds} s if the target ${guards}`, () => {
+    const harness = CellHarness.create([], undefined, { leaseMs: LEASE_MS, longestLeaseMs: LONGEST_LEASE_MS })
+    clocksMs.forEach((clockMs, index) => {
+      harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: index + 1 }) })
+      harness.apply({ type: 'targets-stored', ids: ['t1'] })
+      harness.listTarget('t1', { incarnation: index + 1, clockMs })
+      buildListRequest(harness.scheduler.getTarget('t1')!, harness.now, LEASE_MS)
+    })
+    harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+    harness.acceptStart(harness.getStarts()[0]!)
+    assert.equal(countSecondsUntilRestart(harness), expectedSeconds)
+  })
+}
+
+// TWICE: the lease of a run that was started on the old clock reached the new incarnation, which was never listed.
+test('cell: the task of a target that restarted and was not listed since starts elsewhere after all its leases', () => {
+  const harness = CellHarness.create([buildEntry('t1')], undefined, { leaseMs: LEASE_MS, longestLeaseMs: LONGEST_LEASE_MS })
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  assert.equal(countSecondsUntilRestart(harness), 23)
+})
+
+/** A target with a run that has ended and been acknowledged: its cursor is 1. */
+function createAcknowledged (): CellHarness {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  harness.completeRun(harness.getStarts()[0]!, 'done')
+  harness.apply({ type: 'progress-stored', phases: new Map(), released: [], completions: harness.scheduler.getProcessedCompletions() })
+  return harness
+}
+
+function buildRequest (harness: CellHarness): ReturnType<typeof buildListRequest> {
+  return buildListRequest(harness.scheduler.getTarget('t1')!, harness.now, LEASE_MS)
+}
+
+// TWICE: the cursor of the incarnation before let the next one discard completions that nobody had read, and their tasks ran again.
+test('cell: after a list request without an answer the next ones acknowledge nothing and extend no lease until one is answered', () => {
+  const harness = createAcknowledged()
+  assert.deepEqual(buildRequest(harness), { acknowledged: 1, leaseUntilMs: harness.now + 60_000 + LEASE_MS, waitMs: 1_000 })
+  harness.apply({ type: 'list-unanswered', id: 't1' })
+  assert.deepEqual(buildRequest(harness), { acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 })
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  assert.deepEqual(buildRequest(harness), { acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 })
+  harness.listTarget('t1')
+  assert.equal(buildRequest(harness).acknowledged, 1)
+})
+
+// TWICE: a late list request with the cursor of the incarnation before did the same to the next one.
+test('cell: a cursor that a target has answered is not sent again', () => {
+  const harness = createAcknowledged()
+  assert.equal(buildRequest(harness).acknowledged, 1)
+  assert.equal(buildRequest(harness).acknowledged, 1, 'no answer yet')
+  harness.listTarget('t1')
+  assert.equal(buildRequest(harness).acknowledged, 0)
+})
+
+// TWICE: a start that was sent after an unanswered list request gave the next incarnation a lease measured on the old clock.
+test('cell: a target whose last list request had no answer gets no starts until it lists its runs', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  harness.apply({ type: 'list-unanswered', id: 't1' })
+  harness.apply({ type: 'job-accepted', definition: buildJob('b', {}) })
+  harness.advance(200)
+  assert.deepEqual(harness.getStarts().map(({ command }) => command.task), ['a.0.0.0'], 'neither a new start nor one again')
+  harness.listTarget('t1')
+  harness.advance(200)
+  assert.deepEqual(harness.getStarts().map(({ command }) => command.task), ['a.0.0.0', 'b.0.0.0', 'a.0.0.0', 'b.0.0.0'])
+})
+
+test('cell: the log tells once what the incarnation before a restart may have left', () => {
+  const harness = createAcknowledged()
+  buildRequest(harness)
+  harness.apply({ type: 'list-unanswered', id: 't1' })
+  harness.now += 300
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  const lines = harness.effects.flatMap((effect) => effect.type === 'log' && effect.message === 'target-restarted' ? [effect.fields] : [])
+  assert.deepEqual(lines, [{ target: 't1', incarnation: 2, previousIncarnation: 1, runs: 0, unansweredStarts: 1, lastCursor: 1, listUnanswered: true, leaseRequestedMsAgo: 300, longestLeaseMs: 10_000 }])
+})
