Don't take runs for lapsed that a successor may keep running

Cause: a leader that has lost the store goes on for its grace of 8 s. 3.6 s after its last contact with a target it took the runs there for lapsed and started their tasks again on targets that it still reached. But the store has another leader after 1.5 s. Where that one reaches the silent targets, it adopts their runs and extends their leases, and it can't fence the targets that only the old leader reaches: a zone that is cut off with the leader in it is enough. Every run on the other side ran twice, or started again after its end was acknowledged.

Change: a lapse is concluded only as of the last confirmed renewal of the leader's lease. When that was sent nobody else led, so that nobody else had extended the lease of a run that had ended by then. The same holds for the runs of earlier terms. A lapse is seen up to 0.4 s later, the interval of the renewals, and not while the store doesn't answer.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -53,6 +53,8 @@
   readonly requestCachedAdvice: (peer: Peer) => Promise<readonly CachedAdvice[]>
   /** Whether the store has confirmed the lease so recently that no other member can lead. */
   readonly isLeaseConfirmed: () => boolean
+  /** Until when certainly no other member could lead, on the monotonic clock. */
+  readonly getAloneUntil: () => number
   readonly onFenced: (reason: string) => void
 }
 
@@ -293,7 +295,7 @@
     this.relayedCommands.update(this.members, this.scheduler.countTargetsByDomain())
     this.checkRunsOfEarlierTerms()
     this.storeFeed.acceptWaitingJobs()
-    this.applyEvent({ type: 'tick' })
+    this.applyEvent({ type: 'tick', aloneUntil: this.options.getAloneUntil() })
   }
 
   private readState (): LeaderState {
@@ -315,7 +317,7 @@
   private checkRunsOfEarlierTerms (): void {
     if (!this.restored || !this.scheduler.earlierRunsExpected) return
     const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    if (this.earlierLeaders.runsHaveLapsed) this.applyEvent({ type: 'earlier-runs-lapsed' })
+    if (this.earlierLeaders.haveRunsLapsedBy(this.options.getAloneUntil())) this.applyEvent({ type: 'earlier-runs-lapsed' })
     else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
   }
 
--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -60,8 +60,13 @@
 
   /** Whether no run of an earlier term can be on a target any more. */
   get runsHaveLapsed (): boolean {
+    return this.haveRunsLapsedBy(this.now())
+  }
+
+  /** Whether no run of an earlier term could be on a target any more at this time, if nobody else has extended its lease. */
+  haveRunsLapsedBy (time: number): boolean {
     const lapsedAt = Math.max(-Infinity, ...this.commandsEndAt.values()) + this.options.leaseMs * CLOCK_DRIFT_FACTOR
-    return this.commandsEndAt.size === 0 || this.now() > lapsedAt
+    return this.commandsEndAt.size === 0 || time > lapsedAt
   }
 
   private async stopLeader (earlier: UnsettledTerm): Promise<void> {
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -124,6 +124,14 @@
     return this.held !== undefined && this.held.renewedAt.ageMs < MAX_CONFIRMATION_AGE_MS
   }
 
+  /**
+   * Until when certainly no other member could lead, on the monotonic clock: the last confirmed renewal was sent then. A later
+   * time is not certain, even within the lease, because the record of a leader that refuses connections is removed.
+   */
+  get aloneUntil (): number {
+    return this.held === undefined ? -Infinity : performance.now() - this.held.renewedAt.ageMs
+  }
+
   /** Gives up the leadership, for example because a target has seen a newer term. */
   stepDown (reason: string): void {
     if (this.held === undefined) return
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -222,7 +222,7 @@
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
-      case 'tick': return this.handleTick()
+      case 'tick': return this.handleTick(event.aloneUntil ?? state.now)
       default: return assertNever(event)
     }
   }
@@ -278,10 +278,10 @@
     }
   }
 
-  private handleTick (): void {
+  private handleTick (aloneUntil: number): void {
     const { state } = this
     resendCommands(state)
-    removeExpiredRuns(state)
+    removeExpiredRuns(state, aloneUntil)
     removeGoneTargets(state)
     prunePossibleCrashes(state)
     pruneStoredTargets(state)
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -107,10 +107,13 @@
   stopGangMembers(state, live)
 }
 
-/** Removes the runs of unreachable targets whose leases have certainly expired. */
-export function removeExpiredRuns (state: CellState): void {
+/**
+ * Removes the runs of unreachable targets whose leases have certainly expired by `aloneUntil`. A successor that reaches such a
+ * target goes on extending their leases, and tasks that this owner started again would run twice.
+ */
+export function removeExpiredRuns (state: CellState, aloneUntil: number): void {
   for (const target of state.targets.values()) {
-    if (target.reachable || target.runs.size === 0 || target.getExpiryTime() > state.now) continue
+    if (target.reachable || target.runs.size === 0 || target.getExpiryTime() > aloneUntil) continue
     for (const live of [...target.runs.values()]) removeLostRun(state, live, 'its lease has expired on an unreachable target')
   }
 }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -44,4 +44,8 @@
   | { readonly type: 'earlier-runs-listed' }
   /** The leases of runs of a previous owner have expired on all targets that could not be listed. */
   | { readonly type: 'earlier-runs-lapsed' }
-  | { readonly type: 'tick' }
+  /**
+   * `aloneUntil`: no other owner can have extended the leases of runs before this time; now if it is missing. What would expire
+   * later may go on under a successor.
+   */
+  | { readonly type: 'tick', readonly aloneUntil?: number }
--- a/test/controller/leader-chains.ts
+++ b/test/controller/leader-chains.ts
@@ -4,10 +4,13 @@
 const MEMBERS = 4
 const TARGETS = 6
 const FAULTS_UNTIL_MS = 30_000
-const END_MS = 60_000
+const END_MS = 80_000
 const MAX_FAULT_INTERVAL_MS = 2_500
 const MAX_SUBMISSION_INTERVAL_MS = 700
 const MAX_TASK_MS = 4_000
+/** Some tasks outlast the grace of a leader and the lease of its runs. */
+const MAX_LONG_TASK_MS = 20_000
+const LONG_RATIO = 0.2
 /** How often faults that follow one another at once are played. */
 const SERIES_RATIO = 0.3
 
@@ -62,7 +65,7 @@
     if (time.nowMs > FAULTS_UNTIL_MS) return
     const counts = Array.from({ length: 1 + random.nextInt(2) }, () => 1 + random.nextInt(3))
     const pickHost = (): VirtualCell['hosts'][number] => cell.hosts[random.nextInt(cell.hosts.length)]!
-    cell.submit(pickHost(), `j${number}`, counts, 1 + random.nextInt(MAX_TASK_MS))
+    cell.submit(pickHost(), `j${number}`, counts, 1 + random.nextInt(random.next() < LONG_RATIO ? MAX_LONG_TASK_MS : MAX_TASK_MS))
     if (random.nextInt(8) === 0) cell.cancel(pickHost(), `j${random.nextInt(number + 1)}`)
     scheduleJobs(cell, number + 1)
   })
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -24,6 +24,8 @@
   refusesConnections: boolean
   cutFromMembers: boolean
   cutFromTargets: boolean
+  /** Targets that only this host does not reach. */
+  unreachedTargets: ReadonlySet<string>
 }
 
 /** One line of a member's log. */
@@ -105,7 +107,7 @@
 
   private addHost (name: string): void {
     const address = `${name}:1`
-    const host: VirtualHost = { name, address, refusesConnections: false, cutFromMembers: false, cutFromTargets: false, ...this.startMember(name, address) }
+    const host: VirtualHost = { name, address, refusesConnections: false, cutFromMembers: false, cutFromTargets: false, unreachedTargets: new Set(), ...this.startMember(name, address) }
     this.hosts.push(host)
   }
 
@@ -116,7 +118,7 @@
     const member = this.time.runIn(process, () => VirtualMember.start({
       self: { member: name, address },
       store: connection,
-      commands: this.targets.connect(() => findHost()?.cutFromTargets === true),
+      commands: this.targets.connect((target) => findHost()?.cutFromTargets === true || findHost()?.unreachedTargets.has(target) === true),
       callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
       probe: async (to) => {
         await this.time.wait(CALL_LATENCY_MS)
--- a/test/controller/virtual-faults.ts
+++ b/test/controller/virtual-faults.ts
@@ -2,6 +2,8 @@
 
 const MAX_OUTAGE_MS = 6_000
 const MAX_PAUSE_MS = 12_000
+/** Longer than the grace of a leader and the lease of its runs. */
+const MAX_SPLIT_MS = 14_000
 const MAX_POWER_CUT_MS = 9_500
 /** Time after a removal by mistake in which the leader refuses connections. */
 const REFUSAL_MS = 3_000
@@ -26,7 +28,11 @@
   { name: 'member cut from the targets', begin: (cell) => changeHost(cell, 'cutFromTargets') },
   { name: 'member cut off', begin: cutMember },
   { name: 'leader removed by mistake', begin: removeLeader },
-  { name: 'targets unreachable', begin: cutTargets }
+  { name: 'targets unreachable', begin: cutTargets },
+  { name: 'cell split', begin: splitCell },
+  { name: 'cell split, leader removed', begin: (cell) => { splitCell(cell); removeLeader(cell) } },
+  { name: 'cell split, leader paused', begin: (cell) => { splitCell(cell); pauseLeader(cell) } },
+  { name: 'cell split, claims unanswered', begin: (cell) => { splitCell(cell); changeFor(cell, (active) => { cell.store.lostRatio = active ? 0.6 : 0 }) } }
 ]
 
 function pickHost (cell: VirtualCell): VirtualHost {
@@ -68,11 +74,35 @@
 }
 
 function pauseMember (cell: VirtualCell): void {
-  const { process } = pickHost(cell)
+  pause(cell, pickHost(cell))
+}
+
+function pauseLeader (cell: VirtualCell): void {
+  if (cell.leaders[0] !== undefined) pause(cell, cell.leaders[0])
+}
+
+function pause (cell: VirtualCell, { process }: VirtualHost): void {
   cell.time.pause(process)
   cell.time.schedule(300 + cell.random.nextInt(MAX_PAUSE_MS), () => cell.time.resume(process))
 }
 
+/** The leader and some targets reach neither the store nor the other members, for longer than its successor may wait. */
+function splitCell (cell: VirtualCell): void {
+  const leader = cell.leaders[0]
+  if (leader === undefined) return
+  const { connection } = leader
+  const targets = [...cell.targets.targets.keys()]
+  const besideLeader = new Set(targets.filter(() => cell.random.nextInt(2) === 0))
+  const besideOthers = new Set(targets.filter((target) => !besideLeader.has(target)))
+  const split = (active: boolean): void => {
+    connection.service = active ? 'silent' : 'served'
+    leader.cutFromMembers = active
+    for (const host of cell.hosts) host.unreachedTargets = active ? (host === leader ? besideOthers : besideLeader) : new Set()
+  }
+  split(true)
+  cell.time.schedule(2_000 + cell.random.nextInt(MAX_SPLIT_MS), () => split(false))
+}
+
 function stopMember (cell: VirtualCell): void {
   const host = pickHost(cell)
   const { process } = host
@@ -116,7 +146,7 @@
 /** Others take the leader for ended, because it refuses connections; sometimes it has lost the store too. */
 function removeLeader (cell: VirtualCell): void {
   const leader = cell.leaders[0]
-  const record = leader?.member.leadership.leader
+  const record = cell.hosts.map(({ member }) => member.leadership.leader).find((known) => known !== undefined && known.member === leader?.name)
   const remover = cell.hosts.find((host) => host !== leader && host.process.state === 'running')
   if (leader === undefined || record === undefined || remover === undefined) return
   const { connection } = leader
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -99,6 +99,7 @@
       standDown: () => this.leadership.stepDownForTerm(term.term),
       requestStandDown: (peer, laterTerm) => this.link.requestStandDown(peer, laterTerm),
       isLeaseConfirmed: () => this.leadership.isLeaseConfirmed,
+      getAloneUntil: () => this.leadership.aloneUntil,
       onFenced: (reason) => this.leadership.stepDown(reason)
     })
     this.controller.configure(CONFIGURATION)
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -45,8 +45,8 @@
     this.store.put(`${TARGET_PREFIX}${target.id}`, JSON.stringify(target.toEntry()))
   }
 
-  /** Creates the client of a member; `isCut` says whether it reaches the targets now. */
-  connect (isCut: () => boolean): CommandClient {
+  /** Creates the client of a member; `isCut` says whether it does not reach a target now. */
+  connect (isCut: (target: string) => boolean): CommandClient {
     const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome): Promise<CommandResponse> => {
       const target = this.targets.get(id)!
       return this.send<CommandResponse>(target, isCut, () => this.toResponse(target, carryOut(target)), UNANSWERED)
@@ -77,7 +77,7 @@
   }
 
   /** Lists as the target does: at once if a run has ended, else when one ends or the request has waited. */
-  private async list (target: SimulatedTarget, { epoch, acknowledged, leaseUntilMs, waitMs }: ListRequest, isCut: () => boolean): Promise<ListResponse> {
+  private async list (target: SimulatedTarget, { epoch, acknowledged, leaseUntilMs, waitMs }: ListRequest, isCut: (target: string) => boolean): Promise<ListResponse> {
     const first = await this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, leaseUntilMs), UNANSWERED)
     if (waitMs === 0 || first.type !== 'listed' || first.listing.ended.length > 0) return first
     const { nowMs } = this.time
@@ -104,11 +104,11 @@
   }
 
   /** Carries out a call of the process that sends it, which gets the response unless it is lost. */
-  private send<Response> (target: SimulatedTarget, isCut: () => boolean, carryOut: () => Response, timedOut: Response): Promise<Response> {
+  private send<Response> (target: SimulatedTarget, isCut: (target: string) => boolean, carryOut: () => Response, timedOut: Response): Promise<Response> {
     const owner: VirtualProcess | undefined = this.time.currentProcess
     return new Promise((resolve) => {
       const respond = (response: Response, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(response), owner) }
-      const isReachable = (): boolean => !isCut() && target.unreachableUntil <= this.time.nowMs
+      const isReachable = (): boolean => !isCut(target.id) && target.unreachableUntil <= this.time.nowMs
       if (!isReachable()) return respond(timedOut, TIMEOUT_MS)
       if (this.random.next() < this.lateRatio) {
         this.time.schedule(LATE_MS + this.random.nextInt(LATE_SPREAD_MS), () => { carryOut() })
