--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -92,6 +92,7 @@
       self,
       reporter,
       leaseMs: LEASE_MS,
+      longestLeaseMs: LEASE_MS,
       targetPrefix: TARGET_PREFIX,
       parseTarget: (_key, value) => JSON.parse(value) as TargetEntry,
       requestPeerAdvice: (peer, step, targets, timeoutMs) => this.link.requestAdvice(peer, step, targets, timeoutMs),
@@ -99,6 +100,7 @@
       standDown: () => this.leadership.stepDownForTerm(term.term),
       requestStandDown: (peer, laterTerm) => this.link.requestStandDown(peer, laterTerm),
       isLeaseConfirmed: () => this.leadership.isLeaseConfirmed,
+      getAloneUntil: () => this.leadership.aloneUntil,
       onFenced: (reason) => this.leadership.stepDown(reason)
     })
     this.controller.configure(CONFIGURATION)
