Choose the relays before the first listing of a new leader

Cause: each target got its first list request as soon as its entry was applied, before the relays were chosen on the next tick. Change: the relays are chosen when all targets have been read; sessions start after that.

Failed before: controller/first-listing (245 calls by the leader itself, 0 expected). After: passes; 129 tests of controller/ pass.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -249,6 +249,7 @@
   private handleTargetsRead (): void {
     if (this.targetsRead) return
     this.targetsRead = true
+    this.updateRelays()
     for (const peer of [this.options.self, ...this.members]) this.importCachedAdvice(peer)
   }
 
@@ -290,12 +291,16 @@
     this.summaryLog.writeIfDue(() => this.readState())
     this.removeUnresponsivePeers()
     this.reportChannels()
-    this.relayedCommands.update(this.members, this.scheduler.countTargetsByDomain())
+    this.updateRelays()
     this.checkRunsOfEarlierTerms()
     this.storeFeed.acceptWaitingJobs()
     this.applyEvent({ type: 'tick' })
   }
 
+  private updateRelays (): void {
+    this.relayedCommands.update(this.members, this.scheduler.countTargetsByDomain())
+  }
+
   private readState (): LeaderState {
     const { scheduler, adviceDispatcher } = this
     return { cell: scheduler.summary, passWork: scheduler.takePassWork(), members: this.peers.size + 1, adviceDispatcher }
@@ -366,7 +371,10 @@
       case 'forget-job': return this.committer.removeProgress(effect.job)
       case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed })
       case 'store-settings': return this.committer.storeSettings(effect.record)
-      case 'watch-target': return this.startSession(effect.id)
+      case 'watch-target':
+        // Many targets may be read at once. The relays are chosen when all of them are known.
+        setImmediate(() => this.startSession(effect.id))
+        return
       case 'forget-target': return this.removeSession(effect.id)
       case 'fenced': return this.options.onFenced(`target ${effect.target} has seen a newer term`)
       case 'log': return reporter.log(effect.level, effect.message, effect.fields)
@@ -380,6 +388,7 @@
   }
 
   private startSession (id: string): void {
+    if (this.stopped || this.scheduler.getTarget(id) === undefined) return
     this.sessions.get(id)?.stop()
     this.sessions.set(id, TargetSession.create({
       id,
