Call a target through another relay before the leader calls it itself

Cause: a command that timed out behind its relay, or that was refused a connection, made the leader call that target itself for 3 s. Change: such a target is called through another relay of its failure domain, and by the leader once none is left. A refused connection is the answer of the host, and is the same from everywhere.

Failed before: controller/relayed-commands, three tests (other relay, no relay left, refused connection).

--- a/src/controller/relayed-commands.ts
+++ b/src/controller/relayed-commands.ts
@@ -1,3 +1,4 @@
+import { NO_LISTENER } from '../ports/command-client.ts'
 import type { CommandClient, CommandResponse, CommandTarget, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
 import { hash } from '../util/hash.ts'
 import type { Peer } from './member-call.ts'
@@ -9,8 +10,11 @@
 
 /** A relay that was lost is not used again for this time, in milliseconds. */
 const LOST_RELAY_COOLDOWN_MS = 3_000
-/** A target that did not respond through its relay is called directly for this time, in milliseconds. */
-const DIRECT_PERIOD_MS = 3_000
+/** A target that did not respond through a relay is called through another one for this time, in milliseconds. */
+const DETOUR_PERIOD_MS = 3_000
+
+/** Relays through which a target did not respond, and until when they are not used for it. */
+type Detour = { readonly avoided: ReadonlySet<string>, readonly until: number }
 
 export type RelayedCommandsOptions = {
   /** Sends commands from this process. */
@@ -23,14 +27,15 @@
 
 /**
  * Sends the leader's commands through members near the targets, so that the leader's processor and connections do not bound
- * the cell. The leader calls a target itself while it has no relay, and when it did not respond through its relay: a target
- * that one member cannot reach may be reachable from another.
+ * the cell. A target that did not respond through its relay is called through another, because a target that one member cannot
+ * reach may be reachable from another. The leader calls a target itself while it has no relay that may be used.
  */
 export class RelayedCommands implements CommandClient {
   private readonly connections = new Map<string, RelayConnection>()
   private relaysByDomain: ReadonlyMap<string, readonly Peer[]> = new Map()
   private readonly cooldownUntil = new Map<string, number>()
-  private readonly directUntil = new Map<string, number>()
+  /** By target id. */
+  private readonly detours = new Map<string, Detour>()
 
   private constructor (private readonly options: RelayedCommandsOptions) {}
 
@@ -51,8 +56,8 @@
     for (const [member, until] of this.cooldownUntil) {
       if (until <= now) this.cooldownUntil.delete(member)
     }
-    for (const [target, until] of this.directUntil) {
-      if (until <= now) this.directUntil.delete(target)
+    for (const [target, { until }] of this.detours) {
+      if (until <= now) this.detours.delete(target)
     }
     this.relaysByDomain = selectRelays(members.filter(({ member }) => !this.cooldownUntil.has(member)), targetCounts)
     for (const connection of [...this.connections.values()]) connection.checkSilence()
@@ -101,16 +106,20 @@
     const response = await connection.send(relayed)
     if (response.type !== 'unanswered') return response
     this.options.reporter.count('relay-unanswered', response.reason)
-    if (!isRelayFailure(response.reason)) this.directUntil.set(relayed.target.id, this.now() + DIRECT_PERIOD_MS)
+    if (mayRespondElsewhere(response.reason)) this.recordDetour(relayed.target.id, connection.peer.member)
     return response
   }
 
+  private recordDetour (target: string, member: string): void {
+    const avoided = new Set([...this.detours.get(target)?.avoided ?? [], member])
+    this.detours.set(target, { avoided, until: this.now() + DETOUR_PERIOD_MS })
+  }
+
   private findConnection (target: CommandTarget): RelayConnection | undefined {
-    if (this.directUntil.has(target.id)) return undefined
     const domain = this.options.getFailureDomain(target.id)
-    const relays = domain === undefined ? undefined : this.relaysByDomain.get(domain)
-    if (relays === undefined) return undefined
-    return this.getConnection(chooseRelay(target.id, relays))
+    const avoided = this.detours.get(target.id)?.avoided
+    const relays = (domain === undefined ? [] : this.relaysByDomain.get(domain) ?? []).filter(({ member }) => avoided?.has(member) !== true)
+    return relays.length === 0 ? undefined : this.getConnection(chooseRelay(target.id, relays))
   }
 
   private getConnection (peer: Peer): RelayConnection | undefined {
@@ -145,9 +154,12 @@
   }
 }
 
-/** Whether a command is unanswered because the connection to the relay has ended; the target may respond through another. */
-function isRelayFailure (reason: string): boolean {
-  return reason === RELAY_LOST || reason === RELAY_CLOSED
+/**
+ * Whether a target that did not respond through a relay may respond through another. A connection to a relay that has ended
+ * says nothing about the target; a host that refuses the connection does so to each caller.
+ */
+function mayRespondElsewhere (reason: string): boolean {
+  return reason !== RELAY_LOST && reason !== RELAY_CLOSED && reason !== NO_LISTENER
 }
 
 /** Chooses the relay of a target by rendezvous hashing, so that a lost relay moves only its own targets. */
--- a/test/controller/relayed-commands.test.ts
+++ b/test/controller/relayed-commands.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { NO_LISTENER } from '../../src/ports/command-client.ts'
 import type { CommandResponse } from '../../src/ports/command-client.ts'
 import type { Peer } from '../../src/controller/member-call.ts'
 import { selectRelays } from '../../src/controller/relay-selection.ts'
@@ -124,7 +125,7 @@
   assert.deepEqual(setup.network.opened, ['m1:1'])
 })
 
-test('relayed commands: a target that does not respond through its relay is called directly for a while', async () => {
+test('relayed commands: a target that does not respond through its only relay is called directly for a while', async () => {
   const setup = createCommands([buildPeer(1)])
   setup.network.getClient('m1:1').listing = { type: 'unanswered', reason: 'timeout' }
   assert.deepEqual(await setup.commands.list(target(1), LIST), { type: 'unanswered', reason: 'timeout' })
@@ -135,6 +136,40 @@
   assert.deepEqual(setup.direct.calls, ['list t1'])
 })
 
+// Single commands timed out behind slow relays: the leader called 104 of 245 targets itself, and was too busy to read the
+// responses.
+test('relayed commands: guards against the failure that a leader calls targets itself that respond through another relay', async () => {
+  const setup = createCommands()
+  setup.network.getClient('m1:1').response = { type: 'unanswered', reason: 'timeout' }
+  const targets = Array.from({ length: 100 }, (_, index) => target(index))
+  const sendAll = (): Promise<readonly CommandResponse[]> => Promise.all(targets.map((called) => setup.commands.start(called, START)))
+  const unanswered = (await sendAll()).filter(({ type }) => type === 'unanswered').length
+  assert.ok(unanswered > 25, `${unanswered} starts through the slow relay`)
+  assert.deepEqual((await sendAll()).filter(({ type }) => type === 'unanswered'), [])
+  assert.deepEqual(setup.direct.calls, [])
+})
+
+test('relayed commands: a target that does not respond through any relay is called directly for a while', async () => {
+  const setup = createCommands()
+  for (const address of ['m1:1', 'm2:1']) setup.network.getClient(address).response = { type: 'unanswered', reason: 'timeout' }
+  await setup.commands.start(target(1), START)
+  await setup.commands.start(target(1), START)
+  assert.equal((await setup.commands.start(target(1), START)).type, 'accepted')
+  assert.deepEqual(setup.direct.calls, ['start t1 a.0.0.0 1'])
+  await advance(setup, 3_100)
+  await setup.commands.start(target(1), START)
+  assert.equal(setup.direct.calls.length, 1)
+})
+
+// The listings of 21 lost targets cost the leader 120 to 150 refused connections a second.
+test('relayed commands: guards against the failure that a leader connects itself to hosts that refuse connections', async () => {
+  const setup = createCommands([buildPeer(1)])
+  setup.network.getClient('m1:1').listing = { type: 'unanswered', reason: NO_LISTENER }
+  assert.deepEqual(await setup.commands.list(target(1), LIST), { type: 'unanswered', reason: NO_LISTENER })
+  assert.deepEqual(await setup.commands.list(target(1), LIST), { type: 'unanswered', reason: NO_LISTENER })
+  assert.deepEqual(setup.direct.calls, [])
+})
+
 test('relayed commands: a lost relay is used again after a pause', async () => {
   const setup = createCommands([buildPeer(1)])
   await setup.commands.start(target(1), START)
