Send commands without a response again after growing pauses, and not at a late tick

Cause: a start or stop without a response was sent again every 150 ms. At a tick that came late because the leader was busy, overdue timers run before sockets are read, so that responses that had arrived were taken for missing. A resend is of the same run, as before.

Failed before: workflow/resends, two tests (14 sends in 2 s; a resend at a late tick). After: 275 tests of workflow/ and 136 of controller/ pass.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -29,6 +29,7 @@
 import { SummaryLog } from './summary-log.ts'
 import type { LeaderState } from './summary-log.ts'
 import { TargetSession } from './target-session.ts'
+import { TickWatch } from './tick-watch.ts'
 
 const TICK_INTERVAL_MS = 50
 const RESTORE_RETRY_DELAY_MS = 200
@@ -69,6 +70,7 @@
   private readonly storeFeed: StoreFeed
   private readonly earlierLeaders: EarlierLeaders
   private readonly summaryLog: SummaryLog
+  private readonly tickWatch = TickWatch.create(performance.now())
   private previousTargets: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
   private commitWaiters: Array<() => void> = []
@@ -294,7 +296,7 @@
     this.updateRelays()
     this.checkRunsOfEarlierTerms()
     this.storeFeed.acceptWaitingJobs()
-    this.applyEvent({ type: 'tick' })
+    this.applyEvent({ type: 'tick', late: this.tickWatch.isLate(performance.now()) })
   }
 
   private updateRelays (): void {
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -222,7 +222,7 @@
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
-      case 'tick': return this.handleTick()
+      case 'tick': return this.handleTick(event.late === true)
       default: return assertNever(event)
     }
   }
@@ -278,9 +278,9 @@
     }
   }
 
-  private handleTick (): void {
+  private handleTick (late: boolean): void {
     const { state } = this
-    resendCommands(state)
+    if (!late) resendCommands(state)
     removeExpiredRuns(state)
     removeGoneTargets(state)
     prunePossibleCrashes(state)
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -21,6 +21,9 @@
   'other-incarnation': 1_000
 }
 
+/** The time until a command without a response is sent again doubles this many times at most. */
+const MAX_RESEND_DOUBLINGS = 2
+
 /** Handles the response to a start command. */
 export function handleStartResponse (state: CellState, target: TargetState, live: LiveRun, response: CommandResponse): void {
   if (response.type !== 'unanswered' && response.clockMs !== undefined) target.recordClock(response.clockMs, state.now)
@@ -82,7 +85,7 @@
   }
 }
 
-/** Resends commands that have had no response for `resendAfterMs`. */
+/** Resends commands that have had no response for `resendAfterMs`, and for twice that after each further send. */
 export function resendCommands (state: CellState): void {
   for (const target of state.targets.values()) {
     if (!target.reachable) continue
@@ -91,7 +94,8 @@
 }
 
 function resendCommand (state: CellState, live: LiveRun): void {
-  if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.options.resendAfterMs) return
+  const doublings = Math.min(live.sendCount - 1, MAX_RESEND_DOUBLINGS)
+  if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.options.resendAfterMs * 2 ** doublings) return
   switch (live.phase) {
     case 'starting': return resendStart(state, live)
     case 'stopping': return sendStop(state, live, 'no response')
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -44,4 +44,5 @@
   | { readonly type: 'earlier-runs-listed' }
   /** The leases of runs of a previous owner have expired on all targets that could not be listed. */
   | { readonly type: 'earlier-runs-lapsed' }
-  | { readonly type: 'tick' }
+  /** `late`: the process was busy or suspended, so that responses may wait to be read. */
+  | { readonly type: 'tick', readonly late?: boolean }
--- /dev/null
+++ b/test/workflow/resends.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { CellEffect } from '../../src/workflow/effect.ts'
+import { DEFAULT_CELL_OPTIONS } from '../../src/workflow/options.ts'
+import { CellHarness, buildEntry, buildJob } from './harness.ts'
+
+const TICK_MS = 50
+/** How long a ticket is valid on the operators' platform, in milliseconds. */
+const TICKET_VALIDITY_MS = 2_000
+const { resendAfterMs } = DEFAULT_CELL_OPTIONS
+
+function startOneTask (): CellHarness {
+  const harness = CellHarness.create([buildEntry('t1')])
+  harness.apply({ type: 'job-accepted', definition: buildJob('j', {}) })
+  assert.equal(harness.getStarts().length, 1)
+  return harness
+}
+
+function advance (harness: CellHarness, durationMs: number): void {
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += TICK_MS) harness.advance(TICK_MS)
+}
+
+function countResends (effects: readonly CellEffect[], type: 'start' | 'stop'): number {
+  return effects.filter((effect) => effect.type === type).length
+}
+
+// A leader that read responses late sent each start 5 to 17 times within the validity of its ticket, and was later still.
+test('resends: guards against the failure that starts without a response are sent more than six times while their tickets are valid', () => {
+  const harness = startOneTask()
+  advance(harness, TICKET_VALIDITY_MS)
+  assert.ok(harness.getStarts().length <= 6, `${harness.getStarts().length} sends`)
+  assert.equal(new Set(harness.getStarts().map(({ command }) => command.run)).size, 1)
+})
+
+test('resends: the first comes as soon as before, and they go on without an end', () => {
+  const harness = startOneTask()
+  advance(harness, resendAfterMs)
+  assert.equal(harness.getStarts().length, 2)
+  advance(harness, TICKET_VALIDITY_MS)
+  const before = harness.getStarts().length
+  advance(harness, TICKET_VALIDITY_MS)
+  assert.ok(harness.getStarts().length >= before + 2)
+})
+
+test('resends: a stop begins with the short time again', () => {
+  const harness = startOneTask()
+  advance(harness, TICKET_VALIDITY_MS)
+  const stopped = harness.apply({ type: 'job-cancelled', id: 'j' })
+  assert.equal(countResends(stopped, 'stop'), 1)
+  advance(harness, resendAfterMs)
+  assert.equal(harness.getCommands('stop').length, 2)
+})
+
+// Overdue timers run before sockets are read: each tick after a busy moment took responses that had arrived for missing.
+test('resends: guards against the failure that a late leader sends commands again whose responses wait to be read', () => {
+  const harness = startOneTask()
+  harness.now += 2 * resendAfterMs
+  assert.equal(countResends(harness.apply({ type: 'tick', late: true }), 'start'), 0)
+  assert.equal(countResends(harness.advance(TICK_MS), 'start'), 1)
+})
