Record that an earlier leader sends no more commands

Cause: the commit record names the terms that are not settled, but not what the leader knows of them. Change: an unsettled term is marked once its leader has answered or its grace is over; the next leader neither asks that leader nor waits for its grace, only for the lease of its runs, counted from its own beginning. The bound on the last command is the same as before, so that nothing starts earlier than under a single leader.

Failed before (with the mark left out): controller/term-chains, two of the three new chains.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -102,7 +102,7 @@
       commitVersion: options.term.commitVersion,
       self: options.self,
       reporter: options.reporter,
-      getUnsettledTerms: () => this.scheduler.earlierRunsExpected ? options.term.unsettled : [],
+      getUnsettledTerms: () => this.scheduler.earlierRunsExpected ? this.earlierLeaders.unsettled : [],
       getProgress: (job) => this.scheduler.getProgress(job),
       needsDefinition: (job) => this.scheduler.needsDefinition(job),
       getProcessedCompletions: () => this.scheduler.getProcessedCompletions(),
--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -33,8 +33,8 @@
   private readonly commandsEndAt = new Map<string, number>()
 
   private constructor (private readonly options: EarlierLeadersOptions) {
-    const latest = this.now() + LEASE_GRACE_MS
-    for (const { leader } of options.term.unsettled) this.commandsEndAt.set(leader.address, latest)
+    const startedAt = this.now()
+    for (const { leader, commandsEnded } of options.term.unsettled) this.commandsEndAt.set(leader.address, commandsEnded === true ? startedAt : startedAt + LEASE_GRACE_MS)
   }
 
   /**
@@ -50,12 +50,17 @@
 
   /** Asks each of them to stand down until it responds, or until it must have stopped. */
   async stop (): Promise<void> {
-    await Promise.all(this.options.term.unsettled.map((earlier) => this.stopLeader(earlier)))
+    await Promise.all(this.commandingTerms.map((earlier) => this.stopLeader(earlier)))
   }
 
   /** Asks each of them once. */
   async askOnce (): Promise<void> {
-    await Promise.all(this.options.term.unsettled.map((earlier) => this.askLeader(earlier)))
+    await Promise.all(this.commandingTerms.map((earlier) => this.askLeader(earlier)))
+  }
+
+  /** The earlier terms as the next leader has to know them: those whose leaders send no more commands are marked. */
+  get unsettled (): readonly UnsettledTerm[] {
+    return this.options.term.unsettled.map((earlier) => this.sendsCommands(earlier) ? earlier : { ...earlier, commandsEnded: true })
   }
 
   /** Whether no run of an earlier term can be on a target any more. */
@@ -64,9 +69,18 @@
     return this.commandsEndAt.size === 0 || this.now() > lapsedAt
   }
 
+  /** The earlier terms whose leaders may have sent commands when this term began. */
+  private get commandingTerms (): readonly UnsettledTerm[] {
+    return this.options.term.unsettled.filter(({ commandsEnded }) => commandsEnded !== true)
+  }
+
+  private sendsCommands ({ leader }: UnsettledTerm): boolean {
+    return this.now() < this.commandsEndAt.get(leader.address)!
+  }
+
   private async stopLeader (earlier: UnsettledTerm): Promise<void> {
     const { reporter, isStopped } = this.options
-    while (!isStopped() && this.now() < this.commandsEndAt.get(earlier.leader.address)!) {
+    while (!isStopped() && this.sendsCommands(earlier)) {
       if (await this.askLeader(earlier)) return
       await delay(RETRY_DELAY_MS)
     }
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -48,7 +48,12 @@
 }
 
 /** A term whose runs may still be on targets, because no later leader has listed them or waited for their leases. */
-export type UnsettledTerm = { readonly term: number, readonly leader: Peer }
+export type UnsettledTerm = {
+  readonly term: number
+  readonly leader: Peer
+  /** Whether a later leader knows that this one sends no more commands, so that only the leases of its runs count. */
+  readonly commandsEnded?: boolean
+}
 
 /** The last commit or takeover, as stored under `state/commit`. */
 export type CommitRecord = {
--- a/test/controller/term-chains.test.ts
+++ b/test/controller/term-chains.test.ts
@@ -53,6 +53,7 @@
         case 3: this.restart(member); break
         case 4: member.reachable = !member.reachable; break
         case 5: this.settleByListing(); break
+        case 6: this.commit(); break
         default:
       }
       this.command()
@@ -134,6 +135,13 @@
     this.settle(member)
   }
 
+  /** The leader on record stores what it knows of the earlier leaders. */
+  private commit (): void {
+    const leading = this.members.find(({ leading }) => leading?.term === this.record?.term)?.leading
+    if (leading?.earlier === undefined || leading.settled) return
+    this.record = { ...this.record!, unsettled: leading.earlier.unsettled }
+  }
+
   /** Settles the earlier terms where their leases count as ended; reports if a run of them may still be there. */
   private settleByTime (): string | undefined {
     for (const member of this.members) {
@@ -170,3 +178,52 @@
 test('term chains: the simulation finds a leader that asks only the last one on record', async () => {
   assert.match(await findBreach((record) => listUnsettledTerms(record).slice(-1)) ?? '', /took term \d+ for lapsed/)
 })
+
+test('term chains: the simulation finds a leader that takes every earlier leader for one that sends no more commands', async () => {
+  const endAll: Inheritance = (record) => listUnsettledTerms(record).map((earlier) => ({ ...earlier, commandsEnded: true }))
+  assert.match(await findBreach(endAll) ?? '', /took term \d+ for lapsed/)
+})
+
+const LEADER_1 = { term: 1, leader: { member: 'm1', address: 'm1:1' } }
+const LEADER_2 = { member: 'm2', address: 'm2:1' }
+
+type Chain = { readonly guards: string, readonly secondTermMs: number, readonly reachable: boolean, readonly asked: readonly string[], readonly lapsedAfterMs: number }
+
+/** Leader 1 is silent or stopped, leader 2 ends after `secondTermMs`, and the leader of term 3 begins. */
+const chains: readonly Chain[] = [
+  { guards: 'a silent leader is waited for until its grace ends', secondTermMs: 1_000, reachable: false, asked: ['m1'], lapsedAfterMs: LEASE_GRACE_MS + LEASE_MS },
+  // All members were killed 9.4 s after the first leader had fallen silent: the grace was waited for again, 8 s without starts.
+  { guards: 'the grace of a silent leader is waited for by one leader, not by each that follows', secondTermMs: LEASE_GRACE_MS + 100, reachable: false, asked: [], lapsedAfterMs: LEASE_MS },
+  { guards: 'a leader that has answered is not waited for again if it falls silent then', secondTermMs: 100, reachable: true, asked: [], lapsedAfterMs: LEASE_MS }
+]
+
+for (const { guards, secondTermMs, reachable, asked, lapsedAfterMs } of chains) {
+  test(`term chains: ${guards}`, async () => {
+    let now = 0
+    const requested: string[] = []
+    const create = (term: number, unsettled: readonly UnsettledTerm[], answer: StandDown | undefined): EarlierLeaders => EarlierLeaders.create({
+      term: { term, commitVersion: term, unsettled },
+      self: { member: 'self', address: 'self:1' },
+      leaseMs: LEASE_MS,
+      reporter: NO_REPORTER,
+      requestStandDown: async ({ member }) => {
+        requested.push(member)
+        return member === LEADER_1.leader.member ? answer : { type: 'stopped', quietForMs: 0 }
+      },
+      standDown: () => ({ type: 'never-led', quietForMs: 0 }),
+      isStopped: () => true,
+      now: () => now
+    })
+    const second = create(2, [LEADER_1], reachable ? { type: 'stopped', quietForMs: 0 } : undefined)
+    await second.askOnce()
+    now += secondTermMs
+    const third = create(3, listUnsettledTerms({ term: 2, nonce: 'n', leader: LEADER_2, unsettled: second.unsettled }), undefined)
+    requested.length = 0
+    await third.askOnce()
+    assert.deepEqual(requested.filter((member) => member !== LEADER_2.member), asked)
+    now += lapsedAfterMs
+    assert.equal(third.runsHaveLapsed, false)
+    now += 0.04 * LEASE_MS
+    assert.equal(third.runsHaveLapsed, true)
+  })
+}
