--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -29,6 +29,7 @@
 import { SummaryLog } from './summary-log.ts'
 import type { LeaderState } from './summary-log.ts'
 import { TargetSession } from './target-session.ts'
+import { TickWatch } from './tick-watch.ts'
 
 const TICK_INTERVAL_MS = 50
 const RESTORE_RETRY_DELAY_MS = 200
@@ -73,6 +74,7 @@
   private readonly storeFeed: StoreFeed
   private readonly earlierLeaders: EarlierLeaders
   private readonly summaryLog: SummaryLog
+  private readonly tickWatch = TickWatch.create(performance.now())
   private previousTargets: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
   private commitWaiters: Array<() => void> = []
@@ -104,7 +106,7 @@
       commitVersion: options.term.commitVersion,
       self: options.self,
       reporter: options.reporter,
-      getUnsettledTerms: () => this.scheduler.earlierRunsExpected ? options.term.unsettled : [],
+      getUnsettledTerms: () => this.scheduler.earlierRunsExpected ? this.earlierLeaders.unsettled : [],
       getProgress: (job) => this.scheduler.getProgress(job),
       needsDefinition: (job) => this.scheduler.needsDefinition(job),
       getProcessedCompletions: () => this.scheduler.getProcessedCompletions(),
@@ -253,6 +255,7 @@
   private handleTargetsRead (): void {
     if (this.targetsRead) return
     this.targetsRead = true
+    this.updateRelays()
     for (const peer of [this.options.self, ...this.members]) this.importCachedAdvice(peer)
   }
 
@@ -294,10 +297,14 @@
     this.summaryLog.writeIfDue(() => this.readState())
     this.removeUnresponsivePeers()
     this.reportChannels()
-    this.relayedCommands.update(this.members, this.scheduler.countTargetsByDomain())
+    this.updateRelays()
     this.checkRunsOfEarlierTerms()
     this.storeFeed.acceptWaitingJobs()
-    this.applyEvent({ type: 'tick', aloneUntil: this.options.getAloneUntil() })
+    this.applyEvent({ type: 'tick', aloneUntil: this.options.getAloneUntil(), late: this.tickWatch.isLate(performance.now()) })
+  }
+
+  private updateRelays (): void {
+    this.relayedCommands.update(this.members, this.scheduler.countTargetsByDomain())
   }
 
   private readState (): LeaderState {
@@ -370,7 +377,10 @@
       case 'forget-job': return this.committer.removeProgress(effect.job)
       case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed })
       case 'store-settings': return this.committer.storeSettings(effect.record)
-      case 'watch-target': return this.startSession(effect.id)
+      case 'watch-target':
+        // Many targets may be read at once. The relays are chosen when all of them are known.
+        setImmediate(() => this.startSession(effect.id))
+        return
       case 'forget-target': return this.removeSession(effect.id)
       case 'fenced': return this.options.onFenced(`target ${effect.target} has seen a newer term`)
       case 'log': return reporter.log(effect.level, effect.message, effect.fields)
@@ -384,6 +394,7 @@
   }
 
   private startSession (id: string): void {
+    if (this.stopped || this.scheduler.getTarget(id) === undefined) return
     this.sessions.get(id)?.stop()
     this.sessions.set(id, TargetSession.create({
       id,
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -224,7 +224,7 @@
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
-      case 'tick': return this.handleTick(event.aloneUntil ?? state.now)
+      case 'tick': return this.handleTick(event)
       default: return assertNever(event)
     }
   }
@@ -291,10 +291,12 @@
     }
   }
 
-  private handleTick (aloneUntil: number): void {
+  private handleTick ({ aloneUntil = this.state.now, late = false }: Extract<CellEvent, { type: 'tick' }>): void {
     const { state } = this
-    resendCommands(state)
-    resendRejections(state)
+    if (!late) {
+      resendCommands(state)
+      resendRejections(state)
+    }
     removeExpiredRuns(state, aloneUntil)
     removeGoneTargets(state)
     prunePossibleCrashes(state)
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -21,6 +21,9 @@
   'other-incarnation': 1_000
 }
 
+/** The time until a command without a response is sent again doubles this many times at most. */
+const MAX_RESEND_DOUBLINGS = 2
+
 /**
  * Handles the response to a start command. Its clock reading is not used: a response doesn't say which incarnation of the target
  * sent it. Only listings do.
@@ -83,7 +86,7 @@
   }
 }
 
-/** Resends commands that have had no response for `resendAfterMs`. */
+/** Resends commands that have had no response for `resendAfterMs`, and for twice that after each further send. */
 export function resendCommands (state: CellState): void {
   for (const target of state.targets.values()) {
     if (!target.reachable) continue
@@ -92,7 +95,8 @@
 }
 
 function resendCommand (state: CellState, live: LiveRun): void {
-  if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.options.resendAfterMs) return
+  const doublings = Math.min(live.sendCount - 1, MAX_RESEND_DOUBLINGS)
+  if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.options.resendAfterMs * 2 ** doublings) return
   switch (live.phase) {
     // A target whose last list request had no answer may have restarted.
     case 'starting': return live.target.listUnanswered ? undefined : resendStart(state, live)
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -49,6 +49,6 @@
   | { readonly type: 'earlier-runs-lapsed' }
   /**
    * `aloneUntil`: no other owner can have extended the leases of runs before this time; now if it is missing. What would expire
-   * later may go on under a successor.
+   * later may go on under a successor. `late`: the process was busy or suspended, so that responses may wait to be read.
    */
-  | { readonly type: 'tick', readonly aloneUntil?: number }
+  | { readonly type: 'tick', readonly aloneUntil?: number, readonly late?: boolean }
