--- a/soak/main.ts
+++ b/soak/main.ts
@@ -28,6 +28,8 @@
 
   faults = Option.String('--faults', '', { description: 'kinds of faults, separated by commas, such as takeover/slow; all kinds by default' })
 
+  jobs = Option.String('--jobs', '', { description: 'kinds of jobs, separated by commas, such as gang,saved; all kinds by default' })
+
   interval = Option.String('--interval', '1000', { description: 'mean time between two faults in milliseconds' })
   bundle = Option.String('--bundle', { description: 'bundle of the member processes, such as that of an earlier version; by default it is built' })
   keepLogs = Option.Boolean('--keep-logs', false, { description: 'keep the logs of seeds that pass too' })
@@ -52,7 +54,8 @@
       workers: Number(this.workers),
       jobsPerSecond: Number(this.rate),
       faultIntervalMs: Number(this.interval),
-      faultKinds: this.faults.split(',').filter((kind) => kind !== ''),
+      faultKinds: parseKinds(this.faults),
+      jobKinds: parseKinds(this.jobs),
       bundle,
       folder,
       subnet: FIRST_SUBNET + process.pid % SUBNET_COUNT
@@ -72,6 +75,10 @@
   return BUILT_BUNDLE
 }
 
+function parseKinds (text: string): readonly string[] {
+  return text.split(',').filter((kind) => kind !== '')
+}
+
 const cli = new Cli({ binaryName: 'npm run soak --', binaryLabel: 'damaskfield soak' })
 cli.register(SoakCommand)
 cli.register(Builtins.HelpCommand)
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -125,7 +125,7 @@
       return { status: response.statusCode, body: text === '' ? {} : JSON.parse(text) }
     } catch (error) {
       // The process has exited, is paused or was too slow, so the caller does not know whether its request took effect.
-      if (isConnectionEnd(error)) this.cell.history.recordBrokenRequest(`${method} ${path}`, sentAtMs, performance.now())
+      if (isConnectionEnd(error)) this.cell.history.recordBrokenRequest(`${method} ${path} at ${address}`, sentAtMs, performance.now())
       return undefined
     }
   }
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -16,6 +16,8 @@
   readonly faultIntervalMs?: number
   /** Beginnings of the kinds of the faults; all kinds if empty. */
   readonly faultKinds?: readonly string[]
+  /** Kinds of the jobs; all kinds if empty. */
+  readonly jobKinds?: readonly string[]
 }
 
 /** Injected faults, numbers of jobs by outcome, and breaches of one soak run. */
@@ -46,7 +48,7 @@
  */
 export async function runSoak (options: SoakOptions): Promise<SoakResult> {
   const cell = await SoakCell.start(options)
-  const callers = SoakCallers.create(cell, Random.create(options.seed + 1))
+  const callers = SoakCallers.create(cell, Random.create(options.seed + 1), options.jobKinds)
   try {
     await wait(STARTUP_MS)
     const [faults] = await Promise.all([injectFaults(cell, options), submitJobs(callers, options)])
