--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -11,7 +11,7 @@
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
 import { NO_DELAY } from '../platform/standin/worker-server.ts'
-import type { LateOrders, WorkerDelay, WorkerEvent } from '../platform/standin/worker-server.ts'
+import type { LateOrders, WorkerDelay, WorkerEvent, WorkerServer } from '../platform/standin/worker-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
@@ -71,6 +71,8 @@
 export class SoakCell {
   readonly members: SoakMember[] = []
   readonly workers: SoakWorker[] = []
+  /** All workers by their ids, also those that have left. */
+  private readonly servers = new Map<string, WorkerServer>()
   private readonly gangs = GangRegistry.create()
   private nextVersion = 1
   /** Fourth octet of the next member's address. */
@@ -91,7 +93,7 @@
   static async start (options: SoakCellOptions): Promise<SoakCell> {
     mkdirSync(options.folder, { recursive: true })
     const kv = await KvServer.listen()
-    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.findWorker(id)?.server.startedAtMs })
+    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.servers.get(id)?.startedAtMs })
     const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
     const cell: SoakCell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
@@ -115,10 +117,6 @@
     return index === -1 ? undefined : index
   }
 
-  findWorker (id: string): SoakWorker | undefined {
-    return this.workers.find(({ server }) => server.id === id)
-  }
-
   /** Publishes the next version of the configuration. */
   publishConfiguration (): void {
     const queues = [{ name: 'plain', priority: 0 }, { name: ADVISED_QUEUE, priority: 2, advice: ADVICE }, { name: `extra-${this.nextVersion}`, priority: 0 }]
@@ -232,7 +230,7 @@
     const number = this.nextWorkerNumber
     this.nextWorkerNumber += 1
     const id = `w${number}`
-    return SoakWorker.start(this.kv, getFailureDomain(number), {
+    const worker = await SoakWorker.start(this.kv, getFailureDomain(number), {
       id,
       needsTickets: true,
       maxLeaseMs: MAX_LEASE_MS,
@@ -242,11 +240,14 @@
       seed: number,
       observe: (event) => this.recordWorkerEvent(id, event)
     })
+    this.servers.set(id, worker.server)
+    return worker
   }
 
   /** Passes an event to the history, after runs of other workers that are due have ended, also if their timers are late. */
   private recordWorkerEvent (id: string, event: WorkerEvent): void {
-    if (event.type === 'started') for (const { server } of this.workers) if (server.id !== id) server.settle()
+    if (this.isClosing) return
+    if (event.type === 'started') for (const server of this.servers.values()) if (server.id !== id) server.settle()
     this.workerLog.write(`${JSON.stringify({ time: new Date().toISOString(), worker: id, ...event })}\n`)
     this.history.recordWorkerEvent(id, event, performance.now())
   }
--- a/test/controller/first-listing.test.ts
+++ b/test/controller/first-listing.test.ts
@@ -43,6 +43,7 @@
     self,
     reporter: SILENT_REPORTER,
     leaseMs: DEFAULT_CELL_OPTIONS.leaseMs,
+    longestLeaseMs: DEFAULT_CELL_OPTIONS.longestLeaseMs,
     targetPrefix: TARGET_PREFIX,
     parseTarget: (key) => ({ ...buildEntry(key.slice(TARGET_PREFIX.length)), failureDomain: 'east' }),
     requestPeerAdvice: async () => ({ type: 'failed', reason: 'timeout' }),
@@ -50,6 +51,7 @@
     requestStandDown: async () => undefined,
     standDown: () => ({ type: 'never-led', quietForMs: 0 }),
     isLeaseConfirmed: () => true,
+    getAloneUntil: () => performance.now(),
     onFenced: () => {}
   })
   controller.recordPeer(buildPeer(1))
