Discard the store's history and pause its leases in the soak

Two troubles of the deployments' store that the soak lacked: watches hear nothing for a second and the history is discarded, so that they must read again (store-compact), and leases stand still while the store is down.

--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -19,7 +19,9 @@
   | { readonly type: 'power-cut', readonly members: readonly number[], readonly forMs: number }
   /** The member starts again at another address. */
   | { readonly type: 'replace' | 'replace-planned', readonly member: number }
-  | { readonly type: 'store', readonly mode: 'busy' | 'silent' | 'reset', readonly forMs: number }
+  | { readonly type: 'store', readonly mode: 'busy' | 'silent' | 'reset', readonly pausesLeases: boolean, readonly forMs: number }
+  /** Watches hear nothing for a while. Then the history is discarded and they must read again. */
+  | { readonly type: 'store-compact' }
   | { readonly type: 'store-answers-lost', readonly count: number }
   | { readonly type: 'store-link', readonly member: number, readonly state: LinkState, readonly forMs: number }
   | { readonly type: 'worker-link', readonly worker: number, readonly state: LinkState, readonly forMs: number }
@@ -61,6 +63,8 @@
 const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'terminate', 'power', 'replace', 'replace-planned', 'pause', 'cut', 'hold', 'none']
 /** Faults that are planned work: requests must be answered during these. */
 const PLANNED_FAULTS: ReadonlyArray<SoakFault['type']> = ['terminate', 'terminate-all', 'replace-planned', 'domain-out', 'configuration']
+/** Time for which watches hear nothing before the history is discarded. */
+const MUTE_WATCHES_MS = 1_000
 const MAX_LOST_RESPONSES = 6
 /** Bounds of the duration of a fault. */
 const MIN_FAULT_MS = 500
@@ -121,7 +125,8 @@
     { type: 'replace', member },
     { type: 'replace-planned', member },
     { type: 'terminate-all' },
-    { type: 'store', mode, forMs },
+    { type: 'store', mode, pausesLeases: random.next() < 0.5, forMs },
+    { type: 'store-compact' },
     { type: 'store-answers-lost', count: 1 + random.nextInt(MAX_LOST_RESPONSES) },
     { type: 'store-link', member, state, forMs },
     { type: 'store-link', member, state, forMs },
@@ -183,10 +188,17 @@
     case 'replace-planned': return cell.replaceMember(fault.member, 'SIGTERM')
     case 'terminate-all': return restartAllMembers(cell, 'SIGTERM', RESTART_INTERVAL_MS)
     case 'store':
+      cell.kv.pausesLeases = fault.pausesLeases
       cell.kv.mode = fault.mode
       await wait(fault.forMs)
       cell.kv.mode = 'up'
       return
+    case 'store-compact':
+      cell.kv.mutesWatches = true
+      await wait(MUTE_WATCHES_MS)
+      cell.kv.dropHistory()
+      cell.kv.mutesWatches = false
+      return
     case 'store-answers-lost':
       cell.kv.responsesToLose = fault.count
       return
