--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -3,13 +3,15 @@
 import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
 import { ProcessMember } from '../faults/processes/process-member.ts'
-import { JsonServer } from '../platform/standin/json-server.ts'
+import { listenAdvisor } from '../platform/standin/advisor-server.ts'
+import { GangRegistry } from '../platform/standin/gang-registry.ts'
+import type { JsonServer } from '../platform/standin/json-server.ts'
 import { KvServer } from '../platform/standin/kv-server.ts'
-import { getCallerAddress, createMemberSettings } from '../platform/standin/member-settings.ts'
+import { getCallerAddress, createMemberSettings, MAX_LEASE_MS } from '../platform/standin/member-settings.ts'
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
 import { NO_DELAY } from '../platform/standin/worker-server.ts'
-import type { LateOrders, WorkerDelay } from '../platform/standin/worker-server.ts'
+import type { LateOrders, WorkerDelay, WorkerEvent } from '../platform/standin/worker-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
@@ -22,6 +24,8 @@
 export const SOAK_KEY = 'key-of-soak'
 /** Names of the queues to which jobs are submitted. */
 export const QUEUES = ['plain', 'advised'] as const
+/** Name of the queue whose tasks need a ticket. */
+export const ADVISED_QUEUE = 'advised'
 /** Maximum number of attempts of a task in each queue. */
 export const MAX_ATTEMPTS = 2
 const WORKER_CPU_MILLIS = 16_000
@@ -30,7 +34,14 @@
 const DELAY_STEPS = 4
 const RESTART_DELAY_MS = 300
 const FIRST_HOST_NUMBER = 2
-const ADVICE = { decisionMs: 5, eachMs: 0, validityMs: 2_000 }
+const ADVICE = { decisionMs: 28, eachMs: 0.4, validityMs: 2_000 }
+/** Ratio of workers that may run a step, in a cell that is large enough for a policy. */
+const GOOD_WORKERS_RATIO = 0.7
+const MIN_WORKERS_WITH_POLICY = 16
+/** Longest time that a stop takes. */
+const MAX_STOP_MS = 200
+/** Every third worker has a slow clock. */
+const SLOW_CLOCK = { interval: 3, rate: 0.98 } as const
 
 /** Size and files of a cell. */
 export type SoakCellOptions = {
@@ -60,6 +71,8 @@
 export class SoakCell {
   readonly members: SoakMember[] = []
   readonly workers: SoakWorker[] = []
+  private readonly leavingWorkers = new Set<SoakWorker>()
+  private readonly gangs = GangRegistry.create()
   private nextVersion = 1
   /** Fourth octet of the next member's address. */
   private nextHostNumber = FIRST_HOST_NUMBER
@@ -67,20 +80,21 @@
   private isClosing = false
 
   private readonly operator: StandinOperator
+  /** The events of all workers. */
+  private readonly workerLog: WriteStream
 
   private constructor (readonly kv: KvServer, private readonly advisor: JsonServer, readonly advisorLink: LoopbackProxy, readonly history: RunHistory, private readonly options: SoakCellOptions) {
     this.operator = StandinOperator.create(kv)
+    this.workerLog = createWriteStream(join(options.folder, 'workers.log'))
   }
 
   /** Starts the stand-ins and the members. Members find the workers through the store. */
   static async start (options: SoakCellOptions): Promise<SoakCell> {
     mkdirSync(options.folder, { recursive: true })
     const kv = await KvServer.listen()
-    const advisor = await JsonServer.listen(async ({ body }) => (
-      { status: 200, body: { good: (body as { workers: readonly string[] }).workers.map((id) => [id, `ticket-${id}`]), validityMs: ADVICE.validityMs } }
-    ))
+    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.workers.find(({ server }) => server.id === id)?.server.startedAtMs })
     const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
-    const cell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
+    const cell: SoakCell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
     for (let index = 0; index < options.workers; index += 1) cell.workers.push(await cell.startWorker())
     for (let index = 0; index < options.members; index += 1) await cell.addMember(index)
@@ -104,7 +118,7 @@
 
   /** Publishes the next version of the configuration. */
   publishConfiguration (): void {
-    const queues = [{ name: 'plain', priority: 0 }, { name: 'advised', priority: 2, advice: ADVICE }, { name: `extra-${this.nextVersion}`, priority: 0 }]
+    const queues = [{ name: 'plain', priority: 0 }, { name: ADVISED_QUEUE, priority: 2, advice: ADVICE }, { name: `extra-${this.nextVersion}`, priority: 0 }]
     this.operator.configure({ version: this.nextVersion, host: SOAK_HOST, key: SOAK_KEY, weight: 100, maxAttempts: MAX_ATTEMPTS, queues })
     this.nextVersion += 1
   }
@@ -121,7 +135,9 @@
     const joining = await this.startWorker()
     if (this.isClosing) return joining.close()
     this.workers[index] = joining
+    this.leavingWorkers.add(leaving)
     await leaving.drain(ms)
+    this.leavingWorkers.delete(leaving)
   }
 
   /** Stops a member with a signal and starts it again after it has exited. */
@@ -205,16 +221,34 @@
       output.end()
     }
     for (const worker of this.workers) worker.close()
+    this.workerLog.end()
     this.kv.close()
     this.advisorLink.close()
     this.advisor.close()
   }
 
-  private async startWorker (): Promise<SoakWorker> {
+  private startWorker (): Promise<SoakWorker> {
     const number = this.nextWorkerNumber
     this.nextWorkerNumber += 1
     const id = `w${number}`
-    return SoakWorker.start(this.kv, getFailureDomain(number), { id, needsTickets: false, seed: number, observe: (event) => this.history.recordWorkerEvent(id, event, performance.now()) })
+    return SoakWorker.start(this.kv, getFailureDomain(number), {
+      id,
+      needsTickets: true,
+      maxLeaseMs: MAX_LEASE_MS,
+      maxStopMs: MAX_STOP_MS,
+      clockRate: number % SLOW_CLOCK.interval === 0 ? SLOW_CLOCK.rate : 1,
+      gangs: this.gangs,
+      seed: number,
+      observe: (event) => this.recordWorkerEvent(id, event)
+    })
+  }
+
+  /** Passes an event to the history, after runs of other workers that are due have ended, also if their timers are late. */
+  private recordWorkerEvent (id: string, event: WorkerEvent): void {
+    if (this.isClosing) return
+    if (event.type === 'started') for (const { server } of [...this.workers, ...this.leavingWorkers]) if (server.id !== id) server.settle()
+    this.workerLog.write(`${JSON.stringify({ time: new Date().toISOString(), worker: id, ...event })}\n`)
+    this.history.recordWorkerEvent(id, event, performance.now())
   }
 
   private async addMember (index: number): Promise<void> {
