--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -164,9 +164,19 @@
   return order.slice(0, Math.max(1, Math.floor(ratio * total))).map(({ index }) => index)
 }
 
-/** The type of a fault; for a takeover with the trouble of the store and the failure of the leader. */
-function getKind (fault: SoakFault): string {
-  return fault.type === 'takeover' ? `${fault.type}/${fault.trouble}/${fault.leader}` : fault.type
+/**
+ * The type of a fault; for a takeover with the trouble of the store and the failure of the leader, for a trouble of the
+ * store alone with its mode.
+ *
+ * @example
+ * getKind({ type: 'store', mode: 'busy', pausesLeases: false, forMs: 500 }) // 'store/busy'
+ */
+export function getKind (fault: SoakFault): string {
+  switch (fault.type) {
+    case 'takeover': return `${fault.type}/${fault.trouble}/${fault.leader}`
+    case 'store': return `${fault.type}/${fault.mode}`
+    default: return fault.type
+  }
 }
 
 /** Starts a fault and ends it after its duration. */
--- /dev/null
+++ b/test/soak/fault-schedule.test.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createFaultSchedule } from '../../soak/fault-schedule.ts'
+import { getKind } from '../../soak/soak-faults.ts'
+
+const OPTIONS = { seed: 7, seconds: 400, members: 7, workers: 48 } as const
+
+/** Beginnings of the kinds from which a run may choose. */
+const KINDS: readonly string[] = [
+  'kill', 'kill-all', 'terminate', 'terminate-all', 'pause', 'power-cut', 'replace', 'replace-planned', 'stutter', 'store/', 'store-answers-lost', 'store-compact',
+  'store-link', 'worker-link', 'advisor-link', 'worker-crash', 'workers-cut', 'workers-flap', 'workers-drain', 'slow-workers', 'late-orders', 'domain-out', 'configuration',
+  'takeover/claims-unanswered/cut', 'takeover/writes-late/hold', 'takeover/slow/power', 'takeover/lossy/replace-planned'
+]
+
+test('fault schedule: the same options give the same faults at the same times', () => {
+  assert.deepEqual(createFaultSchedule(OPTIONS), createFaultSchedule(OPTIONS))
+})
+
+for (const kind of KINDS) {
+  // A kind that is never drawn would leave a run without faults, which looks like a pass.
+  test(`fault schedule: ${kind} can be chosen`, () => {
+    const kinds = createFaultSchedule({ ...OPTIONS, seconds: 20, faultKinds: [kind] }).map(({ fault }) => getKind(fault))
+    assert.ok(kinds.length > 0 && kinds.every((found) => found.startsWith(kind)), JSON.stringify(kinds))
+  })
+}
+
+test('fault schedule: a power cut takes one member, a third or all of them', () => {
+  const cuts = createFaultSchedule({ ...OPTIONS, faultKinds: ['power-cut'] }).flatMap(({ fault }) => fault.type === 'power-cut' ? [fault.members.length] : [])
+  assert.deepEqual([...new Set(cuts)].sort(), [1, 2, 7])
+})
