--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -7,6 +7,7 @@
 import { GangRegistry } from '../platform/standin/gang-registry.ts'
 import type { JsonServer } from '../platform/standin/json-server.ts'
 import { KvServer } from '../platform/standin/kv-server.ts'
+import type { KvEndpoint } from '../platform/standin/kv-server.ts'
 import { getCallerAddress, createMemberSettings, MAX_LEASE_MS } from '../platform/standin/member-settings.ts'
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
@@ -57,6 +58,7 @@
 
 type SoakMember = {
   readonly storeLink: LoopbackProxy
+  readonly storeEndpoint: KvEndpoint
   readonly output: WriteStream
   options: MemberOptions
   process: ProcessMember
@@ -207,7 +209,10 @@
     this.delayWorkers(NO_DELAY)
     this.setLateOrders(undefined)
     this.advisorLink.setState('open')
-    for (const { storeLink } of this.members) storeLink.setState('open')
+    for (const { storeLink, storeEndpoint } of this.members) {
+      storeLink.setState('open')
+      storeEndpoint.refusal = undefined
+    }
     for (const { link } of this.workers) link.setState('open')
     for (const domain of FAILURE_DOMAINS) this.setDomainEvacuated(domain, false)
   }
@@ -252,7 +257,8 @@
   }
 
   private async addMember (index: number): Promise<void> {
-    const storeLink = await LoopbackProxy.listen(this.kv.address)
+    const storeEndpoint = await this.kv.openEndpoint()
+    const storeLink = await LoopbackProxy.listen(storeEndpoint.address)
     const options: MemberOptions = {
       name: `member-${index}`,
       host: this.createHost(),
@@ -262,7 +268,7 @@
       cores: 1
     }
     const output = createWriteStream(join(this.options.folder, `${options.name}.log`))
-    this.members.push({ options, storeLink, output, process: this.startProcess(options, output), isOff: false })
+    this.members.push({ options, storeLink, storeEndpoint, output, process: this.startProcess(options, output), isOff: false })
   }
 
   private createHost (): string {
--- a/soak/store-trouble.ts
+++ b/soak/store-trouble.ts
@@ -2,7 +2,7 @@
 import { asJsonObject, asList, asString } from '../platform/json.ts'
 import type { JsonRequest } from '../platform/standin/json-server.ts'
 import { withholdResponse } from '../platform/standin/kv-server.ts'
-import type { KvDisturbance } from '../platform/standin/kv-server.ts'
+import type { KvDisturbance, KvRefusal } from '../platform/standin/kv-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { assertNever } from '../src/util/assert-never.ts'
@@ -24,6 +24,8 @@
 const SLOW_RESPONSE_MS = { min: 500, spread: 1_000 } as const
 /** Bounds of the time for which a claimant gets no answers. Some last longer than the lease of a claim. */
 const UNANSWERED_MS = { min: 300, spread: 2_500 } as const
+/** How some members are refused. */
+const REFUSALS: ReadonlyArray<KvRefusal | 'reset' | 'silent'> = [503, 429, 'reset', 'silent']
 const MAX_UNANSWERED_CLAIMS = 2
 const MAX_LATE_CLAIM_MS = 1_800
 /** Bounds of the time after which a late write is applied. */
@@ -100,10 +102,17 @@
 }
 
 async function refuseSomeMembers (cell: SoakCell, forMs: number, random: Random): Promise<void> {
-  const links = cell.members.filter(() => random.next() < 0.5).map(({ storeLink }) => storeLink)
-  for (const link of links) link.setState(random.next() < 0.5 ? 'reset' : 'silent')
+  const members = cell.members.filter(() => random.next() < 0.5)
+  for (const { storeLink, storeEndpoint } of members) {
+    const refusal = REFUSALS[random.nextInt(REFUSALS.length)]!
+    if (typeof refusal === 'number') storeEndpoint.refusal = refusal
+    else storeLink.setState(refusal)
+  }
   await wait(forMs)
-  for (const link of links) link.setState('open')
+  for (const { storeLink, storeEndpoint } of members) {
+    storeEndpoint.refusal = undefined
+    storeLink.setState('open')
+  }
 }
 
 function disturbStoreLink (cell: SoakCell, member: number, state: 'reset' | 'silent', forMs: number): void {
--- a/test/platform/kv-server.test.ts
+++ b/test/platform/kv-server.test.ts
@@ -97,6 +97,20 @@
   })
 }
 
+for (const refusal of [503, 429] as const) {
+  test(`stand-in store: may reject some machines (${refusal}) while it serves the other machines`, async () => {
+    await withServer(async (kv) => {
+      const refused = await kv.openEndpoint()
+      const served = await kv.openEndpoint()
+      refused.refusal = refusal
+      assert.equal((await send(refused, read('/kv-key?key=a'))).status, refusal)
+      assert.equal((await send(served, read('/kv-key?key=a'))).status, 200)
+      refused.refusal = undefined
+      assert.equal((await send(refused, read('/kv-key?key=a'))).status, 200)
+    })
+  })
+}
+
 // A late grant that counted from the arrival of the call would end before its holder expects.
 test('stand-in store: a lease that is granted late runs from then', async () => {
   await withServer(async (kv) => {
@@ -122,9 +136,9 @@
 
 type Answer = { readonly status: number, readonly fields: Readonly<Record<string, unknown>> }
 
-async function send (kv: KvServer, { method, path, body, afterMs = 0 }: Call): Promise<Answer> {
+async function send ({ address }: { readonly address: string }, { method, path, body, afterMs = 0 }: Call): Promise<Answer> {
   await wait(afterMs)
-  const response = await request(`http://${kv.address}${path}`, { method, body: body === undefined ? null : JSON.stringify(body) })
+  const response = await request(`http://${address}${path}`, { method, body: body === undefined ? null : JSON.stringify(body) })
   const text = await response.body.text()
   return { status: response.statusCode, fields: text === '' ? {} : JSON.parse(text) }
 }
