--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -7,11 +7,12 @@
 import { GangRegistry } from '../platform/standin/gang-registry.ts'
 import type { JsonServer } from '../platform/standin/json-server.ts'
 import { KvServer } from '../platform/standin/kv-server.ts'
+import type { KvEndpoint } from '../platform/standin/kv-server.ts'
 import { getCallerAddress, createMemberSettings, MAX_LEASE_MS } from '../platform/standin/member-settings.ts'
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
 import { NO_DELAY } from '../platform/standin/worker-server.ts'
-import type { LateOrders, WorkerDelay, WorkerEvent, WorkerServer } from '../platform/standin/worker-server.ts'
+import type { LateOrders, WorkerDelay, WorkerEvent } from '../platform/standin/worker-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
@@ -57,6 +58,7 @@
 
 type SoakMember = {
   readonly storeLink: LoopbackProxy
+  readonly storeEndpoint: KvEndpoint
   readonly output: WriteStream
   options: MemberOptions
   process: ProcessMember
@@ -71,8 +73,7 @@
 export class SoakCell {
   readonly members: SoakMember[] = []
   readonly workers: SoakWorker[] = []
-  /** All workers by their ids, also those that have left. */
-  private readonly servers = new Map<string, WorkerServer>()
+  private readonly leavingWorkers = new Set<SoakWorker>()
   private readonly gangs = GangRegistry.create()
   private nextVersion = 1
   /** Fourth octet of the next member's address. */
@@ -93,7 +94,7 @@
   static async start (options: SoakCellOptions): Promise<SoakCell> {
     mkdirSync(options.folder, { recursive: true })
     const kv = await KvServer.listen()
-    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.servers.get(id)?.startedAtMs })
+    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.workers.find(({ server }) => server.id === id)?.server.startedAtMs })
     const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
     const cell: SoakCell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
@@ -136,7 +137,9 @@
     const joining = await this.startWorker()
     if (this.isClosing) return joining.close()
     this.workers[index] = joining
+    this.leavingWorkers.add(leaving)
     await leaving.drain(ms)
+    this.leavingWorkers.delete(leaving)
   }
 
   /** Stops a member with a signal and starts it again after it has exited. */
@@ -206,7 +209,10 @@
     this.delayWorkers(NO_DELAY)
     this.setLateOrders(undefined)
     this.advisorLink.setState('open')
-    for (const { storeLink } of this.members) storeLink.setState('open')
+    for (const { storeLink, storeEndpoint } of this.members) {
+      storeLink.setState('open')
+      storeEndpoint.refusal = undefined
+    }
     for (const { link } of this.workers) link.setState('open')
     for (const domain of FAILURE_DOMAINS) this.setDomainEvacuated(domain, false)
   }
@@ -226,11 +232,11 @@
     this.advisor.close()
   }
 
-  private async startWorker (): Promise<SoakWorker> {
+  private startWorker (): Promise<SoakWorker> {
     const number = this.nextWorkerNumber
     this.nextWorkerNumber += 1
     const id = `w${number}`
-    const worker = await SoakWorker.start(this.kv, getFailureDomain(number), {
+    return SoakWorker.start(this.kv, getFailureDomain(number), {
       id,
       needsTickets: true,
       maxLeaseMs: MAX_LEASE_MS,
@@ -240,20 +246,19 @@
       seed: number,
       observe: (event) => this.recordWorkerEvent(id, event)
     })
-    this.servers.set(id, worker.server)
-    return worker
   }
 
   /** Passes an event to the history, after runs of other workers that are due have ended, also if their timers are late. */
   private recordWorkerEvent (id: string, event: WorkerEvent): void {
     if (this.isClosing) return
-    if (event.type === 'started') for (const server of this.servers.values()) if (server.id !== id) server.settle()
+    if (event.type === 'started') for (const { server } of [...this.workers, ...this.leavingWorkers]) if (server.id !== id) server.settle()
     this.workerLog.write(`${JSON.stringify({ time: new Date().toISOString(), worker: id, ...event })}\n`)
     this.history.recordWorkerEvent(id, event, performance.now())
   }
 
   private async addMember (index: number): Promise<void> {
-    const storeLink = await LoopbackProxy.listen(this.kv.address)
+    const storeEndpoint = await this.kv.openEndpoint()
+    const storeLink = await LoopbackProxy.listen(storeEndpoint.address)
     const options: MemberOptions = {
       name: `member-${index}`,
       host: this.createHost(),
@@ -263,7 +268,7 @@
       cores: 1
     }
     const output = createWriteStream(join(this.options.folder, `${options.name}.log`))
-    this.members.push({ options, storeLink, output, process: this.startProcess(options, output), isOff: false })
+    this.members.push({ options, storeLink, storeEndpoint, output, process: this.startProcess(options, output), isOff: false })
   }
 
   private createHost (): string {
