Wait for the longest lease of targets that restarted before a takeover

A new leader starts the tasks of targets that it cannot list 3.6 s after the last command of the leaders before it. A target that restarted under one of them may hold a lease of 10 s that was measured on its clock before. If an unlisted target on the stored list has started so recently that this is possible, the new leader now waits for the longest lease. It waits as before for targets that have worked for long, and for new ones where nothing has run.

The tests of workflow/restarted-targets that name an earlier leader guard the decision.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -317,7 +317,7 @@
   private checkRunsOfEarlierTerms (): void {
     if (!this.restored || !this.scheduler.earlierRunsExpected) return
     const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    if (this.earlierLeaders.runsHaveLapsed) this.applyEvent({ type: 'earlier-runs-lapsed' })
+    if (this.earlierLeaders.haveRunsLapsed(this.scheduler.longestEarlierLeaseMs)) this.applyEvent({ type: 'earlier-runs-lapsed' })
     else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
   }
 
--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -58,9 +58,9 @@
     await Promise.all(this.options.term.unsettled.map((earlier) => this.askLeader(earlier)))
   }
 
-  /** Whether no run of an earlier term can be on a target any more. */
-  get runsHaveLapsed (): boolean {
-    const lapsedAt = Math.max(-Infinity, ...this.commandsEndAt.values()) + this.options.leaseMs * CLOCK_DRIFT_FACTOR
+  /** Whether no run of an earlier term can be on a target any more, if none of them has a longer lease than this. */
+  haveRunsLapsed (longestLeaseMs: number): boolean {
+    const lapsedAt = Math.max(-Infinity, ...this.commandsEndAt.values()) + longestLeaseMs * CLOCK_DRIFT_FACTOR
     return this.commandsEndAt.size === 0 || this.now() > lapsedAt
   }
 
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -28,6 +28,7 @@
 import { applyConfiguration, restoreRemovedSettings } from './removed-settings.ts'
 import { runStartPass } from './start-pass.ts'
 import { stopStragglers } from './stragglers.ts'
+import { computeLongestEarlierLeaseMs } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
 import { recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
@@ -115,6 +116,11 @@
     return [...this.state.targets.values()].every(({ listed, id }) => listed || this.state.closedTargets.has(id))
   }
 
+  /** Longest lease that an earlier owner may have given to a target that has not been listed. */
+  get longestEarlierLeaseMs (): number {
+    return computeLongestEarlierLeaseMs(this.state)
+  }
+
   /** Phase of a job as callers may see it: `completed` or `failed` only once that is stored. Undefined if the job is unknown. */
   getPhase (id: string): JobPhase | undefined {
     const job = this.state.jobs.get(id)
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -19,7 +19,7 @@
  * Leases that were measured on the clock of the incarnation before are given at the latest at this time on the clock of a new
  * one: its owner may take some time to notice that the target has restarted, and its last command may be executed late.
  */
-const EARLIER_LEASES_GIVEN_MS = LATE_COMMAND_MS + 3_000
+export const EARLIER_LEASES_GIVEN_MS = LATE_COMMAND_MS + 3_000
 
 /** Weight of the latest run in the moving average of a target's slowness. */
 const SLOWNESS_SMOOTHING_FACTOR = 0.25
--- a/test/controller/term-chains.test.ts
+++ b/test/controller/term-chains.test.ts
@@ -138,7 +138,7 @@
   private settleByTime (): string | undefined {
     for (const member of this.members) {
       const { leading } = member
-      if (leading === undefined || leading.settled || leading.earlier?.runsHaveLapsed !== true) continue
+      if (leading === undefined || leading.settled || leading.earlier?.haveRunsLapsed(LEASE_MS) !== true) continue
       for (const [term, at] of this.lastCommandAt) {
         if (term < leading.term && this.now <= at + LEASE_MS) return `term ${leading.term} took term ${term} for lapsed ${this.now - at} ms after its last command`
       }
--- a/test/workflow/restarted-targets.test.ts
+++ b/test/workflow/restarted-targets.test.ts
@@ -216,3 +216,23 @@
   const lines = harness.effects.flatMap((effect) => effect.type === 'log' && effect.message === 'target-restarted' ? [effect.fields] : [])
   assert.deepEqual(lines, [{ target: 't1', incarnation: 2, previousIncarnation: 1, runs: 0, unansweredStarts: 1, lastCursor: 1, listUnanswered: true, leaseRequestedMsAgo: 300, longestLeaseMs: 10_000 }])
 })
+
+const earlierLeases = [
+  { guards: 'has restarted a while ago and is not listed', ageMs: 20_000, stored: true, listed: false, expected: LONGEST_LEASE_MS },
+  { guards: 'has worked for long and is not listed', ageMs: 40_000, stored: true, listed: false, expected: LEASE_MS },
+  { guards: 'has restarted and is listed', ageMs: 1_000, stored: true, listed: true, expected: LEASE_MS },
+  { guards: 'is new, so that nothing ran there', ageMs: 1_000, stored: false, listed: false, expected: LEASE_MS }
+]
+
+for (const { guards, ageMs, stored, listed, expected } of earlierLeases) {
+  // TWICE: a new leader waited 3.6 s for the runs of a target that it could not list and that held a lease of 10 s.
+  test(`cell: the longest lease of an earlier leader is ${expected} ms if a target ${guards}`, () => {
+    const harness = CellHarness.create([], undefined, { leaseMs: LEASE_MS, longestLeaseMs: LONGEST_LEASE_MS, wallClockOffsetMs: 1_700_000_000_000 })
+    const incarnation = harness.now + 1_700_000_000_000 - ageMs
+    harness.scheduler.expectEarlierRuns()
+    if (stored) harness.apply({ type: 'targets-stored', ids: ['t1'] })
+    harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation }) })
+    if (listed) harness.listTarget('t1', { incarnation })
+    assert.equal(harness.scheduler.longestEarlierLeaseMs, expected)
+  })
+}
