Don't send the start of a gang's member again once the gang is done

One end as done stands for all members. A member whose start had no answer was sent its start again; its target rejects that only if it had the run. The start is now stopped.

Failed before: 'the start of a member of a gang is not sent again once the gang is done' (2 starts in place of 1).

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -101,9 +101,10 @@
   }
 }
 
-/** Resends a start, unless it is not wanted any more or would bring its target over a capacity that has shrunk. */
+/** Resends a start, unless its task has ended or it would bring its target over a capacity that has shrunk. */
 function resendStart (state: CellState, live: LiveRun): void {
   if (!live.task.step.job.active) return sendStop(state, live, 'the job has ended')
+  if (live.task.phase === 'done') return sendStop(state, live, 'the task has ended')
   if (!isOverCapacity(live.target)) return sendStart(state, live)
   sendStop(state, live, 'the capacity of its target has shrunk')
   stopGangMembers(state, live)
--- a/test/workflow/cell-scheduler.test.ts
+++ b/test/workflow/cell-scheduler.test.ts
@@ -343,3 +343,15 @@
   harness.advance(1_000)
   assert.equal(harness.getStarts().length, 0)
 })
+
+// TWICE: the start of a member of a gang that had no answer was sent again after another member had ended as done for all.
+test('cell: the start of a member of a gang is not sent again once the gang is done', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', { count: 2, gang: true }, { after: [0] }) })
+  const [first, second] = harness.getStarts()
+  harness.acceptStart(first!)
+  harness.apply({ type: 'target-listed', id: 't1', sentAt: harness.now, listing: { incarnation: 1, clockMs: harness.now, running: [], ended: [{ number: 1, task: first!.command.task, run: first!.command.run, outcome: 'done', checkpoint: '' }] } })
+  harness.advance(200)
+  assert.equal(harness.getStarts().filter(({ command }) => command.task === second!.command.task).length, 1)
+  assert.equal(harness.getCommands('stop').at(-1)?.command.task, second!.command.task)
+})
