--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -45,6 +45,7 @@
   readonly openRelayStream: RelayStreamOpener
   readonly advisor: Advisor
   /** The longest lease of a target. */
+  readonly leaseMs: number
   readonly longestLeaseMs: number
   /** Prefix of the keys under which targets publish themselves. */
   readonly targetPrefix: string
@@ -97,8 +98,8 @@
       getFailureDomain: (target) => this.scheduler.getTarget(target)?.entry.failureDomain
     })
     this.commands = PermittedCommands.create(this.relayedCommands, () => this.permission.isGranted())
-    const { term, self, leaseMs, reporter, requestStandDown, standDown } = options
-    this.earlierLeaders = EarlierLeaders.create({ term, self, leaseMs, reporter, requestStandDown, standDown, isStopped: () => this.stopped })
+    const { term, self, reporter, requestStandDown, standDown } = options
+    this.earlierLeaders = EarlierLeaders.create({ term, self, reporter, requestStandDown, standDown, isStopped: () => this.stopped })
     this.summaryLog = SummaryLog.create(reporter)
     this.committer = Committer.create({
       store: options.store,
@@ -326,7 +327,7 @@
   private checkRunsOfEarlierTerms (): void {
     if (!this.restored || !this.scheduler.earlierRunsExpected) return
     const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    if (this.earlierLeaders.haveRunsLapsedBy(this.options.getAloneUntil())) this.applyEvent({ type: 'earlier-runs-lapsed' })
+    if (this.earlierLeaders.haveRunsLapsedBy(this.options.getAloneUntil(), this.scheduler.longestEarlierLeaseMs)) this.applyEvent({ type: 'earlier-runs-lapsed' })
     else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
   }
 
--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -12,7 +12,6 @@
 export type EarlierLeadersOptions = {
   readonly term: Term
   readonly self: Peer
-  readonly leaseMs: number
   readonly reporter: Reporter
   /** Asks a member to stop leading any earlier term; undefined without a response. */
   readonly requestStandDown: (peer: Peer, term: number) => Promise<StandDown | undefined>
@@ -41,7 +40,7 @@
    * Creates the leaders before a term, which may all still send commands.
    *
    * @example
-   * const earlierLeaders = EarlierLeaders.create({ term, self, leaseMs: 3_500, reporter, requestStandDown, standDown, isStopped })
+   * const earlierLeaders = EarlierLeaders.create({ term, self, reporter, requestStandDown, standDown, isStopped })
    * await earlierLeaders.stop()
    */
   static create (options: EarlierLeadersOptions): EarlierLeaders {
@@ -63,14 +62,12 @@
     return this.options.term.unsettled.map((earlier) => this.sendsCommands(earlier) ? earlier : { ...earlier, commandsEnded: true })
   }
 
-  /** Whether no run of an earlier term can be on a target any more. */
-  get runsHaveLapsed (): boolean {
-    return this.haveRunsLapsedBy(this.now())
-  }
-
-  /** Whether no run of an earlier term could be on a target any more at this time, if nobody else has extended its lease. */
-  haveRunsLapsedBy (time: number): boolean {
-    const lapsedAt = Math.max(-Infinity, ...this.commandsEndAt.values()) + this.options.leaseMs * CLOCK_DRIFT_FACTOR
+  /**
+   * Whether no run of an earlier term could be on a target any more at this time, if none of them has a longer lease than this and
+   * nobody else has extended it.
+   */
+  haveRunsLapsedBy (time: number, longestLeaseMs: number): boolean {
+    const lapsedAt = Math.max(-Infinity, ...this.commandsEndAt.values()) + longestLeaseMs * CLOCK_DRIFT_FACTOR
     return this.commandsEndAt.size === 0 || time > lapsedAt
   }
 
--- a/test/controller/removed-leader.test.ts
+++ b/test/controller/removed-leader.test.ts
@@ -49,7 +49,7 @@
       reporter: REPORTER,
       onOtherLeader: (record) => { records.push(record) },
       onElected: (term) => {
-        earlier = EarlierLeaders.create({ term, self: { member: 'm2', address: 'm2:1' }, leaseMs: 0, reporter: REPORTER, requestStandDown: async () => undefined, standDown: () => successor.stepDownForTerm(term.term), isStopped: () => true })
+        earlier = EarlierLeaders.create({ term, self: { member: 'm2', address: 'm2:1' }, reporter: REPORTER, requestStandDown: async () => undefined, standDown: () => successor.stepDownForTerm(term.term), isStopped: () => true })
       },
       onLeadershipLost: () => {}
     }))
@@ -57,7 +57,7 @@
     await time.runIn(processes[1], () => Promise.all([successor.removeEndedLeader(records[0]!), time.advance(TIMEOUT_MS, () => successor.isLeading)]))
     for (let waitedMs = 0; waitedMs < TIMEOUT_MS; waitedMs += POLL_INTERVAL_MS) {
       await time.advance(POLL_INTERVAL_MS)
-      if (time.runIn(processes[1], () => earlier!.runsHaveLapsed)) lapsedAt ??= time.nowMs
+      if (time.runIn(processes[1], () => earlier!.haveRunsLapsedBy(performance.now(), 0))) lapsedAt ??= time.nowMs
     }
     assert.ok(lostAt !== undefined && lapsedAt !== undefined && lostAt <= lapsedAt, `led until ${lostAt}, taken for stopped at ${lapsedAt}`)
   } finally {
--- a/test/controller/term-chains.test.ts
+++ b/test/controller/term-chains.test.ts
@@ -77,7 +77,6 @@
     const earlier = EarlierLeaders.create({
       term: { term, commitVersion: term, unsettled },
       self: member.peer,
-      leaseMs: LEASE_MS,
       reporter: NO_REPORTER,
       requestStandDown: async (peer) => this.standDown(this.members.find(({ peer: { address } }) => address === peer.address)!, term, false),
       standDown: () => this.standDown(member, term, true)!,
@@ -146,7 +145,7 @@
   private settleByTime (): string | undefined {
     for (const member of this.members) {
       const { leading } = member
-      if (leading === undefined || leading.settled || leading.earlier?.runsHaveLapsed !== true) continue
+      if (leading === undefined || leading.settled || leading.earlier?.haveRunsLapsedBy(this.now, LEASE_MS) !== true) continue
       for (const [term, at] of this.lastCommandAt) {
         if (term < leading.term && this.now <= at + LEASE_MS) return `term ${leading.term} took term ${term} for lapsed ${this.now - at} ms after its last command`
       }
@@ -204,7 +203,6 @@
     const create = (term: number, unsettled: readonly UnsettledTerm[], answer: StandDown | undefined): EarlierLeaders => EarlierLeaders.create({
       term: { term, commitVersion: term, unsettled },
       self: { member: 'self', address: 'self:1' },
-      leaseMs: LEASE_MS,
       reporter: NO_REPORTER,
       requestStandDown: async ({ member }) => {
         requested.push(member)
@@ -222,8 +220,8 @@
     await third.askOnce()
     assert.deepEqual(requested.filter((member) => member !== LEADER_2.member), asked)
     now += lapsedAfterMs
-    assert.equal(third.runsHaveLapsed, false)
+    assert.equal(third.haveRunsLapsedBy(now, LEASE_MS), false)
     now += 0.04 * LEASE_MS
-    assert.equal(third.runsHaveLapsed, true)
+    assert.equal(third.haveRunsLapsedBy(now, LEASE_MS), true)
   })
 }
