Let a new leader wait with jobs that a removed leader may have accepted

Cause: the record of a leader that refuses connections is removed while its lease counts as confirmed for up to 1.3 s more. In that time it accepted new jobs that members announced, and so did its successor, which started them without waiting for anything: they ran twice. On targets that both reach, the successor processed the end of such a run before it knew the job; the end was acknowledged and forgotten, and the job started again when it became known.

Change: until the earlier leaders have answered, or for those 1.3 s, a new leader takes no new jobs; then it reads the jobs once more and restores those that were stored meanwhile. Once the earlier terms are settled it need not wait. Until then listings that name an unknown job are asked for again.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -9,11 +9,13 @@
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import { AdviceDispatcher } from './advice-dispatcher.ts'
+import { completeListings } from './complete-listings.ts'
 import { CommandPermission } from './command-permission.ts'
 import { Committer } from './committer.ts'
 import { delay } from './delay.ts'
 import { EarlierLeaders } from './earlier-leaders.ts'
 import type { EarlierLeadersOptions } from './earlier-leaders.ts'
+import { LateJobs } from './late-jobs.ts'
 import type { Peer } from './member-call.ts'
 import { PermittedCommands } from './permitted-commands.ts'
 import { readPrefix } from './store-calls.ts'
@@ -70,6 +72,7 @@
   private readonly peers = new Map<string, { readonly peer: Peer, seenAt: number }>()
   private readonly storeFeed: StoreFeed
   private readonly earlierLeaders: EarlierLeaders
+  private readonly lateJobs: LateJobs
   private readonly summaryLog: SummaryLog
   private previousTargets: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
@@ -95,6 +98,16 @@
     this.commands = PermittedCommands.create(this.relayedCommands, () => this.permission.isGranted())
     const { term, self, leaseMs, reporter, requestStandDown, standDown } = options
     this.earlierLeaders = EarlierLeaders.create({ term, self, leaseMs, reporter, requestStandDown, standDown, isStopped: () => this.stopped })
+    this.lateJobs = LateJobs.create({
+      store: options.store,
+      reporter,
+      mayBeAcceptedElsewhere: () => this.earlierLeaders.mayAcceptJobs,
+      isSettled: () => !this.scheduler.earlierRunsExpected,
+      isLeaseConfirmed: options.isLeaseConfirmed,
+      isKnownJob: (id) => this.scheduler.getPhase(id) !== undefined,
+      onRead: (definitions) => definitions.forEach((definition) => this.applyEvent({ type: 'job-restored', definition, progress: undefined })),
+      isStopped: () => this.stopped
+    })
     this.summaryLog = SummaryLog.create(reporter)
     this.committer = Committer.create({
       store: options.store,
@@ -127,7 +140,7 @@
       parseTarget: options.parseTarget,
       applyEvent: (event) => this.applyEvent(event),
       isKnownJob: (job) => this.scheduler.getPhase(job) !== undefined,
-      isLeaseConfirmed: options.isLeaseConfirmed,
+      mayAcceptJobs: () => this.mayAcceptJobs,
       onTargetsRead: () => this.handleTargetsRead()
     })
     this.addAdviceChannel(options.self)
@@ -189,10 +202,10 @@
 
   /**
    * Accepts a job that a member has stored. Returns false before the state is restored and while another member may
-   * lead; in the latter case that member starts the job.
+   * lead or have accepted the job; in the latter case that member starts the job.
    */
   acceptJob (definition: JobDefinition): boolean {
-    if (!this.restored || !this.options.isLeaseConfirmed()) return false
+    if (!this.restored || !this.mayAcceptJobs) return false
     this.applyEvent({ type: 'job-accepted', definition })
     return true
   }
@@ -216,6 +229,11 @@
     this.relayedCommands.close()
   }
 
+  /** Whether no other member can have accepted a job that is not known here. */
+  private get mayAcceptJobs (): boolean {
+    return this.options.isLeaseConfirmed() && this.lateJobs.areKnown
+  }
+
   private addAdviceChannel (peer: Peer): void {
     const { self, advisor, requestPeerAdvice } = this.options
     this.adviceDispatcher.addChannel({
@@ -263,6 +281,7 @@
     if (version === undefined || this.stopped) return
     this.storeFeed.start()
     this.restored = true
+    await this.lateJobs.read()
   }
 
   /** Reads the jobs, their progress and the targets of previous leaders; retries until it succeeds or the term ends. */
@@ -385,7 +404,7 @@
     this.sessions.get(id)?.stop()
     this.sessions.set(id, TargetSession.create({
       id,
-      commands: this.commands,
+      commands: completeListings(this.commands, (listing) => this.lateJobs.mayBecomeKnown(listing)),
       epoch: this.options.term.term,
       leaseMs: this.options.leaseMs,
       reporter: this.options.reporter,
--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -1,5 +1,5 @@
 import { delay } from './delay.ts'
-import { LEASE_GRACE_MS } from './leadership.ts'
+import { LEASE_GRACE_MS, MAX_CONFIRMATION_AGE_MS } from './leadership.ts'
 import type { StandDown, Term } from './leadership.ts'
 import type { Peer } from './member-call.ts'
 import type { Reporter } from './reporter.ts'
@@ -31,10 +31,16 @@
 export class EarlierLeaders {
   /** When each of them sends no more commands, by address, on the monotonic clock. */
   private readonly commandsEndAt = new Map<string, number>()
+  /** Addresses that have not answered. */
+  private readonly silentAddresses = new Set<string>()
+  private readonly createdAt: number
 
   private constructor (private readonly options: EarlierLeadersOptions) {
-    const latest = this.now() + LEASE_GRACE_MS
-    for (const { leader } of options.term.unsettled) this.commandsEndAt.set(leader.address, latest)
+    this.createdAt = this.now()
+    for (const { leader } of options.term.unsettled) {
+      this.commandsEndAt.set(leader.address, this.createdAt + LEASE_GRACE_MS)
+      this.silentAddresses.add(leader.address)
+    }
   }
 
   /**
@@ -69,6 +75,11 @@
     return this.commandsEndAt.size === 0 || time > lapsedAt
   }
 
+  /** Whether one of them may still accept jobs: its lease counts as confirmed for a while after its record was removed. */
+  get mayAcceptJobs (): boolean {
+    return this.silentAddresses.size > 0 && this.now() - this.createdAt <= MAX_CONFIRMATION_AGE_MS
+  }
+
   private async stopLeader (earlier: UnsettledTerm): Promise<void> {
     const { reporter, isStopped } = this.options
     while (!isStopped() && this.now() < this.commandsEndAt.get(earlier.leader.address)!) {
@@ -83,6 +94,7 @@
     const standDown = await this.requestStandDown(leader)
     if (standDown === undefined) return false
     this.commandsEndAt.set(leader.address, this.now() - standDown.quietForMs)
+    this.silentAddresses.delete(leader.address)
     this.options.reporter.log('info', 'earlier-leader-stopped', { member: leader.member, term, answer: standDown.type, quietForMs: Math.round(standDown.quietForMs) })
     return true
   }
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -21,7 +21,7 @@
  */
 export const LEASE_GRACE_MS = 8_000
 /** Maximum age of the last renewal for the leader to accept new work, in milliseconds. */
-const MAX_CONFIRMATION_AGE_MS = LEASE_TTL_MS - 200
+export const MAX_CONFIRMATION_AGE_MS = LEASE_TTL_MS - 200
 /** Random delay that spreads the claims of several members, in milliseconds. */
 const CLAIM_JITTER_MS = 40
 /** A host with fewer cores delays its claim, so that larger hosts claim first. */
--- a/src/controller/store-feed.ts
+++ b/src/controller/store-feed.ts
@@ -19,8 +19,8 @@
   readonly parseTarget: (key: string, value: string) => TargetEntry | undefined
   readonly applyEvent: (event: CellEvent) => void
   readonly isKnownJob: (job: string) => boolean
-  /** Whether the store has confirmed the lease so recently that no other member can lead. */
-  readonly isLeaseConfirmed: () => boolean
+  /** Whether no other member can have accepted a job that is not known here. */
+  readonly mayAcceptJobs: () => boolean
   /** Called each time all published targets have been read. */
   readonly onTargetsRead: () => void
 }
@@ -30,8 +30,8 @@
   private readonly watchers: PrefixWatcher[] = []
   private readonly publishedTargets = new Set<string>()
   private readonly pollInterval = PollInterval.create()
-  /** Jobs that were read while the lease was not confirmed, by id. */
-  private readonly jobsWithoutLease = new Map<string, JobDefinition>()
+  /** Jobs that were read while another member may have accepted them, by id. */
+  private readonly waitingJobs = new Map<string, JobDefinition>()
 
   private constructor (private readonly options: StoreFeedOptions) {}
 
@@ -121,27 +121,27 @@
 
   private cancelJob (id: string): void {
     // A cancellation applies to known jobs only.
-    const waiting = this.jobsWithoutLease.get(id)
-    this.jobsWithoutLease.delete(id)
+    const waiting = this.waitingJobs.get(id)
+    this.waitingJobs.delete(id)
     if (waiting !== undefined) this.options.applyEvent({ type: 'job-accepted', definition: waiting })
     this.options.applyEvent({ type: 'job-cancelled', id })
   }
 
   private acceptJob (definition: JobDefinition): void {
-    const leaseConfirmed = this.options.isLeaseConfirmed()
+    const mayAccept = this.options.mayAcceptJobs()
     if (!this.options.isKnownJob(definition.id)) {
       this.pollInterval.recordUnannouncedJob(performance.now())
-      this.options.reporter.log('info', 'job-found', { job: definition.id, leaseConfirmed })
+      this.options.reporter.log('info', 'job-found', { job: definition.id, mayAccept })
     }
-    // Without the lease another member may lead and start the job as a new one.
-    if (leaseConfirmed) this.options.applyEvent({ type: 'job-accepted', definition })
-    else this.jobsWithoutLease.set(definition.id, definition)
+    // Another member that leads, or has led until now, may start the job as a new one.
+    if (mayAccept) this.options.applyEvent({ type: 'job-accepted', definition })
+    else this.waitingJobs.set(definition.id, definition)
   }
 
-  /** Accepts the jobs that were read while the lease was not confirmed, once it is. */
+  /** Accepts the jobs that were read while another member may have accepted them, once none can. */
   acceptWaitingJobs (): void {
-    if (this.jobsWithoutLease.size === 0 || !this.options.isLeaseConfirmed()) return
-    for (const definition of this.jobsWithoutLease.values()) this.options.applyEvent({ type: 'job-accepted', definition })
-    this.jobsWithoutLease.clear()
+    if (this.waitingJobs.size === 0 || !this.options.mayAcceptJobs()) return
+    for (const definition of this.waitingJobs.values()) this.options.applyEvent({ type: 'job-accepted', definition })
+    this.waitingJobs.clear()
   }
 }
--- a/test/controller/store-feed.test.ts
+++ b/test/controller/store-feed.test.ts
@@ -47,7 +47,7 @@
     parseTarget: (key, value) => value === 'good' ? { id: key.slice('servers/'.length) } as never : undefined,
     applyEvent: (event) => { events.push(event.type) },
     isKnownJob: () => false,
-    isLeaseConfirmed: () => true,
+    mayAcceptJobs: () => true,
     onTargetsRead: () => { events.push('targets-read') }
   })
   feed.start()
