Set a record aside that the store never takes, and let the others go on

Cause: a batch that the store refused was sent again unchanged for good: one record over the size of a value, or one that is refused for a reason that isn't known here, held up the commits of all jobs, and with them the acknowledgement of all ends.

Change: sizes are checked before a batch is built, and a batch has at most the size of one value. A batch that is refused four times, while commits without records are accepted three times in between, is divided until the record is found. The record of a job is replaced by a small one that a new leader shows as running and doesn't start; the ends of its runs can be acknowledged. It is logged as record-set-aside, counted, and tried again after a minute, or as soon as it fits. A job whose keys would be too long is refused at submission.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -1,11 +1,14 @@
 import { randomUUID } from 'node:crypto'
 import type { Put, Store } from '../ports/store.ts'
+import { STORE_VALUE_LIMIT_BYTES } from '../ports/store.ts'
 import type { ProcessedCompletions } from '../workflow/event.ts'
 import type { JobPhase } from '../workflow/job.ts'
 import type { JobProgress } from '../workflow/progress-record.ts'
 import type { RemovedSettings } from '../workflow/removed-settings.ts'
 import { delay } from './delay.ts'
 import type { Peer } from './member-call.ts'
+import { JobRecords } from './job-records.ts'
+import type { JobRecord } from './job-records.ts'
 import type { Reporter } from './reporter.ts'
 import { computeReservedTerm } from './run-numbers.ts'
 import { readKey, transact, requireUnchanged } from './store-calls.ts'
@@ -23,9 +26,30 @@
 /** Minimum time between the starts of two commits, in milliseconds; batches completions into one call. */
 const MIN_COMMIT_INTERVAL_MS = 25
 const RETRY_DELAY_MS = 150
+/** Maximum size of the job records in one transaction; a larger one could not be sent within the timeout of a call. */
+const MAX_BATCH_BYTES = STORE_VALUE_LIMIT_BYTES
+/** A batch that was refused as often is at fault if the store accepts a commit without records in between. */
+const SUSPICIOUS_REFUSALS = 4
+/** Number of accepted commits without records that show that a batch is at fault, not the store. */
+const PROOFS = 3
+
+/** `refused`: the store has not applied the transaction and says so; it may be a passing state of the store. */
+type CommitOutcome =
+  | { readonly type: 'committed', readonly version: number }
+  | { readonly type: 'refused' }
+  | { readonly type: 'unknown' }
+
+/** What a batch was made of, so that it can be divided. */
+type BatchSource = {
+  readonly jobs: readonly string[]
+  readonly removedProgress: readonly string[]
+  readonly targets: TargetsRecord | undefined
+  readonly settings: RemovedSettings | undefined
+}
 
 type Batch = {
   readonly nonce: string
+  readonly source: BatchSource
   readonly puts: readonly Put[]
   readonly deletes: readonly string[]
   readonly phases: ReadonlyMap<string, JobPhase>
@@ -61,6 +85,9 @@
 export class Committer {
   private readonly jobsToStore = new Set<string>()
   private readonly progressToRemove = new Set<string>()
+  private readonly jobRecords: JobRecords
+  /** Maximum number of records in a batch; smaller while the record that the store refuses is searched. */
+  private batchLimit = MAX_ENTRIES
   private targetsToStore: TargetsRecord | undefined
   private settingsToStore: RemovedSettings | undefined
   private commitVersion: number
@@ -70,6 +97,7 @@
 
   private constructor (private readonly options: CommitterOptions) {
     this.commitVersion = options.commitVersion
+    this.jobRecords = JobRecords.create(options)
   }
 
   /**
@@ -92,6 +120,7 @@
   /** Deletes the stored progress of a job. */
   removeProgress (id: string): void {
     this.jobsToStore.delete(id)
+    this.jobRecords.forget(id)
     this.progressToRemove.add(id)
     this.startCommitting()
   }
@@ -135,84 +164,159 @@
   }
 
   private createBatch (): Batch {
-    const { jobs, released, remainingEntries } = this.selectJobs()
-    const removedProgress = [...this.progressToRemove].slice(0, remainingEntries)
+    const { records, released, remainingEntries } = this.selectJobs()
+    let remainingRecords = this.batchLimit - records.length
+    const removedProgress = [...this.progressToRemove].slice(0, Math.min(remainingEntries, remainingRecords))
+    remainingRecords -= removedProgress.length
     for (const id of removedProgress) this.progressToRemove.delete(id)
-    const progress = jobs.flatMap((id) => {
-      const stored = this.options.getProgress(id)
-      return stored === undefined ? [] : [{ id, stored }]
-    })
+    const settings = remainingRecords > 0 ? this.takeSettings() : undefined
+    if (settings !== undefined) remainingRecords -= 1
+    const targets = remainingRecords > 0 ? this.takeTargets() : undefined
     const nonce = randomUUID()
-    const record: CommitRecord = { term: this.options.term, nonce, leader: this.options.self, unsettled: this.options.getUnsettledTerms(), reservedTerm: computeReservedTerm(this.options.getLastRun()) }
-    const puts: Put[] = [{ key: COMMIT_KEY, value: JSON.stringify(record) }]
-    for (const { id, stored } of progress) puts.push({ key: progressKey(id), value: JSON.stringify(stored) })
-    const { targetsToStore: targets, settingsToStore: settings } = this
-    this.targetsToStore = undefined
-    this.settingsToStore = undefined
+    const puts = [this.createCommitPut(nonce), ...records.map(({ id, value }): Put => ({ key: progressKey(id), value }))]
     if (settings !== undefined) puts.push({ key: SETTINGS_KEY, value: JSON.stringify(settings) })
     if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify(targets) })
     const deletes = [...released.flatMap((id) => [jobKey(id), cancelKey(id)]), ...removedProgress.map(progressKey)]
-    const phases = new Map(progress.map(({ id, stored }) => [id, stored.phase]))
+    const phases = new Map(records.flatMap(({ id, phase }) => phase === undefined ? [] : [[id, phase]]))
     // Completions of jobs that are left for the next transaction must not be acknowledged by this one.
     const completions = this.jobsToStore.size === 0 ? this.options.getProcessedCompletions() : []
-    return { nonce, puts, deletes, phases, released, completions, targets: targets?.ids }
+    const source = { jobs: records.map(({ id }) => id), removedProgress, targets, settings }
+    return { nonce, source, puts, deletes, phases, released, completions, targets: targets?.ids }
+  }
+
+  /** Creates a commit without records, which shows whether the store accepts this leader's commits. */
+  private createProbe (): Batch {
+    const nonce = randomUUID()
+    const source = { jobs: [], removedProgress: [], targets: undefined, settings: undefined }
+    return { nonce, source, puts: [this.createCommitPut(nonce)], deletes: [], phases: new Map(), released: [], completions: [], targets: undefined }
+  }
+
+  private createCommitPut (nonce: string): Put {
+    const { term, self, getUnsettledTerms, getLastRun } = this.options
+    const record: CommitRecord = { term, nonce, leader: self, unsettled: getUnsettledTerms(), reservedTerm: computeReservedTerm(getLastRun()) }
+    return { key: COMMIT_KEY, value: JSON.stringify(record) }
+  }
+
+  private takeTargets (): TargetsRecord | undefined {
+    const { targetsToStore: record } = this
+    this.targetsToStore = undefined
+    return record !== undefined && this.jobRecords.fits(TARGETS_KEY, JSON.stringify(record)) ? record : undefined
+  }
+
+  private takeSettings (): RemovedSettings | undefined {
+    const { settingsToStore: record } = this
+    this.settingsToStore = undefined
+    return record !== undefined && this.jobRecords.fits(SETTINGS_KEY, JSON.stringify(record)) ? record : undefined
   }
 
   /**
    * Selects as many jobs as fit into one transaction, those of them whose definitions are deleted, and the number of
    * unused entries.
    */
-  private selectJobs (): { readonly jobs: readonly string[], readonly released: readonly string[], readonly remainingEntries: number } {
-    const jobs: string[] = []
+  private selectJobs (): { readonly records: readonly JobRecord[], readonly released: readonly string[], readonly remainingEntries: number } {
+    const records: JobRecord[] = []
     const released: string[] = []
     let remainingEntries = MAX_ENTRIES
+    let bytes = 0
     for (const id of this.jobsToStore) {
-      const releasesDefinition = !this.options.needsDefinition(id)
+      if (records.length >= this.batchLimit) break
+      const record = this.jobRecords.build(id)
+      // Without the record of its end, a job that has ended would be lost with its definition.
+      const releasesDefinition = record?.phase !== undefined && !this.options.needsDefinition(id)
       const entries = releasesDefinition ? ENDED_JOB_ENTRIES : 1
       if (entries > remainingEntries) break
+      bytes += record?.value.length ?? 0
+      if (bytes > MAX_BATCH_BYTES && records.length > 0) break
+      this.jobsToStore.delete(id)
       remainingEntries -= entries
-      jobs.push(id)
+      if (record !== undefined) records.push(record)
       if (releasesDefinition) released.push(id)
-      this.jobsToStore.delete(id)
     }
-    return { jobs, released, remainingEntries }
+    return { records, released, remainingEntries }
   }
 
   private async commit (batch: Batch): Promise<void> {
     const startedAt = performance.now()
+    let refusals = 0
+    let proofs = 0
     while (!this.stopped) {
-      const version = await this.tryCommit(batch)
-      if (version !== undefined) {
-        this.commitVersion = version
+      const outcome = await this.tryCommit(batch)
+      if (outcome.type === 'committed') {
+        this.commitVersion = outcome.version
+        this.batchLimit = Math.min(MAX_ENTRIES, this.batchLimit + 1)
         this.options.reporter.observe('commit', performance.now() - startedAt)
         this.options.onStored(batch)
         return
       }
+      if (outcome.type === 'refused') refusals += 1
+      const isSuspicious = refusals >= SUSPICIOUS_REFUSALS || this.isSearching(batch)
+      if (outcome.type === 'refused' && isSuspicious && await this.acceptsProbe()) proofs += 1
+      if (proofs >= PROOFS || (proofs > 0 && this.isSearching(batch))) return this.divide(batch)
       await delay(RETRY_DELAY_MS)
     }
   }
 
-  /** Returns the version of the commit key after the transaction, or undefined if the transaction must be retried. */
-  private async tryCommit (batch: Batch): Promise<number | undefined> {
+  /** Whether a larger batch was refused that this one may be a part of; only a single record needs the full proof again. */
+  private isSearching ({ source }: Batch): boolean {
+    return this.batchLimit < MAX_ENTRIES && countRecords(source) > 1
+  }
+
+  /** Whether the store accepts a commit without records now. */
+  private async acceptsProbe (): Promise<boolean> {
+    if (this.stopped) return false
+    const outcome = await this.tryCommit(this.createProbe())
+    if (outcome.type !== 'committed') return false
+    this.commitVersion = outcome.version
+    return true
+  }
+
+  /** Puts back what a refused batch was made of, to be stored in smaller batches. A single record is set aside. */
+  private divide ({ source, puts }: Batch): void {
+    const { jobs, removedProgress, targets, settings } = source
+    const count = countRecords(source)
+    this.options.reporter.log('warn', 'batch-refused', { records: count })
+    if (count > 1) {
+      this.batchLimit = Math.max(1, Math.floor(count / 2))
+      for (const id of removedProgress) this.progressToRemove.add(id)
+      this.targetsToStore ??= targets
+      this.settingsToStore ??= settings
+    } else this.setAside(source, puts)
+    for (const id of jobs) this.jobsToStore.add(id)
+  }
+
+  /** Sets the only record of a batch aside. The record of a job is replaced, unless the replacement is refused too. */
+  private setAside ({ jobs, removedProgress }: BatchSource, puts: readonly Put[]): void {
+    const [id] = jobs
+    this.batchLimit = MAX_ENTRIES
+    const { key, value } = puts.at(-1)!
+    if (id === undefined) return this.jobRecords.reportSetAside(removedProgress[0] ?? key, 'refused', Buffer.byteLength(value))
+    this.jobRecords.refuse(id, value)
+  }
+
+  private async tryCommit (batch: Batch): Promise<CommitOutcome> {
     const result = await transact(this.options.store, [requireUnchanged(COMMIT_KEY, this.commitVersion)], batch.puts, batch.deletes)
-    if (result.isOk() && result.value.committed) return result.value.version
+    if (result.isOk() && result.value.committed) return { type: 'committed', version: result.value.version }
     this.options.reporter.count('commit-retried', result.isOk() ? 'conflict' : result.error.reason)
-    if (result.isErr() && result.error.verdict === 'not-applied') return undefined
-    return this.findCommitVersion(batch)
+    if (result.isErr() && result.error.verdict === 'not-applied') return { type: 'refused' }
+    return this.findCommit(batch)
   }
 
   /**
    * After a conflict or a lost response, checks the commit record for whether this transaction was applied or another
    * leader has written.
    */
-  private async findCommitVersion ({ nonce }: Batch): Promise<number | undefined> {
+  private async findCommit ({ nonce }: Batch): Promise<CommitOutcome> {
     const entry = await readKey(this.options.store, COMMIT_KEY)
-    if (entry.isErr()) return undefined
+    if (entry.isErr()) return { type: 'unknown' }
     const record = entry.value === undefined ? undefined : parseRecord<CommitRecord>(entry.value.value)
-    if (record?.nonce === nonce) return entry.value!.version
-    if (record?.term === this.options.term) return undefined
+    if (record?.nonce === nonce) return { type: 'committed', version: entry.value!.version }
+    if (record?.term === this.options.term) return { type: 'unknown' }
     this.stop()
     this.options.onFenced()
-    return undefined
+    return { type: 'unknown' }
   }
 }
+
+function countRecords ({ jobs, removedProgress, targets, settings }: BatchSource): number {
+  return jobs.length + removedProgress.length + (targets === undefined ? 0 : 1) + (settings === undefined ? 0 : 1)
+}
--- a/src/controller/job-service.ts
+++ b/src/controller/job-service.ts
@@ -27,6 +27,8 @@
 /** Outcome of a cancellation. `unknown`: it may be stored. */
 export type CancelOutcome = PhaseLookup | { readonly type: 'unknown', readonly reason: string }
 
+/** Maximum length of a key of the store, in bytes. */
+const MAX_KEY_BYTES = 200
 /** Delay before a write whose response was lost is retried, in milliseconds. */
 const RETRY_DELAY_MS = 100
 
@@ -61,6 +63,7 @@
 
   /** Stores a job. Retries until `deadline` (monotonic clock, milliseconds) once a write may have been applied. */
   async submit (definition: JobDefinition, deadline: number): Promise<SubmissionOutcome> {
+    if (!hasStorableId(definition)) return { type: 'refused', reason: 'id-too-long' }
     if (!this.options.isStoreResponsive()) return { type: 'refused', reason: 'store-silent' }
     const retryAfterMs = this.options.getRetryAfterMs(definition)
     if (retryAfterMs !== undefined && await this.isAbsent(definition.id)) return { type: 'refused', reason: 'overloaded', retryAfterMs }
@@ -143,3 +146,8 @@
     return fallback === 'absent' ? { type: 'absent' } : { type: 'found', phase: fallback }
   }
 }
+
+/** Whether all records of a job can be stored. A leader that could not store its progress would have to give it up later. */
+function hasStorableId ({ id }: JobDefinition): boolean {
+  return [cancelKey(id), progressKey(id)].every((key) => Buffer.byteLength(key) <= MAX_KEY_BYTES)
+}
--- a/test/controller/job-service.test.ts
+++ b/test/controller/job-service.test.ts
@@ -101,3 +101,13 @@
     assert.ok(has(cancelKey(ID)))
   })
 }
+
+// Keys of the store have at most 200 bytes; the longest key of a job is that of its cancellation.
+test('job service: guards against the failure that a job is accepted whose progress or cancellation can never be stored', async () => {
+  const { jobService, has } = createJobService([])
+  const longest = 'a'.repeat(200 - cancelKey('').length)
+  for (const [id, stored] of [[longest, true], [`${longest}b`, false]] as const) {
+    const { type } = await jobService.submit({ ...DEFINITION, id }, performance.now() + 1_000)
+    assert.deepEqual([type, has(jobKey(id))], [stored ? 'accepted' : 'refused', stored])
+  }
+})
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -1,5 +1,6 @@
 import type { MemberCall } from '../../src/controller/member-call.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
+import type { JobDefinition } from '../../src/workflow/job.ts'
 import { Random } from '../../src/util/random.ts'
 import { buildJob } from '../workflow/harness.ts'
 import { RunHistory } from './run-history.ts'
@@ -91,8 +92,8 @@
   }
 
   /** Submits a job of some steps at a member; `maxDurationMs` bounds the time that each task runs. */
-  submit (host: VirtualHost, id: string, counts: readonly number[], maxDurationMs: number): void {
-    const definition = { ...buildJob(id, ...counts.map((count, step) => ({ count, after: step === 0 ? [] : [step - 1] }))), payload: String(maxDurationMs), submittedAtMs: Date.now() }
+  submit (host: VirtualHost, id: string, counts: readonly number[], maxDurationMs: number, changes: Partial<JobDefinition> = {}): void {
+    const definition = { ...buildJob(id, ...counts.map((count, step) => ({ count, after: step === 0 ? [] : [step - 1] }))), payload: String(maxDurationMs), submittedAtMs: Date.now(), ...changes }
     this.time.schedule(0, () => {
       host.member.jobService.submit(definition, performance.now() + SUBMISSION_TIMEOUT_MS).then(({ type }) => {
         if (type === 'accepted') this.acceptedJobs.add(id)
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -17,6 +17,8 @@
 
 export const TARGET_PREFIX = 'servers/'
 const LEASE_MS = 3_500
+/** The second organisation may use half of six targets. */
+const TWO_ORGANISATIONS = { ...CONFIGURATION, organisations: [...CONFIGURATION.organisations, { ...CONFIGURATION.organisations[0]!, name: 'aba', maximum: { cpuMillis: 12_000, memoryMiB: 0, accelerators: 0 } }] }
 
 export type MemberCallResult = Result<MemberResponse, MemberCallFailure>
 
@@ -102,7 +104,7 @@
       getAloneUntil: () => this.leadership.aloneUntil,
       onFenced: (reason) => this.leadership.stepDown(reason)
     })
-    this.controller.configure(CONFIGURATION)
+    this.controller.configure(TWO_ORGANISATIONS)
   }
 
   private stopController (): void {
--- a/test/controller/virtual-store.ts
+++ b/test/controller/virtual-store.ts
@@ -47,6 +47,8 @@
   lateRatio = 0
   /** Ratio of the calls that are carried out and not answered. */
   lostRatio = 0
+  /** Maximum size of a value; a transaction with a larger one is rejected without a reason. */
+  valueLimitBytes = Infinity
   readonly counts = { late: 0, lateApplied: 0, lost: 0, rejected: 0, silent: 0 }
   private readonly waitingWatches = new Set<WaitingWatch>()
   private latestTerm = 0
@@ -91,7 +93,7 @@
     const service = this.service === 'served' ? connection.service : this.service
     const timeout = err({ reason: 'timeout', verdict: 'may-have-applied' } as const)
     const timeoutMs = call.type === 'watch' ? call.waitMs + WATCH_MARGIN_MS : CALL_TIMEOUT_MS
-    if (service === 'rejected') {
+    if (service === 'rejected' || this.exceedsLimit(call)) {
       this.counts.rejected += 1
       return respond(err({ reason: 'unavailable', verdict: 'not-applied' }), this.drawLatencyMs())
     }
@@ -113,6 +115,10 @@
     this.time.schedule(this.drawLatencyMs(), () => this.answer(connection, call, respond))
   }
 
+  private exceedsLimit (call: StoreCall): boolean {
+    return call.type === 'transact' && call.puts.some(({ value }) => Buffer.byteLength(value) > this.valueLimitBytes)
+  }
+
   private answer (connection: VirtualConnection, call: StoreCall, respond: Respond): void {
     const response = this.apply(call)
     if (response !== 'waiting') return respond(ok(response), this.drawLatencyMs())
