--- a/test/controller/virtual-time.ts
+++ b/test/controller/virtual-time.ts
@@ -12,6 +12,8 @@
   state: 'running' | 'paused' | 'ended' = 'running'
   /** Events that became due during a pause. */
   readonly heldEvents: Array<() => void> = []
+  /** Number of events after which it is paused. */
+  eventsUntilPause = Infinity
 
   private constructor (readonly startedAt: number) {}
 
@@ -113,6 +115,7 @@
   resume (process: VirtualProcess): void {
     if (process.state !== 'paused') return
     process.state = 'running'
+    process.eventsUntilPause = Infinity
     for (const run of process.heldEvents.splice(0)) this.schedule(0, run, process)
   }
 
@@ -139,8 +142,11 @@
 
   private dispatch ({ owner, run }: ScheduledEvent): void {
     if (owner === undefined) return this.owners.exit(run)
+    if (owner.state === 'running' && owner.eventsUntilPause <= 0) this.pause(owner)
     if (owner.state === 'paused') owner.heldEvents.push(run)
-    if (owner.state === 'running') this.owners.run(owner, run)
+    if (owner.state !== 'running') return
+    owner.eventsUntilPause -= 1
+    this.owners.run(owner, run)
   }
 
   /** Lets all pending promises continue. */
