--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -9,11 +9,13 @@
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import { AdviceDispatcher } from './advice-dispatcher.ts'
+import { completeListings } from './complete-listings.ts'
 import { CommandPermission } from './command-permission.ts'
 import { Committer } from './committer.ts'
 import { delay } from './delay.ts'
 import { EarlierLeaders } from './earlier-leaders.ts'
 import type { EarlierLeadersOptions } from './earlier-leaders.ts'
+import { LateJobs } from './late-jobs.ts'
 import type { Peer } from './member-call.ts'
 import { PermittedCommands } from './permitted-commands.ts'
 import { readPrefix } from './store-calls.ts'
@@ -44,8 +46,9 @@
   /** Opens the stream to a member that sends commands on behalf of this leader. */
   readonly openRelayStream: RelayStreamOpener
   readonly advisor: Advisor
-  /** The longest lease of a target. */
+  /** How long runs may continue after the last command or list request, in milliseconds. */
   readonly leaseMs: number
+  /** The longest lease of a target, in milliseconds. */
   readonly longestLeaseMs: number
   /** Prefix of the keys under which targets publish themselves. */
   readonly targetPrefix: string
@@ -74,6 +77,7 @@
   private readonly peers = new Map<string, { readonly peer: Peer, seenAt: number }>()
   private readonly storeFeed: StoreFeed
   private readonly earlierLeaders: EarlierLeaders
+  private readonly lateJobs: LateJobs
   private readonly summaryLog: SummaryLog
   private readonly tickWatch = TickWatch.create(performance.now())
   private previousTargets: readonly string[] = []
@@ -100,6 +104,16 @@
     this.commands = PermittedCommands.create(this.relayedCommands, () => this.permission.isGranted())
     const { term, self, reporter, requestStandDown, standDown } = options
     this.earlierLeaders = EarlierLeaders.create({ term, self, reporter, requestStandDown, standDown, isStopped: () => this.stopped })
+    this.lateJobs = LateJobs.create({
+      store: options.store,
+      reporter,
+      mayBeAcceptedElsewhere: () => this.earlierLeaders.mayAcceptJobs,
+      isSettled: () => !this.scheduler.earlierRunsExpected,
+      isLeaseConfirmed: options.isLeaseConfirmed,
+      isKnownJob: (id) => this.scheduler.getPhase(id) !== undefined,
+      onRead: (definitions) => definitions.forEach((definition) => this.applyEvent({ type: 'job-restored', definition, progress: undefined })),
+      isStopped: () => this.stopped
+    })
     this.summaryLog = SummaryLog.create(reporter)
     this.committer = Committer.create({
       store: options.store,
@@ -132,7 +146,7 @@
       parseTarget: options.parseTarget,
       applyEvent: (event) => this.applyEvent(event),
       isKnownJob: (job) => this.scheduler.getPhase(job) !== undefined,
-      isLeaseConfirmed: options.isLeaseConfirmed,
+      mayAcceptJobs: () => this.mayAcceptJobs,
       onTargetsRead: () => this.handleTargetsRead()
     })
     this.addAdviceChannel(options.self)
@@ -194,10 +208,10 @@
 
   /**
    * Accepts a job that a member has stored. Returns false before the state is restored and while another member may
-   * lead; in the latter case that member starts the job.
+   * lead or have accepted the job; in the latter case that member starts the job.
    */
   acceptJob (definition: JobDefinition): boolean {
-    if (!this.restored || !this.options.isLeaseConfirmed()) return false
+    if (!this.restored || !this.mayAcceptJobs) return false
     this.applyEvent({ type: 'job-accepted', definition })
     return true
   }
@@ -221,6 +235,11 @@
     this.relayedCommands.close()
   }
 
+  /** Whether no other member can have accepted a job that is not known here. */
+  private get mayAcceptJobs (): boolean {
+    return this.options.isLeaseConfirmed() && this.lateJobs.areKnown
+  }
+
   private addAdviceChannel (peer: Peer): void {
     const { self, advisor, requestPeerAdvice } = this.options
     this.adviceDispatcher.addChannel({
@@ -269,6 +288,7 @@
     if (version === undefined || this.stopped) return
     this.storeFeed.start()
     this.restored = true
+    await this.lateJobs.read()
   }
 
   /** Reads the jobs, their progress and the targets of previous leaders; retries until it succeeds or the term ends. */
@@ -399,7 +419,7 @@
     this.sessions.get(id)?.stop()
     this.sessions.set(id, TargetSession.create({
       id,
-      commands: this.commands,
+      commands: completeListings(this.commands, (listing) => this.lateJobs.mayBecomeKnown(listing)),
       epoch: this.options.term.term,
       leaseMs: this.options.leaseMs,
       reporter: this.options.reporter,
