Log how many starts and stops are sent again or get no response

The line cell-summary has the starts and stops that were sent, sent again and not answered since the last line, and the targets that are not called through their usual relay; a counter tells resends by phase.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,14 +1,16 @@
-import type { AdviceResponse, Advisor, CachedAdvice, CommandClient } from '../ports/command-client.ts'
+import type { AdviceResponse, Advisor, CachedAdvice, CommandClient, CommandResponse } from '../ports/command-client.ts'
 import type { Store } from '../ports/store.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { Overload } from '../workflow/advice-backlog.ts'
 import type { CellConfiguration } from '../workflow/cell-configuration.ts'
 import { CellScheduler } from '../workflow/cell-scheduler.ts'
+import { RESENT_COUNTER } from '../workflow/command-responses.ts'
 import type { CellEffect } from '../workflow/effect.ts'
 import type { CellEvent } from '../workflow/event.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import { AdviceDispatcher } from './advice-dispatcher.ts'
+import { CommandLoad } from './command-load.ts'
 import { CommandPermission } from './command-permission.ts'
 import { Committer } from './committer.ts'
 import { delay } from './delay.ts'
@@ -70,6 +72,7 @@
   private readonly storeFeed: StoreFeed
   private readonly earlierLeaders: EarlierLeaders
   private readonly summaryLog: SummaryLog
+  private readonly commandLoad = CommandLoad.create()
   private readonly tickWatch = TickWatch.create(performance.now())
   private previousTargets: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
@@ -305,7 +308,7 @@
 
   private readState (): LeaderState {
     const { scheduler, adviceDispatcher } = this
-    return { cell: scheduler.summary, passWork: scheduler.takePassWork(), members: this.peers.size + 1, adviceDispatcher }
+    return { cell: scheduler.summary, passWork: scheduler.takePassWork(), commands: this.commandLoad.take(), detours: this.relayedCommands.detourCount, members: this.peers.size + 1, adviceDispatcher }
   }
 
   private removeUnresponsivePeers (): void {
@@ -380,13 +383,19 @@
       case 'forget-target': return this.removeSession(effect.id)
       case 'fenced': return this.options.onFenced(`target ${effect.target} has seen a newer term`)
       case 'log': return reporter.log(effect.level, effect.message, effect.fields)
-      case 'count': return reporter.count(effect.counter, effect.reason)
+      case 'count':
+        if (effect.counter === RESENT_COUNTER) this.commandLoad.recordResent()
+        return reporter.count(effect.counter, effect.reason)
       default: return assertNever(effect)
     }
   }
 
-  private applyResponse<CommandResult> (pendingResponse: Promise<CommandResult>, createEvent: (response: CommandResult) => CellEvent): void {
-    pendingResponse.then((response) => this.applyEvent(createEvent(response)), (error: unknown) => this.options.reporter.log('error', 'order-failed', { detail: String(error) }))
+  private applyResponse (pendingResponse: Promise<CommandResponse>, createEvent: (response: CommandResponse) => CellEvent): void {
+    this.commandLoad.recordSent()
+    pendingResponse.then((response) => {
+      this.commandLoad.recordResponse(response)
+      this.applyEvent(createEvent(response))
+    }, (error: unknown) => this.options.reporter.log('error', 'order-failed', { detail: String(error) }))
   }
 
   private startSession (id: string): void {
--- a/src/controller/relayed-commands.ts
+++ b/src/controller/relayed-commands.ts
@@ -86,6 +86,11 @@
     return response.type === 'accepted' ? { type: 'unanswered', reason: 'mismatched' } : response
   }
 
+  /** Number of targets that are not called through the first of their relays now. */
+  get detourCount (): number {
+    return this.detours.size
+  }
+
   /** Closes the connections to the relays. */
   close (): void {
     this.relaysByDomain = new Map()
--- a/src/controller/summary-log.ts
+++ b/src/controller/summary-log.ts
@@ -1,6 +1,7 @@
 import type { PassWork } from '../workflow/cell-state.ts'
 import type { CellSummary } from '../workflow/cell-summary.ts'
 import type { AdviceDispatcher } from './advice-dispatcher.ts'
+import type { CommandCounts } from './command-load.ts'
 import type { Reporter } from './reporter.ts'
 
 const SUMMARY_INTERVAL_MS = 2_000
@@ -11,6 +12,10 @@
   readonly cell: CellSummary
   /** Work of the scheduling passes since the last summary. */
   readonly passWork: Readonly<PassWork>
+  /** Starts and stops since the last summary. */
+  readonly commands: CommandCounts
+  /** Targets that did not respond through a relay and are called through another one, or by this process. */
+  readonly detours: number
   readonly members: number
   readonly adviceDispatcher: Pick<AdviceDispatcher, 'channelCount' | 'busyCount' | 'pausedCount' | 'queuedCount'>
 }
@@ -31,7 +36,7 @@
    * @example
    * const summaryLog = SummaryLog.create(reporter)
    * summaryLog.recordPass(2.5)
-   * summaryLog.writeIfDue(() => ({ cell: scheduler.summary, passWork: scheduler.takePassWork(), members: 7, adviceDispatcher }))
+   * summaryLog.writeIfDue(() => ({ cell: scheduler.summary, passWork: scheduler.takePassWork(), commands: load.take(), detours: 0, members: 7, adviceDispatcher }))
    */
   static create (reporter: Reporter): SummaryLog {
     return new SummaryLog(reporter)
@@ -46,13 +51,14 @@
   writeIfDue (readState: () => LeaderState): void {
     if (performance.now() - this.lastWrittenAt <= SUMMARY_INTERVAL_MS) return
     this.lastWrittenAt = performance.now()
-    const { cell, passWork: { passes, steps, targets }, members, adviceDispatcher } = readState()
+    const { cell, passWork: { passes, steps, targets }, commands, detours, members, adviceDispatcher } = readState()
     const { channelCount, busyCount, pausedCount, queuedCount } = adviceDispatcher
     const processor = process.cpuUsage(this.processorUsage)
     this.processorUsage = process.cpuUsage()
     const work = { passes, examinedSteps: steps, examinedTargets: targets, longestPassMs: Math.round(this.longestPassMs), processorMs: Math.round((processor.user + processor.system) / US_PER_MS) }
     this.longestPassMs = 0
     const channels = { adviceChannels: channelCount, adviceBusy: busyCount, advicePaused: pausedCount, adviceWaiting: queuedCount }
-    this.reporter.log('info', 'cell-summary', { ...cell, ...work, members, ...channels })
+    const sending = { commandsSent: commands.sent, commandsResent: commands.resent, commandsUnanswered: commands.unanswered, detours }
+    this.reporter.log('info', 'cell-summary', { ...cell, ...work, ...sending, members, ...channels })
   }
 }
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -21,6 +21,8 @@
   'other-incarnation': 1_000
 }
 
+/** Counter of the commands that are sent again. */
+export const RESENT_COUNTER = 'command-resent'
 /** The time until a command without a response is sent again doubles this many times at most. */
 const MAX_RESEND_DOUBLINGS = 2
 
@@ -96,6 +98,7 @@
 function resendCommand (state: CellState, live: LiveRun): void {
   const doublings = Math.min(live.sendCount - 1, MAX_RESEND_DOUBLINGS)
   if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.options.resendAfterMs * 2 ** doublings) return
+  if (live.phase !== 'running') count(state, RESENT_COUNTER, live.phase)
   switch (live.phase) {
     case 'starting': return resendStart(state, live)
     case 'stopping': return sendStop(state, live, 'no response')
