--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -12,7 +12,7 @@
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
 import { NO_DELAY } from '../platform/standin/worker-server.ts'
-import type { LateOrders, WorkerDelay, WorkerEvent } from '../platform/standin/worker-server.ts'
+import type { LateOrders, WorkerDelay, WorkerEvent, WorkerServer } from '../platform/standin/worker-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
@@ -73,7 +73,8 @@
 export class SoakCell {
   readonly members: SoakMember[] = []
   readonly workers: SoakWorker[] = []
-  private readonly leavingWorkers = new Set<SoakWorker>()
+  /** All workers by their ids, also those that have left. */
+  private readonly servers = new Map<string, WorkerServer>()
   private readonly gangs = GangRegistry.create()
   private nextVersion = 1
   /** Fourth octet of the next member's address. */
@@ -94,7 +95,7 @@
   static async start (options: SoakCellOptions): Promise<SoakCell> {
     mkdirSync(options.folder, { recursive: true })
     const kv = await KvServer.listen()
-    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.workers.find(({ server }) => server.id === id)?.server.startedAtMs })
+    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.servers.get(id)?.startedAtMs })
     const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
     const cell: SoakCell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
@@ -137,9 +138,7 @@
     const joining = await this.startWorker()
     if (this.isClosing) return joining.close()
     this.workers[index] = joining
-    this.leavingWorkers.add(leaving)
     await leaving.drain(ms)
-    this.leavingWorkers.delete(leaving)
   }
 
   /** Stops a member with a signal and starts it again after it has exited. */
@@ -232,11 +231,11 @@
     this.advisor.close()
   }
 
-  private startWorker (): Promise<SoakWorker> {
+  private async startWorker (): Promise<SoakWorker> {
     const number = this.nextWorkerNumber
     this.nextWorkerNumber += 1
     const id = `w${number}`
-    return SoakWorker.start(this.kv, getFailureDomain(number), {
+    const worker = await SoakWorker.start(this.kv, getFailureDomain(number), {
       id,
       needsTickets: true,
       maxLeaseMs: MAX_LEASE_MS,
@@ -246,12 +245,14 @@
       seed: number,
       observe: (event) => this.recordWorkerEvent(id, event)
     })
+    this.servers.set(id, worker.server)
+    return worker
   }
 
   /** Passes an event to the history, after runs of other workers that are due have ended, also if their timers are late. */
   private recordWorkerEvent (id: string, event: WorkerEvent): void {
     if (this.isClosing) return
-    if (event.type === 'started') for (const { server } of [...this.workers, ...this.leavingWorkers]) if (server.id !== id) server.settle()
+    if (event.type === 'started') for (const server of this.servers.values()) if (server.id !== id) server.settle()
     this.workerLog.write(`${JSON.stringify({ time: new Date().toISOString(), worker: id, ...event })}\n`)
     this.history.recordWorkerEvent(id, event, performance.now())
   }
