--- a/soak/store-trouble.ts
+++ b/soak/store-trouble.ts
@@ -35,8 +35,11 @@
 const REFUSED_CALLS_RATIO = 0.3
 const LOST_RESPONSES_RATIO = 0.3
 
+/** The parts of a cell that a trouble of the store needs. */
+export type TroubledCell = Pick<SoakCell, 'kv' | 'members' | 'findMember' | 'restartMember'>
+
 /** Causes a trouble of the store and ends it after its duration. */
-export async function troubleStore (cell: SoakCell, trouble: StoreTrouble, forMs: number, random: Random): Promise<void> {
+export async function troubleStore (cell: TroubledCell, trouble: StoreTrouble, forMs: number, random: Random): Promise<void> {
   if (trouble === 'refuses-some') return refuseSomeMembers(cell, forMs, random)
   const disturbance = createDisturbance(cell, trouble, random)
   cell.kv.disturbance = disturbance
@@ -44,7 +47,7 @@
   if (cell.kv.disturbance === disturbance) cell.kv.disturbance = undefined
 }
 
-function createDisturbance (cell: SoakCell, trouble: Exclude<StoreTrouble, 'refuses-some'>, random: Random): KvDisturbance {
+function createDisturbance (cell: TroubledCell, trouble: Exclude<StoreTrouble, 'refuses-some'>, random: Random): KvDisturbance {
   let claimsLeft = 1 + random.nextInt(MAX_UNANSWERED_CLAIMS)
   switch (trouble) {
     case 'claims-unanswered': return async (request, serve) => {
@@ -94,14 +97,14 @@
 }
 
 /** The member that claims the leadership with this call; undefined for any other call. */
-function findClaimant (cell: SoakCell, { path, body }: JsonRequest): number | undefined {
+function findClaimant (cell: TroubledCell, { path, body }: JsonRequest): number | undefined {
   if (path !== '/kv-txn') return undefined
   const claim = asList(asJsonObject(body).puts).map(asJsonObject).find(({ key }) => key === LEADER_KEY)
   if (claim === undefined) return undefined
   return cell.findMember((JSON.parse(Buffer.from(asString(claim.value) ?? '', 'base64').toString()) as LeaderRecord).member)
 }
 
-async function refuseSomeMembers (cell: SoakCell, forMs: number, random: Random): Promise<void> {
+async function refuseSomeMembers (cell: TroubledCell, forMs: number, random: Random): Promise<void> {
   const members = cell.members.filter(() => random.next() < 0.5)
   for (const { storeLink, storeEndpoint } of members) {
     const refusal = REFUSALS[random.nextInt(REFUSALS.length)]!
@@ -115,12 +118,12 @@
   }
 }
 
-function disturbStoreLink (cell: SoakCell, member: number, state: 'reset' | 'silent', forMs: number): void {
+function disturbStoreLink (cell: TroubledCell, member: number, state: 'reset' | 'silent', forMs: number): void {
   const { storeLink } = cell.members[member]!
   storeLink.setState(state)
   setTimeout(() => storeLink.setState('open'), forMs)
 }
 
-function killLater (cell: SoakCell, member: number, afterMs: number): void {
+function killLater (cell: TroubledCell, member: number, afterMs: number): void {
   setTimeout(() => { cell.restartMember(member, 'SIGKILL').catch(() => {}) }, afterMs)
 }
