--- a/soak/fault-schedule.ts
+++ b/soak/fault-schedule.ts
@@ -1,6 +1,6 @@
 import { Random } from '../src/util/random.ts'
-import { createRandomFault } from './soak-faults.ts'
-import type { SoakFault } from './soak-faults.ts'
+import { createRandomFault } from './random-fault.ts'
+import type { SoakFault } from './soak-fault.ts'
 
 /** A fault and its time from the start of the traffic. */
 export type ScheduledFault = { readonly atMs: number, readonly fault: SoakFault }
--- /dev/null
+++ b/soak/soak-fault.ts
@@ -0,0 +1,69 @@
+import type { WorkerDelay } from '../platform/standin/worker-server.ts'
+import type { LinkState } from './proxied-stream.ts'
+import type { CutState } from './soak-worker.ts'
+import type { StoreTrouble } from './store-trouble.ts'
+
+/** A fault that is caused from outside the member processes. Several faults may overlap. */
+export type SoakFault =
+  | { readonly type: 'kill' | 'terminate', readonly member: number }
+  | { readonly type: 'pause', readonly member: number, readonly forMs: number }
+  | { readonly type: 'kill-all' | 'terminate-all' }
+  /** The members are away for a while and start at the same time. */
+  | { readonly type: 'power-cut', readonly members: readonly number[], readonly forMs: number }
+  /** The member starts again at another address. */
+  | { readonly type: 'replace' | 'replace-planned', readonly member: number }
+  | { readonly type: 'store', readonly mode: 'busy' | 'silent' | 'reset', readonly pausesLeases: boolean, readonly forMs: number }
+  /** Watches hear nothing for a while. Then the history is discarded and they must read again. */
+  | { readonly type: 'store-compact' }
+  | { readonly type: 'store-answers-lost', readonly count: number }
+  | { readonly type: 'store-link', readonly member: number, readonly state: LinkState, readonly forMs: number }
+  | { readonly type: 'worker-link', readonly worker: number, readonly state: LinkState, readonly forMs: number }
+  | { readonly type: 'advisor-link', readonly state: LinkState, readonly forMs: number }
+  | { readonly type: 'worker-crash', readonly worker: number }
+  /** Some workers are cut off from the members and the store; with `reborn` they crash behind the cut. */
+  | { readonly type: 'workers-cut', readonly cut: WorkersCut, readonly forMs: number }
+  | { readonly type: 'workers-flap', readonly workers: readonly number[], readonly reborn: boolean, readonly forMs: number }
+  /** Some workers drain for a while and leave for good, and new ones join. */
+  | { readonly type: 'workers-drain', readonly workers: readonly number[], readonly forMs: number }
+  | { readonly type: 'late-orders', readonly share: number, readonly forMs: number }
+  | { readonly type: 'domain-out', readonly domain: string, readonly forMs: number }
+  | { readonly type: 'configuration' }
+  | { readonly type: 'stutter', readonly members: 'all' | 'leader', readonly runMs: number, readonly pauseMs: number, readonly forMs: number }
+  | { readonly type: 'slow-workers', readonly delay: WorkerDelay, readonly forMs: number }
+  /** The current leader fails, and after a while the store too, so that the members take over during its trouble. */
+  | Takeover
+
+/** A failure of the current leader, with the trouble that surrounds it. */
+export type Takeover = {
+  readonly type: 'takeover'
+  readonly leader: LeaderFailure
+  readonly afterMs: number
+  readonly trouble: StoreTrouble
+  readonly delay: WorkerDelay
+  /** The workers that are cut off meanwhile. */
+  readonly cut: WorkersCut
+  /** Ratio of the calls to workers that are carried out late meanwhile. */
+  readonly lateOrders: number
+  readonly forMs: number
+  readonly seed: number
+}
+
+/** Workers that are cut off; with `reborn` they crash meanwhile. */
+export type WorkersCut = { readonly workers: readonly number[], readonly state: CutState, readonly reborn: boolean }
+
+export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
+
+/**
+ * The type of a fault; for a takeover with the trouble of the store and the failure of the leader, for a trouble of the
+ * store alone with its mode.
+ *
+ * @example
+ * getKind({ type: 'store', mode: 'busy', pausesLeases: false, forMs: 500 }) // 'store/busy'
+ */
+export function getKind (fault: SoakFault): string {
+  switch (fault.type) {
+    case 'takeover': return `${fault.type}/${fault.trouble}/${fault.leader}`
+    case 'store': return `${fault.type}/${fault.mode}`
+    default: return fault.type
+  }
+}
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -5,8 +5,8 @@
 import type { SoakCellOptions } from './soak-cell.ts'
 import { createFaultSchedule } from './fault-schedule.ts'
 import type { FaultScheduleOptions, ScheduledFault } from './fault-schedule.ts'
-import { injectFault } from './soak-faults.ts'
-import type { SoakFault } from './soak-faults.ts'
+import { injectFault } from './inject-fault.ts'
+import type { SoakFault } from './soak-fault.ts'
 
 /** Options of one soak run. */
 export type SoakOptions = SoakCellOptions & FaultScheduleOptions & {
--- a/test/soak/fault-schedule.test.ts
+++ b/test/soak/fault-schedule.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createFaultSchedule } from '../../soak/fault-schedule.ts'
-import { getKind } from '../../soak/soak-faults.ts'
+import { getKind } from '../../soak/soak-fault.ts'
 
 const OPTIONS = { seed: 7, seconds: 400, members: 7, workers: 48 } as const
 
