--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,12 +1,14 @@
 import { spawnSync } from 'node:child_process'
-import { existsSync, mkdtempSync, rmSync } from 'node:fs'
+import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { Builtins, Cli, Command, Option } from 'clipanion'
+import type { ScheduledFault } from './fault-schedule.ts'
 import { runSoak } from './soak-run.ts'
 
 const EXIT_FAILED = 1
 const DEFAULT_SEED_RANGE = 1_000_000
+const SCHEDULE_FILE = 'schedule.json'
 const BUILT_BUNDLE = 'target/damaskfield-platform.mjs'
 /** Range of loopback subnets. Each process uses one, so that concurrent runs do not share addresses. */
 const FIRST_SUBNET = 20
@@ -31,6 +33,7 @@
   jobs = Option.String('--jobs', '', { description: 'kinds of jobs, separated by commas, such as plain,gang; all kinds by default' })
   interval = Option.String('--interval', '1000', { description: 'mean time between two faults in milliseconds' })
   bundle = Option.String('--bundle', { description: 'bundle of the member processes, such as that of an earlier version; by default it is built' })
+  schedule = Option.String('--schedule', { description: 'file with the faults of an earlier run, which replace those of the seed' })
   keepLogs = Option.Boolean('--keep-logs', false, { description: 'keep the logs of seeds that pass too' })
 
   async execute (): Promise<number> {
@@ -46,7 +49,7 @@
 
   private async runSeed (seed: number, bundle: string): Promise<boolean> {
     const folder = mkdtempSync(join(tmpdir(), `damaskfield-soak-${seed}-`))
-    const { faults, accepted, refused, doubtful, breaches } = await runSoak({
+    const { schedule, accepted, refused, doubtful, breaches } = await runSoak({
       seed,
       seconds: Number(this.seconds),
       members: Number(this.members),
@@ -55,17 +58,27 @@
       faultIntervalMs: Number(this.interval),
       faultKinds: parseList(this.faults),
       jobKinds: parseList(this.jobs),
+      ...(this.schedule === undefined ? {} : { schedule: readSchedule(this.schedule) }),
       bundle,
       folder,
       subnet: FIRST_SUBNET + process.pid % SUBNET_COUNT
     })
     const { stdout } = this.context
-    stdout.write(`seed ${seed}: ${faults.length} faults, ${accepted} jobs accepted, ${refused} refused, ${doubtful} in doubt, ${breaches.length} breaches\n`)
+    stdout.write(`seed ${seed}: ${schedule.length} faults, ${accepted} jobs accepted, ${refused} refused, ${doubtful} in doubt, ${breaches.length} breaches\n`)
     for (const breach of breaches) stdout.write(`  ${breach}\n`)
     if (breaches.length === 0 && !this.keepLogs) rmSync(folder, { recursive: true })
-    else stdout.write(`  faults: ${JSON.stringify(faults)}\n  logs: ${folder}\n`)
+    else this.keepLogsOf(folder, schedule)
     return breaches.length === 0
   }
+
+  private keepLogsOf (folder: string, schedule: readonly ScheduledFault[]): void {
+    writeFileSync(join(folder, SCHEDULE_FILE), JSON.stringify(schedule))
+    this.context.stdout.write(`  faults: ${JSON.stringify(schedule)}\n  logs: ${folder}\n`)
+  }
+}
+
+function readSchedule (file: string): readonly ScheduledFault[] {
+  return JSON.parse(readFileSync(file, 'utf8')) as readonly ScheduledFault[]
 }
 
 function parseList (text: string): readonly string[] {
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -6,7 +6,6 @@
 import { createFaultSchedule } from './fault-schedule.ts'
 import type { FaultScheduleOptions, ScheduledFault } from './fault-schedule.ts'
 import { injectFault } from './inject-fault.ts'
-import type { SoakFault } from './soak-fault.ts'
 
 /** Options of one soak run. */
 export type SoakOptions = SoakCellOptions & FaultScheduleOptions & {
@@ -20,7 +19,7 @@
 /** Injected faults, numbers of jobs by outcome, and breaches of one soak run. */
 export type SoakResult = {
   readonly seed: number
-  readonly faults: readonly SoakFault[]
+  readonly schedule: readonly ScheduledFault[]
   readonly accepted: number
   readonly refused: number
   readonly doubtful: number
@@ -49,7 +48,7 @@
     const unfinished = await callers.waitForFinalStates(performance.now() + FINISH_TIMEOUT_MS)
     const lost = unfinished.map((id) => `LOST: ${id} was accepted and has not ended${cell.history.isDone(id) ? ', although all its tasks have' : ''}`)
     const { refusedJobs: refused, doubtfulJobs: doubtful } = callers
-    return { seed: options.seed, faults: schedule.map(({ fault }) => fault), accepted: callers.acceptedPaths.size, refused, doubtful, breaches: [...cell.history.breaches, ...lost] }
+    return { seed: options.seed, schedule, accepted: callers.acceptedPaths.size, refused, doubtful, breaches: [...cell.history.breaches, ...lost] }
   } finally {
     await callers.close()
     await cell.close()
--- a/test/soak/loopback-proxy.test.ts
+++ b/test/soak/loopback-proxy.test.ts
@@ -58,6 +58,29 @@
   })
 }
 
+for (const { state, closedMeanwhile } of [{ state: 'open', closedMeanwhile: true }, { state: 'held', closedMeanwhile: false }] as const) {
+  // A member that learns at once that a worker has crashed behind a cut knows more than the network can tell.
+  test(`loopback proxy: the end of a target is seen ${closedMeanwhile ? 'at once' : 'after the heal'} while its link is ${state}`, async () => {
+    const server = createServer((socket) => socket.on('error', () => {}))
+    await once(server.listen(0, '127.0.0.1'), 'listening')
+    const link = await LoopbackProxy.listen(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+    const client = connect(Number(link.address.split(':')[1]), '127.0.0.1').on('error', () => {}).resume()
+    let isClosed = false
+    client.on('close', () => { isClosed = true })
+    await once(client, 'connect')
+    await wait(20)
+    link.setState(state)
+    link.closeTargetSides()
+    await wait(DISTURBED_MS)
+    assert.equal(isClosed, closedMeanwhile)
+    link.setState('open')
+    await wait(RETRANSMITTED_MS)
+    assert.equal(isClosed, true)
+    link.close()
+    server.close()
+  })
+}
+
 for (const { elapsedMs, delayMs } of [{ elapsedMs: 0, delayMs: 200 }, { elapsedMs: 500, delayMs: 100 }, { elapsedMs: 5_500, delayMs: 700 }]) {
   test(`loopback proxy: bytes held for ${elapsedMs} ms are delivered ${delayMs} ms later`, () => {
     assert.equal(computeRetransmissionDelay(elapsedMs), delayMs)
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -39,6 +39,6 @@
     const folder = mkdtempSync(join(tmpdir(), 'damaskfield-soak-'))
     const result = await runSoak({ ...options, bundle: 'target/damaskfield-platform.mjs', folder, subnet: 10 + process.pid % 10 })
     assert.deepEqual(result.breaches, [], `logs: ${folder}`)
-    assert.ok(result.faults.length >= minFaults && result.accepted >= minAccepted, JSON.stringify(result))
+    assert.ok(result.schedule.length >= minFaults && result.accepted >= minAccepted, JSON.stringify(result))
   })
 }
