Let the simulation restart targets, execute commands late and vary its jobs

Its targets and jobs were kinder than the protocol. By option there are now targets that restart under their ids with a clock from 0, list requests that are lost or broken off, late commands and list requests, tasks that last, repeated jobs whose occurrences overlap, leaders whose clocks differ by 250 ms, clocks that are 2% slow, and starts that are refused for want of room and extend the lease.

--- /dev/null
+++ b/test/workflow/simulated-jobs.ts
@@ -0,0 +1,24 @@
+import type { Random } from '../../src/util/random.ts'
+import type { JobDefinition } from '../../src/workflow/job.ts'
+import { buildJob } from './harness.ts'
+
+/** Difference between the clocks of one leader and the next, in milliseconds. */
+export const CLOCK_DIFFERENCE_MS = 250
+/** A task that lasts runs for this time at the most, in milliseconds. */
+export const LASTING_MS = 30_000
+
+/** Draws a job of two steps: plain tasks, a gang, or tasks of which copies may run. */
+export function drawJob (random: Random, id: string): JobDefinition {
+  const count = 1 + random.nextInt(4)
+  const kind = random.nextInt(4)
+  return buildJob(id, { count, gang: kind === 1, speculative: kind === 2 }, { count: 1, after: [0] })
+}
+
+/** Draws a job as `drawJob` does, one with tasks that last, or a repeated one whose occurrences overlap. */
+export function drawVariedJob (random: Random, id: string, now: number): JobDefinition {
+  switch (random.nextInt(4)) {
+    case 0: return buildJob(id, { count: 1 + random.nextInt(2), longRunning: true })
+    case 1: return { ...drawJob(random, id), firstAtMs: now + random.nextInt(1_000), intervalMs: 300 + random.nextInt(900), occurrences: 2 + random.nextInt(4) }
+    default: return drawJob(random, id)
+  }
+}
--- /dev/null
+++ b/test/workflow/simulation-options.ts
@@ -0,0 +1,26 @@
+/** What a simulation contains besides lost responses, outages, crashes, cancellations and new leaders. */
+export type SimulationOptions = {
+  /** Targets are drained, leave, and are replaced by others. */
+  readonly draining: boolean
+  /** Some tasks crash each target on which they start, and the leader changes after some of these crashes. */
+  readonly crashing: boolean
+  /** The capacity of targets shrinks for a while. */
+  readonly shrinking: boolean
+  /** One target after the other crashes by itself. */
+  readonly restless: boolean
+  /**
+   * Targets restart under their ids, some at once, some behind a cut, with a longest lease of 10 s; list requests are lost or
+   * broken off.
+   */
+  readonly restarting: boolean
+  /** Commands and list requests without an answer are executed 2 to 12 s later; if `restarting`, also by the next incarnation. */
+  readonly late: boolean
+  /** There are tasks that last, and repeated jobs whose occurrences overlap; the clocks of leaders differ by 250 ms. */
+  readonly varied: boolean
+  /** The clocks of all targets are 2% slow. */
+  readonly slow: boolean
+  /** Some starts are refused for want of room, and extend the lease all the same. */
+  readonly refusing: boolean
+}
+
+export const NO_OPTIONS: SimulationOptions = { draining: false, crashing: false, shrinking: false, restless: false, restarting: false, late: false, varied: false, slow: false, refusing: false }
