--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -164,6 +164,7 @@
   }
 
   private createBatch (): Batch {
+    for (const id of this.jobRecords.takeRetries()) this.jobsToStore.add(id)
     const { records, released, remainingEntries } = this.selectJobs()
     let remainingRecords = this.batchLimit - records.length
     const removedProgress = [...this.progressToRemove].slice(0, Math.min(remainingEntries, remainingRecords))
--- a/test/controller/set-aside.test.ts
+++ b/test/controller/set-aside.test.ts
@@ -83,3 +83,45 @@
     }
   })
 }
+
+// The record of a job that has ended is small; without it the job would be shown as running, and its definition would stay.
+test('set aside: guards against the failure that the end of a job is not stored because an earlier record of it was refused', async () => {
+  const time = VirtualTime.install()
+  try {
+    const inner = InMemoryStore.create()
+    inner.call(0, { type: 'transact', compares: [], puts: [{ key: COMMIT_KEY, value: JSON.stringify({ term: 1, nonce: 'won', leader: SELF }) }], deletes: [] })
+    const store: Store = {
+      call: async (call) => {
+        await time.wait(COMMIT_MS)
+        if (call.type === 'transact' && call.puts.some(({ value }) => value.length > 1_000)) return err({ reason: 'unavailable', verdict: 'not-applied' })
+        const response = inner.call(time.nowMs, call)
+        return response === 'waiting' ? err({ reason: 'timeout', verdict: 'not-applied' }) : ok(response)
+      }
+    }
+    let progress: JobProgress = { ...PROGRESS, open: { 0: [{ done: 'f'.repeat(2_000), failedRuns: {}, gangFailedRuns: [] }] } }
+    const phases: string[] = []
+    const committer = Committer.create({
+      store,
+      term: 1,
+      commitVersion: inner.version,
+      self: SELF,
+      getUnsettledTerms: () => [],
+      reporter: { log: () => {}, count: () => {}, observe: () => {} },
+      getProgress: () => progress,
+      needsDefinition: () => progress.phase === 'running',
+      getProcessedCompletions: () => [],
+      getLastRun: () => 0,
+      onStored: (batch) => { phases.push(...batch.phases.values()) },
+      onFenced: () => {}
+    })
+    committer.storeProgress('large')
+    await time.advance(5_000)
+    assert.deepEqual(phases, [])
+    progress = { phase: 'completed', nextOccurrence: 1, open: {} }
+    committer.storeProgress('large')
+    await time.advance(500)
+    assert.deepEqual(phases, ['completed'])
+  } finally {
+    time.uninstall()
+  }
+})
