--- a/test/controller/leader-chains.ts
+++ b/test/controller/leader-chains.ts
@@ -1,5 +1,6 @@
 import { VirtualCell } from './virtual-cell.ts'
 import { VIRTUAL_FAULTS } from './virtual-faults.ts'
+import type { VirtualFault } from './virtual-faults.ts'
 
 const MEMBERS = 4
 const TARGETS = 6
@@ -33,13 +34,13 @@
  * @example
  * const { violations } = await playLeaderChain(7)
  */
-export async function playLeaderChain (seed: number, endMs = END_MS): Promise<ChainOutcome> {
+export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS): Promise<ChainOutcome> {
   const cell = VirtualCell.create(seed, { members: MEMBERS, targets: TARGETS })
   const faults: string[] = []
   try {
-    scheduleFaults(cell, faults)
+    scheduleFaults(cell, kinds, faults)
     scheduleJobs(cell)
-    await cell.time.advance(endMs)
+    await cell.time.advance(END_MS)
     cell.history.checkEnds()
     return { violations: cell.violations, faults, terms: countTerms(cell), starts: cell.history.starts, accepted: cell.acceptedJobs.size, unfinished: findUnfinished(cell), lateWrites: cell.store.counts.lateApplied, cell }
   } finally {
@@ -47,15 +48,15 @@
   }
 }
 
-function scheduleFaults (cell: VirtualCell, faults: string[]): void {
+function scheduleFaults (cell: VirtualCell, kinds: readonly VirtualFault[], faults: string[]): void {
   const { random, time } = cell
   const isSeries = random.next() < SERIES_RATIO
   time.schedule(random.nextInt(isSeries ? MAX_FAULT_INTERVAL_MS / 4 : MAX_FAULT_INTERVAL_MS), () => {
     if (time.nowMs > FAULTS_UNTIL_MS) return
-    const fault = VIRTUAL_FAULTS[random.nextInt(VIRTUAL_FAULTS.length)]!
+    const fault = kinds[random.nextInt(kinds.length)]!
     faults.push(`${Math.round(time.nowMs)} ${fault.name}`)
     fault.begin(cell)
-    scheduleFaults(cell, faults)
+    scheduleFaults(cell, kinds, faults)
   })
 }
 
--- a/test/controller/virtual-faults.ts
+++ b/test/controller/virtual-faults.ts
@@ -35,6 +35,17 @@
   { name: 'cell split, claims unanswered', begin: (cell) => { splitCell(cell); changeFor(cell, (active) => { cell.store.lostRatio = active ? 0.6 : 0 }) } }
 ]
 
+/** Targets that restart under their ids. */
+export const TARGET_FAULTS: readonly VirtualFault[] = [
+  { name: 'target restarts', begin: (cell) => restartTargets(cell, 1) },
+  { name: 'targets restart', begin: (cell) => restartTargets(cell, 3) }
+]
+
+function restartTargets (cell: VirtualCell, count: number): void {
+  const targets = [...cell.targets.targets.values()]
+  for (let index = 0; index < count; index += 1) cell.targets.restart(targets[cell.random.nextInt(targets.length)]!)
+}
+
 function pickHost (cell: VirtualCell): VirtualHost {
   const { leaders, hosts, random } = cell
   const candidates = leaders.length > 0 && random.next() < 0.5 ? leaders : hosts
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -45,6 +45,14 @@
     this.store.put(`${TARGET_PREFIX}${target.id}`, JSON.stringify(target.toEntry()))
   }
 
+  /** Starts a target again under its id; it holds and knows nothing of before. */
+  restart (target: SimulatedTarget): void {
+    target.crash(this.time.nowMs)
+    this.leases.delete(target.id)
+    this.history.recordLapse(target.id)
+    this.publish(target)
+  }
+
   /** Creates the client of a member; `isCut` says whether it does not reach a target now. */
   connect (isCut: (target: string) => boolean): CommandClient {
     const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome): Promise<CommandResponse> => {
