Let the pause before a resend follow the response times

Change: the first pause is three times the usual time between the first send of a start and its response, at least 150 ms as before, at most 600 ms. A resend is of the same run, as before.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -22,6 +22,7 @@
 import { CrashRate } from './crash-rate.ts'
 import { confirmCrash, indexRestoredCrashes, prunePossibleCrashes, recordPossibleCrash } from './crashes.ts'
 import { throttleTargets } from './throttling.ts'
+import { ResendPause } from './resend-pause.ts'
 import { RoomLog } from './room-log.ts'
 import type { JobProgress } from './progress-record.ts'
 import { toJobProgress } from './progress-record.ts'
@@ -80,7 +81,8 @@
       uncertainUsage: NO_DEMAND,
       lastRunNumber: resolved.firstRunNumber - 1,
       startPassNeeded: false,
-      passWork: { passes: 0, steps: 0, targets: 0 }
+      passWork: { passes: 0, steps: 0, targets: 0 },
+      resendPause: ResendPause.create(resolved.resendAfterMs)
     })
   }
 
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -9,6 +9,7 @@
 import type { KnownSettings } from './known-settings.ts'
 import type { OpenTargets } from './open-targets.ts'
 import type { CellOptions } from './options.ts'
+import type { ResendPause } from './resend-pause.ts'
 import type { RoomLog } from './room-log.ts'
 import type { SubmissionBucket } from './submission-share.ts'
 import type { TargetState } from './target-state.ts'
@@ -69,6 +70,7 @@
   /** Whether a change since the last start pass may let a task start. */
   startPassNeeded: boolean
   readonly passWork: PassWork
+  readonly resendPause: ResendPause
 }
 
 /** Adds a log line to the effects. */
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -23,8 +23,6 @@
 
 /** Counter of the commands that are sent again. */
 export const RESENT_COUNTER = 'command-resent'
-/** The time until a command without a response is sent again doubles this many times at most. */
-const MAX_RESEND_DOUBLINGS = 2
 
 /** Handles the response to a start command. */
 export function handleStartResponse (state: CellState, target: TargetState, live: LiveRun, response: CommandResponse): void {
@@ -32,6 +30,7 @@
   if (live.phase !== 'starting') return
   switch (response.type) {
     case 'accepted':
+      state.resendPause.recordResponseTime(state.now - live.startedAt)
       live.phase = 'running'
       live.task.refusal = undefined
       live.respondedAt = state.now
@@ -87,7 +86,7 @@
   }
 }
 
-/** Resends commands that have had no response for `resendAfterMs`, and for twice that after each further send. */
+/** Resends commands that have had no response for too long. */
 export function resendCommands (state: CellState): void {
   for (const target of state.targets.values()) {
     if (!target.reachable) continue
@@ -96,8 +95,7 @@
 }
 
 function resendCommand (state: CellState, live: LiveRun): void {
-  const doublings = Math.min(live.sendCount - 1, MAX_RESEND_DOUBLINGS)
-  if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.options.resendAfterMs * 2 ** doublings) return
+  if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.resendPause.getMs(live.sendCount)) return
   if (live.phase !== 'running') count(state, RESENT_COUNTER, live.phase)
   switch (live.phase) {
     case 'starting': return resendStart(state, live)
--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -2,7 +2,7 @@
 export type CellOptions = {
   /** How long runs may continue after the last command or list request; at most the limit of the targets. */
   readonly leaseMs: number
-  /** A command without a response is sent again after this time. */
+  /** A command without a response is sent again after this time, or later where responses are slow. */
   readonly resendAfterMs: number
   /** Maximum number of targets in one advice request. */
   readonly maxAdviceTargets: number
--- a/test/workflow/resends.test.ts
+++ b/test/workflow/resends.test.ts
@@ -2,9 +2,12 @@
 import { test } from 'node:test'
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import { DEFAULT_CELL_OPTIONS } from '../../src/workflow/options.ts'
+import { ResendPause } from '../../src/workflow/resend-pause.ts'
 import { CellHarness, buildEntry, buildJob } from './harness.ts'
 
 const TICK_MS = 50
+const TARGETS = 10
+const JOBS = 40
 /** How long a ticket is valid on the operators' platform, in milliseconds. */
 const TICKET_VALIDITY_MS = 2_000
 const { resendAfterMs } = DEFAULT_CELL_OPTIONS
@@ -58,3 +61,34 @@
   assert.equal(countResends(harness.apply({ type: 'tick', late: true }), 'start'), 0)
   assert.equal(countResends(harness.advance(TICK_MS), 'start'), 1)
 })
+
+// Behind a busy leader every response took longer than the pause: each command was sent twice, and made the leader busier.
+test('resends: guards against the failure that commands are sent twice while all responses take longer than the pause', () => {
+  const responseMs = 200
+  const harness = CellHarness.create(Array.from({ length: TARGETS }, (_, index) => buildEntry(`t${index}`)))
+  let late = 0
+  for (let index = 0; index < JOBS; index += 1) {
+    const started = harness.getStarts(harness.apply({ type: 'job-accepted', definition: buildJob(`j${index}`, {}) }))
+    const before = harness.getStarts().length
+    advance(harness, responseMs)
+    if (index >= JOBS / 2) late += harness.getStarts().length - before
+    for (const start of started) {
+      harness.acceptStart(start)
+      harness.completeRun(start, 'done')
+    }
+  }
+  assert.equal(late, 0)
+})
+
+test('resends: the pause follows the response times, between the shortest pause and the timeout of a command', () => {
+  const pauses: ReadonlyArray<{ readonly responseMs: number, readonly expected: readonly number[] }> = [
+    { responseMs: 10, expected: [150, 300, 600, 600] },
+    { responseMs: 100, expected: [300, 600, 600, 600] },
+    { responseMs: 900, expected: [600, 600, 600, 600] }
+  ]
+  for (const { responseMs, expected } of pauses) {
+    const pause = ResendPause.create(150)
+    for (let response = 0; response < 200; response += 1) pause.recordResponseTime(responseMs)
+    assert.deepEqual([1, 2, 3, 4].map((sendCount) => Math.round(pause.getMs(sendCount))), expected)
+  }
+})
