Ask last whether a job is idle when its organisation's maximum is checked

Cause: the check reads the runs of all tasks of the job, for each step of a backlog in each pass, also where the organisation uses more than half of its maximum and the answer does not matter. Change: the cheaper conditions come first; the result is the same.

--- a/src/workflow/organisation-maximum.ts
+++ b/src/workflow/organisation-maximum.ts
@@ -21,7 +21,8 @@
   if (maximum === undefined) return 'within'
   const usage = addDemands(getUsage(state, organisation), state.uncertainUsage)
   if (fitsLimit(usage, demand, scaleDemand(maximum, getUsableRatio(state, job)))) return 'within'
-  if (step.isIdle && isLessThanHalf(usage, maximum) && fitsLimit(usage, demand, addToLimit(maximum, spec.demand))) return 'within'
+  // Whether the job is idle comes last, because that examines all of its tasks.
+  if (isLessThanHalf(usage, maximum) && fitsLimit(usage, demand, addToLimit(maximum, spec.demand)) && step.isIdle) return 'within'
   if (!fitsLimit(usage, demand, maximum)) return 'exceeded'
   return isOnlyBatchJob(state, step) ? 'within' : 'reserved'
 }
--- a/test/workflow/backlog.test.ts
+++ b/test/workflow/backlog.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import type { AdviceTimings, CellConfiguration } from '../../src/workflow/cell-configuration.ts'
 import type { CellEffect } from '../../src/workflow/effect.ts'
+import { Job } from '../../src/workflow/task.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
 
 const TARGETS = 400
@@ -119,3 +120,15 @@
   assert.ok(total >= STEPS * TARGETS, `${total} targets examined in all passes`)
   assert.ok(examined.at(-1)! <= TARGETS, `${examined.at(-1)} targets examined once all steps have searched`)
 })
+
+// Each pass read the runs of all tasks of each waiting job: a third to a half of the samples in the passes of a leader with a
+// backlog.
+test('backlog: guards against the failure that a pass examines the tasks of jobs whose organisation has used its maximum', (context) => {
+  const [organisation] = CELL.organisations
+  const harness = createFullCell({ ...CELL, organisations: [{ ...organisation!, maximum: { cpuMillis: TARGETS * 4_000, memoryMiB: 0, accelerators: 0 } }] })
+  submitBacklog(harness)
+  const hasRuns = context.mock.method(Job.prototype, 'hasRuns')
+  const work = measurePass(harness)
+  assert.equal(work.steps, STEPS)
+  assert.equal(hasRuns.mock.callCount(), 0)
+})
