--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -4,7 +4,7 @@
   readonly leaseMs: number
   /** The longest lease of a target: a lease that ends later, on its clock, is shortened. */
   readonly longestLeaseMs: number
-  /** A command without a response is sent again after this time. */
+  /** A command without a response is sent again after this time, or later where responses are slow. */
   readonly resendAfterMs: number
   /** Maximum number of targets in one advice request. */
   readonly maxAdviceTargets: number
