Wait for the longest lease only where a target has restarted since its earlier leader commanded it

Cause: a new leader took each young target for one that may hold a lease measured on the clock of its incarnation before.

Change: the stored list has the incarnation of each target that commands were measured for. A target that has restarted keeps the one before until all leases measured on that clock have ended. A new leader compares. Records of older releases have none, so that the age of the target decides as before.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -305,6 +305,7 @@
         const previous = state.value.entries.filter(({ key }) => key === TARGETS_KEY).map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
         this.previousTargets = previous?.ids ?? []
         this.applyEvent({ type: 'closed-targets-restored', closed: previous?.closed ?? {} })
+        this.applyEvent({ type: 'incarnations-restored', incarnations: previous?.incarnations ?? {} })
         this.applyEvent({ type: 'targets-stored', ids: this.previousTargets })
         for (const event of readStoredSettings(state.value.entries, (key) => reporter.log('error', 'settings-unreadable', { key }))) this.applyEvent(event)
         for (const event of readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))) this.applyEvent(event)
@@ -399,7 +400,7 @@
       case 'request-advice': return this.adviceDispatcher.enqueue(effect)
       case 'store-progress': return this.committer.storeProgress(effect.job)
       case 'forget-job': return this.committer.removeProgress(effect.job)
-      case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed })
+      case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed, incarnations: effect.incarnations })
       case 'store-settings': return this.committer.storeSettings(effect.record)
       case 'watch-target':
         // Many targets may be read at once. The relays are chosen when all of them are known.
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -1,5 +1,6 @@
 import type { LeaseId } from '../ports/store.ts'
 import type { ClosedTargets } from '../workflow/closed-targets.ts'
+import type { Incarnations } from '../workflow/earlier-leases.ts'
 import type { Peer } from './member-call.ts'
 
 /**
@@ -71,4 +72,6 @@
   readonly ids: readonly string[]
   /** Targets that get no more starts, with the tasks that may run there; they are not in `ids`. */
   readonly closed?: ClosedTargets
+  /** The incarnations that commands were measured for; missing in records of older releases. */
+  readonly incarnations?: Incarnations
 }
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -29,7 +29,7 @@
 import { applyConfiguration, restoreRemovedSettings } from './removed-settings.ts'
 import { runStartPass } from './start-pass.ts'
 import { stopStragglers } from './stragglers.ts'
-import { computeLongestEarlierLeaseMs } from './earlier-leases.ts'
+import { computeLongestEarlierLeaseMs, restoreIncarnations } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
 import { recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
@@ -75,6 +75,7 @@
       evacuatedDomains: new Set(),
       storedTargets: new Set(),
       closedTargets: new Map(),
+      commandedIncarnations: new Map(),
       heldBackTasks: new Map(),
       earlierRunsPossible: false,
       pendingAdvice: PendingAdvice.create(),
@@ -229,6 +230,7 @@
       case 'progress-stored': return this.handleProgressStored(event)
       case 'targets-stored': return recordStoredTargets(state, event.ids)
       case 'closed-targets-restored': return restoreClosedTargets(state, event.closed)
+      case 'incarnations-restored': return restoreIncarnations(state, event.incarnations)
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -53,6 +53,11 @@
   readonly storedTargets: Set<string>
   /** Targets that are stored as closed: they get no starts, and only these tasks may run there. */
   readonly closedTargets: Map<string, ReadonlySet<TaskKey>>
+  /**
+   * The incarnation of each target that commands were measured for: of a target that has restarted, the one before, until all
+   * leases measured on its clock have ended.
+   */
+  readonly commandedIncarnations: Map<string, number>
   /** Tasks that may run on closed targets of previous owners, and the ids of these targets. */
   readonly heldBackTasks: Map<Task, Set<string>>
   /** Whether unlisted targets may have runs of a previous owner; while true, tasks of restored jobs do not start. */
--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -5,22 +5,66 @@
 /** The clocks of targets and owners differ by less, in milliseconds. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_000
 
+/** Incarnations of targets by their ids. */
+export type Incarnations = Readonly<Record<string, number>>
+
 /**
  * Computes the longest lease that an earlier owner may have given to a target that has not been listed by this one. It is the
- * lease that owners ask for, unless such a target has restarted so recently that it may hold one that was measured on the
- * clock of its incarnation before.
+ * lease that owners ask for, unless such a target may hold one that was measured on the clock of its incarnation before.
  *
  * @example
- * const lapsed = earlierLeaders.haveRunsLapsed(computeLongestEarlierLeaseMs(state))
+ * const lapsed = earlierLeaders.haveRunsLapsedBy(aloneUntil, computeLongestEarlierLeaseMs(state))
  */
 export function computeLongestEarlierLeaseMs (state: CellState): number {
   const { leaseMs, longestLeaseMs } = state.options
-  return [...state.targets.values()].some((target) => !target.listed && mayHaveRestarted(state, target)) ? longestLeaseMs : leaseMs
+  return [...state.targets.values()].some((target) => !target.listed && mayHoldForeignLease(state, target)) ? longestLeaseMs : leaseMs
 }
 
-/** Whether the target is young, and an earlier owner may have started tasks there. */
-function mayHaveRestarted (state: CellState, { id, entry }: TargetState): boolean {
+/** Whether the target may hold a lease that was measured on the clock of its incarnation before. */
+export function mayHoldForeignLease (state: CellState, { id, entry }: TargetState): boolean {
+  const commanded = state.commandedIncarnations.get(id)
+  if (commanded !== undefined) return commanded !== entry.incarnation
   if (!state.storedTargets.has(id) && !state.closedTargets.has(id)) return false
+  // The record is of an older release, which did not store incarnations.
   const ageMs = state.now + state.options.wallClockOffsetMs - entry.incarnation
-  return ageMs < EARLIER_LEASES_GIVEN_MS + state.options.longestLeaseMs + MAX_CLOCK_DIFFERENCE_MS
+  return ageMs < computeForeignLeasesMs(state) + MAX_CLOCK_DIFFERENCE_MS
+}
+
+/** Records the incarnation of a target that no owner has sent commands to yet. */
+export function recordNewTarget (state: CellState, { id, incarnation }: TargetState['entry']): void {
+  const isNew = !state.storedTargets.has(id) && !state.closedTargets.has(id)
+  if (isNew && !state.commandedIncarnations.has(id)) state.commandedIncarnations.set(id, incarnation)
+}
+
+/**
+ * Forgets the incarnations before the present ones once leases that were measured on their clocks have ended. Returns whether
+ * one was forgotten.
+ */
+export function forgetEarlierIncarnations (state: CellState): boolean {
+  let changed = false
+  for (const target of state.targets.values()) {
+    if (!target.listed || state.now - target.firstSeenAt < computeForeignLeasesMs(state)) continue
+    if (state.commandedIncarnations.get(target.id) === target.entry.incarnation) continue
+    state.commandedIncarnations.set(target.id, target.entry.incarnation)
+    changed = true
+  }
+  return changed
+}
+
+/** Records what previous owners have stored. */
+export function restoreIncarnations (state: CellState, incarnations: Incarnations): void {
+  for (const [id, incarnation] of Object.entries(incarnations)) state.commandedIncarnations.set(id, incarnation)
+}
+
+/** Formats the incarnations of the given targets for the stored record. */
+export function toIncarnations (state: CellState, ids: readonly string[]): Incarnations {
+  return Object.fromEntries(ids.flatMap((id) => {
+    const incarnation = state.commandedIncarnations.get(id)
+    return incarnation === undefined ? [] : [[id, incarnation]]
+  }))
+}
+
+/** How long after a restart a target may hold a lease that was measured on the clock before. */
+function computeForeignLeasesMs ({ options }: CellState): number {
+  return EARLIER_LEASES_GIVEN_MS + options.longestLeaseMs
 }
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -1,5 +1,6 @@
 import type { ThrottleCommand, StartCommand, StopCommand } from '../ports/command-client.ts'
 import type { ClosedTargets } from './closed-targets.ts'
+import type { Incarnations } from './earlier-leases.ts'
 import type { RemovedSettings } from './removed-settings.ts'
 
 type WithoutEpoch<Command> = Omit<Command, 'epoch'>
@@ -13,7 +14,7 @@
   | { readonly type: 'request-advice', readonly step: string, readonly targets: readonly string[], readonly costMs: number, readonly urgent: boolean }
   | { readonly type: 'store-progress', readonly job: string }
   | { readonly type: 'forget-job', readonly job: string }
-  | { readonly type: 'store-targets', readonly ids: readonly string[], readonly closed: ClosedTargets }
+  | { readonly type: 'store-targets', readonly ids: readonly string[], readonly closed: ClosedTargets, readonly incarnations: Incarnations }
   | { readonly type: 'store-settings', readonly record: RemovedSettings }
   | { readonly type: 'watch-target', readonly id: string }
   | { readonly type: 'forget-target', readonly id: string }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -1,6 +1,7 @@
 import type { AdviceResponse, CachedAdvice, CommandResponse, CommandRefusal, NO_LISTENER } from '../ports/command-client.ts'
 import type { CellConfiguration } from './cell-configuration.ts'
 import type { ClosedTargets } from './closed-targets.ts'
+import type { Incarnations } from './earlier-leases.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
 import type { RemovedSettings } from './removed-settings.ts'
@@ -41,6 +42,7 @@
   | { readonly type: 'targets-stored', readonly ids: readonly string[] }
   /** Closed targets of previous owners, as stored. */
   | { readonly type: 'closed-targets-restored', readonly closed: ClosedTargets }
+  | { readonly type: 'incarnations-restored', readonly incarnations: Incarnations }
   /** Settings of removed queues and organisations, as a previous owner stored them. */
   | { readonly type: 'settings-restored', readonly record: RemovedSettings }
   /** All targets of previous owners have been listed, apart from closed ones. */
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -3,6 +3,7 @@
 import type { CellState } from './cell-state.ts'
 import { releaseTasks } from './closed-targets.ts'
 import { settleRun, withdrawCrash } from './crashes.ts'
+import { mayHoldForeignLease } from './earlier-leases.ts'
 import type { TaskKey } from './job.ts'
 import { countFailure, findListedTask, finishTask } from './jobs.ts'
 import type { LiveRun } from './live-run.ts'
@@ -32,7 +33,7 @@
     if (!listedKeys.has(key) && respondedBefore(live, sentAt)) removeLostRun(state, live, 'not listed by its target')
   }
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
-  if (!target.listed) target.recordEarlierLeases(listing.clockMs, state.options)
+  if (!target.listed) target.recordEarlierLeases(listing.clockMs, mayHoldForeignLease(state, target), state.options)
   if (!target.listed || !target.reachable || target.listUnanswered) recordRoom(state, target)
   const isFirstListing = !target.listed
   target.listed = true
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -106,8 +106,9 @@
    * Records the leases that other owners may have given until the first listing. They asked for `leaseMs`; but to an
    * incarnation whose clock began at 0 a while ago a lease measured on the clock before is as long as a lease can be.
    */
-  recordEarlierLeases (clockMs: number, { leaseMs, longestLeaseMs }: Pick<CellOptions, 'leaseMs' | 'longestLeaseMs'>): void {
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(clockMs + leaseMs), Math.min(clockMs, EARLIER_LEASES_GIVEN_MS) + longestLeaseMs)
+  recordEarlierLeases (clockMs: number, mayBeForeign: boolean, { leaseMs, longestLeaseMs }: Pick<CellOptions, 'leaseMs' | 'longestLeaseMs'>): void {
+    const foreignLeaseEndsAt = mayBeForeign ? Math.min(clockMs, EARLIER_LEASES_GIVEN_MS) + longestLeaseMs : 0
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(clockMs + leaseMs), foreignLeaseEndsAt)
   }
 
   /** Records that commands to the incarnation before may still reach this one, which takes their leases for the longest ones. */
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -1,6 +1,7 @@
 import { log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
+import { forgetEarlierIncarnations, recordNewTarget, toIncarnations } from './earlier-leases.ts'
 import { confirmCrash, confirmReplacedCrashes } from './crashes.ts'
 import { sendStop } from './runs.ts'
 import type { TargetEntry } from './target-entry.ts'
@@ -25,6 +26,7 @@
     return
   }
   if (known !== undefined && known.entry.incarnation > entry.incarnation) return
+  recordNewTarget(state, entry)
   const target = TargetState.create(entry, state.now)
   if (known !== undefined) replaceTarget(state, known, target)
   confirmReplacedCrashes(state, entry)
@@ -99,6 +101,7 @@
     state.targets.delete(target.id)
     state.storedTargets.delete(target.id)
     state.closedTargets.delete(target.id)
+    state.commandedIncarnations.delete(target.id)
     state.effects.push({ type: 'forget-target', id: target.id })
     storeTargets(state)
   }
@@ -115,7 +118,8 @@
     state.closedTargets.delete(id)
   }
   const closed = closeDrainingTargets(state)
-  if (drained.length > 0 || closed) storeTargets(state)
+  const forgotten = forgetEarlierIncarnations(state)
+  if (drained.length > 0 || closed || forgotten) storeTargets(state)
 }
 
 /** Records the list of targets that was stored, without those that can no longer have runs. */
@@ -153,6 +157,7 @@
   for (const id of gone) {
     state.storedTargets.delete(id)
     state.closedTargets.delete(id)
+    state.commandedIncarnations.delete(id)
   }
   storeTargets(state)
   const unlisted = [...state.targets.values()].filter(({ listed }) => !listed).length
@@ -166,7 +171,8 @@
   if (state.earlierRunsPossible) {
     for (const id of state.storedTargets) ids.add(id)
   }
-  state.effects.push({ type: 'store-targets', ids: [...ids], closed: toClosedTargets(state) })
+  const closed = toClosedTargets(state)
+  state.effects.push({ type: 'store-targets', ids: [...ids], closed, incarnations: toIncarnations(state, [...ids, ...Object.keys(closed)]) })
 }
 
 function mayHoldRuns (state: CellState, target: TargetState): boolean {
