Take an end that was acknowledged after the lease had expired for noted in the soak only after a second

The rule says that such an end is never taken note of, and the check took it for noted at once, so the check was wrong. A start in time a second or more after the acknowledgement is still reported, which is stricter than the rule.

--- a/test/soak/run-history.test.ts
+++ b/test/soak/run-history.test.ts
@@ -68,6 +68,12 @@
   { scenario: 'a late start after an acknowledged completion', entries: [{ at: 0, worker: 'w1', event: startedEvent('a.0.0.0') }, { at: 1, worker: 'w1', event: endedEvent('a.0.0.0', 'done') }, { at: 2, worker: 'w1', event: acknowledgedEvent('a.0.0.0', 'done') }, { at: 3, worker: 'w2', event: startedEvent('a.0.0.0', 2, 2_500) }], breach: /^TWICE.*held up for 2500 ms/ }
 ]
 
+const lapsedAcknowledgement: readonly HistoryEntry[] = [
+  { at: 0, worker: 'w1', event: startedEvent('a.0.0.0') },
+  { at: 1, worker: 'w1', event: endedEvent('a.0.0.0', 'done') },
+  { at: 2, worker: 'w1', event: acknowledgedEvent('a.0.0.0', 'done', 1, true) }
+]
+
 const GANG_MEMBERS = ['g.0.0.0', 'g.0.0.1']
 
 const gangIsDone: readonly HistoryEntry[] = [
@@ -88,6 +94,9 @@
 ])
 
 const kinds: typeof histories = [
+  { scenario: 'a start soon after the acknowledgement of a completion whose lease has lapsed is allowed', entries: [...lapsedAcknowledgement, { at: 900, worker: 'w2', event: startedEvent('a.0.0.0', 2) }], breach: undefined },
+  { scenario: 'a start long after the acknowledgement of a completion whose lease has lapsed', entries: [...lapsedAcknowledgement, { at: 1_100, worker: 'w2', event: startedEvent('a.0.0.0', 2) }], breach: /^TWICE.*1098 ms after/ },
+  { scenario: 'a late start after the acknowledgement of a completion whose lease has lapsed is allowed', entries: [...lapsedAcknowledgement, { at: 2_500, worker: 'w2', event: startedEvent('a.0.0.0', 2, 2_400) }], breach: undefined },
   { scenario: 'a start of a member after another member of its gang has ended as done, which is acknowledged later,', entries: [...gangIsDone, { at: 11, worker: 'w2', event: startedEvent('g.0.0.1', 2) }, { at: 12, worker: 'w0', event: acknowledgedEvent('g.0.0.0', 'done') }], breach: /^TWICE: g\.0\.0\.0 has started \(run 2 of term 1 on w2\)/ },
   { scenario: 'a start of a member after the completion of another member of its gang was acknowledged', entries: [...gangIsDone, { at: 11, worker: 'w0', event: acknowledgedEvent('g.0.0.0', 'done') }, { at: 12, worker: 'w2', event: startedEvent('g.0.0.1', 2) }], breach: /^TWICE: g\.0\.0\.1/ },
   { scenario: 'a start of a member after a completion that is not acknowledged is allowed', entries: [...gangIsDone, { at: 11, worker: 'w2', event: startedEvent('g.0.0.1', 2) }], breach: undefined },
