Tell late starts apart in the simulation that no leader can prevent

A late start may reach an incarnation that no leader has reached, or that was cut off before it could be told to reject the run. It knows neither a term nor the run. These starts are counted apart, with what follows from them for their tasks; all others still break the check.

--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -62,6 +62,7 @@
       if (listing === undefined) return this.pollAfter(POLL_INTERVAL_MS)
       if (simulation.restarting && occurs(LOST_RESPONSE_RATIO)) return this.handleUnanswered(TIMEOUT_MS)
       this.lastListUnanswered = false
+      target.firstAnsweredAt = Math.min(target.firstAnsweredAt, time.now)
       time.schedule(1, () => { if (isLeading()) this.options.applyEvent({ type: 'target-listed', id: target.id, sentAt, listing }) })
       this.pollAfter(POLL_INTERVAL_MS)
     })
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -68,6 +68,10 @@
     return this.check.violations
   }
 
+  get lateOnUnknownIncarnations (): readonly string[] {
+    return this.check.lateOnUnknownIncarnations
+  }
+
   get startsOnShrunkTargets (): number {
     return this.check.startsOnShrunkTargets
   }
