--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -86,11 +86,14 @@
 
   /** Lists as the target does: at once if a run has ended, else when one ends or the request has waited. */
   private async list (target: SimulatedTarget, { epoch, acknowledged, leaseUntilMs, waitMs }: ListRequest, isCut: (target: string) => boolean): Promise<ListResponse> {
+    const { incarnation } = target
     const first = await this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, leaseUntilMs), UNANSWERED)
     if (waitMs === 0 || first.type !== 'listed' || first.listing.ended.length > 0) return first
     const { nowMs } = this.time
     const nextEndAt = Math.min(nowMs + waitMs, ...[...target.runs.values()].map(({ endsAt }) => endsAt))
     await this.time.wait(nextEndAt - nowMs + 1)
+    // The connection of a waiting request ends with the process of its target.
+    if (target.incarnation !== incarnation) return UNANSWERED
     return this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, undefined), UNANSWERED)
   }
 
