Take over the version of a commit that was given up and applied late

Cause: a commit that is tried again, divided or only a probe may be carried out late. The record in the store then has this leader's term and another nonce than the one that is waited for, so that each later attempt conflicted and the outcome stayed unknown: nothing was stored any more in the term, while the leader kept its lease. Found by the review of the fix.

Change: only this leader writes with its term, so the version of such a record is taken over and the attempt repeated.

Failed before: controller/probed-commits, nothing stored in 60 s of virtual time.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -311,7 +311,11 @@
     if (entry.isErr()) return { type: 'unknown' }
     const record = entry.value === undefined ? undefined : parseRecord<CommitRecord>(entry.value.value)
     if (record?.nonce === nonce) return { type: 'committed', version: entry.value!.version }
-    if (record?.term === this.options.term) return { type: 'unknown' }
+    if (record?.term === this.options.term) {
+      // Only this leader writes with its term: a transaction that was given up has been applied late.
+      this.commitVersion = Math.max(this.commitVersion, entry.value!.version)
+      return { type: 'unknown' }
+    }
     this.stop()
     this.options.onFenced()
     return { type: 'unknown' }
