Remove an ended leader by ending its lease

Cause: the record was removed first and the lease ended afterwards. In between, or if the end of the lease was lost, renewals of a leader that runs on were confirmed, so that it counted itself as certainly alone after its successor had won.

Change: the lease is ended, which removes the record with it; only records of older releases, which don't name their lease, are removed by themselves.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -156,13 +156,23 @@
   /** Deletes the record of a leader whose process has ended, so that the members do not wait until its lease expires. */
   async removeEndedLeader (leader: LeaderRecord): Promise<void> {
     if (this.leaderRecord?.nonce !== leader.nonce) return
-    const result = await transact(this.options.store, [requireUnchanged(LEADER_KEY, this.leaderVersion)], [], [LEADER_KEY])
-    // A leader that runs on learns from its next renewal that it has lost the lease.
-    if (leader.lease !== undefined && (result.isErr() || result.value.committed)) await this.revokeLease(leader.lease)
-    const outcome = result.isErr() ? result.error.reason : result.value.committed ? 'removed' : 'changed'
+    const outcome = leader.lease === undefined ? await this.removeRecord() : await this.endLease(leader.lease)
     this.options.reporter.log('info', 'ended-leader-removed', { leader: leader.member, term: leader.term, outcome })
   }
 
+  /** Ends the lease of a leader, and its record with it: one that runs on must not have its lease confirmed any more. */
+  private async endLease (lease: LeaseId): Promise<string> {
+    const ended = await callStore(this.options.store, { type: 'revoke-lease', lease })
+    return ended.isErr() ? ended.error.reason : 'removed'
+  }
+
+  /** Removes the record of a leader of an older release, which does not name its lease. */
+  private async removeRecord (): Promise<string> {
+    const result = await transact(this.options.store, [requireUnchanged(LEADER_KEY, this.leaderVersion)], [], [LEADER_KEY])
+    if (result.isErr()) return result.error.reason
+    return result.value.committed ? 'removed' : 'changed'
+  }
+
   /** Hands the leadership over to another member and stops claiming it. */
   async resign (): Promise<void> {
     this.isCandidate = false
