Conclude nothing from the absence of a run in a listing that may be cut short

Cause: a target lists at most 500 ends at a time. A run that had ended beyond them was in neither list, counted as lost, and its task started again.

Change: a listing with that many ends shows only what it names.

--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -13,6 +13,9 @@
 import type { TargetState } from './target-state.ts'
 import type { Task } from './task.ts'
 
+/** Number of completions in a listing from which on further ones may be left out. */
+const MAX_LISTED_COMPLETIONS = 500
+
 /**
  * Handles a listing of a target. `sentAt` is when the list request was sent: a run whose last command was answered before
  * that and that is in neither list is certainly gone.
@@ -29,8 +32,10 @@
   }
   if (unknownRunCount !== target.unknownRunCount) recordRoom(state, target)
   target.unknownRunCount = unknownRunCount
+  // Further completions may follow, also those of runs that are not listed.
+  const complete = listing.ended.length < MAX_LISTED_COMPLETIONS
   for (const [key, live] of [...target.runs]) {
-    if (!listedKeys.has(key) && respondedBefore(live, sentAt)) removeLostRun(state, live, 'not listed by its target')
+    if (!listedKeys.has(key) && complete && respondedBefore(live, sentAt)) removeLostRun(state, live, 'not listed by its target')
   }
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
   if (!target.listed) target.recordEarlierLeases(listing.clockMs, mayHoldForeignLease(state, target), state.options)
