Start the tasks of a restarted target again only as of the last time that nobody else led

Cause: a successor lists a target, reads and acknowledges ends there, and the target restarts, which wipes its fence. The leader before it, cut from the store and from that target until then, lists the new incarnation, finds its runs gone and starts their tasks on a target that its successor does not reach: a start after an acknowledged end.

Change: runs that a restart has ended are removed once the leader was certainly alone after it had seen the restart, as runs whose leases have expired are.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -9,7 +9,7 @@
 import { buildCellSummary } from './cell-summary.ts'
 import type { CellSummary } from './cell-summary.ts'
 import type { CellEffect } from './effect.ts'
-import { handleListing } from './handle-listing.ts'
+import { handleListing, removeRunsLostByRestarts } from './handle-listing.ts'
 import type { CellEvent, ProcessedCompletions } from './event.ts'
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
@@ -76,6 +76,8 @@
       storedTargets: new Set(),
       closedTargets: new Map(),
       commandedIncarnations: new Map(),
+      aloneUntil: Infinity,
+      runsLostByRestarts: new Set(),
       heldBackTasks: new Map(),
       earlierRunsPossible: false,
       pendingAdvice: PendingAdvice.create(),
@@ -301,13 +303,15 @@
     }
   }
 
-  private handleTick ({ aloneUntil = this.state.now, late = false }: Extract<CellEvent, { type: 'tick' }>): void {
+  private handleTick ({ aloneUntil, late = false }: Extract<CellEvent, { type: 'tick' }>): void {
     const { state } = this
+    state.aloneUntil = aloneUntil ?? Infinity
     if (!late) {
       resendCommands(state)
       resendRejections(state)
     }
-    removeExpiredRuns(state, aloneUntil)
+    removeExpiredRuns(state)
+    removeRunsLostByRestarts(state)
     removeGoneTargets(state)
     prunePossibleCrashes(state)
     pruneStoredTargets(state)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -14,6 +14,7 @@
 import type { SubmissionBucket } from './submission-share.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
+import type { LiveRun } from './live-run.ts'
 
 /** State of an ended job that is kept for the retention time, so that callers can read it. */
 export type EndedJob = { readonly phase: JobPhase, readonly endedAt: number }
@@ -58,6 +59,10 @@
    * leases measured on its clock have ended.
    */
   readonly commandedIncarnations: Map<string, number>
+  /** Until when certainly no other owner has acted. */
+  aloneUntil: number
+  /** Runs that restarts of their targets have ended after that time. */
+  readonly runsLostByRestarts: Set<LiveRun>
   /** Tasks that may run on closed targets of previous owners, and the ids of these targets. */
   readonly heldBackTasks: Map<Task, Set<string>>
   /** Whether unlisted targets may have runs of a previous owner; while true, tasks of restored jobs do not start. */
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -116,12 +116,13 @@
 }
 
 /**
- * Removes the runs of unreachable targets whose leases have certainly expired by `aloneUntil`. A successor that reaches such a
+ * Removes the runs of unreachable targets whose leases had expired when this owner was certainly alone. A successor that reaches such a
  * target goes on extending their leases, and tasks that this owner started again would run twice.
  */
-export function removeExpiredRuns (state: CellState, aloneUntil: number): void {
+export function removeExpiredRuns (state: CellState): void {
+  const expiredBy = Math.min(state.aloneUntil, state.now)
   for (const target of state.targets.values()) {
-    if (target.reachable || target.runs.size === 0 || target.getExpiryTime() > aloneUntil) continue
+    if (target.reachable || target.runs.size === 0 || target.getExpiryTime() > expiredBy) continue
     for (const live of [...target.runs.values()]) removeLostRun(state, live, 'its lease has expired on an unreachable target')
   }
 }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -50,7 +50,7 @@
   /** The leases of runs of a previous owner have expired on all targets that could not be listed. */
   | { readonly type: 'earlier-runs-lapsed' }
   /**
-   * `aloneUntil`: no other owner can have extended the leases of runs before this time; now if it is missing. What would expire
+   * `aloneUntil`: no other owner can have extended the leases of runs before this time; no other owner exists if it is missing. What would expire
    * later may go on under a successor. `late`: the process was busy or suspended, so that responses may wait to be read.
    */
   | { readonly type: 'tick', readonly aloneUntil?: number, readonly late?: boolean }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -35,7 +35,7 @@
   // Further completions may follow, also those of runs that are not listed.
   const complete = listing.ended.length < MAX_LISTED_COMPLETIONS
   for (const [key, live] of [...target.runs]) {
-    if (!listedKeys.has(key) && complete && respondedBefore(live, sentAt)) removeLostRun(state, live, 'not listed by its target')
+    if (!listedKeys.has(key) && complete && respondedBefore(live, sentAt)) handleUnlistedRun(state, live)
   }
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
   if (!target.listed) target.recordEarlierLeases(listing.clockMs, mayHoldForeignLease(state, target), state.options)
@@ -49,6 +49,25 @@
   if (isFirstListing) releaseTasks(state, target)
 }
 
+/**
+ * Handles a run that its target does not have any more. If the target has restarted, a successor may have read the end of the
+ * run before, so that the task waits until this owner was certainly alone after the restart.
+ */
+function handleUnlistedRun (state: CellState, live: LiveRun): void {
+  if (live.carriedOver && live.target.firstSeenAt > state.aloneUntil) state.runsLostByRestarts.add(live)
+  else removeLostRun(state, live, 'not listed by its target')
+}
+
+/** Removes the runs that restarts have ended before this owner was last certainly alone. */
+export function removeRunsLostByRestarts (state: CellState): void {
+  for (const live of state.runsLostByRestarts) {
+    const isPresent = live.target.runs.has(formatRunKey(live.task.key, live.run)) && live.carriedOver
+    if (isPresent && live.target.firstSeenAt > state.aloneUntil) continue
+    state.runsLostByRestarts.delete(live)
+    if (isPresent) removeLostRun(state, live, 'its target has restarted')
+  }
+}
+
 /** Whether the target responded to the last command for the run before the listing was requested. */
 function respondedBefore (live: LiveRun, sentAt: number): boolean {
   return live.respondedAt !== undefined && live.respondedAt <= sentAt
--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -17,6 +17,27 @@
   assert.equal(harness.scheduler.getTarget(id), undefined, 'the target is forgotten')
 }
 
+// TWICE: a leader in its grace takes the runs of a restarted target for gone; its successor has adopted them and starts them again too.
+test('cell: tasks on a target that has restarted start again only once this owner was certainly alone after the restart', () => {
+  const harness = createHarnessWithTarget()
+  harness.publishTarget(buildEntry('t2'))
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  const [start] = harness.getStarts()
+  harness.acceptStart(start!)
+  const aloneUntil = harness.now
+  harness.now += 2_000
+  harness.apply({ type: 'tick', aloneUntil })
+  harness.listTarget(start!.target, { incarnation: 2, clockMs: 500 })
+  harness.now += 10
+  harness.listTarget(start!.target, { incarnation: 2, clockMs: 510 })
+  harness.apply({ type: 'tick', aloneUntil })
+  assert.equal(harness.getStarts().length, 1, 'a successor may have started it again')
+  harness.now += 50
+  harness.listTarget(start!.target, { incarnation: 2, clockMs: 600 })
+  harness.apply({ type: 'tick', aloneUntil: harness.now })
+  assert.equal(harness.getStarts().length, 2)
+})
+
 const LISTED_ENDS = 500
 
 // TWICE: a target lists 500 ends at a time; a run whose end comes after them is in neither list.
