--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -1,16 +1,15 @@
 import { Random } from '../../src/util/random.ts'
 import { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
-import type { ClosedTargets } from '../../src/workflow/closed-targets.ts'
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
-import type { JobDefinition, JobPhase } from '../../src/workflow/job.ts'
-import type { JobProgress } from '../../src/workflow/progress-record.ts'
+import type { JobDefinition } from '../../src/workflow/job.ts'
 import { AttemptHistory, TIME_TO_STORE_MS } from './attempt-history.ts'
 import { CONFIGURATION } from './harness.ts'
 import { MAXIMUM_CPU_MILLIS, RuleCheck } from './rule-check.ts'
 import { SimulatedGangs } from './simulated-gangs.ts'
 import { CLOCK_DIFFERENCE_MS, LASTING_MS, drawJob, drawVariedJob } from './simulated-jobs.ts'
 import { SimulatedSession } from './simulated-session.ts'
+import { SimulatedStore } from './simulated-store.ts'
 import { LONGEST_LEASE_MS, SimulatedTarget, TARGET_CPU_MILLIS } from './simulated-target.ts'
 import { NO_OPTIONS } from './simulation-options.ts'
 import type { SimulationOptions } from './simulation-options.ts'
@@ -38,9 +37,7 @@
   private scheduler: CellScheduler
   private epoch = 1
   private readonly jobs = new Map<string, JobDefinition>()
-  private readonly stored = new Map<string, JobProgress>()
-  /** Jobs whose definitions have been removed from the store. */
-  private readonly released = new Set<string>()
+  private readonly store = SimulatedStore.create()
   private readonly cancelledAt = new Map<string, number>()
   private readonly attempts = AttemptHistory.create()
   /** Tasks that crash each target on which they start. */
@@ -48,7 +45,6 @@
   private readonly check: RuleCheck
   private readonly gangs: SimulatedGangs
   private leaderSince = 0
-  private storedTargets: { readonly ids: readonly string[], readonly closed: ClosedTargets } = { ids: [], closed: {} }
 
   private constructor (seed: number, private readonly options: SimulationOptions) {
     this.random = Random.create(seed)
@@ -81,12 +77,12 @@
   }
 
   get unfinishedJobs (): readonly string[] {
-    return [...this.jobs.keys()].filter((id) => !['completed', 'failed', 'cancelled'].includes(this.stored.get(id)?.phase ?? 'queued'))
+    return [...this.jobs.keys()].filter((id) => !['completed', 'failed', 'cancelled'].includes(this.store.getPhase(id) ?? 'queued'))
   }
 
   /** The jobs that are shown as failed although no task has failed or crashed its targets often enough. */
   get failedWithoutCause (): readonly string[] {
-    return [...this.jobs.keys()].filter((id) => this.stored.get(id)?.phase === 'failed' && !this.attempts.mayFail(id, this.crashingTasks))
+    return [...this.jobs.keys()].filter((id) => this.store.getPhase(id) === 'failed' && !this.attempts.mayFail(id, this.crashingTasks))
   }
 
   private runToEnd (): void {
@@ -277,15 +273,11 @@
     this.epoch += 1
     this.scheduler = this.createScheduler()
     this.scheduler.expectEarlierRuns()
-    const stored = this.options.draining ? this.storedTargets : { ids: [...this.targets.keys()], closed: {} }
+    const stored = this.options.draining ? this.store.targets : { ids: [...this.targets.keys()], closed: {} }
     if (Object.keys(stored.closed).length > 0) this.drains.takeoversWithClosedTargets += 1
     this.apply({ type: 'closed-targets-restored', closed: stored.closed })
     this.apply({ type: 'targets-stored', ids: stored.ids })
-    for (const [id, definition] of this.jobs) {
-      const progress = this.stored.get(id)
-      if (progress !== undefined && this.released.has(id)) this.apply({ type: 'ended-job-restored', id, phase: progress.phase })
-      else this.apply({ type: 'job-restored', definition, progress })
-    }
+    for (const definition of this.jobs.values()) this.apply(this.store.buildRestoreEvent(definition))
     for (const id of this.cancelledAt.keys()) this.apply({ type: 'job-cancelled', id })
     for (const target of this.targets.values()) {
       if (target.left) continue
@@ -321,7 +313,7 @@
   private storeTargets ({ ids, closed }: Extract<CellEffect, { type: 'store-targets' }>, epoch: number): void {
     this.time.schedule(20, () => {
       if (epoch !== this.epoch) return
-      this.storedTargets = { ids, closed }
+      this.store.targets = { ids, closed }
       this.apply({ type: 'targets-stored', ids })
     })
   }
@@ -329,20 +321,8 @@
   private storeProgress (id: string, epoch: number): void {
     this.time.schedule(20, () => {
       if (epoch !== this.epoch) return
-      const progress = this.scheduler.getProgress(id)
-      if (progress === undefined) return
-      // The processed completions may be acknowledged only if the progress of every changed job is stored with them.
-      for (const job of this.jobs.keys()) {
-        const other = this.scheduler.getProgress(job)
-        if (other !== undefined) this.stored.set(job, other)
-      }
-      const phases = new Map<string, JobPhase>([...this.jobs.keys()].flatMap((job) => {
-        const phase = this.stored.get(job)?.phase
-        return phase === undefined ? [] : [[job, phase] as const]
-      }))
-      const released = [...this.jobs.keys()].filter((job) => !this.scheduler.needsDefinition(job))
-      for (const job of released) this.released.add(job)
-      this.apply({ type: 'progress-stored', phases, released, completions: this.scheduler.getProcessedCompletions() })
+      if (this.scheduler.getProgress(id) === undefined) return
+      this.apply(this.store.commit(this.scheduler, [...this.jobs.keys()]))
     })
   }
 
