--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -32,10 +32,15 @@
 
   add (id: string): void {
     const { history, time } = this
-    const target = SimulatedTarget.create(id, this.random, ({ task, run, outcome }) => {
-      if (outcome === 'done') history.recordDone(task, run, id, time.nowMs)
-    }, ({ task, run, outcome }) => {
-      if (outcome === 'done') history.recordAcknowledged(task, run)
+    const target = SimulatedTarget.create({
+      id,
+      random: this.random,
+      onCompletion: ({ task, run, outcome }) => {
+        if (outcome === 'done') history.recordDone(task, run, id, time.nowMs)
+      },
+      onAcknowledged: ({ task, run, outcome }) => {
+        if (outcome === 'done') history.recordAcknowledged(task, run)
+      }
     })
     this.targets.set(id, target)
     this.publish(target)
@@ -73,7 +78,7 @@
     this.noteLapse(target)
     const isKnown = target.runs.get(task)?.run === run
     const durationMs = MIN_DURATION_MS + this.random.nextInt(Number(payload))
-    const outcome = target.start({ task, run, leaseUntilMs, epoch, durationMs, fails: false }, nowMs)
+    const outcome = target.start({ task, run, leaseUntilMs, epoch, durationMs, fails: false, lacksRoom: false }, nowMs)
     if (outcome === 'accepted' || outcome === 'superseded') this.noteLease(target, leaseUntilMs)
     if (outcome === 'accepted' && !isKnown) this.history.recordStart(task, run, epoch, target, this.targets.values(), nowMs)
     return outcome
