--- /dev/null
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
+import { buildListRequest } from '../../src/workflow/list-request.ts'
+import { CellHarness, buildEntry, buildJob, createHarnessWithTarget } from './harness.ts'
+
+const OLD_CLOCK_MS = 400_000
+const LEASE_MS = 3_500
+const LONGEST_LEASE_MS = 10_000
+const OPTIONS = { leaseMs: LEASE_MS, longestLeaseMs: LONGEST_LEASE_MS }
+
+/** The target falls silent, its entry is removed and its runs lapse, so that it is forgotten. */
+function forget (harness: CellHarness, id: string): void {
+  harness.apply({ type: 'target-silent', id, cause: 'no-answer' })
+  harness.apply({ type: 'target-withdrawn', id })
+  for (let step = 0; step < 8; step += 1) harness.advance(500)
+  assert.equal(harness.scheduler.getTarget(id), undefined, 'the target is forgotten')
+}
+
+// TWICE: a target that was silent for 4 s is forgotten with its unanswered starts; a copy reaches its next incarnation up to 12 s late.
+test('cell: a run with an unanswered start is rejected on the next incarnation of a target that was forgotten meanwhile', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  const [start] = harness.getStarts()
+  forget(harness, 't1')
+  harness.publishTarget(buildEntry('t1', { incarnation: 2 }))
+  assert.ok(harness.getCommands('stop').some(({ incarnation, command }) => incarnation === 2 && command.run === start!.command.run), 'no stop of the run was sent')
+})
+
+// TWICE: the leases on the next incarnation of a forgotten target count as 3.5 s, but a late list request to the one before makes them 10 s.
+test('cell: leases on the next incarnation of a target that was forgotten meanwhile are taken for the longest ones', () => {
+  const harness = CellHarness.create([], undefined, OPTIONS)
+  harness.apply({ type: 'target-published', entry: buildEntry('t1') })
+  harness.apply({ type: 'targets-stored', ids: ['t1'] })
+  harness.listTarget('t1', { clockMs: OLD_CLOCK_MS })
+  buildListRequest(harness.scheduler.getTarget('t1')!, harness.now, LEASE_MS)
+  const sentAt = harness.now
+  forget(harness, 't1')
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  harness.apply({ type: 'targets-stored', ids: ['t1'] })
+  harness.listTarget('t1', { incarnation: 2, clockMs: 500 })
+  assert.ok(harness.scheduler.getTarget('t1')!.getExpiryTime() >= sentAt + 12_000 + LONGEST_LEASE_MS)
+})
+
+// TWICE: a leader in its grace takes the runs of a restarted target for gone; its successor has adopted them and starts them again too.
+test('cell: tasks on a target that has restarted start again only once this owner was certainly alone after the restart', () => {
+  const harness = createHarnessWithTarget()
+  harness.publishTarget(buildEntry('t2'))
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  const [start] = harness.getStarts()
+  harness.acceptStart(start!)
+  const aloneUntil = harness.now
+  harness.now += 2_000
+  harness.apply({ type: 'tick', aloneUntil })
+  harness.listTarget(start!.target, { incarnation: 2, clockMs: 500 })
+  harness.now += 10
+  harness.listTarget(start!.target, { incarnation: 2, clockMs: 510 })
+  harness.apply({ type: 'tick', aloneUntil })
+  assert.equal(harness.getStarts().length, 1, 'a successor may have started it again')
+  harness.now += 50
+  harness.listTarget(start!.target, { incarnation: 2, clockMs: 600 })
+  harness.apply({ type: 'tick', aloneUntil: harness.now })
+  assert.equal(harness.getStarts().length, 2)
+})
+
+const LISTED_ENDS = 500
+
+// TWICE: a target lists 500 ends at a time; a run whose end comes after them is in neither list.
+test('cell: a run that may have ended beyond the ends that a target lists at a time does not start again', () => {
+  const harness = createHarnessWithTarget()
+  harness.publishTarget(buildEntry('t2'))
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', {}) })
+  const [start] = harness.getStarts()
+  harness.acceptStart(start!)
+  harness.now += 100
+  const ended = Array.from({ length: LISTED_ENDS }, (_, index) => ({ number: index + 1, task: `old.0.0.${index}`, run: 1, outcome: 'done' as const, checkpoint: '' }))
+  harness.listTarget(start!.target, { ended })
+  assert.equal(harness.getStarts().length, 1)
+})
+
+// TWICE: a stored target without an entry may have restarted and hold its runs for 10 s; the next owner counted 3.5 s.
+test('cell: the next owner waits for the longest lease of a stored target that is not published', () => {
+  const scheduler = CellScheduler.create(OPTIONS)
+  scheduler.expectEarlierRuns()
+  scheduler.apply({ type: 'targets-stored', ids: ['t1'] }, 1_000)
+  assert.equal(scheduler.longestEarlierLeaseMs, LONGEST_LEASE_MS)
+})
+
+// A takeover waited 10.3 s in place of 3.6 s for a new target on which no earlier owner can have started anything.
+test('cell: a target that was first stored by this owner does not lengthen the wait for the runs of earlier owners', () => {
+  const scheduler = CellScheduler.create(OPTIONS)
+  scheduler.expectEarlierRuns()
+  scheduler.apply({ type: 'targets-stored', ids: [] }, 1_000)
+  scheduler.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 900 }) }, 1_000)
+  scheduler.apply({ type: 'targets-stored', ids: ['t1'] }, 1_050)
+  assert.equal(scheduler.longestEarlierLeaseMs, LEASE_MS)
+})
+
+// A target that answered once under its id before it had published that life stays for the term, and each takeover waits for it.
+test('cell: a target whose next incarnation answers once, is never published and falls silent is forgotten', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'target-withdrawn', id: 't1' })
+  harness.listTarget('t1', { incarnation: 2, clockMs: 50 })
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  for (let seconds = 0; seconds < 60; seconds += 1) harness.advance(1_000)
+  assert.equal(harness.scheduler.getTarget('t1'), undefined)
+})
