--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -42,6 +42,20 @@
   assert.ok(harness.scheduler.getTarget('t1')!.getExpiryTime() >= sentAt + 12_000 + LONGEST_LEASE_MS)
 })
 
+// TWICE: the next owner took a target that had been forgotten and came back for one that no command of an earlier life can reach.
+test('cell: the next owner waits for the longest lease of a target that was forgotten and has come back', () => {
+  const harness = CellHarness.create([buildEntry('t1')], undefined, OPTIONS)
+  forget(harness, 't1')
+  harness.publishTarget(buildEntry('t1', { incarnation: 2 }))
+  const stored = harness.effects.flatMap((effect) => effect.type === 'store-targets' ? [effect] : []).at(-1)!
+  const next = CellScheduler.create(OPTIONS)
+  next.expectEarlierRuns()
+  next.apply({ type: 'incarnations-restored', incarnations: stored.incarnations }, harness.now)
+  next.apply({ type: 'targets-stored', ids: stored.ids }, harness.now)
+  next.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) }, harness.now)
+  assert.equal(next.longestEarlierLeaseMs, LONGEST_LEASE_MS)
+})
+
 // TWICE: a leader in its grace takes the runs of a restarted target for gone; its successor has adopted them and starts them again too.
 test('cell: tasks on a target that has restarted start again only once this owner was certainly alone after the restart', () => {
   const harness = createHarnessWithTarget()
