--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -45,6 +45,7 @@
 // TWICE: the next owner took a target that had been forgotten and came back for one that no command of an earlier life can reach.
 test('cell: the next owner waits for the longest lease of a target that was forgotten and has come back', () => {
   const harness = CellHarness.create([buildEntry('t1')], undefined, OPTIONS)
+  buildListRequest(harness.scheduler.getTarget('t1')!, harness.now, LEASE_MS)
   forget(harness, 't1')
   harness.publishTarget(buildEntry('t1', { incarnation: 2 }))
   const stored = harness.effects.flatMap((effect) => effect.type === 'store-targets' ? [effect] : []).at(-1)!
