Log why a task that lasts has no run, and until when it waits

What callers and operators saw: a task that lasts had no run for seconds, and nothing in the logs said why. `step-waiting` is written once for each reason and step, and not at all for tasks that are held back, that wait for the runs of earlier leaders, or whose run is booked on a silent target.

Change: four times a second a pass over the open steps that last finds the tasks without a run that their target confirms, and the reason for each, as a discriminated union. A line `task-without-run` is written after 2 s, when the reason changes, and every 2 s; ten lines a pass at most, the others are counted by reason in `tasks-without-run-left-out`. `earlier-runs-unsettled` names once a second the targets that a new leader cannot list. `cell-summary` counts the tasks and gives the longest time. No decision changes.

The scheduler doesn't know which earlier leaders are silent, so that `earlier-runs-unsettled` tells the targets only; `earlier-leader-silent` has the leaders.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -15,6 +15,7 @@
 import { NO_DEMAND, isFinalPhase } from './job.ts'
 import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
 import { KnownSettings } from './known-settings.ts'
+import { LastingTaskLog } from './lasting-task-log.ts'
 import { PendingAdvice } from './pending-advice.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
@@ -34,6 +35,7 @@
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
 import { recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
+import { UnsettledRunsLog } from './unsettled-runs-log.ts'
 
 /**
  * Number of targets that the searches of one start pass examine. The steps that are left are served by the next passes, so
@@ -89,7 +91,9 @@
       lastRunNumber: resolved.firstRunNumber - 1,
       startPassNeeded: false,
       passWork: { passes: 0, steps: 0, targets: 0 },
-      resendPause: ResendPause.create(resolved.resendAfterMs)
+      resendPause: ResendPause.create(resolved.resendAfterMs),
+      lastingTasks: LastingTaskLog.create(),
+      unsettledRuns: UnsettledRunsLog.create()
     })
   }
 
@@ -328,6 +332,8 @@
     for (const [id, { endedAt }] of state.endedJobs) {
       if (state.now - endedAt > state.options.endedJobRetentionMs) removeEndedJob(state, id)
     }
+    state.lastingTasks.update(state)
+    state.unsettledRuns.update(state)
     if (state.openSteps.size > 0) state.startPassNeeded = true
   }
 }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -7,6 +7,7 @@
 import { NO_DEMAND } from './job.ts'
 import type { OrganisationSettings, QueueSettings } from './job-settings.ts'
 import type { KnownSettings } from './known-settings.ts'
+import type { LastingTaskLog } from './lasting-task-log.ts'
 import type { OpenTargets } from './open-targets.ts'
 import type { CellOptions } from './options.ts'
 import type { ResendPause } from './resend-pause.ts'
@@ -16,6 +17,7 @@
 import type { Job, StepRun, Task } from './task.ts'
 import type { DepartedTarget } from './departed-targets.ts'
 import type { LiveRun } from './live-run.ts'
+import type { UnsettledRunsLog } from './unsettled-runs-log.ts'
 
 /** State of an ended job that is kept for the retention time, so that callers can read it. */
 export type EndedJob = { readonly phase: JobPhase, readonly endedAt: number }
@@ -84,6 +86,8 @@
   startPassNeeded: boolean
   readonly passWork: PassWork
   readonly resendPause: ResendPause
+  readonly lastingTasks: LastingTaskLog
+  readonly unsettledRuns: UnsettledRunsLog
 }
 
 /** Adds a log line to the effects. */
--- a/src/workflow/cell-summary.ts
+++ b/src/workflow/cell-summary.ts
@@ -24,6 +24,9 @@
   readonly longestUnadvisedMs: number
   /** Time that the channels to the advisor need for what accepted jobs wait for. */
   readonly adviceBacklogMs: number
+  /** Tasks that last and have no run that their targets confirm, and the longest time for which one has had none. */
+  readonly tasksWithoutRun: number
+  readonly longestWithoutRunMs: number
 }
 
 /** Builds the summary of a cell. Capacity and bookings count only targets that accept new tasks. */
@@ -47,7 +50,9 @@
     askingSteps: ready.filter((step) => step.advice.requestPending).length,
     unadvisedSteps: unadvised.length,
     longestUnadvisedMs: Math.round(Math.max(0, ...unadvised.map((step) => state.now - step.job.acceptedAt))),
-    adviceBacklogMs: Math.round(state.adviceBacklog.backlogMs)
+    adviceBacklogMs: Math.round(state.adviceBacklog.backlogMs),
+    tasksWithoutRun: state.lastingTasks.count,
+    longestWithoutRunMs: Math.round(state.lastingTasks.computeLongestWaitMs(state.now))
   }
 }
 
--- a/src/workflow/gang-placement.ts
+++ b/src/workflow/gang-placement.ts
@@ -1,6 +1,7 @@
 import { canStart, chooseTarget } from './placement.ts'
 import type { CellState } from './cell-state.ts'
 import { addRun } from './runs.ts'
+import type { Demand } from './job.ts'
 import type { LiveRun } from './live-run.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun } from './task.ts'
@@ -37,3 +38,8 @@
   }
   return placed
 }
+
+/** Demand of all tasks of a step. */
+export function computeTotalDemand ({ spec: { demand, count } }: StepRun): Demand {
+  return { cpuMillis: demand.cpuMillis * count, memoryMiB: demand.memoryMiB * count, accelerators: demand.accelerators * count }
+}
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -3,7 +3,7 @@
 import { findQueue, log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { beginTrials, giveUpIfExhausted } from './crashes.ts'
-import { placeGang } from './gang-placement.ts'
+import { computeTotalDemand, placeGang } from './gang-placement.ts'
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
 import { checkMaximum } from './organisation-maximum.ts'
@@ -139,11 +139,6 @@
   return true
 }
 
-function computeTotalDemand (step: StepRun): Demand {
-  const { demand, count } = step.spec
-  return { cpuMillis: demand.cpuMillis * count, memoryMiB: demand.memoryMiB * count, accelerators: demand.accelerators * count }
-}
-
 /** Sets the same checkpoint for all members of a gang, because they must start from the same one. */
 function alignCheckpoints (step: StepRun): void {
   const checkpoint = step.tasks.map((task) => task.checkpoint).sort().at(-1) ?? ''
--- a/src/workflow/start-refusal.ts
+++ b/src/workflow/start-refusal.ts
@@ -17,9 +17,15 @@
 }
 
 /** Whether the task waits before it starts again. */
-export function waitsAfterRefusal ({ refusal }: Task, now: number): boolean {
-  if (refusal === undefined) return false
-  return now - refusal.at < Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (refusal.count - 1))
+export function waitsAfterRefusal (task: Task, now: number): boolean {
+  return computeRemainingPauseMs(task, now) > 0
+}
+
+/** Time for which the task still waits after its last refusal, in milliseconds; 0 if it doesn't wait. */
+export function computeRemainingPauseMs ({ refusal }: Task, now: number): number {
+  if (refusal === undefined) return 0
+  const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (refusal.count - 1))
+  return Math.max(0, refusal.at + pauseMs - now)
 }
 
 /** Whether the target has refused the task so recently that another one may suit it better. */
--- a/src/workflow/uncertain-usage.ts
+++ b/src/workflow/uncertain-usage.ts
@@ -1,6 +1,7 @@
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
 import { NO_DEMAND, addDemands, maxDemand } from './job.ts'
+import { findUnlistedTargets } from './unlisted-targets.ts'
 
 /**
  * Computes the maximum usage of unknown runs: those of a previous owner on targets that have not been listed yet, and those
@@ -19,9 +20,6 @@
   const capacities = [...state.targets.values()].map(({ entry }) => entry.capacity)
   const largest = capacities.reduce(maxDemand, NO_DEMAND)
   let usage = NO_DEMAND
-  for (const id of new Set([...state.storedTargets, ...state.closedTargets.keys(), ...state.targets.keys()])) {
-    const target = state.targets.get(id)
-    if (target?.listed !== true) usage = addDemands(usage, target?.entry.capacity ?? largest)
-  }
+  for (const id of findUnlistedTargets(state)) usage = addDemands(usage, state.targets.get(id)?.entry.capacity ?? largest)
   return usage
 }
--- /dev/null
+++ b/src/workflow/unsettled-runs-log.ts
@@ -0,0 +1,43 @@
+import { log } from './cell-state.ts'
+import type { CellState } from './cell-state.ts'
+import { computeLongestEarlierLeaseMs } from './earlier-leases.ts'
+import { formatTargets } from './task-wait-fields.ts'
+import { findUnlistedTargets } from './unlisted-targets.ts'
+
+const LOG_INTERVAL_MS = 1_000
+
+/** Logs which targets a new owner cannot list, while it waits for the runs of previous owners. */
+export class UnsettledRunsLog {
+  private waitsSince: number | undefined
+  private lastWrittenAt = 0
+
+  private constructor () {}
+
+  /**
+   * Creates a log of a wait that has not begun.
+   *
+   * @example
+   * const unsettledRuns = UnsettledRunsLog.create()
+   * unsettledRuns.update(state)
+   */
+  static create (): UnsettledRunsLog {
+    return new UnsettledRunsLog()
+  }
+
+  /** Writes a line if the last one is old enough. */
+  update (state: CellState): void {
+    const { earlierRunsPossible, heldBackTasks, now } = state
+    if (!earlierRunsPossible && heldBackTasks.size === 0) {
+      this.waitsSince = undefined
+      return
+    }
+    if (this.waitsSince === undefined) {
+      this.waitsSince = now
+      this.lastWrittenAt = now
+    }
+    if (now - this.lastWrittenAt < LOG_INTERVAL_MS) return
+    this.lastWrittenAt = now
+    const counts = { waitedMs: Math.round(now - this.waitsSince), earlierRunsPossible, heldBackTasks: heldBackTasks.size }
+    log(state, 'info', 'earlier-runs-unsettled', { ...counts, ...formatTargets(findUnlistedTargets(state)), longestLeaseMs: computeLongestEarlierLeaseMs(state) })
+  }
+}
