Check in the soak that tasks that last have a run again in time

The soak could not show that a task that lasts stays without a run: such jobs were cancelled after 9 s at most, and no check knew the sentence of LOST about them. Now most of them last until the traffic is over, as long as they take up at most a quarter of the capacity, and a task that has had a run and has none for 3 s on end, counted from 6 s after its last one, is a breach if these 3 s and the 4 s before were free of any fault and there was room for it twice over. Each seed prints the longest gap.

A fault counts until what it brings about later is over: late writes, claimants whose link is cut, winners that are killed. The check of broken requests still counts unplanned disruptions alone, as before.

RunHistory.create takes an options object, since the check needs to know the workers that are available. Existing cases of run-history.test.ts are unchanged; the stub cell of store-trouble.test.ts got the new method.

Evidence: test/soak/run-history.test.ts has a row for each condition that makes a breach and for each that excuses one.

--- a/soak/inject-fault.ts
+++ b/soak/inject-fault.ts
@@ -20,7 +20,7 @@
 export async function injectFault (cell: SoakCell, fault: SoakFault): Promise<void> {
   const isUnplanned = !PLANNED_FAULTS.includes(fault.type)
   if (isUnplanned) cell.history.recordDisruption(performance.now(), false)
-  await causeFault(cell, fault)
+  await cell.countAsFault(causeFault(cell, fault))
   if (isUnplanned) cell.history.recordDisruption(performance.now(), true)
 }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -8,6 +8,7 @@
 
 const EXIT_FAILED = 1
 const DEFAULT_SEED_RANGE = 1_000_000
+const MS_PER_SECOND = 1_000
 const SCHEDULE_FILE = 'schedule.json'
 const BUILT_BUNDLE = 'target/damaskfield-platform.mjs'
 /** Range of loopback subnets. Each process uses one, so that concurrent runs do not share addresses. */
@@ -49,7 +50,7 @@
 
   private async runSeed (seed: number, bundle: string): Promise<boolean> {
     const folder = mkdtempSync(join(tmpdir(), `damaskfield-soak-${seed}-`))
-    const { schedule, accepted, refused, doubtful, breaches } = await runSoak({
+    const { schedule, accepted, refused, doubtful, breaches, longestGapMs } = await runSoak({
       seed,
       seconds: Number(this.seconds),
       members: Number(this.members),
@@ -64,7 +65,7 @@
       subnet: FIRST_SUBNET + process.pid % SUBNET_COUNT
     })
     const { stdout } = this.context
-    stdout.write(`seed ${seed}: ${schedule.length} faults, ${accepted} jobs accepted, ${refused} refused, ${doubtful} in doubt, ${breaches.length} breaches\n`)
+    stdout.write(`seed ${seed}: ${schedule.length} faults, ${accepted} jobs accepted, ${refused} refused, ${doubtful} in doubt, longest gap ${(longestGapMs / MS_PER_SECOND).toFixed(1)} s, ${breaches.length} breaches\n`)
     for (const breach of breaches) stdout.write(`  ${breach}\n`)
     if (breaches.length === 0 && !this.keepLogs) rmSync(folder, { recursive: true })
     else this.keepLogsOf(folder, schedule)
--- a/soak/run-history.ts
+++ b/soak/run-history.ts
@@ -1,4 +1,7 @@
 import type { WorkerEvent } from '../platform/standin/worker-server.ts'
+import { getStepName } from '../platform/standin/worker-task.ts'
+import { Disruptions } from './disruptions.ts'
+import { LastingTasks } from './lasting-tasks.ts'
 import type { SoakJob, SoakStep } from './soak-jobs.ts'
 
 type WorkerStart = Extract<WorkerEvent, { type: 'started' }>
@@ -30,6 +33,16 @@
 /** A task of a submitted job and its step. */
 type KnownTask = { readonly id: string, readonly job: SoakJob, readonly step: SoakStep, readonly occurrence: number }
 
+export type RunHistoryOptions = {
+  /** The CPU capacity of each worker. */
+  readonly capacityCpuMillis: number
+  readonly getDomain: (worker: string) => string
+  /** Returns the workers that are up, published and not draining, and on which the advisor lets a step run. */
+  readonly findWorkers: (stepName: string) => readonly string[]
+}
+
+/** A task that lasts must have a run only while there is room for it this many times. */
+const MIN_ROOM = 2
 /** Tasks of a cancelled job may still start for this time after the cancellation was acknowledged (`cancel_ms`). */
 const CANCEL_GRACE_MS = 3_000
 /** Tasks may still start in a failure domain for this time after its evacuation was requested (`evacuateMs`). */
@@ -50,7 +63,7 @@
  * is a text that starts with the name of the rule.
  */
 export class RunHistory {
-  readonly breaches: string[] = []
+  private readonly recorded: string[] = []
   private readonly jobs = new Map<string, SoakJob>()
   private readonly tasks = new Map<string, TaskHistory>()
   /** By task, or by gang. */
@@ -62,20 +75,30 @@
   private readonly completedAtMs = new Map<string, number>()
   /** Start of the evacuation by failure domain. */
   private readonly evacuatedSinceMs = new Map<string, number>()
-  private currentDisruptions = 0
-  private lastDisruptionEndMs = -Infinity
+  private readonly unplannedDisruptions = Disruptions.create()
+  private readonly faults = Disruptions.create()
+  private readonly lasting = LastingTasks.create(this.faults, ({ id, step }) => this.countRoom(getStepName(id), step) >= MIN_ROOM)
 
-  private constructor (private readonly capacityCpuMillis: number, private readonly getDomain: (worker: string) => string) {}
+  private constructor (private readonly options: RunHistoryOptions) {}
 
   /**
-   * Creates a history for workers that all have the same CPU capacity.
+   * Creates a history.
    *
    * @example
-   * const history = RunHistory.create(16_000, () => 'east')
+   * const history = RunHistory.create({ capacityCpuMillis: 16_000, getDomain: () => 'east', findWorkers: () => ['w1'] })
    * history.recordWorkerEvent('w1', { type: 'started', task: 'a.0.0.0', run: 1 }, performance.now())
    */
-  static create (capacityCpuMillis: number, getDomain: (worker: string) => string): RunHistory {
-    return new RunHistory(capacityCpuMillis, getDomain)
+  static create (options: RunHistoryOptions): RunHistory {
+    return new RunHistory(options)
+  }
+
+  get breaches (): readonly string[] {
+    return [...this.recorded, ...this.lasting.breaches]
+  }
+
+  /** The longest time for which a task that lasts had no run after its first one. */
+  get longestGapMs (): number {
+    return this.lasting.longestGapMs
   }
 
   /** Records that the operator evacuates a failure domain, or puts it back into service if `sinceMs` is undefined. */
@@ -86,8 +109,17 @@
 
   /** Records that an unplanned disruption begins or, with `ended`, that it is over. */
   recordDisruption (atMs: number, ended: boolean): void {
-    this.currentDisruptions += ended ? -1 : 1
-    this.lastDisruptionEndMs = atMs
+    this.unplannedDisruptions.record(atMs, ended ? 'ends' : 'begins')
+  }
+
+  /** Records that a fault begins or ends, planned work included. */
+  recordFault (atMs: number, change: 'begins' | 'ends'): void {
+    this.faults.record(atMs, change)
+  }
+
+  /** Checks that tasks that last have a run again in time; must be called often. */
+  checkLastingTasks (nowMs: number): void {
+    this.lasting.check(nowMs)
   }
 
   /** Records a request whose connection has ended without a complete response. */
@@ -100,6 +132,11 @@
     this.jobs.set(job.id, job)
   }
 
+  /** Records that the submission of a job was acknowledged. */
+  recordAcceptance (id: string): void {
+    this.lasting.recordAcceptance(id)
+  }
+
   /** Records that every attempt to submit the job was refused. */
   recordRefusal (id: string): void {
     this.refusedJobs.add(id)
@@ -108,6 +145,7 @@
 
   recordCancellation (id: string, atMs: number): void {
     this.cancelledAtMs.set(id, atMs)
+    this.lasting.recordCancellation(id)
   }
 
   /** Checks a job state that was returned to a caller. */
@@ -133,14 +171,26 @@
   recordWorkerEvent (worker: string, event: WorkerEvent, atMs: number): void {
     switch (event.type) {
       case 'started': return this.recordStart(worker, event, atMs)
-      case 'ended': return this.recordCompletion(worker, event)
+      case 'ended': return this.recordCompletion(worker, event, atMs)
       case 'acknowledged': return this.recordAcknowledgement(worker, event, atMs)
-      case 'crashed':
-        this.bookedCpuMillis.set(worker, 0)
-        for (const { running } of this.tasks.values()) for (const [name, run] of running) if (run.worker === worker) running.delete(name)
+      case 'crashed': return this.recordCrash(worker, atMs)
     }
   }
 
+  private recordCrash (worker: string, atMs: number): void {
+    this.bookedCpuMillis.set(worker, 0)
+    for (const [taskId, { running }] of this.tasks) {
+      for (const [name, run] of running) if (run.worker === worker && running.delete(name)) this.recordIdleTask(taskId, run.text, 'died', atMs)
+    }
+  }
+
+  /** Records the end of a run of a task that lasts, unless it has another one. */
+  private recordIdleTask (taskId: string, text: string, how: string, atMs: number): void {
+    const known = this.findKnownTask(taskId)
+    if (known?.step.longRunning !== true || this.getTask(taskId).running.size > 0) return
+    this.lasting.recordEnd({ id: taskId, jobId: known.job.id, step: known.step }, { text, how, endedAtMs: atMs })
+  }
+
   private recordStart (worker: string, event: WorkerStart, atMs: number): void {
     const known = this.findKnownTask(event.task)
     if (known === undefined) return this.recordBreach('UNASKED', `${event.task} does not belong to a submitted job`)
@@ -156,10 +206,13 @@
     // Bounds of time do not hold for an order that was held up.
     if (lateByMs === undefined) this.checkPermission(known, worker, atMs)
     task.running.set(`${worker}/${run}`, { worker, text, startedAtMs: atMs })
+    this.lasting.recordStart(known.id, atMs)
     this.checkSpread(known, worker)
     const bookedCpuMillis = (this.bookedCpuMillis.get(worker) ?? 0) + known.step.cpuMillis
     this.bookedCpuMillis.set(worker, bookedCpuMillis)
-    if (bookedCpuMillis > this.capacityCpuMillis) this.recordBreach('LIMIT', `${known.id} raises the booked CPU of ${worker} to ${bookedCpuMillis} of ${this.capacityCpuMillis}: ${text}`)
+    const { capacityCpuMillis } = this.options
+    if (bookedCpuMillis > capacityCpuMillis) this.recordBreach('LIMIT', `${known.id} raises the booked CPU of ${worker} to ${bookedCpuMillis} of ${capacityCpuMillis}: ${text}`)
+    this.lasting.check(atMs)
   }
 
   /** Checks that a start does not repeat work that is in progress or done. */
@@ -194,21 +247,37 @@
   private checkPermission ({ id, job }: KnownTask, worker: string, atMs: number): void {
     const cancelledAtMs = this.cancelledAtMs.get(job.id)
     if (cancelledAtMs !== undefined && atMs > cancelledAtMs + CANCEL_GRACE_MS) this.recordBreach('UNASKED', `${id} starts ${Math.round(atMs - cancelledAtMs)} ms after its cancellation was acknowledged`)
-    const evacuatedSinceMs = this.evacuatedSinceMs.get(this.getDomain(worker))
+    const evacuatedSinceMs = this.evacuatedSinceMs.get(this.options.getDomain(worker))
     if (evacuatedSinceMs !== undefined && atMs > evacuatedSinceMs + EVACUATION_GRACE_MS) this.recordBreach('EVAC', `${id} starts on ${worker} ${Math.round(atMs - evacuatedSinceMs)} ms after the evacuation of its failure domain`)
   }
 
   private checkSpread ({ id, step }: KnownTask, worker: string): void {
     if (step.perTargetLimit === undefined) return
-    const stepName = id.slice(0, id.lastIndexOf('.'))
-    const tasks = Array.from({ length: step.count }, (_, index) => this.tasks.get(`${stepName}.${index}`))
-    const count = tasks.filter((task) => task !== undefined && [...task.running.values()].some((run) => run.worker === worker)).length
+    const count = this.countOnWorker(getStepName(id), step, worker)
     if (count > step.perTargetLimit) this.recordBreach('ROUTE', `${id} is one of ${count} tasks of its step on ${worker}, where ${step.perTargetLimit} may run`)
   }
 
-  private recordCompletion (worker: string, { task: taskId, run, outcome }: WorkerCompletion): void {
+  /** Number of tasks of a step that run on a worker. */
+  private countOnWorker (stepName: string, { count }: SoakStep, worker: string): number {
+    const tasks = Array.from({ length: count }, (_, index) => this.tasks.get(`${stepName}.${index}`))
+    return tasks.filter((task) => task !== undefined && [...task.running.values()].some((run) => run.worker === worker)).length
+  }
+
+  /** Number of further tasks of a step that the workers could run. */
+  private countRoom (stepName: string, step: SoakStep): number {
+    const { capacityCpuMillis, findWorkers, getDomain } = this.options
+    const rooms = findWorkers(stepName).filter((worker) => !this.evacuatedSinceMs.has(getDomain(worker))).map((worker) => {
+      const fitting = Math.floor((capacityCpuMillis - (this.bookedCpuMillis.get(worker) ?? 0)) / step.cpuMillis)
+      const permitted = step.perTargetLimit === undefined ? fitting : step.perTargetLimit - this.countOnWorker(stepName, step, worker)
+      return Math.max(0, Math.min(fitting, permitted))
+    })
+    return rooms.reduce((sum, room) => sum + room, 0)
+  }
+
+  private recordCompletion (worker: string, { task: taskId, run, outcome }: WorkerCompletion, atMs: number): void {
     const { running, work } = this.getTask(taskId)
     if (!running.delete(`${worker}/${run}`)) return
+    this.recordIdleTask(taskId, describeRun(worker, run), outcome, atMs)
     this.bookedCpuMillis.set(worker, (this.bookedCpuMillis.get(worker) ?? 0) - (this.findKnownTask(taskId)?.step.cpuMillis ?? 0))
     if (outcome === 'done') {
       work.done = true
@@ -238,7 +307,7 @@
   }
 
   private isCalmSince (sentAtMs: number): boolean {
-    return this.currentDisruptions === 0 && this.lastDisruptionEndMs < sentAtMs - CALM_MS
+    return this.unplannedDisruptions.isCalmSince(sentAtMs - CALM_MS)
   }
 
   private findKnownTask (id: string): KnownTask | undefined {
@@ -258,7 +327,7 @@
   }
 
   private getWork (taskId: string): WorkHistory {
-    const name = this.findKnownTask(taskId)?.step.gang === true ? taskId.slice(0, taskId.lastIndexOf('.')) : taskId
+    const name = this.findKnownTask(taskId)?.step.gang === true ? getStepName(taskId) : taskId
     const existing = this.works.get(name)
     if (existing !== undefined) return existing
     const work: WorkHistory = { startsAfterDone: new Map(), done: false, doneAcknowledgedAtMs: undefined, lapsedAcknowledgedAtMs: Infinity, failures: 0 }
@@ -275,7 +344,7 @@
   }
 
   private recordBreach (rule: string, detail: string): void {
-    this.breaches.push(`${rule}: ${detail} (${new Date().toISOString()})`)
+    this.recorded.push(`${rule}: ${detail} (${new Date().toISOString()})`)
   }
 }
 
--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -4,6 +4,7 @@
 import type { SoakCell } from './soak-cell.ts'
 import { ADVISED_QUEUE, MAX_ATTEMPTS, QUEUES, SOAK_HOST, SOAK_KEY } from './soak-cell.ts'
 import { createSoakJob } from './soak-jobs.ts'
+import type { SoakJob } from './soak-jobs.ts'
 
 const DEADLINE_MS = 3_000
 const MAX_REQUEST_ATTEMPTS = 4
@@ -14,6 +15,8 @@
 const SEED_RANGE = 1_000_000_000
 /** Errors of a connection that ends. Refused connections and timeouts have others. */
 const ENDED_CONNECTION_CODES: readonly string[] = ['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']
+/** Ratio of the capacity that jobs may take up that run until the traffic is over. */
+const OUTLASTING_CPU_RATIO = 0.25
 const FINAL_STATES: readonly string[] = ['completed', 'failed', 'cancelled']
 
 type CallerResponse = { readonly status: number, readonly body: unknown }
@@ -28,6 +31,8 @@
 
   /** Accepted jobs that run until they are cancelled. */
   private readonly lastingIds = new Set<string>()
+  /** Demand of the jobs that run until the traffic is over. */
+  private outlastingCpuMillis = 0
   private readonly jobSeed: number
 
   private constructor (private readonly cell: SoakCell, private readonly random: Random, private readonly jobKinds: readonly string[]) {
@@ -45,17 +50,27 @@
     const id = number.toString(16).padStart(16, '0')
     const queue = QUEUES[random.nextInt(QUEUES.length)]!
     const queryDelayMs = QUERY_DELAY_MS.min + random.nextInt(QUERY_DELAY_MS.spread)
-    const { kind, job, body, cancelAfterMs } = createSoakJob(random, id, { maxAttempts: MAX_ATTEMPTS, needsTicket: queue === ADVISED_QUEUE, kinds: this.jobKinds })
+    const { kind, job, body, cancelAfterMs, mayOutlastTraffic } = createSoakJob(random, id, { maxAttempts: MAX_ATTEMPTS, needsTicket: queue === ADVISED_QUEUE, kinds: this.jobKinds })
     const path = `/${queue}/${id}`
     this.cell.history.recordSubmission(job)
     if (!await this.submit(path, body, id)) return
     this.acceptedPaths.set(id, path)
+    this.cell.history.recordAcceptance(id)
     if (kind === 'lasting') this.lastingIds.add(id)
-    await wait(cancelAfterMs ?? queryDelayMs)
-    if (cancelAfterMs !== undefined) await this.cancel(path, id)
+    const cancelledAfterMs = mayOutlastTraffic && this.reserveCpu(job) ? undefined : cancelAfterMs
+    await wait(cancelledAfterMs ?? queryDelayMs)
+    if (cancelledAfterMs !== undefined) await this.cancel(path, id)
     else await this.queryState(path, id)
   }
 
+  /** Reserves capacity for a job until the traffic is over. Returns whether there was enough. */
+  private reserveCpu ({ steps }: SoakJob): boolean {
+    const cpuMillis = this.outlastingCpuMillis + steps.reduce((sum, step) => sum + step.count * step.cpuMillis, 0)
+    if (cpuMillis > OUTLASTING_CPU_RATIO * this.cell.capacityCpuMillis) return false
+    this.outlastingCpuMillis = cpuMillis
+    return true
+  }
+
   /** Cancels the jobs that last, and polls accepted jobs until all have reached a final state or the deadline has passed. Returns the ids of the unfinished jobs. */
   async waitForFinalStates (deadline: number): Promise<readonly string[]> {
     const unfinished = new Map(this.acceptedPaths)
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
 import { ProcessMember } from '../faults/processes/process-member.ts'
-import { listenAdvisor } from '../platform/standin/advisor-server.ts'
+import { isGoodWorker, listenAdvisor } from '../platform/standin/advisor-server.ts'
 import { GangRegistry } from '../platform/standin/gang-registry.ts'
 import type { JsonServer } from '../platform/standin/json-server.ts'
 import { KvServer } from '../platform/standin/kv-server.ts'
@@ -34,6 +34,8 @@
 /** Number of different delays of slow workers. */
 const DELAY_STEPS = 4
 const RESTART_DELAY_MS = 300
+/** Time between two checks that tasks that last have a run. */
+const LASTING_CHECK_INTERVAL_MS = 100
 const FIRST_HOST_NUMBER = 2
 const ADVICE = { decisionMs: 28, eachMs: 0.4, validityMs: 2_000 }
 /** Ratio of workers that may run a step, in a cell that is large enough for a policy. */
@@ -83,11 +85,13 @@
   private isClosing = false
 
   private readonly operator: StandinOperator
+  private readonly lastingCheck: NodeJS.Timeout
   /** The events of all workers. */
   private readonly workerLog: WriteStream
 
   private constructor (readonly kv: KvServer, private readonly advisor: JsonServer, readonly advisorLink: LoopbackProxy, readonly history: RunHistory, private readonly options: SoakCellOptions) {
     this.operator = StandinOperator.create(kv)
+    this.lastingCheck = setInterval(() => history.checkLastingTasks(performance.now()), LASTING_CHECK_INTERVAL_MS)
     this.workerLog = createWriteStream(join(options.folder, 'workers.log'))
   }
 
@@ -95,8 +99,13 @@
   static async start (options: SoakCellOptions): Promise<SoakCell> {
     mkdirSync(options.folder, { recursive: true })
     const kv = await KvServer.listen()
-    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio: options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO, getIncarnation: (id) => cell.servers.get(id)?.startedAtMs })
-    const history = RunHistory.create(WORKER_CPU_MILLIS, (worker) => getFailureDomain(Number(worker.slice(1))))
+    const goodRatio = options.workers < MIN_WORKERS_WITH_POLICY ? 1 : GOOD_WORKERS_RATIO
+    const advisor = await listenAdvisor({ advice: ADVICE, goodRatio, getIncarnation: (id) => cell.servers.get(id)?.startedAtMs })
+    const history = RunHistory.create({
+      capacityCpuMillis: WORKER_CPU_MILLIS,
+      getDomain: (worker) => getFailureDomain(Number(worker.slice(1))),
+      findWorkers: (stepName) => cell.workers.filter(({ isAvailable, server }) => isAvailable && isGoodWorker(stepName, server.id, goodRatio)).map(({ server }) => server.id)
+    })
     const cell: SoakCell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
     for (let index = 0; index < options.workers; index += 1) cell.workers.push(await cell.startWorker())
@@ -108,6 +117,11 @@
     return this.members.map(({ options }) => getCallerAddress(options))
   }
 
+  /** CPU capacity of all workers. */
+  get capacityCpuMillis (): number {
+    return this.workers.length * WORKER_CPU_MILLIS
+  }
+
   /** Index of the member whose claim the store has recorded last; undefined if no member leads. */
   findLeader (): number | undefined {
     const value = this.kv.read(LEADER_KEY)
@@ -172,6 +186,16 @@
     }
   }
 
+  /** Counts what a fault brings about as a fault until it is over. */
+  async countAsFault (effect: Promise<void>): Promise<void> {
+    this.history.recordFault(performance.now(), 'begins')
+    try {
+      await effect
+    } finally {
+      this.history.recordFault(performance.now(), 'ends')
+    }
+  }
+
   async pauseMember (index: number, ms: number): Promise<void> {
     const { process } = this.members[index]!
     process.signal('SIGSTOP')
@@ -218,6 +242,7 @@
 
   async close (): Promise<void> {
     this.isClosing = true
+    clearInterval(this.lastingCheck)
     for (const { process } of this.members) process.signal('SIGKILL')
     await Promise.all(this.members.map(({ process }) => process.waitForExit()))
     for (const { storeLink, output } of this.members) {
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -24,6 +24,8 @@
   readonly refused: number
   readonly doubtful: number
   readonly breaches: readonly string[]
+  /** The longest time for which a task that lasts had no run after its first one. */
+  readonly longestGapMs: number
 }
 
 const STARTUP_MS = 2_500
@@ -48,7 +50,7 @@
     const unfinished = await callers.waitForFinalStates(performance.now() + FINISH_TIMEOUT_MS)
     const lost = unfinished.map((id) => `LOST: ${id} was accepted and has not ended${cell.history.isDone(id) ? ', although all its tasks have' : ''}`)
     const { refusedJobs: refused, doubtfulJobs: doubtful } = callers
-    return { seed: options.seed, schedule, accepted: callers.acceptedPaths.size, refused, doubtful, breaches: [...cell.history.breaches, ...lost] }
+    return { seed: options.seed, schedule, accepted: callers.acceptedPaths.size, refused, doubtful, breaches: [...cell.history.breaches, ...lost], longestGapMs: cell.history.longestGapMs }
   } finally {
     await callers.close()
     await cell.close()
--- a/soak/soak-worker.ts
+++ b/soak/soak-worker.ts
@@ -15,6 +15,7 @@
 /** A stand-in worker, its entry in the store and the link on which the members reach it. */
 export class SoakWorker {
   private state: 'ready' | 'draining' | 'left' = 'ready'
+  private isPublished = false
 
   private constructor (readonly server: WorkerServer, readonly link: LoopbackProxy, private readonly kv: KvServer, readonly domain: string) {}
 
@@ -26,6 +27,11 @@
     return worker
   }
 
+  /** Whether the worker is published and takes tasks. */
+  get isAvailable (): boolean {
+    return this.state === 'ready' && this.isPublished
+  }
+
   /** Loses all state and starts again under the same id. */
   crash (): void {
     this.restart()
@@ -81,10 +87,13 @@
   }
 
   private register (): void {
-    if (this.state !== 'left') this.kv.put(this.key, this.server.createEntry(this.state, this.link.address, this.domain))
+    if (this.state === 'left') return
+    this.kv.put(this.key, this.server.createEntry(this.state, this.link.address, this.domain))
+    this.isPublished = true
   }
 
   private unregister (): void {
     this.kv.remove(this.key)
+    this.isPublished = false
   }
 }
--- a/soak/store-trouble.ts
+++ b/soak/store-trouble.ts
@@ -1,6 +1,6 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { asJsonObject, asList, asString } from '../platform/json.ts'
-import type { JsonRequest } from '../platform/standin/json-server.ts'
+import type { JsonRequest, JsonResponse } from '../platform/standin/json-server.ts'
 import { withholdResponse } from '../platform/standin/kv-server.ts'
 import type { KvDisturbance, KvRefusal } from '../platform/standin/kv-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
@@ -36,7 +36,7 @@
 const LOST_RESPONSES_RATIO = 0.3
 
 /** The parts of a cell that a trouble of the store needs. */
-export type TroubledCell = Pick<SoakCell, 'kv' | 'members' | 'findMember' | 'restartMember'>
+export type TroubledCell = Pick<SoakCell, 'kv' | 'members' | 'findMember' | 'restartMember' | 'countAsFault'>
 
 /** Causes a trouble of the store and ends it after its duration. */
 export async function troubleStore (cell: TroubledCell, trouble: StoreTrouble, forMs: number, random: Random): Promise<void> {
@@ -56,19 +56,17 @@
       if (claimant === undefined || response === 'drop' || response.status !== 200 || claimsLeft === 0) return response
       claimsLeft -= 1
       const state = random.next() < 0.5 ? 'reset' : 'silent'
-      disturbStoreLink(cell, claimant, state, UNANSWERED_MS.min + random.nextInt(UNANSWERED_MS.spread))
+      cell.countAsFault(disturbStoreLink(cell, claimant, state, UNANSWERED_MS.min + random.nextInt(UNANSWERED_MS.spread))).catch(() => {})
       return withholdResponse()
     }
     case 'claims-late': return async (request, serve) => {
       if (findClaimant(cell, request) === undefined) return serve()
-      await wait(random.nextInt(MAX_LATE_CLAIM_MS))
-      await serve()
+      await cell.countAsFault(serveLate(serve, random.nextInt(MAX_LATE_CLAIM_MS)))
       return withholdResponse()
     }
     case 'writes-late': return async (request, serve) => {
       if (!isWrite(request) || random.next() >= LATE_WRITES_RATIO) return serve()
-      await wait(LATE_WRITE_MS.min + random.nextInt(LATE_WRITE_MS.spread))
-      await serve()
+      await cell.countAsFault(serveLate(serve, LATE_WRITE_MS.min + random.nextInt(LATE_WRITE_MS.spread)))
       return withholdResponse()
     }
     case 'slow': return async (request, serve) => {
@@ -84,7 +82,7 @@
     case 'winners-killed': return async (request, serve) => {
       const response = await serve()
       const claimant = findClaimant(cell, request)
-      if (claimant !== undefined) killLater(cell, claimant, random.nextInt(MAX_WINNER_LIFE_MS))
+      if (claimant !== undefined) cell.countAsFault(killLater(cell, claimant, random.nextInt(MAX_WINNER_LIFE_MS))).catch(() => {})
       return response
     }
     default: return assertNever(trouble)
@@ -118,12 +116,19 @@
   }
 }
 
-function disturbStoreLink (cell: TroubledCell, member: number, state: 'reset' | 'silent', forMs: number): void {
+async function serveLate (serve: () => Promise<JsonResponse>, afterMs: number): Promise<void> {
+  await wait(afterMs)
+  await serve()
+}
+
+async function disturbStoreLink (cell: TroubledCell, member: number, state: 'reset' | 'silent', forMs: number): Promise<void> {
   const { storeLink } = cell.members[member]!
   storeLink.setState(state)
-  setTimeout(() => storeLink.setState('open'), forMs)
+  await wait(forMs)
+  storeLink.setState('open')
 }
 
-function killLater (cell: TroubledCell, member: number, afterMs: number): void {
-  setTimeout(() => { cell.restartMember(member, 'SIGKILL').catch(() => {}) }, afterMs)
+async function killLater (cell: TroubledCell, member: number, afterMs: number): Promise<void> {
+  await wait(afterMs)
+  await cell.restartMember(member, 'SIGKILL')
 }
--- a/test/soak/run-history.test.ts
+++ b/test/soak/run-history.test.ts
@@ -127,7 +127,7 @@
 
 for (const { scenario, entries, breach } of [...histories, ...kinds]) {
   test(`soak history: ${scenario}${breach === undefined ? '' : ' is reported'}`, () => {
-    const history = RunHistory.create(2_000, () => 'west')
+    const history = RunHistory.create({ capacityCpuMillis: 2_000, getDomain: () => 'west', findWorkers: () => [] })
     for (const job of JOBS) history.recordSubmission(job)
     for (const entry of entries) {
       if ('worker' in entry) history.recordWorkerEvent(entry.worker, entry.event, entry.at)
@@ -142,3 +142,86 @@
     else assert.match(history.breaches[0] ?? '', breach)
   })
 }
+
+type LastingEntry =
+  | { readonly at: number, readonly worker: string, readonly event: WorkerEvent }
+  | { readonly at: number, readonly caller: 'accepted' | 'cancelled', readonly job?: string }
+  | { readonly at: number, readonly evacuated: string }
+  | { readonly at: number, readonly fault: 'begins' | 'ends' }
+  | { readonly at: number, readonly available: readonly string[] }
+
+type LastingCase = { readonly scenario: string, readonly entries: readonly LastingEntry[], readonly until: number, readonly breaches: readonly RegExp[] }
+
+const CHECK_INTERVAL_MS = 100
+
+/** A task that lasts, whose worker crashes after a second. Its two workers have room for two tasks each. */
+const workerCrashes: readonly LastingEntry[] = [
+  { at: 0, caller: 'accepted' },
+  { at: 0, worker: 'w3', event: startedEvent('l.0.0.0') },
+  { at: 1_000, worker: 'w3', event: { type: 'crashed' } }
+]
+
+const NO_RUN = /^LOST: l\.0\.0\.0 has had no run for 9\.[0-9] s since run 1 of term 1 on w3 ended as died/
+
+const lastingCases: readonly LastingCase[] = [
+  { scenario: 'nine seconds without a run after its worker has crashed', entries: workerCrashes, until: 10_200, breaches: [NO_RUN] },
+  { scenario: 'nine seconds without a run after its lease has lapsed', entries: [...workerCrashes.slice(0, 2), { at: 1_000, worker: 'w3', event: endedEvent('l.0.0.0', 'lapsed') }], until: 10_200, breaches: [/on w3 ended as lapsed/] },
+  { scenario: 'the whole time without a run', entries: [...workerCrashes, { at: 13_000, worker: 'w1', event: startedEvent('l.0.0.0', 2) }], until: 15_000, breaches: [/has had no run for 12\.0 s/] },
+  { scenario: 'each time without a run', entries: [...workerCrashes, { at: 11_000, worker: 'w1', event: startedEvent('l.0.0.0', 2) }, { at: 12_000, worker: 'w1', event: { type: 'crashed' } }], until: 21_200, breaches: [/10\.0 s since run 1 /, /9\.[0-9] s since run 2 .* on w1/] },
+  { scenario: 'no run while another task of its job has one', entries: [...workerCrashes, { at: 2_000, worker: 'w1', event: startedEvent('l.0.0.1') }], until: 10_200, breaches: [NO_RUN] },
+  { scenario: 'no run while the service is full but for the task twice over', entries: [...workerCrashes, { at: 2_000, worker: 'w1', event: startedEvent('a.0.0.0') }, { at: 2_000, worker: 'w2', event: startedEvent('a.0.0.1') }], until: 10_200, breaches: [NO_RUN] },
+  { scenario: 'no run seven seconds after a fault', entries: [...workerCrashes, { at: 2_000, fault: 'begins' }, { at: 3_500, fault: 'ends' }], until: 10_700, breaches: [/9\.[0-9] s since/] },
+  { scenario: 'no run for three seconds since there is room again', entries: [...workerCrashes, { at: 1_500, available: [] }, { at: 12_000, available: ['w1'] }], until: 15_200, breaches: [/14\.[0-9] s since/] },
+  { scenario: 'nothing in the first nine seconds', entries: workerCrashes, until: 9_900, breaches: [] },
+  { scenario: 'nothing if it has a run again before', entries: [...workerCrashes, { at: 9_900, worker: 'w1', event: startedEvent('l.0.0.0', 2) }], until: 20_000, breaches: [] },
+  { scenario: 'nothing in the seven seconds after a fault', entries: [...workerCrashes, { at: 2_000, fault: 'begins' }, { at: 3_500, fault: 'ends' }], until: 10_400, breaches: [] },
+  { scenario: 'nothing during a fault', entries: [...workerCrashes, { at: 2_000, fault: 'begins' }], until: 20_000, breaches: [] },
+  { scenario: 'nothing while one of two faults lasts', entries: [...workerCrashes, { at: 2_000, fault: 'begins' }, { at: 2_000, fault: 'begins' }, { at: 2_500, fault: 'ends' }], until: 20_000, breaches: [] },
+  { scenario: 'nothing with room for one only', entries: [...workerCrashes, { at: 1_500, available: ['w1'] }, { at: 2_000, worker: 'w1', event: startedEvent('a.0.0.0') }], until: 20_000, breaches: [] },
+  { scenario: 'nothing without an available worker', entries: [...workerCrashes, { at: 1_500, available: [] }], until: 20_000, breaches: [] },
+  { scenario: 'nothing while its failure domain is evacuated', entries: [...workerCrashes, { at: 2_000, evacuated: 'west' }], until: 20_000, breaches: [] },
+  { scenario: 'nothing before it has had room for three seconds on end', entries: [...workerCrashes, { at: 1_500, available: ['w1'] }, { at: 8_040, worker: 'w1', event: startedEvent('a.0.0.0') }, { at: 8_060, worker: 'w1', event: endedEvent('a.0.0.0', 'done') }], until: 11_000, breaches: [] },
+  { scenario: 'nothing after the caller has begun to cancel its job', entries: [...workerCrashes, { at: 9_900, caller: 'cancelled' }], until: 20_000, breaches: [] },
+  { scenario: 'nothing if its job was cancelled before', entries: [...workerCrashes.slice(0, 2), { at: 500, caller: 'cancelled' }, { at: 1_000, worker: 'w3', event: endedEvent('l.0.0.0', 'stopped') }], until: 20_000, breaches: [] },
+  { scenario: 'nothing if its job was not accepted', entries: workerCrashes.slice(1), until: 20_000, breaches: [] },
+  { scenario: 'nothing if it has never had a run', entries: workerCrashes.slice(0, 1), until: 20_000, breaches: [] },
+  { scenario: 'nothing but the second run while another of its runs is present', entries: [...workerCrashes.slice(0, 2), { at: 500, worker: 'w1', event: startedEvent('l.0.0.0', 2) }, { at: 1_000, worker: 'w3', event: { type: 'crashed' } }], until: 20_000, breaches: [/^TWICE/] },
+  { scenario: 'nothing where the limit of its step leaves room for one only', entries: [{ at: 0, caller: 'accepted', job: 'p' }, { at: 0, worker: 'w3', event: startedEvent('p.0.0.0') }, { at: 500, worker: 'w1', event: startedEvent('p.0.0.1') }, { at: 1_000, worker: 'w3', event: { type: 'crashed' } }], until: 20_000, breaches: [] },
+  { scenario: 'nothing of a task that does not last', entries: [{ at: 0, caller: 'accepted', job: 'a' }, { at: 0, worker: 'w3', event: startedEvent('a.0.0.0') }, { at: 1_000, worker: 'w3', event: { type: 'crashed' } }], until: 20_000, breaches: [] }
+]
+
+const LASTING_JOB: SoakJob = { ...JOB, id: 'l', steps: [{ count: 2, cpuMillis: 1_000, longRunning: true }] }
+
+/** Plays the entries and checks the tasks that last at every interval until the given time. */
+function playLastingCase ({ entries, until }: LastingCase): RunHistory {
+  let workers: readonly string[] = ['w1', 'w2']
+  const history = RunHistory.create({ capacityCpuMillis: 2_000, getDomain: () => 'west', findWorkers: () => workers })
+  for (const job of [...JOBS, LASTING_JOB]) history.recordSubmission(job)
+  const pending = [...entries]
+  for (let nowMs = 0; nowMs <= until; nowMs += CHECK_INTERVAL_MS) {
+    for (; pending.length > 0 && pending[0]!.at <= nowMs; pending.shift()) {
+      const entry = pending[0]!
+      if ('worker' in entry) history.recordWorkerEvent(entry.worker, entry.event, entry.at)
+      else if ('fault' in entry) history.recordFault(entry.at, entry.fault)
+      else if ('available' in entry) workers = entry.available
+      else if ('evacuated' in entry) history.recordEvacuation(entry.evacuated, entry.at)
+      else if (entry.caller === 'accepted') history.recordAcceptance(entry.job ?? LASTING_JOB.id)
+      else history.recordCancellation(LASTING_JOB.id, Infinity)
+    }
+    history.checkLastingTasks(nowMs)
+  }
+  return history
+}
+
+for (const lastingCase of lastingCases) {
+  test(`soak history: of a task that lasts, ${lastingCase.scenario} is reported`, () => {
+    const { breaches } = playLastingCase(lastingCase)
+    assert.equal(breaches.length, lastingCase.breaches.length, breaches.join('\n'))
+    for (const [index, breach] of lastingCase.breaches.entries()) assert.match(breaches[index]!, breach)
+  })
+}
+
+test('soak history: the longest time without a run is known, also if it was no breach', () => {
+  const entries: readonly LastingEntry[] = [...workerCrashes, { at: 2_000, fault: 'begins' }, { at: 8_000, worker: 'w1', event: startedEvent('l.0.0.0', 2) }]
+  assert.equal(playLastingCase({ scenario: '', entries, until: 9_000, breaches: [] }).longestGapMs, 7_000)
+})
--- a/test/soak/store-trouble.test.ts
+++ b/test/soak/store-trouble.test.ts
@@ -25,7 +25,7 @@
   // Writes that were applied at once, or against their condition, would show nothing about late ones.
   test(`store trouble: a late write is not answered and ${kept ? 'is applied seconds later' : 'has no effect if its condition does not hold then'}`, async () => {
     const kv = await KvServer.listen()
-    const cell: TroubledCell = { kv, members: [], findMember: () => undefined, restartMember: async () => {} }
+    const cell: TroubledCell = { kv, members: [], findMember: () => undefined, restartMember: async () => {}, countAsFault: (effect) => effect }
     try {
       const trouble = troubleStore(cell, 'writes-late', TROUBLE_MS, Random.create(7))
       const keys = Array.from({ length: WRITES }, (_, index) => `k${index}`)
