Check in the simulations that what waits is started in time

Callers see tasks that last, and jobs, that have nothing running for up to 20 s after targets have gone away, although there is room. The simulations required only that jobs end, so that any wait was good enough.

Cause (of the gap in the tests): there was no check with a time, tasks that last ran for 30 s at most and were cancelled earlier, and targets never went away for long.

Change: the option `lasting` adds tasks that last to the end and watches, each 100 ms of virtual time, whether a task that lasts is without a run from 6 s after its last one for 3 s that are calm with the 4 s before, while there is room for it twice over and its organisation uses less than half of its maximum; the same for other jobs, without the 6 s, while less than half of the capacity is in use. `leaving` takes targets away for 20 to 30 s, silent or refusing, some of them 0.5 to 20 s after a restart; `takingOver` lets leaders follow one another every 2 to 8 s. Targets that went away are calm; cut ones are not.

--- a/test/workflow/simulated-jobs.ts
+++ b/test/workflow/simulated-jobs.ts
@@ -7,6 +7,15 @@
 /** A task that lasts runs for this time at the most, in milliseconds. */
 export const LASTING_MS = 30_000
 
+/** A job whose tasks last for the whole simulation. */
+export const LASTING_JOB = buildJob('lasting', { count: 3, longRunning: true })
+
+/** Draws how long a run of a job's task lasts. */
+export function drawDurationMs (random: Random, { id, steps }: JobDefinition): number {
+  if (id === LASTING_JOB.id) return Infinity
+  return steps[0]!.longRunning ? LASTING_MS : 300 + random.nextInt(1_200)
+}
+
 /** Draws a job of two steps: plain tasks, a gang, or tasks of which copies may run. */
 export function drawJob (random: Random, id: string): JobDefinition {
   const count = 1 + random.nextInt(4)
--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -1,3 +1,4 @@
+import { NO_LISTENER } from '../../src/ports/command-client.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
 import { buildListRequest } from '../../src/workflow/list-request.ts'
 import type { TargetListing } from '../../src/workflow/target-entry.ts'
@@ -52,7 +53,8 @@
     if (restarted && simulation.restarting && occurs(BROKEN_REQUEST_RATIO)) return this.handleUnanswered(0)
     const request = buildListRequest(known, time.now, this.options.leaseMs)
     const sentAt = time.now
-    if (target.unreachableUntil > time.now) return this.handleUnanswered(simulation.restarting ? TIMEOUT_MS : 0)
+    if (target.away === 'refusing') return this.handleUnanswered(0)
+    if (!target.isReachable(time.now)) return this.handleUnanswered(simulation.restarting ? TIMEOUT_MS : 0)
     if (simulation.late && occurs(LATE_REQUEST_RATIO)) {
       time.schedule(this.options.drawLateDelayMs(), () => { this.list(request) })
       return this.handleUnanswered(TIMEOUT_MS)
@@ -71,13 +73,13 @@
   /** Returns no listing if the target has left or rejects requests of this leader. */
   private list ({ acknowledged, leaseUntilMs }: ReturnType<typeof buildListRequest>): TargetListing | undefined {
     const { target, epoch, time } = this.options
-    const listing = target.left ? 'fenced' : target.list(epoch, acknowledged, leaseUntilMs, time.now)
+    const listing = target.left || target.away !== undefined ? 'fenced' : target.list(epoch, acknowledged, leaseUntilMs, time.now)
     return listing === 'fenced' ? undefined : listing
   }
 
   /** A single request without an answer is repeated at once; after a second one the target is silent. */
   private handleUnanswered (afterMs: number): void {
-    const { target: { id }, time, isLeading, applyEvent, simulation } = this.options
+    const { target: { id, away }, time, isLeading, applyEvent, simulation } = this.options
     time.schedule(afterMs, () => {
       if (!isLeading()) return
       if (simulation.restarting && !this.lastListUnanswered) {
@@ -86,7 +88,7 @@
         return this.poll()
       }
       this.lastListUnanswered = false
-      if (this.options.getKnown()?.reachable === true) applyEvent({ type: 'target-silent', id, cause: 'no-answer' })
+      if (this.options.getKnown()?.reachable === true) applyEvent({ type: 'target-silent', id, cause: away === 'refusing' ? NO_LISTENER : 'no-answer' })
       this.pollAfter(RETRY_DELAY_MS)
     })
   }
--- a/test/workflow/simulated-target.ts
+++ b/test/workflow/simulated-target.ts
@@ -1,8 +1,8 @@
 import type { Random } from '../../src/util/random.ts'
 import type { ListedCompletion, RunOutcome, TargetEntry, TargetListing } from '../../src/workflow/target-entry.ts'
-import { buildEntry } from './harness.ts'
+import { STEP, buildEntry } from './harness.ts'
 
-export type SimulatedRun = { readonly task: string, readonly run: number, readonly startedAt: number, readonly endsAt: number, readonly fails: boolean }
+export type SimulatedRun = { readonly task: string, readonly run: number, readonly startedAt: number, readonly endsAt: number, readonly fails: boolean, /** Whether it lasts until it is stopped; it has made all its progress then. */ readonly lasts: boolean }
 
 export type StartRequest = { readonly task: string, readonly run: number, readonly leaseUntilMs: number, readonly epoch: number, readonly durationMs: number, readonly fails: boolean, /** Whether the target has no room for it. */ readonly lacksRoom: boolean }
 
@@ -10,7 +10,7 @@
 export const TARGET_CPU_MILLIS = 4_000
 /** How long a capacity that has shrunk still counts: until the target must have told of it, and one report more. */
 const SHRINK_GRACE_MS = 4_500
-/** A longer lease is shortened to this, on the target's clock. */
+/** A longer lease is shortened to this, on the target's clock, unless its options say otherwise. */
 export const LONGEST_LEASE_MS = 10_000
 const MIN_CLOCK_RATE = 0.98
 
@@ -22,6 +22,8 @@
   readonly id: string
   /** Rate of its clock; drawn if it is undefined. */
   readonly clockRate?: number | undefined
+  /** A longer lease is shortened to this, on its clock. */
+  readonly longestLeaseMs?: number
   readonly random: Random
   readonly onCompletion: (completion: ListedCompletion) => void
   /** `lapsed`: its lease lapsed between the completion and the acknowledgement. */
@@ -33,6 +35,8 @@
   readonly runs = new Map<string, SimulatedRun>()
   /** Until then no command arrives and no response is sent, but its runs continue. */
   unreachableUntil = 0
+  /** How requests end while it is away with all of its runs: without an answer, or refused by its host. */
+  away: 'silent' | 'refusing' | undefined
   /** When this incarnation started, in virtual time. */
   incarnation = FIRST_INCARNATION
   draining = false
@@ -61,10 +65,35 @@
   }
 
   toEntry (): TargetEntry {
-    const capacity = { ...buildEntry(this.id).capacity, cpuMillis: this.capacities.at(-1)!.cpuMillis }
+    const capacity = { ...buildEntry(this.id).capacity, cpuMillis: this.cpuMillis }
     return buildEntry(this.id, { incarnation: this.incarnation, draining: this.draining, capacity })
   }
 
+  get cpuMillis (): number {
+    return this.capacities.at(-1)!.cpuMillis
+  }
+
+  get usedCpuMillis (): number {
+    return this.runs.size * STEP.demand.cpuMillis
+  }
+
+  /** Whether commands reach it. */
+  isReachable (now: number): boolean {
+    return this.away === undefined && this.unreachableUntil <= now
+  }
+
+  /** Goes away until it returns; its runs end without a completion. */
+  goAway (away: 'silent' | 'refusing'): void {
+    this.away = away
+    this.runs.clear()
+  }
+
+  /** Returns as a new incarnation. */
+  comeBack (now: number): void {
+    this.away = undefined
+    this.crash(now)
+  }
+
   /** Changes the capacity; what runs goes on. */
   resize (cpuMillis: number, now: number): void {
     this.capacities.push({ at: now, cpuMillis })
@@ -111,7 +140,7 @@
     if (request.run <= (this.highestRunByTask.get(request.task) ?? 0)) return 'superseded'
     if (request.lacksRoom) return 'no-room'
     this.highestRunByTask.set(request.task, request.run)
-    this.runs.set(request.task, { task: request.task, run: request.run, startedAt: now, endsAt: now + request.durationMs, fails: request.fails })
+    this.runs.set(request.task, { task: request.task, run: request.run, startedAt: now, endsAt: now + request.durationMs, fails: request.fails, lasts: request.durationMs === Infinity })
     return 'accepted'
   }
 
@@ -133,7 +162,7 @@
       if (completion.number <= acknowledged) this.options.onAcknowledged(completion, completion.number <= this.lastNumberBeforeLapse)
     }
     this.completions = this.completions.filter(({ number }) => number > acknowledged)
-    const running = [...this.runs.values()].map(({ task, run, startedAt, endsAt }) => ({ task, run, checkpoint: '', percent: Math.floor(100 * (now - startedAt) / (endsAt - startedAt)), gauge: undefined }))
+    const running = [...this.runs.values()].map(({ task, run, startedAt, endsAt, lasts }) => ({ task, run, checkpoint: '', percent: lasts ? 100 : Math.floor(100 * (now - startedAt) / (endsAt - startedAt)), gauge: undefined }))
     return { incarnation: this.incarnation, clockMs: Math.floor(this.clockAt(now)), running, ended: [...this.completions] }
   }
 
@@ -159,7 +188,7 @@
   }
 
   private extendLease (leaseUntilMs: number, now: number): void {
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(leaseUntilMs, this.clockAt(now) + LONGEST_LEASE_MS))
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(leaseUntilMs, this.clockAt(now) + (this.options.longestLeaseMs ?? LONGEST_LEASE_MS)))
   }
 
   private completeRun (task: string, outcome: RunOutcome): void {
--- a/test/workflow/simulation-options.ts
+++ b/test/workflow/simulation-options.ts
@@ -21,6 +21,12 @@
   readonly slow: boolean
   /** Some starts are refused for want of room, and extend the lease all the same. */
   readonly refusing: boolean
+  /** Tasks last for the whole simulation, and it is watched whether what waits is started in time. */
+  readonly lasting: boolean
+  /** Targets go away for 20 to 30 s, silent or refusing, some of them 0.5 to 20 s after they have restarted. */
+  readonly leaving: boolean
+  /** New leaders follow one another every 2 to 8 s. */
+  readonly takingOver: boolean
 }
 
-export const NO_OPTIONS: SimulationOptions = { draining: false, crashing: false, shrinking: false, restless: false, restarting: false, late: false, varied: false, slow: false, refusing: false }
+export const NO_OPTIONS: SimulationOptions = { draining: false, crashing: false, shrinking: false, restless: false, restarting: false, late: false, varied: false, slow: false, refusing: false, lasting: false, leaving: false, takingOver: false }
--- a/test/workflow/simulation.test.ts
+++ b/test/workflow/simulation.test.ts
@@ -15,7 +15,7 @@
     assert.deepEqual(simulation.unfinishedJobs, [], `seed ${seed} leaves jobs unfinished`)
     for (const [fault, count] of Object.entries(simulation.faults)) faults[fault] = (faults[fault] ?? 0) + count
   }
-  for (const other of ['crashesByTasks', 'crashesInSeries', 'takeoversBetweenCrashes', 'restarts']) delete faults[other]
+  for (const other of ['crashesByTasks', 'takeoversBetweenCrashes']) delete faults[other]
   for (const [fault, count] of Object.entries(faults)) assert.ok(count >= SEEDS, `too few faults of type ${fault}: ${count}`)
 })
 
@@ -26,8 +26,8 @@
     const simulation = Simulation.run(seed, { draining: true })
     assert.deepEqual(simulation.violations, [])
     assert.deepEqual(simulation.unfinishedJobs, [], `seed ${seed} leaves jobs unfinished`)
-    drained += simulation.drains.targets
-    takeovers += simulation.drains.takeoversWithClosedTargets
+    drained += simulation.draining.drained
+    takeovers += simulation.takeoversWithClosedTargets
   }
   assert.ok(drained >= 5 * SEEDS, `too few drained targets: ${drained}`)
   assert.ok(takeovers >= SEEDS / 2, `too few takeovers while targets were closed: ${takeovers}`)
@@ -57,7 +57,7 @@
     assert.deepEqual(simulation.violations, [])
     assert.deepEqual(simulation.unfinishedJobs, [], `seed ${seed} leaves jobs unfinished`)
     assert.deepEqual(simulation.failedWithoutCause, [], `seed ${seed} gives jobs up`)
-    crashes += simulation.faults.crashesInSeries
+    crashes += simulation.targetFaults.counts.crashesInSeries
   }
   assert.ok(crashes >= 20 * SEEDS, `too few crashes: ${crashes}`)
 })
@@ -70,7 +70,7 @@
     assert.deepEqual(simulation.violations, [])
     assert.deepEqual(simulation.unfinishedJobs, [], `seed ${seed} leaves jobs unfinished`)
     assert.deepEqual(simulation.failedWithoutCause, [], `seed ${seed} gives jobs up`)
-    shrinks.targets += simulation.shrinks.targets
+    shrinks.targets += simulation.targetFaults.counts.shrinks
     shrinks.startsOnShrunkTargets += simulation.startsOnShrunkTargets
   }
   assert.ok(shrinks.targets >= SEEDS && shrinks.startsOnShrunkTargets >= SEEDS, `too few: ${JSON.stringify(shrinks)}`)
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -5,12 +5,16 @@
 import type { JobDefinition } from '../../src/workflow/job.ts'
 import { AttemptHistory, TIME_TO_STORE_MS } from './attempt-history.ts'
 import { CONFIGURATION } from './harness.ts'
+import { LastRuns } from './last-runs.ts'
 import { MAXIMUM_CPU_MILLIS, RuleCheck } from './rule-check.ts'
+import { SimulatedDraining } from './simulated-draining.ts'
 import { SimulatedGangs } from './simulated-gangs.ts'
-import { CLOCK_DIFFERENCE_MS, LASTING_MS, drawJob, drawVariedJob } from './simulated-jobs.ts'
+import { CLOCK_DIFFERENCE_MS, LASTING_JOB, LASTING_MS, drawDurationMs, drawJob, drawVariedJob } from './simulated-jobs.ts'
+import { SimulatedLiveness } from './simulated-liveness.ts'
 import { SimulatedSession } from './simulated-session.ts'
 import { SimulatedStore } from './simulated-store.ts'
-import { LONGEST_LEASE_MS, SimulatedTarget, TARGET_CPU_MILLIS } from './simulated-target.ts'
+import { SimulatedTargetFaults } from './simulated-target-faults.ts'
+import { LONGEST_LEASE_MS, SimulatedTarget } from './simulated-target.ts'
 import { NO_OPTIONS } from './simulation-options.ts'
 import type { SimulationOptions } from './simulation-options.ts'
 import { VirtualTime } from './virtual-time.ts'
@@ -20,17 +24,19 @@
 const END_MS = 75_000
 const CRASH_DELAY_MS = 10
 const SLOW_CLOCK_RATE = 0.98
+/** What waits takes longer beside tasks that last, which take a part of the maximum. */
+const LASTING_EXTRA_MS = 30_000
+/** The tasks that last are cancelled this time before the end, in milliseconds. */
+const CANCEL_TIME_MS = 5_000
 
 /**
  * Simulates a scheduler, its targets and the network between them in virtual time, with lost responses, delayed commands,
  * unreachable and crashed targets, cancellations and new leaders. Describes each violation of a rule in a text.
  */
 export class Simulation {
-  readonly faults = { lostResponses: 0, delayedCommands: 0, outages: 0, crashes: 0, takeovers: 0, cancellations: 0, crashesByTasks: 0, crashesInSeries: 0, takeoversBetweenCrashes: 0, restarts: 0 }
-  /** Targets whose capacity shrank. */
-  readonly shrinks = { targets: 0 }
-  /** Draining targets, and leaders that took over while the stored record had closed targets. */
-  readonly drains = { targets: 0, takeoversWithClosedTargets: 0 }
+  readonly faults = { lostResponses: 0, delayedCommands: 0, outages: 0, crashes: 0, takeovers: 0, cancellations: 0, crashesByTasks: 0, takeoversBetweenCrashes: 0 }
+  /** Leaders that took over while the stored record had closed targets. */
+  takeoversWithClosedTargets = 0
   private readonly random: Random
   private readonly time = VirtualTime.create()
   private readonly targets = new Map<string, SimulatedTarget>()
@@ -38,18 +44,54 @@
   private epoch = 1
   private readonly jobs = new Map<string, JobDefinition>()
   private readonly store = SimulatedStore.create()
+  /** What was not started in time; empty unless there are tasks that last. */
+  delays: readonly string[] = []
   private readonly cancelledAt = new Map<string, number>()
   private readonly attempts = AttemptHistory.create()
   /** Tasks that crash each target on which they start. */
   private readonly crashingTasks = new Set<string>()
   private readonly check: RuleCheck
   private readonly gangs: SimulatedGangs
+  readonly targetFaults: SimulatedTargetFaults
+  readonly draining: SimulatedDraining
+  private readonly lastRuns = LastRuns.create()
+  private readonly liveness: SimulatedLiveness
   private leaderSince = 0
 
   private constructor (seed: number, private readonly options: SimulationOptions) {
     this.random = Random.create(seed)
     this.gangs = SimulatedGangs.create({ targets: this.targets, jobs: this.jobs, time: this.time, random: this.random })
     this.check = RuleCheck.create({ seed, targets: this.targets, jobs: this.jobs, attempts: this.attempts, crashingTasks: this.crashingTasks })
+    const { targets, time, random } = this
+    const publishEntry = (target: SimulatedTarget): void => this.apply({ type: 'target-published', entry: target.toEntry() })
+    this.targetFaults = SimulatedTargetFaults.create({
+      targets,
+      time,
+      random,
+      publishEntry,
+      crash: (target) => this.crashTarget(target),
+      goAway: (target, away) => this.endTarget(target, 'as its target went away', () => target.goAway(away)),
+      publish: (target) => this.publishTarget(target)
+    })
+    this.draining = SimulatedDraining.create({
+      targets,
+      time,
+      random,
+      publishEntry,
+      leave: (target) => this.loseRuns(target, 'as its target left', () => target.leave()),
+      withdraw: ({ id }) => this.apply({ type: 'target-withdrawn', id }),
+      addTarget: () => this.addTarget(`t${targets.size}`),
+      takeOver: () => this.takeOver()
+    })
+    this.liveness = SimulatedLiveness.create({
+      time,
+      targets,
+      lastRuns: this.lastRuns,
+      maximumCpuMillis: MAXIMUM_CPU_MILLIS,
+      findOwedJobs: () => this.unfinishedJobs.filter((id) => !this.cancelledAt.has(id)).map((id) => this.jobs.get(id)!),
+      hasFaults: () => this.now < FAULTS_UNTIL_MS,
+      getEpoch: () => this.epoch
+    })
     this.scheduler = this.createScheduler()
   }
 
@@ -90,11 +132,16 @@
     this.time.scheduleEvery(100, () => this.apply({ type: 'tick' }))
     this.time.scheduleEvery(700, () => this.submitJob())
     this.time.scheduleEvery(1_500, () => { if (this.now < FAULTS_UNTIL_MS) this.injectFault() })
-    if (this.options.draining) this.time.scheduleEvery(2_300, () => { if (this.now < FAULTS_UNTIL_MS) this.drainTarget() })
-    if (this.options.restarting) this.time.scheduleEvery(1_100, () => { if (this.now < FAULTS_UNTIL_MS) this.restartTarget() })
-    if (this.options.restless) this.time.scheduleEvery(1_000, () => { if (this.now < FAULTS_UNTIL_MS) this.crashInSeries() })
-    if (this.options.shrinking) this.time.scheduleEvery(1_300, () => { if (this.now < FAULTS_UNTIL_MS) this.shrinkTarget() })
-    this.time.runUntil(END_MS)
+    if (this.options.draining) this.time.scheduleEvery(2_300, () => { if (this.now < FAULTS_UNTIL_MS) this.draining.drainTarget() })
+    if (this.options.restarting) this.time.scheduleEvery(1_100, () => { if (this.now < FAULTS_UNTIL_MS) this.targetFaults.restartTarget() })
+    if (this.options.restless) this.time.scheduleEvery(1_000, () => { if (this.now < FAULTS_UNTIL_MS) this.targetFaults.crashInSeries() })
+    if (this.options.shrinking) this.time.scheduleEvery(1_300, () => { if (this.now < FAULTS_UNTIL_MS) this.targetFaults.shrinkTarget() })
+    if (this.options.leaving) this.time.scheduleEvery(3_700, () => { if (this.now < FAULTS_UNTIL_MS) this.targetFaults.takeAway() })
+    if (this.options.takingOver) this.time.scheduleEvery(9_100, () => { if (this.now < FAULTS_UNTIL_MS) this.takeOverInSeries(2 + this.random.nextInt(3)) })
+    const endMs = END_MS + (this.options.lasting ? LASTING_EXTRA_MS : 0)
+    if (this.options.lasting) this.startLastingJob(endMs)
+    this.time.runUntil(endMs)
+    this.delays = this.liveness.finish()
   }
 
   private createScheduler (): CellScheduler {
@@ -120,6 +167,7 @@
       random: this.random,
       onCompletion: (completion) => {
         this.check.recordCompletion(completion)
+        this.lastRuns.recordEnd(completion.task, { run: completion.run, target: id, end: completion.outcome, endedAt: this.now })
         if (completion.outcome !== 'done') this.gangs.handleLoss(completion.task, completion.run)
       },
       onAcknowledged: (completion, lapsed) => this.check.recordAcknowledged(completion, lapsed)
@@ -144,6 +192,14 @@
     if (definition.steps[0]!.longRunning) this.time.schedule(LASTING_MS / 2 + this.random.nextInt(LASTING_MS / 2), () => this.cancel(id))
   }
 
+  /** Hands in tasks that last until shortly before the end, and watches whether they are started in time. */
+  private startLastingJob (endMs: number): void {
+    this.jobs.set(LASTING_JOB.id, LASTING_JOB)
+    this.apply({ type: 'job-accepted', definition: LASTING_JOB })
+    this.time.schedule(endMs - CANCEL_TIME_MS, () => this.cancel(LASTING_JOB.id))
+    this.liveness.start()
+  }
+
   private injectFault (): void {
     const target = [...this.targets.values()][this.random.nextInt(this.targets.size)]!
     switch (this.random.nextInt(4)) {
@@ -152,6 +208,7 @@
         target.unreachableUntil = this.now + 500 + this.random.nextInt(8_000)
         return
       case 1:
+        if (target.away !== undefined) return
         this.faults.crashes += 1
         this.crashTarget(target)
         return this.time.schedule(this.random.nextInt(500), () => this.publishTarget(target))
@@ -161,39 +218,26 @@
   }
 
   private crashTarget (target: SimulatedTarget): void {
+    this.endTarget(target, 'with the process of its target', () => target.crash(this.now))
+  }
+
+  /** Ends a target and its runs, which the attempts of their tasks count as crashed. */
+  private endTarget (target: SimulatedTarget, end: string, carryOut: () => void): void {
     target.completeDueRuns(this.now)
     this.attempts.recordCrash(target.runs.keys(), this.now)
-    const lost = [...target.runs.values()]
-    target.crash(this.now)
-    for (const { task, run } of lost) this.gangs.handleLoss(task, run)
+    this.loseRuns(target, end, carryOut)
   }
 
-  /** Restarts a target under its id, in half of the cases behind a cut; it publishes itself a little later. */
-  private restartTarget (): void {
-    const present = [...this.targets.values()].filter(({ left }) => !left)
-    const target = present[this.random.nextInt(present.length)]!
-    this.faults.restarts += 1
-    this.crashTarget(target)
-    if (this.random.nextInt(2) === 0) target.unreachableUntil = Math.max(target.unreachableUntil, this.now + 200 + this.random.nextInt(6_000))
-    else this.time.schedule(this.random.nextInt(5_000), () => { target.unreachableUntil = Math.max(target.unreachableUntil, this.now + 3_000 + this.random.nextInt(9_000)) })
-    this.time.schedule(this.random.nextInt(800), () => { if (!target.left) this.publishTarget(target) })
-  }
-
-  /** Crashes a target by itself, in half of the cases behind a cut; it is back some seconds later. */
-  private crashInSeries (): void {
-    const reachable = [...this.targets.values()].filter(({ left, unreachableUntil }) => !left && unreachableUntil <= this.now)
-    const target = reachable[this.random.nextInt(reachable.length)]
-    if (target === undefined) return
-    this.faults.crashesInSeries += 1
-    target.unreachableUntil = this.now + 1_000 + this.random.nextInt(2_000)
-    if (this.random.nextInt(2) === 0) this.crashTarget(target)
-    else this.time.schedule(this.random.nextInt(800), () => this.crashTarget(target))
-    this.time.schedule(target.unreachableUntil - this.now, () => { if (!target.left) this.publishTarget(target) })
+  private loseRuns (target: SimulatedTarget, end: string, carryOut: () => void): void {
+    const lost = [...target.runs.values()]
+    this.lastRuns.recordLoss(lost, { target: target.id, end, endedAt: this.now })
+    carryOut()
+    for (const { task, run } of lost) this.gangs.handleLoss(task, run)
   }
 
   /** Crashes a target because of a task; it comes back after some seconds. */
   private crashByTask (target: SimulatedTarget, incarnation: number): void {
-    if (target.incarnation !== incarnation || target.left) return
+    if (target.incarnation !== incarnation || target.left || target.away !== undefined) return
     this.faults.crashesByTasks += 1
     this.crashTarget(target)
     target.unreachableUntil = this.now + 1_000 + this.random.nextInt(4_000)
@@ -209,52 +253,8 @@
     })
   }
 
-  /** Drains a target, which leaves some seconds later; in between it may stop draining. Another one takes its place. */
-  private drainTarget (): void {
-    const open = [...this.targets.values()].filter(({ draining }) => !draining)
-    const target = open[this.random.nextInt(open.length)]
-    if (target === undefined || open.length < 4) return
-    this.drains.targets += 1
-    target.draining = true
-    this.apply({ type: 'target-published', entry: target.toEntry() })
-    if (this.random.nextInt(4) === 0) return this.time.schedule(this.random.nextInt(1_500), () => this.stopDraining(target))
-    if (this.random.nextInt(3) === 0) this.time.schedule(100 + this.random.nextInt(400), () => this.cutOffAndTakeOver(target))
-    this.time.schedule(300 + this.random.nextInt(4_000), () => {
-      const lost = [...target.runs.values()]
-      target.leave()
-      for (const { task, run } of lost) this.gangs.handleLoss(task, run)
-      this.time.schedule(this.random.nextInt(1_000), () => this.apply({ type: 'target-withdrawn', id: target.id }))
-      this.addTarget(`t${this.targets.size}`)
-    })
-  }
-
-  /** The leader changes while a draining target is unreachable and runs on. */
-  private cutOffAndTakeOver (target: SimulatedTarget): void {
-    target.unreachableUntil = Math.max(target.unreachableUntil, this.now + 3_000)
-    this.takeOver()
-  }
-
-  private stopDraining (target: SimulatedTarget): void {
-    target.draining = false
-    this.apply({ type: 'target-published', entry: target.toEntry() })
-  }
-
-  /** Shrinks a target for some seconds; its entry tells of it a little later. */
-  private shrinkTarget (): void {
-    const present = [...this.targets.values()].filter(({ left }) => !left)
-    const target = present[this.random.nextInt(present.length)]!
-    this.shrinks.targets += 1
-    this.resizeTarget(target, this.random.nextInt(TARGET_CPU_MILLIS))
-    this.time.schedule(5_000 + this.random.nextInt(8_000), () => this.resizeTarget(target, TARGET_CPU_MILLIS))
-  }
-
-  private resizeTarget (target: SimulatedTarget, cpuMillis: number): void {
-    target.resize(cpuMillis, this.now)
-    this.time.schedule(this.random.nextInt(1_000), () => { if (!target.left) this.apply({ type: 'target-published', entry: target.toEntry() }) })
-  }
-
   private cancelJob (): void {
-    const unfinished = this.unfinishedJobs
+    const unfinished = this.unfinishedJobs.filter((id) => id !== LASTING_JOB.id)
     const id = unfinished[this.random.nextInt(unfinished.length)]
     if (id === undefined) return
     this.faults.cancellations += 1
@@ -266,6 +266,12 @@
     this.apply({ type: 'job-cancelled', id })
   }
 
+  /** New leaders follow one another every 2 to 8 s. */
+  private takeOverInSeries (count: number): void {
+    this.takeOver()
+    if (count > 1 && this.now < FAULTS_UNTIL_MS) this.time.schedule(2_000 + this.random.nextInt(6_000), () => this.takeOverInSeries(count - 1))
+  }
+
   /** Replaces the leader by one that reads the store. Commands of the previous leader may still arrive. */
   private takeOver (): void {
     this.faults.takeovers += 1
@@ -274,7 +280,7 @@
     this.scheduler = this.createScheduler()
     this.scheduler.expectEarlierRuns()
     const stored = this.options.draining ? this.store.targets : { ids: [...this.targets.keys()], closed: {} }
-    if (Object.keys(stored.closed).length > 0) this.drains.takeoversWithClosedTargets += 1
+    if (Object.keys(stored.closed).length > 0) this.takeoversWithClosedTargets += 1
     this.apply({ type: 'closed-targets-restored', closed: stored.closed })
     this.apply({ type: 'incarnations-restored', incarnations: this.store.incarnations })
     this.apply({ type: 'targets-stored', ids: stored.ids })
@@ -335,7 +341,7 @@
     if (delayed) this.faults.delayedCommands += 1
     const incarnation = target.incarnation
     const arrive = (): void => {
-      if (!(delayed ? this.mayArriveLate(target, incarnation) : target.unreachableUntil <= this.now)) return
+      if (!(delayed ? this.mayArriveLate(target, incarnation) : target.isReachable(this.now))) return
       const outcome = effect.type === 'start' ? this.startRun(effect, target, epoch, delayed) : target.stop(effect.command.task, effect.command.run, epoch, this.now)
       const lost = delayed || this.occurs(0.03)
       if (lost && !delayed) this.faults.lostResponses += 1
@@ -347,8 +353,8 @@
 
   /** A delayed command waits in the target itself, so that a crash loses it, or in the network, from where it reaches any incarnation. */
   private mayArriveLate (target: SimulatedTarget, incarnation: number): boolean {
-    if (this.options.late && this.options.restarting) return !target.left
-    return target.unreachableUntil <= this.now && incarnation === target.incarnation
+    if (this.options.late && this.options.restarting) return !target.left && target.away === undefined
+    return target.isReachable(this.now) && incarnation === target.incarnation
   }
 
   private deliverResponse (effect: Extract<CellEffect, { type: 'start' | 'stop' }>, outcome: ReturnType<SimulatedTarget['start']>): void {
@@ -360,8 +366,7 @@
     const { task, run, leaseUntilMs } = effect.command
     const present = target.runs.get(task)
     const { incarnation } = target
-    const isLasting = this.jobs.get(task.split('.')[0]!)!.steps[0]!.longRunning
-    const durationMs = isLasting ? LASTING_MS : 300 + this.random.nextInt(1_200)
+    const durationMs = drawDurationMs(this.random, this.jobs.get(task.split('.')[0]!)!)
     const outcome = target.start({ task, run, leaseUntilMs, epoch, durationMs, fails: this.occurs(0.04), lacksRoom: this.options.refusing && this.occurs(0.1) }, this.now)
     if (outcome === 'accepted' && present?.run !== run) {
       this.check.recordStart(target, { task, run, replaces: present !== undefined, late }, this.now)
