Release the runs that a restart of their target has ended

Callers saw a task that lasts without a run for up to 20 s after its target had started again under its id and gone away (LOST): the run of the life before was moved to the new one, and only a listing of that one released it, or the end of all leases if it never answered.

A run can only be on the life before if all its start commands were answered, and that life listed it on a request sent after that. An answer alone doesn't show it: the next life may have given it. A run that this owner has taken over counts so 20 s after that, since a leader that isn't reached may send for 8 s, and its last start may come 12 s late. Such a run ends with the restart, under the condition that held before (this owner was alone after the restart); the time of the first restart counts if there are several. All others wait as before.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -33,7 +33,7 @@
 import { computeLongestEarlierLeaseMs, restoreIncarnations } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
-import { recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
+import { hasUnansweredStarts, recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
 
 /**
  * Number of targets that the searches of one start pass examine. The steps that are left are served by the next passes, so
@@ -78,7 +78,7 @@
       closedTargets: new Map(),
       commandedIncarnations: new Map(),
       aloneUntil: Infinity,
-      runsLostByRestarts: new Set(),
+      runsLostByRestarts: new Map(),
       departedTargets: new Map(),
       heldBackTasks: new Map(),
       earlierRunsPossible: false,
@@ -279,6 +279,7 @@
     if (event.type === 'stop-answered' && event.response.type === 'accepted') recordRejection(target, event.task, event.run)
     const live = target.find(event.task, event.run)
     if (live === undefined) return
+    if (event.type === 'start-answered' && !hasUnansweredStarts(target, live)) live.startsEndAt = Math.min(live.startsEndAt, this.state.now)
     if (event.type === 'start-answered') handleStartResponse(this.state, target, live, event.response)
     else handleStopResponse(this.state, target, live, event.response)
   }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -62,8 +62,8 @@
   readonly commandedIncarnations: Map<string, number>
   /** Until when certainly no other owner has acted. */
   aloneUntil: number
-  /** Runs that restarts of their targets have ended after that time. */
-  readonly runsLostByRestarts: Set<LiveRun>
+  /** Runs that restarts of their targets have ended after that time, and when the restarts were seen. */
+  readonly runsLostByRestarts: Map<LiveRun, number>
   /** Targets that were removed so recently that commands to them may still be executed, by their ids. */
   readonly departedTargets: Map<string, DepartedTarget>
   /** Tasks that may run on closed targets of previous owners, and the ids of these targets. */
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -54,15 +54,20 @@
  * run before, so that the task waits until this owner was certainly alone after the restart.
  */
 function handleUnlistedRun (state: CellState, live: LiveRun): void {
-  if (live.carriedOver && live.target.firstSeenAt > state.aloneUntil) state.runsLostByRestarts.add(live)
+  if (live.carriedOver && live.target.firstSeenAt > state.aloneUntil) recordLostByRestart(state, live)
   else removeLostRun(state, live, 'not listed by its target')
 }
 
+/** Records that the last restart of its target has ended a run. */
+export function recordLostByRestart (state: CellState, live: LiveRun): void {
+  if (!state.runsLostByRestarts.has(live)) state.runsLostByRestarts.set(live, live.target.firstSeenAt)
+}
+
 /** Removes the runs that restarts have ended before this owner was last certainly alone. */
 export function removeRunsLostByRestarts (state: CellState): void {
-  for (const live of state.runsLostByRestarts) {
+  for (const [live, restartedAt] of state.runsLostByRestarts) {
     const isPresent = live.target.runs.has(formatRunKey(live.task.key, live.run)) && live.carriedOver
-    if (isPresent && live.target.firstSeenAt > state.aloneUntil) continue
+    if (isPresent && restartedAt > state.aloneUntil) continue
     state.runsLostByRestarts.delete(live)
     if (isPresent) removeLostRun(state, live, 'its target has restarted')
   }
@@ -142,6 +147,7 @@
   const live = target.find(listed.task, listed.run) ?? adoptRun(state, target, listed)
   if (live === undefined) return false
   live.carriedOver = false
+  if (live.startsEndAt <= sentAt) live.confirmed = true
   settleRun(state, live, sentAt)
   if (live.phase === 'starting') {
     live.phase = 'running'
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -3,7 +3,10 @@
 import type { LivePhase, LiveRun } from './live-run.ts'
 import type { TargetState } from './target-state.ts'
 import type { Task } from './task.ts'
-import { recordStartSent } from './unanswered-starts.ts'
+import { LATE_COMMAND_MS, recordStartSent } from './unanswered-starts.ts'
+
+/** How long a previous owner that is not reached may go on sending commands, in milliseconds. */
+const EARLIER_OWNER_MS = 8_000
 
 /** Arguments of `addRun`. */
 export type NewRun = {
@@ -22,6 +25,8 @@
     target,
     adopted: phase === 'running',
     carriedOver: false,
+    startsEndAt: state.now + EARLIER_OWNER_MS + LATE_COMMAND_MS,
+    confirmed: false,
     settled: false,
     urgent: isUrgent(state, task.step.job.definition),
     phase,
@@ -76,6 +81,8 @@
   if (live.sendCount === 0) target.lastStartAt = state.now
   live.sendCount += 1
   live.lastSentAt = state.now
+  live.startsEndAt = state.now + LATE_COMMAND_MS
+  live.confirmed = false
   recordStartSent(target, live, state.now)
   const { payload } = task.step.job.definition
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -4,6 +4,7 @@
 import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
 import { forgetEarlierIncarnations, recordNewTarget, toIncarnations } from './earlier-leases.ts'
 import { confirmCrash, confirmReplacedCrashes } from './crashes.ts'
+import { recordLostByRestart, removeRunsLostByRestarts } from './handle-listing.ts'
 import { sendStop } from './runs.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
@@ -34,6 +35,7 @@
   confirmReplacedCrashes(state, entry)
   if (known !== undefined || !entry.draining) state.closedTargets.delete(entry.id)
   state.targets.set(entry.id, target)
+  removeRunsLostByRestarts(state)
   state.effects.push({ type: 'watch-target', id: entry.id })
   if (!state.storedTargets.has(entry.id)) storeTargets(state)
   log(state, 'info', 'target-seen', { target: entry.id, address: entry.address, failureDomain: entry.failureDomain, incarnation: entry.incarnation })
@@ -73,9 +75,10 @@
 }
 
 /**
- * Moves the runs of the previous incarnation to the next one. A recent start command may have reached the new incarnation
- * before its entry was read, so only the next listing shows which runs are gone. It is stopped, not resent: the target may be
- * of another kind now. So is a run with another start that has had no answer, which may still reach the new incarnation.
+ * Moves the runs of the previous incarnation to the next one. The restart has ended those that are confirmed. A start command of
+ * any other may have reached the new incarnation before its entry was read, so that only the next listing shows which of them
+ * are gone. A run that is starting is stopped, not resent: the target may be of another kind now. So is a run with a start that
+ * has had no answer, which may still reach the new incarnation.
  */
 function transferRuns (state: CellState, previous: TargetState, next: TargetState): void {
   for (const live of [...previous.runs.values()]) {
@@ -83,7 +86,8 @@
     live.target = next
     live.carriedOver = true
     next.add(live)
-    if (live.phase !== 'starting' && !hasUnansweredStarts(previous, live)) continue
+    if (live.confirmed) recordLostByRestart(state, live)
+    if (live.confirmed || (live.phase !== 'starting' && !hasUnansweredStarts(previous, live))) continue
     live.respondedAt = undefined
     sendStop(state, live, 'its target has restarted')
   }
