Give each life of a target its own fencing number

A late call to a life of a target had an effect on the next one under its id: a list request with the cursor of the life before discarded ends that nobody had read, and their tasks ran again (TWICE); a late start or lease arrived there as well. All lives carried one number, the term.

The number is now the term x 1,000,000 + the restarts of the target that this owner has seen. The count is kept for the term, also for targets that were removed and come back. A target that has received one command with the new number does nothing for the calls to its life before. That such a call is refused says nothing of this owner: a response to a request to an earlier life is left out by the session, as it was for commands already. A refusal of the present number still ends the term. Members that relay commands compare the term of the number.

--- a/src/controller/command-relay.ts
+++ b/src/controller/command-relay.ts
@@ -1,5 +1,6 @@
 import type { CommandClient } from '../ports/command-client.ts'
 import { assertNever } from '../util/assert-never.ts'
+import { toTerm } from './fencing-number.ts'
 import { RELAY_BATCH_MS } from './relay-message.ts'
 import type { RelayEntry, RelayReply, RelayRequest, RelayedCommand, RelayedResponse } from './relay-message.ts'
 import type { Reporter } from './reporter.ts'
@@ -37,7 +38,7 @@
   private async execute ({ relayed, validUntilMs }: RelayEntry): Promise<RelayedResponse> {
     // The process may have been suspended, or the message may have waited in a buffer.
     if (this.now() > validUntilMs) return this.withhold(relayed, 'too-late')
-    if (relayed.command.epoch < this.options.getLatestTerm()) {
+    if (toTerm(relayed.command.epoch) < this.options.getLatestTerm()) {
       this.options.reporter.count('relay-withheld', 'earlier-term')
       return relayed.type === 'list' ? { type: 'refused', reason: 'fenced' } : { type: 'refused', reason: 'fenced', clockMs: undefined }
     }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -18,6 +18,7 @@
 import { EarlierLeaders } from './earlier-leaders.ts'
 import type { EarlierLeadersOptions } from './earlier-leaders.ts'
 import { LateJobs } from './late-jobs.ts'
+import { computeFencingNumber } from './fencing-number.ts'
 import type { Peer } from './member-call.ts'
 import { PermittedCommands } from './permitted-commands.ts'
 import { readPrefix } from './store-calls.ts'
@@ -392,10 +393,10 @@
     const { commands } = this
     const { reporter, term } = this.options
     switch (effect.type) {
-      case 'start': return this.applyResponse(commands.start(effect, { ...effect.command, epoch: term.term }), (response) => ({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
-      case 'stop': return this.applyResponse(commands.stop(effect, { ...effect.command, epoch: term.term }), (response) => ({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
+      case 'start': return this.applyResponse(commands.start(effect, { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }), (response) => ({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
+      case 'stop': return this.applyResponse(commands.stop(effect, { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }), (response) => ({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
       case 'throttle':
-        commands.throttle(effect, { ...effect.command, epoch: term.term }).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
+        commands.throttle(effect, { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
         return
       case 'request-advice': return this.adviceDispatcher.enqueue(effect)
       case 'store-progress': return this.committer.storeProgress(effect.job)
@@ -430,7 +431,7 @@
     this.sessions.set(id, TargetSession.create({
       id,
       commands: completeListings(this.commands, (listing) => this.lateJobs.mayBecomeKnown(listing)),
-      epoch: this.options.term.term,
+      term: this.options.term.term,
       leaseMs: this.options.leaseMs,
       reporter: this.options.reporter,
       getTarget: () => this.scheduler.getTarget(id),
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -4,6 +4,7 @@
 import { buildListRequest } from '../workflow/list-request.ts'
 import type { TargetState } from '../workflow/target-state.ts'
 import { delay } from './delay.ts'
+import { computeFencingNumber } from './fencing-number.ts'
 import type { Reporter } from './reporter.ts'
 
 /**
@@ -17,7 +18,7 @@
 export type TargetSessionOptions = {
   readonly id: string
   readonly commands: CommandClient
-  readonly epoch: number
+  readonly term: number
   readonly leaseMs: number
   readonly reporter: Reporter
   readonly getTarget: () => TargetState | undefined
@@ -40,7 +41,7 @@
    * Starts a session, which runs until it is stopped or the target is removed.
    *
    * @example
-   * const session = TargetSession.create({ id: 't-1', commands, epoch: 3, leaseMs: 3_500, reporter, getTarget, applyEvent, waitForCommit, canSendCommands })
+   * const session = TargetSession.create({ id: 't-1', commands, term: 3, leaseMs: 3_500, reporter, getTarget, applyEvent, waitForCommit, canSendCommands })
    */
   static create (options: TargetSessionOptions): TargetSession {
     const session = new TargetSession(options)
@@ -79,14 +80,20 @@
   }
 
   private async listRuns (target: TargetState): Promise<void> {
-    const { id, commands, epoch } = this.options
+    const { id, commands, term } = this.options
     const sentAt = performance.now()
     const request = buildListRequest(target, sentAt, this.options.leaseMs)
-    const response = await commands.list({ id, address: target.entry.address }, { ...request, epoch })
-    if (this.stopped.signal.aborted) return
+    const response = await commands.list({ id, address: target.entry.address }, { ...request, epoch: computeFencingNumber(term, target.restarts) })
+    if (this.stopped.signal.aborted || (response.type !== 'listed' && this.isReplaced(target))) return
     await this.handleListResponse(target, response, sentAt)
   }
 
+  /** Whether the target has restarted since: a request to the incarnation before that is refused says nothing of this one. */
+  private isReplaced (target: TargetState): boolean {
+    const current = this.options.getTarget()
+    return current !== undefined && current.entry.incarnation !== target.entry.incarnation
+  }
+
   private async handleListResponse (target: TargetState, response: ListResponse, sentAt: number): Promise<void> {
     const { id, applyEvent } = this.options
     if (response.type === 'unanswered' && !this.lastListUnanswered) {
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -79,6 +79,7 @@
       commandedIncarnations: new Map(),
       aloneUntil: Infinity,
       runsLostByRestarts: new Map(),
+      restarts: new Map(),
       departedTargets: new Map(),
       heldBackTasks: new Map(),
       earlierRunsPossible: false,
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -64,6 +64,8 @@
   aloneUntil: number
   /** Runs that restarts of their targets have ended after that time, and when the restarts were seen. */
   readonly runsLostByRestarts: Map<LiveRun, number>
+  /** How often targets have restarted under this owner, by their ids; also of targets that were removed since. */
+  readonly restarts: Map<string, number>
   /** Targets that were removed so recently that commands to them may still be executed, by their ids. */
   readonly departedTargets: Map<string, DepartedTarget>
   /** Tasks that may run on closed targets of previous owners, and the ids of these targets. */
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -5,11 +5,11 @@
 
 type WithoutEpoch<Command> = Omit<Command, 'epoch'>
 
-/** Action that the scheduler of a cell requests. */
+/** Action that the scheduler of a cell requests. `restarts`: how often the target has restarted under this owner. */
 export type CellEffect =
-  | { readonly type: 'start', readonly target: string, readonly incarnation: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StartCommand> }
-  | { readonly type: 'stop', readonly target: string, readonly incarnation: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StopCommand> }
-  | { readonly type: 'throttle', readonly target: string, readonly id: string, readonly address: string, readonly command: WithoutEpoch<ThrottleCommand> }
+  | { readonly type: 'start', readonly target: string, readonly incarnation: number, readonly restarts: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StartCommand> }
+  | { readonly type: 'stop', readonly target: string, readonly incarnation: number, readonly restarts: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StopCommand> }
+  | { readonly type: 'throttle', readonly target: string, readonly restarts: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<ThrottleCommand> }
   /** `urgent`: the step is in a queue with the highest priority. */
   | { readonly type: 'request-advice', readonly step: string, readonly targets: readonly string[], readonly costMs: number, readonly urgent: boolean }
   | { readonly type: 'store-progress', readonly job: string }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -169,7 +169,7 @@
 function adoptRun (state: CellState, target: TargetState, listed: ListedRun): LiveRun | undefined {
   const task = findListedTask(state, listed.task)
   if (task === undefined) {
-    state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, id: target.id, address: target.entry.address, command: { task: listed.task, run: listed.run } })
+    state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command: { task: listed.task, run: listed.run } })
     log(state, 'warn', 'stop-ordered-for-unknown', { task: listed.task, run: listed.run, target: target.id })
     return undefined
   }
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -86,7 +86,7 @@
   recordStartSent(target, live, state.now)
   const { payload } = task.step.job.definition
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
-  state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, id: target.id, address: target.entry.address, command })
+  state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command })
 }
 
 /** Sends the stop command of a run, or resends it. */
@@ -100,7 +100,7 @@
   }
   live.sendCount += 1
   live.lastSentAt = state.now
-  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, id: target.id, address: target.entry.address, command: { task: task.key, run: live.run } })
+  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command: { task: task.key, run: live.run } })
 }
 
 /** Stops all runs of the given tasks. */
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -80,12 +80,13 @@
   private earlierLeasesEndAt = -Infinity
   private decayedAt = 0
 
-  private constructor (entry: TargetEntry, readonly firstSeenAt: number) {
+  /** `restarts`: how often a target of this id has restarted under this owner. */
+  private constructor (entry: TargetEntry, readonly firstSeenAt: number, readonly restarts: number) {
     this.entry = entry
   }
 
-  static create (entry: TargetEntry, now: number): TargetState {
-    return new TargetState(entry, now)
+  static create (entry: TargetEntry, now: number, restarts = 0): TargetState {
+    return new TargetState(entry, now, restarts)
   }
 
   get id (): string {
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -29,8 +29,10 @@
   }
   if (known !== undefined && known.entry.incarnation > entry.incarnation) return
   recordNewTarget(state, entry)
-  const target = TargetState.create(entry, state.now)
   const previous = known ?? takeDeparted(state, entry)
+  const restarts = (state.restarts.get(entry.id) ?? 0) + (previous === undefined ? 0 : 1)
+  if (previous !== undefined) state.restarts.set(entry.id, restarts)
+  const target = TargetState.create(entry, state.now, restarts)
   if (previous !== undefined) replaceTarget(state, previous, target)
   confirmReplacedCrashes(state, entry)
   if (known !== undefined || !entry.draining) state.closedTargets.delete(entry.id)
--- a/src/workflow/unanswered-starts.ts
+++ b/src/workflow/unanswered-starts.ts
@@ -86,5 +86,5 @@
 function sendRejection (state: CellState, target: TargetState, start: UnansweredStart): void {
   start.stopSentAt = state.now
   const { task, run } = start
-  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, id: target.id, address: target.entry.address, command: { task, run } })
+  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command: { task, run } })
 }
--- a/test/controller/target-session.test.ts
+++ b/test/controller/target-session.test.ts
@@ -34,7 +34,7 @@
     const session = TargetSession.create({
       id: 't1',
       commands,
-      epoch: 1,
+      term: 1,
       leaseMs: 1_000,
       reporter: { log: (_level, message) => logged.push(message), count: () => {}, observe: () => {} },
       getTarget: () => target,
@@ -69,7 +69,7 @@
   const session = TargetSession.create({
     id: 't1',
     commands,
-    epoch: 1,
+    term: 1,
     leaseMs: 1_000,
     reporter: { log: () => {}, count: () => {}, observe: () => {} },
     getTarget: () => target,
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -1,4 +1,5 @@
 import type { CommandClient, CommandResponse, ListRequest, ListResponse, StartCommand } from '../../src/ports/command-client.ts'
+import { toTerm } from '../../src/controller/fencing-number.ts'
 import type { Random } from '../../src/util/random.ts'
 import { SimulatedTarget } from '../workflow/simulated-target.ts'
 import type { CommandOutcome } from '../workflow/simulated-target.ts'
@@ -80,7 +81,7 @@
     const durationMs = MIN_DURATION_MS + this.random.nextInt(Number(payload))
     const outcome = target.start({ task, run, leaseUntilMs, epoch, durationMs, fails: false, lacksRoom: false }, nowMs)
     if (outcome === 'accepted' || outcome === 'superseded') this.noteLease(target, leaseUntilMs)
-    if (outcome === 'accepted' && !isKnown) this.history.recordStart(task, run, epoch, target, this.targets.values(), nowMs)
+    if (outcome === 'accepted' && !isKnown) this.history.recordStart(task, run, toTerm(epoch), target, this.targets.values(), nowMs)
     return outcome
   }
 
--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -1,3 +1,5 @@
+import { computeFencingNumber } from '../../src/controller/fencing-number.ts'
+import type { ListRequest } from '../../src/ports/command-client.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
 import { buildListRequest } from '../../src/workflow/list-request.ts'
 import type { TargetListing } from '../../src/workflow/target-entry.ts'
@@ -50,7 +52,7 @@
     const restarted = target.incarnation !== this.lastIncarnation
     this.lastIncarnation = target.incarnation
     if (restarted && simulation.restarting && occurs(BROKEN_REQUEST_RATIO)) return this.handleUnanswered(0)
-    const request = buildListRequest(known, time.now, this.options.leaseMs)
+    const request = { ...buildListRequest(known, time.now, this.options.leaseMs), epoch: computeFencingNumber(this.options.epoch, known.restarts) }
     const sentAt = time.now
     if (target.unreachableUntil > time.now) return this.handleUnanswered(simulation.restarting ? TIMEOUT_MS : 0)
     if (simulation.late && occurs(LATE_REQUEST_RATIO)) {
@@ -69,8 +71,8 @@
   }
 
   /** Returns no listing if the target has left or rejects requests of this leader. */
-  private list ({ acknowledged, leaseUntilMs }: ReturnType<typeof buildListRequest>): TargetListing | undefined {
-    const { target, epoch, time } = this.options
+  private list ({ epoch, acknowledged, leaseUntilMs }: ListRequest): TargetListing | undefined {
+    const { target, time } = this.options
     const listing = target.left ? 'fenced' : target.list(epoch, acknowledged, leaseUntilMs, time.now)
     return listing === 'fenced' ? undefined : listing
   }
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -1,3 +1,4 @@
+import { computeFencingNumber } from '../../src/controller/fencing-number.ts'
 import { Random } from '../../src/util/random.ts'
 import { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
 import type { CellEffect } from '../../src/workflow/effect.ts'
@@ -334,9 +335,10 @@
     const delayed = this.occurs(this.options.late ? 0.08 : 0.03)
     if (delayed) this.faults.delayedCommands += 1
     const incarnation = target.incarnation
+    const fencingNumber = computeFencingNumber(epoch, effect.restarts)
     const arrive = (): void => {
       if (!(delayed ? this.mayArriveLate(target, incarnation) : target.unreachableUntil <= this.now)) return
-      const outcome = effect.type === 'start' ? this.startRun(effect, target, epoch, delayed) : target.stop(effect.command.task, effect.command.run, epoch, this.now)
+      const outcome = effect.type === 'start' ? this.startRun(effect, target, fencingNumber, delayed) : target.stop(effect.command.task, effect.command.run, fencingNumber, this.now)
       const lost = delayed || this.occurs(0.03)
       if (lost && !delayed) this.faults.lostResponses += 1
       if (lost || incarnation !== target.incarnation) return
@@ -356,13 +358,13 @@
     this.apply({ type: effect.type === 'start' ? 'start-answered' : 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response })
   }
 
-  private startRun (effect: Extract<CellEffect, { type: 'start' }>, target: SimulatedTarget, epoch: number, late: boolean): ReturnType<SimulatedTarget['start']> {
+  private startRun (effect: Extract<CellEffect, { type: 'start' }>, target: SimulatedTarget, fencingNumber: number, late: boolean): ReturnType<SimulatedTarget['start']> {
     const { task, run, leaseUntilMs } = effect.command
     const present = target.runs.get(task)
     const { incarnation } = target
     const isLasting = this.jobs.get(task.split('.')[0]!)!.steps[0]!.longRunning
     const durationMs = isLasting ? LASTING_MS : 300 + this.random.nextInt(1_200)
-    const outcome = target.start({ task, run, leaseUntilMs, epoch, durationMs, fails: this.occurs(0.04), lacksRoom: this.options.refusing && this.occurs(0.1) }, this.now)
+    const outcome = target.start({ task, run, leaseUntilMs, epoch: fencingNumber, durationMs, fails: this.occurs(0.04), lacksRoom: this.options.refusing && this.occurs(0.1) }, this.now)
     if (outcome === 'accepted' && present?.run !== run) {
       this.check.recordStart(target, { task, run, replaces: present !== undefined, late }, this.now)
       this.gangs.handleStart(target, task, run)
