End the leases of the life before with the first answer of the next one

Callers waited for up to 22 s after a target had started again and gone away (LOST): every lease on it counted until 12 s, the longest lease and a margin after the last call to its life before. The next owner counted the longest lease beside such a target for 25 s after the restart.

Calls to the life before carry a lower number and have no effect once the next one has answered a request that was sent to it as such, so that no lease lasts longer than the longest one after that answer (on a clock that may be 2% slow, and the margin). The same ends the stored record of the incarnation before. A target that never answers counts as before.

--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -43,7 +43,7 @@
 export function forgetEarlierIncarnations (state: CellState): boolean {
   let changed = false
   for (const target of state.targets.values()) {
-    if (!target.listed || state.now - target.firstSeenAt < computeForeignLeasesMs(state)) continue
+    if (!target.haveEarlierLeasesExpired(state.now, state.options.longestLeaseMs)) continue
     if (state.commandedIncarnations.get(target.id) === target.entry.incarnation) continue
     state.commandedIncarnations.set(target.id, target.entry.incarnation)
     changed = true
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -22,6 +22,7 @@
  */
 export function handleListing (state: CellState, target: TargetState, listing: TargetListing, sentAt: number): void {
   target.recordClock(listing.clockMs, state.now)
+  target.recordAnswer(sentAt, state.now, state.options.longestLeaseMs)
   target.answeredCursor = Math.max(target.answeredCursor, target.sentCursor)
   for (const completion of listing.ended) handleCompletion(state, target, completion)
   const listedKeys = new Set<string>()
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -78,6 +78,8 @@
   leaseRequestedAt = -Infinity
   /** When the leases that were measured on the clocks of earlier incarnations have expired, on the scheduler's clock. */
   private earlierLeasesEndAt = -Infinity
+  /** When it first answered a request that was sent to it as this incarnation; undefined before that. */
+  private fencedAt: number | undefined
   private decayedAt = 0
 
   /** `restarts`: how often a target of this id has restarted under this owner. */
@@ -112,9 +114,24 @@
     this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(clockMs + leaseMs), foreignLeaseEndsAt)
   }
 
+  /**
+   * Records that it has answered a request sent at that time. The request carried a higher fencing number than any to earlier
+   * incarnations or by earlier owners, which give no more leases from then on.
+   */
+  recordAnswer (sentAt: number, now: number, longestLeaseMs: number): void {
+    if (this.fencedAt !== undefined || sentAt <= this.firstSeenAt) return
+    this.fencedAt = now
+    this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, computeLastExpiry(now, longestLeaseMs))
+  }
+
+  /** Whether all leases that were measured on the clocks of earlier incarnations have certainly expired. */
+  haveEarlierLeasesExpired (now: number, longestLeaseMs: number): boolean {
+    return this.fencedAt !== undefined && now >= computeLastExpiry(this.fencedAt, longestLeaseMs)
+  }
+
   /** Records that commands to the incarnation before may still reach this one, which takes their leases for the longest ones. */
   inheritLeases (previous: TargetState, longestLeaseMs: number): void {
-    const lastEndsAt = previous.leaseRequestedAt + LATE_COMMAND_MS + toSchedulerTime(longestLeaseMs) + EXPIRY_MARGIN_MS
+    const lastEndsAt = computeLastExpiry(previous.leaseRequestedAt + LATE_COMMAND_MS, longestLeaseMs)
     this.earlierLeasesEndAt = Math.max(previous.earlierLeasesEndAt, lastEndsAt)
   }
 
@@ -204,6 +221,11 @@
   }
 }
 
+/** When all leases have certainly expired that were given up to this time, on the scheduler's clock. */
+function computeLastExpiry (givenUntil: number, longestLeaseMs: number): number {
+  return givenUntil + toSchedulerTime(longestLeaseMs) + EXPIRY_MARGIN_MS
+}
+
 /** Longest time that a period on a target's clock takes on the scheduler's clock. */
 function toSchedulerTime (periodMs: number): number {
   return periodMs / MIN_CLOCK_RATE_RATIO
--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -120,3 +120,28 @@
   for (let seconds = 0; seconds < 60; seconds += 1) harness.advance(1_000)
   assert.equal(harness.scheduler.getTarget('t1'), undefined)
 })
+
+const FIRST_ANSWER_MS = 100
+const answers = [
+  { guards: 'answered so long ago that all leases have expired', answeredMsAgo: 10_500, expected: LEASE_MS },
+  { guards: 'answered a while ago', answeredMsAgo: 10_200, expected: LONGEST_LEASE_MS },
+  { guards: 'has not answered this owner since', answeredMsAgo: undefined, expected: LONGEST_LEASE_MS }
+]
+
+for (const { guards, answeredMsAgo, expected } of answers) {
+  // LOST: the next owner waited for the longest lease until 25 s after a restart, though no earlier command can reach a target that has answered.
+  test(`cell: guards against the failure that the next owner counts ${expected === LEASE_MS ? 'the longest lease' : 'a shorter lease than the longest'} for a restarted target that ${guards}`, () => {
+    const harness = CellHarness.create([buildEntry('t1')], undefined, OPTIONS)
+    harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+    harness.now += FIRST_ANSWER_MS
+    if (answeredMsAgo !== undefined) harness.listTarget('t1', { incarnation: 2, clockMs: FIRST_ANSWER_MS })
+    harness.advance(answeredMsAgo ?? 30_000)
+    const stored = harness.effects.flatMap((effect) => effect.type === 'store-targets' ? [effect] : []).at(-1)!
+    const next = CellScheduler.create(OPTIONS)
+    next.expectEarlierRuns()
+    next.apply({ type: 'incarnations-restored', incarnations: stored.incarnations }, harness.now)
+    next.apply({ type: 'targets-stored', ids: ['t1'] }, harness.now)
+    next.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) }, harness.now)
+    assert.equal(next.longestEarlierLeaseMs, expected)
+  })
+}
