--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -34,7 +34,7 @@
 import { computeLongestEarlierLeaseMs, restoreIncarnations } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
-import { recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
+import { hasUnansweredStarts, recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
 import { UnsettledRunsLog } from './unsettled-runs-log.ts'
 
 /**
@@ -80,7 +80,8 @@
       closedTargets: new Map(),
       commandedIncarnations: new Map(),
       aloneUntil: Infinity,
-      runsLostByRestarts: new Set(),
+      runsLostByRestarts: new Map(),
+      restarts: new Map(),
       departedTargets: new Map(),
       heldBackTasks: new Map(),
       earlierRunsPossible: false,
@@ -283,6 +284,7 @@
     if (event.type === 'stop-answered' && event.response.type === 'accepted') recordRejection(target, event.task, event.run)
     const live = target.find(event.task, event.run)
     if (live === undefined) return
+    if (event.type === 'start-answered' && !hasUnansweredStarts(target, live)) live.startsEndAt = Math.min(live.startsEndAt, this.state.now)
     if (event.type === 'start-answered') handleStartResponse(this.state, target, live, event.response)
     else handleStopResponse(this.state, target, live, event.response)
   }
