Let tasks that last use the reserve of a full pool, one after another

What callers see: a task that lasts had no run although its pool had room for it, for as long as half of the pool was booked.

Cause: 15% of each target is kept for urgent tasks. Other work that doesn't run uses it only while less than half of the pool is booked, but the rule on tasks that last counts them however full the pool is.

Change: a task that lasts and has had no run for 2 s, none of whose runs may still be present, uses the reserve in a pool of which half is booked, while there is room for it twice over. One such start every 0.5 s in each pool, so that tasks which end meanwhile make room for the next one. The class that knows how long such tasks have waited is named for that now, in place of the log that it also writes.

Cost for urgent work: of eight targets with room for one such task each (eight tasks that last wait), urgent tasks lose one place within 2.5 s, five within 4.5 s and seven in the end; the last one stays. Where other work than tasks that last fills the targets the places come back when it ends, because its next tasks start only within the 85%.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -15,7 +15,7 @@
 import { NO_DEMAND, isFinalPhase } from './job.ts'
 import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
 import { KnownSettings } from './known-settings.ts'
-import { LastingTaskLog } from './lasting-task-log.ts'
+import { LastingTaskWaits } from './lasting-task-waits.ts'
 import { PendingAdvice } from './pending-advice.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
@@ -92,7 +92,7 @@
       startPassNeeded: false,
       passWork: { passes: 0, steps: 0, targets: 0 },
       resendPause: ResendPause.create(resolved.resendAfterMs),
-      lastingTasks: LastingTaskLog.create(),
+      lastingTasks: LastingTaskWaits.create(),
       unsettledRuns: UnsettledRunsLog.create()
     })
   }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -7,7 +7,7 @@
 import { NO_DEMAND } from './job.ts'
 import type { OrganisationSettings, QueueSettings } from './job-settings.ts'
 import type { KnownSettings } from './known-settings.ts'
-import type { LastingTaskLog } from './lasting-task-log.ts'
+import type { LastingTaskWaits } from './lasting-task-waits.ts'
 import type { OpenTargets } from './open-targets.ts'
 import type { CellOptions } from './options.ts'
 import type { ResendPause } from './resend-pause.ts'
@@ -86,7 +86,7 @@
   startPassNeeded: boolean
   readonly passWork: PassWork
   readonly resendPause: ResendPause
-  readonly lastingTasks: LastingTaskLog
+  readonly lastingTasks: LastingTaskWaits
   readonly unsettledRuns: UnsettledRunsLog
 }
 
--- a/src/workflow/lasting-task-log.ts
+++ b/src/workflow/lasting-task-waits.ts
@@ -12,6 +12,10 @@
 const MIN_LOGGED_WAIT_MS = 2_000
 /** Time after which an unchanged reason is logged again, in milliseconds. */
 const REPEAT_INTERVAL_MS = 2_000
+/** A task that has had no run for this time takes precedence, in milliseconds. */
+const MAX_PLACEMENT_WAIT_MS = 2_000
+/** Time between two starts of tasks that last in the reserve of a full pool, in milliseconds: other tasks may end meanwhile. */
+const RESERVE_INTERVAL_MS = 500
 /** Number of tasks that one pass logs; the others are counted. */
 const MAX_LINES = 10
 
@@ -25,23 +29,26 @@
   logged: { readonly reason: string, readonly at: number } | undefined
 }
 
-/** Logs why tasks that last have no run, and counts them. */
-export class LastingTaskLog {
+/** The tasks that last and have no run: since when, and why, which it logs. */
+export class LastingTaskWaits {
   private waiting = new Map<Task, Waiting>()
+  private overdueSteps: ReadonlySet<StepRun> = new Set()
+  /** By pool, when such a task last started in the reserve for urgent tasks, on the scheduler's clock. */
+  private readonly reserveUsedAt = new Map<string, number>()
   private checkAt = -Infinity
 
   private constructor () {}
 
   /**
-   * Creates a log that knows of no waiting task.
+   * Creates an object that knows of no waiting task.
    *
    * @example
-   * const lastingTasks = LastingTaskLog.create()
+   * const lastingTasks = LastingTaskWaits.create()
    * lastingTasks.update(state)
    * lastingTasks.computeLongestWaitMs(state.now)
    */
-  static create (): LastingTaskLog {
-    return new LastingTaskLog()
+  static create (): LastingTaskWaits {
+    return new LastingTaskWaits()
   }
 
   /** Number of tasks that last and have no run, as of the last pass over them. */
@@ -54,11 +61,28 @@
     return [...this.waiting.values()].reduce((longest, { since }) => Math.max(longest, now - since), 0)
   }
 
+  /** Whether a task of the step has waited too long for a target, as of the last pass over these tasks. */
+  isOverdue (step: StepRun): boolean {
+    return this.overdueSteps.has(step)
+  }
+
+  /** Records that an overdue task has started in what is kept for urgent tasks in a full pool. */
+  recordReserveUse (pool: string, now: number): void {
+    this.reserveUsedAt.set(pool, now)
+  }
+
+  /** Whether another overdue task has just started in what is kept for urgent tasks. */
+  wasReserveJustUsed (pool: string, now: number): boolean {
+    return now - (this.reserveUsedAt.get(pool) ?? -Infinity) < RESERVE_INTERVAL_MS
+  }
+
   /** Looks for tasks without a run and logs why, unless that was done a moment ago. */
   update (state: CellState): void {
     if (state.now < this.checkAt) return
     this.checkAt = state.now + CHECK_INTERVAL_MS
     this.waiting = new Map(findWaits(state).map(({ task, wait }) => [task, this.toWaiting(state, task, wait)]))
+    const overdue = [...this.waiting.values()].filter((entry) => isOverdue(entry, state.now))
+    this.overdueSteps = new Set(overdue.map(({ task }) => task.step))
     this.write(state, [...this.waiting.values()].filter((entry) => isToBeLogged(entry, state.now)))
   }
 
@@ -104,6 +128,11 @@
   return 'live' in wait ? Math.min(now, wait.live.target.lastHeardAt) : now
 }
 
+/** Whether the task has waited too long, and for a target: none of its runs may still be present. */
+function isOverdue ({ task, since, wait }: Waiting, now: number): boolean {
+  return now - since >= MAX_PLACEMENT_WAIT_MS && task.runs.size === 0 && wait.type !== 'earlier-runs' && wait.type !== 'held-back'
+}
+
 function isToBeLogged ({ since, wait, logged }: Waiting, now: number): boolean {
   if (now - since < MIN_LOGGED_WAIT_MS) return false
   return logged === undefined || logged.reason !== formatKey(wait) || now - logged.at >= REPEAT_INTERVAL_MS
--- a/src/workflow/open-targets.ts
+++ b/src/workflow/open-targets.ts
@@ -2,13 +2,16 @@
 import type { CellState } from './cell-state.ts'
 import type { Demand } from './job.ts'
 import { NO_DEMAND, addDemands, maxDemand } from './job.ts'
-import { acceptsWork } from './target-acceptance.ts'
+import { acceptsWork, countFreeSlots, isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import type { StepRun } from './task.ts'
 
 /** Ratio of a target's capacity that non-urgent tasks may use. */
 export const NON_URGENT_CAPACITY_RATIO = 0.85
 
+/** A task that lasts uses the reserve of a full pool only while there is room for it this many times. */
+const LASTING_ROOM_FACTOR = 2
+
 /** Ratio of the number of targets by which a walk advances, so that it visits the racks in turn. */
 const STRIDE_RATIO = 0.618
 
@@ -19,6 +22,8 @@
 export class OpenTargets {
   private readonly stride: number
   private mostlyFree: boolean | undefined
+  /** Whether there is room for the tasks of a step that was last asked for, as of the last start. */
+  private lastingRoom: { readonly step: StepRun, readonly isEnough: boolean } | undefined
 
   private constructor (readonly targets: readonly TargetState[], private readonly maxFree: Demand, private readonly maxFreeForNonUrgent: Demand) {
     this.stride = findStride(targets.length)
@@ -49,7 +54,7 @@
   mayFit (state: CellState, step: StepRun): boolean {
     const { spec } = step
     const { demand } = spec
-    const free = isUrgent(state, step.job.definition) || this.mayUseReserve(step) ? this.maxFree : this.maxFreeForNonUrgent
+    const free = isUrgent(state, step.job.definition) || this.mayUseReserve(state, step) ? this.maxFree : this.maxFreeForNonUrgent
     return (spec.fills || demand.cpuMillis <= free.cpuMillis) && demand.memoryMiB <= free.memoryMiB && demand.accelerators <= free.accelerators
   }
 
@@ -61,10 +66,28 @@
 
   /**
    * Whether tasks of a step that is not urgent may use what is reserved for urgent tasks on each target. A job that does not
-   * run may: where tasks that last use the rest, it would wait for good in a pool that is mostly free.
+   * run may: where tasks that last use the rest, it would wait for good in a pool that is mostly free. A task that lasts and
+   * has waited too long may in any pool, but leaves room for one more.
    */
-  mayUseReserve (step: StepRun): boolean {
-    return this.isMostlyFree && step.isIdle
+  mayUseReserve (state: CellState, step: StepRun): boolean {
+    if (this.isMostlyFree) return step.isIdle
+    return state.lastingTasks.isOverdue(step) && this.hasLastingRoom(step)
+  }
+
+  /** To be called after a start: there is less room than before. */
+  forgetRoom (): void {
+    this.lastingRoom = undefined
+  }
+
+  private hasLastingRoom (step: StepRun): boolean {
+    if (this.lastingRoom?.step !== step) this.lastingRoom = { step, isEnough: this.countSlots(step) >= LASTING_ROOM_FACTOR * (step.spec.gang ? step.spec.count : 1) }
+    return this.lastingRoom.isEnough
+  }
+
+  /** Counts the tasks of the step that fit the targets. Advice is not checked. */
+  private countSlots (step: StepRun): number {
+    const suitable = this.targets.filter((target) => isSuitable(target, step))
+    return suitable.reduce((sum, target) => sum + Math.max(0, countFreeSlots(target, step)), 0)
   }
 
   /** Visits each target once, in an order that depends on `seed`: walks with different seeds start at different targets. */
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -7,12 +7,14 @@
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
 import { checkMaximum } from './organisation-maximum.ts'
+import { getOpenTargets } from './open-targets.ts'
 import { selectOverdueSteps } from './overdue-advice.ts'
 import { compareRanks, computeRank } from './step-rank.ts'
 import { findAllowedTargets, chooseTarget, needsAdvice } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
 import { hasStartableTask, isStartable } from './startable.ts'
 import type { TargetState } from './target-state.ts'
+import { usesReserve } from './task-acceptance.ts'
 import type { StepRun, Task } from './task.ts'
 import { computeUncertainUsage } from './uncertain-usage.ts'
 
@@ -77,11 +79,21 @@
       logBlocked(state, step, 'no-room')
       return false
     }
+    if (!takeReserve(state, step, target)) return true
     startTask(state, task, target)
   }
   return true
 }
 
+/** Whether a task of the step may start on the target now: in a full pool, what is kept for urgent tasks is used step by step. */
+function takeReserve (state: CellState, step: StepRun, target: TargetState): boolean {
+  const { pool } = target.entry
+  if (!usesReserve(state, target, step) || getOpenTargets(state, pool).isMostlyFree) return true
+  if (state.lastingTasks.wasReserveJustUsed(pool, state.now)) return false
+  state.lastingTasks.recordReserveUse(pool, state.now)
+  return true
+}
+
 /** Whether a run of the task may start now; not while a run may be on a closed target of a previous owner. */
 function mayStart (state: CellState, task: Task): boolean {
   return isStartable(task, state.now) && !state.heldBackTasks.has(task)
@@ -118,9 +130,15 @@
   const live = addRun(state, { task, run: state.lastRunNumber, target, phase: 'starting', ticket })
   markJobStarted(state, step)
   sendStart(state, live)
+  forgetRoom(state, step)
   beginTrials(state, [live])
 }
 
+/** Lets the next task see that there is less room in the pool of the step. */
+function forgetRoom (state: CellState, step: StepRun): void {
+  getOpenTargets(state, findQueue(state, step.job.definition)?.pool).forgetRoom()
+}
+
 /** Starts a gang; returns false if more tickets could help. */
 function startGang (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
   if (!step.tasks.every((task) => mayStart(state, task)) || step.tasks.some((task) => giveUpIfExhausted(state, task))) return true
@@ -135,6 +153,7 @@
   state.lastRunNumber = run
   markJobStarted(state, step)
   for (const live of placed) sendStart(state, live)
+  forgetRoom(state, step)
   beginTrials(state, placed)
   return true
 }
--- a/src/workflow/task-acceptance.ts
+++ b/src/workflow/task-acceptance.ts
@@ -22,6 +22,11 @@
   return cpuFits && (memoryMiB === 0 || memoryMiB + spec.demand.memoryMiB <= capacity.memoryMiB * NON_URGENT_CAPACITY_RATIO)
 }
 
+/** Whether one more task of the step would use what is kept for urgent tasks on the target. */
+export function usesReserve (state: CellState, target: TargetState, step: StepRun): boolean {
+  return !isUrgent(state, step.job.definition) && !isWithinNonUrgentCapacity(target, step)
+}
+
 /** Whether the target has room for one more task of the step only in what is kept for urgent tasks. */
 export function hasReservedRoom (state: CellState, target: TargetState, step: StepRun): boolean {
   return hasFreeCapacity(target, step) && acceptsWork(state, target) && isWithinPerTargetLimit(target, step) && !acceptsTaskOf(state, target, step)
@@ -29,7 +34,7 @@
 
 function mayUseReserve (state: CellState, step: StepRun): boolean {
   const { definition } = step.job
-  return isUrgent(state, definition) || getOpenTargets(state, findQueue(state, definition)?.pool).mayUseReserve(step)
+  return isUrgent(state, definition) || getOpenTargets(state, findQueue(state, definition)?.pool).mayUseReserve(state, step)
 }
 
 /** Whether the target has fewer runs of the step than its limit for one target. */
--- a/test/workflow/task-acceptance.test.ts
+++ b/test/workflow/task-acceptance.test.ts
@@ -36,3 +36,41 @@
     assert.deepEqual([harness.countStartedTasks('lasting'), harness.countStartedTasks('job')], [TARGETS, started])
   })
 }
+
+const TICK_MS = 50
+const HALF_OF_A_TARGET = 2_000
+
+/** Lets half of each target run a task that lasts and is at work. */
+function fillHalf (harness: CellHarness): void {
+  accept(harness, 'lasting', 'batch', HALF_OF_A_TARGET, ONE_A_TARGET)
+  for (const start of harness.getStarts()) {
+    harness.acceptStart(start)
+    harness.listTarget(start.target, { running: harness.runningOn(start.target).map((run) => ({ ...run, percent: 100 })) })
+  }
+}
+
+function advanceFor (harness: CellHarness, durationMs: number): void {
+  for (let passedMs = 0; passedMs < durationMs; passedMs += TICK_MS) harness.advance(TICK_MS)
+}
+
+// LOST: tasks that last waited for good in a pool of which half was booked, beside room for them that was kept for urgent tasks.
+const lasting: ReadonlyArray<{ readonly guards: string, readonly count?: number, readonly changes?: Partial<Step>, readonly waitMs: number, readonly started: number }> = [
+  { guards: 'a task that lasts has no run for long because of the reserve', waitMs: 2_500, started: 1 },
+  { guards: 'a task that lasts uses the reserve before it has waited', waitMs: 1_500, started: 0 },
+  { guards: 'tasks that last use the reserve of several targets at once', count: TARGETS, waitMs: 2_500, started: 1 },
+  { guards: 'only one of the tasks that last has a run', count: TARGETS, waitMs: 4_500, started: 5 },
+  { guards: 'tasks that last take the room for the last urgent task', count: TARGETS, waitMs: 12_000, started: TARGETS - 1 },
+  { guards: 'a gang that lasts has no run although there is room for it twice over', count: TARGETS / 2, changes: { gang: true }, waitMs: 2_500, started: TARGETS / 2 },
+  { guards: 'a gang that lasts takes the room that is left', count: TARGETS / 2 + 1, changes: { gang: true }, waitMs: 2_500, started: 0 },
+  { guards: 'jobs that end use the reserve of a full pool', changes: { longRunning: false }, waitMs: 2_500, started: 0 }
+]
+
+for (const { guards, count = 1, changes, waitMs, started } of lasting) {
+  test(`task acceptance: guards against the failure that ${guards}`, () => {
+    const harness = createHarness()
+    fillHalf(harness)
+    accept(harness, 'job', 'batch', 1_700, { count, longRunning: true, ...changes })
+    advanceFor(harness, waitMs)
+    assert.equal(harness.countStartedTasks('job'), started)
+  })
+}
