Take a leader for ended when its host refuses all ports of a member

What callers see: tasks of a dead target had no run for 12 s and more when the leader was killed at the same time and did not come back at its address: a new leader gave it the whole grace of a leader without the store, 8 s from the takeover, and then the lease of its runs.

Cause: an earlier leader that does not answer a request to stand down was taken for one that runs on. A process that has ended does not answer either.

Ports are the same on all hosts of a cell. When an earlier leader does not answer, the port for members and these ports are probed at its host; if all of them refuse, twice, 100 ms apart, its commands count as ended now, and earlier-leader-ended is logged. One port that refuses shows nothing, nor does a host that is silent at any of them. A product that names no further ports waits as before, and so does a cell whose listeners have several addresses.

Harness: a virtual process that refuses connections of members listens at its further ports; a member that moves gets another host name, not only another port, so that the address before has no listener; hosts can be dark.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -105,8 +105,8 @@
       getFailureDomain: (target) => this.scheduler.getTarget(target)?.entry.failureDomain
     })
     this.commands = PermittedCommands.create(this.relayedCommands, () => this.permission.isGranted())
-    const { term, self, reporter, requestStandDown, standDown } = options
-    this.earlierLeaders = EarlierLeaders.create({ term, self, reporter, requestStandDown, standDown, isStopped: () => this.stopped })
+    const { reporter } = options
+    this.earlierLeaders = EarlierLeaders.create({ ...options, isStopped: () => this.stopped })
     this.lateJobs = LateJobs.create({
       store: options.store,
       reporter,
--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -2,6 +2,7 @@
 import { LEASE_GRACE_MS, MAX_CONFIRMATION_AGE_MS } from './leadership.ts'
 import type { StandDown, Term } from './leadership.ts'
 import type { Peer } from './member-call.ts'
+import type { ProcessState } from './process-probe.ts'
 import type { Reporter } from './reporter.ts'
 import type { UnsettledTerm } from './store-keys.ts'
 
@@ -15,7 +16,9 @@
   readonly reporter: Reporter
   /** Asks a member to stop leading any earlier term; undefined without a response. */
   readonly requestStandDown: (peer: Peer, term: number) => Promise<StandDown | undefined>
-  /** Answers the same for this process. */
+  /** Checks whether the process of a member that does not respond has ended; without it, none counts as ended. */
+  readonly checkProcess?: (peer: Peer) => Promise<ProcessState>
+  /** Answers a request to stand down for this process. */
   readonly standDown: () => StandDown
   readonly isStopped: () => boolean
   /** The monotonic clock. */
@@ -100,16 +103,29 @@
     if (!isStopped()) reporter.log('warn', 'earlier-leader-silent', { member: earlier.leader.member, term: earlier.term })
   }
 
-  /** Returns whether it has responded. A response from its address means that it has stopped, or that its process has ended. */
+  /**
+   * Returns whether it is known to send no more commands. A response from its address means that it has stopped, or that its
+   * process has ended; so does an address without any listener of a member.
+   */
   private async askLeader ({ leader, term }: UnsettledTerm): Promise<boolean> {
+    const { reporter, checkProcess } = this.options
     const standDown = await this.requestStandDown(leader)
-    if (standDown === undefined) return false
-    this.commandsEndAt.set(leader.address, this.now() - standDown.quietForMs)
-    this.silentAddresses.delete(leader.address)
-    this.options.reporter.log('info', 'earlier-leader-stopped', { member: leader.member, term, answer: standDown.type, quietForMs: Math.round(standDown.quietForMs) })
+    if (standDown !== undefined) {
+      this.recordEnd(leader, standDown.quietForMs)
+      reporter.log('info', 'earlier-leader-stopped', { member: leader.member, term, answer: standDown.type, quietForMs: Math.round(standDown.quietForMs) })
+      return true
+    }
+    if (await checkProcess?.(leader) !== 'ended') return false
+    this.recordEnd(leader, 0)
+    reporter.log('info', 'earlier-leader-ended', { member: leader.member, term, address: leader.address, by: 'no listener' })
     return true
   }
 
+  private recordEnd ({ address }: Peer, quietForMs: number): void {
+    this.commandsEndAt.set(address, Math.min(this.commandsEndAt.get(address)!, this.now() - quietForMs))
+    this.silentAddresses.delete(address)
+  }
+
   private async requestStandDown (leader: Peer): Promise<StandDown | undefined> {
     const { term, self, requestStandDown, standDown } = this.options
     return leader.address === self.address ? standDown() : requestStandDown(leader, term.term)
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -1,10 +1,11 @@
+import type { ProbeResult } from '../../src/adapters/probe-address.ts'
 import type { MemberCall } from '../../src/controller/member-call.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
 import type { JobDefinition } from '../../src/workflow/job.ts'
 import { Random } from '../../src/util/random.ts'
 import { buildJob } from '../workflow/harness.ts'
 import { RunHistory } from './run-history.ts'
-import { VirtualMember, answerCall, failCall } from './virtual-member.ts'
+import { FURTHER_PORTS, VirtualMember, answerCall, failCall } from './virtual-member.ts'
 import type { MemberCallResult } from './virtual-member.ts'
 import { VirtualStore } from './virtual-store.ts'
 import type { VirtualConnection } from './virtual-store.ts'
@@ -39,6 +40,8 @@
   readonly acceptedJobs = new Set<string>()
   readonly cancelledJobs = new Set<string>()
   readonly hosts: VirtualHost[] = []
+  /** Names in addresses of hosts that are gone: nothing responds there. */
+  readonly darkHosts = new Set<string>()
   readonly store: VirtualStore
   readonly history: RunHistory
   readonly targets: VirtualTargets
@@ -123,7 +126,7 @@
       callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
       probe: async (to) => {
         await this.time.wait(CALL_LATENCY_MS)
-        return this.findListener(to) === undefined ? 'refused' : 'listening'
+        return this.probe(to)
       },
       reporter: this.createReporter(name)
     }))
@@ -150,12 +153,21 @@
     return this.hosts.find((host) => host.address === address && host.process.state !== 'ended' && !host.refusesConnections)
   }
 
+  /** A process that refuses connections at the port for members listens at its further ports. */
+  private probe (address: string): ProbeResult {
+    const [hostName, port] = address.split(':')
+    if (this.darkHosts.has(hostName!)) return 'silent'
+    if (!FURTHER_PORTS.some((further) => String(further) === port)) return this.findListener(address) === undefined ? 'refused' : 'listening'
+    const runs = this.hosts.some((host) => host.address.split(':')[0] === hostName && host.process.state !== 'ended')
+    return runs ? 'listening' : 'refused'
+  }
+
   private callMember (from: VirtualHost | undefined, address: string, call: MemberCall, timeoutMs: number): Promise<MemberCallResult> {
     const owner = this.time.currentProcess
     return new Promise((resolve) => {
       const respond = (result: MemberCallResult, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(result), owner) }
       const listener = this.findListener(address)
-      if (from?.cutFromMembers === true || listener?.cutFromMembers === true) return respond(failCall('timeout'), timeoutMs)
+      if (from?.cutFromMembers === true || listener?.cutFromMembers === true || this.darkHosts.has(address.split(':')[0]!)) return respond(failCall('timeout'), timeoutMs)
       if (listener === undefined) return respond(failCall('unavailable'), CALL_LATENCY_MS)
       respond(failCall('timeout'), timeoutMs)
       this.time.schedule(CALL_LATENCY_MS, () => {
--- a/test/controller/virtual-faults.ts
+++ b/test/controller/virtual-faults.ts
@@ -79,7 +79,7 @@
   cell.kill(second)
   const { address } = first
   cell.time.schedule(random.nextInt(2_000), () => {
-    cell.restart(first, `${first.name}:${Math.round(cell.time.nowMs)}`)
+    cell.restart(first, `${first.name}-${Math.round(cell.time.nowMs)}:1`)
     cell.time.schedule(random.nextInt(2_000), () => cell.restart(second, address))
   })
 }
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -9,6 +9,7 @@
 import type { Term } from '../../src/controller/leadership.ts'
 import { MemberLink } from '../../src/controller/member-link.ts'
 import type { MemberCall, MemberCallFailure, MemberResponse, Peer } from '../../src/controller/member-call.ts'
+import { ProcessProbe } from '../../src/controller/process-probe.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
 import type { CommandClient } from '../../src/ports/command-client.ts'
 import type { Store } from '../../src/ports/store.ts'
@@ -17,6 +18,8 @@
 
 export const TARGET_PREFIX = 'servers/'
 const LEASE_MS = 3_500
+/** Where members listen beside the port for members. */
+export const FURTHER_PORTS = [8_183, 8_184] as const
 /** The second organisation may use half of six targets. */
 const TWO_ORGANISATIONS = { ...CONFIGURATION, organisations: [...CONFIGURATION.organisations, { ...CONFIGURATION.organisations[0]!, name: 'aba', maximum: { cpuMillis: 12_000, memoryMiB: 0, accelerators: 0 } }] }
 
@@ -83,7 +86,8 @@
   }
 
   private startController (term: Term, advisor: AdviceCache): void {
-    const { self, store, commands, reporter } = this.options
+    const { self, store, commands, reporter, probe } = this.options
+    const processProbe = ProcessProbe.create({ probe, furtherPorts: FURTHER_PORTS })
     this.controller?.stop()
     this.controller = Controller.create({
       store,
@@ -101,6 +105,7 @@
       requestCachedAdvice: (peer) => this.link.requestCachedAdvice(peer),
       standDown: () => this.leadership.stepDownForTerm(term.term),
       requestStandDown: (peer, laterTerm) => this.link.requestStandDown(peer, laterTerm),
+      checkProcess: ({ address }) => processProbe.check(address),
       isLeaseConfirmed: () => this.leadership.isLeaseConfirmed,
       getAloneUntil: () => this.leadership.aloneUntil,
       onFenced: (reason) => this.leadership.stepDown(reason)
