Let tasks that last and have no run ask the advisor before all others

What callers see: a task that lasts and has lost its target had no run for 8 s and more where few channels to the advisor are left.

Cause: its step needs new tickets. It asked behind all steps with a better rank; precedence after 2 s held only while less than half of the pool was booked, and went to the steps that had waited longest; all non-urgent channels could be taken by requests that wait behind urgent ones; and so did its own request once it was sent.

Change: once a task of a step that lasts has had no run for 2 s, the request of the step is sent whatever else is pending, on one channel or a quarter of them at a time, and counts as urgent where requests wait for a channel. Its step searches all targets at that moment, because it may use more of each.

Left: a request that was sent before its step has waited 2 s still goes behind urgent ones, for as long as those keep all channels busy.

--- a/src/controller/advice-dispatcher.ts
+++ b/src/controller/advice-dispatcher.ts
@@ -6,7 +6,7 @@
   readonly targets: readonly string[]
   /** Time that the advisor needs for the request, in milliseconds. */
   readonly costMs: number
-  /** Whether the step belongs to a queue with the highest priority. */
+  /** Whether it goes before requests that are not urgent. */
   readonly urgent: boolean
 }
 
--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -19,7 +19,13 @@
  * `prefetch`: the step is not ready yet.
  */
 function mayRequestAdvice (state: CellState, step: StepRun, prefetch = false): boolean {
-  return !step.advice.requestPending && state.pendingAdvice.mayRequest(isUrgent(state, step.job.definition), prefetch, state.now)
+  if (step.advice.requestPending) return false
+  return takesPrecedence(state, step) || state.pendingAdvice.mayRequest(isUrgent(state, step.job.definition), prefetch, state.now)
+}
+
+/** Whether a request of the step goes before all others: one of its tasks lasts and has had no run for too long. */
+function takesPrecedence ({ lastingTasks, pendingAdvice }: CellState, step: StepRun): boolean {
+  return lastingTasks.isOverdue(step) && pendingAdvice.mayPrecede
 }
 
 /**
@@ -47,11 +53,12 @@
     return
   }
   const costMs = computeAdviceCostMs(state, step, targets.length)
-  state.pendingAdvice.add(step.key, { urgent, overdue: isOverdue(state, step), costMs, now: state.now })
+  const precedes = takesPrecedence(state, step)
+  state.pendingAdvice.add(step.key, { urgent, overdue: isOverdue(state, step), precedes, costMs, now: state.now })
   advice.searchedTo = undefined
   advice.waitsForChannelSince = undefined
   advice.requestPending = true
-  state.effects.push({ type: 'request-advice', step: step.key, targets, costMs, urgent })
+  state.effects.push({ type: 'request-advice', step: step.key, targets, costMs, urgent: urgent || precedes })
 }
 
 /** Time that the advisor needs for a request of the step, in milliseconds. */
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -10,7 +10,7 @@
   | { readonly type: 'start', readonly target: string, readonly incarnation: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StartCommand> }
   | { readonly type: 'stop', readonly target: string, readonly incarnation: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StopCommand> }
   | { readonly type: 'throttle', readonly target: string, readonly id: string, readonly address: string, readonly command: WithoutEpoch<ThrottleCommand> }
-  /** `urgent`: the step is in a queue with the highest priority. */
+  /** `urgent`: the step is in a queue with the highest priority, or one of its tasks lasts and has had no run for too long. */
   | { readonly type: 'request-advice', readonly step: string, readonly targets: readonly string[], readonly costMs: number, readonly urgent: boolean }
   | { readonly type: 'store-progress', readonly job: string }
   | { readonly type: 'forget-job', readonly job: string }
--- a/src/workflow/lasting-task-waits.ts
+++ b/src/workflow/lasting-task-waits.ts
@@ -81,11 +81,20 @@
     if (state.now < this.checkAt) return
     this.checkAt = state.now + CHECK_INTERVAL_MS
     this.waiting = new Map(findWaits(state).map(({ task, wait }) => [task, this.toWaiting(state, task, wait)]))
-    const overdue = [...this.waiting.values()].filter((entry) => isOverdue(entry, state.now))
-    this.overdueSteps = new Set(overdue.map(({ task }) => task.step))
+    this.updateOverdueSteps(state.now)
     this.write(state, [...this.waiting.values()].filter((entry) => isToBeLogged(entry, state.now)))
   }
 
+  private updateOverdueSteps (now: number): void {
+    const overdue = [...this.waiting.values()].filter((entry) => isOverdue(entry, now))
+    const steps = new Set(overdue.map(({ task }) => task.step))
+    for (const step of steps) {
+      // It may use more of each target from now on.
+      if (!this.overdueSteps.has(step)) step.advice.fullSearchAt = now
+    }
+    this.overdueSteps = steps
+  }
+
   private toWaiting (state: CellState, task: Task, wait: TaskWait): Waiting {
     const known = this.waiting.get(task)
     if (known === undefined) return { task, since: getLastRunTime(state, wait), wait, logged: undefined }
--- a/src/workflow/pending-advice.ts
+++ b/src/workflow/pending-advice.ts
@@ -16,6 +16,9 @@
 /** Without an urgent step that needs advice for this time, other queues may use all channels, in milliseconds. */
 const URGENT_RESERVE_MS = 3_000
 
+/** Arguments of `add`. `precedes`: a task of the step lasts and has had no run for too long. */
+type NewRequest = { readonly urgent: boolean, readonly overdue: boolean, readonly precedes: boolean, readonly costMs: number, readonly now: number }
+
 /** Tracks the steps with a pending advice request and limits their number: more requests would wait while tickets expire. */
 export class PendingAdvice {
   /** Number of members that can send advice requests. */
@@ -27,6 +30,8 @@
   private readonly nonUrgent = new Set<string>()
   /** Those of both kinds that have waited too long. */
   private readonly overdue = new Set<string>()
+  /** Those of tasks that last and have had no run for too long. */
+  private readonly preceding = new Set<string>()
   /** When an urgent step last sent a request or found no channel for one, on the scheduler's clock; at first the first known time. */
   private lastUrgentAt: number | undefined
 
@@ -47,7 +52,16 @@
 
   /** Number of further steps that may take precedence because they have waited too long. */
   get freeOverdueChannels (): number {
-    return Math.max(1, Math.floor(this.channels * OVERDUE_CHANNEL_RATIO)) - this.overdue.size
+    return this.overdueLimit - this.overdue.size
+  }
+
+  /** Whether a task that lasts and has had no run for too long may ask now, whatever else is pending. */
+  get mayPrecede (): boolean {
+    return this.channels > 0 && this.preceding.size < this.overdueLimit
+  }
+
+  private get overdueLimit (): number {
+    return Math.max(1, Math.floor(this.channels * OVERDUE_CHANNEL_RATIO))
   }
 
   /**
@@ -66,7 +80,8 @@
     return urgent || this.nonUrgent.size < Math.max(1, Math.floor(this.channels * ratio))
   }
 
-  add (step: string, { urgent, overdue, costMs, now }: { readonly urgent: boolean, readonly overdue: boolean, readonly costMs: number, readonly now: number }): void {
+  add (step: string, { urgent, overdue, precedes, costMs, now }: NewRequest): void {
+    if (precedes) this.preceding.add(step)
     if (urgent) {
       this.urgent.set(step, costMs)
       this.lastUrgentAt = now
@@ -80,5 +95,6 @@
     this.urgent.delete(step)
     this.nonUrgent.delete(step)
     this.overdue.delete(step)
+    this.preceding.delete(step)
   }
 }
