Stop counting runs of unknown jobs on targets that are gone

What callers see: jobs of an organisation that uses little of its maximum do not start, tasks that last among them, until the target that had run something unknown comes back.

Cause: a target that lists runs of unknown jobs counts with its whole capacity towards the usage of every organisation until its next listing. A target that is gone is never listed again.

Change: it counts until its leases have expired while this owner was certainly alone, as for the runs that are known.

Evidence: test/workflow/organisation-maximum.test.ts, "runs of unknown jobs on a target that is gone count for good": 0 tasks started, expected 1, before. Two cases beside it hold before and after: nothing starts while the lease stands, or while another owner may have extended it. `npm test -- workflow/` (360 passed).

Left: such a target is still kept, and stays on the stored list.

--- a/src/workflow/uncertain-usage.ts
+++ b/src/workflow/uncertain-usage.ts
@@ -1,4 +1,5 @@
 import type { CellState } from './cell-state.ts'
+import { haveLeasesExpired } from './expired-leases.ts'
 import type { Demand } from './job.ts'
 import { NO_DEMAND, addDemands, maxDemand } from './job.ts'
 import { findUnlistedTargets } from './unlisted-targets.ts'
@@ -10,8 +11,8 @@
  */
 export function computeUncertainUsage (state: CellState): Demand {
   let usage = state.earlierRunsPossible ? computeUnlistedUsage(state) : NO_DEMAND
-  for (const { unknownRunCount, entry } of state.targets.values()) {
-    if (unknownRunCount > 0) usage = addDemands(usage, entry.capacity)
+  for (const target of state.targets.values()) {
+    if (target.unknownRunCount > 0 && !haveLeasesExpired(state, target)) usage = addDemands(usage, target.entry.capacity)
   }
   return usage
 }
--- a/test/workflow/organisation-maximum.test.ts
+++ b/test/workflow/organisation-maximum.test.ts
@@ -53,3 +53,26 @@
     assert.equal(harness.countStartedTasks('job'), started)
   })
 }
+
+const UNKNOWN_RUN = { task: 'unknown.0.0.0', run: 7, checkpoint: '', percent: 10, gauge: undefined }
+const LEASE_MS = 3_500
+
+const uncertain = [
+  { guards: 'runs of unknown jobs do not count while their target may have them', waitedMs: LEASE_MS, aloneForMs: Infinity, started: 0 },
+  { guards: 'runs of unknown jobs do not count while another owner may have extended their lease', waitedMs: 2 * LEASE_MS, aloneForMs: LEASE_MS, started: 0 },
+  // LOST: they counted for good, as the whole capacity of the target and for each organisation, so that its jobs did not start.
+  { guards: 'runs of unknown jobs on a target that is gone count for good', waitedMs: 2 * LEASE_MS, aloneForMs: Infinity, started: 1 }
+]
+
+for (const { guards, waitedMs, aloneForMs, started } of uncertain) {
+  test(`organisation's maximum: guards against the failure that ${guards}`, () => {
+    const harness = createHarness(MAXIMUM_CPU_MILLIS, MANY_A_SECOND)
+    harness.listTarget('t0', { running: [UNKNOWN_RUN] })
+    harness.apply({ type: 'target-silent', id: 't0', cause: 'no-answer' })
+    const aloneUntil = harness.now + aloneForMs
+    accept(harness, 'job', { queue: 'watch', cpu: 1_000, changes: LASTS })
+    harness.now += waitedMs
+    harness.apply({ type: 'tick', aloneUntil })
+    assert.equal(harness.countStartedTasks('job'), started)
+  })
+}
