--- a/test/workflow/refused-starts.test.ts
+++ b/test/workflow/refused-starts.test.ts
@@ -1,11 +1,13 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { CommandRefusal } from '../../src/ports/command-client.ts'
+import type { Queue } from '../../src/workflow/cell-configuration.ts'
 import type { Step } from '../../src/workflow/job.ts'
 import { DEFAULT_CELL_OPTIONS } from '../../src/workflow/options.ts'
 import type { ListedRun } from '../../src/workflow/target-entry.ts'
-import { CellHarness, buildEntry, buildJob } from './harness.ts'
+import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
 import type { SentCommand } from './harness.ts'
+import { SimulatedAdvisor } from './simulated-advisor.ts'
 
 /** Ticks that show how often a refused task starts, and their distance in milliseconds. */
 const OBSERVED_TICKS = 200
@@ -103,3 +105,45 @@
   harness.completeRun(start!, 'stopped')
   assert.equal(harness.getStarts().length, 2)
 })
+
+const ADVISED: Queue = { ...QUEUE, priority: 1, advice: { decisionMs: 450, perTargetMs: 6.5, validityMs: 2_000 } }
+/** A task that lasts has to run this long after its targets accept starts again, in milliseconds. */
+const MAX_RESTART_MS = 6_000
+
+/** Time from when the targets accept starts again until the task that lasts starts, in milliseconds; they refuse until then. */
+function measureStartAfterRefusals (queue: Queue, targets: readonly string[], refuseForMs: number): number {
+  const harness = CellHarness.create(targets.map((id) => buildEntry(id)), { ...CONFIGURATION, queues: [queue] })
+  const advisor = SimulatedAdvisor.create(1)
+  const beganAt = harness.now
+  let handled = 0
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', { longRunning: true }) })
+  for (;;) {
+    const effects = harness.effects.slice(handled)
+    handled = harness.effects.length
+    for (const effect of effects) {
+      if (effect.type === 'request-advice') advisor.add([effect])
+      if (effect.type !== 'start') continue
+      if (harness.now - beganAt >= refuseForMs) return harness.now - beganAt - refuseForMs
+      refuse(harness, effect, 'invalid')
+    }
+    for (const { step, targets: asked } of advisor.advance(harness.now)) harness.apply({ type: 'advised', step, requestedTargets: asked, response: { type: 'advised', tickets: asked.map((target) => ({ target, ticket: 'ticket' })), validityMs: undefined } })
+    harness.advance(TICK_MS)
+  }
+}
+
+const pauses: ReadonlyArray<{ readonly contains: string, readonly queue: Queue, readonly targets: readonly string[] }> = [
+  { contains: 'one target', queue: QUEUE, targets: ['t1'] },
+  { contains: 'two targets', queue: QUEUE, targets: ['t1', 't2'] },
+  { contains: 'one target that the advisor has to allow', queue: ADVISED, targets: ['t1'] },
+  { contains: 'two targets that the advisor has to allow', queue: ADVISED, targets: ['t1', 't2'] }
+]
+
+for (const { contains, queue, targets } of pauses) {
+  // LOST: the pauses of a task, of its target and of its tickets must not add up to more than a task that lasts may wait.
+  test(`command responses: guards against the failure that a task that lasts waits for too long after refusals, with ${contains}`, () => {
+    for (let refuseForMs = 2_000; refuseForMs < 20_000; refuseForMs += 350) {
+      const startMs = measureStartAfterRefusals(queue, targets, refuseForMs)
+      assert.ok(startMs <= MAX_RESTART_MS, `${startMs} ms after ${refuseForMs} ms of refusals`)
+    }
+  })
+}
