Add a table of times until tasks that last start again

Callers see that a task that lasts has no run for 10 to 40 s after its target has ended, where 9 s from its end, or 7 s from the last disturbance, are allowed.

Cause (of the gap in the tests): no test said how long a restart may take for each way in which targets and leaders end.

The virtual cell takes targets away (silent or refusing) and brings them back, and takes hosts away: nothing answers at their address, while a host whose process has ended refuses connections on all ports. `probeAddress(address, port)` tells what a connection attempt finds, for a later question of members. Targets and members may have another longest lease than before; the targets record the time between the runs of a task. `takeAway` of a target or host is new, `kill`, `refusesConnections` and the other faults mean what they did.

--- /dev/null
+++ b/test/controller/restart-bounds.ts
@@ -0,0 +1,113 @@
+import { assertNever } from '../../src/util/assert-never.ts'
+import { VirtualCell } from './virtual-cell.ts'
+import type { VirtualHost } from './virtual-cell.ts'
+
+const MEMBERS = 4
+const TARGETS = 4
+/** One task on each target. */
+const TASKS = 4
+const ENDED_TARGETS = ['t0', 't1']
+/** Until then a member leads and all tasks run, in milliseconds. */
+const SETTLE_MS = 4_000
+/** From the end of the targets to the end of the leader, in milliseconds. */
+const LEADER_DELAY_MS = 200
+/** From one end of a leader to the next, in milliseconds. */
+const LEADER_INTERVAL_MS = 3_000
+const RETRY_MS = 50
+const MAX_GAP_MS = 90_000
+/** A task that lasts is owed a run so long after its last one, and so long after the last disturbance, in milliseconds. */
+const MAX_TIME_MS = { afterEnd: 9_000, afterDisturbance: 7_000 } as const
+
+/** How targets end: at once, or some time after they have restarted under their ids. */
+export type TargetEnd = { readonly away: 'silent' | 'refusing', readonly restartedBeforeMs?: number }
+
+/**
+ * How leaders end. `same-address`: the process starts again at once. `other-address`, `other-address-silent`: so does another
+ * one at another address, while the first one refuses connections or is silent. `refusing`, `silent`: none starts.
+ */
+export type LeaderEnd = { readonly times: number, readonly then: 'same-address' | 'other-address' | 'other-address-silent' | 'refusing' | 'silent' }
+
+export type RestartScenario = { readonly target: TargetEnd, readonly leader: LeaderEnd | undefined, readonly longestLeaseMs: number }
+
+/** The task that had no run for longest, measured against what it was owed. */
+export type LongestGap = { readonly task: string, readonly gapMs: number, readonly allowedMs: number, readonly sinceDisturbanceMs: number }
+
+export type RestartOutcome = { readonly violations: readonly string[], readonly longest: LongestGap, readonly unstarted: number }
+
+/**
+ * Plays the end of targets and leaders beside tasks that last, until all of them run again.
+ *
+ * @example
+ * const { longest } = await playRestarts({ target: { away: 'silent' }, leader: undefined, longestLeaseMs: 10_000 })
+ */
+export async function playRestarts (scenario: RestartScenario): Promise<RestartOutcome> {
+  const cell = VirtualCell.create(1, { members: MEMBERS, targets: TARGETS, longestLeaseMs: scenario.longestLeaseMs })
+  try {
+    await cell.time.advance(1_000)
+    cell.submitLasting(cell.hosts[0]!, 'lasting', TASKS)
+    await cell.time.advance(SETTLE_MS)
+    const disturbances = await endTargets(cell, scenario.target)
+    if (scenario.leader !== undefined) disturbances.push(...await endLeaders(cell, scenario.leader))
+    await cell.time.advance(MAX_GAP_MS, () => countRunning(cell) === TASKS)
+    return { violations: cell.violations, longest: findLongestGap(cell, disturbances), unstarted: TASKS - countRunning(cell) }
+  } finally {
+    cell.close()
+  }
+}
+
+/** Returns when the cell was disturbed. */
+async function endTargets (cell: VirtualCell, { away, restartedBeforeMs }: TargetEnd): Promise<number[]> {
+  const targets = ENDED_TARGETS.map((id) => cell.targets.targets.get(id)!)
+  const disturbances: number[] = []
+  if (restartedBeforeMs !== undefined) {
+    for (const target of targets) cell.targets.restart(target)
+    disturbances.push(cell.time.nowMs)
+    await cell.time.advance(restartedBeforeMs)
+  }
+  for (const target of targets) cell.targets.takeAway(target, away)
+  return [...disturbances, cell.time.nowMs]
+}
+
+/** Returns when the cell was disturbed. */
+async function endLeaders (cell: VirtualCell, { times, then }: LeaderEnd): Promise<readonly number[]> {
+  const disturbances: number[] = []
+  await cell.time.advance(LEADER_DELAY_MS)
+  for (let ended = 0; ended < times; ended += 1) {
+    while (cell.leaders[0] === undefined) await cell.time.advance(RETRY_MS)
+    endLeader(cell, cell.leaders[0], then)
+    disturbances.push(cell.time.nowMs)
+    if (ended < times - 1) await cell.time.advance(LEADER_INTERVAL_MS)
+  }
+  return disturbances
+}
+
+function endLeader (cell: VirtualCell, host: VirtualHost, then: LeaderEnd['then']): void {
+  const otherAddress = `${host.name}:${Math.round(cell.time.nowMs)}`
+  switch (then) {
+    case 'same-address': return cell.restart(host)
+    case 'other-address': return cell.restart(host, otherAddress)
+    case 'other-address-silent':
+      cell.takeAway(host)
+      return cell.restart(host, otherAddress)
+    case 'refusing': return cell.kill(host)
+    case 'silent': return cell.takeAway(host)
+    default: return assertNever(then)
+  }
+}
+
+function countRunning ({ targets, time }: VirtualCell): number {
+  const all = [...targets.targets.values()]
+  for (const target of all) target.completeDueRuns(time.nowMs)
+  return new Set(all.flatMap(({ runs }) => [...runs.keys()])).size
+}
+
+/** Finds the gap that exceeds what is allowed by most, or comes closest to it. */
+function findLongestGap ({ targets, time }: VirtualCell, disturbances: readonly number[]): LongestGap {
+  const gaps = targets.lastRuns.gaps.map(({ task, lastRun: { endedAt }, startedAt }) => {
+    const disturbedAt = Math.max(...disturbances.filter((at) => at < startedAt))
+    const allowedMs = Math.max(MAX_TIME_MS.afterEnd, disturbedAt + MAX_TIME_MS.afterDisturbance - endedAt)
+    return { task, gapMs: startedAt - endedAt, allowedMs, sinceDisturbanceMs: startedAt - disturbedAt }
+  })
+  const none = { task: 'none', gapMs: 0, allowedMs: MAX_TIME_MS.afterEnd, sinceDisturbanceMs: time.nowMs }
+  return gaps.reduce((longest, gap) => gap.gapMs - gap.allowedMs > longest.gapMs - longest.allowedMs ? gap : longest, gaps[0] ?? none)
+}
--- a/test/controller/virtual-cell.test.ts
+++ b/test/controller/virtual-cell.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { VirtualCell } from './virtual-cell.ts'
+import type { HostProbe, VirtualHost } from './virtual-cell.ts'
 
 test('virtual cell: without faults one member leads and all jobs end once', async () => {
   const cell = VirtualCell.create(1, { members: 3, targets: 4 })
@@ -16,3 +17,31 @@
     cell.close()
   }
 })
+
+const hostStates: ReadonlyArray<{ readonly state: string, readonly change: (cell: VirtualCell, host: VirtualHost) => void, readonly members: HostProbe, readonly others: HostProbe }> = [
+  { state: 'runs', change: () => {}, members: 'accepted', others: 'accepted' },
+  { state: 'has paused its process', change: (cell, { process }) => cell.time.pause(process), members: 'accepted', others: 'accepted' },
+  { state: 'refuses members only', change: (_cell, host) => { host.refusesConnections = true }, members: 'refused', others: 'accepted' },
+  { state: 'has no process', change: (cell, host) => cell.kill(host), members: 'refused', others: 'refused' },
+  { state: 'is gone', change: (cell, host) => cell.takeAway(host), members: 'silent', others: 'silent' },
+  { state: 'is cut off', change: (_cell, host) => { host.cutFromMembers = true }, members: 'silent', others: 'silent' },
+  { state: 'has a process at another address', change: (cell, host) => cell.restart(host, 'm0:2'), members: 'refused', others: 'refused' },
+  { state: 'is gone and has a process at another address', change: (cell, host) => { cell.takeAway(host); cell.restart(host, 'm0:2') }, members: 'silent', others: 'silent' },
+  { state: 'was gone and is back', change: (cell, host) => { cell.takeAway(host); cell.restart(host) }, members: 'accepted', others: 'accepted' }
+]
+
+for (const { state, change, members, others } of hostStates) {
+  test(`virtual cell: what a connection attempt finds at the address of a host that ${state}`, async () => {
+    const cell = VirtualCell.create(1, { members: 2, targets: 1 })
+    try {
+      await cell.time.advance(1_000)
+      const host = cell.hosts[0]!
+      const { address } = host
+      change(cell, host)
+      await cell.time.advance(100)
+      assert.deepEqual((['members', 'clients', 'relays'] as const).map((port) => cell.probeAddress(address, port)), [members, others, others])
+    } finally {
+      cell.close()
+    }
+  })
+}
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -4,15 +4,16 @@
 import { Random } from '../../src/util/random.ts'
 import { buildJob } from '../workflow/harness.ts'
 import { RunHistory } from './run-history.ts'
-import { VirtualMember, answerCall, failCall } from './virtual-member.ts'
+import { LEASE_MS, VirtualMember, answerCall, failCall } from './virtual-member.ts'
 import type { MemberCallResult } from './virtual-member.ts'
 import { VirtualStore } from './virtual-store.ts'
 import type { VirtualConnection } from './virtual-store.ts'
-import { VirtualTargets } from './virtual-targets.ts'
+import { LASTING_PAYLOAD, VirtualTargets } from './virtual-targets.ts'
 import { VirtualTime } from './virtual-time.ts'
 import type { VirtualProcess } from './virtual-time.ts'
 
 const CALL_LATENCY_MS = 2
+const PROBE_TIMEOUT_MS = 250
 const SUBMISSION_TIMEOUT_MS = 3_000
 
 /** A host with the process of a member on it, and what of the network is cut there. */
@@ -29,6 +30,17 @@
   unreachedTargets: ReadonlySet<string>
 }
 
+/** A port of a host, by what connects to it. */
+export type PortKind = 'members' | 'clients' | 'relays'
+
+/** What a connection attempt finds. Only a host that runs refuses. */
+export type HostProbe = 'accepted' | 'refused' | 'silent'
+
+/** A job that a member has accepted. */
+export type AcceptedJob = { readonly definition: JobDefinition, readonly acceptedAt: number }
+
+export type VirtualCellOptions = { readonly members: number, readonly targets: number, /** Longest lease of the targets, if members know it. */ readonly longestLeaseMs?: number }
+
 /** One line of a member's log. */
 export type LogLine = { readonly at: number, readonly member: string, readonly message: string, readonly fields: Parameters<Reporter['log']>[2] }
 
@@ -37,21 +49,24 @@
   readonly violations: string[] = []
   readonly logs: LogLine[] = []
   readonly acceptedJobs = new Set<string>()
+  readonly acceptances: AcceptedJob[] = []
   readonly cancelledJobs = new Set<string>()
   readonly hosts: VirtualHost[] = []
   readonly store: VirtualStore
   readonly history: RunHistory
   readonly targets: VirtualTargets
   readonly random: Random
+  /** Addresses of hosts that are gone; those of other hosts without a process refuse connections. */
+  private readonly silentAddresses = new Set<string>()
   private readonly originalRandom = Math.random
 
-  private constructor (seed: number, readonly time: VirtualTime) {
+  private constructor (seed: number, readonly time: VirtualTime, private readonly longestLeaseMs: number | undefined) {
     this.random = Random.create(seed)
     Math.random = () => this.random.next()
     const report = (text: string): void => { this.violations.push(`at ${Math.round(time.nowMs)}: ${text}`) }
     this.store = VirtualStore.create(time, this.random, report)
     this.history = RunHistory.create(report)
-    this.targets = VirtualTargets.create(time, this.random, this.store, this.history)
+    this.targets = VirtualTargets.create(time, this.random, this.store, this.history, longestLeaseMs)
   }
 
   /**
@@ -62,8 +77,8 @@
    * await cell.time.advance(2_000)
    * cell.close()
    */
-  static create (seed: number, { members, targets }: { readonly members: number, readonly targets: number }): VirtualCell {
-    const cell = new VirtualCell(seed, VirtualTime.install())
+  static create (seed: number, { members, targets, longestLeaseMs }: VirtualCellOptions): VirtualCell {
+    const cell = new VirtualCell(seed, VirtualTime.install(), longestLeaseMs)
     for (let index = 0; index < targets; index += 1) cell.targets.add(`t${index}`)
     for (let index = 0; index < members; index += 1) cell.addHost(`m${index}`)
     return cell
@@ -79,24 +94,47 @@
     return this.hosts.filter(({ process, member }) => process.state !== 'ended' && member.leadsController)
   }
 
-  /** Ends the process of a host: nothing of it runs any more. */
+  /** Ends the process of a host: nothing of it runs any more, and the host refuses connections. */
   kill (host: VirtualHost): void {
     this.time.end(host.process)
   }
 
+  /** Takes a host away with its process: nothing answers at its address until a process starts there. */
+  takeAway (host: VirtualHost): void {
+    this.kill(host)
+    this.silentAddresses.add(host.address)
+  }
+
+  /** What a connection attempt to a port of an address finds. A process that is paused accepts, by its kernel. */
+  probeAddress (address: string, port: PortKind): HostProbe {
+    if (this.silentAddresses.has(address)) return 'silent'
+    const host = this.hosts.find((other) => other.address === address && other.process.state !== 'ended')
+    if (host === undefined || (port === 'members' && host.refusesConnections)) return 'refused'
+    return host.cutFromMembers ? 'silent' : 'accepted'
+  }
+
   /** Starts a new process on a host, at an address that nobody else uses. */
   restart (host: VirtualHost, address = host.address): void {
-    this.time.end(host.process)
+    this.kill(host)
+    this.silentAddresses.delete(address)
     host.address = address
     Object.assign(host, this.startMember(host.name, address))
   }
 
+  /** Submits a job of one step whose tasks last until it is cancelled. */
+  submitLasting (host: VirtualHost, id: string, count: number): void {
+    const { steps } = buildJob(id, { count, longRunning: true })
+    this.submit(host, id, [], 0, { steps, payload: LASTING_PAYLOAD })
+  }
+
   /** Submits a job of some steps at a member; `maxDurationMs` bounds the time that each task runs. */
   submit (host: VirtualHost, id: string, counts: readonly number[], maxDurationMs: number, changes: Partial<JobDefinition> = {}): void {
     const definition = { ...buildJob(id, ...counts.map((count, step) => ({ count, after: step === 0 ? [] : [step - 1] }))), payload: String(maxDurationMs), submittedAtMs: Date.now(), ...changes }
     this.time.schedule(0, () => {
       host.member.jobService.submit(definition, performance.now() + SUBMISSION_TIMEOUT_MS).then(({ type }) => {
-        if (type === 'accepted') this.acceptedJobs.add(id)
+        if (type !== 'accepted') return
+        this.acceptedJobs.add(id)
+        this.acceptances.push({ definition, acceptedAt: this.time.nowMs })
       }, (error: unknown) => this.violations.push(String(error)))
     }, host.process)
   }
@@ -122,9 +160,12 @@
       commands: this.targets.connect((target) => findHost()?.cutFromTargets === true || findHost()?.unreachedTargets.has(target) === true),
       callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
       probe: async (to) => {
-        await this.time.wait(CALL_LATENCY_MS)
+        const isSilent = this.silentAddresses.has(to)
+        await this.time.wait(isSilent ? PROBE_TIMEOUT_MS : CALL_LATENCY_MS)
+        if (isSilent) return 'silent'
         return this.findListener(to) === undefined ? 'refused' : 'listening'
       },
+      longestLeaseMs: this.longestLeaseMs ?? LEASE_MS,
       reporter: this.createReporter(name)
     }))
     return { process, connection, member }
@@ -155,6 +196,7 @@
     return new Promise((resolve) => {
       const respond = (result: MemberCallResult, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(result), owner) }
       const listener = this.findListener(address)
+      if (this.silentAddresses.has(address)) return respond(failCall('timeout'), timeoutMs)
       if (from?.cutFromMembers === true || listener?.cutFromMembers === true) return respond(failCall('timeout'), timeoutMs)
       if (listener === undefined) return respond(failCall('unavailable'), CALL_LATENCY_MS)
       respond(failCall('timeout'), timeoutMs)
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -16,7 +16,7 @@
 import { CONFIGURATION } from '../workflow/harness.ts'
 
 export const TARGET_PREFIX = 'servers/'
-const LEASE_MS = 3_500
+export const LEASE_MS = 3_500
 /** The second organisation may use half of six targets. */
 const TWO_ORGANISATIONS = { ...CONFIGURATION, organisations: [...CONFIGURATION.organisations, { ...CONFIGURATION.organisations[0]!, name: 'aba', maximum: { cpuMillis: 12_000, memoryMiB: 0, accelerators: 0 } }] }
 
@@ -30,6 +30,7 @@
   readonly callMember: (address: string, call: MemberCall, timeoutMs: number) => Promise<MemberCallResult>
   readonly probe: (address: string) => Promise<ProbeResult>
   readonly reporter: Reporter
+  readonly longestLeaseMs: number
 }
 
 /** A member with the product's own classes, composed as on the platform, without its connections. */
@@ -83,7 +84,7 @@
   }
 
   private startController (term: Term, advisor: AdviceCache): void {
-    const { self, store, commands, reporter } = this.options
+    const { self, store, commands, reporter, longestLeaseMs } = this.options
     this.controller?.stop()
     this.controller = Controller.create({
       store,
@@ -94,7 +95,7 @@
       self,
       reporter,
       leaseMs: LEASE_MS,
-      longestLeaseMs: LEASE_MS,
+      longestLeaseMs,
       targetPrefix: TARGET_PREFIX,
       parseTarget: (_key, value) => JSON.parse(value) as TargetEntry,
       requestPeerAdvice: (peer, step, targets, timeoutMs) => this.link.requestAdvice(peer, step, targets, timeoutMs),
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -1,6 +1,8 @@
+import { NO_LISTENER } from '../../src/ports/command-client.ts'
 import type { CommandClient, CommandResponse, ListRequest, ListResponse, StartCommand } from '../../src/ports/command-client.ts'
 import type { Random } from '../../src/util/random.ts'
-import { SimulatedTarget } from '../workflow/simulated-target.ts'
+import { LastRuns } from '../workflow/last-runs.ts'
+import { LONGEST_LEASE_MS, SimulatedTarget } from '../workflow/simulated-target.ts'
 import type { CommandOutcome } from '../workflow/simulated-target.ts'
 import type { RunHistory } from './run-history.ts'
 import { TARGET_PREFIX } from './virtual-member.ts'
@@ -15,27 +17,36 @@
 const MIN_DURATION_MS = 50
 
 const UNANSWERED = { type: 'unanswered', reason: 'timeout' } as const
+const REFUSED = { type: 'unanswered', reason: NO_LISTENER } as const
+
+type Unanswered = typeof UNANSWERED | typeof REFUSED
+
+/** Payload of tasks that last until they are stopped; that of others is their longest duration in milliseconds. */
+export const LASTING_PAYLOAD = 'lasting'
 
 /** The targets of a cell in virtual time, and the ways to them from the members. */
 export class VirtualTargets {
   readonly targets = new Map<string, SimulatedTarget>()
   /** Ratio of the commands that are carried out late and not answered. */
   lateRatio = 0
+  readonly lastRuns = LastRuns.create()
   /** End of each target's lease, on its own clock. */
   private readonly leases = new Map<string, number>()
 
-  private constructor (private readonly time: VirtualTime, private readonly random: Random, private readonly store: VirtualStore, private readonly history: RunHistory) {}
+  private constructor (private readonly time: VirtualTime, private readonly random: Random, private readonly store: VirtualStore, private readonly history: RunHistory, private readonly longestLeaseMs: number) {}
 
-  static create (time: VirtualTime, random: Random, store: VirtualStore, history: RunHistory): VirtualTargets {
-    return new VirtualTargets(time, random, store, history)
+  static create (time: VirtualTime, random: Random, store: VirtualStore, history: RunHistory, longestLeaseMs = LONGEST_LEASE_MS): VirtualTargets {
+    return new VirtualTargets(time, random, store, history, longestLeaseMs)
   }
 
   add (id: string): void {
-    const { history, time } = this
+    const { history, lastRuns, longestLeaseMs, time } = this
     const target = SimulatedTarget.create({
       id,
       random: this.random,
+      longestLeaseMs,
       onCompletion: ({ task, run, outcome }) => {
+        lastRuns.recordEnd(task, { run, target: id, end: outcome, endedAt: time.nowMs })
         if (outcome === 'done') history.recordDone(task, run, id, time.nowMs)
       },
       onAcknowledged: ({ task, run, outcome }) => {
@@ -52,17 +63,35 @@
 
   /** Starts a target again under its id; it holds and knows nothing of before. */
   restart (target: SimulatedTarget): void {
+    this.endRuns(target, 'with the process of its target')
     target.crash(this.time.nowMs)
+    this.publish(target)
+  }
+
+  /** Takes a target away with all that it holds and knows. Its host refuses connections, or nothing answers there. */
+  takeAway (target: SimulatedTarget, away: 'silent' | 'refusing'): void {
+    this.endRuns(target, 'as its target went away')
+    target.goAway(away)
+  }
+
+  /** Starts a target again that was taken away. */
+  bringBack (target: SimulatedTarget): void {
+    target.comeBack(this.time.nowMs)
+    this.publish(target)
+  }
+
+  private endRuns (target: SimulatedTarget, end: string): void {
+    target.completeDueRuns(this.time.nowMs)
+    this.lastRuns.recordLoss(target.runs.values(), { target: target.id, end, endedAt: this.time.nowMs })
     this.leases.delete(target.id)
     this.history.recordLapse(target.id)
-    this.publish(target)
   }
 
   /** Creates the client of a member; `isCut` says whether it does not reach a target now. */
   connect (isCut: (target: string) => boolean): CommandClient {
     const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome): Promise<CommandResponse> => {
       const target = this.targets.get(id)!
-      return this.send<CommandResponse>(target, isCut, () => this.toResponse(target, carryOut(target)), UNANSWERED)
+      return this.send<CommandResponse>(target, isCut, () => this.toResponse(target, carryOut(target)))
     }
     return {
       start: ({ id }, start) => command(id, (target) => this.start(target, start)),
@@ -77,9 +106,10 @@
     target.completeDueRuns(nowMs)
     this.noteLapse(target)
     const isKnown = target.runs.get(task)?.run === run
-    const durationMs = MIN_DURATION_MS + this.random.nextInt(Number(payload))
+    const durationMs = payload === LASTING_PAYLOAD ? Infinity : MIN_DURATION_MS + this.random.nextInt(Number(payload))
     const outcome = target.start({ task, run, leaseUntilMs, epoch, durationMs, fails: false, lacksRoom: false }, nowMs)
     if (outcome === 'accepted' || outcome === 'superseded') this.noteLease(target, leaseUntilMs)
+    if (outcome === 'accepted' && !isKnown) this.lastRuns.recordStart(task, nowMs)
     if (outcome === 'accepted' && !isKnown) this.history.recordStart(task, run, epoch, target, this.targets.values(), nowMs)
     return outcome
   }
@@ -92,14 +122,14 @@
   /** Lists as the target does: at once if a run has ended, else when one ends or the request has waited. */
   private async list (target: SimulatedTarget, { epoch, acknowledged, leaseUntilMs, waitMs }: ListRequest, isCut: (target: string) => boolean): Promise<ListResponse> {
     const { incarnation } = target
-    const first = await this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, leaseUntilMs), UNANSWERED)
+    const first = await this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, leaseUntilMs))
     if (waitMs === 0 || first.type !== 'listed' || first.listing.ended.length > 0) return first
     const { nowMs } = this.time
     const nextEndAt = Math.min(nowMs + waitMs, ...[...target.runs.values()].map(({ endsAt }) => endsAt))
     await this.time.wait(nextEndAt - nowMs + 1)
     // The connection of a waiting request ends with the process of its target.
     if (target.incarnation !== incarnation) return UNANSWERED
-    return this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, undefined), UNANSWERED)
+    return this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, undefined))
   }
 
   private listNow (target: SimulatedTarget, epoch: number, acknowledged: number, leaseUntilMs: number | undefined): ListResponse {
@@ -116,24 +146,27 @@
   }
 
   private noteLease (target: SimulatedTarget, leaseUntilMs: number): void {
-    this.leases.set(target.id, Math.max(this.leases.get(target.id) ?? 0, leaseUntilMs))
+    const longestLeaseUntilMs = target.clockAt(this.time.nowMs) + this.longestLeaseMs
+    this.leases.set(target.id, Math.max(this.leases.get(target.id) ?? 0, Math.min(leaseUntilMs, longestLeaseUntilMs)))
   }
 
   /** Carries out a call of the process that sends it, which gets the response unless it is lost. */
-  private send<Response> (target: SimulatedTarget, isCut: (target: string) => boolean, carryOut: () => Response, timedOut: Response): Promise<Response> {
+  private send<Response> (target: SimulatedTarget, isCut: (target: string) => boolean, carryOut: () => Response): Promise<Response | Unanswered> {
     const owner: VirtualProcess | undefined = this.time.currentProcess
     return new Promise((resolve) => {
-      const respond = (response: Response, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(response), owner) }
-      const isReachable = (): boolean => !isCut(target.id) && target.unreachableUntil <= this.time.nowMs
-      if (!isReachable()) return respond(timedOut, TIMEOUT_MS)
+      const respond = (response: Response | Unanswered, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(response), owner) }
+      const isReachable = (): boolean => !isCut(target.id) && target.isReachable(this.time.nowMs)
+      if (target.away === 'refusing' && !isCut(target.id)) return respond(REFUSED, this.drawLatencyMs())
+      if (!isReachable()) return respond(UNANSWERED, TIMEOUT_MS)
       if (this.random.next() < this.lateRatio) {
-        this.time.schedule(LATE_MS + this.random.nextInt(LATE_SPREAD_MS), () => { carryOut() })
-        return respond(timedOut, TIMEOUT_MS)
+        this.time.schedule(LATE_MS + this.random.nextInt(LATE_SPREAD_MS), () => { if (target.away === undefined) carryOut() })
+        return respond(UNANSWERED, TIMEOUT_MS)
       }
       this.time.schedule(this.drawLatencyMs(), () => {
+        if (target.away !== undefined) return respond(UNANSWERED, TIMEOUT_MS)
         const response = carryOut()
         if (isReachable()) respond(response, this.drawLatencyMs())
-        else respond(timedOut, TIMEOUT_MS)
+        else respond(UNANSWERED, TIMEOUT_MS)
       })
     })
   }
