--- a/test/controller/dead-target-takeovers.test.ts
+++ b/test/controller/dead-target-takeovers.test.ts
@@ -34,9 +34,7 @@
 ]
 
 function endLeader (cell: VirtualCell, leader: VirtualHost, end: End): void {
-  const [hostName] = leader.address.split(':')
-  cell.kill(leader)
-  if (end === 'gone') cell.darkHosts.add(hostName!)
+  if (end === 'gone') cell.takeAway(leader)
   cell.restart(leader, `${leader.name}-${Math.round(cell.time.nowMs)}:1`)
 }
 
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -5,15 +5,16 @@
 import { Random } from '../../src/util/random.ts'
 import { buildJob } from '../workflow/harness.ts'
 import { RunHistory } from './run-history.ts'
-import { FURTHER_PORTS, VirtualMember, answerCall, failCall } from './virtual-member.ts'
+import { FURTHER_PORTS, LEASE_MS, VirtualMember, answerCall, failCall } from './virtual-member.ts'
 import type { MemberCallResult } from './virtual-member.ts'
 import { VirtualStore } from './virtual-store.ts'
 import type { VirtualConnection } from './virtual-store.ts'
-import { VirtualTargets } from './virtual-targets.ts'
+import { LASTING_PAYLOAD, VirtualTargets } from './virtual-targets.ts'
 import { VirtualTime } from './virtual-time.ts'
 import type { VirtualProcess } from './virtual-time.ts'
 
 const CALL_LATENCY_MS = 2
+const PROBE_TIMEOUT_MS = 250
 const SUBMISSION_TIMEOUT_MS = 3_000
 
 /** A host with the process of a member on it, and what of the network is cut there. */
@@ -30,6 +31,11 @@
   unreachedTargets: ReadonlySet<string>
 }
 
+/** A job that a member has accepted. */
+export type AcceptedJob = { readonly definition: JobDefinition, readonly acceptedAt: number }
+
+export type VirtualCellOptions = { readonly members: number, readonly targets: number, /** Longest lease of the targets, if members know it. */ readonly longestLeaseMs?: number }
+
 /** One line of a member's log. */
 export type LogLine = { readonly at: number, readonly member: string, readonly message: string, readonly fields: Parameters<Reporter['log']>[2] }
 
@@ -38,23 +44,24 @@
   readonly violations: string[] = []
   readonly logs: LogLine[] = []
   readonly acceptedJobs = new Set<string>()
+  readonly acceptances: AcceptedJob[] = []
   readonly cancelledJobs = new Set<string>()
   readonly hosts: VirtualHost[] = []
-  /** Names in addresses of hosts that are gone: nothing responds there. */
-  readonly darkHosts = new Set<string>()
   readonly store: VirtualStore
   readonly history: RunHistory
   readonly targets: VirtualTargets
   readonly random: Random
+  /** Names in addresses of hosts that are gone; other hosts without a process refuse connections. */
+  private readonly silentHosts = new Set<string>()
   private readonly originalRandom = Math.random
 
-  private constructor (seed: number, readonly time: VirtualTime) {
+  private constructor (seed: number, readonly time: VirtualTime, private readonly longestLeaseMs: number | undefined) {
     this.random = Random.create(seed)
     Math.random = () => this.random.next()
     const report = (text: string): void => { this.violations.push(`at ${Math.round(time.nowMs)}: ${text}`) }
     this.store = VirtualStore.create(time, this.random, report)
     this.history = RunHistory.create(report)
-    this.targets = VirtualTargets.create(time, this.random, this.store, this.history)
+    this.targets = VirtualTargets.create(time, this.random, this.store, this.history, longestLeaseMs)
   }
 
   /**
@@ -65,8 +72,8 @@
    * await cell.time.advance(2_000)
    * cell.close()
    */
-  static create (seed: number, { members, targets }: { readonly members: number, readonly targets: number }): VirtualCell {
-    const cell = new VirtualCell(seed, VirtualTime.install())
+  static create (seed: number, { members, targets, longestLeaseMs }: VirtualCellOptions): VirtualCell {
+    const cell = new VirtualCell(seed, VirtualTime.install(), longestLeaseMs)
     for (let index = 0; index < targets; index += 1) cell.targets.add(`t${index}`)
     for (let index = 0; index < members; index += 1) cell.addHost(`m${index}`)
     return cell
@@ -82,24 +89,53 @@
     return this.hosts.filter(({ process, member }) => process.state !== 'ended' && member.leadsController)
   }
 
-  /** Ends the process of a host: nothing of it runs any more. */
+  /** Ends the process of a host: nothing of it runs any more, and the host refuses connections. */
   kill (host: VirtualHost): void {
     this.time.end(host.process)
   }
 
-  /** Starts a new process on a host, at an address that nobody else uses. */
+  /** Takes a host away with its process: nothing answers there until a process starts under its name. */
+  takeAway (host: VirtualHost): void {
+    this.kill(host)
+    this.silentHosts.add(getHostName(host.address))
+  }
+
+  /**
+   * What a connection attempt to an address finds. A process that is paused accepts, by its kernel. One that refuses connections
+   * at the port for members listens at its further ports.
+   */
+  probe (address: string): ProbeResult {
+    const hostName = getHostName(address)
+    if (this.silentHosts.has(hostName)) return 'silent'
+    const host = this.hosts.find((other) => getHostName(other.address) === hostName && other.process.state !== 'ended')
+    if (host === undefined) return 'refused'
+    if (host.cutFromMembers) return 'silent'
+    if (FURTHER_PORTS.some((port) => address === `${hostName}:${port}`)) return 'listening'
+    return host.address === address && !host.refusesConnections ? 'listening' : 'refused'
+  }
+
+  /** Starts a new process on a host, at an address that nobody else uses; another name in it stands for another host. */
   restart (host: VirtualHost, address = host.address): void {
-    this.time.end(host.process)
+    this.kill(host)
+    this.silentHosts.delete(getHostName(address))
     host.address = address
     Object.assign(host, this.startMember(host.name, address))
   }
 
+  /** Submits a job of one step whose tasks last until it is cancelled. */
+  submitLasting (host: VirtualHost, id: string, count: number): void {
+    const { steps } = buildJob(id, { count, longRunning: true })
+    this.submit(host, id, [], 0, { steps, payload: LASTING_PAYLOAD })
+  }
+
   /** Submits a job of some steps at a member; `maxDurationMs` bounds the time that each task runs. */
   submit (host: VirtualHost, id: string, counts: readonly number[], maxDurationMs: number, changes: Partial<JobDefinition> = {}): void {
     const definition = { ...buildJob(id, ...counts.map((count, step) => ({ count, after: step === 0 ? [] : [step - 1] }))), payload: String(maxDurationMs), submittedAtMs: Date.now(), ...changes }
     this.time.schedule(0, () => {
       host.member.jobService.submit(definition, performance.now() + SUBMISSION_TIMEOUT_MS).then(({ type }) => {
-        if (type === 'accepted') this.acceptedJobs.add(id)
+        if (type !== 'accepted') return
+        this.acceptedJobs.add(id)
+        this.acceptances.push({ definition, acceptedAt: this.time.nowMs })
       }, (error: unknown) => this.violations.push(String(error)))
     }, host.process)
   }
@@ -125,9 +161,11 @@
       commands: this.targets.connect((target) => findHost()?.cutFromTargets === true || findHost()?.unreachedTargets.has(target) === true),
       callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
       probe: async (to) => {
-        await this.time.wait(CALL_LATENCY_MS)
-        return this.probe(to)
+        const result = this.probe(to)
+        await this.time.wait(result === 'silent' ? PROBE_TIMEOUT_MS : CALL_LATENCY_MS)
+        return result
       },
+      longestLeaseMs: this.longestLeaseMs ?? LEASE_MS,
       reporter: this.createReporter(name)
     }))
     return { process, connection, member }
@@ -153,21 +191,13 @@
     return this.hosts.find((host) => host.address === address && host.process.state !== 'ended' && !host.refusesConnections)
   }
 
-  /** A process that refuses connections at the port for members listens at its further ports. */
-  private probe (address: string): ProbeResult {
-    const [hostName, port] = address.split(':')
-    if (this.darkHosts.has(hostName!)) return 'silent'
-    if (!FURTHER_PORTS.some((further) => String(further) === port)) return this.findListener(address) === undefined ? 'refused' : 'listening'
-    const runs = this.hosts.some((host) => host.address.split(':')[0] === hostName && host.process.state !== 'ended')
-    return runs ? 'listening' : 'refused'
-  }
-
   private callMember (from: VirtualHost | undefined, address: string, call: MemberCall, timeoutMs: number): Promise<MemberCallResult> {
     const owner = this.time.currentProcess
     return new Promise((resolve) => {
       const respond = (result: MemberCallResult, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(result), owner) }
       const listener = this.findListener(address)
-      if (from?.cutFromMembers === true || listener?.cutFromMembers === true || this.darkHosts.has(address.split(':')[0]!)) return respond(failCall('timeout'), timeoutMs)
+      if (this.silentHosts.has(getHostName(address))) return respond(failCall('timeout'), timeoutMs)
+      if (from?.cutFromMembers === true || listener?.cutFromMembers === true) return respond(failCall('timeout'), timeoutMs)
       if (listener === undefined) return respond(failCall('unavailable'), CALL_LATENCY_MS)
       respond(failCall('timeout'), timeoutMs)
       this.time.schedule(CALL_LATENCY_MS, () => {
@@ -176,3 +206,7 @@
     })
   }
 }
+
+function getHostName (address: string): string {
+  return address.slice(0, address.lastIndexOf(':'))
+}
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -17,7 +17,7 @@
 import { CONFIGURATION } from '../workflow/harness.ts'
 
 export const TARGET_PREFIX = 'servers/'
-const LEASE_MS = 3_500
+export const LEASE_MS = 3_500
 /** Where members listen beside the port for members. */
 export const FURTHER_PORTS = [8_183, 8_184] as const
 /** The second organisation may use half of six targets. */
@@ -33,6 +33,7 @@
   readonly callMember: (address: string, call: MemberCall, timeoutMs: number) => Promise<MemberCallResult>
   readonly probe: (address: string) => Promise<ProbeResult>
   readonly reporter: Reporter
+  readonly longestLeaseMs: number
 }
 
 /** A member with the product's own classes, composed as on the platform, without its connections. */
@@ -86,7 +87,7 @@
   }
 
   private startController (term: Term, advisor: AdviceCache): void {
-    const { self, store, commands, reporter, probe } = this.options
+    const { self, store, commands, reporter, probe, longestLeaseMs } = this.options
     const processProbe = ProcessProbe.create({ probe, furtherPorts: FURTHER_PORTS })
     this.controller?.stop()
     this.controller = Controller.create({
@@ -98,7 +99,7 @@
       self,
       reporter,
       leaseMs: LEASE_MS,
-      longestLeaseMs: LEASE_MS,
+      longestLeaseMs,
       targetPrefix: TARGET_PREFIX,
       parseTarget: (_key, value) => JSON.parse(value) as TargetEntry,
       requestPeerAdvice: (peer, step, targets, timeoutMs) => this.link.requestAdvice(peer, step, targets, timeoutMs),
