Let workers go away for long in the soak, and leaders leave silence

The soak knew no worker that ends and stays away, and no failure of the leader alone. A leader that is replaced may leave an address that stays silent (replace-silent): it accepts connections and never answers, which is as close to a host without power as the loopback interface allows.

Going away and coming back count as faults, the time between them does not.

The new kinds draw from random numbers of their own.

Links to workers have a loopback address of their own, since a port of 127.0.0.1 that nothing listens at may be taken by another connection.

--- a/soak/fault-schedule.ts
+++ b/soak/fault-schedule.ts
@@ -19,6 +19,8 @@
 
 const MS_PER_SECOND = 1_000
 const DEFAULT_FAULT_INTERVAL_MS = 1_000
+/** Difference between the seed of the losses and that of the other faults. */
+const LOSS_SEED_OFFSET = 1_000_000_000
 /** Minimum time between two faults, and the range of the random time that is added to it, as ratios of the mean. */
 const FAULT_INTERVAL = { min: 0.3, spread: 1.4 } as const
 /** No time between two faults starts in this last part of the traffic. */
@@ -32,11 +34,12 @@
  */
 export function createFaultSchedule ({ seed, seconds, members, workers, faultKinds = [], faultIntervalMs = DEFAULT_FAULT_INTERVAL_MS }: FaultScheduleOptions): readonly ScheduledFault[] {
   const random = Random.create(seed)
+  const lossRandom = Random.create(seed + LOSS_SEED_OFFSET)
   const schedule: ScheduledFault[] = []
   let atMs = 0
   while (atMs < seconds * MS_PER_SECOND - FAULT_FREE_MS) {
     atMs += FAULT_INTERVAL.min * faultIntervalMs + random.nextInt(FAULT_INTERVAL.spread * faultIntervalMs)
-    schedule.push({ atMs, fault: createRandomFault(random, members, workers, faultKinds) })
+    schedule.push({ atMs, fault: createRandomFault({ random, lossRandom, members, workers, kinds: faultKinds }) })
   }
   return schedule
 }
--- a/soak/inject-fault.ts
+++ b/soak/inject-fault.ts
@@ -7,6 +7,7 @@
 import type { LinkState } from './proxied-stream.ts'
 import type { SoakCell } from './soak-cell.ts'
 import type { LeaderFailure, SoakFault, Takeover, WorkersCut } from './soak-fault.ts'
+import type { SoakWorker } from './soak-worker.ts'
 import { troubleStore } from './store-trouble.ts'
 
 /** Faults that are planned work: requests must be answered during these. */
@@ -50,11 +51,16 @@
       cell.kv.responsesToLose = fault.count
       return
     case 'store-link': return disturbLink(cell.members[fault.member]!.storeLink, fault.state, fault.forMs)
-    case 'worker-link': return disturbLink(cell.workers[fault.worker]!.link, fault.state, fault.forMs)
+    case 'worker-link': return disturbWorkerLink(cell.workers[fault.worker]!, fault.state, fault.forMs)
     case 'advisor-link': return disturbLink(cell.advisorLink, fault.state, fault.forMs)
     case 'worker-crash': return cell.workers[fault.worker]!.crash()
     case 'workers-cut': return cutWorkers(cell, fault.cut, fault.forMs)
     case 'workers-flap': return runAll(fault.workers, (worker) => cell.workers[worker]!.flap(fault.reborn, fault.forMs))
+    case 'workers-gone': return cell.sendWorkersAway(fault.gone)
+    case 'workers-reborn-gone':
+      for (const worker of fault.gone.workers) cell.workers[worker]!.crash()
+      await wait(fault.afterMs)
+      return cell.sendWorkersAway(fault.gone)
     case 'workers-drain': return runAll(fault.workers, (worker) => cell.drainWorker(worker, fault.forMs))
     case 'late-orders': return delayOrders(cell, fault.share, fault.forMs)
     case 'domain-out':
@@ -65,6 +71,7 @@
     case 'configuration': return cell.publishConfiguration()
     case 'stutter': return cell.stutterMembers(fault.members === 'all' ? [...cell.members.keys()] : findLeaders(cell), fault.runMs, fault.pauseMs, fault.forMs)
     case 'slow-workers': return delayWorkers(cell, fault.delay, fault.forMs)
+    case 'leader': return failLeaders(cell, fault.leader, fault.forMs)
     case 'takeover': return forceTakeover(cell, fault)
     default: return assertNever(fault)
   }
@@ -80,7 +87,11 @@
     if (afterMs > 0) await wait(afterMs)
     await Promise.all([troubleStore(cell, trouble, forMs, Random.create(seed)), delayWorkers(cell, delay, forMs), cutWorkers(cell, cut, forMs), delayOrders(cell, lateOrders, forMs)])
   }
-  await Promise.all([causeTrouble(), ...findLeaders(cell).map((member) => failLeader(cell, member, leader, forMs))])
+  await Promise.all([causeTrouble(), failLeaders(cell, leader, forMs)])
+}
+
+async function failLeaders (cell: SoakCell, failure: LeaderFailure, forMs: number): Promise<void> {
+  await runAll(findLeaders(cell), (member) => failLeader(cell, member, failure, forMs))
 }
 
 async function failLeader (cell: SoakCell, member: number, failure: LeaderFailure, forMs: number): Promise<void> {
@@ -89,6 +100,7 @@
     case 'terminate': return cell.restartMember(member, 'SIGTERM')
     case 'power': return cell.cutPower([member], forMs)
     case 'replace': return cell.replaceMember(member, 'SIGKILL')
+    case 'replace-silent': return cell.replaceMember(member, 'SIGKILL', 'silent')
     case 'replace-planned': return cell.replaceMember(member, 'SIGTERM')
     case 'pause': return cell.pauseMember(member, forMs)
     case 'cut': return disturbLink(cell.members[member]!.storeLink, 'silent', forMs)
@@ -126,6 +138,12 @@
   }))
 }
 
+async function disturbWorkerLink (worker: SoakWorker, state: LinkState, forMs: number): Promise<void> {
+  worker.setLinkState(state)
+  await wait(forMs)
+  worker.setLinkState('open')
+}
+
 async function disturbLink (link: LoopbackProxy, state: LinkState, forMs: number): Promise<void> {
   link.setState(state)
   await wait(forMs)
--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -6,12 +6,14 @@
 /** `isEstablished`: whether the network has set up the connection; on a link that holds its bytes, this waits until it is open. */
 type ProxiedConnection = { readonly client: Socket, readonly peer: Socket, readonly requests: ProxiedStream, readonly responses: ProxiedStream, isEstablished: boolean }
 
-/** A TCP proxy on the loopback address that can simulate network faults. Bytes that it discards are not sent later. */
+const DEFAULT_HOST = '127.0.0.1'
+
+/** A TCP proxy on a loopback address that can simulate network faults. Bytes that it discards are not sent later. */
 export class LoopbackProxy {
   private state: LinkState = 'open'
   private readonly connections = new Set<ProxiedConnection>()
 
-  private constructor (private readonly server: Server, readonly address: string) {}
+  private constructor (private readonly server: Server, private readonly host: string, private readonly port: number) {}
 
   /**
    * Starts a proxy that forwards to the target address.
@@ -20,24 +22,33 @@
    * const link = await LoopbackProxy.listen('127.0.0.1:8182')
    * link.setState('silent')
    */
-  static async listen (target: string): Promise<LoopbackProxy> {
+  static async listen (target: string, ownHost = DEFAULT_HOST): Promise<LoopbackProxy> {
     const [host, port] = target.split(':')
     const server = createServer({ allowHalfOpen: false })
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-    const proxy = new LoopbackProxy(server, `127.0.0.1:${(server.address() as AddressInfo).port}`)
+    await new Promise<void>((resolve) => server.listen(0, ownHost, resolve))
+    const proxy = new LoopbackProxy(server, ownHost, (server.address() as AddressInfo).port)
     server.on('connection', (client) => proxy.connectPair(client, connect({ host: host!, port: Number(port) })))
     return proxy
   }
 
+  get address (): string {
+    return `${this.host}:${this.port}`
+  }
+
   /** Changes the state. Bytes that open connections have already lost stay lost. */
   setState (state: LinkState): void {
+    const before = this.state
+    if (state === before) return
     this.state = state
+    if (before === 'dark') this.resetAll()
+    if (before === 'refused') this.server.listen(this.port, this.host)
     for (const connection of this.connections) {
       connection.isEstablished ||= state !== 'held'
       connection.requests.setState(state)
       connection.responses.setState(state)
     }
-    if (state === 'reset') this.resetAll()
+    if (state === 'refused') this.server.close()
+    if (state === 'reset' || state === 'refused') this.resetAll()
   }
 
   /** Closes the target's side of all connections, as a process that ends does. A disturbed link holds back that they have ended. */
@@ -78,6 +89,7 @@
   /** Passes on that one side has closed, which may have to wait like the bytes that it has sent before. */
   private closeSide (connection: ProxiedConnection, stream: ProxiedStream): void {
     const { client, peer, isEstablished } = connection
+    if (this.state === 'dark') return
     if (!isEstablished || !stream.isHolding || (client.destroyed && peer.destroyed)) this.reset(connection)
     else stream.end()
   }
--- a/soak/proxied-stream.ts
+++ b/soak/proxied-stream.ts
@@ -4,9 +4,13 @@
  * How a proxy handles its connections. `open`: bytes are forwarded. `slow`: bytes are forwarded with a delay. `held`: bytes
  * and the ends of connections are kept and forwarded when the link is open again. `silent`: bytes are discarded in both
  * directions. `one-way`: requests are forwarded and responses are discarded. `reset`: open and new connections are closed
- * immediately.
+ * immediately. `refused`: open connections are closed, and nothing listens. `dark`: bytes and the ends of connections are
+ * discarded, and no connection outlives this, as with a target that has no power.
  */
-export type LinkState = 'open' | 'slow' | 'held' | 'silent' | 'one-way' | 'reset'
+export type LinkState = 'open' | 'slow' | 'held' | 'silent' | 'one-way' | 'reset' | 'refused' | 'dark'
+
+/** The states in which nothing is forwarded in either direction, and nothing later. */
+const DISCARDING_STATES: readonly LinkState[] = ['silent', 'reset', 'refused', 'dark']
 
 const SLOW_LINK_DELAY_MS = 150
 /** Time to the first retransmission of a lost segment. Each of the following takes twice as long. */
@@ -87,7 +91,7 @@
   }
 
   private discards (): boolean {
-    return this.state === 'silent' || this.state === 'reset' || (this.state === 'one-way' && this.type === 'responses')
+    return DISCARDING_STATES.includes(this.state) || (this.state === 'one-way' && this.type === 'responses')
   }
 }
 
--- a/soak/random-fault.ts
+++ b/soak/random-fault.ts
@@ -1,11 +1,23 @@
 import { NO_DELAY } from '../platform/standin/worker-server.ts'
 import type { WorkerDelay } from '../platform/standin/worker-server.ts'
 import type { Random } from '../src/util/random.ts'
+import { chooseIndexes } from './choose-indexes.ts'
 import type { LinkState } from './proxied-stream.ts'
+import { createRandomLoss } from './random-loss.ts'
 import { getKind } from './soak-fault.ts'
 import type { LeaderFailure, SoakFault, WorkersCut } from './soak-fault.ts'
 import { STORE_TROUBLES } from './store-trouble.ts'
 
+export type RandomFaultOptions = {
+  readonly random: Random
+  /** Random numbers of the losses of workers and leaders. */
+  readonly lossRandom: Random
+  readonly members: number
+  readonly workers: number
+  /** Beginnings of the kinds; all kinds if empty. */
+  readonly kinds?: readonly string[]
+}
+
 const LINK_STATES: readonly LinkState[] = ['slow', 'held', 'held', 'silent', 'one-way', 'reset']
 const STORE_MODES = ['busy', 'silent', 'reset'] as const
 const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'terminate', 'power', 'replace', 'replace-planned', 'pause', 'cut', 'hold', 'none']
@@ -39,19 +51,21 @@
 const SEED_RANGE = 1_000_000
 
 /**
- * Creates a random fault, of a kind that begins with one of `kinds` if there are any. The same sequence of random numbers gives the same fault.
+ * Creates a random fault, of a kind that begins with one of `kinds` if there are any. The same sequences of random numbers
+ * give the same fault.
  *
  * @example
- * createRandomFault(Random.create(7), 4, 8)
+ * createRandomFault({ random: Random.create(7), lossRandom: Random.create(8), members: 4, workers: 8 })
  */
-export function createRandomFault (random: Random, members: number, workers: number, kinds: readonly string[] = []): SoakFault {
+export function createRandomFault (options: RandomFaultOptions): SoakFault {
+  const { random, lossRandom, members, workers, kinds = [] } = options
   const forMs = MIN_FAULT_MS + random.nextInt(MAX_FAULT_MS - MIN_FAULT_MS)
   const member = random.nextInt(members)
   const worker = random.nextInt(workers)
   const state = LINK_STATES[random.nextInt(LINK_STATES.length)]!
   const delay: WorkerDelay = { calls: random.next() < SLOW_LISTS_RATIO ? 'all' : 'starts', beforeMs: random.nextInt(MAX_WORKER_DELAY_MS), afterMs: random.nextInt(MAX_WORKER_DELAY_MS) }
   const leader = LEADER_FAILURES[random.nextInt(LEADER_FAILURES.length)]!
-  const cut: WorkersCut = { workers: choose(random, workers, WORKERS_RATIO.min + WORKERS_RATIO.spread * random.next()), state: random.next() < 0.5 ? 'held' : 'silent', reborn: random.next() < 0.5 }
+  const cut: WorkersCut = { workers: chooseIndexes(random, workers, WORKERS_RATIO.min + WORKERS_RATIO.spread * random.next()), state: random.next() < 0.5 ? 'held' : 'silent', reborn: random.next() < 0.5 }
   const workersForMs = WORKERS_FAULT_MS.min + random.nextInt(WORKERS_FAULT_MS.spread)
   const share = MAX_LATE_ORDERS_RATIO * random.next()
   const trouble = STORE_TROUBLES[random.nextInt(STORE_TROUBLES.length)]!
@@ -63,7 +77,7 @@
     { type: 'pause', member, forMs },
     { type: 'pause', member, forMs },
     { type: 'kill-all' },
-    ...Array.from({ length: POWER_CUT_SHARE }, (): SoakFault => ({ type: 'power-cut', members: choose(random, members, POWER_CUT_RATIOS[random.nextInt(POWER_CUT_RATIOS.length)]!), forMs: POWER_CUT_MS.min + random.nextInt(POWER_CUT_MS.spread) })),
+    ...Array.from({ length: POWER_CUT_SHARE }, (): SoakFault => ({ type: 'power-cut', members: chooseIndexes(random, members, POWER_CUT_RATIOS[random.nextInt(POWER_CUT_RATIOS.length)]!), forMs: POWER_CUT_MS.min + random.nextInt(POWER_CUT_MS.spread) })),
     { type: 'replace', member },
     { type: 'replace-planned', member },
     { type: 'terminate-all' },
@@ -96,12 +110,7 @@
       seed: random.nextInt(SEED_RANGE)
     }))
   ]
-  const fault = faults[random.nextInt(faults.length)]!
-  return kinds.length === 0 || kinds.some((kind) => getKind(fault).startsWith(kind)) ? fault : createRandomFault(random, members, workers, kinds)
-}
-
-/** Random indexes below `total`: the given ratio of them, but at least one. */
-function choose (random: Random, total: number, ratio: number): readonly number[] {
-  const order = Array.from({ length: total }, (_, index) => ({ index, rank: random.next() })).sort((left, right) => left.rank - right.rank)
-  return order.slice(0, Math.max(1, Math.floor(ratio * total))).map(({ index }) => index)
+  const candidates = [createRandomLoss(lossRandom, workers), faults[random.nextInt(faults.length)]]
+  const chosen = candidates.find((fault) => fault !== undefined && (kinds.length === 0 || kinds.some((kind) => getKind(fault).startsWith(kind))))
+  return chosen ?? createRandomFault(options)
 }
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -8,7 +8,7 @@
 import type { JsonServer } from '../platform/standin/json-server.ts'
 import { KvServer } from '../platform/standin/kv-server.ts'
 import type { KvEndpoint } from '../platform/standin/kv-server.ts'
-import { getCallerAddress, createMemberSettings, MAX_LEASE_MS } from '../platform/standin/member-settings.ts'
+import { getCallerAddress, createMemberSettings, MAX_LEASE_MS, MEMBERS_PORT } from '../platform/standin/member-settings.ts'
 import type { MemberOptions } from '../platform/standin/member-settings.ts'
 import { StandinOperator } from '../platform/standin/operator.ts'
 import { NO_DELAY } from '../platform/standin/worker-server.ts'
@@ -17,6 +17,8 @@
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
 import { RunHistory } from './run-history.ts'
+import { SilentAddress } from './silent-address.ts'
+import type { WorkersGone } from './soak-fault.ts'
 import { SoakWorker } from './soak-worker.ts'
 
 /** Host name of the queues. */
@@ -83,6 +85,7 @@
   private nextHostNumber = FIRST_HOST_NUMBER
   private nextWorkerNumber = 0
   private isClosing = false
+  private readonly silentAddresses: SilentAddress[] = []
 
   private readonly operator: StandinOperator
   private readonly lastingCheck: NodeJS.Timeout
@@ -165,10 +168,18 @@
   }
 
   /** Stops a member with a signal and starts it again at another address, as on another host. */
-  async replaceMember (index: number, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+  async replaceMember (index: number, signal: 'SIGKILL' | 'SIGTERM', addressBefore: 'refuses' | 'silent' = 'refuses'): Promise<void> {
     const member = this.members[index]!
-    member.options = { ...member.options, host: this.createHost() }
-    await this.restartMember(index, signal)
+    const { process, options } = member
+    member.options = { ...options, host: this.createHost() }
+    await Promise.all([this.restartMember(index, signal), addressBefore === 'silent' && this.silenceAddress(process, options.host)])
+  }
+
+  /** Lets some workers end, and start again after a while. Both are faults; the time between them is not. */
+  async sendWorkersAway ({ workers, state, forMs }: WorkersGone): Promise<void> {
+    const leaving = workers.map((index) => this.workers[index]!)
+    for (const worker of leaving) worker.goAway(state)
+    setTimeout(() => this.recallWorkers(leaving), forMs).unref()
   }
 
   /** Kills members and starts them again at the same time after the given time. */
@@ -236,7 +247,8 @@
       storeLink.setState('open')
       storeEndpoint.refusal = undefined
     }
-    for (const { link } of this.workers) link.setState('open')
+    this.recallWorkers(this.workers)
+    for (const worker of this.workers) worker.setLinkState('open')
     for (const domain of FAILURE_DOMAINS) this.setDomainEvacuated(domain, false)
   }
 
@@ -250,12 +262,25 @@
       output.end()
     }
     for (const worker of this.workers) worker.close()
+    for (const address of this.silentAddresses) address.close()
     this.workerLog.end()
     this.kv.close()
     this.advisorLink.close()
     this.advisor.close()
   }
 
+  private recallWorkers (workers: readonly SoakWorker[]): void {
+    if (this.isClosing) return
+    const back = workers.filter((worker) => worker.comeBack())
+    if (back.length > 0) this.countAsFault(Promise.resolve()).catch(() => {})
+  }
+
+  /** Occupies the address of a process that ends. */
+  private async silenceAddress (process: ProcessMember, host: string): Promise<void> {
+    await process.waitForExit()
+    if (!this.isClosing) this.silentAddresses.push(await SilentAddress.listen(host, MEMBERS_PORT))
+  }
+
   private async startWorker (): Promise<SoakWorker> {
     const number = this.nextWorkerNumber
     this.nextWorkerNumber += 1
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -1,6 +1,6 @@
 import type { WorkerDelay } from '../platform/standin/worker-server.ts'
 import type { LinkState } from './proxied-stream.ts'
-import type { CutState } from './soak-worker.ts'
+import type { AwayState, CutState } from './soak-worker.ts'
 import type { StoreTrouble } from './store-trouble.ts'
 
 /** A fault that is caused from outside the member processes. Several faults may overlap. */
@@ -23,6 +23,9 @@
   /** Some workers are cut off from the members and the store; with `reborn` they crash behind the cut. */
   | { readonly type: 'workers-cut', readonly cut: WorkersCut, readonly forMs: number }
   | { readonly type: 'workers-flap', readonly workers: readonly number[], readonly reborn: boolean, readonly forMs: number }
+  /** Some workers end and start again after a long time; with `reborn` they also crash and start again before. */
+  | { readonly type: 'workers-gone', readonly gone: WorkersGone }
+  | { readonly type: 'workers-reborn-gone', readonly gone: WorkersGone, readonly afterMs: number }
   /** Some workers drain for a while and leave for good, and new ones join. */
   | { readonly type: 'workers-drain', readonly workers: readonly number[], readonly forMs: number }
   | { readonly type: 'late-orders', readonly share: number, readonly forMs: number }
@@ -30,6 +33,8 @@
   | { readonly type: 'configuration' }
   | { readonly type: 'stutter', readonly members: 'all' | 'leader', readonly runMs: number, readonly pauseMs: number, readonly forMs: number }
   | { readonly type: 'slow-workers', readonly delay: WorkerDelay, readonly forMs: number }
+  /** The current leader fails, and nothing else. */
+  | { readonly type: 'leader', readonly leader: LeaderFailure, readonly forMs: number }
   /** The current leader fails, and after a while the store too, so that the members take over during its trouble. */
   | Takeover
 
@@ -51,11 +56,15 @@
 /** Workers that are cut off; with `reborn` they crash meanwhile. */
 export type WorkersCut = { readonly workers: readonly number[], readonly state: CutState, readonly reborn: boolean }
 
-export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
+/** Workers that go away for a while, and how their addresses behave meanwhile. */
+export type WorkersGone = { readonly workers: readonly number[], readonly state: AwayState, readonly forMs: number }
+
+/** `replace-silent`: as `replace`, and the address before stays silent instead of refusing connections. */
+export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-silent' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
 
 /**
- * The type of a fault; for a takeover with the trouble of the store and the failure of the leader, for a trouble of the
- * store alone with its mode.
+ * The type of a fault; for a takeover with the trouble of the store and the failure of the leader, for a failure of the
+ * leader alone with its kind, and for a trouble of the store alone with its mode.
  *
  * @example
  * getKind({ type: 'store', mode: 'busy', pausesLeases: false, forMs: 500 }) // 'store/busy'
@@ -63,6 +72,7 @@
 export function getKind (fault: SoakFault): string {
   switch (fault.type) {
     case 'takeover': return `${fault.type}/${fault.trouble}/${fault.leader}`
+    case 'leader': return `${fault.type}/${fault.leader}`
     case 'store': return `${fault.type}/${fault.mode}`
     default: return fault.type
   }
--- a/soak/soak-worker.ts
+++ b/soak/soak-worker.ts
@@ -3,10 +3,16 @@
 import { WorkerServer } from '../platform/standin/worker-server.ts'
 import type { WorkerServerOptions } from '../platform/standin/worker-server.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
+import type { LinkState } from './proxied-stream.ts'
 
 /** How a link fails for a while: bytes are held until it heals, or lost. */
 export type CutState = 'held' | 'silent'
 
+/** How a worker that has gone away is missed: nothing answers, or its host refuses connections. */
+export type AwayState = 'dark' | 'refused'
+
+/** The links have a loopback address of their own, where no connection takes the port of a worker that does not listen. */
+const LINK_HOST = '127.0.0.2'
 /** Three heartbeat intervals of silence, after which the entry of a worker is removed. */
 const REGISTRATION_TIMEOUT_MS = 4_500
 /** Half of the period in which a flapping worker is down and up by turns. */
@@ -16,20 +22,50 @@
 export class SoakWorker {
   private state: 'ready' | 'draining' | 'left' = 'ready'
   private isPublished = false
+  private isAway = false
+  private expiry: NodeJS.Timeout | undefined
 
-  private constructor (readonly server: WorkerServer, readonly link: LoopbackProxy, private readonly kv: KvServer, readonly domain: string) {}
+  private constructor (readonly server: WorkerServer, private readonly link: LoopbackProxy, private readonly kv: KvServer, readonly domain: string) {}
 
   /** Starts a worker and registers it. */
   static async start (kv: KvServer, domain: string, options: WorkerServerOptions): Promise<SoakWorker> {
     const server = await WorkerServer.listen(options)
-    const worker = new SoakWorker(server, await LoopbackProxy.listen(server.address), kv, domain)
+    const worker = new SoakWorker(server, await LoopbackProxy.listen(server.address, LINK_HOST), kv, domain)
     worker.register()
     return worker
   }
 
   /** Whether the worker is published and takes tasks. */
   get isAvailable (): boolean {
-    return this.state === 'ready' && this.isPublished
+    return this.state === 'ready' && this.isPublished && !this.isAway
+  }
+
+  /** Changes the state of its link, unless the worker is away. */
+  setLinkState (state: LinkState): void {
+    if (!this.isAway) this.link.setState(state)
+  }
+
+  /** Ends with all its runs. Its entry expires, and its address is silent or refuses connections until it comes back. */
+  goAway (state: AwayState): void {
+    if (this.isAway || this.state === 'left') return
+    this.link.setState(state)
+    this.isAway = true
+    this.server.isOff = true
+    this.server.crash()
+    this.expiry = setTimeout(() => this.unregister(), REGISTRATION_TIMEOUT_MS)
+  }
+
+  /** Starts again under its id. Returns whether it was away. */
+  comeBack (): boolean {
+    if (!this.isAway) return false
+    clearTimeout(this.expiry)
+    this.isAway = false
+    if (this.state === 'left') return true
+    this.server.crash()
+    this.server.isOff = false
+    this.link.setState('open')
+    this.register()
+    return true
   }
 
   /** Loses all state and starts again under the same id. */
@@ -40,23 +76,23 @@
 
   /** Cuts the worker off from all members and from the store. With `reborn` it crashes meanwhile and starts again under its id. */
   async cutOff (state: CutState, reborn: boolean, ms: number): Promise<void> {
-    this.link.setState(state)
+    this.setLinkState(state)
     const expiry = setTimeout(() => this.unregister(), REGISTRATION_TIMEOUT_MS)
     await wait(ms / 2)
     if (reborn) this.restart()
     await wait(ms / 2)
     clearTimeout(expiry)
-    this.link.setState('open')
+    this.setLinkState('open')
     this.register()
   }
 
   /** Is unreachable and reachable by turns; with `reborn` it crashes each time. */
   async flap (reborn: boolean, ms: number): Promise<void> {
     for (const endAt = performance.now() + ms; performance.now() < endAt;) {
-      this.link.setState('reset')
+      this.setLinkState('reset')
       if (reborn) this.crash()
       await wait(FLAP_MS)
-      this.link.setState('open')
+      this.setLinkState('open')
       await wait(FLAP_MS)
     }
   }
@@ -73,6 +109,7 @@
   }
 
   close (): void {
+    clearTimeout(this.expiry)
     this.link.close()
     this.server.close()
   }
@@ -87,7 +124,7 @@
   }
 
   private register (): void {
-    if (this.state === 'left') return
+    if (this.state === 'left' || this.isAway) return
     this.kv.put(this.key, this.server.createEntry(this.state, this.link.address, this.domain))
     this.isPublished = true
   }
--- a/test/soak/fault-schedule.test.ts
+++ b/test/soak/fault-schedule.test.ts
@@ -9,6 +9,7 @@
 const KINDS: readonly string[] = [
   'kill', 'kill-all', 'terminate', 'terminate-all', 'pause', 'power-cut', 'replace', 'replace-planned', 'stutter', 'store/', 'store-answers-lost', 'store-compact',
   'store-link', 'worker-link', 'advisor-link', 'worker-crash', 'workers-cut', 'workers-flap', 'workers-drain', 'slow-workers', 'late-orders', 'domain-out', 'configuration',
+  'workers-gone', 'workers-reborn-gone', 'leader/kill', 'leader/power', 'leader/replace', 'leader/replace-silent',
   'takeover/claims-unanswered/cut', 'takeover/writes-late/hold', 'takeover/slow/power', 'takeover/lossy/replace-planned'
 ]
 
@@ -28,3 +29,8 @@
   const cuts = createFaultSchedule({ ...OPTIONS, faultKinds: ['power-cut'] }).flatMap(({ fault }) => fault.type === 'power-cut' ? [fault.members.length] : [])
   assert.deepEqual([...new Set(cuts)].sort(), [1, 2, 7])
 })
+
+test('fault schedule: without a filter, workers and leaders are lost too', () => {
+  const kinds = createFaultSchedule(OPTIONS).map(({ fault }) => fault.type)
+  for (const kind of ['workers-gone', 'workers-reborn-gone', 'leader'] as const) assert.ok(kinds.includes(kind), kind)
+})
--- a/test/soak/loopback-proxy.test.ts
+++ b/test/soak/loopback-proxy.test.ts
@@ -24,7 +24,11 @@
   { state: 'held', opened: 'meanwhile', closed: true, received: '' },
   { state: 'silent', opened: 'before', closed: false, received: '' },
   { state: 'silent', opened: 'before', closed: true, received: '' },
-  { state: 'reset', opened: 'before', closed: false, received: '' }
+  { state: 'reset', opened: 'before', closed: false, received: '' },
+  { state: 'refused', opened: 'before', closed: false, received: '' },
+  { state: 'dark', opened: 'before', closed: false, received: '' },
+  { state: 'dark', opened: 'before', closed: true, received: '' },
+  { state: 'dark', opened: 'meanwhile', closed: false, received: '' }
 ]
 
 for (const { state, opened, closed, received } of CASES) {
@@ -58,7 +62,7 @@
   })
 }
 
-for (const { state, closedMeanwhile } of [{ state: 'open', closedMeanwhile: true }, { state: 'held', closedMeanwhile: false }] as const) {
+for (const { state, closedMeanwhile } of [{ state: 'open', closedMeanwhile: true }, { state: 'held', closedMeanwhile: false }, { state: 'dark', closedMeanwhile: false }] as const) {
   // A member that learns at once that a worker has crashed behind a cut knows more than the network can tell.
   test(`loopback proxy: the end of a target is seen ${closedMeanwhile ? 'at once' : 'after the heal'} while its link is ${state}`, async () => {
     const server = createServer((socket) => socket.on('error', () => {}))
@@ -81,6 +85,23 @@
   })
 }
 
+// A member that is refused a connection knows that no process listens, which no other state may tell it.
+test('loopback proxy: connections are refused while a link is refused, and set up at the same address afterwards', async () => {
+  const link = await LoopbackProxy.listen('127.0.0.1:1', '127.0.0.2')
+  const [host, port] = link.address.split(':')
+  const tryConnection = (): Promise<string> => new Promise((resolve) => {
+    const socket = connect(Number(port), host).on('error', (error: NodeJS.ErrnoException) => resolve(error.code!)).on('connect', () => {
+      socket.destroy()
+      resolve('connected')
+    })
+  })
+  link.setState('refused')
+  assert.equal(await tryConnection(), 'ECONNREFUSED')
+  link.setState('open')
+  assert.equal(await tryConnection(), 'connected')
+  link.close()
+})
+
 for (const { elapsedMs, delayMs } of [{ elapsedMs: 0, delayMs: 200 }, { elapsedMs: 500, delayMs: 100 }, { elapsedMs: 5_500, delayMs: 700 }]) {
   test(`loopback proxy: bytes held for ${elapsedMs} ms are delivered ${delayMs} ms later`, () => {
     assert.equal(computeRetransmissionDelay(elapsedMs), delayMs)
--- a/test/soak/soak-worker.test.ts
+++ b/test/soak/soak-worker.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
+import { request } from 'undici'
 import { KvServer } from '../../platform/standin/kv-server.ts'
 import { SoakWorker } from '../../soak/soak-worker.ts'
+import type { AwayState } from '../../soak/soak-worker.ts'
 
 type Entry = { readonly state: string, readonly born: number } | undefined
 
@@ -18,12 +20,20 @@
 
 const FAULT_MS = 300
 
+async function stayAway (worker: SoakWorker, state: AwayState, ms: number): Promise<void> {
+  worker.goAway(state)
+  await wait(ms)
+  assert.equal(worker.comeBack(), true)
+}
+
 const CASES: readonly Case[] = [
   { fault: 'a short cut', cause: (worker) => worker.cutOff('held', false, FAULT_MS), during: 'ready', after: 'ready', isReborn: false },
   { fault: 'a crash behind a cut', cause: (worker) => worker.cutOff('silent', true, FAULT_MS), during: 'ready', after: 'ready', isReborn: true },
   { fault: 'a cut that lasts longer than three heartbeats', cause: (worker) => worker.cutOff('silent', false, 5_000), during: 'none', after: 'ready', isReborn: false },
   { fault: 'flapping', cause: (worker) => worker.flap(false, FAULT_MS), during: 'ready', after: 'ready', isReborn: false },
   { fault: 'flapping with crashes', cause: (worker) => worker.flap(true, FAULT_MS), during: 'ready', after: 'ready', isReborn: true },
+  ...(['dark', 'refused'] as const).map((state): Case => ({ fault: `being away with a link that is ${state}`, cause: (worker) => stayAway(worker, state, 5_000), during: 'none', after: 'ready', isReborn: true })),
+  { fault: 'a short absence', cause: (worker) => stayAway(worker, 'dark', FAULT_MS), during: 'ready', after: 'ready', isReborn: true },
   { fault: 'draining', cause: (worker) => worker.drain(FAULT_MS), during: 'draining', after: 'none', isReborn: false }
 ]
 
@@ -48,3 +58,49 @@
     }
   })
 }
+
+/** Other faults of a worker that is away, which must not bring it back. */
+const OVERLAPPING: ReadonlyArray<{ readonly fault: string, readonly cause: (worker: SoakWorker) => Promise<void> | void }> = [
+  { fault: 'a crash', cause: (worker) => worker.crash() },
+  { fault: 'a cut that ends', cause: (worker) => worker.cutOff('silent', true, FAULT_MS) },
+  { fault: 'flapping', cause: (worker) => worker.flap(true, FAULT_MS) },
+  { fault: 'a link that is open again', cause: (worker) => worker.setLinkState('open') }
+]
+
+for (const { fault, cause } of OVERLAPPING) {
+  // A worker that comes back early would look like a product that finds another one in time.
+  test(`soak worker: ${fault} does not bring back a worker that is away`, async () => {
+    const kv = await KvServer.listen()
+    const worker = await SoakWorker.start(kv, 'east', { id: 'w1', needsTickets: false })
+    const { address } = JSON.parse(kv.read('servers/w1')!) as { readonly address: string }
+    const call = (): Promise<string> => request(`http://${address}/hold`, { method: 'POST', headers: { 'expect-instance': 'w1' }, body: '{}', signal: AbortSignal.timeout(FAULT_MS) }).then(() => 'answered', ({ name }: Error) => name)
+    try {
+      assert.equal(await call(), 'answered')
+      const entry = kv.read('servers/w1')
+      worker.goAway('dark')
+      await cause(worker)
+      assert.deepEqual([worker.isAvailable, kv.read('servers/w1'), await call()], [false, entry, 'TimeoutError'])
+      worker.comeBack()
+      assert.deepEqual([worker.isAvailable, await call()], [true, 'answered'])
+    } finally {
+      worker.close()
+      kv.close()
+    }
+  })
+}
+
+test('soak worker: a call that it has received is not carried out after it has gone away', async () => {
+  const kv = await KvServer.listen()
+  const events: string[] = []
+  const worker = await SoakWorker.start(kv, 'east', { id: 'w1', needsTickets: false, observe: ({ type }) => events.push(type) })
+  worker.server.delay = { calls: 'all', beforeMs: FAULT_MS, afterMs: 0 }
+  const body = JSON.stringify({ task: 'a.0.0.0', run: 1, deadlineMs: 60_000, spec: '{}' })
+  request(`http://${worker.server.address}/run-start`, { method: 'POST', headers: { 'expect-instance': 'w1' }, body }).catch(() => {})
+  await wait(FAULT_MS / 2)
+  worker.goAway('dark')
+  await wait(FAULT_MS)
+  worker.comeBack()
+  worker.close()
+  kv.close()
+  assert.deepEqual(events, ['crashed', 'crashed'])
+})
