Keep two virtual hosts from having one address

The fault "member at another address, another at its address" gives the address of a host away up to 4 s after it was chosen. Two of these at a time gave one address to two running hosts: a request to stand down that was meant for one reached the other, which answers that it has never led. No network of the deployments does that (an address is used again only after its machine has gone), and no product can tell the two apart.

Change: the second host starts at the address before only if no other host has it by then, and a start at an address that another host has is an error, so that no test plays this unnoticed. The fault is played as often as before.

--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -89,11 +89,17 @@
 
   /** Starts a new process on a host, at an address that nobody else uses. */
   restart (host: VirtualHost, address = host.address): void {
+    if (address !== host.address && !this.isFree(address)) throw new Error(`${address} belongs to another host`)
     this.time.end(host.process)
     host.address = address
     Object.assign(host, this.startMember(host.name, address))
   }
 
+  /** Whether no host has an address, so that one can move there. */
+  isFree (address: string): boolean {
+    return this.hosts.every((host) => host.address !== address)
+  }
+
   /** Submits a job of some steps at a member; `maxDurationMs` bounds the time that each task runs. */
   submit (host: VirtualHost, id: string, counts: readonly number[], maxDurationMs: number, changes: Partial<JobDefinition> = {}): void {
     const definition = { ...buildJob(id, ...counts.map((count, step) => ({ count, after: step === 0 ? [] : [step - 1] }))), payload: String(maxDurationMs), submittedAtMs: Date.now(), ...changes }
--- a/test/controller/virtual-faults.ts
+++ b/test/controller/virtual-faults.ts
@@ -80,7 +80,8 @@
   const { address } = first
   cell.time.schedule(random.nextInt(2_000), () => {
     cell.restart(first, `${first.name}-${Math.round(cell.time.nowMs)}:1`)
-    cell.time.schedule(random.nextInt(2_000), () => cell.restart(second, address))
+    // Another exchange may have given the address away meanwhile.
+    cell.time.schedule(random.nextInt(2_000), () => cell.restart(second, cell.isFree(address) ? address : second.address))
   })
 }
 
