Hand on to the next leader how much of a wait is over

What callers see: with several takeovers in a row, tasks of a dead target had no run for as long as these went on, and up to 11.65 s more.

Cause: each new leader waited for every earlier leader that did not answer for 8 s from its own election on. What the leader before had waited for was lost, but for the mark that commands had ended; of these it was lost when.

Change: the record of a term that is not settled says for how long at most its leader's commands go on, counted from the writing of the record, negative if they had ended (commandsEndInMs). A reader counts it from its reading. That is later than the writing, so that a commit that is carried out late, or is read late, makes the wait longer, never shorter, and clocks of hosts are not compared. Handed on is the age of the last command, not the end of a lease: the caller still names the longest lease (10 s beside a target that has restarted). Records without the field, or with another type in it, mean the whole wait; a larger value counts as the whole wait. Older releases keep reading commandsEnded, and carry the field on unchanged, which is safe. A leader that waits and has nothing else to store stores its record once a second.

Leaders that are all gone are not helped: the last one of them is always a new one, and has 8 s of its own.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -26,6 +26,8 @@
 /** Minimum time between the starts of two commits, in milliseconds; batches completions into one call. */
 const MIN_COMMIT_INTERVAL_MS = 25
 const RETRY_DELAY_MS = 150
+/** Age at which the record of the term is stored again, if that is asked for, in milliseconds. */
+const MAX_RECORD_AGE_MS = 1_000
 /** Maximum size of the job records in one transaction; a larger one could not be sent within the timeout of a call. */
 const MAX_BATCH_BYTES = STORE_VALUE_LIMIT_BYTES
 /** A batch that was refused as often is at fault if the store accepts a commit without records in between. */
@@ -90,10 +92,12 @@
   private batchLimit = MAX_ENTRIES
   private targetsToStore: TargetsRecord | undefined
   private settingsToStore: RemovedSettings | undefined
+  /** Whether the record of the term is stored although nothing else is. */
+  private recordWanted = false
   private commitVersion: number
   private committing = false
   private stopped = false
-  private lastCommitStartedAt = 0
+  private lastCommitStartedAt = -Infinity
 
   private constructor (private readonly options: CommitterOptions) {
     this.commitVersion = options.commitVersion
@@ -137,6 +141,13 @@
     this.startCommitting()
   }
 
+  /** Stores the record of the term once a second, because what it says of earlier leaders is measured from its writing. */
+  renewRecord (): void {
+    if (performance.now() - this.lastCommitStartedAt < MAX_RECORD_AGE_MS) return
+    this.recordWanted = true
+    this.startCommitting()
+  }
+
   stop (): void {
     this.stopped = true
   }
@@ -148,7 +159,7 @@
   }
 
   private get hasPending (): boolean {
-    return this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined || this.settingsToStore !== undefined
+    return this.recordWanted || this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined || this.settingsToStore !== undefined
   }
 
   private async commitPending (): Promise<void> {
@@ -174,6 +185,7 @@
     if (settings !== undefined) remainingRecords -= 1
     const targets = remainingRecords > 0 ? this.takeTargets() : undefined
     const nonce = randomUUID()
+    this.recordWanted = false
     const puts = [this.createCommitPut(nonce), ...records.map(({ id, value }): Put => ({ key: progressKey(id), value }))]
     if (settings !== undefined) puts.push({ key: SETTINGS_KEY, value: JSON.stringify(settings) })
     if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify(targets) })
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -346,13 +346,15 @@
   }
 
   /**
-   * Lets restored tasks start once all targets of previous leaders are listed or the leases of their runs have expired.
+   * Lets restored tasks start once all targets of previous leaders are listed or the leases of their runs have expired. Until then
+   * the next leader is told how much of the wait is over.
    */
   private checkRunsOfEarlierTerms (): void {
     if (!this.restored || !this.scheduler.earlierRunsExpected) return
     const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
     if (this.earlierLeaders.haveRunsLapsedBy(this.options.getAloneUntil(), this.scheduler.longestEarlierLeaseMs)) this.applyEvent({ type: 'earlier-runs-lapsed' })
     else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
+    else this.committer.renewRecord()
   }
 
   private applyEvent (event: CellEvent): void {
--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -39,9 +39,9 @@
 
   private constructor (private readonly options: EarlierLeadersOptions) {
     this.createdAt = this.now()
-    for (const { leader, commandsEnded } of options.term.unsettled) {
-      this.commandsEndAt.set(leader.address, commandsEnded === true ? this.createdAt : this.createdAt + LEASE_GRACE_MS)
-      if (commandsEnded !== true) this.silentAddresses.add(leader.address)
+    for (const earlier of options.term.unsettled) {
+      this.commandsEndAt.set(earlier.leader.address, this.createdAt + computeMaxCommandsMs(earlier))
+      if (earlier.commandsEnded !== true) this.silentAddresses.add(earlier.leader.address)
     }
   }
 
@@ -66,9 +66,13 @@
     await Promise.all(this.commandingTerms.map((earlier) => this.askLeader(earlier)))
   }
 
-  /** The earlier terms as the next leader has to know them: those whose leaders send no more commands are marked. */
+  /** The earlier terms as the next leader has to know them, with how long the commands of their leaders go on at most from now on. */
   get unsettled (): readonly UnsettledTerm[] {
-    return this.options.term.unsettled.map((earlier) => this.sendsCommands(earlier) ? earlier : { ...earlier, commandsEnded: true })
+    const now = this.now()
+    return this.options.term.unsettled.map((earlier) => {
+      const commandsEndInMs = Math.ceil(this.commandsEndAt.get(earlier.leader.address)! - now)
+      return commandsEndInMs > 0 ? { ...earlier, commandsEndInMs } : { ...earlier, commandsEnded: true, commandsEndInMs }
+    })
   }
 
   /**
@@ -135,3 +139,9 @@
     return this.options.now?.() ?? performance.now()
   }
 }
+
+/** Returns how long the commands of an earlier leader go on at most; a value that another release has written differently says nothing. */
+function computeMaxCommandsMs ({ commandsEnded, commandsEndInMs }: UnsettledTerm): number {
+  const unknownMs = commandsEnded === true ? 0 : LEASE_GRACE_MS
+  return Number.isFinite(commandsEndInMs) ? Math.min(unknownMs, commandsEndInMs!) : unknownMs
+}
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -54,6 +54,11 @@
   readonly leader: Peer
   /** Whether a later leader knows that this one sends no more commands, so that only the leases of its runs count. */
   readonly commandsEnded?: boolean
+  /**
+   * How long its commands go on at most, in milliseconds from the writing of the record; negative if they had ended before. A
+   * reader counts from its reading, which is later. Missing in records of older releases.
+   */
+  readonly commandsEndInMs?: number
 }
 
 /** The last commit or takeover, as stored under `state/commit`. */
