--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -116,12 +116,18 @@
 
   /** Starts a new process on a host, at an address that nobody else uses; another name in it stands for another host. */
   restart (host: VirtualHost, address = host.address): void {
+    if (address !== host.address && !this.isFree(address)) throw new Error(`${address} belongs to another host`)
     this.kill(host)
     this.silentHosts.delete(getHostName(address))
     host.address = address
     Object.assign(host, this.startMember(host.name, address))
   }
 
+  /** Whether no host has an address, so that one can move there. */
+  isFree (address: string): boolean {
+    return this.hosts.every((host) => host.address !== address)
+  }
+
   /** Submits a job of one step whose tasks last until it is cancelled. */
   submitLasting (host: VirtualHost, id: string, count: number): void {
     const { steps } = buildJob(id, { count, longRunning: true })
