Let tasks that last and have no run search targets beyond the budget of a pass

What callers see: in a large cell a task that lasts has no run although a half of the targets has room for it.

Cause: the searches for targets to ask the advisor about share a budget in each pass, in the order of the ranks, and a step that found none searches again after 0.5 s. Where many steps find no room, for example because some targets lack processors and the others memory, they use up the budget of each pass, and the steps behind them never search. A job beyond its organisation's share of submissions is always behind them.

Change: the searches of steps whose requests go before all others, since a task of theirs lasts and has had no run for 2 s, examine up to 2,000 targets a pass on top.

Evidence: test/workflow/lasting-advice.test.ts, 400 targets and 300 steps: no request within 3 s before, one now.

--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -14,6 +14,9 @@
  */
 const FULL_SEARCH_INTERVAL_MS = 500
 
+/** Number of targets that the searches of steps whose requests go before all others examine on top of those of the others. */
+const PRECEDING_SEARCH_BUDGET_TARGETS = 2_000
+
 /**
  * Whether advice for the step may be requested now. This check is cheap and runs before targets are selected.
  * `prefetch`: the step is not ready yet.
@@ -39,7 +42,8 @@
     return
   }
   const urgent = isUrgent(state, step.job.definition)
-  if (state.searchBudget <= 0) {
+  const precedes = takesPrecedence(state, step)
+  if (state.searchBudget <= (precedes ? -PRECEDING_SEARCH_BUDGET_TARGETS : 0)) {
     state.startPassNeeded = true
     return
   }
@@ -53,7 +57,6 @@
     return
   }
   const costMs = computeAdviceCostMs(state, step, targets.length)
-  const precedes = takesPrecedence(state, step)
   state.pendingAdvice.add(step.key, { urgent, overdue: isOverdue(state, step), precedes, costMs, now: state.now })
   advice.searchedTo = undefined
   advice.waitsForChannelSince = undefined
--- a/test/workflow/lasting-advice.test.ts
+++ b/test/workflow/lasting-advice.test.ts
@@ -167,3 +167,16 @@
   wait(harness, 2 * TICK_MS)
   assert.deepEqual(getAskingSteps(harness, 'watch'), ['watch.0.0'])
 })
+
+const LARGE = { targets: 400, steps: 300, tasksPerStep: 10, waitMs: 3_000 }
+
+// LOST: the searches of steps with a better rank that found nothing used up those of each pass, so that the task never asked.
+test('lasting advice: guards against the failure that a task that lasts never searches a large cell in which many steps find no room', () => {
+  const capacities = [{ cpuMillis: 500, memoryMiB: 1_000, accelerators: 0 }, { cpuMillis: 4_000, memoryMiB: 50, accelerators: 0 }]
+  const harness = CellHarness.create(Array.from({ length: LARGE.targets }, (_, index) => buildEntry(`t${index}`, { capacity: capacities[index % 2]! })), CELL)
+  harness.apply({ type: 'advice-channels', channels: 20 })
+  for (let index = 0; index < LARGE.steps; index += 1) harness.scheduler.apply({ type: 'job-accepted', definition: { ...buildJob(`urgent${index}`, { count: LARGE.tasksPerStep }), queue: 'urgent' } }, harness.now)
+  for (const id of ['first', 'lasting']) harness.apply({ type: 'job-accepted', definition: { ...buildJob(id, { longRunning: true, demand: SMALL }), queue: 'watch', organisation: 'busy' } })
+  wait(harness, LARGE.waitMs)
+  assert.deepEqual(getAskingSteps(harness, 'lasting'), ['lasting.0.0'])
+})
