Send the first request after the loss of a run before all others

Cause: the precedence of a step begins once one of its tasks has had no run for 2 s and none is booked. When the run of a silent target is given up, its request is sent in the same pass, before that is looked at again, and waits behind urgent ones at the advisor; only one request of a step is sent at a time.

Change: a run that is booked on a silent target counts as none here, so that the step has its precedence when the run is given up. While it is booked, the task doesn't start, as before.

Evidence: test/workflow/lasting-advice.test.ts, "the first request after the loss of a run is not urgent": [false, false], expected [false, true], before.

--- a/src/workflow/lasting-task-waits.ts
+++ b/src/workflow/lasting-task-waits.ts
@@ -137,9 +137,12 @@
   return 'live' in wait ? Math.min(now, wait.live.target.lastHeardAt) : now
 }
 
-/** Whether the task has waited too long, and for a target: none of its runs may still be present. */
-function isOverdue ({ task, since, wait }: Waiting, now: number): boolean {
-  return now - since >= MAX_PLACEMENT_WAIT_MS && task.runs.size === 0 && wait.type !== 'earlier-runs' && wait.type !== 'held-back'
+/**
+ * Whether the task has waited too long and may start now, or as soon as a run of it has certainly ended: that of a silent target
+ * counts, so that the first request after its loss takes precedence.
+ */
+function isOverdue ({ since, wait }: Waiting, now: number): boolean {
+  return now - since >= MAX_PLACEMENT_WAIT_MS && wait.type !== 'earlier-runs' && wait.type !== 'held-back'
 }
 
 function isToBeLogged ({ since, wait, logged }: Waiting, now: number): boolean {
--- a/test/workflow/lasting-advice.test.ts
+++ b/test/workflow/lasting-advice.test.ts
@@ -180,3 +180,14 @@
   wait(harness, LARGE.waitMs)
   assert.deepEqual(getAskingSteps(harness, 'lasting'), ['lasting.0.0'])
 })
+
+// LOST: the request that was sent when the run of a silent target was given up waited behind all urgent ones at the advisor.
+test('lasting advice: guards against the failure that the first request after the loss of a run is not urgent', () => {
+  const harness = createHarness({ channels: 1, full: false, urgentPerS: 0, batchPerS: 0, organisation: 'zuu' })
+  harness.apply({ type: 'advised', step: 'lasting.0.0', requestedTargets: ['t1'], response: { type: 'advised', tickets: [{ target: 't1', ticket: 'ticket' }], validityMs: undefined } })
+  harness.getStarts().forEach((start) => harness.acceptStart(start))
+  harness.listTarget('t1', { running: harness.runningOn('t1') })
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  wait(harness, 4_000)
+  assert.deepEqual(harness.effects.flatMap((effect) => effect.type === 'request-advice' ? [effect.urgent] : []), [false, true])
+})
