Give tasks that last precedence only where room for them stays unused

What callers see: with eight such tasks lost at a time, urgent jobs waited longer, most of all in a pool that is almost full.

Cause: a task that lasts used the reserve of a full pool, and took precedence at the advisor, whenever there was room for it twice over. Between two urgent tasks there is such room for a moment. And requests that go before all others followed one another without a pause.

Change: a step takes precedence once there has been room for it twice over for 1.5 s, at samples every 250 ms. Requests that go before all others come every 1.5 s for one channel, or for each of a quarter of them.

Evidence: test/workflow/task-acceptance.test.ts, "a task that lasts takes room which urgent tasks leave for a moment", and lasting-advice.test.ts, "several of many channels at once", which failed before. The case of a quarter of eight channels waits 6 s in place of 2.5 s, since the second request comes 0.75 s later; how many are sent is still checked.

--- a/src/workflow/lasting-task-waits.ts
+++ b/src/workflow/lasting-task-waits.ts
@@ -1,6 +1,7 @@
-import { log } from './cell-state.ts'
+import { findQueue, log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { isDue } from './jobs.ts'
+import { getOpenTargets } from './open-targets.ts'
 import { formatTaskWait } from './task-wait-fields.ts'
 import { findTaskWait } from './task-wait.ts'
 import type { TaskWait } from './task-wait.ts'
@@ -14,6 +15,8 @@
 const REPEAT_INTERVAL_MS = 2_000
 /** A task that has had no run for this time takes precedence, in milliseconds. */
 const MAX_PLACEMENT_WAIT_MS = 2_000
+/** It does so only if there has been room for it for this time, in milliseconds: other work does not need that room. */
+const MIN_ROOM_DURATION_MS = 1_500
 /** Time between two starts of tasks that last in the reserve of a full pool, in milliseconds: other tasks may end meanwhile. */
 const RESERVE_INTERVAL_MS = 500
 /** Number of tasks that one pass logs; the others are counted. */
@@ -33,6 +36,8 @@
 export class LastingTaskWaits {
   private waiting = new Map<Task, Waiting>()
   private overdueSteps: ReadonlySet<StepRun> = new Set()
+  /** By step with a waiting task, since when there has been room for it, on the scheduler's clock. */
+  private roomSince: ReadonlyMap<StepRun, number> = new Map()
   /** By pool, when such a task last started in the reserve for urgent tasks, on the scheduler's clock. */
   private readonly reserveUsedAt = new Map<string, number>()
   private checkAt = -Infinity
@@ -61,7 +66,7 @@
     return [...this.waiting.values()].reduce((longest, { since }) => Math.max(longest, now - since), 0)
   }
 
-  /** Whether a task of the step has waited too long for a target, as of the last pass over these tasks. */
+  /** Whether a task of the step has waited too long although there is room, as of the last pass over these tasks. */
   isOverdue (step: StepRun): boolean {
     return this.overdueSteps.has(step)
   }
@@ -81,20 +86,32 @@
     if (state.now < this.checkAt) return
     this.checkAt = state.now + CHECK_INTERVAL_MS
     this.waiting = new Map(findWaits(state).map(({ task, wait }) => [task, this.toWaiting(state, task, wait)]))
-    this.updateOverdueSteps(state.now)
+    this.updateOverdueSteps(state)
     this.write(state, [...this.waiting.values()].filter((entry) => isToBeLogged(entry, state.now)))
   }
 
-  private updateOverdueSteps (now: number): void {
-    const overdue = [...this.waiting.values()].filter((entry) => isOverdue(entry, now))
+  private updateOverdueSteps (state: CellState): void {
+    const candidates = [...this.waiting.values()].filter(({ wait }) => mayStartSoon(wait))
+    this.roomSince = this.findRoomSince(state, new Set(candidates.map(({ task }) => task.step)))
+    const overdue = candidates.filter((entry) => this.isOverdueAt(entry, state.now))
     const steps = new Set(overdue.map(({ task }) => task.step))
     for (const step of steps) {
       // It may use more of each target from now on.
-      if (!this.overdueSteps.has(step)) step.advice.fullSearchAt = now
+      if (!this.overdueSteps.has(step)) step.advice.fullSearchAt = state.now
     }
     this.overdueSteps = steps
   }
 
+  private findRoomSince (state: CellState, steps: ReadonlySet<StepRun>): ReadonlyMap<StepRun, number> {
+    const withRoom = [...steps].filter((step) => getOpenTargets(state, findQueue(state, step.job.definition)?.pool).hasLastingRoom(step))
+    return new Map(withRoom.map((step) => [step, this.roomSince.get(step) ?? state.now]))
+  }
+
+  private isOverdueAt ({ task, since }: Waiting, now: number): boolean {
+    const roomSince = this.roomSince.get(task.step) ?? now
+    return now - since >= MAX_PLACEMENT_WAIT_MS && now - roomSince >= MIN_ROOM_DURATION_MS
+  }
+
   private toWaiting (state: CellState, task: Task, wait: TaskWait): Waiting {
     const known = this.waiting.get(task)
     if (known === undefined) return { task, since: getLastRunTime(state, wait), wait, logged: undefined }
@@ -138,11 +155,11 @@
 }
 
 /**
- * Whether the task has waited too long and may start now, or as soon as a run of it has certainly ended: that of a silent target
- * counts, so that the first request after its loss takes precedence.
+ * Whether the task may start now, or as soon as a run of it has certainly ended: that of a silent target counts, so that the
+ * first request after its loss takes precedence.
  */
-function isOverdue ({ since, wait }: Waiting, now: number): boolean {
-  return now - since >= MAX_PLACEMENT_WAIT_MS && wait.type !== 'earlier-runs' && wait.type !== 'held-back'
+function mayStartSoon ({ type }: TaskWait): boolean {
+  return type !== 'earlier-runs' && type !== 'held-back'
 }
 
 function isToBeLogged ({ since, wait, logged }: Waiting, now: number): boolean {
--- a/src/workflow/open-targets.ts
+++ b/src/workflow/open-targets.ts
@@ -52,10 +52,7 @@
 
   /** False if certainly no target has room for a task of the step. */
   mayFit (state: CellState, step: StepRun): boolean {
-    const { spec } = step
-    const { demand } = spec
-    const free = isUrgent(state, step.job.definition) || this.mayUseReserve(state, step) ? this.maxFree : this.maxFreeForNonUrgent
-    return (spec.fills || demand.cpuMillis <= free.cpuMillis) && demand.memoryMiB <= free.memoryMiB && demand.accelerators <= free.accelerators
+    return fitsFree(step, isUrgent(state, step.job.definition) || this.mayUseReserve(state, step) ? this.maxFree : this.maxFreeForNonUrgent)
   }
 
   /** Whether less than half of the processors and of the memory of all these targets was booked when this was first asked. */
@@ -79,8 +76,9 @@
     this.lastingRoom = undefined
   }
 
-  private hasLastingRoom (step: StepRun): boolean {
-    if (this.lastingRoom?.step !== step) this.lastingRoom = { step, isEnough: this.countSlots(step) >= LASTING_ROOM_FACTOR * (step.spec.gang ? step.spec.count : 1) }
+  /** Whether there is room for a task that lasts, or for its gang, and as much again. */
+  hasLastingRoom (step: StepRun): boolean {
+    if (this.lastingRoom?.step !== step) this.lastingRoom = { step, isEnough: fitsFree(step, this.maxFree) && this.countSlots(step) >= LASTING_ROOM_FACTOR * (step.spec.gang ? step.spec.count : 1) }
     return this.lastingRoom.isEnough
   }
 
@@ -122,6 +120,10 @@
   }
 }
 
+function fitsFree ({ spec: { demand, fills } }: StepRun, free: Demand): boolean {
+  return (fills || demand.cpuMillis <= free.cpuMillis) && demand.memoryMiB <= free.memoryMiB && demand.accelerators <= free.accelerators
+}
+
 function computeMostlyFree (targets: readonly TargetState[]): boolean {
   const capacity = targets.reduce((sum, { entry }) => addDemands(sum, entry.capacity), NO_DEMAND)
   const booked = targets.reduce((sum, target) => addDemands(sum, target.booked), NO_DEMAND)
--- a/src/workflow/pending-advice.ts
+++ b/src/workflow/pending-advice.ts
@@ -13,6 +13,8 @@
 const NON_URGENT_CHANNEL_RATIO = 0.65
 /** Ratio of the channels that steps may use because they have waited too long, whatever their rank; at least one channel. */
 const OVERDUE_CHANNEL_RATIO = 0.25
+/** Time between two requests that go before all others, for each channel that they may use, in milliseconds. */
+const PRECEDING_INTERVAL_MS = 1_500
 /** Without an urgent step that needs advice for this time, other queues may use all channels, in milliseconds. */
 const URGENT_RESERVE_MS = 3_000
 
@@ -32,6 +34,8 @@
   private readonly overdue = new Set<string>()
   /** Those of tasks that last and have had no run for too long. */
   private readonly preceding = new Set<string>()
+  /** When one of these last sent a request, on the scheduler's clock. */
+  private lastPrecedingAt = -Infinity
   /** When an urgent step last sent a request or found no channel for one, on the scheduler's clock; at first the first known time. */
   private lastUrgentAt: number | undefined
 
@@ -56,8 +60,8 @@
   }
 
   /** Whether a task that lasts and has had no run for too long may ask now, whatever else is pending. */
-  get mayPrecede (): boolean {
-    return this.channels > 0 && this.preceding.size < this.overdueLimit
+  mayPrecede (now: number): boolean {
+    return this.channels > 0 && this.preceding.size < this.overdueLimit && now - this.lastPrecedingAt >= PRECEDING_INTERVAL_MS / this.overdueLimit
   }
 
   private get overdueLimit (): number {
@@ -81,7 +85,10 @@
   }
 
   add (step: string, { urgent, overdue, precedes, costMs, now }: NewRequest): void {
-    if (precedes) this.preceding.add(step)
+    if (precedes) {
+      this.preceding.add(step)
+      this.lastPrecedingAt = now
+    }
     if (urgent) {
       this.urgent.set(step, costMs)
       this.lastUrgentAt = now
--- a/test/workflow/lasting-advice.test.ts
+++ b/test/workflow/lasting-advice.test.ts
@@ -142,7 +142,9 @@
 
 const precedences = [
   { guards: 'tasks that last keep a single channel from urgent work', channels: 1, waitMs: 2_500, expected: 1 },
-  { guards: 'tasks that last take more than a quarter of the channels', channels: 8, waitMs: 2_500, expected: 2 },
+  { guards: 'tasks that last keep a single channel from urgent work for longer', channels: 1, waitMs: 6_000, expected: 1 },
+  { guards: 'tasks that last take several of many channels at once', channels: 8, waitMs: 2_500, expected: 1 },
+  { guards: 'tasks that last take more than a quarter of the channels', channels: 8, waitMs: 6_000, expected: 2 },
   { guards: 'tasks that last take precedence before they have waited', channels: 1, waitMs: 1_500, expected: 0 }
 ]
 
--- a/test/workflow/task-acceptance.test.ts
+++ b/test/workflow/task-acceptance.test.ts
@@ -74,3 +74,20 @@
     assert.equal(harness.countStartedTasks('job'), started)
   })
 }
+
+// Urgent tasks that followed one another found their room taken by tasks that last: between two of them it is free for a moment.
+test('task acceptance: guards against the failure that a task that lasts takes room which urgent tasks leave for a moment', () => {
+  const harness = createHarness()
+  fillHalf(harness)
+  accept(harness, 'urgent', 'urgent', 1_000, { count: TARGETS, perTargetLimit: 1 })
+  accept(harness, 'job', 'batch', 1_700, { longRunning: true })
+  advanceFor(harness, 2_500)
+  harness.apply({ type: 'job-cancelled', id: 'urgent' })
+  for (const { target } of harness.getCommands('stop')) {
+    harness.listTarget(target, { running: harness.runningOn(target).filter(({ task }) => task.startsWith('lasting')).map((run) => ({ ...run, percent: 100 })), ended: harness.runningOn(target).filter(({ task }) => task.startsWith('urgent')).map(({ task, run }) => ({ number: 1, task, run, outcome: 'stopped' as const, checkpoint: '' })) })
+  }
+  advanceFor(harness, 1_400)
+  assert.equal(harness.countStartedTasks('job'), 0)
+  advanceFor(harness, 500)
+  assert.equal(harness.countStartedTasks('job'), 1)
+})
