Prefer targets that hold no lease of their life before

A task that started on a target that had just started again waited for up to the longest lease when that target was gone again soon (LOST), and such a target is the emptiest one. It now gets a task only if no other target has room for it, as long as its leases may end later than those that this owner asks for: 6.9 s after its first answer for a longest lease of 10 s, 2.8 s for 6 s. A crowded pool uses it at once. A task that may crash its target is left out: it seeks targets where nothing else runs.

For the same reason the stored record forgets the incarnation before once the leases measured on its clock end no later than one given now: the next owner waits from the last command of this one.

--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -37,13 +37,14 @@
 }
 
 /**
- * Forgets the incarnations before the present ones once leases that were measured on their clocks have ended. Returns whether
- * one was forgotten.
+ * Forgets the incarnations before the present ones once leases that were measured on their clocks end no later than one that is
+ * given now. Returns whether one was forgotten.
  */
 export function forgetEarlierIncarnations (state: CellState): boolean {
+  const { leaseMs, longestLeaseMs } = state.options
   let changed = false
   for (const target of state.targets.values()) {
-    if (!target.haveEarlierLeasesExpired(state.now, state.options.longestLeaseMs)) continue
+    if (!target.haveEarlierLeasesExpiredBy(state.now + leaseMs, longestLeaseMs)) continue
     if (state.commandedIncarnations.get(target.id) === target.entry.incarnation) continue
     state.commandedIncarnations.set(target.id, target.entry.incarnation)
     changed = true
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -1,6 +1,7 @@
 import { findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { hasRecentStart } from './crash-suspicion.ts'
+import { mayHoldForeignLease } from './earlier-leases.ts'
 import { getOpenTargets } from './open-targets.ts'
 import { hasJustRefused } from './start-refusal.ts'
 import { isSuitable } from './target-acceptance.ts'
@@ -20,7 +21,7 @@
 const FAILURE_PAUSE_MS = { first: 1_500, last: 2_500 } as const
 
 /** Weights in the score of a target, relative to its ratio of free capacity. */
-const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5 } as const
+const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5, foreignLease: 20 } as const
 /** Upper limit of the excess duration that lowers the score of a target, in multiples of the declared duration. */
 const MAX_SLOWNESS_FACTOR = 6
 
@@ -67,7 +68,7 @@
   state.passWork.targets += candidates.length
   for (const target of candidates) {
     if (!canStart(state, target, task) || isAvoided(state, target, task)) continue
-    const score = computeScore(state, target, task.step) - computeTrialPenalty(state, target, task)
+    const score = computeScore(state, target, task.step) - computeRiskPenalty(state, target, task)
     if (score <= bestScore) continue
     best = target
     bestScore = score
@@ -75,9 +76,14 @@
   return best
 }
 
-/** A task that may crash its target prefers targets where nothing else has just started, so that a crash can be attributed. */
-function computeTrialPenalty (state: CellState, target: TargetState, { crashes }: Task): number {
-  return crashes.isSuspect && hasRecentStart(state, target) ? SCORE_WEIGHTS.recentStart : 0
+/**
+ * What runs on a target that may hold a lease of its life before must be waited for longer if the target is gone again soon. A
+ * task that may crash its target prefers targets where nothing else has just started, so that a crash can be attributed; those
+ * that have just restarted are such targets.
+ */
+function computeRiskPenalty (state: CellState, target: TargetState, { crashes }: Task): number {
+  if (crashes.isSuspect) return hasRecentStart(state, target) ? SCORE_WEIGHTS.recentStart : 0
+  return mayHoldForeignLease(state, target) ? SCORE_WEIGHTS.foreignLease : 0
 }
 
 /** Whether the task avoids the target because of recent refusals or failures. The last attempt uses trusted targets only. */
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -124,9 +124,9 @@
     this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, computeLastExpiry(now, longestLeaseMs))
   }
 
-  /** Whether all leases that were measured on the clocks of earlier incarnations have certainly expired. */
-  haveEarlierLeasesExpired (now: number, longestLeaseMs: number): boolean {
-    return this.fencedAt !== undefined && now >= computeLastExpiry(this.fencedAt, longestLeaseMs)
+  /** Whether all leases that were measured on the clocks of earlier incarnations have certainly expired by this time. */
+  haveEarlierLeasesExpiredBy (time: number, longestLeaseMs: number): boolean {
+    return this.fencedAt !== undefined && time >= computeLastExpiry(this.fencedAt, longestLeaseMs)
   }
 
   /** Records that commands to the incarnation before may still reach this one, which takes their leases for the longest ones. */
