Keep restarted targets in reserve, off the list that the next owner waits for

A target whose restart has ended all its runs for certain, with no start unanswered, is now spare while another target of its pool accepts work: it gets no starts, and once it has answered without runs it leaves the stored list. It is used again (when stored) once its leases end as early as those of others, or as soon as a step of its pool finds no room or waits for its first advice, or no other target of the pool is open. The next owner doesn't wait for the listing of a target that no owner has on the list and that doesn't answer; one that answers is listed first, as before.

The simulation stored targets without telling the scheduler unless it also drained them; it tells now, since spare targets are stored again.

Evidence: test/workflow/restarted-and-gone; on the code before, the stored list names t1 and t2 in place of t2.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -32,7 +32,7 @@
 import { forgetDepartedTargets } from './departed-targets.ts'
 import { computeLongestEarlierLeaseMs, restoreIncarnations } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
-import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn } from './targets.ts'
+import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn, useSpareTargets } from './targets.ts'
 import { hasUnansweredStarts, recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
 
 /**
@@ -119,9 +119,12 @@
     return this.state.earlierRunsPossible || this.state.heldBackTasks.size > 0
   }
 
-  /** Whether every known target has been listed under this owner, or is closed so that its possible runs are known. */
+  /**
+   * Whether every known target has been listed under this owner, or is closed so that its possible runs are known. One that no
+   * owner has used need not answer.
+   */
   get allTargetsListed (): boolean {
-    return [...this.state.targets.values()].every(({ listed, id }) => listed || this.state.closedTargets.has(id))
+    return [...this.state.targets.values()].every(({ listed, unused, listUnanswered, id }) => listed || (unused && listUnanswered) || this.state.closedTargets.has(id))
   }
 
   /** Longest lease that an earlier owner may have given to a target that has not been listed. */
@@ -310,6 +313,7 @@
   private handleTick ({ aloneUntil, late = false }: Extract<CellEvent, { type: 'tick' }>): void {
     const { state } = this
     state.aloneUntil = aloneUntil ?? Infinity
+    useSpareTargets(state)
     if (!late) {
       resendCommands(state)
       resendRejections(state)
--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -17,7 +17,7 @@
  */
 export function computeLongestEarlierLeaseMs (state: CellState): number {
   const { leaseMs, longestLeaseMs } = state.options
-  return [...state.targets.values()].some((target) => !target.listed && mayHoldForeignLease(state, target)) ? longestLeaseMs : leaseMs
+  return [...state.targets.values()].some((target) => !target.listed && !target.unused && mayHoldForeignLease(state, target)) ? longestLeaseMs : leaseMs
 }
 
 /** Whether the target may hold a lease that was measured on the clock of its incarnation before. */
@@ -30,10 +30,14 @@
   return ageMs < computeForeignLeasesMs(state) + MAX_CLOCK_DIFFERENCE_MS
 }
 
-/** Records the incarnation of a target that no owner has sent commands to yet. */
-export function recordNewTarget (state: CellState, { id, incarnation }: TargetState['entry']): void {
-  const isNew = !state.storedTargets.has(id) && !state.closedTargets.has(id)
-  if (isNew && !state.commandedIncarnations.has(id)) state.commandedIncarnations.set(id, incarnation)
+/**
+ * Records the incarnation of a target that no owner has sent commands to yet. Returns whether no owner has started anything on
+ * the target, or only on incarnations that have ended.
+ */
+export function recordNewTarget (state: CellState, { id, incarnation }: TargetState['entry']): boolean {
+  const unused = !state.storedTargets.has(id) && !state.closedTargets.has(id)
+  if (unused && !state.commandedIncarnations.has(id)) state.commandedIncarnations.set(id, incarnation)
+  return unused
 }
 
 /**
@@ -57,9 +61,12 @@
   for (const [id, incarnation] of Object.entries(incarnations)) state.commandedIncarnations.set(id, incarnation)
 }
 
-/** Formats the incarnations of the given targets for the stored record. */
+/**
+ * Formats the incarnations of the given targets for the stored record, and those of known targets that are not on the stored
+ * list: they may restart, and late commands may give the next incarnation a lease that outlasts this owner.
+ */
 export function toIncarnations (state: CellState, ids: readonly string[]): Incarnations {
-  return Object.fromEntries(ids.flatMap((id) => {
+  return Object.fromEntries([...new Set([...ids, ...state.targets.keys()])].flatMap((id) => {
     const incarnation = state.commandedIncarnations.get(id)
     return incarnation === undefined ? [] : [[id, incarnation]]
   }))
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -73,6 +73,10 @@
   awaitsEntry = false
   /** Whether the entry is still published. */
   published = true
+  /** Whether it has restarted and gets no starts while others have room, so that nobody has to wait for its leases. */
+  spare = false
+  /** Whether no owner had it on the stored list when it was first seen, so that nothing had been started there. */
+  unused = false
   private clock: { readonly clockMs: number, readonly readAt: number } | undefined
   /** When a command or list request last asked for a lease, on the scheduler's clock. */
   leaseRequestedAt = -Infinity
@@ -124,6 +128,11 @@
     this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, computeLastExpiry(now, longestLeaseMs))
   }
 
+  /** Whether calls to earlier incarnations and of earlier owners have no effect any more. */
+  get fenced (): boolean {
+    return this.fencedAt !== undefined
+  }
+
   /** Whether all leases that were measured on the clocks of earlier incarnations have certainly expired by this time. */
   haveEarlierLeasesExpiredBy (time: number, longestLeaseMs: number): boolean {
     return this.fencedAt !== undefined && time >= computeLastExpiry(this.fencedAt, longestLeaseMs)
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -3,6 +3,7 @@
 import { takeDeparted } from './departed-targets.ts'
 import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
 import { forgetEarlierIncarnations, recordNewTarget, toIncarnations } from './earlier-leases.ts'
+import { hasOpenTargetBeside, isEmptiedByRestart, releaseSpareTargets } from './spare-targets.ts'
 import { confirmCrash, confirmReplacedCrashes } from './crashes.ts'
 import { recordLostByRestart, removeRunsLostByRestarts } from './handle-listing.ts'
 import { sendStop } from './runs.ts'
@@ -28,11 +29,12 @@
     return
   }
   if (known !== undefined && known.entry.incarnation > entry.incarnation) return
-  recordNewTarget(state, entry)
+  const unused = recordNewTarget(state, entry)
   const previous = known ?? takeDeparted(state, entry)
   const restarts = (state.restarts.get(entry.id) ?? 0) + (previous === undefined ? 0 : 1)
   if (previous !== undefined) state.restarts.set(entry.id, restarts)
   const target = TargetState.create(entry, state.now, restarts)
+  target.unused = unused && previous === undefined
   if (previous !== undefined) replaceTarget(state, previous, target)
   confirmReplacedCrashes(state, entry)
   if (known !== undefined || !entry.draining) state.closedTargets.delete(entry.id)
@@ -58,6 +60,7 @@
   logRestart(state, previous, next)
   confirmCrash(state, previous)
   next.inheritLeases(previous, state.options.longestLeaseMs)
+  next.spare = isEmptiedByRestart(state, previous) && hasOpenTargetBeside(state, previous)
   transferRuns(state, previous, next)
 }
 
@@ -132,6 +135,11 @@
   if (drained.length > 0 || closed || forgotten) storeTargets(state)
 }
 
+/** Lets the spare targets be used that are needed, once they are stored as targets that may have runs. */
+export function useSpareTargets (state: CellState): void {
+  if (releaseSpareTargets(state)) storeTargets(state)
+}
+
 /** Records the list of targets that was stored, without those that can no longer have runs. */
 export function recordStoredTargets (state: CellState, ids: readonly string[]): void {
   for (const id of ids) {
@@ -186,6 +194,7 @@
 }
 
 function mayHoldRuns (state: CellState, target: TargetState): boolean {
+  if (target.spare && target.fenced && isEmpty(state, target)) return false
   return !target.entry.draining || !target.listed || !isEmpty(state, target)
 }
 
@@ -200,5 +209,5 @@
  */
 function isEmpty (state: CellState, target: TargetState): boolean {
   if (target.runs.size > 0 || target.unknownRunCount > 0) return false
-  return target.listed || !(state.earlierRunsPossible || state.heldBackTasks.size > 0)
+  return target.listed || target.unused || !(state.earlierRunsPossible || state.heldBackTasks.size > 0)
 }
--- a/src/workflow/unanswered-starts.ts
+++ b/src/workflow/unanswered-starts.ts
@@ -77,7 +77,8 @@
   }
 }
 
-function removeOutdatedStarts (state: CellState, { unansweredStarts }: TargetState): void {
+/** Forgets the starts of a target that can no longer be executed. */
+export function removeOutdatedStarts (state: CellState, { unansweredStarts }: TargetState): void {
   for (const [key, { lastSentAt }] of unansweredStarts) {
     if (state.now - lastSentAt > LATE_COMMAND_MS) unansweredStarts.delete(key)
   }
--- a/test/workflow/restarted-and-gone.test.ts
+++ b/test/workflow/restarted-and-gone.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
+import type { CellEffect } from '../../src/workflow/effect.ts'
 import { buildListRequest } from '../../src/workflow/list-request.ts'
 import { CellHarness, buildEntry, buildJob } from './harness.ts'
 
@@ -54,11 +56,20 @@
   harness.apply({ type: 'targets-stored', ids: ['t1'] })
 }
 
+function getStored (harness: CellHarness): Extract<CellEffect, { type: 'store-targets' }> {
+  return harness.effects.filter((effect) => effect.type === 'store-targets').at(-1)!
+}
+
+function confirmStored (harness: CellHarness): void {
+  harness.apply({ type: 'targets-stored', ids: getStored(harness).ids })
+}
+
 /** Lets the next incarnation of `t1` answer from its restart on. */
 function answerFor (harness: CellHarness, durationMs: number): void {
   const accepted = new Set<number>()
   for (let elapsedMs = STEP_MS; elapsedMs <= durationMs; elapsedMs += STEP_MS) {
     harness.advance(STEP_MS)
+    confirmStored(harness)
     for (const start of harness.getStarts()) {
       if (start.incarnation !== 2 || accepted.has(start.command.run)) continue
       accepted.add(start.command.run)
@@ -114,3 +125,50 @@
     assert.deepEqual([started.get('b.0.0.0'), started.get('c.0.0.0')], expected, 'with room for one on t2, and with none')
   })
 }
+
+/** What the next owner has to wait for: all that the stored list names, and what is published. */
+function createSuccessor (harness: CellHarness, incarnation = 2): CellScheduler {
+  const { ids, closed, incarnations } = getStored(harness)
+  const next = CellScheduler.create({ leaseMs: LEASE_MS, longestLeaseMs: 10_000 })
+  next.expectEarlierRuns()
+  next.apply({ type: 'closed-targets-restored', closed }, harness.now)
+  next.apply({ type: 'incarnations-restored', incarnations }, harness.now)
+  next.apply({ type: 'targets-stored', ids }, harness.now)
+  next.apply({ type: 'target-published', entry: buildEntry('t2') }, harness.now)
+  next.apply({ type: 'target-listed', id: 't2', sentAt: harness.now, listing: { incarnation: 1, clockMs: harness.now, running: [], ended: [] } }, harness.now)
+  next.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation }) }, harness.now)
+  return next
+}
+
+const successions = [
+  { guards: 'that holds nothing and does not answer', jobs: [], answers: false, stored: ['t2'], waits: false, leaseMs: LEASE_MS },
+  { guards: 'that holds nothing and may answer', jobs: [], answers: true, stored: ['t2'], waits: true, leaseMs: LEASE_MS },
+  { guards: 'that was needed in a crowded pool', jobs: ['b', 'c'], answers: false, stored: ['t1', 't2'], waits: true, leaseMs: 10_000 }
+]
+
+for (const { guards, jobs, answers, stored, waits, leaseMs } of successions) {
+  // LOST: the next owner waited 10.3 s with all restored tasks beside a target that had restarted and was gone again.
+  test(`cell: guards against the failure that the next owner waits for the wrong targets beside a restarted one ${guards}`, () => {
+    const harness = createLastingRun(10_000)
+    harness.publishTarget(buildEntry('t2', { capacity: SMALL }))
+    restartTarget(harness)
+    answerFor(harness, 1_000)
+    for (const id of jobs) harness.apply({ type: 'job-accepted', definition: buildJob(id, { longRunning: true }) })
+    answerFor(harness, 1_000)
+    assert.deepEqual([...getStored(harness).ids].sort(), stored)
+    const next = createSuccessor(harness)
+    if (!answers) next.apply({ type: 'list-unanswered', id: 't1' }, harness.now)
+    assert.deepEqual([!next.allTargetsListed || stored.includes('t1'), next.longestEarlierLeaseMs], [waits, leaseMs])
+  })
+}
+
+// TWICE: the next owner took a target that had restarted twice for a new one; a late request had given it a lease measured on the first clock.
+test('cell: guards against the failure that the next owner takes a target that is not on the stored list, and has restarted again, for one without leases', () => {
+  const harness = createLastingRun(10_000)
+  harness.publishTarget(buildEntry('t2', { capacity: SMALL }))
+  restartTarget(harness)
+  answerFor(harness, 1_000)
+  const next = createSuccessor(harness, 3)
+  next.apply({ type: 'target-listed', id: 't1', sentAt: harness.now + 1, listing: { incarnation: 3, clockMs: 500, running: [], ended: [] } }, harness.now + 2)
+  assert.ok(next.getTarget('t1')!.getExpiryTime() >= harness.now + 10_000)
+})
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -316,8 +316,7 @@
     this.time.schedule(20, () => {
       if (epoch !== this.epoch) return
       this.store.incarnations = incarnations
-      if (!this.options.draining) return
-      this.store.targets = { ids, closed }
+      if (this.options.draining) this.store.targets = { ids, closed }
       this.apply({ type: 'targets-stored', ids })
     })
   }
