Split what is known of waiting tasks, their log and their precedence

LastingTaskWaits found the tasks that last and have no run, wrote the lines about them and decided which steps take precedence. No change of what is logged or decided.

Evidence: `npm test -- workflow/` (369 passed).

--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -27,8 +27,8 @@
 }
 
 /** Whether a request of the step goes before all others: one of its tasks lasts and has had no run for too long. */
-function takesPrecedence ({ lastingTasks, pendingAdvice, now }: CellState, step: StepRun): boolean {
-  return lastingTasks.isOverdue(step) && pendingAdvice.mayPrecede(now)
+function takesPrecedence ({ lastingPrecedence, pendingAdvice, now }: CellState, step: StepRun): boolean {
+  return lastingPrecedence.isOverdue(step) && pendingAdvice.mayPrecede(now)
 }
 
 /**
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -15,6 +15,7 @@
 import { NO_DEMAND, isFinalPhase } from './job.ts'
 import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
 import { KnownSettings } from './known-settings.ts'
+import { LastingPrecedence } from './lasting-precedence.ts'
 import { LastingTaskWaits } from './lasting-task-waits.ts'
 import { PendingAdvice } from './pending-advice.ts'
 import type { CellOptions } from './options.ts'
@@ -93,6 +94,7 @@
       passWork: { passes: 0, steps: 0, targets: 0 },
       resendPause: ResendPause.create(resolved.resendAfterMs),
       lastingTasks: LastingTaskWaits.create(),
+      lastingPrecedence: LastingPrecedence.create(),
       unsettledRuns: UnsettledRunsLog.create()
     })
   }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -7,6 +7,7 @@
 import { NO_DEMAND } from './job.ts'
 import type { OrganisationSettings, QueueSettings } from './job-settings.ts'
 import type { KnownSettings } from './known-settings.ts'
+import type { LastingPrecedence } from './lasting-precedence.ts'
 import type { LastingTaskWaits } from './lasting-task-waits.ts'
 import type { OpenTargets } from './open-targets.ts'
 import type { CellOptions } from './options.ts'
@@ -87,6 +88,7 @@
   readonly passWork: PassWork
   readonly resendPause: ResendPause
   readonly lastingTasks: LastingTaskWaits
+  readonly lastingPrecedence: LastingPrecedence
   readonly unsettledRuns: UnsettledRunsLog
 }
 
--- a/src/workflow/open-targets.ts
+++ b/src/workflow/open-targets.ts
@@ -68,7 +68,7 @@
    */
   mayUseReserve (state: CellState, step: StepRun): boolean {
     if (this.isMostlyFree) return step.isIdle
-    return state.lastingTasks.isOverdue(step) && this.hasLastingRoom(step)
+    return state.lastingPrecedence.isOverdue(step) && this.hasLastingRoom(step)
   }
 
   /** To be called after a start: there is less room than before. */
@@ -78,10 +78,15 @@
 
   /** Whether there is room for a task that lasts, or for its gang, and as much again. */
   hasLastingRoom (step: StepRun): boolean {
-    if (this.lastingRoom?.step !== step) this.lastingRoom = { step, isEnough: fitsFree(step, this.maxFree) && this.countSlots(step) >= LASTING_ROOM_FACTOR * (step.spec.gang ? step.spec.count : 1) }
+    if (this.lastingRoom?.step !== step) this.lastingRoom = { step, isEnough: this.findLastingRoom(step) }
     return this.lastingRoom.isEnough
   }
 
+  private findLastingRoom (step: StepRun): boolean {
+    const tasks = step.spec.gang ? step.spec.count : 1
+    return fitsFree(step, this.maxFree) && this.countSlots(step) >= LASTING_ROOM_FACTOR * tasks
+  }
+
   /** Counts the tasks of the step that fit the targets. Advice is not checked. */
   private countSlots (step: StepRun): number {
     const suitable = this.targets.filter((target) => isSuitable(target, step))
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -85,12 +85,12 @@
   return true
 }
 
-/** Whether a task of the step may start on the target now: in a full pool, what is kept for urgent tasks is used step by step. */
+/** Whether a task of the step may start on the target now: in a full pool, tasks use the reserve for urgent ones one after another. */
 function takeReserve (state: CellState, step: StepRun, target: TargetState): boolean {
   const { pool } = target.entry
   if (!usesReserve(state, target, step) || getOpenTargets(state, pool).isMostlyFree) return true
-  if (state.lastingTasks.wasReserveJustUsed(pool, state.now)) return false
-  state.lastingTasks.recordReserveUse(pool, state.now)
+  if (state.lastingPrecedence.wasReserveJustUsed(pool, state.now)) return false
+  state.lastingPrecedence.recordReserveUse(pool, state.now)
   return true
 }
 
