Check in the chains of leaders that what waits is started in time

Callers see tasks that last, and jobs, that have nothing running in calm times after targets have gone away and leaders have ended one after another. The random chains of leaders required only that jobs end.

Cause (of the gap in the tests): no time was checked, no task lasted, no target was gone for longer than some seconds, and no host for good.

The targets' longest lease is 10 s, and members know it.

--- a/test/controller/leader-chains.ts
+++ b/test/controller/leader-chains.ts
@@ -1,6 +1,7 @@
 import { VirtualCell } from './virtual-cell.ts'
 import { VIRTUAL_FAULTS } from './virtual-faults.ts'
 import type { VirtualFault } from './virtual-faults.ts'
+import { VirtualLiveness } from './virtual-liveness.ts'
 
 const MEMBERS = 4
 const TARGETS = 6
@@ -14,6 +15,13 @@
 const LONG_RATIO = 0.2
 /** How often faults that follow one another at once are played. */
 const SERIES_RATIO = 0.3
+const LASTING_TASKS = 3
+const FIRST_LASTING_AT_MS = 1_000
+/** After this time without an acceptance the tasks that last are submitted again, as another job. */
+const RESUBMIT_AFTER_MS = 3_500
+/** The tasks that last are cancelled this time before the end, in milliseconds. */
+const CANCEL_TIME_MS = 6_000
+const LONGEST_LEASE_MS = 10_000
 
 /** What a chain of leaders has shown. */
 export type ChainOutcome = {
@@ -24,6 +32,8 @@
   readonly accepted: number
   /** Jobs that were accepted, not cancelled, and have not ended. */
   readonly unfinished: readonly string[]
+  /** What was not started in time. */
+  readonly delays: readonly string[]
   readonly lateWrites: number
   readonly cell: VirtualCell
 }
@@ -34,15 +44,19 @@
  * @example
  * const { violations } = await playLeaderChain(7)
  */
-export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS): Promise<ChainOutcome> {
-  const cell = VirtualCell.create(seed, { members: MEMBERS, targets: TARGETS })
+export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS, endMs = END_MS): Promise<ChainOutcome> {
+  const cell = VirtualCell.create(seed, { members: MEMBERS, targets: TARGETS, longestLeaseMs: LONGEST_LEASE_MS })
   const faults: string[] = []
   try {
     scheduleFaults(cell, kinds, faults)
     scheduleJobs(cell)
-    await cell.time.advance(END_MS)
+    scheduleLastingJob(cell)
+    const liveness = VirtualLiveness.start(cell)
+    await cell.time.advance(endMs - CANCEL_TIME_MS)
+    cancelLastingJobs(cell)
+    await cell.time.advance(CANCEL_TIME_MS)
     cell.history.checkEnds()
-    return { violations: cell.violations, faults, terms: countTerms(cell), starts: cell.history.starts, accepted: cell.acceptedJobs.size, unfinished: findUnfinished(cell), lateWrites: cell.store.counts.lateApplied, cell }
+    return { violations: cell.violations, faults, terms: countTerms(cell), starts: cell.history.starts, accepted: cell.acceptedJobs.size, unfinished: [...findUnfinished(cell), ...findLastingRuns(cell)], delays: liveness.finish(), lateWrites: cell.store.counts.lateApplied, cell }
   } finally {
     cell.close()
   }
@@ -72,6 +86,32 @@
   })
 }
 
+/** Submits tasks that last until the end; again, as another job, if they are not accepted. */
+function scheduleLastingJob (cell: VirtualCell, number = 0): void {
+  const { hosts, random, time } = cell
+  time.schedule(number === 0 ? FIRST_LASTING_AT_MS : RESUBMIT_AFTER_MS, () => {
+    if (cell.acceptances.some(({ definition }) => isLasting(definition.id)) || time.nowMs > FAULTS_UNTIL_MS) return
+    cell.submitLasting(hosts[random.nextInt(hosts.length)]!, `lasting${number}`, LASTING_TASKS)
+    scheduleLastingJob(cell, number + 1)
+  })
+}
+
+function cancelLastingJobs (cell: VirtualCell): void {
+  for (const { definition: { id } } of cell.acceptances) {
+    if (isLasting(id)) cell.cancel(cell.hosts[0]!, id)
+  }
+}
+
+/** The runs of accepted tasks that last after their job was cancelled. */
+function findLastingRuns (cell: VirtualCell): readonly string[] {
+  const tasks = [...cell.targets.targets.values()].flatMap(({ runs }) => [...runs.keys()])
+  return tasks.filter((task) => cell.cancelledJobs.has(task.split('.')[0]!)).map((task) => `${task} runs on`)
+}
+
+function isLasting (id: string): boolean {
+  return id.startsWith('lasting')
+}
+
 function countTerms (cell: VirtualCell): number {
   return cell.logs.filter(({ message }) => message === 'leadership-won').length
 }
--- a/test/controller/virtual-faults.ts
+++ b/test/controller/virtual-faults.ts
@@ -1,3 +1,4 @@
+import type { SimulatedTarget } from '../workflow/simulated-target.ts'
 import type { VirtualCell, VirtualHost } from './virtual-cell.ts'
 
 const MAX_OUTAGE_MS = 6_000
@@ -7,6 +8,12 @@
 const MAX_POWER_CUT_MS = 9_500
 /** Time after a removal by mistake in which the leader refuses connections. */
 const REFUSAL_MS = 3_000
+/** How long targets that go away stay away at least and at most, in milliseconds. */
+const MIN_AWAY_MS = 20_000
+const MAX_AWAY_MS = 30_000
+/** Targets that restart and then go away do so after this time at least and at most, in milliseconds. */
+const MIN_LIFE_MS = 500
+const MAX_LIFE_MS = 20_000
 
 /** A disturbance of a cell, which ends by itself. */
 export type VirtualFault = { readonly name: string, readonly begin: (cell: VirtualCell) => void }
@@ -41,8 +48,59 @@
   { name: 'targets restart', begin: (cell) => restartTargets(cell, 3) }
 ]
 
+/** Targets and hosts that go away for long, and leaders that end again and again. */
+export const DEPARTURE_FAULTS: readonly VirtualFault[] = [
+  { name: 'targets gone, silent', begin: (cell) => takeTargetsAway(cell, 'silent') },
+  { name: 'targets gone, refusing', begin: (cell) => takeTargetsAway(cell, 'refusing') },
+  { name: 'targets restart and are gone later', begin: restartAndTakeAway },
+  { name: 'leader at another address', begin: (cell) => moveLeader(cell, false) },
+  { name: 'leader at another address, silent at its own', begin: (cell) => moveLeader(cell, true) },
+  { name: 'leaders end one after another', begin: (cell) => endLeaders(cell, 2 + cell.random.nextInt(3)) }
+]
+
+/** Takes up to two targets away; at least half of them stay. */
+function takeTargetsAway (cell: VirtualCell, away: 'silent' | 'refusing', chosen = chooseTargets(cell)): void {
+  const { targets, time, random } = cell
+  for (const target of chosen) {
+    const present = [...targets.targets.values()].filter((other) => other.away === undefined)
+    if (target.away !== undefined || 2 * present.length <= targets.targets.size + 1) continue
+    targets.takeAway(target, away)
+    time.schedule(MIN_AWAY_MS + random.nextInt(MAX_AWAY_MS - MIN_AWAY_MS), () => targets.bringBack(target))
+  }
+}
+
+function restartAndTakeAway (cell: VirtualCell): void {
+  const { targets, time, random } = cell
+  const chosen = chooseTargets(cell).filter(({ away }) => away === undefined)
+  for (const target of chosen) targets.restart(target)
+  time.schedule(MIN_LIFE_MS + random.nextInt(MAX_LIFE_MS - MIN_LIFE_MS), () => takeTargetsAway(cell, random.nextInt(2) === 0 ? 'silent' : 'refusing', chosen))
+}
+
+function chooseTargets ({ targets, random }: VirtualCell): readonly SimulatedTarget[] {
+  const all = [...targets.targets.values()]
+  return Array.from({ length: 1 + random.nextInt(2) }, () => all[random.nextInt(all.length)]!)
+}
+
+/** The leader ends, and its host starts another process at another address. */
+function moveLeader (cell: VirtualCell, isSilent: boolean): void {
+  const leader = cell.leaders[0]
+  if (leader === undefined) return
+  if (isSilent) cell.takeAway(leader)
+  else cell.kill(leader)
+  cell.time.schedule(cell.random.nextInt(1_000), () => {
+    if (leader.process.state === 'ended') cell.restart(leader, `${leader.name}:${Math.round(cell.time.nowMs)}`)
+  })
+}
+
+function endLeaders (cell: VirtualCell, count: number): void {
+  const kind = cell.random.nextInt(3)
+  if (kind === 0 && cell.leaders[0] !== undefined) cell.restart(cell.leaders[0])
+  else moveLeader(cell, kind === 1)
+  if (count > 1) cell.time.schedule(2_000 + cell.random.nextInt(6_000), () => endLeaders(cell, count - 1))
+}
+
 function restartTargets (cell: VirtualCell, count: number): void {
-  const targets = [...cell.targets.targets.values()]
+  const targets = [...cell.targets.targets.values()].filter(({ away }) => away === undefined)
   for (let index = 0; index < count; index += 1) cell.targets.restart(targets[cell.random.nextInt(targets.length)]!)
 }
 
