--- a/soak/lasting-tasks.ts
+++ b/soak/lasting-tasks.ts
@@ -4,7 +4,7 @@
 /** A task that runs until its job is cancelled. */
 export type LastingTask = { readonly id: string, readonly jobId: string, readonly step: SoakStep }
 
-/** The last run of a task. `worker` is part of its text. */
+/** A run that has ended: its number, term and worker as a text, and how it ended. */
 export type EndedRun = { readonly text: string, readonly how: string, readonly endedAtMs: number }
 
 /** The time in which a task has no run. */
--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -16,7 +16,7 @@
   private constructor (private readonly server: Server, private readonly host: string, private readonly port: number) {}
 
   /**
-   * Starts a proxy that forwards to the target address.
+   * Starts a proxy at a port of its own host that forwards to the target address.
    *
    * @example
    * const link = await LoopbackProxy.listen('127.0.0.1:8182')
