Tidy the checks of liveness

Callers see nothing. One type stood twice, a getter had no user, and a comment left out targets that are away. No behaviour changes; `npm test -- workflow/live workflow/simulated controller/virtual controller/leader-chains` passes.

--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -2,6 +2,7 @@
 import type { Reporter } from '../../src/controller/reporter.ts'
 import type { JobDefinition } from '../../src/workflow/job.ts'
 import { Random } from '../../src/util/random.ts'
+import type { OwedJob } from '../workflow/cell-view.ts'
 import { buildJob } from '../workflow/harness.ts'
 import { RunHistory } from './run-history.ts'
 import { LEASE_MS, VirtualMember, answerCall, failCall } from './virtual-member.ts'
@@ -36,10 +37,12 @@
 /** What a connection attempt finds. Only a host that runs refuses. */
 export type HostProbe = 'accepted' | 'refused' | 'silent'
 
-/** A job that a member has accepted. */
-export type AcceptedJob = { readonly definition: JobDefinition, readonly acceptedAt: number }
-
-export type VirtualCellOptions = { readonly members: number, readonly targets: number, /** Longest lease of the targets, if members know it. */ readonly longestLeaseMs?: number }
+export type VirtualCellOptions = {
+  readonly members: number
+  readonly targets: number
+  /** Longest lease of the targets; without it they have one that members take for shorter. */
+  readonly longestLeaseMs?: number
+}
 
 /** One line of a member's log. */
 export type LogLine = { readonly at: number, readonly member: string, readonly message: string, readonly fields: Parameters<Reporter['log']>[2] }
@@ -49,7 +52,8 @@
   readonly violations: string[] = []
   readonly logs: LogLine[] = []
   readonly acceptedJobs = new Set<string>()
-  readonly acceptances: AcceptedJob[] = []
+  /** The same jobs, with their definitions. */
+  readonly acceptances: OwedJob[] = []
   readonly cancelledJobs = new Set<string>()
   readonly hosts: VirtualHost[] = []
   readonly store: VirtualStore
--- a/test/workflow/liveness-check.ts
+++ b/test/workflow/liveness-check.ts
@@ -47,6 +47,7 @@
 export class LivenessCheck {
   readonly violations: string[] = []
   private readonly waits = new Map<string, Wait>()
+  /** When the last disturbance was seen. */
   private disturbedAt = 0
 
   private constructor () {}
@@ -55,11 +56,6 @@
     return new LivenessCheck()
   }
 
-  /** When the last disturbance was seen. */
-  get lastDisturbedAt (): number {
-    return this.disturbedAt
-  }
-
   /** Checks one view; views must follow one another closely. */
   observe (view: CellView): void {
     if (view.disturbed) this.disturbedAt = view.now
--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -70,7 +70,7 @@
     })
   }
 
-  /** Returns no listing if the target has left or rejects requests of this leader. */
+  /** Returns no listing if the target has left, is away or rejects requests of this leader. */
   private list ({ acknowledged, leaseUntilMs }: ReturnType<typeof buildListRequest>): TargetListing | undefined {
     const { target, epoch, time } = this.options
     const listing = target.left || target.away !== undefined ? 'fenced' : target.list(epoch, acknowledged, leaseUntilMs, time.now)
