--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -72,7 +72,7 @@
     })
   }
 
-  /** Returns no listing if the target has left or rejects requests of this leader. */
+  /** Returns no listing if the target has left, is away or rejects requests of this leader. */
   private list ({ epoch, acknowledged, leaseUntilMs }: ListRequest): TargetListing | undefined {
     const { target, time } = this.options
     const listing = target.left || target.away !== undefined ? 'fenced' : target.list(epoch, acknowledged, leaseUntilMs, time.now)
