--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -14,6 +14,7 @@
 import type { Store } from '../../src/ports/store.ts'
 import type { TargetEntry } from '../../src/workflow/target-entry.ts'
 import { CONFIGURATION } from '../workflow/harness.ts'
+import { LONGEST_LEASE_MS } from '../workflow/simulated-target.ts'
 
 export const TARGET_PREFIX = 'servers/'
 const LEASE_MS = 3_500
@@ -94,7 +95,7 @@
       self,
       reporter,
       leaseMs: LEASE_MS,
-      longestLeaseMs: LEASE_MS,
+      longestLeaseMs: LONGEST_LEASE_MS,
       targetPrefix: TARGET_PREFIX,
       parseTarget: (_key, value) => JSON.parse(value) as TargetEntry,
       requestPeerAdvice: (peer, step, targets, timeoutMs) => this.link.requestAdvice(peer, step, targets, timeoutMs),
