--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -5,8 +5,9 @@
 import { Random } from '../../src/util/random.ts'
 import type { OwedJob } from '../workflow/cell-view.ts'
 import { buildJob } from '../workflow/harness.ts'
+import { LONGEST_LEASE_MS } from '../workflow/simulated-target.ts'
 import { RunHistory } from './run-history.ts'
-import { FURTHER_PORTS, LEASE_MS, VirtualMember, answerCall, failCall } from './virtual-member.ts'
+import { FURTHER_PORTS, VirtualMember, answerCall, failCall } from './virtual-member.ts'
 import type { MemberCallResult } from './virtual-member.ts'
 import { VirtualStore } from './virtual-store.ts'
 import type { VirtualConnection } from './virtual-store.ts'
@@ -35,7 +36,7 @@
 export type VirtualCellOptions = {
   readonly members: number
   readonly targets: number
-  /** Longest lease of the targets; without it they have one that members take for shorter. */
+  /** Longest lease of the targets, in milliseconds; 10 s without it. */
   readonly longestLeaseMs?: number
 }
 
@@ -175,7 +176,7 @@
         await this.time.wait(result === 'silent' ? PROBE_TIMEOUT_MS : CALL_LATENCY_MS)
         return result
       },
-      longestLeaseMs: this.longestLeaseMs ?? LEASE_MS,
+      longestLeaseMs: this.longestLeaseMs ?? LONGEST_LEASE_MS,
       reporter: this.createReporter(name)
     }))
     return { process, connection, member }
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -17,7 +17,7 @@
 import { CONFIGURATION } from '../workflow/harness.ts'
 
 export const TARGET_PREFIX = 'servers/'
-export const LEASE_MS = 3_500
+const LEASE_MS = 3_500
 /** Where members listen beside the port for members. */
 export const FURTHER_PORTS = [8_183, 8_184] as const
 /** The second organisation may use half of six targets. */
