--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -145,3 +145,34 @@
     assert.equal(next.longestEarlierLeaseMs, expected)
   })
 }
+
+// TWICE: the second restart had forgotten the rejection of the run, and a late copy of its start came before the first answer.
+test('cell: guards against the failure that a task with an unanswered start starts elsewhere when its target has restarted twice, before the last incarnation has answered', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', { longRunning: true }) })
+  harness.publishTarget(buildEntry('t2'))
+  const [start] = harness.getStarts()
+  const { task, run } = start!.command
+  const countSpareStarts = () => harness.getStarts().filter(({ target }) => target === 't2').length
+  const countStops = (incarnation: number) => harness.getCommands('stop').filter((stop) => stop.incarnation === incarnation && stop.command.run === run).length
+  const aloneUntil = harness.now
+  harness.now += 500
+  harness.apply({ type: 'tick', aloneUntil })
+  harness.publishTarget(buildEntry('t1', { incarnation: 2 }))
+  harness.apply({ type: 'stop-answered', target: 't1', incarnation: 2, task, run, response: { type: 'accepted', clockMs: 500 } })
+  harness.now += 100
+  harness.listTarget('t1', { incarnation: 2, clockMs: 600 })
+  harness.apply({ type: 'tick', aloneUntil })
+  assert.equal(countSpareStarts(), 0, 'a successor may have started it again')
+  harness.now += 500
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 3 }) })
+  assert.equal(countStops(3), 1, 'the last incarnation does not reject the run')
+  harness.now += 50
+  harness.apply({ type: 'tick', aloneUntil: harness.now })
+  assert.equal(countSpareStarts(), 0, 'a late copy of its start may be on the last incarnation')
+  harness.apply({ type: 'stop-answered', target: 't1', incarnation: 3, task, run, response: { type: 'accepted', clockMs: 50 } })
+  harness.now += 50
+  harness.listTarget('t1', { incarnation: 3, clockMs: 100 })
+  harness.apply({ type: 'tick', aloneUntil: harness.now })
+  assert.equal(countSpareStarts(), 1, 'the last incarnation has rejected the run')
+})
