Take a foreign lease for the longest one at the first answer

Callers could see a task run twice: the next owner assumed that leases measured on the clock of the incarnation before had been given within 15 s of the restart, so that 15 s after it they counted as partly over. An owner that is cut off may not notice the restart for longer than the 3 s in that bound, and its late calls give the longest lease until the target answers a higher term.

Where the target may hold such a lease, its leases now end the longest lease after the first answer. Records of older releases hold no incarnations; there the age of the target decides whether a lease may be foreign, now by its own clock where that is known, which keeps the wait beside targets that restarted long ago. The bound of 15 s remains for that case and for targets that were removed.

--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -1,10 +1,16 @@
 import type { CellState } from './cell-state.ts'
-import { EARLIER_LEASES_GIVEN_MS } from './target-state.ts'
 import type { TargetState } from './target-state.ts'
+import { LATE_COMMAND_MS } from './unanswered-starts.ts'
 
 /** The clocks of targets and owners differ by less, in milliseconds. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_000
 
+/**
+ * An owner gives leases that were measured on the clock of the incarnation before for at most this time, in milliseconds: it may
+ * take some time to notice that the target has restarted, and its last command may be executed late.
+ */
+const EARLIER_LEASES_GIVEN_MS = LATE_COMMAND_MS + 3_000
+
 /** Incarnations of targets by their ids. */
 export type Incarnations = Readonly<Record<string, number>>
 
@@ -21,12 +27,13 @@
 }
 
 /** Whether the target may hold a lease that was measured on the clock of its incarnation before. */
-export function mayHoldForeignLease (state: CellState, { id, entry }: TargetState): boolean {
+export function mayHoldForeignLease (state: CellState, target: TargetState): boolean {
+  const { id, entry } = target
   const commanded = state.commandedIncarnations.get(id)
   if (commanded !== undefined) return commanded !== entry.incarnation
   if (!state.storedTargets.has(id) && !state.closedTargets.has(id)) return false
   // The record is of an older release, which did not store incarnations.
-  const ageMs = state.now + state.options.wallClockOffsetMs - entry.incarnation
+  const ageMs = target.estimateClockMs(state.now) ?? state.now + state.options.wallClockOffsetMs - entry.incarnation
   return ageMs < computeForeignLeasesMs(state) + MAX_CLOCK_DIFFERENCE_MS
 }
 
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -15,12 +15,6 @@
 /** Leases on a target that never responded have expired after this time, which is longer than any lease. */
 const UNKNOWN_CLOCK_EXPIRY_MS = 12_000
 
-/**
- * Leases that were measured on the clock of the incarnation before are given at the latest at this time on the clock of a new
- * one: its owner may take some time to notice that the target has restarted, and its last command may be executed late.
- */
-export const EARLIER_LEASES_GIVEN_MS = LATE_COMMAND_MS + 3_000
-
 /** Weight of the latest run in the moving average of a target's slowness. */
 const SLOWNESS_SMOOTHING_FACTOR = 0.25
 
@@ -110,12 +104,11 @@
   }
 
   /**
-   * Records the leases that other owners may have given until the first listing. They asked for `leaseMs`; but to an
-   * incarnation whose clock began at 0 a while ago a lease measured on the clock before is as long as a lease can be.
+   * Records the leases that other owners may have given until the first listing. They asked for `leaseMs`; but a lease measured
+   * on the clock of the incarnation before is as long as a lease can be, and one that is cut off may not notice the restart.
    */
   recordEarlierLeases (clockMs: number, mayBeForeign: boolean, { leaseMs, longestLeaseMs }: Pick<CellOptions, 'leaseMs' | 'longestLeaseMs'>): void {
-    const foreignLeaseEndsAt = mayBeForeign ? Math.min(clockMs, EARLIER_LEASES_GIVEN_MS) + longestLeaseMs : 0
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(clockMs + leaseMs), foreignLeaseEndsAt)
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(clockMs + (mayBeForeign ? longestLeaseMs : leaseMs)))
   }
 
   /**
--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -176,3 +176,15 @@
   harness.apply({ type: 'tick', aloneUntil: harness.now })
   assert.equal(countSpareStarts(), 1, 'the last incarnation has rejected the run')
 })
+
+// TWICE: an owner that was cut off sent leases of the incarnation before for longer than 3 s; the next owner counted them as shorter.
+test('cell: guards against the failure that the lease of a restarted target counts as shorter than the longest one at its first answer to the next owner', () => {
+  const harness = CellHarness.create([], undefined, OPTIONS)
+  harness.apply({ type: 'incarnations-restored', incarnations: { t1: 1 } })
+  harness.apply({ type: 'targets-stored', ids: ['t1'] })
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  harness.now += 100
+  harness.listTarget('t1', { incarnation: 2, clockMs: 20_000 })
+  const endsInMs = harness.scheduler.getTarget('t1')!.getExpiryTime() - harness.now
+  assert.ok(endsInMs >= LONGEST_LEASE_MS, `it ends after ${endsInMs} ms`)
+})
