Forget targets that have gone away with runs of unknown jobs

Callers could wait too long for tasks that last: a target that had gone away with a run of an unknown job was never forgotten and stayed on the stored list, so that each later owner waited for its leases.

Runs of unknown jobs end with their leases like any other, so a target whose leases have certainly ended counts as empty. removeExpiredRuns had the same condition written out and uses haveLeasesExpired too.

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -2,6 +2,7 @@
 import { count, log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { removeLostRun } from './handle-listing.ts'
+import { haveLeasesExpired } from './expired-leases.ts'
 import type { LiveRun } from './live-run.ts'
 import { removeRun, sendStart, sendStop } from './runs.ts'
 import { recordStartRefusal } from './start-refusal.ts'
@@ -115,14 +116,10 @@
   stopGangMembers(state, live)
 }
 
-/**
- * Removes the runs of unreachable targets whose leases had expired when this owner was certainly alone. A successor that reaches such a
- * target goes on extending their leases, and tasks that this owner started again would run twice.
- */
+/** Removes the runs of unreachable targets that have certainly expired. */
 export function removeExpiredRuns (state: CellState): void {
-  const expiredBy = Math.min(state.aloneUntil, state.now)
   for (const target of state.targets.values()) {
-    if (target.reachable || target.runs.size === 0 || target.getExpiryTime() > expiredBy) continue
+    if (target.runs.size === 0 || !haveLeasesExpired(state, target)) continue
     for (const live of [...target.runs.values()]) removeLostRun(state, live, 'its lease has expired on an unreachable target')
   }
 }
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -3,6 +3,7 @@
 import { takeDeparted } from './departed-targets.ts'
 import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
 import { forgetEarlierIncarnations, recordNewTarget, toIncarnations } from './earlier-leases.ts'
+import { haveLeasesExpired } from './expired-leases.ts'
 import { hasOpenTargetBeside, isEmptiedByRestart, releaseSpareTargets } from './spare-targets.ts'
 import { confirmCrash, confirmReplacedCrashes } from './crashes.ts'
 import { recordLostByRestart, removeRunsLostByRestarts } from './handle-listing.ts'
@@ -205,10 +206,11 @@
 }
 
 /**
- * Whether no run can be present. A listed target has no runs besides those that are booked. Any other target may have runs
- * of a previous owner; the next leader waits for each target that is still on the stored list.
+ * Whether no run can be present. A listed target has no runs besides those that are booked and those of unknown jobs, which end
+ * with their leases. Any other target may have runs of a previous owner; the next leader waits for each target that is still on
+ * the stored list.
  */
 function isEmpty (state: CellState, target: TargetState): boolean {
-  if (target.runs.size > 0 || target.unknownRunCount > 0) return false
+  if (target.runs.size > 0 || (target.unknownRunCount > 0 && !haveLeasesExpired(state, target))) return false
   return target.listed || target.unused || !(state.earlierRunsPossible || state.heldBackTasks.size > 0)
 }
--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -188,3 +188,21 @@
   const endsInMs = harness.scheduler.getTarget('t1')!.getExpiryTime() - harness.now
   assert.ok(endsInMs >= LONGEST_LEASE_MS, `it ends after ${endsInMs} ms`)
 })
+
+// LOST: a target that went away with a run of an unknown job stayed on the stored list, and each later owner waited for its leases.
+test('cell: guards against the failure that a target that has gone away with a run of an unknown job is never forgotten', () => {
+  const harness = createHarnessWithTarget()
+  harness.listTarget('t1', { running: [{ task: 'unknown.0.0.0', run: 7, checkpoint: '', percent: 0, gauge: undefined }] })
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  harness.apply({ type: 'target-withdrawn', id: 't1' })
+  const aloneUntil = harness.now
+  for (let seconds = 0; seconds < 10; seconds += 1) {
+    harness.now += 1_000
+    harness.apply({ type: 'tick', aloneUntil })
+  }
+  assert.notEqual(harness.scheduler.getTarget('t1'), undefined, 'a successor may go on extending its leases')
+  harness.advance(1_000)
+  assert.ok(harness.scheduler.getTarget('t1') === undefined, 'it is still known')
+  const stored = harness.effects.flatMap((effect) => effect.type === 'store-targets' ? [effect] : []).at(-1)!
+  assert.deepEqual(stored.ids, [])
+})
