Remove runs that listings don't show once no start can come any more

Callers could wait for good for a task that lasts: a run whose stop is refused each time, for example by a target that is unhealthy, stayed booked, because only the answer to the stop let a listing without it count, although no start of it could be executed any more.

A complete listing that was requested after that moment now shows that the run is gone, whatever was answered. Listings that are cut short and those requested earlier still don't, and a run that was carried over a restart waits until this owner was certainly alone, as before.

--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -17,8 +17,8 @@
 const MAX_LISTED_COMPLETIONS = 500
 
 /**
- * Handles a listing of a target. `sentAt` is when the list request was sent: a run whose last command was answered before
- * that and that is in neither list is certainly gone.
+ * Handles a listing of a target. `sentAt` is when the list request was sent: a run that is in neither list is certainly gone if
+ * its last command was answered before that, or if its starts could no longer be executed then.
  */
 export function handleListing (state: CellState, target: TargetState, listing: TargetListing, sentAt: number): void {
   target.recordClock(listing.clockMs, state.now)
@@ -36,7 +36,7 @@
   // Further completions may follow, also those of runs that are not listed.
   const complete = listing.ended.length < MAX_LISTED_COMPLETIONS
   for (const [key, live] of [...target.runs]) {
-    if (!listedKeys.has(key) && complete && respondedBefore(live, sentAt)) handleUnlistedRun(state, live)
+    if (!listedKeys.has(key) && complete && mustBeListed(live, sentAt)) handleUnlistedRun(state, live)
   }
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
   if (!target.listed) target.recordEarlierLeases(listing.clockMs, mayHoldForeignLease(state, target), state.options)
@@ -74,9 +74,12 @@
   }
 }
 
-/** Whether the target responded to the last command for the run before the listing was requested. */
-function respondedBefore (live: LiveRun, sentAt: number): boolean {
-  return live.respondedAt !== undefined && live.respondedAt <= sentAt
+/**
+ * Whether a listing requested at that time shows the run if it is or will be present: the target had responded to the last command
+ * for it, or none of its start commands could be executed any more.
+ */
+function mustBeListed (live: LiveRun, sentAt: number): boolean {
+  return (live.respondedAt !== undefined && live.respondedAt <= sentAt) || live.startsEndAt <= sentAt
 }
 
 function handleCompletion (state: CellState, target: TargetState, completion: ListedCompletion): void {
--- a/test/workflow/resends.test.ts
+++ b/test/workflow/resends.test.ts
@@ -3,6 +3,7 @@
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import { DEFAULT_CELL_OPTIONS } from '../../src/workflow/options.ts'
 import { ResendPause } from '../../src/workflow/resend-pause.ts'
+import type { ListedCompletion } from '../../src/workflow/target-entry.ts'
 import { CellHarness, buildEntry, buildJob } from './harness.ts'
 
 const TICK_MS = 50
@@ -92,3 +93,53 @@
     assert.deepEqual([1, 2, 3, 4].map((sendCount) => Math.round(pause.getMs(sendCount))), expected)
   }
 })
+
+const POLL_INTERVAL_MS = 500
+/** Until a start of this owner can no longer be executed, and until a listing after that, in milliseconds. */
+const MAX_LATE_MS = 12_000
+const MAX_STOP_WAIT_MS = MAX_LATE_MS + 2 * POLL_INTERVAL_MS
+const COMPLETIONS_AT_A_TIME = 500
+
+/** Starts a task that lasts on `t1`, which does not answer, beside `t2`. */
+function startLastingTask (): CellHarness {
+  const harness = CellHarness.create([buildEntry('t1')])
+  harness.apply({ type: 'job-accepted', definition: buildJob('j', { longRunning: true }) })
+  harness.publishTarget(buildEntry('t2'))
+  assert.deepEqual(harness.getStarts().map(({ target }) => target), ['t1'])
+  return harness
+}
+
+function countLaterRuns (harness: CellHarness): number {
+  return new Set(harness.getStarts().map(({ command }) => command.run)).size - 1
+}
+
+function buildCompletions (from: number, count: number): readonly ListedCompletion[] {
+  return Array.from({ length: count }, (_, index) => ({ number: from + index, task: `old.0.0.${from + index}`, run: 1, outcome: 'done', checkpoint: '' }))
+}
+
+const refusedStops: ReadonlyArray<{ readonly listed: string, readonly running?: boolean, readonly completions?: number, readonly sentMsAgo?: number, readonly waitsMs: number, readonly runs: number }> = [
+  { listed: 'not listed', waitsMs: MAX_STOP_WAIT_MS, runs: 1 },
+  { listed: 'not listed, as long as its start may still be executed', waitsMs: MAX_LATE_MS - POLL_INTERVAL_MS, runs: 0 },
+  { listed: 'not listed on requests that were sent earlier', sentMsAgo: 3 * POLL_INTERVAL_MS, waitsMs: MAX_STOP_WAIT_MS, runs: 0 },
+  { listed: 'listed', running: true, waitsMs: 3 * MAX_STOP_WAIT_MS, runs: 0 },
+  { listed: 'in a part of the listing that is left out', completions: COMPLETIONS_AT_A_TIME, waitsMs: 3 * MAX_STOP_WAIT_MS, runs: 0 }
+]
+
+for (const { listed, running = false, completions = 0, sentMsAgo = 0, waitsMs, runs } of refusedStops) {
+  // LOST: a run whose stop was refused each time stayed booked for good, although listings had long shown that it was not there.
+  test(`resends: guards against the failure that a task waits for a stop that is refused each time for longer than needed, or not long enough: its run is ${listed}`, () => {
+    const harness = startLastingTask()
+    const [start] = harness.getStarts()
+    const { task, run } = start!.command
+    harness.apply({ type: 'start-answered', target: 't1', incarnation: 1, task, run, response: { type: 'refused', reason: 'failed', clockMs: 60_000 } })
+    for (let elapsedMs = 0, number = 1; elapsedMs < waitsMs && countLaterRuns(harness) === 0; elapsedMs += POLL_INTERVAL_MS, number += completions) {
+      for (const stop of harness.advance(POLL_INTERVAL_MS).filter(({ type }) => type === 'stop')) {
+        assert.ok(stop.type === 'stop' && stop.command.run === run)
+        harness.apply({ type: 'stop-answered', target: 't1', incarnation: 1, task, run, response: { type: 'refused', reason: 'unhealthy', clockMs: undefined } })
+      }
+      harness.listTarget('t1', { sentAt: harness.now - sentMsAgo, ended: buildCompletions(number, completions), running: running ? harness.runningOn('t1') : [] })
+      harness.listTarget('t2', { running: harness.runningOn('t2') })
+    }
+    assert.equal(countLaterRuns(harness), runs)
+  })
+}
