--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -3,6 +3,7 @@
 import { takeDeparted } from './departed-targets.ts'
 import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
 import { forgetEarlierIncarnations, recordNewTarget, toIncarnations } from './earlier-leases.ts'
+import { haveLeasesExpired } from './expired-leases.ts'
 import { hasOpenTargetBeside, isEmptiedByRestart, releaseSpareTargets } from './spare-targets.ts'
 import { confirmCrash, confirmReplacedCrashes } from './crashes.ts'
 import { recordLostByRestart, removeRunsLostByRestarts } from './handle-listing.ts'
@@ -82,7 +83,7 @@
 /**
  * Moves the runs of the previous incarnation to the next one. The restart has ended those that are confirmed. A start command of
  * any other may have reached the new incarnation before its entry was read, so that only the next listing shows which of them
- * are gone. A run that is starting is stopped, not resent: the target may be of another kind now. So is a run with a start that
+ * are gone, whatever the incarnation before has listed. A run that is starting is stopped, not resent: the target may be of another kind now. So is a run with a start that
  * has had no answer, which may still reach the new incarnation.
  */
 function transferRuns (state: CellState, previous: TargetState, next: TargetState): void {
@@ -92,6 +93,7 @@
     live.carriedOver = true
     next.add(live)
     if (live.confirmed) recordLostByRestart(state, live)
+    else state.runsLostByRestarts.delete(live)
     if (live.confirmed || (live.phase !== 'starting' && !hasUnansweredStarts(previous, live))) continue
     live.respondedAt = undefined
     sendStop(state, live, 'its target has restarted')
@@ -204,10 +206,11 @@
 }
 
 /**
- * Whether no run can be present. A listed target has no runs besides those that are booked. Any other target may have runs
- * of a previous owner; the next leader waits for each target that is still on the stored list.
+ * Whether no run can be present. A listed target has no runs besides those that are booked and those of unknown jobs, which end
+ * with their leases. Any other target may have runs of a previous owner; the next leader waits for each target that is still on
+ * the stored list.
  */
 function isEmpty (state: CellState, target: TargetState): boolean {
-  if (target.runs.size > 0 || target.unknownRunCount > 0) return false
+  if (target.runs.size > 0 || (target.unknownRunCount > 0 && !haveLeasesExpired(state, target))) return false
   return target.listed || target.unused || !(state.earlierRunsPossible || state.heldBackTasks.size > 0)
 }
--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -145,3 +145,64 @@
     assert.equal(next.longestEarlierLeaseMs, expected)
   })
 }
+
+// TWICE: the second restart had forgotten the rejection of the run, and a late copy of its start came before the first answer.
+test('cell: guards against the failure that a task with an unanswered start starts elsewhere when its target has restarted twice, before the last incarnation has answered', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: buildJob('a', { longRunning: true }) })
+  harness.publishTarget(buildEntry('t2'))
+  const [start] = harness.getStarts()
+  const { task, run } = start!.command
+  const countSpareStarts = () => harness.getStarts().filter(({ target }) => target === 't2').length
+  const countStops = (incarnation: number) => harness.getCommands('stop').filter((stop) => stop.incarnation === incarnation && stop.command.run === run).length
+  const aloneUntil = harness.now
+  harness.now += 500
+  harness.apply({ type: 'tick', aloneUntil })
+  harness.publishTarget(buildEntry('t1', { incarnation: 2 }))
+  harness.apply({ type: 'stop-answered', target: 't1', incarnation: 2, task, run, response: { type: 'accepted', clockMs: 500 } })
+  harness.now += 100
+  harness.listTarget('t1', { incarnation: 2, clockMs: 600 })
+  harness.apply({ type: 'tick', aloneUntil })
+  assert.equal(countSpareStarts(), 0, 'a successor may have started it again')
+  harness.now += 500
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 3 }) })
+  assert.equal(countStops(3), 1, 'the last incarnation does not reject the run')
+  harness.now += 50
+  harness.apply({ type: 'tick', aloneUntil: harness.now })
+  assert.equal(countSpareStarts(), 0, 'a late copy of its start may be on the last incarnation')
+  harness.apply({ type: 'stop-answered', target: 't1', incarnation: 3, task, run, response: { type: 'accepted', clockMs: 50 } })
+  harness.now += 50
+  harness.listTarget('t1', { incarnation: 3, clockMs: 100 })
+  harness.apply({ type: 'tick', aloneUntil: harness.now })
+  assert.equal(countSpareStarts(), 1, 'the last incarnation has rejected the run')
+})
+
+// TWICE: an owner that was cut off sent leases of the incarnation before for longer than 3 s; the next owner counted them as shorter.
+test('cell: guards against the failure that the lease of a restarted target counts as shorter than the longest one at its first answer to the next owner', () => {
+  const harness = CellHarness.create([], undefined, OPTIONS)
+  harness.apply({ type: 'incarnations-restored', incarnations: { t1: 1 } })
+  harness.apply({ type: 'targets-stored', ids: ['t1'] })
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  harness.now += 100
+  harness.listTarget('t1', { incarnation: 2, clockMs: 20_000 })
+  const endsInMs = harness.scheduler.getTarget('t1')!.getExpiryTime() - harness.now
+  assert.ok(endsInMs >= LONGEST_LEASE_MS, `it ends after ${endsInMs} ms`)
+})
+
+// LOST: a target that went away with a run of an unknown job stayed on the stored list, and each later owner waited for its leases.
+test('cell: guards against the failure that a target that has gone away with a run of an unknown job is never forgotten', () => {
+  const harness = createHarnessWithTarget()
+  harness.listTarget('t1', { running: [{ task: 'unknown.0.0.0', run: 7, checkpoint: '', percent: 0, gauge: undefined }] })
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  harness.apply({ type: 'target-withdrawn', id: 't1' })
+  const aloneUntil = harness.now
+  for (let seconds = 0; seconds < 10; seconds += 1) {
+    harness.now += 1_000
+    harness.apply({ type: 'tick', aloneUntil })
+  }
+  assert.notEqual(harness.scheduler.getTarget('t1'), undefined, 'a successor may go on extending its leases')
+  harness.advance(1_000)
+  assert.ok(harness.scheduler.getTarget('t1') === undefined, 'it is still known')
+  const stored = harness.effects.flatMap((effect) => effect.type === 'store-targets' ? [effect] : []).at(-1)!
+  assert.deepEqual(stored.ids, [])
+})
