Play hosts that go away for good in the random chains of leaders

The chains killed processes and cut members off, but an address without a process always refused connections; a host that is gone does not respond, and its leader is waited for. The fault takes a host away, starts its member on another one, and a host that starts at the address later responds again.

--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -91,6 +91,7 @@
   restart (host: VirtualHost, address = host.address): void {
     if (address !== host.address && !this.isFree(address)) throw new Error(`${address} belongs to another host`)
     this.time.end(host.process)
+    this.darkHosts.delete(address.split(':')[0]!)
     host.address = address
     Object.assign(host, this.startMember(host.name, address))
   }
--- a/test/controller/virtual-faults.ts
+++ b/test/controller/virtual-faults.ts
@@ -15,6 +15,7 @@
 export const VIRTUAL_FAULTS: readonly VirtualFault[] = [
   { name: 'member killed', begin: (cell) => restartAfterPause(cell, pickHost(cell)) },
   { name: 'member at another address, another at its address', begin: exchangeAddresses },
+  { name: 'host gone, member at another address', begin: replaceHost },
   { name: 'member paused', begin: pauseMember },
   { name: 'member stops as planned', begin: stopMember },
   { name: 'power cut', begin: cutPower },
@@ -85,6 +86,16 @@
   })
 }
 
+/** A host goes away for good: nothing responds at its address. Its member starts again on another host. */
+function replaceHost (cell: VirtualCell): void {
+  const host = pickHost(cell)
+  const [hostName] = host.address.split(':')
+  cell.kill(host)
+  cell.darkHosts.add(hostName!)
+  host.address = `${host.name}-${Math.round(cell.time.nowMs)}:1`
+  cell.time.schedule(cell.random.nextInt(2_000), () => cell.restart(host))
+}
+
 function pauseMember (cell: VirtualCell): void {
   pause(cell, pickHost(cell))
 }
