Merge a fault of hosts that are gone

The virtual cell has one model of hosts that are gone (takeAway). A leader that moves gets another host name, also in the faults of departures: with the same name its old address counted as that of a host that runs.

--- a/test/controller/virtual-faults.ts
+++ b/test/controller/virtual-faults.ts
@@ -22,6 +22,7 @@
 export const VIRTUAL_FAULTS: readonly VirtualFault[] = [
   { name: 'member killed', begin: (cell) => restartAfterPause(cell, pickHost(cell)) },
   { name: 'member at another address, another at its address', begin: exchangeAddresses },
+  { name: 'host gone, member at another address', begin: replaceHost },
   { name: 'member paused', begin: pauseMember },
   { name: 'member stops as planned', begin: stopMember },
   { name: 'power cut', begin: cutPower },
@@ -88,7 +89,7 @@
   if (isSilent) cell.takeAway(leader)
   else cell.kill(leader)
   cell.time.schedule(cell.random.nextInt(1_000), () => {
-    if (leader.process.state === 'ended') cell.restart(leader, `${leader.name}:${Math.round(cell.time.nowMs)}`)
+    if (leader.process.state === 'ended') cell.restart(leader, `${leader.name}-${Math.round(cell.time.nowMs)}:1`)
   })
 }
 
@@ -143,6 +144,14 @@
   })
 }
 
+/** A host goes away for good: nothing responds at its address. Its member starts again on another host. */
+function replaceHost (cell: VirtualCell): void {
+  const host = pickHost(cell)
+  cell.takeAway(host)
+  host.address = `${host.name}-${Math.round(cell.time.nowMs)}:1`
+  cell.time.schedule(cell.random.nextInt(2_000), () => cell.restart(host))
+}
+
 function pauseMember (cell: VirtualCell): void {
   pause(cell, pickHost(cell))
 }
