Stop starts that have no answer and move their tasks

Callers could wait for good for a task that lasts: a target that lists its runs but loses each start was sent the same start again without an end, beside targets that were idle.

A start that has had no answer for 4 s, longer than slow targets need, is stopped in place of being sent again. Its target gets no other start for a moment, as after a refusal, and the task avoids it for some seconds. The task starts elsewhere only once the stop is answered and a listing is without the run, or once no copy of the start can come any more.

The test that said that resends go on without an end is named for what it checks now; what it asserts is the same.

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -22,6 +22,9 @@
   'other-incarnation': 1_000
 }
 
+/** A start without an answer is stopped after this time, which is longer than slow targets need, in milliseconds. */
+const UNANSWERED_START_MS = 4_000
+
 /** Counter of the commands that are sent again. */
 export const RESENT_COUNTER = 'command-resent'
 
@@ -49,7 +52,7 @@
 function handleStartRefusal (state: CellState, target: TargetState, live: LiveRun, reason: CommandRefusal): void {
   count(state, 'start-refused', reason)
   log(state, 'warn', 'start-refused', { task: live.task.key, run: live.run, target: target.id, reason, sends: live.sendCount })
-  target.pausedUntil = Math.max(target.pausedUntil, state.now + REFUSAL_PAUSE_MS[reason])
+  pauseStarts(state, target, REFUSAL_PAUSE_MS[reason])
   if (reason === 'fenced') state.effects.push({ type: 'fenced', target: target.id })
   if (reason === 'invalid' || reason === 'failed') recordStartRefusal(state, live.task, target)
   if (reason === 'no-ticket') live.task.step.advice.removeTicket(target.id)
@@ -107,15 +110,27 @@
   }
 }
 
-/** Resends a start, unless its task has ended or it would bring its target over a capacity that has shrunk. */
+/** Resends a start, unless its task has ended, or its target has shrunk below what is booked or seems to lose its starts. */
 function resendStart (state: CellState, live: LiveRun): void {
   if (!live.task.step.job.active) return sendStop(state, live, 'the job has ended')
   if (live.task.phase === 'done') return sendStop(state, live, 'the task has ended')
-  if (!isOverCapacity(live.target)) return sendStart(state, live)
-  sendStop(state, live, 'the capacity of its target has shrunk')
+  if (isOverCapacity(live.target)) return giveUpStart(state, live, 'the capacity of its target has shrunk')
+  if (state.now - live.startedAt < UNANSWERED_START_MS) return sendStart(state, live)
+  recordStartRefusal(state, live.task, live.target)
+  pauseStarts(state, live.target, REFUSAL_PAUSE_MS.failed)
+  giveUpStart(state, live, 'no answer to its start')
+}
+
+/** Stops a run whose start is not sent again, and the other members of its gang. */
+function giveUpStart (state: CellState, live: LiveRun, reason: string): void {
+  sendStop(state, live, reason)
   stopGangMembers(state, live)
 }
 
+function pauseStarts (state: CellState, target: TargetState, pauseMs: number): void {
+  target.pausedUntil = Math.max(target.pausedUntil, state.now + pauseMs)
+}
+
 /** Removes the runs of unreachable targets that have certainly expired. */
 export function removeExpiredRuns (state: CellState): void {
   for (const target of state.targets.values()) {
--- a/test/workflow/resends.test.ts
+++ b/test/workflow/resends.test.ts
@@ -36,7 +36,7 @@
   assert.equal(new Set(harness.getStarts().map(({ command }) => command.run)).size, 1)
 })
 
-test('resends: the first comes as soon as before, and they go on without an end', () => {
+test('resends: the first comes as soon as before, and they go on for as long as slow targets take to answer', () => {
   const harness = startOneTask()
   advance(harness, resendAfterMs)
   assert.equal(harness.getStarts().length, 2)
@@ -134,7 +134,7 @@
     harness.apply({ type: 'start-answered', target: 't1', incarnation: 1, task, run, response: { type: 'refused', reason: 'failed', clockMs: 60_000 } })
     for (let elapsedMs = 0, number = 1; elapsedMs < waitsMs && countLaterRuns(harness) === 0; elapsedMs += POLL_INTERVAL_MS, number += completions) {
       for (const stop of harness.advance(POLL_INTERVAL_MS).filter(({ type }) => type === 'stop')) {
-        assert.ok(stop.type === 'stop' && stop.command.run === run)
+        assert.ok(stop.type === 'stop' && stop.command.run === run, 'another run was stopped')
         harness.apply({ type: 'stop-answered', target: 't1', incarnation: 1, task, run, response: { type: 'refused', reason: 'unhealthy', clockMs: undefined } })
       }
       harness.listTarget('t1', { sentAt: harness.now - sentMsAgo, ended: buildCompletions(number, completions), running: running ? harness.runningOn('t1') : [] })
@@ -143,3 +143,53 @@
     assert.equal(countLaterRuns(harness), runs)
   })
 }
+
+/** A task that lasts may be without a run for so long, in milliseconds. */
+const MAX_GAP_MS = 9_000
+/** Targets that are slow answer a start within this time, in milliseconds. */
+const SLOW_ANSWER_MS = 3_000
+
+/** Lists both targets and answers the stops that they get, but no starts on `t1`. */
+function pollTargets (harness: CellHarness): void {
+  const stops = harness.advance(POLL_INTERVAL_MS).flatMap((effect) => effect.type === 'stop' ? [effect] : [])
+  for (const { target, incarnation, command: { task, run } } of stops) harness.apply({ type: 'stop-answered', target, incarnation, task, run, response: { type: 'accepted', clockMs: harness.now } })
+  harness.now += 1
+  harness.listTarget('t1')
+  harness.listTarget('t2', { running: harness.runningOn('t2') })
+}
+
+// LOST: a target that listed its runs but lost each start kept a task that lasts for good, beside one that was idle.
+test('resends: guards against the failure that a task that lasts waits for a target that answers no start, as long as that goes on', () => {
+  const harness = startLastingTask()
+  const [start] = harness.getStarts()
+  const sentAt = harness.now
+  while (harness.getStarts().every(({ target }) => target === 't1') && harness.now - sentAt < MAX_GAP_MS) pollTargets(harness)
+  assert.deepEqual(harness.getStarts().filter(({ command }) => command.run !== start!.command.run).map(({ target }) => target), ['t2'])
+  assert.ok(harness.getCommands('stop').some(({ command }) => command.run === start!.command.run), 'the run was not stopped')
+})
+
+// A slow target would lose its runs if it were taken for one that answers no start.
+test('resends: guards against the failure that a run is stopped whose target is slow to answer its start', () => {
+  const harness = startLastingTask()
+  const [start] = harness.getStarts()
+  while (harness.now < 1_000 + SLOW_ANSWER_MS) pollTargets(harness)
+  harness.acceptStart(start!)
+  for (let polls = 0; polls < 10; polls += 1) {
+    harness.advance(POLL_INTERVAL_MS)
+    harness.listTarget('t1', { running: harness.runningOn('t1').map((run) => ({ ...run, percent: 100 })) })
+  }
+  assert.equal(harness.getCommands('stop').length, 0)
+  assert.equal(countLaterRuns(harness), 0)
+})
+
+// LOST: while the answer to the stop is missing too, the run may be on the target.
+test('resends: guards against the failure that a task whose start has no answer starts elsewhere before its stop has one', () => {
+  const harness = startLastingTask()
+  for (let elapsedMs = 0; elapsedMs < MAX_LATE_MS; elapsedMs += POLL_INTERVAL_MS) {
+    harness.advance(POLL_INTERVAL_MS)
+    harness.listTarget('t1')
+    harness.listTarget('t2')
+  }
+  assert.notEqual(harness.getCommands('stop').length, 0, 'no stop was sent')
+  assert.equal(countLaterRuns(harness), 0)
+})
