Name what is known of a run's start commands and end

No change of behaviour for callers. LiveRun.confirmed becomes endsWithTarget, startsEndAt startCommandsEndAt, and TargetState.recordAnswer recordFirstAnswer: it does nothing after the first one. The grace of an earlier owner stood in two places without a tie; a test now fails if the scheduler expects a shorter one than leaders take.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -289,7 +289,7 @@
     if (event.type === 'stop-answered' && event.response.type === 'accepted') recordRejection(target, event.task, event.run)
     const live = target.find(event.task, event.run)
     if (live === undefined) return
-    if (event.type === 'start-answered' && !hasUnansweredStarts(target, live)) live.startsEndAt = Math.min(live.startsEndAt, this.state.now)
+    if (event.type === 'start-answered' && !hasUnansweredStarts(target, live)) live.startCommandsEndAt = Math.min(live.startCommandsEndAt, this.state.now)
     if (event.type === 'start-answered') handleStartResponse(this.state, target, live, event.response)
     else handleStopResponse(this.state, target, live, event.response)
   }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -22,7 +22,7 @@
  */
 export function handleListing (state: CellState, target: TargetState, listing: TargetListing, sentAt: number): void {
   target.recordClock(listing.clockMs, state.now)
-  target.recordAnswer(sentAt, state.now, state.options.longestLeaseMs)
+  target.recordFirstAnswer(sentAt, state.now, state.options.longestLeaseMs)
   target.answeredCursor = Math.max(target.answeredCursor, target.sentCursor)
   for (const completion of listing.ended) handleCompletion(state, target, completion)
   const listedKeys = new Set<string>()
@@ -79,7 +79,7 @@
  * for it, or none of its start commands could be executed any more.
  */
 function mustBeListed (live: LiveRun, sentAt: number): boolean {
-  return (live.respondedAt !== undefined && live.respondedAt <= sentAt) || live.startsEndAt <= sentAt
+  return (live.respondedAt !== undefined && live.respondedAt <= sentAt) || live.startCommandsEndAt <= sentAt
 }
 
 function handleCompletion (state: CellState, target: TargetState, completion: ListedCompletion): void {
@@ -151,7 +151,7 @@
   const live = target.find(listed.task, listed.run) ?? adoptRun(state, target, listed)
   if (live === undefined) return false
   live.carriedOver = false
-  if (live.startsEndAt <= sentAt) live.confirmed = true
+  if (live.startCommandsEndAt <= sentAt) live.endsWithTarget = true
   settleRun(state, live, sentAt)
   if (live.phase === 'starting') {
     live.phase = 'running'
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -18,9 +18,9 @@
   /** Whether it started on an earlier incarnation of the target and has not been listed by this one. */
   carriedOver: boolean
   /** From when on none of its start commands can be executed any more, on the scheduler's clock. */
-  startsEndAt: number
-  /** Whether its target has listed it on a request sent after that: no later incarnation can have it. */
-  confirmed: boolean
+  startCommandsEndAt: number
+  /** Whether its target has listed it on a request sent after that: no later incarnation of the target can have it. */
+  endsWithTarget: boolean
   /** Whether its queue has the highest priority. */
   readonly urgent: boolean
   /** Whether its target has listed it some time after its start, so that the start has not crashed the target. */
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -6,7 +6,7 @@
 import { LATE_COMMAND_MS, recordStartSent } from './unanswered-starts.ts'
 
 /** How long a previous owner that is not reached may go on sending commands, in milliseconds. */
-const EARLIER_OWNER_MS = 8_000
+export const EARLIER_OWNER_MS = 8_000
 
 /** Arguments of `addRun`. */
 export type NewRun = {
@@ -25,8 +25,8 @@
     target,
     adopted: phase === 'running',
     carriedOver: false,
-    startsEndAt: state.now + EARLIER_OWNER_MS + LATE_COMMAND_MS,
-    confirmed: false,
+    startCommandsEndAt: state.now + EARLIER_OWNER_MS + LATE_COMMAND_MS,
+    endsWithTarget: false,
     settled: false,
     urgent: isUrgent(state, task.step.job.definition),
     phase,
@@ -81,8 +81,8 @@
   if (live.sendCount === 0) target.lastStartAt = state.now
   live.sendCount += 1
   live.lastSentAt = state.now
-  live.startsEndAt = state.now + LATE_COMMAND_MS
-  live.confirmed = false
+  live.startCommandsEndAt = state.now + LATE_COMMAND_MS
+  live.endsWithTarget = false
   recordStartSent(target, live, state.now)
   const { payload } = task.step.job.definition
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
--- a/src/workflow/spare-targets.ts
+++ b/src/workflow/spare-targets.ts
@@ -11,7 +11,7 @@
 /** Whether nothing that was started on a target can be on its next incarnation. */
 export function isEmptiedByRestart (state: CellState, target: TargetState): boolean {
   removeOutdatedStarts(state, target)
-  return target.unansweredStarts.size === 0 && target.unknownRunCount === 0 && [...target.runs.values()].every(({ confirmed }) => confirmed)
+  return target.unansweredStarts.size === 0 && target.unknownRunCount === 0 && [...target.runs.values()].every(({ endsWithTarget }) => endsWithTarget)
 }
 
 /** Whether another target of its pool accepts work. */
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -115,7 +115,7 @@
    * Records that it has answered a request sent at that time. The request carried a higher fencing number than any to earlier
    * incarnations or by earlier owners, which give no more leases from then on.
    */
-  recordAnswer (sentAt: number, now: number, longestLeaseMs: number): void {
+  recordFirstAnswer (sentAt: number, now: number, longestLeaseMs: number): void {
     if (this.fencedAt !== undefined || sentAt <= this.firstSeenAt) return
     this.fencedAt = now
     this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, computeLastExpiry(now, longestLeaseMs))
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -81,7 +81,7 @@
 }
 
 /**
- * Moves the runs of the previous incarnation to the next one. The restart has ended those that are confirmed. A start command of
+ * Moves the runs of the previous incarnation to the next one. The restart has ended those that end with it. A start command of
  * any other may have reached the new incarnation before its entry was read, so that only the next listing shows which of them
  * are gone, whatever the incarnation before has listed. A run that is starting is stopped, not resent: the target may be of another kind now. So is a run with a start that
  * has had no answer, which may still reach the new incarnation.
@@ -92,9 +92,9 @@
     live.target = next
     live.carriedOver = true
     next.add(live)
-    if (live.confirmed) recordLostByRestart(state, live)
+    if (live.endsWithTarget) recordLostByRestart(state, live)
     else state.runsLostByRestarts.delete(live)
-    if (live.confirmed || (live.phase !== 'starting' && !hasUnansweredStarts(previous, live))) continue
+    if (live.endsWithTarget || (live.phase !== 'starting' && !hasUnansweredStarts(previous, live))) continue
     live.respondedAt = undefined
     sendStop(state, live, 'its target has restarted')
   }
--- a/test/workflow/takeover.test.ts
+++ b/test/workflow/takeover.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { LEASE_GRACE_MS } from '../../src/controller/leadership.ts'
+import { EARLIER_OWNER_MS } from '../../src/workflow/runs.ts'
 import { buildConfiguration, buildEntry, buildJob, createHarnessWithTarget } from './harness.ts'
 
 const listedToNewLeader = [
@@ -105,3 +107,8 @@
   harness.apply({ type: 'earlier-runs-lapsed' })
   assert.deepEqual([...getStoredTargetLists(harness).at(-1)!].sort(), ['t1', 't2'])
 })
+
+// TWICE: the scheduler would take a run for one that ends with its target while a leader before may still send its start.
+test('takeover: guards against the failure that an earlier owner may send commands for longer than the scheduler expects', () => {
+  assert.ok(EARLIER_OWNER_MS >= LEASE_GRACE_MS, `${EARLIER_OWNER_MS} ms in place of ${LEASE_GRACE_MS} ms`)
+})
