Start nothing for a moment on targets that refuse stops

Callers could wait for a task that lasts beside an idle target: when a run whose stop was refused each time was removed, its task started on the same target again, which had just said that it was unhealthy.

A refused stop now pauses new starts on the target for the same time as a refused start does.

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -9,7 +9,7 @@
 import { isOverCapacity } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 
-/** A target that refused a start gets no other start for this time, in milliseconds. */
+/** A target that refused a command gets no other start for this time, in milliseconds. */
 const REFUSAL_PAUSE_MS: Readonly<Record<CommandRefusal, number>> = {
   fenced: 0,
   superseded: 0,
@@ -83,6 +83,7 @@
       live.respondedAt = state.now
       return
     case 'refused':
+      pauseStarts(state, target, REFUSAL_PAUSE_MS[response.reason])
       if (response.reason === 'fenced') state.effects.push({ type: 'fenced', target: target.id })
       if (response.reason === 'superseded') live.respondedAt = state.now
       return
--- a/test/workflow/resends.test.ts
+++ b/test/workflow/resends.test.ts
@@ -141,6 +141,7 @@
       harness.listTarget('t2', { running: harness.runningOn('t2') })
     }
     assert.equal(countLaterRuns(harness), runs)
+    assert.equal(harness.getStarts().filter(({ target }) => target === 't2').length, runs, 'the task has started on the same target again')
   })
 }
 
