--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,5 +1,4 @@
-import type { AdviceResponse, Advisor, CachedAdvice, CommandClient, CommandResponse } from '../ports/command-client.ts'
-import type { Store } from '../ports/store.ts'
+import type { CommandClient, CommandResponse } from '../ports/command-client.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { Overload } from '../workflow/advice-backlog.ts'
 import type { CellConfiguration } from '../workflow/cell-configuration.ts'
@@ -8,29 +7,23 @@
 import type { CellEffect } from '../workflow/effect.ts'
 import type { CellEvent } from '../workflow/event.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
-import type { TargetEntry } from '../workflow/target-entry.ts'
 import { AdviceDispatcher } from './advice-dispatcher.ts'
 import { CommandLoad } from './command-load.ts'
 import { completeListings } from './complete-listings.ts'
 import { CommandPermission } from './command-permission.ts'
 import { Committer } from './committer.ts'
+import type { ControllerOptions } from './controller-options.ts'
 import { delay } from './delay.ts'
 import { EarlierLeaders } from './earlier-leaders.ts'
-import type { EarlierLeadersOptions } from './earlier-leaders.ts'
 import { LateJobs } from './late-jobs.ts'
 import { computeFencingNumber } from './fencing-number.ts'
 import type { Peer } from './member-call.ts'
 import { PermittedCommands } from './permitted-commands.ts'
-import { readPrefix } from './store-calls.ts'
-import { readStoredJobs } from './read-stored-jobs.ts'
-import { readStoredSettings } from './read-stored-settings.ts'
-import { JOB_PREFIX, PROGRESS_PREFIX, STATE_PREFIX, TARGETS_KEY } from './store-keys.ts'
-import type { TargetsRecord } from './store-keys.ts'
-import type { RelayStreamOpener } from './relay-message.ts'
+import { readStoredState } from './read-stored-state.ts'
+import { RecentPeers } from './recent-peers.ts'
 import { RelayedCommands } from './relayed-commands.ts'
 import { computeFirstRun } from './run-numbers.ts'
 import { StoreFeed } from './store-feed.ts'
-import { parseRecord } from './stored-record.ts'
 import { SummaryLog } from './summary-log.ts'
 import type { LeaderState } from './summary-log.ts'
 import { TargetSession } from './target-session.ts'
@@ -38,36 +31,9 @@
 
 const TICK_INTERVAL_MS = 50
 const RESTORE_RETRY_DELAY_MS = 200
-/** A member that has not sent a hello for this time, in milliseconds, gets no more advice requests. */
-const PEER_TIMEOUT_MS = 5_000
 /** Pause after a scheduling pass, as a multiple of its duration: passes use at most a third of the processor. */
 const PASS_PAUSE_FACTOR = 2
 
-export type ControllerOptions = Omit<EarlierLeadersOptions, 'isStopped' | 'now'> & {
-  readonly store: Store
-  readonly commands: CommandClient
-  /** Opens the stream to a member that sends commands on behalf of this leader. */
-  readonly openRelayStream: RelayStreamOpener
-  readonly advisor: Advisor
-  /** How long runs may continue after the last command or list request, in milliseconds. */
-  readonly leaseMs: number
-  /** The longest lease of a target, in milliseconds. */
-  readonly longestLeaseMs: number
-  /** Prefix of the keys under which targets publish themselves. */
-  readonly targetPrefix: string
-  /** Parses the value that a target has published; undefined if it is not a valid target. */
-  readonly parseTarget: (key: string, value: string) => TargetEntry | undefined
-  /** Requests advice through another member. */
-  readonly requestPeerAdvice: (peer: Peer, step: string, targets: readonly string[], timeoutMs: number) => Promise<AdviceResponse>
-  /** Requests the advisor responses that a member has received for a previous leader. */
-  readonly requestCachedAdvice: (peer: Peer) => Promise<readonly CachedAdvice[]>
-  /** Whether the store has confirmed the lease so recently that no other member can lead. */
-  readonly isLeaseConfirmed: () => boolean
-  /** Until when certainly no other member could lead, on the monotonic clock. */
-  readonly getAloneUntil: () => number
-  readonly onFenced: (reason: string) => void
-}
-
 /** Runs the work of a cell's leader: the scheduler, a session for each target, the commits and the advice requests. */
 export class Controller {
   private readonly scheduler: CellScheduler
@@ -77,7 +43,7 @@
   private readonly committer: Committer
   private readonly adviceDispatcher: AdviceDispatcher
   private readonly sessions = new Map<string, TargetSession>()
-  private readonly peers = new Map<string, { readonly peer: Peer, seenAt: number }>()
+  private readonly peers = RecentPeers.create()
   private readonly storeFeed: StoreFeed
   private readonly earlierLeaders: EarlierLeaders
   private readonly lateJobs: LateJobs
@@ -185,21 +151,17 @@
 
   /** The other members that have sent a hello recently. */
   get members (): readonly Peer[] {
-    return [...this.peers.values()].map(({ peer }) => peer)
+    return this.peers.list
   }
 
   /** Some of the other members, beginning at a random one. */
   sampleMembers (count: number): readonly Peer[] {
-    const { members } = this
-    const first = Math.floor(Math.random() * members.length)
-    return [...members.slice(first), ...members.slice(0, first)].slice(0, count)
+    return this.peers.sample(count)
   }
 
   /** Records the hello of a member and uses the member as an advice channel. */
   recordPeer (peer: Peer): void {
-    const knownPeer = this.peers.get(peer.member)
-    this.peers.set(peer.member, { peer, seenAt: performance.now() })
-    if (knownPeer?.peer.address !== peer.address) this.addAdviceChannel(peer)
+    if (this.peers.record(peer)) this.addAdviceChannel(peer)
   }
 
   configure (configuration: CellConfiguration): void {
@@ -297,21 +259,16 @@
 
   /** Reads the jobs, their progress and the targets of previous leaders; retries until it succeeds or the term ends. */
   private async restore (): Promise<number | undefined> {
-    const { store, reporter } = this.options
+    const { store, reporter, isLeaseConfirmed } = this.options
     const startedAt = performance.now()
     while (!this.stopped) {
-      const [jobs, progress, state] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, STATE_PREFIX)])
+      const state = await readStoredState(store, reporter)
       // Without the lease another member may lead, and a job that was read may be a new one of its term.
-      if (jobs.isOk() && progress.isOk() && state.isOk() && this.options.isLeaseConfirmed()) {
-        const previous = state.value.entries.filter(({ key }) => key === TARGETS_KEY).map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
-        this.previousTargets = previous?.ids ?? []
-        this.applyEvent({ type: 'closed-targets-restored', closed: previous?.closed ?? {} })
-        this.applyEvent({ type: 'incarnations-restored', incarnations: previous?.incarnations ?? {} })
-        this.applyEvent({ type: 'targets-stored', ids: this.previousTargets })
-        for (const event of readStoredSettings(state.value.entries, (key) => reporter.log('error', 'settings-unreadable', { key }))) this.applyEvent(event)
-        for (const event of readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))) this.applyEvent(event)
-        reporter.log('info', 'jobs-restored', { jobs: jobs.value.entries.length, durationMs: Math.round(performance.now() - startedAt) })
-        return jobs.value.version
+      if (state !== undefined && isLeaseConfirmed()) {
+        this.previousTargets = state.targets
+        for (const event of state.events) this.applyEvent(event)
+        reporter.log('info', 'jobs-restored', { jobs: state.jobCount, durationMs: Math.round(performance.now() - startedAt) })
+        return state.version
       }
       await delay(RESTORE_RETRY_DELAY_MS)
     }
@@ -321,7 +278,7 @@
   private tick (): void {
     this.permission.isGranted()
     this.summaryLog.writeIfDue(() => this.readState())
-    this.removeUnresponsivePeers()
+    for (const member of this.peers.removeSilent()) this.adviceDispatcher.removeChannel(member)
     this.reportChannels()
     this.updateRelays()
     this.checkRunsOfEarlierTerms()
@@ -335,15 +292,7 @@
 
   private readState (): LeaderState {
     const { scheduler, adviceDispatcher } = this
-    return { cell: scheduler.summary, passWork: scheduler.takePassWork(), commands: this.commandLoad.take(), detours: this.relayedCommands.detourCount, members: this.peers.size + 1, adviceDispatcher }
-  }
-
-  private removeUnresponsivePeers (): void {
-    for (const [member, { seenAt }] of this.peers) {
-      if (performance.now() - seenAt < PEER_TIMEOUT_MS) continue
-      this.peers.delete(member)
-      this.adviceDispatcher.removeChannel(member)
-    }
+    return { cell: scheduler.summary, passWork: scheduler.takePassWork(), commands: this.commandLoad.take(), detours: this.relayedCommands.detourCount, members: this.members.length + 1, adviceDispatcher }
   }
 
   /**
