--- a/soak/inject-fault.ts
+++ b/soak/inject-fault.ts
@@ -101,6 +101,7 @@
     case 'power': return cell.cutPower([member], forMs)
     case 'replace': return cell.replaceMember(member, 'SIGKILL')
     case 'replace-silent': return cell.replaceMember(member, 'SIGKILL', 'silent')
+    case 'replace-closing': return cell.replaceMember(member, 'SIGKILL', 'closing')
     case 'replace-planned': return cell.replaceMember(member, 'SIGTERM')
     case 'pause': return cell.pauseMember(member, forMs)
     case 'cut': return disturbLink(cell.members[member]!.storeLink, 'silent', forMs)
--- a/soak/random-loss.ts
+++ b/soak/random-loss.ts
@@ -4,7 +4,7 @@
 
 /** Ratio of the faults that are losses. */
 const LOSSES_RATIO = 0.1
-const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'power', 'replace', 'replace-silent']
+const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'power', 'replace', 'replace-silent', 'replace-closing']
 /** Bounds of the time for which a leader without power is away. */
 const LEADER_AWAY_MS = { min: 3_000, spread: 6_500 } as const
 /** Bounds of the ratio of the workers that go away together, and of the time for which they do. */
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -15,9 +15,10 @@
 import type { LateOrders, WorkerDelay, WorkerEvent, WorkerServer } from '../platform/standin/worker-server.ts'
 import { LEADER_KEY } from '../src/controller/store-keys.ts'
 import type { LeaderRecord } from '../src/controller/store-keys.ts'
+import { LeftAddress } from './left-address.ts'
+import type { LeftAddressState } from './left-address.ts'
 import { LoopbackProxy } from './loopback-proxy.ts'
 import { RunHistory } from './run-history.ts'
-import { SilentAddress } from './silent-address.ts'
 import type { WorkersGone } from './soak-fault.ts'
 import { SoakWorker } from './soak-worker.ts'
 
@@ -85,7 +86,7 @@
   private nextHostNumber = FIRST_HOST_NUMBER
   private nextWorkerNumber = 0
   private isClosing = false
-  private readonly silentAddresses: SilentAddress[] = []
+  private readonly leftAddresses: LeftAddress[] = []
 
   private readonly operator: StandinOperator
   private readonly lastingCheck: NodeJS.Timeout
@@ -168,11 +169,11 @@
   }
 
   /** Stops a member with a signal and starts it again at another address, as on another host. */
-  async replaceMember (index: number, signal: 'SIGKILL' | 'SIGTERM', addressBefore: 'refuses' | 'silent' = 'refuses'): Promise<void> {
+  async replaceMember (index: number, signal: 'SIGKILL' | 'SIGTERM', addressBefore: 'refuses' | LeftAddressState = 'refuses'): Promise<void> {
     const member = this.members[index]!
     const { process, options } = member
     member.options = { ...options, host: this.createHost() }
-    await Promise.all([this.restartMember(index, signal), addressBefore === 'silent' && this.silenceAddress(process, options.host)])
+    await Promise.all([this.restartMember(index, signal), addressBefore !== 'refuses' && this.occupyAddress(process, options.host, addressBefore)])
   }
 
   /** Lets some workers end, and start again after a while. Both are faults; the time between them is not. */
@@ -262,7 +263,7 @@
       output.end()
     }
     for (const worker of this.workers) worker.close()
-    for (const address of this.silentAddresses) address.close()
+    for (const address of this.leftAddresses) address.close()
     this.workerLog.end()
     this.kv.close()
     this.advisorLink.close()
@@ -276,9 +277,9 @@
   }
 
   /** Occupies the address of a process that ends. */
-  private async silenceAddress (process: ProcessMember, host: string): Promise<void> {
+  private async occupyAddress (process: ProcessMember, host: string, state: LeftAddressState): Promise<void> {
     await process.waitForExit()
-    if (!this.isClosing) this.silentAddresses.push(await SilentAddress.listen(host, MEMBERS_PORT))
+    if (!this.isClosing) this.leftAddresses.push(await LeftAddress.listen(host, MEMBERS_PORT, state))
   }
 
   private async startWorker (): Promise<SoakWorker> {
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -59,8 +59,8 @@
 /** Workers that go away for a while, and how their addresses behave meanwhile. */
 export type WorkersGone = { readonly workers: readonly number[], readonly state: AwayState, readonly forMs: number }
 
-/** `replace-silent`: as `replace`, and the address before stays silent instead of refusing connections. */
-export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-silent' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
+/** `replace-silent`, `replace-closing`: as `replace`, and the address before accepts connections and stays silent, or closes them. */
+export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-silent' | 'replace-closing' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
 
 /**
  * The type of a fault; for a takeover with the trouble of the store and the failure of the leader, for a failure of the
--- a/test/soak/fault-schedule.test.ts
+++ b/test/soak/fault-schedule.test.ts
@@ -9,7 +9,7 @@
 const KINDS: readonly string[] = [
   'kill', 'kill-all', 'terminate', 'terminate-all', 'pause', 'power-cut', 'replace', 'replace-planned', 'stutter', 'store/', 'store-answers-lost', 'store-compact',
   'store-link', 'worker-link', 'advisor-link', 'worker-crash', 'workers-cut', 'workers-flap', 'workers-drain', 'slow-workers', 'late-orders', 'domain-out', 'configuration',
-  'workers-gone', 'workers-reborn-gone', 'leader/kill', 'leader/power', 'leader/replace', 'leader/replace-silent',
+  'workers-gone', 'workers-reborn-gone', 'leader/kill', 'leader/power', 'leader/replace', 'leader/replace-silent', 'leader/replace-closing',
   'takeover/claims-unanswered/cut', 'takeover/writes-late/hold', 'takeover/slow/power', 'takeover/lossy/replace-planned'
 ]
 
