--- a/soak/soak-jobs.ts
+++ b/soak/soak-jobs.ts
@@ -45,7 +45,7 @@
   readonly mayOutlastTraffic: boolean
 }
 
-type StepPlan = SoakStep & { readonly ms?: number, readonly checkpoints?: boolean }
+type StepPlan = SoakStep & { readonly ms?: number, readonly failsAfterMs?: number, readonly checkpoints?: boolean }
 type JobPlan = { readonly steps: readonly StepPlan[], readonly occurrences?: number, readonly delayMs?: number, readonly intervalMs?: number, readonly cancelAfterMs?: number, readonly mayOutlastTraffic?: boolean }
 
 const PLAIN_CPU_MILLIS = 1_500
@@ -62,6 +62,8 @@
 const LONG_TASK_MS = { min: 2_000, spread: 4_000 } as const
 const REPEATED_TASK_MS = { min: 200, spread: 1_600 } as const
 const CANCEL_DELAY_MS = { min: 200, spread: 1_500 } as const
+/** Time after which each run of a task that lasts fails, in a job whose tasks do. */
+const FAILING_LASTING_TASK_MS = 5_000
 /** Ratio of the jobs that last that may do so until the traffic is over. */
 const OUTLASTING_JOBS_RATIO = 0.75
 /** Bounds of the time after which the others are cancelled. */
@@ -85,7 +87,7 @@
   const cancelDelayMs = draw(random, CANCEL_DELAY_MS)
   const { steps, occurrences = 1, delayMs = 0, intervalMs = 0, cancelAfterMs = isCancelled ? cancelDelayMs : undefined, mayOutlastTraffic = false } = createPlan(kind, random)
   const job: SoakJob = { id, steps, maxAttempts, occurrences, firstAtMs: performance.now() + delayMs, intervalMs }
-  const spec = JSON.stringify({ steps: steps.map(({ ms, count, gang, checkpoints }) => ({ ms, fails, checkpoints, needsTicket, ...(gang === true ? { gangSize: count } : {}) })) })
+  const spec = JSON.stringify({ steps: steps.map(({ ms, failsAfterMs = ms, count, gang, checkpoints }) => ({ ms: fails ? failsAfterMs : ms, fails, checkpoints, needsTicket, ...(gang === true ? { gangSize: count } : {}) })) })
   const times = occurrences > 1 ? { repeatCount: occurrences, firstMs: Math.ceil(Date.now() + delayMs), intervalMs } : {}
   return { kind, job, cancelAfterMs, mayOutlastTraffic, body: { spec, steps: steps.map(createStepBody), ...times } }
 }
@@ -104,7 +106,7 @@
     }
     case 'saved': return { steps: [0, 1].map((index) => ({ count: 1 + random.nextInt(8), cpuMillis: draw(random, CPU_MILLIS), ms: draw(random, LONG_TASK_MS), checkpoints: true, ...(index === 0 ? {} : { after: 0 }) })) }
     case 'gang': return { steps: [{ count: 2 + random.nextInt(5), cpuMillis: draw(random, CPU_MILLIS), ms: draw(random, random.next() < 0.5 ? SHORT_TASK_MS : LONG_TASK_MS), gang: true, checkpoints: random.next() < 0.5 }] }
-    case 'lasting': return { steps: [{ count: 1 + random.nextInt(6), cpuMillis: draw(random, CPU_MILLIS), longRunning: true, perTargetLimit: 2 }], cancelAfterMs: draw(random, LASTING_JOB_MS), mayOutlastTraffic: random.next() < OUTLASTING_JOBS_RATIO }
+    case 'lasting': return { steps: [{ count: 1 + random.nextInt(6), cpuMillis: draw(random, CPU_MILLIS), longRunning: true, perTargetLimit: 2, failsAfterMs: FAILING_LASTING_TASK_MS }], cancelAfterMs: draw(random, LASTING_JOB_MS), mayOutlastTraffic: random.next() < OUTLASTING_JOBS_RATIO }
     case 'repeated': return { steps: [{ count: 1 + random.nextInt(6), cpuMillis: draw(random, CPU_MILLIS), ms: draw(random, REPEATED_TASK_MS) }], occurrences: 2 + random.nextInt(4), delayMs: draw(random, FIRST_OCCURRENCE_MS), intervalMs: draw(random, INTERVAL_MS) }
     case 'copied': return { steps: [{ count: 1 + random.nextInt(8), cpuMillis: draw(random, CPU_MILLIS), ms: draw(random, SHORT_TASK_MS), speculative: true }] }
     default: return assertNever(kind)
