Let concurrent soak runs have loopback subnets of their own

The subnet came from the process id modulo 200, so that two runs could share the addresses of their members. A process now occupies a port of the subnet that it uses, and takes the next one if another process has it.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import type { ScheduledFault } from './fault-schedule.ts'
+import { reserveSubnet } from './reserve-subnet.ts'
 import { runSoak } from './soak-run.ts'
 
 const EXIT_FAILED = 1
@@ -11,9 +12,6 @@
 const MS_PER_SECOND = 1_000
 const SCHEDULE_FILE = 'schedule.json'
 const BUILT_BUNDLE = 'target/damaskfield-platform.mjs'
-/** Range of loopback subnets. Each process uses one, so that concurrent runs do not share addresses. */
-const FIRST_SUBNET = 20
-const SUBNET_COUNT = 200
 
 /** Runs seeds one after another and keeps the logs of those that fail. */
 class SoakCommand extends Command {
@@ -40,15 +38,16 @@
   async execute (): Promise<number> {
     const bundle = this.bundle ?? buildBundle()
     if (!existsSync(bundle)) throw new Error(`there is no bundle at ${bundle}`)
+    const subnet = await reserveSubnet(process.pid)
     let failed = 0
     for (let index = 0; index < Number(this.seeds); index += 1) {
-      if (!await this.runSeed(Number(this.seed) + index, bundle)) failed += 1
+      if (!await this.runSeed(Number(this.seed) + index, bundle, subnet)) failed += 1
     }
     this.context.stdout.write(`${Number(this.seeds) - failed} passed, ${failed} failed\n`)
     return failed === 0 ? 0 : EXIT_FAILED
   }
 
-  private async runSeed (seed: number, bundle: string): Promise<boolean> {
+  private async runSeed (seed: number, bundle: string, subnet: number): Promise<boolean> {
     const folder = mkdtempSync(join(tmpdir(), `damaskfield-soak-${seed}-`))
     const { schedule, accepted, refused, doubtful, breaches, longestGapMs } = await runSoak({
       seed,
@@ -62,7 +61,7 @@
       ...(this.schedule === undefined ? {} : { schedule: readSchedule(this.schedule) }),
       bundle,
       folder,
-      subnet: FIRST_SUBNET + process.pid % SUBNET_COUNT
+      subnet
     })
     const { stdout } = this.context
     stdout.write(`seed ${seed}: ${schedule.length} faults, ${accepted} jobs accepted, ${refused} refused, ${doubtful} in doubt, longest gap ${(longestGapMs / MS_PER_SECOND).toFixed(1)} s, ${breaches.length} breaches\n`)
