--- a/soak/fault-schedule.ts
+++ b/soak/fault-schedule.ts
@@ -1,6 +1,6 @@
 import { Random } from '../src/util/random.ts'
 import { createRandomFault } from './random-fault.ts'
-import type { SoakFault } from './soak-fault.ts'
+import type { LeaderLoss, SoakFault } from './soak-fault.ts'
 
 /** A fault and its time from the start of the traffic. */
 export type ScheduledFault = { readonly atMs: number, readonly fault: SoakFault }
@@ -23,6 +23,8 @@
 const LOSS_SEED_OFFSET = 1_000_000_000
 /** Minimum time between two faults, and the range of the random time that is added to it, as ratios of the mean. */
 const FAULT_INTERVAL = { min: 0.3, spread: 1.4 } as const
+/** Time without other faults after departures, as a ratio of the mean: tasks count as lost only in calm time. */
+const CALM_RATIO = 2
 /** No time between two faults starts in this last part of the traffic. */
 const FAULT_FREE_MS = 2_000
 
@@ -39,7 +41,14 @@
   let atMs = 0
   while (atMs < seconds * MS_PER_SECOND - FAULT_FREE_MS) {
     atMs += FAULT_INTERVAL.min * faultIntervalMs + random.nextInt(FAULT_INTERVAL.spread * faultIntervalMs)
-    schedule.push({ atMs, fault: createRandomFault({ random, lossRandom, members, workers, kinds: faultKinds }) })
+    const fault = createRandomFault({ random, lossRandom, members, workers, kinds: faultKinds })
+    schedule.push({ atMs, fault })
+    if (fault.type === 'departures') atMs += computeLossesMs(fault.leaders) + CALM_RATIO * faultIntervalMs
   }
   return schedule
 }
+
+/** Time until the last of the leaders has failed. */
+function computeLossesMs (losses: readonly LeaderLoss[]): number {
+  return losses.reduce((sum, { afterMs }) => sum + afterMs, 0)
+}
--- a/soak/inject-fault.ts
+++ b/soak/inject-fault.ts
@@ -6,7 +6,7 @@
 import type { LoopbackProxy } from './loopback-proxy.ts'
 import type { LinkState } from './proxied-stream.ts'
 import type { SoakCell } from './soak-cell.ts'
-import type { LeaderFailure, SoakFault, Takeover, WorkersCut } from './soak-fault.ts'
+import type { LeaderFailure, LeaderLoss, SoakFault, Takeover, WorkersCut } from './soak-fault.ts'
 import type { SoakWorker } from './soak-worker.ts'
 import { troubleStore } from './store-trouble.ts'
 
@@ -61,6 +61,9 @@
       for (const worker of fault.gone.workers) cell.workers[worker]!.crash()
       await wait(fault.afterMs)
       return cell.sendWorkersAway(fault.gone)
+    case 'departures':
+      await cell.sendWorkersAway(fault.gone)
+      return failLeadersInTurn(cell, fault.leaders)
     case 'workers-drain': return runAll(fault.workers, (worker) => cell.drainWorker(worker, fault.forMs))
     case 'late-orders': return delayOrders(cell, fault.share, fault.forMs)
     case 'domain-out':
@@ -94,6 +97,15 @@
   await runAll(findLeaders(cell), (member) => failLeader(cell, member, failure, forMs))
 }
 
+async function failLeadersInTurn (cell: SoakCell, losses: readonly LeaderLoss[]): Promise<void> {
+  const failures: Array<Promise<void>> = []
+  for (const { afterMs, leader, forMs } of losses) {
+    await wait(afterMs)
+    failures.push(failLeaders(cell, leader, forMs))
+  }
+  await Promise.all(failures)
+}
+
 async function failLeader (cell: SoakCell, member: number, failure: LeaderFailure, forMs: number): Promise<void> {
   switch (failure) {
     case 'kill': return cell.restartMember(member, 'SIGKILL')
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -26,6 +26,8 @@
   /** Some workers end and start again after a long time; with `reborn` they also crash and start again before. */
   | { readonly type: 'workers-gone', readonly gone: WorkersGone }
   | { readonly type: 'workers-reborn-gone', readonly gone: WorkersGone, readonly afterMs: number }
+  /** Some workers end, and leaders fail one after another beside them. */
+  | { readonly type: 'departures', readonly gone: WorkersGone, readonly leaders: readonly LeaderLoss[] }
   /** Some workers drain for a while and leave for good, and new ones join. */
   | { readonly type: 'workers-drain', readonly workers: readonly number[], readonly forMs: number }
   | { readonly type: 'late-orders', readonly share: number, readonly forMs: number }
@@ -62,6 +64,9 @@
 /** `replace-silent`, `replace-closing`: as `replace`, and the address before accepts connections and stays silent, or closes them. */
 export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-silent' | 'replace-closing' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
 
+/** A failure of the leader after a time since the failure before. */
+export type LeaderLoss = { readonly afterMs: number, readonly leader: LeaderFailure, readonly forMs: number }
+
 /**
  * The type of a fault; for a takeover with the trouble of the store and the failure of the leader, for a failure of the
  * leader alone with its kind, and for a trouble of the store alone with its mode.
--- a/test/soak/fault-schedule.test.ts
+++ b/test/soak/fault-schedule.test.ts
@@ -9,7 +9,7 @@
 const KINDS: readonly string[] = [
   'kill', 'kill-all', 'terminate', 'terminate-all', 'pause', 'power-cut', 'replace', 'replace-planned', 'stutter', 'store/', 'store-answers-lost', 'store-compact',
   'store-link', 'worker-link', 'advisor-link', 'worker-crash', 'workers-cut', 'workers-flap', 'workers-drain', 'slow-workers', 'late-orders', 'domain-out', 'configuration',
-  'workers-gone', 'workers-reborn-gone', 'leader/kill', 'leader/power', 'leader/replace', 'leader/replace-silent', 'leader/replace-closing',
+  'workers-gone', 'workers-reborn-gone', 'departures', 'leader/kill', 'leader/pause', 'leader/power', 'leader/replace', 'leader/replace-silent', 'leader/replace-closing',
   'takeover/claims-unanswered/cut', 'takeover/writes-late/hold', 'takeover/slow/power', 'takeover/lossy/replace-planned'
 ]
 
@@ -32,5 +32,15 @@
 
 test('fault schedule: without a filter, workers and leaders are lost too', () => {
   const kinds = createFaultSchedule(OPTIONS).map(({ fault }) => fault.type)
-  for (const kind of ['workers-gone', 'workers-reborn-gone', 'leader'] as const) assert.ok(kinds.includes(kind), kind)
+  for (const kind of ['workers-gone', 'workers-reborn-gone', 'leader', 'departures'] as const) assert.ok(kinds.includes(kind), kind)
+})
+
+// A fault soon after them would excuse each task that nobody starts again.
+test('fault schedule: departures have leaders of each kind, and calm time after the last one', () => {
+  const schedule = createFaultSchedule({ ...OPTIONS, seconds: 2_000, faultIntervalMs: 4_500 })
+  const departures = schedule.flatMap(({ atMs, fault }, index) => fault.type === 'departures' ? [{ leaders: fault.leaders, calmMs: (schedule[index + 1]?.atMs ?? Infinity) - atMs - fault.leaders.reduce((sum, { afterMs }) => sum + afterMs, 0) }] : [])
+  const failures = departures.flatMap(({ leaders }) => leaders.map(({ leader }) => leader))
+  assert.deepEqual([...new Set(failures)].sort(), ['kill', 'pause', 'power', 'replace', 'replace-closing', 'replace-silent', 'terminate'])
+  assert.ok(departures.some(({ leaders }) => leaders.length >= 4), 'no row')
+  assert.ok(departures.every(({ calmMs }) => calmMs >= 9_000), JSON.stringify(departures))
 })
