Hand on which starts of tasks that last are no longer under way

What callers saw: a task that lasts had no run for 21.6 s (9.0 allowed) if its leader had taken it over less than 20 s before its target restarted and went away without an answer. Cause: a start without an answer may be executed by the next life of a target, and a leader in its grace may go on sending starts for 8 s. Only the leader that started a run has seen the answers, so that each later one waited for 20 s after its takeover. Change: once a target has listed a run of a task that lasts and no start of it can be executed any more, its number is stored with the progress of its job. Only the leader that started a run sends its starts, and only before the first answer, so that this holds for good; the record is written under the commit key, and a later leader keeps it. A leader that adopts exactly that run knows that it ends with its target. Records without the field, with another run or with anything else mean what they did. Price: jobs are stored for it at most each 500 ms.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -21,6 +21,7 @@
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
 import { restoreClosedTargets } from './closed-targets.ts'
+import { ConcludedStarts } from './concluded-starts.ts'
 import { CrashRate } from './crash-rate.ts'
 import { confirmCrash, indexRestoredCrashes, prunePossibleCrashes, recordPossibleCrash } from './crashes.ts'
 import { throttleTargets } from './throttling.ts'
@@ -94,6 +95,7 @@
       startPassNeeded: false,
       passWork: { passes: 0, steps: 0, targets: 0 },
       resendPause: ResendPause.create(resolved.resendAfterMs),
+      concludedStarts: ConcludedStarts.create(),
       lastingTasks: LastingTaskWaits.create(),
       lastingPrecedence: LastingPrecedence.create(),
       unsettledRuns: UnsettledRunsLog.create()
@@ -340,6 +342,7 @@
     for (const [id, { endedAt }] of state.endedJobs) {
       if (state.now - endedAt > state.options.endedJobRetentionMs) removeEndedJob(state, id)
     }
+    state.concludedStarts.store(state)
     state.lastingTasks.update(state)
     state.unsettledRuns.update(state)
     if (state.openSteps.size > 0) state.startPassNeeded = true
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -1,6 +1,7 @@
 import type { AdviceBacklog } from './advice-backlog.ts'
 import type { PendingAdvice } from './pending-advice.ts'
 import type { CellConfiguration } from './cell-configuration.ts'
+import type { ConcludedStarts } from './concluded-starts.ts'
 import type { CrashRate } from './crash-rate.ts'
 import type { CellEffect } from './effect.ts'
 import type { Demand, JobDefinition, JobPhase, TaskKey } from './job.ts'
@@ -89,6 +90,7 @@
   startPassNeeded: boolean
   readonly passWork: PassWork
   readonly resendPause: ResendPause
+  readonly concludedStarts: ConcludedStarts
   readonly lastingTasks: LastingTaskWaits
   readonly lastingPrecedence: LastingPrecedence
   readonly unsettledRuns: UnsettledRunsLog
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -151,7 +151,10 @@
   const live = target.find(listed.task, listed.run) ?? adoptRun(state, target, listed)
   if (live === undefined) return false
   live.carriedOver = false
-  if (live.startCommandsEndAt <= sentAt) live.endsWithTarget = true
+  if (live.startCommandsEndAt <= sentAt) {
+    live.endsWithTarget = true
+    state.concludedStarts.record(live)
+  }
   settleRun(state, live, sentAt)
   if (live.phase === 'starting') {
     live.phase = 'running'
--- a/src/workflow/progress-record.ts
+++ b/src/workflow/progress-record.ts
@@ -1,3 +1,4 @@
+import { restoreConcludedRuns, toStoredRuns } from './concluded-starts.ts'
 import type { StoredCrashes } from './crash-record.ts'
 import type { Job, StepRun } from './task.ts'
 import type { JobPhase } from './job.ts'
@@ -9,6 +10,8 @@
   readonly gangFailedRuns: readonly number[]
   /** By task index; missing in records without any. */
   readonly crashes?: Readonly<Record<string, StoredCrashes>>
+  /** Runs whose start commands can no longer be executed, by task index; missing in records without any and of older releases. */
+  readonly concludedRuns?: unknown
 }
 
 /** Stored progress of a job. With the definition it is enough for a new owner to continue the job. */
@@ -60,12 +63,20 @@
     if (!task.crashes.isEmpty) crashes[String(task.index)] = task.crashes.toStored()
     if (task.failures > 0) failedRuns[String(task.index)] = [...task.failedRuns]
   }
-  return { done: bits.toString(16), failedRuns, gangFailedRuns: [...step.gangFailedRuns], ...(Object.keys(crashes).length === 0 ? {} : { crashes }) }
+  const concludedRuns = toStoredRuns(step.tasks)
+  return {
+    done: bits.toString(16),
+    failedRuns,
+    gangFailedRuns: [...step.gangFailedRuns],
+    ...(Object.keys(crashes).length === 0 ? {} : { crashes }),
+    ...(Object.keys(concludedRuns).length === 0 ? {} : { concludedRuns })
+  }
 }
 
 function restoreStepProgress (step: StepRun, stored: StepProgress): void {
   const bits = BigInt(`0x${stored.done}`)
   for (const run of stored.gangFailedRuns) step.gangFailedRuns.add(run)
+  restoreConcludedRuns(step.tasks, stored.concludedRuns)
   for (const task of step.tasks) {
     for (const run of stored.failedRuns[String(task.index)] ?? []) task.failedRuns.add(run)
     const crashes = stored.crashes?.[String(task.index)]
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -25,7 +25,8 @@
     target,
     adopted: phase === 'running',
     carriedOver: false,
-    startCommandsEndAt: state.now + EARLIER_OWNER_MS + LATE_COMMAND_MS,
+    // An adopted run whose starts have been concluded is known to a previous owner; nobody sends starts of it again.
+    startCommandsEndAt: task.concludedRun === run ? -Infinity : state.now + EARLIER_OWNER_MS + LATE_COMMAND_MS,
     endsWithTarget: false,
     settled: false,
     urgent: isUrgent(state, task.step.job.definition),
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -21,6 +21,8 @@
   readonly runs = new Set<LiveRun>()
   /** Target on which the task last failed. */
   lastFailedTarget: string | undefined
+  /** Number of the last run whose start commands can no longer be executed, if that was recorded. */
+  concludedRun: number | undefined
   /** Undefined while no start has been refused since the last one that was accepted. */
   refusal: StartRefusal | undefined
 
