Take refused connections for no proof that a leader has ended

Callers saw (TWICE): a task ran on two targets at once, if links refused the connections of all members to a leader that lived and still reached targets which its successor didn't.

Cause: a host that refused connections at all ports of a member, twice, counted as one without a process, so that its commands had ended. Links can refuse for a host that lives.

--- a/src/controller/process-probe.ts
+++ b/src/controller/process-probe.ts
@@ -19,7 +19,8 @@
 
 /**
  * Checks whether the process of a member has ended. A process that runs may refuse connections at one of its ports, but has none
- * of its listeners only after its end. A host that does not respond shows nothing.
+ * of its listeners only after its end. A host that does not respond shows nothing. Links may refuse connections for a host that
+ * runs, so that this is no proof.
  */
 export class ProcessProbe {
   private constructor (private readonly options: ProcessProbeOptions) {}
--- a/test/controller/earlier-witnesses.test.ts
+++ b/test/controller/earlier-witnesses.test.ts
@@ -19,7 +19,7 @@
 
 const confirmed = (unconfirmedForMs: number): Partial<StandDown> => ({ unconfirmedForMs })
 
-type Row = { readonly shows: string, readonly fields: object, readonly answers: Answers, readonly endsAfterMs: number, /** When they begin to answer, in milliseconds after the election; at once without it. */ readonly answerAfterMs?: number }
+type Row = { readonly shows: string, readonly fields: object, readonly answers: Answers, readonly endsAfterMs: number, /** When they begin to answer, in milliseconds after the election; at once without it. */ readonly answerAfterMs?: number, /** Whether the leader's address refuses connections. */ readonly refuses?: boolean }
 
 const rows: readonly Row[] = [
   { shows: 'its witnesses that confirmed it long ago', fields: { witnesses: WITNESSES }, answers: { m1: confirmed(9_000), m2: confirmed(8_000), m3: confirmed(7_000) }, endsAfterMs: SHORTEST_MS },
@@ -33,10 +33,13 @@
   { shows: 'no witnesses on record', fields: {}, answers: { m1: confirmed(9_000), m2: confirmed(9_000), m3: confirmed(9_000) }, endsAfterMs: LEASE_GRACE_MS },
   { shows: 'a damaged record', fields: { witnesses: [{ member: 'm1' }, null] }, answers: { m1: confirmed(9_000) }, endsAfterMs: LEASE_GRACE_MS },
   { shows: 'less time left by the record before', fields: { witnesses: WITNESSES, commandsEndInMs: 300 }, answers: { m1: confirmed(9_000), m2: confirmed(9_000), m3: confirmed(9_000) }, endsAfterMs: 300 },
-  { shows: 'a leader that answers itself', fields: { witnesses: WITNESSES }, answers: { m0: { quietForMs: 0 } }, endsAfterMs: 0 }
+  { shows: 'a leader that answers itself', fields: { witnesses: WITNESSES }, answers: { m0: { quietForMs: 0 } }, endsAfterMs: 0 },
+  { shows: 'links that refuse connections to it, and enough witnesses', fields: { witnesses: WITNESSES }, answers: { m2: confirmed(8_000), m3: confirmed(7_000) }, refuses: true, endsAfterMs: SHORTEST_MS },
+  { shows: 'links that refuse connections to it, and no witnesses on record', fields: {}, answers: {}, refuses: true, endsAfterMs: 0 },
+  { shows: 'links that refuse connections to it, and witnesses that have not answered for a second', fields: { witnesses: WITNESSES }, answers: {}, refuses: true, endsAfterMs: 1_000 }
 ]
 
-function playTakeover ({ fields, answers, answerAfterMs = 0 }: Row): { readonly earlier: EarlierLeaders, readonly setNow: (value: number) => void } {
+function playTakeover ({ fields, answers, refuses, answerAfterMs = 0 }: Row): { readonly earlier: EarlierLeaders, readonly setNow: (value: number) => void } {
   let now = ELECTED_AT
   const answer = (member: string): StandDown | undefined => {
     const given = now < ELECTED_AT + answerAfterMs ? undefined : answers[member]
@@ -48,6 +51,7 @@
     self: SELF,
     reporter: { log: () => {}, count: () => {}, observe: () => {} },
     requestStandDown: async ({ member }) => answer(member),
+    checkProcess: async () => refuses === true ? 'ended' : 'unknown',
     standDown: () => answer(SELF.member) ?? { type: 'never-led', quietForMs: now },
     isStopped: () => true,
     now: () => now
