Hand on when the leases on silent targets end

What callers saw: tasks that last, and other restored tasks, were not started again while leaders followed one another, although their target had been gone for long.

Cause: a new leader counts the leases on each target that it can't list from the end of the commands of all leaders before it, also of those that never heard from that target and so gave it no lease. Each takeover began the wait anew.

Change: the leader stores in `lead/silent` which targets are silent and when all leases there have ended. From the decision until a record without a target is stored it gives the target no lease and no start. The claim repeats a record that is of the term of the last commit, and the new leader counts from when its watch saw that version. It starts restored tasks once each stored target is listed or its own wait is over. Records that are malformed, huge, negative or before a term of an older release count as none.

test/controller/fencing-number and target-session give the new option of a session, `isCommanded`; nothing else in them changes. test/controller/restart-bounds.ts gets an interval between leaders and planned hand-overs.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -5,14 +5,16 @@
 import type { JobPhase } from '../workflow/job.ts'
 import type { JobProgress } from '../workflow/progress-record.ts'
 import type { RemovedSettings } from '../workflow/removed-settings.ts'
+import type { SilentTargetsById } from '../workflow/silent-targets.ts'
 import { delay } from './delay.ts'
 import type { Peer } from './member-call.ts'
 import { JobRecords } from './job-records.ts'
 import type { JobRecord } from './job-records.ts'
 import type { Reporter } from './reporter.ts'
 import { computeReservedTerm } from './run-numbers.ts'
+import { formatSilentTargets } from './silent-targets-record.ts'
 import { readKey, transact, requireUnchanged } from './store-calls.ts'
-import { COMMIT_KEY, SETTINGS_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
+import { COMMIT_KEY, SETTINGS_KEY, SILENT_TARGETS_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
 import type { CommitRecord, TargetsRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
@@ -47,6 +49,7 @@
   readonly removedProgress: readonly string[]
   readonly targets: TargetsRecord | undefined
   readonly settings: RemovedSettings | undefined
+  readonly silentTargets: SilentTargetsById | undefined
 }
 
 type Batch = {
@@ -59,6 +62,8 @@
   readonly released: readonly string[]
   readonly completions: readonly ProcessedCompletions[]
   readonly targets: readonly string[] | undefined
+  /** Targets in the record of silent targets; undefined if it is not part of the transaction. */
+  readonly silentTargets: readonly string[] | undefined
 }
 
 export type CommitterOptions = {
@@ -75,7 +80,7 @@
   readonly getProcessedCompletions: () => readonly ProcessedCompletions[]
   /** Number of the last run that was started. */
   readonly getLastRun: () => number
-  readonly onStored: (batch: Pick<Batch, 'phases' | 'released' | 'completions' | 'targets'>) => void
+  readonly onStored: (batch: Pick<Batch, 'phases' | 'released' | 'completions' | 'targets' | 'silentTargets'>) => void
   /** Called when another leader has written to the store. */
   readonly onFenced: () => void
 }
@@ -92,6 +97,7 @@
   private batchLimit = MAX_ENTRIES
   private targetsToStore: TargetsRecord | undefined
   private settingsToStore: RemovedSettings | undefined
+  private silentTargetsToStore: SilentTargetsById | undefined
   /** Whether the record of the term is stored although nothing else is. */
   private recordWanted = false
   private commitVersion: number
@@ -141,6 +147,12 @@
     this.startCommitting()
   }
 
+  /** Stores the targets that get no leases and no starts; their waits are counted from when the transaction is created. */
+  storeSilentTargets (targets: SilentTargetsById): void {
+    this.silentTargetsToStore = targets
+    this.startCommitting()
+  }
+
   /** Stores the record of the term once a second, because what it says of earlier leaders is measured from its writing. */
   renewRecord (): void {
     if (performance.now() - this.lastCommitStartedAt < MAX_RECORD_AGE_MS) return
@@ -159,7 +171,7 @@
   }
 
   private get hasPending (): boolean {
-    return this.recordWanted || this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined || this.settingsToStore !== undefined
+    return this.recordWanted || this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined || this.settingsToStore !== undefined || this.silentTargetsToStore !== undefined
   }
 
   private async commitPending (): Promise<void> {
@@ -181,6 +193,8 @@
     const removedProgress = [...this.progressToRemove].slice(0, Math.min(remainingEntries, remainingRecords))
     remainingRecords -= removedProgress.length
     for (const id of removedProgress) this.progressToRemove.delete(id)
+    const silentTargets = remainingRecords > 0 ? this.takeSilentTargets() : undefined
+    if (silentTargets !== undefined) remainingRecords -= 1
     const settings = remainingRecords > 0 ? this.takeSettings() : undefined
     if (settings !== undefined) remainingRecords -= 1
     const targets = remainingRecords > 0 ? this.takeTargets() : undefined
@@ -189,19 +203,20 @@
     const puts = [this.createCommitPut(nonce), ...records.map(({ id, value }): Put => ({ key: progressKey(id), value }))]
     if (settings !== undefined) puts.push({ key: SETTINGS_KEY, value: JSON.stringify(settings) })
     if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify(targets) })
+    if (silentTargets !== undefined) puts.push({ key: SILENT_TARGETS_KEY, value: formatSilentTargets(this.options.term, silentTargets, performance.now()) })
     const deletes = [...released.flatMap((id) => [jobKey(id), cancelKey(id)]), ...removedProgress.map(progressKey)]
     const phases = new Map(records.flatMap(({ id, phase }) => phase === undefined ? [] : [[id, phase]]))
     // Completions of jobs that are left for the next transaction must not be acknowledged by this one.
     const completions = this.jobsToStore.size === 0 ? this.options.getProcessedCompletions() : []
-    const source = { jobs: records.map(({ id }) => id), removedProgress, targets, settings }
-    return { nonce, source, puts, deletes, phases, released, completions, targets: targets?.ids }
+    const source = { jobs: records.map(({ id }) => id), removedProgress, targets, settings, silentTargets }
+    return { nonce, source, puts, deletes, phases, released, completions, targets: targets?.ids, silentTargets: silentTargets === undefined ? undefined : Object.keys(silentTargets) }
   }
 
   /** Creates a commit without records, which shows whether the store accepts this leader's commits. */
   private createProbe (): Batch {
     const nonce = randomUUID()
-    const source = { jobs: [], removedProgress: [], targets: undefined, settings: undefined }
-    return { nonce, source, puts: [this.createCommitPut(nonce)], deletes: [], phases: new Map(), released: [], completions: [], targets: undefined }
+    const source = { jobs: [], removedProgress: [], targets: undefined, settings: undefined, silentTargets: undefined }
+    return { nonce, source, puts: [this.createCommitPut(nonce)], deletes: [], phases: new Map(), released: [], completions: [], targets: undefined, silentTargets: undefined }
   }
 
   private createCommitPut (nonce: string): Put {
@@ -216,6 +231,12 @@
     return record !== undefined && this.jobRecords.fits(TARGETS_KEY, JSON.stringify(record)) ? record : undefined
   }
 
+  private takeSilentTargets (): SilentTargetsById | undefined {
+    const { silentTargetsToStore: targets } = this
+    this.silentTargetsToStore = undefined
+    return targets
+  }
+
   private takeSettings (): RemovedSettings | undefined {
     const { settingsToStore: record } = this
     this.settingsToStore = undefined
@@ -229,7 +250,7 @@
   private selectJobs (): { readonly records: readonly JobRecord[], readonly released: readonly string[], readonly remainingEntries: number } {
     const records: JobRecord[] = []
     const released: string[] = []
-    let remainingEntries = MAX_ENTRIES
+    let remainingEntries = this.silentTargetsToStore === undefined ? MAX_ENTRIES : MAX_ENTRIES - 1
     let bytes = 0
     for (const id of this.jobsToStore) {
       if (records.length >= this.batchLimit) break
@@ -285,7 +306,7 @@
 
   /** Puts back what a refused batch was made of, to be stored in smaller batches. A single record is set aside. */
   private divide ({ source, puts }: Batch): void {
-    const { jobs, removedProgress, targets, settings } = source
+    const { jobs, removedProgress, targets, settings, silentTargets } = source
     const count = countRecords(source)
     this.options.reporter.log('warn', 'batch-refused', { records: count })
     if (count > 1) {
@@ -293,6 +314,7 @@
       for (const id of removedProgress) this.progressToRemove.add(id)
       this.targetsToStore ??= targets
       this.settingsToStore ??= settings
+      this.silentTargetsToStore ??= silentTargets
     } else this.setAside(source, puts)
     for (const id of jobs) this.jobsToStore.add(id)
   }
@@ -334,6 +356,6 @@
   }
 }
 
-function countRecords ({ jobs, removedProgress, targets, settings }: BatchSource): number {
-  return jobs.length + removedProgress.length + (targets === undefined ? 0 : 1) + (settings === undefined ? 0 : 1)
+function countRecords ({ jobs, removedProgress, targets, settings, silentTargets }: BatchSource): number {
+  return jobs.length + removedProgress.length + [targets, settings, silentTargets].filter((record) => record !== undefined).length
 }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -15,6 +15,7 @@
 import type { ControllerOptions } from './controller-options.ts'
 import { delay } from './delay.ts'
 import { EarlierLeaders } from './earlier-leaders.ts'
+import { findEarlierRunsEvent } from './earlier-runs-event.ts'
 import { LateJobs } from './late-jobs.ts'
 import { computeFencingNumber } from './fencing-number.ts'
 import type { Peer } from './member-call.ts'
@@ -96,9 +97,10 @@
       needsDefinition: (job) => this.scheduler.needsDefinition(job),
       getProcessedCompletions: () => this.scheduler.getProcessedCompletions(),
       getLastRun: () => this.scheduler.lastRunNumber,
-      onStored: ({ phases, released, completions, targets }) => {
+      onStored: ({ phases, released, completions, targets, silentTargets }) => {
         this.applyEvent({ type: 'progress-stored', phases, released, completions })
         if (targets !== undefined) this.applyEvent({ type: 'targets-stored', ids: targets })
+        if (silentTargets !== undefined) this.applyEvent({ type: 'silent-targets-stored', ids: silentTargets })
         for (const waiter of this.commitWaiters.splice(0)) waiter()
       },
       onFenced: () => options.onFenced('another leader has written to the store')
@@ -247,6 +249,7 @@
 
   private async beginTerm (): Promise<void> {
     this.scheduler.expectEarlierRuns()
+    this.applyEvent({ type: 'silent-targets-restored', targets: this.options.term.silentTargets ?? {} })
     this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS)
     this.earlierLeaders.stop().catch((error: unknown) => this.options.reporter.log('error', 'earlier-leaders-not-asked', { detail: String(error) }))
     const version = await this.restore()
@@ -283,7 +286,8 @@
     this.updateRelays()
     this.checkRunsOfEarlierTerms()
     this.storeFeed.acceptWaitingJobs()
-    this.applyEvent({ type: 'tick', aloneUntil: this.options.getAloneUntil(), late: this.tickWatch.isLate(performance.now()) })
+    const earlierCommandsEndAt = this.restored && this.targetsRead ? this.earlierLeaders.lastCommandsEndAt : undefined
+    this.applyEvent({ type: 'tick', aloneUntil: this.options.getAloneUntil(), late: this.tickWatch.isLate(performance.now()), earlierCommandsEndAt })
   }
 
   private updateRelays (): void {
@@ -300,11 +304,16 @@
    * the next leader is told how much of the wait is over.
    */
   private checkRunsOfEarlierTerms (): void {
-    if (!this.restored || !this.scheduler.earlierRunsExpected) return
-    const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    if (this.earlierLeaders.haveRunsLapsedBy(this.options.getAloneUntil(), this.scheduler.longestEarlierLeaseMs)) this.applyEvent({ type: 'earlier-runs-lapsed' })
-    else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
-    else this.committer.renewRecord()
+    const { scheduler } = this
+    if (!this.restored || !scheduler.earlierRunsExpected) return
+    const aloneUntil = this.options.getAloneUntil()
+    const event = findEarlierRunsEvent({
+      lapsed: this.earlierLeaders.haveRunsLapsedBy(aloneUntil, scheduler.longestEarlierLeaseMs),
+      listed: scheduler.allTargetsListed && this.previousTargets.every((id) => scheduler.getTarget(id)?.listed === true),
+      unsettled: this.targetsRead ? scheduler.findUnsettledTargets(aloneUntil) : undefined
+    })
+    if (event === undefined) this.committer.renewRecord()
+    else this.applyEvent(event)
   }
 
   private applyEvent (event: CellEvent): void {
@@ -353,6 +362,7 @@
       case 'store-progress': return this.committer.storeProgress(effect.job)
       case 'forget-job': return this.committer.removeProgress(effect.job)
       case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed, incarnations: effect.incarnations })
+      case 'store-silent-targets': return this.committer.storeSilentTargets(effect.targets)
       case 'store-settings': return this.committer.storeSettings(effect.record)
       case 'watch-target':
         // Many targets may be read at once. The relays are chosen when all of them are known.
@@ -387,6 +397,7 @@
       reporter: this.options.reporter,
       getTarget: () => this.scheduler.getTarget(id),
       applyEvent: (event) => this.applyEvent(event),
+      isCommanded: () => !this.scheduler.isPromisedSilent(id),
       waitForCommit: () => new Promise((resolve) => this.commitWaiters.push(resolve)),
       canSendCommands: () => this.permission.isGranted()
     }))
--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -1,3 +1,4 @@
+import { CLOCK_DRIFT_FACTOR } from '../workflow/earlier-lapse.ts'
 import { delay } from './delay.ts'
 import { LEASE_GRACE_MS, MAX_CONFIRMATION_AGE_MS } from './leadership.ts'
 import type { StandDown, Term } from './leadership.ts'
@@ -7,8 +8,6 @@
 import type { UnsettledTerm } from './store-keys.ts'
 
 const RETRY_DELAY_MS = 300
-/** Factor on the lease of runs, because a target's clock may be slower than the clock of this process. */
-const CLOCK_DRIFT_FACTOR = 1.03
 
 export type EarlierLeadersOptions = {
   readonly term: Term
@@ -75,12 +74,17 @@
     })
   }
 
+  /** When the last of them sends no more commands, on the monotonic clock; -Infinity if there are none. */
+  get lastCommandsEndAt (): number {
+    return Math.max(-Infinity, ...this.commandsEndAt.values())
+  }
+
   /**
    * Whether no run of an earlier term could be on a target any more at this time, if none of them has a longer lease than this and
    * nobody else has extended it.
    */
   haveRunsLapsedBy (time: number, longestLeaseMs: number): boolean {
-    const lapsedAt = Math.max(-Infinity, ...this.commandsEndAt.values()) + longestLeaseMs * CLOCK_DRIFT_FACTOR
+    const lapsedAt = this.lastCommandsEndAt + longestLeaseMs * CLOCK_DRIFT_FACTOR
     return this.commandsEndAt.size === 0 || time > lapsedAt
   }
 
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -1,11 +1,13 @@
 import { randomUUID } from 'node:crypto'
-import type { LeaseId, Store, StoreEntry } from '../ports/store.ts'
+import type { LeaseId, Put, Store, StoreEntry } from '../ports/store.ts'
 import { Moment } from '../util/moment.ts'
 import { delay } from './delay.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
+import type { SilentTargetsById } from '../workflow/silent-targets.ts'
+import { SilentTargetsReader, formatSilentTargets } from './silent-targets-record.ts'
 import type { Reporter } from './reporter.ts'
 import { callStore, readKey, transact, requireUnchanged } from './store-calls.ts'
-import { COMMIT_KEY, LEADER_KEY, LEADER_PREFIX } from './store-keys.ts'
+import { COMMIT_KEY, LEADER_KEY, LEADER_PREFIX, SILENT_TARGETS_KEY } from './store-keys.ts'
 import type { CommitRecord, LeaderRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 import { listUnsettledTerms } from './unsettled-terms.ts'
@@ -41,6 +43,8 @@
   readonly commitVersion: number
   /** Earlier terms whose runs may still be on targets, the last one at the end; empty if no member has ever led. */
   readonly unsettled: readonly UnsettledTerm[]
+  /** Targets that get no leases and no starts until a record without them is stored; none if it is missing. */
+  readonly silentTargets?: SilentTargetsById
 }
 
 /**
@@ -83,6 +87,7 @@
   private latestRequestedTerm = 0
   /** Nonce of the last claim of this process. */
   private lastClaimNonce: string | undefined
+  private readonly silentTargets = SilentTargetsReader.create()
   private graceTimer: NodeJS.Timeout | undefined
   private claiming = false
   /** Whether the leadership has become free since the last claim began. */
@@ -96,9 +101,11 @@
       waitMs: WATCH_WAIT_MS,
       reporter: options.reporter,
       onEntries: (entries, version) => {
+        this.silentTargets.see(entries)
         if (!this.isOlderThanClaim(version)) this.handleLeaderEntry(entries.find((entry) => entry.key === LEADER_KEY))
       },
       onChanges: (changes) => {
+        this.silentTargets.see(changes.flatMap((change) => change.type === 'put' ? [change.entry] : []))
         const last = changes.filter((change) => (change.type === 'put' ? change.entry.key : change.key) === LEADER_KEY).at(-1)
         if (last !== undefined && !this.isOlderThanClaim(last.type === 'put' ? last.entry.version : last.version)) this.handleLeaderEntry(last.type === 'put' ? last.entry : undefined)
       }
@@ -245,7 +252,8 @@
     const previousEntry = await readKey(store, COMMIT_KEY)
     if (previousEntry.isErr()) return false
     const sentAt = Moment.now()
-    const lease = await callStore(store, { type: 'grant-lease', ttlMs: LEASE_TTL_MS })
+    // Read after the commit key, which the claim requires unchanged: the record is the one at the claim.
+    const [lease, silentEntry] = await Promise.all([callStore(store, { type: 'grant-lease', ttlMs: LEASE_TTL_MS }), readKey(store, SILENT_TARGETS_KEY)])
     if (lease.isErr()) return false
     const previous = previousEntry.value === undefined ? undefined : parseRecord<CommitRecord>(previousEntry.value.value)
     const term = Math.max(previous?.term ?? 0, previous?.reservedTerm ?? 0) + 1
@@ -254,7 +262,8 @@
     const record: LeaderRecord = { member, address, term, nonce, lease: lease.value.lease }
     const unsettled = listUnsettledTerms(previous)
     const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled }
-    const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }]
+    const silentTargets = this.silentTargets.read(silentEntry.unwrapOr(undefined), previous?.term)
+    const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }, ...formatClaimedSilentTargets(term, silentTargets)]
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
     if (result.isOk() && !result.value.committed) {
       await this.revokeLease(lease.value.lease)
@@ -272,7 +281,7 @@
     this.limitGrace(sentAt)
     this.leaderRecord = record
     this.options.reporter.log('info', 'leadership-won', { term, version, unsettled: unsettled.map((earlier) => `${earlier.leader.member}/${earlier.term}`).join(',') })
-    this.options.onElected({ term, commitVersion: version, unsettled })
+    this.options.onElected({ term, commitVersion: version, unsettled, silentTargets })
     return true
   }
 
@@ -320,6 +329,11 @@
   }
 }
 
+/** A record of the term before is not valid beyond a claim, so that the claim repeats it. */
+function formatClaimedSilentTargets (term: number, targets: SilentTargetsById): readonly Put[] {
+  return Object.keys(targets).length === 0 ? [] : [{ key: SILENT_TARGETS_KEY, value: formatSilentTargets(term, targets, performance.now()) }]
+}
+
 /**
  * Computes the delay of a claim in milliseconds. It prevents simultaneous claims and favours large hosts as leader.
  *
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -9,6 +9,8 @@
  */
 export const LEADER_PREFIX = 'lead/'
 export const LEADER_KEY = 'lead/holder'
+/** Written with the commit key only. It is below the prefix that all members watch, so that each of them knows its age. */
+export const SILENT_TARGETS_KEY = 'lead/silent'
 export const COMMIT_KEY = 'state/commit'
 export const TARGETS_KEY = 'state/targets'
 export const SETTINGS_KEY = 'state/settings'
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -25,6 +25,8 @@
   readonly applyEvent: (event: CellEvent) => void
   /** Resolves with the next commit. */
   readonly waitForCommit: () => Promise<void>
+  /** Whether the target may get leases and starts. */
+  readonly isCommanded: () => boolean
   /** Whether this member may still send commands. */
   readonly canSendCommands: () => boolean
 }
@@ -41,7 +43,7 @@
    * Starts a session, which runs until it is stopped or the target is removed.
    *
    * @example
-   * const session = TargetSession.create({ id: 't-1', commands, term: 3, leaseMs: 3_500, reporter, getTarget, applyEvent, waitForCommit, canSendCommands })
+   * const session = TargetSession.create({ id: 't-1', commands, term: 3, leaseMs: 3_500, reporter, getTarget, applyEvent, waitForCommit, isCommanded, canSendCommands })
    */
   static create (options: TargetSessionOptions): TargetSession {
     const session = new TargetSession(options)
@@ -82,7 +84,7 @@
   private async listRuns (target: TargetState): Promise<void> {
     const { id, commands, term } = this.options
     const sentAt = performance.now()
-    const request = buildListRequest(target, sentAt, this.options.leaseMs)
+    const request = buildListRequest(target, sentAt, this.options.leaseMs, this.options.isCommanded())
     const response = await commands.list({ id, address: target.entry.address }, { ...request, epoch: computeFencingNumber(term, target.restarts) })
     if (this.stopped.signal.aborted || (response.type !== 'listed' && this.isReplaced(target))) return
     await this.handleListResponse(target, response, sentAt)
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -4,7 +4,7 @@
 import type { Overload } from './advice-backlog.ts'
 import { prefetchAdvice, restoreCachedAdvice, handleAdviceResponse } from './advice-requests.ts'
 import { removeExpiredRuns, resendCommands, handleStartResponse, handleStopResponse } from './command-responses.ts'
-import { log } from './cell-state.ts'
+import { log, recordRoom } from './cell-state.ts'
 import type { CellState, PassWork } from './cell-state.ts'
 import { buildCellSummary } from './cell-summary.ts'
 import type { CellSummary } from './cell-summary.ts'
@@ -29,9 +29,12 @@
 import type { JobProgress } from './progress-record.ts'
 import { toJobProgress } from './progress-record.ts'
 import { applyConfiguration, restoreRemovedSettings } from './removed-settings.ts'
+import { SilentTargets } from './silent-targets.ts'
 import { runStartPass } from './start-pass.ts'
 import { stopStragglers } from './stragglers.ts'
 import { forgetDepartedTargets } from './departed-targets.ts'
+import { findUnsettledTargets } from './earlier-lapse.ts'
+import type { UnsettledTargets } from './earlier-lapse.ts'
 import { computeLongestEarlierLeaseMs, restoreIncarnations } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn, useSpareTargets } from './targets.ts'
@@ -81,6 +84,8 @@
       closedTargets: new Map(),
       commandedIncarnations: new Map(),
       aloneUntil: Infinity,
+      earlierCommandsEndAt: undefined,
+      silentTargets: SilentTargets.create(),
       runsLostByRestarts: new Map(),
       restarts: new Map(),
       departedTargets: new Map(),
@@ -138,6 +143,16 @@
     return computeLongestEarlierLeaseMs(this.state)
   }
 
+  /** Targets of earlier owners that are not listed, and whose leases may go on after this time, on the scheduler's clock. */
+  findUnsettledTargets (time: number): UnsettledTargets {
+    return findUnsettledTargets(this.state, time)
+  }
+
+  /** Whether this owner, or one before, has promised that a target gets no lease and no start. */
+  isPromisedSilent (id: string): boolean {
+    return this.state.silentTargets.isPromised(id)
+  }
+
   /** Phase of a job as callers may see it: `completed` or `failed` only once that is stored. Undefined if the job is unknown. */
   getPhase (id: string): JobPhase | undefined {
     const job = this.state.jobs.get(id)
@@ -245,6 +260,8 @@
       case 'targets-stored': return recordStoredTargets(state, event.ids)
       case 'closed-targets-restored': return restoreClosedTargets(state, event.closed)
       case 'incarnations-restored': return restoreIncarnations(state, event.incarnations)
+      case 'silent-targets-restored': return state.silentTargets.restore(state, event.targets)
+      case 'silent-targets-stored': return this.handleSilentTargetsStored(event.ids)
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
@@ -256,7 +273,10 @@
   private handleTargetListed (event: Extract<CellEvent, { type: 'target-listed' }>): void {
     const target = this.state.targets.get(event.id)
     if (target === undefined) return
-    if (target.matchesIncarnation(event.listing)) return handleListing(this.state, target, event.listing, event.sentAt)
+    if (target.matchesIncarnation(event.listing)) {
+      handleListing(this.state, target, event.listing, event.sentAt)
+      return this.state.silentTargets.handleAnswer(target)
+    }
     if (event.listing.incarnation < target.entry.incarnation) return
     handleTargetRestarted(this.state, target, event.listing.incarnation)
   }
@@ -294,6 +314,13 @@
     else handleStopResponse(this.state, target, live, event.response)
   }
 
+  private handleSilentTargetsStored (ids: readonly string[]): void {
+    for (const id of this.state.silentTargets.recordStored(new Set(ids))) {
+      const target = this.state.targets.get(id)
+      if (target !== undefined) recordRoom(this.state, target)
+    }
+  }
+
   private handleJobCancelled (id: string): void {
     const job = this.state.jobs.get(id)
     if (job !== undefined) endJob(this.state, job, 'cancelled', 'cancelled by its caller')
@@ -316,13 +343,15 @@
     }
   }
 
-  private handleTick ({ aloneUntil, late = false }: Extract<CellEvent, { type: 'tick' }>): void {
+  private handleTick ({ aloneUntil, late = false, earlierCommandsEndAt }: Extract<CellEvent, { type: 'tick' }>): void {
     const { state } = this
     state.aloneUntil = aloneUntil ?? Infinity
+    state.earlierCommandsEndAt = earlierCommandsEndAt
     useSpareTargets(state)
     if (!late) {
       resendCommands(state)
       resendRejections(state)
+      state.silentTargets.update(state)
     }
     removeExpiredRuns(state)
     removeRunsLostByRestarts(state)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -13,6 +13,7 @@
 import type { CellOptions } from './options.ts'
 import type { ResendPause } from './resend-pause.ts'
 import type { RoomLog } from './room-log.ts'
+import type { SilentTargets } from './silent-targets.ts'
 import type { SubmissionBucket } from './submission-share.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
@@ -65,6 +66,9 @@
   readonly commandedIncarnations: Map<string, number>
   /** Until when certainly no other owner has acted. */
   aloneUntil: number
+  /** When the last of the earlier owners sends no more commands; undefined before their targets are known. */
+  earlierCommandsEndAt: number | undefined
+  readonly silentTargets: SilentTargets
   /** Runs that restarts of their targets have ended after that time, and when the restarts were seen. */
   readonly runsLostByRestarts: Map<LiveRun, number>
   /** How often targets have restarted under this owner, by their ids; also of targets that were removed since. */
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -105,7 +105,7 @@
   if (live.phase !== 'running') count(state, RESENT_COUNTER, live.phase)
   switch (live.phase) {
     // A target whose last list request had no answer may have restarted.
-    case 'starting': return live.target.listUnanswered ? undefined : resendStart(state, live)
+    case 'starting': return live.target.listUnanswered || state.silentTargets.isPromised(live.target.id) ? undefined : resendStart(state, live)
     case 'stopping': return sendStop(state, live, 'no response')
     case 'running':
   }
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -2,6 +2,7 @@
 import type { ClosedTargets } from './closed-targets.ts'
 import type { Incarnations } from './earlier-leases.ts'
 import type { RemovedSettings } from './removed-settings.ts'
+import type { SilentTargetsById } from './silent-targets.ts'
 
 type WithoutEpoch<Command> = Omit<Command, 'epoch'>
 
@@ -15,6 +16,7 @@
   | { readonly type: 'store-progress', readonly job: string }
   | { readonly type: 'forget-job', readonly job: string }
   | { readonly type: 'store-targets', readonly ids: readonly string[], readonly closed: ClosedTargets, readonly incarnations: Incarnations }
+  | { readonly type: 'store-silent-targets', readonly targets: SilentTargetsById }
   | { readonly type: 'store-settings', readonly record: RemovedSettings }
   | { readonly type: 'watch-target', readonly id: string }
   | { readonly type: 'forget-target', readonly id: string }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -5,6 +5,7 @@
 import type { JobDefinition, JobPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
 import type { RemovedSettings } from './removed-settings.ts'
+import type { SilentTargetsById } from './silent-targets.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
 
 /** Completions of one incarnation of a target that have been processed, up to and including `lastNumber`. */
@@ -43,6 +44,10 @@
   /** Closed targets of previous owners, as stored. */
   | { readonly type: 'closed-targets-restored', readonly closed: ClosedTargets }
   | { readonly type: 'incarnations-restored', readonly incarnations: Incarnations }
+  /** Targets that previous owners have promised not to command, and that this one must not command either. */
+  | { readonly type: 'silent-targets-restored', readonly targets: SilentTargetsById }
+  /** The record of silent targets has been stored with these targets. */
+  | { readonly type: 'silent-targets-stored', readonly ids: readonly string[] }
   /** Settings of removed queues and organisations, as a previous owner stored them. */
   | { readonly type: 'settings-restored', readonly record: RemovedSettings }
   /** All targets of previous owners have been listed, apart from closed ones. */
@@ -52,5 +57,7 @@
   /**
    * `aloneUntil`: no other owner can have extended the leases of runs before this time; no other owner exists if it is missing. What would expire
    * later may go on under a successor. `late`: the process was busy or suspended, so that responses may wait to be read.
+   * `earlierCommandsEndAt`: when the last earlier owner sends no more commands; missing before all targets are known. Silent
+   * targets are stored only with it.
    */
-  | { readonly type: 'tick', readonly aloneUntil?: number, readonly late?: boolean }
+  | { readonly type: 'tick', readonly aloneUntil?: number, readonly late?: boolean, readonly earlierCommandsEndAt?: number | undefined }
--- a/src/workflow/target-acceptance.ts
+++ b/src/workflow/target-acceptance.ts
@@ -4,7 +4,7 @@
 
 /** Whether a target accepts new tasks at all. */
 export function acceptsWork (state: CellState, target: TargetState): boolean {
-  return target.reachable && !target.listUnanswered && target.listed && target.published && !target.spare && !target.awaitsEntry && target.unknownRunCount === 0 && !target.entry.draining &&
+  return target.reachable && !target.listUnanswered && target.listed && target.published && !state.silentTargets.isPromised(target.id) && !target.spare && !target.awaitsEntry && target.unknownRunCount === 0 && !target.entry.draining &&
     target.pausedUntil <= state.now && !state.evacuatedDomains.has(target.entry.failureDomain) && state.storedTargets.has(target.id)
 }
 
--- a/src/workflow/unsettled-runs-log.ts
+++ b/src/workflow/unsettled-runs-log.ts
@@ -1,7 +1,9 @@
 import { log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import { computeEarlierLapse } from './earlier-lapse.ts'
 import { computeLongestEarlierLeaseMs } from './earlier-leases.ts'
 import { formatTargets } from './task-wait-fields.ts'
+import type { LogFields } from './task-wait-fields.ts'
 import { findUnlistedTargets } from './unlisted-targets.ts'
 
 const LOG_INTERVAL_MS = 1_000
@@ -38,6 +40,9 @@
     if (now - this.lastWrittenAt < LOG_INTERVAL_MS) return
     this.lastWrittenAt = now
     const counts = { waitedMs: Math.round(now - this.waitsSince), earlierRunsPossible, heldBackTasks: heldBackTasks.size }
-    log(state, 'info', 'earlier-runs-unsettled', { ...counts, ...formatTargets(findUnlistedTargets(state)), longestLeaseMs: computeLongestEarlierLeaseMs(state) })
+    const unlisted = findUnlistedTargets(state)
+    const lapsesAt = Math.max(...unlisted.map((id) => computeEarlierLapse(state, id)))
+    const atMost: LogFields = Number.isFinite(lapsesAt) ? { atMostMs: Math.ceil(Math.max(0, lapsesAt - now)) } : {}
+    log(state, 'info', 'earlier-runs-unsettled', { ...counts, ...formatTargets(unlisted), longestLeaseMs: computeLongestEarlierLeaseMs(state), ...atMost })
   }
 }
--- a/test/controller/fencing-number.test.ts
+++ b/test/controller/fencing-number.test.ts
@@ -50,6 +50,7 @@
     getTarget: () => harness.scheduler.getTarget('t1'),
     applyEvent: (event) => { events.push(event) },
     waitForCommit: async () => {},
+    isCommanded: () => true,
     canSendCommands: () => true
   })
   const deadline = performance.now() + TIMEOUT_MS
--- a/test/controller/restart-bounds.ts
+++ b/test/controller/restart-bounds.ts
@@ -11,8 +11,10 @@
 const SETTLE_MS = 4_000
 /** From the end of the targets to the end of the leader, in milliseconds. */
 const LEADER_DELAY_MS = 200
-/** From one end of a leader to the next, in milliseconds. */
+/** From one end of a leader to the next unless a scenario says otherwise, in milliseconds. */
 const LEADER_INTERVAL_MS = 3_000
+/** From the hand-over of a leader that stops as planned to the end of its process, in milliseconds. */
+const HANDOVER_MS = 100
 const RETRY_MS = 50
 const MAX_GAP_MS = 90_000
 /** A task that lasts is owed a run so long after its last one, and so long after the last disturbance, in milliseconds. */
@@ -23,9 +25,15 @@
 
 /**
  * How leaders end. `same-address`: the process starts again at once. `other-address`, `other-address-silent`: so does another
- * one at another address, while the first one refuses connections or is silent. `refusing`, `silent`: none starts.
+ * one at another address, while the first one refuses connections or is silent. `refusing`, `silent`: none starts. `planned`: the
+ * leader hands over, and then its process starts again.
  */
-export type LeaderEnd = { readonly times: number, readonly then: 'same-address' | 'other-address' | 'other-address-silent' | 'refusing' | 'silent' }
+export type LeaderEnd = {
+  readonly times: number
+  readonly then: 'same-address' | 'other-address' | 'other-address-silent' | 'refusing' | 'silent' | 'planned'
+  /** From one end to the next, in milliseconds. */
+  readonly intervalMs?: number
+}
 
 export type RestartScenario = { readonly target: TargetEnd, readonly leader: LeaderEnd | undefined, readonly longestLeaseMs: number }
 
@@ -69,14 +77,14 @@
 }
 
 /** Returns when the cell was disturbed. */
-async function endLeaders (cell: VirtualCell, { times, then }: LeaderEnd): Promise<readonly number[]> {
+async function endLeaders (cell: VirtualCell, { times, then, intervalMs = LEADER_INTERVAL_MS }: LeaderEnd): Promise<readonly number[]> {
   const disturbances: number[] = []
   await cell.time.advance(LEADER_DELAY_MS)
   for (let ended = 0; ended < times; ended += 1) {
     while (cell.leaders[0] === undefined) await cell.time.advance(RETRY_MS)
     endLeader(cell, cell.leaders[0], then)
     disturbances.push(cell.time.nowMs)
-    if (ended < times - 1) await cell.time.advance(LEADER_INTERVAL_MS)
+    if (ended < times - 1) await cell.time.advance(intervalMs)
   }
   return disturbances
 }
@@ -91,10 +99,16 @@
       return cell.restart(host, otherAddress)
     case 'refusing': return cell.kill(host)
     case 'silent': return cell.takeAway(host)
+    case 'planned': return handOver(cell, host)
     default: return assertNever(then)
   }
 }
 
+function handOver (cell: VirtualCell, host: VirtualHost): void {
+  cell.time.schedule(0, () => { host.member.leadership.resign().catch((error: unknown) => cell.violations.push(String(error))) }, host.process)
+  cell.time.schedule(HANDOVER_MS, () => cell.restart(host))
+}
+
 function countRunning ({ targets, time }: VirtualCell): number {
   const all = [...targets.targets.values()]
   for (const target of all) target.completeDueRuns(time.nowMs)
--- a/test/controller/target-session.test.ts
+++ b/test/controller/target-session.test.ts
@@ -43,6 +43,7 @@
         events.push(event)
       },
       waitForCommit: async () => {},
+      isCommanded: () => true,
       canSendCommands: () => true
     })
     const deadline = performance.now() + TIMEOUT_MS
@@ -75,6 +76,7 @@
     getTarget: () => target,
     applyEvent: (event) => { harness.apply(event) },
     waitForCommit: async () => {},
+    isCommanded: () => true,
     canSendCommands: () => true
   })
   const deadline = performance.now() + TIMEOUT_MS
--- a/test/controller/virtual-faults.ts
+++ b/test/controller/virtual-faults.ts
@@ -60,7 +60,7 @@
 ]
 
 /** Takes up to two targets away; at least half of them stay. */
-function takeTargetsAway (cell: VirtualCell, away: 'silent' | 'refusing', chosen = chooseTargets(cell)): void {
+export function takeTargetsAway (cell: VirtualCell, away: 'silent' | 'refusing', chosen = chooseTargets(cell)): void {
   const { targets, time, random } = cell
   for (const target of chosen) {
     const present = [...targets.targets.values()].filter((other) => other.away === undefined)
@@ -77,7 +77,8 @@
   time.schedule(MIN_LIFE_MS + random.nextInt(MAX_LIFE_MS - MIN_LIFE_MS), () => takeTargetsAway(cell, random.nextInt(2) === 0 ? 'silent' : 'refusing', chosen))
 }
 
-function chooseTargets ({ targets, random }: VirtualCell): readonly SimulatedTarget[] {
+/** One or two targets. */
+export function chooseTargets ({ targets, random }: VirtualCell): readonly SimulatedTarget[] {
   const all = [...targets.targets.values()]
   return Array.from({ length: 1 + random.nextInt(2) }, () => all[random.nextInt(all.length)]!)
 }
@@ -93,11 +94,12 @@
   })
 }
 
-function endLeaders (cell: VirtualCell, count: number): void {
+/** Leaders end one after another, 2 to 8 s apart unless told otherwise. */
+export function endLeaders (cell: VirtualCell, count: number, apartMs: () => number = () => 2_000 + cell.random.nextInt(6_000)): void {
   const kind = cell.random.nextInt(3)
   if (kind === 0 && cell.leaders[0] !== undefined) cell.restart(cell.leaders[0])
   else moveLeader(cell, kind === 1)
-  if (count > 1) cell.time.schedule(2_000 + cell.random.nextInt(6_000), () => endLeaders(cell, count - 1))
+  if (count > 1) cell.time.schedule(apartMs(), () => endLeaders(cell, count - 1, apartMs))
 }
 
 function restartTargets (cell: VirtualCell, count: number): void {
