--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -16,6 +16,7 @@
 import type { ControllerOptions } from './controller-options.ts'
 import { delay } from './delay.ts'
 import { EarlierLeaders } from './earlier-leaders.ts'
+import { findEarlierRunsEvent } from './earlier-runs-event.ts'
 import { LateJobs } from './late-jobs.ts'
 import { computeFencingNumber } from './fencing-number.ts'
 import type { Peer } from './member-call.ts'
@@ -24,6 +25,7 @@
 import { RecentPeers } from './recent-peers.ts'
 import { RelayedCommands } from './relayed-commands.ts'
 import { computeFirstRun } from './run-numbers.ts'
+import { SchedulingPasses } from './scheduling-passes.ts'
 import { StoreFeed } from './store-feed.ts'
 import { SummaryLog } from './summary-log.ts'
 import type { LeaderState } from './summary-log.ts'
@@ -33,8 +35,6 @@
 
 const TICK_INTERVAL_MS = 50
 const RESTORE_RETRY_DELAY_MS = 200
-/** Pause after a scheduling pass, as a multiple of its duration: passes use at most a third of the processor. */
-const PASS_PAUSE_FACTOR = 2
 
 /** Runs the work of a cell's leader: the scheduler, a session for each target, the commits and the advice requests. */
 export class Controller {
@@ -52,18 +52,16 @@
   private readonly lateJobs: LateJobs
   private readonly summaryLog: SummaryLog
   private readonly commandLoad = CommandLoad.create()
+  private readonly passes = SchedulingPasses.create(() => this.runPass())
   private readonly tickWatch = TickWatch.create(performance.now())
   private previousTargets: readonly string[] = []
   private timer: NodeJS.Timeout | undefined
   private commitWaiters: Array<() => void> = []
-  private passScheduled = false
   private stopped = false
   private restored = false
   private targetsRead = false
   /** Number of channels that the scheduler knows of. */
   private reportedChannels = 0
-  /** Earliest start of the next scheduling pass, on the monotonic clock. */
-  private nextPassAt = 0
 
   private constructor (private readonly options: ControllerOptions) {
     this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, wallClockOffsetMs: Date.now() - performance.now() })
@@ -101,10 +99,11 @@
       needsDefinition: (job) => this.scheduler.needsDefinition(job),
       getProcessedCompletions: () => this.scheduler.getProcessedCompletions(),
       getLastRun: () => this.scheduler.lastRunNumber,
-      onStored: ({ phases, released, completions, targets, witnesses }) => {
+      onStored: ({ phases, released, completions, targets, witnesses, silentTargets }) => {
         this.witnesses.recordStored(witnesses)
         this.applyEvent({ type: 'progress-stored', phases, released, completions })
         if (targets !== undefined) this.applyEvent({ type: 'targets-stored', ids: targets })
+        if (silentTargets !== undefined) this.applyEvent({ type: 'silent-targets-stored', ids: silentTargets })
         for (const waiter of this.commitWaiters.splice(0)) waiter()
       },
       onFenced: () => options.onFenced('another leader has written to the store')
@@ -246,6 +245,7 @@
 
   private async beginTerm (): Promise<void> {
     this.scheduler.expectEarlierRuns()
+    this.applyEvent({ type: 'silent-targets-restored', targets: this.options.term.silentTargets ?? {} })
     this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS)
     this.earlierLeaders.stop().catch((error: unknown) => this.options.reporter.log('error', 'earlier-leaders-not-asked', { detail: String(error) }))
     const version = await this.restore()
@@ -283,7 +283,8 @@
     this.updateRelays()
     this.checkRunsOfEarlierTerms()
     this.storeFeed.acceptWaitingJobs()
-    this.applyEvent({ type: 'tick', aloneUntil: this.options.getAloneUntil(), late: this.tickWatch.isLate(performance.now()) })
+    const earlierCommandsEndAt = this.restored && this.targetsRead ? this.earlierLeaders.lastCommandsEndAt : undefined
+    this.applyEvent({ type: 'tick', aloneUntil: this.options.getAloneUntil(), late: this.tickWatch.isLate(performance.now()), earlierCommandsEndAt })
   }
 
   private updateRelays (): void {
@@ -300,40 +301,32 @@
    * the next leader is told how much of the wait is over.
    */
   private checkRunsOfEarlierTerms (): void {
-    if (!this.restored || !this.scheduler.earlierRunsExpected) return
-    const listed = this.scheduler.allTargetsListed && this.previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    if (this.earlierLeaders.haveRunsLapsedBy(this.options.getAloneUntil(), this.scheduler.longestEarlierLeaseMs)) this.applyEvent({ type: 'earlier-runs-lapsed' })
-    else if (listed) this.applyEvent({ type: 'earlier-runs-listed' })
-    else this.committer.renewRecord()
+    const { scheduler } = this
+    if (!this.restored || !scheduler.earlierRunsExpected) return
+    const aloneUntil = this.options.getAloneUntil()
+    const event = findEarlierRunsEvent({
+      lapsed: this.earlierLeaders.haveRunsLapsedBy(aloneUntil, scheduler.longestEarlierLeaseMs),
+      listed: scheduler.allTargetsListed && this.previousTargets.every((id) => scheduler.getTarget(id)?.listed === true),
+      unsettled: this.targetsRead ? scheduler.findUnsettledTargets(aloneUntil) : undefined
+    })
+    if (event === undefined) this.committer.renewRecord()
+    else this.applyEvent(event)
   }
 
   private applyEvent (event: CellEvent): void {
     if (this.stopped) return
     this.executeEffects(this.scheduler.apply(event, performance.now()))
-    this.schedulePass()
-  }
-
-  /** Schedules one pass for all events of an event loop iteration. */
-  private schedulePass (): void {
-    if (this.passScheduled) return
-    this.passScheduled = true
-    const pauseMs = this.nextPassAt - performance.now()
-    if (pauseMs > 0) setTimeout(() => this.runPass(), pauseMs)
-    else setImmediate(() => this.runPass())
+    this.passes.schedule()
   }
 
-  /**
-   * Runs a scheduling pass. The longer it takes, the longer the next pass is delayed, so that calls are handled in
-   * between.
-   */
-  private runPass (): void {
-    this.passScheduled = false
-    if (this.stopped) return
+  /** Returns the time that the pass took, in milliseconds. */
+  private runPass (): number {
+    if (this.stopped) return 0
     const startedAt = performance.now()
     this.executeEffects(this.scheduler.startTasks(startedAt))
-    const endedAt = performance.now()
-    this.summaryLog.recordPass(endedAt - startedAt)
-    this.nextPassAt = endedAt + PASS_PAUSE_FACTOR * (endedAt - startedAt)
+    const durationMs = performance.now() - startedAt
+    this.summaryLog.recordPass(durationMs)
+    return durationMs
   }
 
   private executeEffects (effects: readonly CellEffect[]): void {
@@ -353,6 +346,7 @@
       case 'store-progress': return this.committer.storeProgress(effect.job)
       case 'forget-job': return this.committer.removeProgress(effect.job)
       case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed, incarnations: effect.incarnations })
+      case 'store-silent-targets': return this.committer.storeSilentTargets(effect.targets)
       case 'store-settings': return this.committer.storeSettings(effect.record)
       case 'watch-target':
         // Many targets may be read at once. The relays are chosen when all of them are known.
@@ -387,6 +381,7 @@
       reporter: this.options.reporter,
       getTarget: () => this.scheduler.getTarget(id),
       applyEvent: (event) => this.applyEvent(event),
+      isCommanded: () => !this.scheduler.isPromisedSilent(id),
       waitForCommit: () => new Promise((resolve) => this.commitWaiters.push(resolve)),
       canSendCommands: () => this.permission.isGranted()
     }))
