Probe no leader that has witnesses on record

Cause: too few witnesses answered the successor, so that after 1 s it took the refused connections to the leader for its end. Those beside the leader went on confirming its term.

Change: the ports of a leader are probed only if its term has no witnesses on record. Otherwise the successor waits for the leader's answer, for enough witnesses, or for the 8 s.

The price: 8 s where a leader and half of its witnesses or more end at once and don't answer, also if their hosts refuse connections.

--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -10,8 +10,6 @@
 import { CONFIRMATION_PERMITS_MS, RENEWAL_PERMITS_MS } from './witnesses.ts'
 
 const RETRY_DELAY_MS = 300
-/** Time after which the witnesses of an earlier leader count as too few if they have not answered, in milliseconds. */
-const WITNESS_WAIT_MS = 1_000
 /** Factor on the lease of runs, because a target's clock may be slower than the clock of this process. */
 const CLOCK_DRIFT_FACTOR = 1.03
 
@@ -23,7 +21,7 @@
   readonly requestStandDown: (peer: Peer, term: number) => Promise<StandDown | undefined>
   /**
    * Checks whether the process of a member that does not respond has ended; without it, none counts as ended. Links may refuse
-   * connections to a process that runs, so that only what the witnesses do not tell is taken from it.
+   * connections to a process that runs, so that it is not asked about a leader with witnesses on record.
    */
   readonly checkProcess?: (peer: Peer) => Promise<ProcessState>
   /** Answers a request to stand down for this process. */
@@ -45,8 +43,6 @@
   private readonly silentAddresses = new Set<string>()
   private readonly createdAt: number
   private readonly witnessAnswers: WitnessAnswers
-  /** Addresses of those whose witnesses have told when their commands end. */
-  private readonly witnessedAddresses = new Set<string>()
 
   private constructor (private readonly options: EarlierLeadersOptions) {
     this.createdAt = this.now()
@@ -132,7 +128,7 @@
       reporter.log('info', 'earlier-leader-stopped', { member: leader.member, term, answer: standDown.type, quietForMs: Math.round(standDown.quietForMs) })
       return true
     }
-    if (this.mayWitnessesTell(earlier) || await checkProcess?.(leader) !== 'ended') return false
+    if (parseWitnesses(earlier.witnesses) !== undefined || await checkProcess?.(leader) !== 'ended') return false
     this.recordEnd(leader, 0)
     reporter.log('info', 'earlier-leader-ended', { member: leader.member, term, address: leader.address, by: 'no listener' })
     return true
@@ -161,18 +157,11 @@
   private recordWitnessed ({ leader, term }: UnsettledTerm, lastConfirmedAt: number): void {
     const { address } = leader
     const endsAt = Math.max(this.createdAt + RENEWAL_PERMITS_MS * CLOCK_DRIFT_FACTOR, lastConfirmedAt + CONFIRMATION_PERMITS_MS * CLOCK_DRIFT_FACTOR)
-    this.witnessedAddresses.add(address)
     if (endsAt >= this.commandsEndAt.get(address)!) return
     this.commandsEndAt.set(address, endsAt)
     this.options.reporter.log('info', 'earlier-leader-witnessed', { member: leader.member, term, commandsEndInMs: Math.round(endsAt - this.now()) })
   }
 
-  /** Whether the witnesses of an earlier leader have told when its commands end, or may soon. */
-  private mayWitnessesTell ({ leader, witnesses }: UnsettledTerm): boolean {
-    if (parseWitnesses(witnesses) === undefined) return false
-    return this.witnessedAddresses.has(leader.address) || this.now() - this.createdAt < WITNESS_WAIT_MS
-  }
-
   private recordEnd ({ address }: Peer, quietForMs: number): void {
     this.commandsEndAt.set(address, Math.min(this.commandsEndAt.get(address)!, this.now() - quietForMs))
     this.silentAddresses.delete(address)
--- a/test/controller/earlier-witnesses.test.ts
+++ b/test/controller/earlier-witnesses.test.ts
@@ -36,7 +36,7 @@
   { shows: 'a leader that answers itself', fields: { witnesses: WITNESSES }, answers: { m0: { quietForMs: 0 } }, endsAfterMs: 0 },
   { shows: 'links that refuse connections to it, and enough witnesses', fields: { witnesses: WITNESSES }, answers: { m2: confirmed(8_000), m3: confirmed(7_000) }, refuses: true, endsAfterMs: SHORTEST_MS },
   { shows: 'links that refuse connections to it, and no witnesses on record', fields: {}, answers: {}, refuses: true, endsAfterMs: 0 },
-  { shows: 'links that refuse connections to it, and witnesses that have not answered for a second', fields: { witnesses: WITNESSES }, answers: {}, refuses: true, endsAfterMs: 1_000 }
+  { shows: 'links that refuse connections to it, and too few of its witnesses', fields: { witnesses: WITNESSES }, answers: { m2: confirmed(8_000) }, refuses: true, endsAfterMs: LEASE_GRACE_MS }
 ]
 
 function playTakeover ({ fields, answers, refuses, answerAfterMs = 0 }: Row): { readonly earlier: EarlierLeaders, readonly setNow: (value: number) => void } {
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -31,6 +31,8 @@
   /** Whether the links between this host and all others refuse connections, or accept and close them; its process may run. */
   linksToMembers: 'open' | 'refusing' | 'closing'
   cutFromTargets: boolean
+  /** On which side of a parted cell it is; no side reaches the members of another. */
+  side: number
   /** Targets that only this host does not reach. */
   unreachedTargets: ReadonlySet<string>
 }
@@ -60,6 +62,8 @@
   readonly random: Random
   /** Names in addresses of hosts that are gone; other hosts without a process refuse connections. */
   private readonly silentHosts = new Set<string>()
+  /** How the links between the sides of a parted cell end connections. */
+  linksBetweenSides: 'silent' | 'refusing' = 'silent'
   private readonly originalRandom = Math.random
 
   private constructor (seed: number, readonly time: VirtualTime, private readonly longestLeaseMs: number | undefined) {
@@ -124,6 +128,13 @@
     return host.address === address && !host.refusesConnections ? 'listening' : 'refused'
   }
 
+  private probeFrom (from: VirtualHost | undefined, address: string): ProbeResult {
+    if (from?.linksToMembers === 'refusing') return 'refused'
+    const owner = this.hosts.find((other) => getHostName(other.address) === getHostName(address))
+    if (owner !== undefined && from !== undefined && owner.side !== from.side) return this.linksBetweenSides === 'refusing' ? 'refused' : 'silent'
+    return this.probe(address)
+  }
+
   /** Starts a new process on a host, at an address that nobody else uses; another name in it stands for another host. */
   restart (host: VirtualHost, address = host.address): void {
     if (address !== host.address && !this.isFree(address)) throw new Error(`${address} belongs to another host`)
@@ -163,7 +174,7 @@
 
   private addHost (name: string): void {
     const address = `${name}:1`
-    const host: VirtualHost = { name, address, refusesConnections: false, cutFromMembers: false, linksToMembers: 'open', cutFromTargets: false, unreachedTargets: new Set(), ...this.startMember(name, address) }
+    const host: VirtualHost = { name, address, refusesConnections: false, cutFromMembers: false, linksToMembers: 'open', side: 0, cutFromTargets: false, unreachedTargets: new Set(), ...this.startMember(name, address) }
     this.hosts.push(host)
   }
 
@@ -177,7 +188,7 @@
       commands: this.targets.connect((target) => findHost()?.cutFromTargets === true || findHost()?.unreachedTargets.has(target) === true),
       callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
       probe: async (to) => {
-        const result = findHost()?.linksToMembers === 'refusing' ? 'refused' : this.probe(to)
+        const result = this.probeFrom(findHost(), to)
         await this.time.wait(result === 'silent' ? PROBE_TIMEOUT_MS : CALL_LATENCY_MS)
         return result
       },
@@ -214,6 +225,7 @@
       const listener = this.findListener(address)
       if (this.silentHosts.has(getHostName(address))) return respond(failCall('timeout'), timeoutMs)
       if (from?.cutFromMembers === true || listener?.cutFromMembers === true) return respond(failCall('timeout'), timeoutMs)
+      if (listener !== undefined && from !== undefined && listener.side !== from.side) return this.linksBetweenSides === 'refusing' ? respond(failCall('unavailable'), CALL_LATENCY_MS) : respond(failCall('timeout'), timeoutMs)
       if (listener === undefined || listener.linksToMembers !== 'open' || (from !== undefined && from.linksToMembers !== 'open')) return respond(failCall('unavailable'), CALL_LATENCY_MS)
       respond(failCall('timeout'), timeoutMs)
       this.time.schedule(CALL_LATENCY_MS, () => {
