Let tasks that last wait for the advisor and for room during a takeover, not after it

What callers saw: tasks that last had no run for seconds after a takeover had waited for the runs of earlier leaders. Cause: their precedence counted only what followed the wait: 1.5 s of room, then a request to the advisor behind all other work that was left, one task each 0.5 s in what is kept for urgent tasks, and one request each 1.5 s. Change: the time without a run and the room count while a task waits for earlier runs. From then on the leader keeps tickets for such steps, on channels that are free, and renews them before they end.

--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -1,9 +1,11 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
-import { updateAllowedRatio, selectAdviceTargets } from './advice-targets.ts'
+import { CAPACITY_FACTOR, updateAllowedRatio, selectAdviceTargets } from './advice-targets.ts'
 import { isUrgent, findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { isOverdue } from './overdue-advice.ts'
 import { needsAdvice } from './placement.ts'
+import { countFreeSlots } from './target-acceptance.ts'
+import { acceptsTaskOf } from './task-acceptance.ts'
 import type { Job, StepRun } from './task.ts'
 
 /** Tickets of a step are requested this long before they are needed, on top of the estimated duration of the request. */
@@ -23,19 +25,19 @@
  */
 function mayRequestAdvice (state: CellState, step: StepRun, prefetch = false): boolean {
   if (step.advice.requestPending) return false
-  return takesPrecedence(state, step) || state.pendingAdvice.mayRequest(isUrgent(state, step.job.definition), prefetch, state.now)
+  return takesPrecedence(state, step) || state.pendingAdvice.mayRequest(isUrgent(state, step.job.definition) || (prefetch && state.lastingPrecedence.isAwaiting(step)), prefetch, state.now)
 }
 
 /** Whether a request of the step goes before all others: one of its tasks lasts and has had no run for too long. */
 function takesPrecedence ({ lastingPrecedence, pendingAdvice, now }: CellState, step: StepRun): boolean {
-  return lastingPrecedence.isOverdue(step) && pendingAdvice.mayPrecede(now)
+  return lastingPrecedence.isOverdue(step) && pendingAdvice.mayPrecede(lastingPrecedence.isPressing(step), now)
 }
 
 /**
  * Requests tickets for a step, unless a request is pending or no target could use one. `prefetch`: the step is not ready
- * yet.
+ * yet. `neededAt`: when the tickets must still be valid, on the scheduler's clock.
  */
-export function requestAdvice (state: CellState, step: StepRun, prefetch = false): void {
+export function requestAdvice (state: CellState, step: StepRun, prefetch = false, neededAt = state.now): void {
   if (step.advice.requestPending) return
   if (!mayRequestAdvice(state, step, prefetch)) {
     if (!prefetch) step.advice.waitsForChannelSince ??= state.now
@@ -49,7 +51,7 @@
   }
   const { advice } = step
   const changed = advice.searchedTo === undefined || advice.fullSearchAt <= state.now ? undefined : state.roomLog.getSince(advice.searchedTo)
-  const targets = selectAdviceTargets(state, step, { prefetch, changed })
+  const targets = selectAdviceTargets(state, step, { prefetch, changed, neededAt })
   if (targets.length === 0) {
     if (changed === undefined) advice.fullSearchAt = state.now + FULL_SEARCH_INTERVAL_MS
     advice.searchedTo = state.roomLog.position
@@ -104,8 +106,34 @@
   return state.jobs.get(job!)?.occurrences.get(Number(occurrence))?.[Number(step)]
 }
 
-/** Requests advice for steps whose predecessors are about to end. */
+/** Requests advice for steps whose tasks may start soon. */
 export function prefetchAdvice (state: CellState): void {
+  prefetchForAwaiting(state)
+  prefetchForSuccessors(state)
+}
+
+/**
+ * Keeps tickets for tasks that last and wait until the runs of previous owners are known: when that is, all that was left
+ * needs the advisor at once. The steps whose tickets end first come first.
+ */
+function prefetchForAwaiting (state: CellState): void {
+  const steps = [...state.lastingPrecedence.awaiting].filter((step) => needsAdvice(state, step))
+  steps.sort((left, right) => left.advice.validUntil - right.advice.validUntil)
+  for (const step of steps) {
+    const neededAt = state.now + computeAdviceCostMs(state, step, step.waitingTasks) + PREFETCH_MARGIN_MS
+    if (!hasTicketsFor(state, step, neededAt)) requestAdvice(state, step, true, neededAt)
+  }
+}
+
+/** Whether the waiting tasks of a step, and as many others, have room on targets whose tickets are still valid at the given time. */
+function hasTicketsFor (state: CellState, step: StepRun, time: number): boolean {
+  const targets = step.advice.findTargetsWithTicket(time).flatMap((id) => state.targets.get(id) ?? [])
+  const slots = targets.filter((target) => acceptsTaskOf(state, target, step)).reduce((sum, target) => sum + countFreeSlots(target, step), 0)
+  return slots >= CAPACITY_FACTOR * step.waitingTasks
+}
+
+/** Requests advice for steps whose predecessors are about to end. */
+function prefetchForSuccessors (state: CellState): void {
   for (const step of state.openSteps) {
     // Requests for steps that are ready take precedence.
     if (state.pendingAdvice.size >= state.pendingAdvice.channels) return
--- a/src/workflow/advice-targets.ts
+++ b/src/workflow/advice-targets.ts
@@ -12,7 +12,7 @@
 /** Ratio of requested targets that is expected to be allowed until the first response for the queue. */
 const DEFAULT_ALLOWED_RATIO = 0.5
 /** A request names targets for this many times the waiting tasks, because other steps book capacity in the meantime. */
-const CAPACITY_FACTOR = 2
+export const CAPACITY_FACTOR = 2
 /** The first request of a step names at least this many targets, so that there is a choice. */
 const MIN_FIRST_REQUEST_TARGETS = 8
 /**
@@ -32,15 +32,16 @@
 
 /**
  * `prefetch`: the step is not ready yet, so that its first request may name targets whose capacity is booked now. `changed`:
- * the targets that may have more room since a search that found none; undefined to search all.
+ * the targets that may have more room since a search that found none; undefined to search all. `neededAt`: when the tickets
+ * must still be valid, on the scheduler's clock.
  */
-export type TargetSearch = { readonly prefetch: boolean, readonly changed: readonly TargetState[] | undefined }
+export type TargetSearch = { readonly prefetch: boolean, readonly changed: readonly TargetState[] | undefined, readonly neededAt: number }
 
 /**
  * Selects the targets of an advice request: those with free capacity and without a valid ticket, best score first. It
  * selects no more than the waiting tasks can use, because the advisor takes time for each target.
  */
-export function selectAdviceTargets (state: CellState, step: StepRun, { prefetch, changed }: TargetSearch): readonly string[] {
+export function selectAdviceTargets (state: CellState, step: StepRun, { prefetch, changed, neededAt }: TargetSearch): readonly string[] {
   if (changed?.length === 0) return []
   const pool = findQueue(state, step.job.definition)?.pool
   const open = getOpenTargets(state, pool)
@@ -53,8 +54,8 @@
   const neededSlots = countStartableTasks(state, step) * CAPACITY_FACTOR
   const choice = neededSlots * CHOICE_FACTOR
   const source = changed?.filter(({ entry }) => entry.pool === pool) ?? open.walk(seed)
-  const withCapacity = hasRoom ? findCandidates(state, step, source, choice, (target) => acceptsTaskOf(state, target, step)) : []
-  const selectable = withCapacity.length === 0 && prefetch && isFirstRequest ? findCandidates(state, step, open.walk(seed), choice, () => true) : withCapacity
+  const withCapacity = hasRoom ? findCandidates(state, step, source, choice, (target) => acceptsTaskOf(state, target, step) && needsTicket(step, target, neededAt)) : []
+  const selectable = withCapacity.length === 0 && prefetch && isFirstRequest ? findCandidates(state, step, open.walk(seed), choice, (target) => needsTicket(step, target, neededAt)) : withCapacity
   return limitToSlots(state, step, sortByScore(state, step, selectable, seed), neededSlots, computeMinTargets(state, step))
 }
 
@@ -86,17 +87,17 @@
     const isEnough = expectedSlots >= wantedSlots && candidates.size >= minCandidates
     if (isEnough && dataRack === undefined) break
     if (isEnough && target.entry.rack !== dataRack) continue
-    if (!isSuitable(target, step) || !accepts(target) || !needsTicket(state, step, target)) continue
+    if (!isSuitable(target, step) || !accepts(target)) continue
     candidates.add(target)
     expectedSlots += estimateSlots(state, step, target)
   }
   return [...candidates]
 }
 
-/** Whether the advisor may allow the target and no ticket for it is valid. */
-function needsTicket (state: CellState, { advice }: StepRun, { id, entry }: TargetState): boolean {
+/** Whether the advisor may allow the target and no ticket for it is valid at the given time. */
+function needsTicket ({ advice }: StepRun, { id, entry }: TargetState, time: number): boolean {
   if (advice.hasResponseFor(id) && !advice.isAllowed(id)) return false
-  return advice.findTicket(id, entry.incarnation, state.now) === undefined
+  return advice.findTicket(id, entry.incarnation, time) === undefined
 }
 
 /** Number of tasks of the step that are expected to find a slot on the target, given how often the advisor allows one. */
--- a/src/workflow/pending-advice.ts
+++ b/src/workflow/pending-advice.ts
@@ -59,9 +59,13 @@
     return this.overdueLimit - this.overdue.size
   }
 
-  /** Whether a task that lasts and has had no run for too long may ask now, whatever else is pending. */
-  mayPrecede (now: number): boolean {
-    return this.channels > 0 && this.preceding.size < this.overdueLimit && now - this.lastPrecedingAt >= PRECEDING_INTERVAL_MS / this.overdueLimit
+  /**
+   * Whether a task that lasts and has had no run for too long may ask now, whatever else is pending. `pressing`: it has waited
+   * so long that it waits only for the answers to others of its kind.
+   */
+  mayPrecede (pressing: boolean, now: number): boolean {
+    if (this.channels === 0 || this.preceding.size >= this.overdueLimit) return false
+    return pressing || now - this.lastPrecedingAt >= PRECEDING_INTERVAL_MS / this.overdueLimit
   }
 
   private get overdueLimit (): number {
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -89,7 +89,7 @@
 function takeReserve (state: CellState, step: StepRun, target: TargetState): boolean {
   const { pool } = target.entry
   if (!usesReserve(state, target, step) || getOpenTargets(state, pool).isMostlyFree) return true
-  if (state.lastingPrecedence.wasReserveJustUsed(pool, state.now)) return false
+  if (!state.lastingPrecedence.isPressing(step) && state.lastingPrecedence.wasReserveJustUsed(pool, state.now)) return false
   state.lastingPrecedence.recordReserveUse(pool, state.now)
   return true
 }
--- a/src/workflow/step-advice.ts
+++ b/src/workflow/step-advice.ts
@@ -5,6 +5,8 @@
 
 /** Advice for one step: the targets that may run it and their tickets. A target stays allowed; its ticket expires. */
 export class StepAdvice {
+  /** Until when the tickets of the last response are valid, on the scheduler's clock. */
+  validUntil = -Infinity
   /** Whether a request has no response yet. */
   requestPending = false
   /** Since when a request has been wanted while no channel was free, on the scheduler's clock. */
@@ -58,6 +60,7 @@
   }
 
   record (requestedTargets: readonly string[], tickets: ReadonlyArray<{ readonly target: string, readonly ticket: string, readonly incarnation: number | undefined }>, validUntil: number): void {
+    this.validUntil = validUntil
     for (const target of requestedTargets) this.coveredTargets.add(target)
     for (const { target, ticket, incarnation } of tickets) {
       this.allowedTargets.add(target)
