Let a task try other targets before those that have refused it

What callers saw: a task that lasts had no run for good, although targets that would have run it had room. Cause: a task avoided only the target that refused it last. Two targets that refuse all starts and seem to have the most room got it in turn, with pauses of up to 4 s; so did five overloaded ones, each of which pauses for 1 s, and a request to the advisor named the same ones again.

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -5,7 +5,7 @@
 import { haveLeasesExpired } from './expired-leases.ts'
 import type { LiveRun } from './live-run.ts'
 import { removeRun, sendStart, sendStop } from './runs.ts'
-import { recordStartRefusal } from './start-refusal.ts'
+import { forgetRefusals, recordStartRefusal, recordUnhealthyTarget } from './start-refusal.ts'
 import { isOverCapacity } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 
@@ -38,7 +38,7 @@
     case 'accepted':
       state.resendPause.recordResponseTime(state.now - live.startedAt)
       live.phase = 'running'
-      live.task.refusal = undefined
+      forgetRefusals(live.task)
       live.respondedAt = state.now
       live.startedAt = state.now
       live.percentChangedAt = state.now
@@ -55,6 +55,7 @@
   pauseStarts(state, target, REFUSAL_PAUSE_MS[reason])
   if (reason === 'fenced') state.effects.push({ type: 'fenced', target: target.id })
   if (reason === 'invalid' || reason === 'failed') recordStartRefusal(state, live.task, target)
+  if (reason === 'unhealthy') recordUnhealthyTarget(live.task, target)
   if (reason === 'no-ticket') live.task.step.advice.removeTicket(target.id)
   // This send or an earlier one of the same start may have been executed. Only a stop makes sure that the run is not present.
   if (live.sendCount > 1 || reason === 'superseded' || reason === 'failed') sendStop(state, live, `start refused: ${reason}`)
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -3,7 +3,7 @@
 import { hasRecentStart } from './crash-suspicion.ts'
 import { mayHoldForeignLease } from './earlier-leases.ts'
 import { getOpenTargets } from './open-targets.ts'
-import { hasJustRefused } from './start-refusal.ts'
+import { hasJustRefused, hasRefused } from './start-refusal.ts'
 import { isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import { acceptsTaskOf } from './task-acceptance.ts'
@@ -21,7 +21,7 @@
 const FAILURE_PAUSE_MS = { first: 1_500, last: 2_500 } as const
 
 /** Weights in the score of a target, relative to its ratio of free capacity. */
-const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5, foreignLease: 20 } as const
+const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5, foreignLease: 20, refusal: 40 } as const
 /** Upper limit of the excess duration that lowers the score of a target, in multiples of the declared duration. */
 const MAX_SLOWNESS_FACTOR = 6
 
@@ -68,7 +68,7 @@
   state.passWork.targets += candidates.length
   for (const target of candidates) {
     if (!canStart(state, target, task) || isAvoided(state, target, task)) continue
-    const score = computeScore(state, target, task.step) - computeRiskPenalty(state, target, task)
+    const score = computeScore(state, target, task.step) - computeRiskPenalty(state, target, task) - (hasRefused(target, task) ? SCORE_WEIGHTS.refusal : 0)
     if (score <= bestScore) continue
     best = target
     bestScore = score
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -25,6 +25,8 @@
   concludedRun: number | undefined
   /** Undefined while no start has been refused since the last one that was accepted. */
   refusal: StartRefusal | undefined
+  /** The targets that have refused it since then, and when they did so on the scheduler's clock; `-Infinity` for unhealthy ones. */
+  readonly refusedBy = new Map<string, number>()
 
   private constructor (readonly key: TaskKey, readonly index: number, readonly step: StepRun) {}
 
