Count the crashes of one target once, and let a task on trial prefer others

What callers saw: jobs were shown as failed after three crashes of one target that started again and crashed each second. Cause: crashes under a task were counted by lives of targets, and a task on trial went back to the target that had crashed under it. Change: a task is given up when as many targets as before have crashed under it, by their addresses, or after five crashes if it finds no others, which is before a sixth start. It prefers targets that have not crashed under it, also in requests to the advisor.

--- a/src/workflow/advice-targets.ts
+++ b/src/workflow/advice-targets.ts
@@ -2,8 +2,7 @@
 import type { CellState } from './cell-state.ts'
 import { getOpenTargets } from './open-targets.ts'
 import type { OpenTargets } from './open-targets.ts'
-import { computeScore } from './placement.ts'
-import { hasRefusedAll } from './start-refusal.ts'
+import { computeScore, isUnwantedByAll } from './placement.ts'
 import { isStartable } from './startable.ts'
 import { countFreeSlots, isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
@@ -28,8 +27,8 @@
  * not all name the same targets.
  */
 const SCORE_SPREAD_RATIO = 0.25
-/** Lowers the score of a target that has refused all waiting tasks below that of any other. */
-const REFUSED_PENALTY = 100
+/** Lowers the score of a target that all waiting tasks avoid below that of any other. */
+const UNWANTED_PENALTY = 100
 /** Weight of the latest response in the moving average of the allowed ratio. */
 const ALLOWED_RATIO_SMOOTHING_FACTOR = 0.2
 
@@ -115,7 +114,7 @@
 }
 
 function sortByScore (state: CellState, step: StepRun, targets: readonly TargetState[], seed: number): readonly TargetState[] {
-  const scored = targets.map((target, position) => ({ target, score: computeScore(state, target, step) - (hasRefusedAll(target, step) ? REFUSED_PENALTY : 0) + SCORE_SPREAD_RATIO * mixToFraction(seed, position) }))
+  const scored = targets.map((target, position) => ({ target, score: computeScore(state, target, step) - (isUnwantedByAll(target, step) ? UNWANTED_PENALTY : 0) + SCORE_SPREAD_RATIO * mixToFraction(seed, position) }))
   return scored.sort((left, right) => right.score - left.score).map(({ target }) => target)
 }
 
--- a/src/workflow/crash-record.ts
+++ b/src/workflow/crash-record.ts
@@ -32,6 +32,16 @@
     return this.confirmed.size
   }
 
+  /** Number of targets that have certainly crashed, each counted once however often it did. */
+  get targetCount (): number {
+    return new Set([...this.confirmed].map(getAddress)).size
+  }
+
+  /** Whether a target at the address has crashed under the task, or may have. */
+  includes (address: string): boolean {
+    return this.isSuspect && [...this.confirmed, ...this.possible].some((incarnation) => getAddress(incarnation) === address)
+  }
+
   /** Whether the task may crash the targets on which it starts. */
   get isSuspect (): boolean {
     return !this.isEmpty
@@ -76,6 +86,11 @@
   }
 }
 
+/** The address in the key of an incarnation. */
+function getAddress (incarnation: string): string {
+  return incarnation.slice(0, incarnation.lastIndexOf('#'))
+}
+
 function toStoredIncarnations (incarnations: ReadonlySet<string>): StoredIncarnations {
   return Object.fromEntries([...incarnations].map((incarnation) => [incarnation, true]))
 }
--- a/src/workflow/crashes.ts
+++ b/src/workflow/crashes.ts
@@ -110,12 +110,16 @@
   for (const task of tasks) giveUpIfExhausted(state, task)
 }
 
+/** Number of crashes after which a task is given up even if fewer targets have crashed, because it has found no others. */
+const MAX_CRASHES_OF_FEW_TARGETS = 5
+
 /** Fails the job of a task that has crashed so many targets that it must not start again; returns whether it has. */
 export function giveUpIfExhausted (state: CellState, { key, crashes, step }: Task): boolean {
   if (crashes.count === 0 || !step.job.active) return false
-  if (crashes.count < state.crashRate.computeCrashLimit(state.now, state.targets.size)) return false
+  const limit = state.crashRate.computeCrashLimit(state.now, state.targets.size)
+  if (crashes.targetCount < limit && crashes.count < MAX_CRASHES_OF_FEW_TARGETS) return false
   count(state, 'task-given-up', 'crashes')
-  endJob(state, step.job, 'failed', `${crashes.count} targets have crashed under task ${key}`)
+  endJob(state, step.job, 'failed', `${crashes.targetCount} targets have crashed under task ${key}, ${crashes.count} times`)
   return true
 }
 
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -21,7 +21,7 @@
 const FAILURE_PAUSE_MS = { first: 1_500, last: 2_500 } as const
 
 /** Weights in the score of a target, relative to its ratio of free capacity. */
-const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5, foreignLease: 20, refusal: 40 } as const
+const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5, foreignLease: 20, refusal: 40, crash: 30 } as const
 /** Upper limit of the excess duration that lowers the score of a target, in multiples of the declared duration. */
 const MAX_SLOWNESS_FACTOR = 6
 
@@ -78,14 +78,19 @@
 
 /**
  * What runs on a target that may hold a lease of its life before must be waited for longer if the target is gone again soon. A
- * task that may crash its target prefers targets where nothing else has just started, so that a crash can be attributed; those
- * that have just restarted are such targets.
+ * task that may crash its target prefers targets that have not crashed under it, and of these such where nothing else has just
+ * started, so that a crash can be attributed; those that have just restarted are such targets.
  */
 function computeRiskPenalty (state: CellState, target: TargetState, { crashes }: Task): number {
-  if (crashes.isSuspect) return hasRecentStart(state, target) ? SCORE_WEIGHTS.recentStart : 0
+  if (crashes.isSuspect) return (crashes.includes(target.entry.address) ? SCORE_WEIGHTS.crash : 0) + (hasRecentStart(state, target) ? SCORE_WEIGHTS.recentStart : 0)
   return mayHoldForeignLease(state, target) ? SCORE_WEIGHTS.foreignLease : 0
 }
 
+/** Whether all waiting tasks of the step prefer other targets: this one has refused them, or has crashed under them. */
+export function isUnwantedByAll (target: TargetState, { tasks }: StepRun): boolean {
+  return tasks.every((task) => task.phase !== 'waiting' || hasRefused(target, task) || task.crashes.includes(target.entry.address))
+}
+
 /** Whether the task avoids the target because of recent refusals or failures. The last attempt uses trusted targets only. */
 function isAvoided (state: CellState, target: TargetState, task: Task): boolean {
   if (hasJustRefused(target, task, state.now)) return true
--- a/src/workflow/start-refusal.ts
+++ b/src/workflow/start-refusal.ts
@@ -1,6 +1,6 @@
 import type { CellState } from './cell-state.ts'
 import type { TargetState } from './target-state.ts'
-import type { StepRun, Task } from './task.ts'
+import type { Task } from './task.ts'
 
 /** Pause of a task after the first refusal of a target, in milliseconds. It doubles with each one of a target that had refused it before. */
 const FIRST_PAUSE_MS = 500
@@ -49,8 +49,3 @@
 export function hasRefused ({ id }: TargetState, { refusedBy }: Task): boolean {
   return refusedBy.has(id)
 }
-
-/** Whether the target has refused all waiting tasks of the step since they last started. */
-export function hasRefusedAll (target: TargetState, { tasks }: StepRun): boolean {
-  return tasks.every((task) => task.phase !== 'waiting' || hasRefused(target, task))
-}
