Let a leader live behind links that refuse in the soak

A refused connection counts as the end of a process. The soak could not bring about a leader that lives although its address refuses, so it could not show TWICE there. With the failure refuse of a leader its process stops listening on a signal (soak/stop-listening.mjs, loaded before the bundle) and its link to the store is silent; a link to a worker in the state refuses-new keeps open connections and refuses new ones, so that only the leader reaches the worker.

--- a/faults/processes/process-member.ts
+++ b/faults/processes/process-member.ts
@@ -63,7 +63,7 @@
   get standardError (): string { return this.standardErrorText }
 
   /** Sends a signal to this process only. */
-  signal (name: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM' | 'SIGHUP'): void {
+  signal (name: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM' | 'SIGHUP' | 'SIGUSR2'): void {
     if (!this.hasExited) this.child.kill(name)
   }
 
--- a/soak/inject-fault.ts
+++ b/soak/inject-fault.ts
@@ -118,6 +118,7 @@
     case 'pause': return cell.pauseMember(member, forMs)
     case 'cut': return disturbLink(cell.members[member]!.storeLink, 'silent', forMs)
     case 'hold': return disturbLink(cell.members[member]!.storeLink, 'held', forMs)
+    case 'refuse': return cell.isolateMember(member, forMs)
     case 'none': return
     default: return assertNever(failure)
   }
--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -41,13 +41,13 @@
     if (state === before) return
     this.state = state
     if (before === 'dark') this.resetAll()
-    if (before === 'refused') this.server.listen(this.port, this.host)
+    if (isRefusing(before) && !isRefusing(state)) this.server.listen(this.port, this.host)
     for (const connection of this.connections) {
       connection.isEstablished ||= state !== 'held'
       connection.requests.setState(state)
       connection.responses.setState(state)
     }
-    if (state === 'refused') this.server.close()
+    if (isRefusing(state) && !isRefusing(before)) this.server.close()
     if (state === 'reset' || state === 'refused') this.resetAll()
   }
 
@@ -94,3 +94,7 @@
     else stream.end()
   }
 }
+
+function isRefusing (state: LinkState): boolean {
+  return state === 'refused' || state === 'refuses-new'
+}
--- a/soak/proxied-stream.ts
+++ b/soak/proxied-stream.ts
@@ -4,10 +4,10 @@
  * How a proxy handles its connections. `open`: bytes are forwarded. `slow`: bytes are forwarded with a delay. `held`: bytes
  * and the ends of connections are kept and forwarded when the link is open again. `silent`: bytes are discarded in both
  * directions. `one-way`: requests are forwarded and responses are discarded. `reset`: open and new connections are closed
- * immediately. `refused`: open connections are closed, and nothing listens. `dark`: bytes and the ends of connections are
+ * immediately. `refused`: open connections are closed, and nothing listens. `refuses-new`: nothing listens, and open connections go on. `dark`: bytes and the ends of connections are
  * discarded, and no connection outlives this, as with a target that has no power.
  */
-export type LinkState = 'open' | 'slow' | 'held' | 'silent' | 'one-way' | 'reset' | 'refused' | 'dark'
+export type LinkState = 'open' | 'slow' | 'held' | 'silent' | 'one-way' | 'reset' | 'refused' | 'refuses-new' | 'dark'
 
 /** The states in which nothing is forwarded in either direction, and nothing later. */
 const DISCARDING_STATES: readonly LinkState[] = ['silent', 'reset', 'refused', 'dark']
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -49,6 +49,9 @@
 /** Every third worker has a slow clock. */
 const SLOW_CLOCK = { interval: 3, rate: 0.98 } as const
 
+/** Lets a member process refuse connections on a signal. */
+const STOP_LISTENING = new URL('stop-listening.mjs', import.meta.url).href
+
 /** Size and files of a cell. */
 export type SoakCellOptions = {
   readonly members: number
@@ -215,6 +218,16 @@
     process.signal('SIGCONT')
   }
 
+  /** Lets a member refuse all connections and lose its link to the store, and restarts it after a while. */
+  async isolateMember (index: number, ms: number): Promise<void> {
+    const { process, storeLink } = this.members[index]!
+    process.signal('SIGUSR2')
+    storeLink.setState('silent')
+    await wait(ms)
+    storeLink.setState('open')
+    await this.restartMember(index, 'SIGKILL')
+  }
+
   /** Delays the calls to some workers by the given times, to others by parts of these, and to some not at all. */
   delayWorkers ({ calls, beforeMs, afterMs }: WorkerDelay): void {
     for (const [index, { server }] of this.workers.entries()) {
@@ -339,7 +352,7 @@
     writeFileSync(file, JSON.stringify(createMemberSettings(options)))
     return ProcessMember.spawn({
       id: options.name,
-      args: [this.options.bundle],
+      args: ['--import', STOP_LISTENING, this.options.bundle],
       variables: { DAMASKFIELD_SETTINGS: file },
       callerAddress: getCallerAddress(options),
       onOutput: (chunk) => output.write(chunk)
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -61,8 +61,11 @@
 /** Workers that go away for a while, and how their addresses behave meanwhile. */
 export type WorkersGone = { readonly workers: readonly number[], readonly state: AwayState, readonly forMs: number }
 
-/** `replace-silent`, `replace-closing`: as `replace`, and the address before accepts connections and stays silent, or closes them. */
-export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-silent' | 'replace-closing' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'none'
+/**
+ * `replace-silent`, `replace-closing`: as `replace`, and the address before accepts connections and stays
+ * silent, or closes them. `refuse`: the leader runs on, its ports refuse connections, and its link to the store is silent.
+ */
+export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-silent' | 'replace-closing' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'refuse' | 'none'
 
 /** A failure of the leader after a time since the failure before. */
 export type LeaderLoss = { readonly afterMs: number, readonly leader: LeaderFailure, readonly forMs: number }
--- a/test/soak/loopback-proxy.test.ts
+++ b/test/soak/loopback-proxy.test.ts
@@ -85,22 +85,34 @@
   })
 }
 
-// A member that is refused a connection knows that no process listens, which no other state may tell it.
-test('loopback proxy: connections are refused while a link is refused, and set up at the same address afterwards', async () => {
-  const link = await LoopbackProxy.listen('127.0.0.1:1', '127.0.0.2')
-  const [host, port] = link.address.split(':')
-  const tryConnection = (): Promise<string> => new Promise((resolve) => {
-    const socket = connect(Number(port), host).on('error', (error: NodeJS.ErrnoException) => resolve(error.code!)).on('connect', () => {
-      socket.destroy()
-      resolve('connected')
+for (const { state, goesOn } of [{ state: 'refused', goesOn: false }, { state: 'refuses-new', goesOn: true }] as const) {
+  // A member that is refused a connection knows that no process listens, which no other state may tell it.
+  test(`loopback proxy: connections are refused while a link is ${state}, and set up at the same address afterwards; earlier ones ${goesOn ? 'go on' : 'end'}`, async () => {
+    const server = createServer((socket) => socket.pipe(socket).on('error', () => {}))
+    await once(server.listen(0, '127.0.0.1'), 'listening')
+    const link = await LoopbackProxy.listen(`127.0.0.1:${(server.address() as AddressInfo).port}`, '127.0.0.2')
+    const [host, port] = link.address.split(':')
+    const tryConnection = (): Promise<string> => new Promise((resolve) => {
+      const socket = connect(Number(port), host).on('error', (error: NodeJS.ErrnoException) => resolve(error.code!)).on('connect', () => {
+        socket.destroy()
+        resolve('connected')
+      })
     })
+    const earlier = connect(Number(port), host).on('error', () => {})
+    await once(earlier, 'connect')
+    await wait(20)
+    link.setState(state)
+    assert.equal(await tryConnection(), 'ECONNREFUSED')
+    const echo = new Promise((resolve) => earlier.on('data', () => resolve(true)).on('close', () => resolve(false)))
+    earlier.write('a')
+    assert.equal(await echo, goesOn)
+    link.setState('open')
+    assert.equal(await tryConnection(), 'connected')
+    earlier.destroy()
+    link.close()
+    server.close()
   })
-  link.setState('refused')
-  assert.equal(await tryConnection(), 'ECONNREFUSED')
-  link.setState('open')
-  assert.equal(await tryConnection(), 'connected')
-  link.close()
-})
+}
 
 for (const { elapsedMs, delayMs } of [{ elapsedMs: 0, delayMs: 200 }, { elapsedMs: 500, delayMs: 100 }, { elapsedMs: 5_500, delayMs: 700 }]) {
   test(`loopback proxy: bytes held for ${elapsedMs} ms are delivered ${delayMs} ms later`, () => {
