Give the links to workers of each soak run an address of their own

A link that refuses connections frees its port for a while. The links now have the first address of the run's subnet.

--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -39,6 +39,8 @@
 const RESTART_DELAY_MS = 300
 /** Time between two checks that tasks that last have a run. */
 const LASTING_CHECK_INTERVAL_MS = 100
+/** Fourth octets of the address of all links to workers, and of that of the first member. */
+const LINKS_HOST_NUMBER = 1
 const FIRST_HOST_NUMBER = 2
 const ADVICE = { decisionMs: 28, eachMs: 0.4, validityMs: 2_000 }
 /** Ratio of workers that may run a step, in a cell that is large enough for a policy. */
@@ -308,7 +310,7 @@
       gangs: this.gangs,
       seed: number,
       observe: (event) => this.recordWorkerEvent(id, event)
-    })
+    }, createAddress(this.options.subnet, LINKS_HOST_NUMBER))
     this.servers.set(id, worker.server)
     return worker
   }
@@ -339,7 +341,7 @@
   private createHost (): string {
     const number = this.nextHostNumber
     this.nextHostNumber += 1
-    return `127.0.${this.options.subnet}.${number}`
+    return createAddress(this.options.subnet, number)
   }
 
   /** Starts a member, unless it runs already or has no power. */
@@ -360,6 +362,10 @@
   }
 }
 
+function createAddress (subnet: number, hostNumber: number): string {
+  return `127.0.${subnet}.${hostNumber}`
+}
+
 function getFailureDomain (index: number): string {
   return FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
 }
--- a/soak/soak-worker.ts
+++ b/soak/soak-worker.ts
@@ -11,8 +11,8 @@
 /** How a worker that has gone away is missed: nothing answers, or its host refuses connections. */
 export type AwayState = 'dark' | 'refused'
 
-/** The links have a loopback address of their own, where no connection takes the port of a worker that does not listen. */
-const LINK_HOST = '127.0.0.2'
+/** Loopback address of the links; another one than that of other listeners, which would take the port of a link that does not listen. */
+const DEFAULT_LINK_HOST = '127.0.0.2'
 /** Three heartbeat intervals of silence, after which the entry of a worker is removed. */
 const REGISTRATION_TIMEOUT_MS = 4_500
 /** Half of the period in which a flapping worker is down and up by turns. */
@@ -28,9 +28,9 @@
   private constructor (readonly server: WorkerServer, private readonly link: LoopbackProxy, private readonly kv: KvServer, readonly domain: string) {}
 
   /** Starts a worker and registers it. */
-  static async start (kv: KvServer, domain: string, options: WorkerServerOptions): Promise<SoakWorker> {
+  static async start (kv: KvServer, domain: string, options: WorkerServerOptions, linkHost = DEFAULT_LINK_HOST): Promise<SoakWorker> {
     const server = await WorkerServer.listen(options)
-    const worker = new SoakWorker(server, await LoopbackProxy.listen(server.address, LINK_HOST), kv, domain)
+    const worker = new SoakWorker(server, await LoopbackProxy.listen(server.address, linkHost), kv, domain)
     worker.register()
     return worker
   }
