--- a/soak/stop-listening.mjs
+++ b/soak/refuse-connections.mjs
@@ -1,10 +1,12 @@
-// Loaded into each member process before its bundle. On SIGUSR2 the process refuses connections at all its ports and runs on,
-// as behind links that refuse.
-import { Server } from 'node:net'
+// Loaded into each member process before its bundle. On SIGUSR2 the process runs on as behind links that refuse: it refuses
+// connections at all its ports and gets none itself, but goes on with those that it has opened.
+import { Server, Socket } from 'node:net'
 
 const servers = new Set()
 const sockets = new Set()
+let refuses = false
 const { listen } = Server.prototype
+const { connect } = Socket.prototype
 
 Server.prototype.listen = function (...args) {
   servers.add(this)
@@ -15,7 +17,13 @@
   return listen.apply(this, args)
 }
 
+Socket.prototype.connect = function (...args) {
+  if (refuses) return this.destroy(Object.assign(new Error('connect ECONNREFUSED'), { code: 'ECONNREFUSED' }))
+  return connect.apply(this, args)
+}
+
 process.on('SIGUSR2', () => {
+  refuses = true
   for (const server of servers) Server.prototype.close.call(server)
   for (const socket of sockets) socket.destroy()
 })
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -51,8 +51,8 @@
 /** Every third worker has a slow clock. */
 const SLOW_CLOCK = { interval: 3, rate: 0.98 } as const
 
-/** Lets a member process refuse connections on a signal. */
-const STOP_LISTENING = new URL('stop-listening.mjs', import.meta.url).href
+/** Is loaded into each member process, and lets it refuse connections on a signal. */
+const REFUSE_CONNECTIONS = new URL('refuse-connections.mjs', import.meta.url).href
 
 /** Size and files of a cell. */
 export type SoakCellOptions = {
@@ -220,7 +220,7 @@
     process.signal('SIGCONT')
   }
 
-  /** Lets a member refuse all connections and lose its link to the store, and restarts it after a while. */
+  /** Lets a member refuse and get no more connections and lose its link to the store, and restarts it after a while. */
   async isolateMember (index: number, ms: number): Promise<void> {
     const { process, storeLink } = this.members[index]!
     process.signal('SIGUSR2')
@@ -354,7 +354,7 @@
     writeFileSync(file, JSON.stringify(createMemberSettings(options)))
     return ProcessMember.spawn({
       id: options.name,
-      args: ['--import', STOP_LISTENING, this.options.bundle],
+      args: ['--import', REFUSE_CONNECTIONS, this.options.bundle],
       variables: { DAMASKFIELD_SETTINGS: file },
       callerAddress: getCallerAddress(options),
       onOutput: (chunk) => output.write(chunk)
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -63,7 +63,8 @@
 
 /**
  * `replace-silent`, `replace-closing`: as `replace`, and the address before accepts connections and stays
- * silent, or closes them. `refuse`: the leader runs on, its ports refuse connections, and its link to the store is silent.
+ * silent, or closes them. `refuse`: the leader runs on over the connections to workers that it has
+ * opened; it refuses and gets no others, and its link to the store is silent.
  */
 export type LeaderFailure = 'kill' | 'terminate' | 'power' | 'replace' | 'replace-silent' | 'replace-closing' | 'replace-planned' | 'pause' | 'cut' | 'hold' | 'refuse' | 'none'
 
