Let departures come oftener in the soak, and only where calm time follows

A quarter of the faults are losses now, five of eight of these are departures, and those that would last beyond the traffic with their calm time are left out.

--- a/soak/fault-schedule.ts
+++ b/soak/fault-schedule.ts
@@ -38,12 +38,15 @@
   const random = Random.create(seed)
   const lossRandom = Random.create(seed + LOSS_SEED_OFFSET)
   const schedule: ScheduledFault[] = []
+  const endMs = seconds * MS_PER_SECOND
   let atMs = 0
-  while (atMs < seconds * MS_PER_SECOND - FAULT_FREE_MS) {
+  while (atMs < endMs - FAULT_FREE_MS) {
     atMs += FAULT_INTERVAL.min * faultIntervalMs + random.nextInt(FAULT_INTERVAL.spread * faultIntervalMs)
     const fault = createRandomFault({ random, lossRandom, members, workers, kinds: faultKinds })
+    const nextFromMs = atMs + (fault.type === 'departures' ? computeLossesMs(fault.leaders) + CALM_RATIO * faultIntervalMs : 0)
+    if (fault.type === 'departures' && nextFromMs > endMs) continue
     schedule.push({ atMs, fault })
-    if (fault.type === 'departures') atMs += computeLossesMs(fault.leaders) + CALM_RATIO * faultIntervalMs
+    atMs = nextFromMs
   }
   return schedule
 }
--- a/soak/random-loss.ts
+++ b/soak/random-loss.ts
@@ -3,11 +3,11 @@
 import type { LeaderFailure, LeaderLoss, SoakFault, WorkersGone } from './soak-fault.ts'
 
 /** Ratio of the faults that are losses. */
-const LOSSES_RATIO = 0.2
+const LOSSES_RATIO = 0.25
 /** Half of the leaders end without a sign that their successors could see. */
 const LEADER_FAILURES: readonly LeaderFailure[] = ['kill', 'terminate', 'power', 'replace', 'pause', 'replace-silent', 'replace-silent', 'replace-silent', 'replace-closing', 'replace-closing']
 /** Number of departures in the list from which a loss is chosen. */
-const DEPARTURES_SHARE = 3
+const DEPARTURES_SHARE = 5
 const MAX_LEADER_LOSSES = 6
 /** Bounds of the time between two leaders that are lost beside workers. The first may go at the same time as they. */
 const LEADER_INTERVAL_MS = { min: 2_500, spread: 3_000 } as const
@@ -37,7 +37,7 @@
     { type: 'workers-gone', gone },
     { type: 'workers-reborn-gone', gone, afterMs: REBORN_MS.min + random.nextInt(REBORN_MS.spread) },
     { type: 'leader', ...chooseFailure(random) },
-    ...Array.from({ length: DEPARTURES_SHARE }, (): SoakFault => ({ type: 'departures', gone, leaders: createLeaderLosses(random) }))
+    ...Array<SoakFault>(DEPARTURES_SHARE).fill({ type: 'departures', gone, leaders: createLeaderLosses(random) })
   ]
   const loss = losses[random.nextInt(losses.length)]
   return isLoss ? loss : undefined
