--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -39,6 +39,8 @@
 const RESTART_DELAY_MS = 300
 /** Time between two checks that tasks that last have a run. */
 const LASTING_CHECK_INTERVAL_MS = 100
+/** Fourth octets of the address of all links to workers, and of that of the first member. */
+const LINKS_HOST_NUMBER = 1
 const FIRST_HOST_NUMBER = 2
 const ADVICE = { decisionMs: 28, eachMs: 0.4, validityMs: 2_000 }
 /** Ratio of workers that may run a step, in a cell that is large enough for a policy. */
@@ -49,6 +51,9 @@
 /** Every third worker has a slow clock. */
 const SLOW_CLOCK = { interval: 3, rate: 0.98 } as const
 
+/** Is loaded into each member process, and lets it refuse connections on a signal. */
+const REFUSE_CONNECTIONS = new URL('refuse-connections.mjs', import.meta.url).href
+
 /** Size and files of a cell. */
 export type SoakCellOptions = {
   readonly members: number
@@ -215,6 +220,16 @@
     process.signal('SIGCONT')
   }
 
+  /** Lets a member refuse and get no more connections and lose its link to the store, and restarts it after a while. */
+  async isolateMember (index: number, ms: number): Promise<void> {
+    const { process, storeLink } = this.members[index]!
+    process.signal('SIGUSR2')
+    storeLink.setState('silent')
+    await wait(ms)
+    storeLink.setState('open')
+    await this.restartMember(index, 'SIGKILL')
+  }
+
   /** Delays the calls to some workers by the given times, to others by parts of these, and to some not at all. */
   delayWorkers ({ calls, beforeMs, afterMs }: WorkerDelay): void {
     for (const [index, { server }] of this.workers.entries()) {
@@ -295,7 +310,7 @@
       gangs: this.gangs,
       seed: number,
       observe: (event) => this.recordWorkerEvent(id, event)
-    })
+    }, createAddress(this.options.subnet, LINKS_HOST_NUMBER))
     this.servers.set(id, worker.server)
     return worker
   }
@@ -326,7 +341,7 @@
   private createHost (): string {
     const number = this.nextHostNumber
     this.nextHostNumber += 1
-    return `127.0.${this.options.subnet}.${number}`
+    return createAddress(this.options.subnet, number)
   }
 
   /** Starts a member, unless it runs already or has no power. */
@@ -339,7 +354,7 @@
     writeFileSync(file, JSON.stringify(createMemberSettings(options)))
     return ProcessMember.spawn({
       id: options.name,
-      args: [this.options.bundle],
+      args: ['--import', REFUSE_CONNECTIONS, this.options.bundle],
       variables: { DAMASKFIELD_SETTINGS: file },
       callerAddress: getCallerAddress(options),
       onOutput: (chunk) => output.write(chunk)
@@ -347,6 +362,10 @@
   }
 }
 
+function createAddress (subnet: number, hostNumber: number): string {
+  return `127.0.${subnet}.${hostNumber}`
+}
+
 function getFailureDomain (index: number): string {
   return FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
 }
