Check the responses of members before they are used

Seen: in virtual time, one malformed response of a member ended a process or a part of it for good. A hello that was answered with no list of members, or with null, ended the hellos of that member: it was no relay and no channel to the advisor any more. Cached advice without a list or a step, and an answer of the advisor without tickets, ended the process of a new leader by an unhandled rejection. Cause: responses were taken for what their type says. Members of other releases send others. Change: what is used of a response is checked; a malformed one counts as none (member-call-guards.ts).

--- /dev/null
+++ b/src/controller/member-call-guards.ts
@@ -0,0 +1,42 @@
+import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
+import type { MemberResponse, Peer } from './member-call.ts'
+
+type Fields = Readonly<Record<string, unknown>>
+
+/** Whether a value that a member has sent has the name and the address of a member. */
+function isPeer (value: unknown): value is Peer {
+  return isObject(value) && isText(value.member) && isText(value.address)
+}
+
+/** Whether a value is the leader's response to a hello. */
+export function isWelcome (value: unknown): value is Extract<MemberResponse, { type: 'welcome' }> {
+  return isObject(value) && value.type === 'welcome' && isListOf(value.peers, isPeer) &&
+    (value.waiting === undefined || isObject(value.waiting)) && (value.overloads === undefined || isListOf(value.overloads, isObject))
+}
+
+/** Whether a value is a response of the advisor, or says why there is none. */
+export function isAdviceResponse (value: unknown): value is AdviceResponse {
+  if (!isObject(value)) return false
+  return value.type === 'failed' || (value.type === 'advised' && isListOf(value.tickets, isTicket))
+}
+
+/** Whether a value is a response of the advisor that a member has cached. */
+export function isCachedAdvice (value: unknown): value is CachedAdvice {
+  return isObject(value) && isText(value.step) && isListOf(value.asked, isText) && isListOf(value.tickets, isTicket) && Number.isFinite(value.validForMs)
+}
+
+function isTicket (value: unknown): boolean {
+  return isObject(value) && isText(value.target) && typeof value.ticket === 'string'
+}
+
+function isListOf (value: unknown, isItem: (item: unknown) => boolean): boolean {
+  return Array.isArray(value) && value.every(isItem)
+}
+
+function isText (value: unknown): value is string {
+  return typeof value === 'string' && value !== ''
+}
+
+function isObject (value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -10,6 +10,7 @@
 import type { Leadership, StandDown } from './leadership.ts'
 import type { MemberResponse, MemberCall, Peer } from './member-call.ts'
 import type { AdviceCache } from './advice-cache.ts'
+import { isAdviceResponse, isCachedAdvice, isWelcome } from './member-call-guards.ts'
 import type { Reporter } from './reporter.ts'
 import type { LeaderRecord } from './store-keys.ts'
 
@@ -164,14 +165,14 @@
   async requestAdvice (peer: Peer, step: string, targets: readonly string[], timeoutMs: number): Promise<AdviceResponse> {
     const response = await this.options.client.call(peer.address, { type: 'advise', step, targets, timeoutMs }, timeoutMs + CALL_TIMEOUT_MS)
     if (response.isErr()) return { type: 'failed', reason: response.error.reason }
-    return response.value.type === 'advice' ? response.value.answer : { type: 'failed', reason: 'no-advice' }
+    return response.value.type === 'advice' && isAdviceResponse(response.value.answer) ? response.value.answer : { type: 'failed', reason: 'no-advice' }
   }
 
   /** Requests the advisor responses that a member has cached; empty if it does not respond. */
   async requestCachedAdvice (peer: Peer): Promise<readonly CachedAdvice[]> {
     if (peer.member === this.options.self.member) return this.options.advisor.getCachedAdvice()
     const response = await this.options.client.call(peer.address, { type: 'known-advice' }, HELLO_INTERVAL_MS)
-    if (response.isOk() && response.value.type === 'known-advice') return response.value.advice
+    if (response.isOk() && response.value?.type === 'known-advice' && Array.isArray(response.value.advice)) return response.value.advice.filter(isCachedAdvice)
     this.options.reporter.count('known-advice-missing', response.isErr() ? response.error.reason : 'other-answer')
     return []
   }
@@ -214,7 +215,7 @@
     if (leader === undefined || leader.member === this.options.self.member) return
     const sentAt = performance.now()
     const response = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_TIMEOUT_MS)
-    if (response.isErr() || response.value.type !== 'welcome') return
+    if (response.isErr() || !isWelcome(response.value)) return
     if (response.value.waiting !== undefined) this.waitingJobs = { counts: response.value.waiting, at: sentAt }
     this.overloads = { list: response.value.overloads ?? [], at: sentAt }
     this.peers = response.value.peers.filter(({ member }) => member !== this.options.self.member)
--- a/test/controller/member-link.test.ts
+++ b/test/controller/member-link.test.ts
@@ -75,3 +75,18 @@
     assert.equal(link.getWaitingCount('stock'), expected)
   })
 }
+
+const malformedAnswers: ReadonlyArray<{ readonly name: string, readonly answer: unknown }> = [
+  { name: 'none', answer: undefined },
+  { name: 'null', answer: null },
+  { name: 'tickets missing', answer: { type: 'advised' } },
+  { name: 'a ticket without a target', answer: { type: 'advised', tickets: [{ ticket: 'x' }] } }
+]
+
+for (const { name, answer } of malformedAnswers) {
+  // An answer of another release, or a damaged one, ended the process of the leader.
+  test(`member link: guards against the failure that a malformed answer for the advisor reaches the scheduler: ${name}`, async () => {
+    const { link } = createLink([ok({ type: 'advice', answer } as unknown as MemberResponse)])
+    assert.deepEqual(await link.requestAdvice({ member: 'm3', address: 'm3:1' }, 'job.0.0', ['t0'], 100), { type: 'failed', reason: 'no-advice' })
+  })
+}
