Check hellos and announced jobs before the leader uses them

Seen: in virtual time, one announced job whose step has no demand ended the process of the leader in its next scheduling pass. A hello without an address is recorded as a member; a relay to it throws in the leader's timer (a trial with the gRPC client: Channel target must be a string). Cause: calls of members were taken for what their type says; stored jobs are checked, announced ones were not.

--- a/src/controller/member-call-guards.ts
+++ b/src/controller/member-call-guards.ts
@@ -1,13 +1,20 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
+import type { JobDefinition } from '../workflow/job.ts'
 import type { MemberResponse, Peer } from './member-call.ts'
+import { isJobDefinition, isJobSettings } from './record-guards.ts'
 
 type Fields = Readonly<Record<string, unknown>>
 
 /** Whether a value that a member has sent has the name and the address of a member. */
-function isPeer (value: unknown): value is Peer {
+export function isPeer (value: unknown): value is Peer {
   return isObject(value) && isText(value.member) && isText(value.address)
 }
 
+/** Whether a value that a member has sent has all that the scheduler reads of a job's definition. */
+export function isAnnouncedJob (value: unknown): value is JobDefinition {
+  return isJobDefinition(value) && (value.settings === undefined || isJobSettings(value.settings))
+}
+
 /** Whether a value is the leader's response to a hello. */
 export function isWelcome (value: unknown): value is Extract<MemberResponse, { type: 'welcome' }> {
   return isObject(value) && value.type === 'welcome' && isListOf(value.peers, isPeer) &&
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -10,7 +10,7 @@
 import type { Leadership, StandDown } from './leadership.ts'
 import type { MemberResponse, MemberCall, Peer } from './member-call.ts'
 import type { AdviceCache } from './advice-cache.ts'
-import { isAdviceResponse, isCachedAdvice, isWelcome } from './member-call-guards.ts'
+import { isAdviceResponse, isAnnouncedJob, isCachedAdvice, isPeer, isWelcome } from './member-call-guards.ts'
 import type { Reporter } from './reporter.ts'
 import type { LeaderRecord } from './store-keys.ts'
 
@@ -91,7 +91,7 @@
   async handleCall (call: MemberCall): Promise<MemberResponse> {
     switch (call.type) {
       case 'hello': return this.handleHello(call.peer)
-      case 'job-stored': return this.handleAnnouncement((controller) => controller.acceptJob(call.definition))
+      case 'job-stored': return this.handleAnnouncement((controller) => isAnnouncedJob(call.definition) && controller.acceptJob(call.definition))
       case 'cancel-stored': return this.handleAnnouncement((controller) => controller.cancelJob(call.id))
       case 'phase': return this.handlePhaseRequest(call.id)
       case 'stand-down':
@@ -105,7 +105,7 @@
 
   private handleHello (peer: Peer): MemberResponse {
     const controller = this.options.getController()
-    if (controller === undefined) return { type: 'not-leading' }
+    if (controller === undefined || !isPeer(peer)) return { type: 'not-leading' }
     controller.recordPeer(peer)
     return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads }
   }
