Ask members soon again whether they can be witnesses

Callers would see (LOST): a leader that ends a second after its election has only one or two witnesses on record, so that its successor may wait for 8 s.

Cause: a member that had not read the record of the new leader yet, when it was first asked, was asked again only a second later.

The test in controller/witnesses failed before.

Change: such members are asked every 250 ms, as the witnesses are. A member of an older release, which can't answer, gets four calls a second.

--- a/src/controller/witnesses.ts
+++ b/src/controller/witnesses.ts
@@ -9,9 +9,8 @@
 export const CONFIRMATION_PERMITS_MS = 1_000
 /** Age of the last confirmed renewal from which the witnesses are asked, in milliseconds. */
 const ASK_AFTER_MS = 700
+/** Interval of the calls to each witness, and to each member that may become one, in milliseconds. */
 const ASK_INTERVAL_MS = 250
-/** Interval of the calls to members that may become witnesses, in milliseconds. */
-const TRIAL_INTERVAL_MS = 1_000
 /** Minimum time between two log lines on commands that are withheld, in milliseconds. */
 const LOG_INTERVAL_MS = 1_000
 
@@ -73,10 +72,10 @@
 
   /** To be called regularly: asks the witnesses if the store does not respond, else chooses them. */
   update (): void {
-    if (this.renewalAgeMs > ASK_AFTER_MS) return this.ask([...this.stored, ...this.pending ?? []], ASK_INTERVAL_MS)
+    if (this.renewalAgeMs > ASK_AFTER_MS) return this.ask([...this.stored, ...this.pending ?? []])
     if (this.pending !== undefined) return
     const peers = this.options.getPeers()
-    this.ask(peers.filter(({ address }) => !this.confirmedAt.has(address)), TRIAL_INTERVAL_MS)
+    this.ask(peers.filter(({ address }) => !this.confirmedAt.has(address)))
     // Members that are about to answer would change the witnesses again.
     if (this.pendingCalls === 0 || this.stored.length === 0) this.choose(peers)
   }
@@ -117,10 +116,10 @@
     onChosen()
   }
 
-  private ask (peers: readonly Peer[], intervalMs: number): void {
+  private ask (peers: readonly Peer[]): void {
     const now = performance.now()
     for (const peer of peers) {
-      if (now - (this.askedAt.get(peer.address) ?? -Infinity) < intervalMs) continue
+      if (now - (this.askedAt.get(peer.address) ?? -Infinity) < ASK_INTERVAL_MS) continue
       this.askedAt.set(peer.address, now)
       this.pendingCalls += 1
       this.requestConfirmation(peer).finally(() => { this.pendingCalls -= 1 }).catch((error: unknown) => this.options.reporter.log('error', 'witness-not-asked', { detail: String(error) }))
--- a/test/controller/witnesses.test.ts
+++ b/test/controller/witnesses.test.ts
@@ -140,6 +140,14 @@
   }))
 }
 
+test('witnesses: guards against the failure that a leader ends before it has asked those again that had not read its record yet', () => withLeader(async (leader) => {
+  leader.present = PEERS.slice(0, 3)
+  await leader.run(100)
+  leader.confirming = leader.present
+  await leader.run(400)
+  assert.equal(leader.witnesses.toStore.length, 3)
+}))
+
 test('witnesses: guards against the failure that a commit of before, with the witnesses of before, counts as that with the others', () => withLeader(async (leader) => {
   await leader.store(3)
   const before = leader.witnesses.toStore
