Say in the comment on the grace that it needs witnesses

The comment named the 8 s as what a leader always has and a successor always waits for; since both depend on the witnesses.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -15,9 +15,10 @@
 const LEASE_TTL_MS = 1_500
 const RENEW_INTERVAL_MS = 400
 /**
- * How long the leader continues after the last confirmed renewal of its lease, in milliseconds: while the store does not
- * respond, no other member can take over. A new leader that cannot reach a target waits for this time, and for the lease of
- * the runs, before it starts that target's tasks elsewhere. It counts from its own election, which may follow the renewal at
+ * How long the leader continues at most after the last confirmed renewal of its lease, in milliseconds, if its witnesses
+ * confirm its term: while the store does not respond, no other member can take over. A new leader that cannot reach a target
+ * and gets no answers from the witnesses waits for this time, and for the lease of the runs, before it starts that target's
+ * tasks elsewhere. It counts from its own election, which may follow the renewal at
  * once: the record of a leader that refuses connections is removed before its lease expires.
  */
 export const LEASE_GRACE_MS = 8_000
