Test the promise not to command silent targets

Nothing showed that a leader keeps to what its record in `lead/silent` says when the store or the members are silent to it at the moment a target comes back, or when it is paused: the chains of leaders do not hit the some 50 ms that count.

The simulation of test/workflow stores silent targets as leaders do, and its sessions report each target that does not answer, as those of the product do; before, they did so only for targets that had answered.

--- a/test/controller/silent-target-faults.ts
+++ b/test/controller/silent-target-faults.ts
@@ -17,6 +17,7 @@
   { name: 'targets cut from some members, leaders end', begin: (cell) => { cutWays(cell); endRow(cell) } },
   { name: 'targets restart behind a cut, leaders end', begin: (cell) => { restartBehindCut(cell); endRow(cell) } },
   { name: 'targets cut off, store silent when they are back', begin: cutTargetsAndStore },
+  { name: 'targets back for a leader alone that is cut off', begin: isolateLeader },
   { name: 'targets cut off, leader paused', begin: (cell) => { cutTargets(cell); pauseLeader(cell) } },
   { name: 'targets cut off, writes carried out late', begin: (cell) => { cutTargets(cell); delayWrites(cell); endRow(cell) } }
 ]
@@ -63,6 +64,28 @@
   })
 }
 
+/** The leader reaches neither the store nor the members when the targets come back, and they come back to it alone. */
+function isolateLeader (cell: VirtualCell): void {
+  const { hosts, random, time } = cell
+  const cutMs = drawCutMs(cell)
+  const chosen = chooseTargets(cell)
+  const ids = new Set(chosen.map(({ id }) => id))
+  for (const target of chosen) target.unreachableUntil = time.nowMs + cutMs
+  time.schedule(Math.max(0, cutMs - random.nextInt(MAX_STORE_OUTAGE_MS)), () => {
+    const leader = cell.leaders[0]
+    if (leader === undefined) return
+    const { connection } = leader
+    connection.service = 'silent'
+    leader.cutFromMembers = random.nextInt(2) === 0
+    for (const host of hosts) host.unreachedTargets = host === leader ? new Set() : ids
+    time.schedule(drawCutMs(cell), () => {
+      connection.service = 'served'
+      leader.cutFromMembers = false
+      for (const host of hosts) host.unreachedTargets = new Set()
+    })
+  })
+}
+
 function pauseLeader (cell: VirtualCell): void {
   const { random, time } = cell
   time.schedule(random.nextInt(MAX_APART_MS), () => {
--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -24,6 +24,8 @@
   readonly simulation: SimulationOptions
   readonly time: VirtualTime
   readonly getKnown: () => TargetState | undefined
+  /** Whether the leader may give the target leases. */
+  readonly isCommanded: () => boolean
   readonly isLeading: () => boolean
   readonly applyEvent: (event: CellEvent) => void
   /** Whether something happens that has this probability, as long as there are faults. */
@@ -53,7 +55,7 @@
     const restarted = target.incarnation !== this.lastIncarnation
     this.lastIncarnation = target.incarnation
     if (restarted && simulation.restarting && occurs(BROKEN_REQUEST_RATIO)) return this.handleUnanswered(0)
-    const request = { ...buildListRequest(known, time.now, this.options.leaseMs), epoch: computeFencingNumber(this.options.epoch, known.restarts) }
+    const request = { ...buildListRequest(known, time.now, this.options.leaseMs, this.options.isCommanded()), epoch: computeFencingNumber(this.options.epoch, known.restarts) }
     const sentAt = time.now
     if (target.away === 'refusing') return this.handleUnanswered(0)
     if (!target.isReachable(time.now)) return this.handleUnanswered(simulation.restarting ? TIMEOUT_MS : 0)
@@ -90,7 +92,7 @@
         return this.poll()
       }
       this.lastListUnanswered = false
-      if (this.options.getKnown()?.reachable === true) applyEvent({ type: 'target-silent', id, cause: away === 'refusing' ? NO_LISTENER : 'no-answer' })
+      applyEvent({ type: 'target-silent', id, cause: away === 'refusing' ? NO_LISTENER : 'no-answer' })
       this.pollAfter(RETRY_DELAY_MS)
     })
   }
--- a/test/workflow/simulated-store.ts
+++ b/test/workflow/simulated-store.ts
@@ -4,12 +4,15 @@
 import type { CellEvent } from '../../src/workflow/event.ts'
 import type { JobDefinition, JobPhase } from '../../src/workflow/job.ts'
 import type { JobProgress } from '../../src/workflow/progress-record.ts'
+import type { SilentTargetsById } from '../../src/workflow/silent-targets.ts'
 
 /** What leaders have stored: the progress of jobs, and the targets that may have runs. */
 export class SimulatedStore {
   /** The incarnations of targets that commands were measured for. */
   incarnations: Incarnations = {}
   targets: { readonly ids: readonly string[], readonly closed: ClosedTargets } = { ids: [], closed: {} }
+  /** Targets that get no leases and no starts, with times on the clock that all leaders share here. */
+  silentTargets: SilentTargetsById = {}
   private readonly progress = new Map<string, JobProgress>()
   /** Jobs whose definitions have been removed. */
   private readonly released = new Set<string>()
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -1,9 +1,11 @@
+import { findEarlierRunsEvent } from '../../src/controller/earlier-runs-event.ts'
 import { computeFencingNumber } from '../../src/controller/fencing-number.ts'
 import { Random } from '../../src/util/random.ts'
 import { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
 import type { JobDefinition } from '../../src/workflow/job.ts'
+import type { SilentTargetsById } from '../../src/workflow/silent-targets.ts'
 import { AttemptHistory, TIME_TO_STORE_MS } from './attempt-history.ts'
 import { CONFIGURATION } from './harness.ts'
 import { LastRuns } from './last-runs.ts'
@@ -130,7 +132,7 @@
 
   private runToEnd (): void {
     for (let index = 0; index < 6; index++) this.addTarget(`t${index}`)
-    this.time.scheduleEvery(100, () => this.apply({ type: 'tick' }))
+    this.time.scheduleEvery(100, () => this.apply({ type: 'tick', earlierCommandsEndAt: this.epoch === 1 ? -Infinity : this.leaderSince }))
     this.time.scheduleEvery(700, () => this.submitJob())
     this.time.scheduleEvery(1_500, () => { if (this.now < FAULTS_UNTIL_MS) this.injectFault() })
     if (this.options.draining) this.time.scheduleEvery(2_300, () => { if (this.now < FAULTS_UNTIL_MS) this.draining.drainTarget() })
@@ -282,6 +284,7 @@
     this.scheduler.expectEarlierRuns()
     const stored = this.options.draining ? this.store.targets : { ids: [...this.targets.keys()], closed: {} }
     if (Object.keys(stored.closed).length > 0) this.takeoversWithClosedTargets += 1
+    this.apply({ type: 'silent-targets-restored', targets: this.store.silentTargets })
     this.apply({ type: 'closed-targets-restored', closed: stored.closed })
     this.apply({ type: 'incarnations-restored', incarnations: this.store.incarnations })
     this.apply({ type: 'targets-stored', ids: stored.ids })
@@ -298,10 +301,12 @@
 
   private resolveEarlierRuns (epoch: number, previousTargets: readonly string[]): void {
     if (epoch !== this.epoch || !this.scheduler.earlierRunsExpected) return
-    const listed = this.scheduler.allTargetsListed && previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true)
-    const earlierRunsExpireAt = this.leaderSince + this.scheduler.longestEarlierLeaseMs * 1.03 + 50
-    if (this.now >= earlierRunsExpireAt) return this.apply({ type: 'earlier-runs-lapsed' })
-    if (listed) this.apply({ type: 'earlier-runs-listed' })
+    const event = findEarlierRunsEvent({
+      lapsed: this.now >= this.leaderSince + this.scheduler.longestEarlierLeaseMs * 1.03 + 50,
+      listed: this.scheduler.allTargetsListed && previousTargets.every((id) => this.scheduler.getTarget(id)?.listed === true),
+      unsettled: this.scheduler.findUnsettledTargets(this.now - 50)
+    })
+    if (event !== undefined) this.apply(event)
     this.time.schedule(50, () => this.resolveEarlierRuns(epoch, previousTargets))
   }
 
@@ -315,6 +320,7 @@
       if (effect.type === 'start' || effect.type === 'stop') this.sendCommand(effect, this.epoch)
       if (effect.type === 'store-progress') this.storeProgress(effect.job, this.epoch)
       if (effect.type === 'store-targets') this.storeTargets(effect, this.epoch)
+      if (effect.type === 'store-silent-targets') this.storeSilentTargets(effect.targets, this.epoch)
     }
   }
 
@@ -327,6 +333,14 @@
     })
   }
 
+  private storeSilentTargets (targets: SilentTargetsById, epoch: number): void {
+    this.time.schedule(20, () => {
+      if (epoch !== this.epoch) return
+      this.store.silentTargets = targets
+      this.apply({ type: 'silent-targets-stored', ids: Object.keys(targets) })
+    })
+  }
+
   private storeProgress (id: string, epoch: number): void {
     this.time.schedule(20, () => {
       if (epoch !== this.epoch) return
@@ -386,6 +400,7 @@
       simulation: this.options,
       time: this.time,
       getKnown: () => this.scheduler.getTarget(target.id),
+      isCommanded: () => !this.scheduler.isPromisedSilent(target.id),
       isLeading: () => epoch === this.epoch,
       applyEvent: (event) => this.apply(event),
       occurs: (probability) => this.occurs(probability),
