Hand on when the leases from before a restart end

What callers saw: restored tasks waited 10.3 s after each takeover of a row beside a target that had restarted before and was gone now.

Cause: a leader takes a target for one that may hold the longest lease until it has held it fenced for 6.9 s, counted from its own first listing. Leaders that follow one another faster never get there, so that each counts 10.3 s anew.

Change: a restarted target that has answered a leader is fenced against all calls to its earlier incarnations, so that the end of their leases is known once for all leaders.

What is left are targets that restarted and did not answer before the takeover.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -209,7 +209,7 @@
     // Completions of jobs that are left for the next transaction must not be acknowledged by this one.
     const completions = this.jobsToStore.size === 0 ? this.options.getProcessedCompletions() : []
     const source = { jobs: records.map(({ id }) => id), removedProgress, targets, settings, silentTargets }
-    return { nonce, source, puts, deletes, phases, released, completions, targets: targets?.ids, silentTargets: silentTargets === undefined ? undefined : Object.keys(silentTargets) }
+    return { nonce, source, puts, deletes, phases, released, completions, targets: targets?.ids, silentTargets: silentTargets === undefined ? undefined : listSilent(silentTargets) }
   }
 
   /** Creates a commit without records, which shows whether the store accepts this leader's commits. */
@@ -356,6 +356,10 @@
   }
 }
 
+function listSilent (targets: SilentTargetsById): readonly string[] {
+  return Object.keys(targets).filter((id) => targets[id]!.isCommanded !== true)
+}
+
 function countRecords ({ jobs, removedProgress, targets, settings, silentTargets }: BatchSource): number {
   return jobs.length + removedProgress.length + [targets, settings, silentTargets].filter((record) => record !== undefined).length
 }
--- a/src/workflow/earlier-lapse.ts
+++ b/src/workflow/earlier-lapse.ts
@@ -18,8 +18,10 @@
 export function computeEarlierLapse (state: CellState, id: string): number {
   const { leaseMs, longestLeaseMs } = state.options
   const target = state.targets.get(id)
-  const longestMs = target !== undefined && mayHoldForeignLease(state, target) ? longestLeaseMs : leaseMs
-  const lapsesAt = (state.earlierCommandsEndAt ?? Infinity) + longestMs * CLOCK_DRIFT_FACTOR
+  const commandsEndAt = state.earlierCommandsEndAt ?? Infinity
+  const isForeign = target !== undefined && mayHoldForeignLease(state, target)
+  const foreignEndsAt = isForeign ? state.silentTargets.findEarlierLeasesEnd(id, target.entry.incarnation) ?? commandsEndAt + longestLeaseMs * CLOCK_DRIFT_FACTOR : -Infinity
+  const lapsesAt = Math.max(commandsEndAt + leaseMs * CLOCK_DRIFT_FACTOR, foreignEndsAt)
   return Math.min(lapsesAt, state.silentTargets.findEnd(id, target?.entry.incarnation) ?? Infinity)
 }
 
--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -55,7 +55,8 @@
   const { leaseMs, longestLeaseMs } = state.options
   let changed = false
   for (const target of state.targets.values()) {
-    if (!target.haveEarlierLeasesExpiredBy(state.now + leaseMs, longestLeaseMs)) continue
+    const handedOnEnd = state.silentTargets.findEarlierLeasesEnd(target.id, target.entry.incarnation) ?? Infinity
+    if (handedOnEnd > state.now + leaseMs && !target.haveEarlierLeasesExpiredBy(state.now + leaseMs, longestLeaseMs)) continue
     if (state.commandedIncarnations.get(target.id) === target.entry.incarnation) continue
     state.commandedIncarnations.set(target.id, target.entry.incarnation)
     changed = true
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -39,7 +39,7 @@
     if (!listedKeys.has(key) && complete && mustBeListed(live, sentAt)) handleUnlistedRun(state, live)
   }
   // A previous leader may have extended the lease up to now, and the expiry that it sent is not known here.
-  if (!target.listed) target.recordEarlierLeases(listing.clockMs, mayHoldForeignLease(state, target), state.options)
+  if (!target.listed) recordEarlierLeases(state, target, listing.clockMs)
   if (!target.listed || !target.reachable || target.listUnanswered) recordRoom(state, target)
   const isFirstListing = !target.listed
   target.listed = true
@@ -50,6 +50,12 @@
   if (isFirstListing) releaseTasks(state, target)
 }
 
+function recordEarlierLeases (state: CellState, target: TargetState, clockMs: number): void {
+  const endsAt = state.silentTargets.findEarlierLeasesEnd(target.id, target.entry.incarnation)
+  if (endsAt !== undefined) target.recordEarlierLeasesEnd(endsAt)
+  target.recordEarlierLeases(clockMs, endsAt === undefined && mayHoldForeignLease(state, target), state.options)
+}
+
 /**
  * Handles a run that its target does not have any more. If the target has restarted, a successor may have read the end of the
  * run before, so that the task waits until this owner was certainly alone after the restart.
--- a/src/workflow/silent-targets.ts
+++ b/src/workflow/silent-targets.ts
@@ -1,6 +1,7 @@
 import { log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { computeEarlierLapse } from './earlier-lapse.ts'
+import { mayHoldForeignLease } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
 import { formatTargets } from './task-wait-fields.ts'
 
@@ -18,10 +19,13 @@
 /** Bounds the size of the record; other targets are waited for by each owner. */
 const MAX_TARGETS = 2_000
 
-/** The incarnation of a target that answers nothing, and when all leases there have ended at the latest, on the scheduler's clock. */
-export type SilentTarget = { readonly incarnation: number, readonly leasesEndAt: number }
+/**
+ * The incarnation of a target that answers nothing, and when all leases there have ended at the latest, on the scheduler's clock.
+ * `isCommanded`: it does answer, and only the leases that were measured on the clocks of its earlier incarnations end then.
+ */
+export type SilentTarget = { readonly incarnation: number, readonly leasesEndAt: number, readonly isCommanded?: true }
 
-/** Silent targets by their ids. */
+/** Silent targets, and restarted ones that are commanded, by their ids. */
 export type SilentTargetsById = Readonly<Record<string, SilentTarget>>
 
 /** `recorded`: whether it belongs into the record; false while it is being taken out. */
@@ -34,8 +38,11 @@
  */
 export class SilentTargets {
   private readonly promised = new Map<string, Promised>()
+  /** Targets that have restarted and have answered an owner since. */
+  private readonly restarted = new Map<string, SilentTarget>()
   private checkAt = -Infinity
   private changed = false
+  private restartedChanged = false
   private writtenAt = -Infinity
 
   private constructor () {}
@@ -53,9 +60,12 @@
 
   /** Takes over the promise of the owner before, which the record of this one repeats. */
   restore (state: CellState, targets: SilentTargetsById): void {
-    for (const [id, target] of Object.entries(targets)) this.promised.set(id, { target, recorded: true })
-    if (this.promised.size === 0) return
     this.writtenAt = state.now
+    for (const [id, target] of Object.entries(targets)) {
+      if (target.isCommanded === true) this.restarted.set(id, target)
+      else this.promised.set(id, { target, recorded: true })
+    }
+    if (this.promised.size === 0) return
     log(state, 'info', 'silent-targets-taken-over', { ...formatTargets([...this.promised.keys()]), longestMs: this.computeLongestMs(state.now) })
   }
 
@@ -70,11 +80,18 @@
     return target !== undefined && (incarnation === undefined || target.incarnation === incarnation) ? target.leasesEndAt : undefined
   }
 
+  /** When the leases have ended that were measured on the clocks of incarnations before this one of the target, if that is known. */
+  findEarlierLeasesEnd (id: string, incarnation: number): number | undefined {
+    const target = this.restarted.get(id)
+    return target?.incarnation === incarnation ? target.leasesEndAt : undefined
+  }
+
   /** Looks for targets that have fallen silent or answer again, and stores the record if it has to change. */
   update (state: CellState): void {
     if (state.earlierCommandsEndAt === undefined || state.now < this.checkAt) return
     this.checkAt = state.now + CHECK_INTERVAL_MS
     for (const id of new Set([...state.storedTargets, ...state.closedTargets.keys(), ...this.promised.keys()])) this.updateTarget(state, id)
+    this.updateRestarted(state)
     this.storeIfDue(state)
   }
 
@@ -114,6 +131,21 @@
     }
   }
 
+  /** What one owner learns of the leases before a restart holds for all that follow, also if each of them leads for a short time. */
+  private updateRestarted (state: CellState): void {
+    for (const id of this.restarted.keys()) {
+      if (state.targets.get(id) === undefined || !mayHoldForeignLease(state, state.targets.get(id)!)) this.restarted.delete(id)
+    }
+    for (const target of state.targets.values()) {
+      const { id, entry: { incarnation } } = target
+      const leasesEndAt = target.getLastEarlierExpiry(state.options.longestLeaseMs)
+      if (leasesEndAt === undefined || !isStored(state, id) || !mayHoldForeignLease(state, target) || this.restarted.size >= MAX_TARGETS) continue
+      if (leasesEndAt >= (this.findEarlierLeasesEnd(id, incarnation) ?? Infinity)) continue
+      this.restarted.set(id, { incarnation, leasesEndAt, isCommanded: true })
+      this.restartedChanged = true
+    }
+  }
+
   private takeOut (id: string): void {
     const { target } = this.promised.get(id)!
     this.promised.set(id, { target, recorded: false })
@@ -122,12 +154,14 @@
 
   private storeIfDue (state: CellState): void {
     const isOld = state.now - this.writtenAt >= MAX_RECORD_AGE_MS
-    const mustRepeat = isOld && [...this.promised.values()].some(({ target, recorded }) => !recorded || target.leasesEndAt > this.writtenAt)
-    if (!this.changed && !mustRepeat) return
+    const isWaiting = ({ leasesEndAt }: SilentTarget): boolean => leasesEndAt > this.writtenAt
+    const mustRepeat = isOld && ([...this.promised.values()].some(({ target, recorded }) => !recorded || isWaiting(target)) || [...this.restarted.values()].some(isWaiting))
+    if (!this.changed && !this.restartedChanged && !mustRepeat) return
     const recorded = [...this.promised].filter(([, promised]) => promised.recorded)
-    state.effects.push({ type: 'store-silent-targets', targets: Object.fromEntries(recorded.map(([id, { target }]) => [id, target])) })
+    state.effects.push({ type: 'store-silent-targets', targets: { ...Object.fromEntries(this.restarted), ...Object.fromEntries(recorded.map(([id, { target }]) => [id, target])) } })
     if (this.changed) log(state, 'info', 'silent-targets', { ...formatTargets(recorded.map(([id]) => id)), takenOut: this.promised.size - recorded.length, longestMs: this.computeLongestMs(state.now) })
     this.changed = false
+    this.restartedChanged = false
     this.writtenAt = state.now
   }
 
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -131,6 +131,16 @@
     return this.fencedAt !== undefined && time >= computeLastExpiry(this.fencedAt, longestLeaseMs)
   }
 
+  /** When all leases that were measured on the clocks of earlier incarnations have certainly expired; undefined before it has answered. */
+  getLastEarlierExpiry (longestLeaseMs: number): number | undefined {
+    return this.fencedAt === undefined ? undefined : computeLastExpiry(this.fencedAt, longestLeaseMs)
+  }
+
+  /** Records when the leases have ended that were measured on the clocks of earlier incarnations, as an earlier owner knew it. */
+  recordEarlierLeasesEnd (endsAt: number): void {
+    this.earlierLeasesEndAt = Math.max(this.earlierLeasesEndAt, endsAt)
+  }
+
   /** Records that commands to the incarnation before may still reach this one, which takes their leases for the longest ones. */
   inheritLeases (previous: TargetState, longestLeaseMs: number): void {
     const lastEndsAt = computeLastExpiry(previous.leaseRequestedAt + LATE_COMMAND_MS, longestLeaseMs)
--- a/test/controller/silent-targets-record.test.ts
+++ b/test/controller/silent-targets-record.test.ts
@@ -28,6 +28,8 @@
   { shows: 'a wait that is over', value: { term: TERM, targets: { t1: { incarnation: 7, endsInMs: 0 } } }, targets: { t1: { incarnation: 7, leasesEndAt: READ_AT } } },
   { shows: 'a record before a term of an older release', value: { term: TERM, targets: { t1: { incarnation: 7, endsInMs: 0 } } }, lastTerm: TERM + 1, targets: {} },
   { shows: 'a record of a later term', value: { term: TERM + 1, targets: { t1: { incarnation: 7, endsInMs: 0 } } }, targets: {} },
+  { shows: 'a restarted target that is commanded', value: { term: TERM, targets: { t1: { incarnation: 7, endsInMs: 1_000, isCommanded: true } } }, targets: { t1: { incarnation: 7, leasesEndAt: READ_AT + 1_030, isCommanded: true } } },
+  { shows: 'a mark that is no truth value', value: { term: TERM, targets: { t1: { incarnation: 7, endsInMs: 0, isCommanded: 'no' }, t2: { incarnation: 7, endsInMs: 0, isCommanded: false } } }, targets: {} },
   { shows: 'a negative wait', value: { term: TERM, targets: { t1: { incarnation: 7, endsInMs: -1 } } }, targets: {} },
   { shows: 'a huge wait', value: { term: TERM, targets: { t1: { incarnation: 7, endsInMs: 1e9 } } }, targets: {} },
   { shows: 'waits and incarnations that are no numbers', value: { term: TERM, targets: { t1: { incarnation: 7, endsInMs: '0' }, t2: { incarnation: '7', endsInMs: 0 }, t3: { incarnation: 7, endsInMs: null }, t4: null, t5: [] } }, targets: {} },
@@ -135,11 +137,11 @@
   store.delays = 1
   committer.storeSilentTargets({ t1: { incarnation: 7, leasesEndAt: 0 } })
   await wait(100)
-  committer.storeSilentTargets({})
+  committer.storeSilentTargets({ t1: { incarnation: 8, leasesEndAt: 0, isCommanded: true } })
   while (stored.at(-1)?.length !== 0) await wait(20)
   committer.stop()
   for (const apply of store.delayed) apply()
-  assert.deepEqual([stored, store.read(SILENT_TARGETS_KEY)?.value], [[['t1'], []], { term: TERM, targets: {} }])
+  assert.deepEqual([stored, store.read(SILENT_TARGETS_KEY)?.value], [[['t1'], []], { term: TERM, targets: { t1: { incarnation: 8, endsInMs: 0, isCommanded: true } } }])
 })
 
 test('silent targets record: guards against the failure that a transaction with many jobs and the record has too many entries, or leaves the record out', async () => {
--- a/test/workflow/silent-targets.test.ts
+++ b/test/workflow/silent-targets.test.ts
@@ -163,3 +163,41 @@
   const records = getRecords(pass(harness, 500, { earlierCommandsEndAt: 1_000 }))
   assert.equal(Object.keys(records.at(-1)!).length, 2_000)
 })
+
+/** A target that has restarted under its leader, with a run, and has answered since. */
+function createRestartedTarget (): CellHarness {
+  const harness = CellHarness.create([buildEntry('t1')], undefined, { leaseMs: LEASE_MS, longestLeaseMs: LONGEST_LEASE_MS })
+  harness.acceptJob('a', 'stock')
+  harness.now += TICK_MS
+  harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+  return harness
+}
+
+// LOST: each leader counted the leases from before a restart from its own first listing, unless one of them led for 6.9 s.
+test('silent targets: guards against the failure that the end of the leases from before a restart is not handed on', () => {
+  const harness = createRestartedTarget()
+  const unanswered = getRecords(pass(harness, 200))
+  const answeredAt = harness.now
+  harness.listTarget('t1', { incarnation: 2, sentAt: harness.now - 10 })
+  const record = getRecords(pass(harness, 200)).at(-1)
+  const leasesEndAt = harness.scheduler.getTarget('t1')!.getLastEarlierExpiry(LONGEST_LEASE_MS)!
+  assert.deepEqual([unanswered, record, harness.scheduler.isPromisedSilent('t1')], [[], { t1: { incarnation: 2, leasesEndAt, isCommanded: true } }, false])
+  assert.ok(leasesEndAt > answeredAt + LONGEST_LEASE_MS)
+})
+
+type RestartWait = { readonly shows: string, readonly incarnation: number, readonly handedOn: number, readonly lapsesAt: number, readonly longestLeaseMs: number }
+
+const restartWaits: readonly RestartWait[] = [
+  { shows: 'leases from before the restart go on longest', incarnation: 2, handedOn: 8_000, lapsesAt: 8_000, longestLeaseMs: LONGEST_LEASE_MS },
+  { shows: 'leases of the last leader go on longest', incarnation: 2, handedOn: 3_000, lapsesAt: COMMANDS_END_AT + LAPSE_MS, longestLeaseMs: LEASE_MS },
+  { shows: 'it has restarted once more', incarnation: 3, handedOn: 3_000, lapsesAt: COMMANDS_END_AT + LONGEST_LAPSE_MS, longestLeaseMs: LONGEST_LEASE_MS }
+]
+
+for (const { shows, incarnation, handedOn, lapsesAt, longestLeaseMs } of restartWaits) {
+  test(`silent targets: guards against the failure that a leader counts the leases from before a restart anew, or not at all: ${shows}`, () => {
+    const harness = createSuccessor(incarnation, { t1: { incarnation: 2, leasesEndAt: handedOn, isCommanded: true } })
+    pass(harness, TICK_MS, { earlierCommandsEndAt: COMMANDS_END_AT })
+    assert.deepEqual([lapsesAt, lapsesAt + 1].map((time) => harness.scheduler.findUnsettledTargets(time).open), [['t1'], []])
+    assert.deepEqual([harness.scheduler.longestEarlierLeaseMs, harness.scheduler.isPromisedSilent('t1')], [longestLeaseMs, false])
+  })
+}
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -337,7 +337,7 @@
     this.time.schedule(20, () => {
       if (epoch !== this.epoch) return
       this.store.silentTargets = targets
-      this.apply({ type: 'silent-targets-stored', ids: Object.keys(targets) })
+      this.apply({ type: 'silent-targets-stored', ids: Object.keys(targets).filter((id) => targets[id]!.isCommanded !== true) })
     })
   }
 
