Let a new leader inherit the witnesses of the one before

What callers saw (LOST): tasks that last of a dead target had no run for 14.8 s (9.0 allowed) if a leader that had just been elected was lost with its host. Cause: a leader has no witnesses on record before it has chosen them, so that its successor waits 8 s for it as for one without any. Evidence: controller/restart-bounds, new row: the leader is lost, and the next one at its election, hosts silent: 14.8 s. Change: the claim stores the witnesses of the term before without the member that claims; they count until the leader has stored its own. Those that have not confirmed the new term within 2 s are dropped.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -3,6 +3,7 @@
 import { Moment } from '../util/moment.ts'
 import { delay } from './delay.ts'
 import { GivenConfirmations } from './given-confirmations.ts'
+import type { Peer } from './member-call.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
 import type { SilentTargetsById } from '../workflow/silent-targets.ts'
 import { SilentTargetsReader, formatSilentTargets } from './silent-targets-record.ts'
@@ -12,6 +13,7 @@
 import type { CommitRecord, LeaderRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 import { listUnsettledTerms } from './unsettled-terms.ts'
+import { parseWitnesses } from './witness-set.ts'
 
 /** How long the store keeps the leader's key without a renewal, in milliseconds. */
 const LEASE_TTL_MS = 1_500
@@ -45,6 +47,8 @@
   readonly commitVersion: number
   /** Earlier terms whose runs may still be on targets, the last one at the end; empty if no member has ever led. */
   readonly unsettled: readonly UnsettledTerm[]
+  /** The witnesses that the claim has stored, taken over from the leader before; missing if there are none. */
+  readonly witnesses?: readonly Peer[]
   /** Targets that get no leases and no starts until a record without them is stored; none if it is missing. */
   readonly silentTargets?: SilentTargetsById
 }
@@ -286,7 +290,8 @@
     this.lastClaimNonce = nonce
     const record: LeaderRecord = { member, address, term, nonce, lease: lease.value.lease }
     const unsettled = listUnsettledTerms(previous)
-    const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled }
+    const witnesses = inheritWitnesses(previous, address)
+    const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled, witnesses }
     const silentTargets = this.silentTargets.read(silentEntry.unwrapOr(undefined), previous?.term)
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }, ...formatClaimedSilentTargets(term, silentTargets)]
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
@@ -306,7 +311,7 @@
     this.limitGrace(sentAt)
     this.leaderRecord = record
     this.options.reporter.log('info', 'leadership-won', { term, version, unsettled: unsettled.map((earlier) => `${earlier.leader.member}/${earlier.term}`).join(',') })
-    this.options.onElected({ term, commitVersion: version, unsettled, silentTargets })
+    this.options.onElected({ term, commitVersion: version, unsettled, witnesses, silentTargets })
     return true
   }
 
@@ -354,6 +359,11 @@
   }
 }
 
+/** A leader that ends before it has chosen witnesses would otherwise be waited for as one that has none. */
+function inheritWitnesses (previous: CommitRecord | undefined, address: string): readonly Peer[] {
+  return (parseWitnesses(previous?.witnesses) ?? []).filter((witness) => witness.address !== address)
+}
+
 /** A record of the term before is not valid beyond a claim, so that the claim repeats it. */
 function formatClaimedSilentTargets (term: number, targets: SilentTargetsById): readonly Put[] {
   return Object.keys(targets).length === 0 ? [] : [{ key: SILENT_TARGETS_KEY, value: formatSilentTargets(term, targets, performance.now()) }]
--- a/src/controller/witnesses.ts
+++ b/src/controller/witnesses.ts
@@ -9,6 +9,8 @@
 export const CONFIRMATION_PERMITS_MS = 1_000
 /** Age of the last confirmed renewal from which the witnesses are asked, in milliseconds. */
 const ASK_AFTER_MS = 700
+/** Time within which inherited witnesses have to confirm the new term, in milliseconds. */
+const INHERITED_KEPT_MS = 2_000
 /** Interval of the calls to each witness, and to each member that may become one, in milliseconds. */
 const ASK_INTERVAL_MS = 250
 /** Minimum time between two log lines on commands that are withheld, in milliseconds. */
@@ -18,6 +20,8 @@
   readonly term: number
   readonly self: Peer
   readonly reporter: Reporter
+  /** The witnesses that the claim has stored; none if it is missing. */
+  readonly inherited?: readonly Peer[] | undefined
   /** The other members that have sent a hello recently. */
   readonly getPeers: () => readonly Peer[]
   /** Asks a member to confirm that it knows of no later term; false without a response. Without it, there are no witnesses. */
@@ -33,7 +37,7 @@
  * those on record to stop confirming, so that it need not wait for a leader that does not respond.
  */
 export class Witnesses {
-  private stored: readonly Peer[] = []
+  private stored: readonly Peer[]
   /** Witnesses that may be stored already; undefined if none but `stored` are. */
   private pending: readonly Peer[] | undefined
   /** When the last call that was confirmed was sent, by address. */
@@ -45,10 +49,14 @@
   private withheld = false
   private loggedAt = -Infinity
 
-  private constructor (private readonly options: WitnessesOptions) {}
+  private readonly createdAt = performance.now()
+
+  private constructor (private readonly options: WitnessesOptions) {
+    this.stored = options.inherited ?? []
+  }
 
   /**
-   * Creates the witnesses of a term, of which none is stored yet.
+   * Creates the witnesses of a term that begins.
    *
    * @example
    * const witnesses = Witnesses.create({ term: 3, self, reporter, getPeers, requestConfirmation, getAloneUntil, onChosen })
@@ -88,6 +96,11 @@
     return permitted
   }
 
+  /** The inherited witnesses, as long as they may not have been asked yet. */
+  private get inherited (): readonly Peer[] {
+    return performance.now() - this.createdAt < INHERITED_KEPT_MS ? this.options.inherited ?? [] : []
+  }
+
   /** A successor may read either of them. */
   private get requiredSets (): ReadonlyArray<readonly Peer[]> {
     return [this.stored, this.pending ?? []].filter(({ length }) => length > 0)
@@ -108,7 +121,7 @@
 
   private choose (peers: readonly Peer[]): void {
     const { self, reporter, term, onChosen } = this.options
-    const chosen = chooseWitnesses({ self, witnesses: this.stored, candidates: peers.filter(({ address }) => this.confirmedAt.has(address)) })
+    const chosen = chooseWitnesses({ self, witnesses: this.stored, candidates: [...peers.filter(({ address }) => this.confirmedAt.has(address)), ...this.inherited] })
     const isSame = chosen.length === this.stored.length && chosen.every(({ address }) => this.stored.some((witness) => witness.address === address))
     if (isSame) return
     this.pending = chosen
--- a/test/controller/restart-bounds.test.ts
+++ b/test/controller/restart-bounds.test.ts
@@ -26,7 +26,8 @@
     { name: `leader killed ${times} times, same address`, end: { times, then: 'same-address' } as const },
     { name: `leader killed ${times} times, other address`, end: { times, then: 'other-address' } as const }
   ]),
-  { name: 'leader killed 4 times, other address, old ones silent', end: { times: 4, then: 'other-address-silent' } }
+  { name: 'leader killed 4 times, other address, old ones silent', end: { times: 4, then: 'other-address-silent' } },
+  { name: 'leader killed, and the next one at its election, other addresses, old ones silent', end: { times: 2, then: 'other-address-silent', intervalMs: 0 } }
 ]
 
 const rows = targets.flatMap((target) => leaders.flatMap((leader) => {
