Check the grace of a leader when its commands are sent

Cause: only the timer ended the grace; the permission to send commands didn't look at it. Evidence: controller/witnesses, two new tests failed before: commands were permitted after 8.05 s with 0 and with 3 witnesses. Change: no command is permitted once the last confirmed renewal is 8 s old. After: both pass.

--- a/src/controller/witnesses.ts
+++ b/src/controller/witnesses.ts
@@ -1,4 +1,5 @@
 import { Moment } from '../util/moment.ts'
+import { LEASE_GRACE_MS } from './leadership.ts'
 import type { Peer } from './member-call.ts'
 import type { Reporter } from './reporter.ts'
 import { chooseWitnesses, computeQuorum } from './witness-set.ts'
@@ -88,9 +89,13 @@
     if (this.pendingCalls === 0 || this.stored.length === 0) this.choose(peers)
   }
 
-  /** Whether the store or the witnesses have confirmed the term recently; true as long as none are stored. */
+  /**
+   * Whether the store or the witnesses have confirmed the term recently; true within the grace as long as none are stored. The
+   * timer that ends the grace may be late.
+   */
   permitCommands (): boolean {
-    const permitted = this.renewalAgeMs < RENEWAL_PERMITS_MS || this.requiredSets.every((witnesses) => this.hasQuorum(witnesses))
+    const { renewalAgeMs } = this
+    const permitted = renewalAgeMs < RENEWAL_PERMITS_MS || (renewalAgeMs < LEASE_GRACE_MS && this.requiredSets.every((witnesses) => this.hasQuorum(witnesses)))
     if (permitted === this.withheld) this.report(permitted)
     this.withheld = !permitted
     return permitted
--- a/test/controller/witnesses.test.ts
+++ b/test/controller/witnesses.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { LEASE_GRACE_MS } from '../../src/controller/leadership.ts'
 import type { Peer } from '../../src/controller/member-call.ts'
 import { CONFIRMATION_PERMITS_MS, RENEWAL_PERMITS_MS, Witnesses } from '../../src/controller/witnesses.ts'
 import { VirtualTime } from './virtual-time.ts'
@@ -116,6 +117,18 @@
   }))
 }
 
+for (const witnesses of [0, 3]) {
+  // TWICE: a busy process ran the timer that ends its term 0.9 s late, while a successor counts on its end.
+  test(`witnesses: guards against the failure that a leader with ${witnesses} of them commands beyond its grace until a timer has run`, () => withLeader(async (leader) => {
+    await leader.store(witnesses)
+    leader.storeResponds = false
+    await leader.run(LEASE_GRACE_MS - 2 * TICK_MS)
+    assert.equal(leader.witnesses.permitCommands(), true)
+    await leader.run(3 * TICK_MS)
+    assert.equal(leader.witnesses.permitCommands(), false)
+  }))
+}
+
 const changes: ReadonlyArray<{ readonly confirming: readonly string[], readonly stored: boolean, readonly permitted: boolean }> = [
   { confirming: ['m2', 'm3'], stored: false, permitted: false },
   { confirming: ['m2', 'm3', 'm4'], stored: false, permitted: true },
