Let targets come back to a leader alone in chains of leaders

The new fault cuts targets for 1.7 to 3.4 s, long enough to be stored and shorter than a lease, and cuts the leader from the store, and sometimes from the members, just before they come back to it alone.

--- a/test/controller/silent-target-faults.ts
+++ b/test/controller/silent-target-faults.ts
@@ -9,6 +9,10 @@
 const MAX_STORE_OUTAGE_MS = 3_000
 const MAX_PAUSE_MS = 9_000
 const MAX_LEADERS = 6
+/** Long enough to be stored, and shorter than a lease. */
+const MIN_STORED_CUT_MS = 1_700
+const MAX_STORED_CUT_MS = 3_400
+const MAX_ISOLATED_BEFORE_MS = 500
 
 /** Rows of leaders beside targets that answer nobody, or some members only, for a shorter or a longer time than their leases. */
 export const SILENT_TARGET_FAULTS: readonly VirtualFault[] = [
@@ -67,11 +71,11 @@
 /** The leader reaches neither the store nor the members when the targets come back, and they come back to it alone. */
 function isolateLeader (cell: VirtualCell): void {
   const { hosts, random, time } = cell
-  const cutMs = drawCutMs(cell)
+  const cutMs = MIN_STORED_CUT_MS + random.nextInt(MAX_STORED_CUT_MS - MIN_STORED_CUT_MS)
   const chosen = chooseTargets(cell)
   const ids = new Set(chosen.map(({ id }) => id))
   for (const target of chosen) target.unreachableUntil = time.nowMs + cutMs
-  time.schedule(Math.max(0, cutMs - random.nextInt(MAX_STORE_OUTAGE_MS)), () => {
+  time.schedule(cutMs - random.nextInt(MAX_ISOLATED_BEFORE_MS), () => {
     const leader = cell.leaders[0]
     if (leader === undefined) return
     const { connection } = leader
