Keep to the truth when a job is submitted again

A caller whose submission had no answer, or 504, submits the job again. Where the store was silent or refused calls by then, it was told 503 (never runs), though the first submission may have been stored, or was, and the job ran. A refusal for overload asked the store first, but a write that is still under way may be applied after that read.

The member knew it and forgot it: each submission looked only at its own writes. While the store can't be asked, a job that was stored is answered as accepted, and one whose outcome is not known, or is still being stored, with 504, at once and without a call. Such a job is not refused for overload but stored. Other refusals cost and take what they did.

--- a/src/controller/job-service.ts
+++ b/src/controller/job-service.ts
@@ -1,6 +1,9 @@
 import type { Store } from '../ports/store.ts'
+import { assertNever } from '../util/assert-never.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import { delay } from './delay.ts'
+import { RecentSubmissions } from './recent-submissions.ts'
+import type { AttemptOutcome, EarlierAttempts } from './recent-submissions.ts'
 import type { Reporter } from './reporter.ts'
 import { readKey, transact } from './store-calls.ts'
 import { parseJobDefinition } from './parse-job-definition.ts'
@@ -49,6 +52,8 @@
  * Handles submissions, status requests and cancellations of callers at any member. Whatever it acknowledges is stored.
  */
 export class JobService {
+  private readonly submissions = RecentSubmissions.create()
+
   private constructor (private readonly options: JobServiceOptions) {}
 
   /**
@@ -64,9 +69,15 @@
   /** Stores a job. Retries until `deadline` (monotonic clock, milliseconds) once a write may have been applied. */
   async submit (definition: JobDefinition, deadline: number): Promise<SubmissionOutcome> {
     if (!hasStorableId(definition)) return { type: 'refused', reason: 'id-too-long' }
-    if (!this.options.isStoreResponsive()) return { type: 'refused', reason: 'store-silent' }
+    const earlier = this.submissions.find(definition.id)
+    if (!this.options.isStoreResponsive()) return refuse(earlier, 'store-silent')
     const retryAfterMs = this.options.getRetryAfterMs(definition)
-    if (retryAfterMs !== undefined && await this.isAbsent(definition.id)) return { type: 'refused', reason: 'overloaded', retryAfterMs }
+    // A write whose outcome is unknown may be applied after a read, so that such a job is stored instead.
+    if (retryAfterMs !== undefined && earlier === 'none' && await this.isAbsent(definition.id)) return { type: 'refused', reason: 'overloaded', retryAfterMs }
+    return this.submissions.track(definition.id, () => this.storeJob(definition, earlier, deadline), toAttemptOutcome)
+  }
+
+  private async storeJob (definition: JobDefinition, earlier: EarlierAttempts, deadline: number): Promise<SubmissionOutcome> {
     const key = jobKey(definition.id)
     // The definition of a completed job is deleted, but its progress stays.
     const absentConditions = [key, progressKey(definition.id)].map((absentKey) => ({ type: 'absent', key: absentKey }) as const)
@@ -80,7 +91,7 @@
       }
       const { reason, verdict } = result.error
       mayBeStored ||= verdict === 'may-have-applied'
-      if (!mayBeStored) return { type: 'refused', reason }
+      if (!mayBeStored) return refuse(earlier, reason)
       if (performance.now() + RETRY_DELAY_MS > deadline) return { type: 'unknown', reason }
       await delay(RETRY_DELAY_MS)
     }
@@ -147,6 +158,25 @@
   }
 }
 
+/** The outcome of a submission that was not written, where earlier ones of the same job may have been. */
+function refuse (earlier: EarlierAttempts, reason: string): SubmissionOutcome {
+  switch (earlier) {
+    case 'none': return { type: 'refused', reason }
+    case 'may-be-stored': return { type: 'unknown', reason }
+    case 'stored': return { type: 'accepted', alreadyStored: true }
+    default: return assertNever(earlier)
+  }
+}
+
+function toAttemptOutcome (outcome: SubmissionOutcome): AttemptOutcome {
+  switch (outcome.type) {
+    case 'accepted': return 'stored'
+    case 'refused': return 'not-stored'
+    case 'unknown': return 'unknown'
+    default: return assertNever(outcome)
+  }
+}
+
 /** Whether all records of a job can be stored. A leader that could not store its progress would have to give it up later. */
 function hasStorableId ({ id }: JobDefinition): boolean {
   return [cancelKey(id), progressKey(id)].every((key) => Buffer.byteLength(key) <= MAX_KEY_BYTES)
--- a/test/controller/job-service.test.ts
+++ b/test/controller/job-service.test.ts
@@ -73,6 +73,94 @@
   })
 }
 
+type StoreBehaviour = 'responds' | 'loses-responses' | 'refuses' | 'overloaded'
+
+/** A service whose store can be made to behave in another way; `overloaded`: no job is welcome. */
+function createTroubledService (): { readonly jobService: JobService, readonly has: (key: string) => boolean, readonly setBehaviour: (behaviour: StoreBehaviour, responsive?: boolean) => void, readonly countCalls: () => number } {
+  const inner = InMemoryStore.create()
+  let behaviour: StoreBehaviour = 'responds'
+  let isResponsive = true
+  let calls = 0
+  const store: Store = {
+    call: async (call) => {
+      calls += 1
+      if (behaviour === 'refuses') return err({ reason: 'unavailable', verdict: 'not-applied' })
+      const answer = inner.call(0, call)
+      assert.notEqual(answer, 'waiting')
+      if (behaviour === 'loses-responses') return err({ reason: 'timeout', verdict: 'may-have-applied' })
+      return ok(answer as Exclude<typeof answer, 'waiting'>)
+    }
+  }
+  const jobService = JobService.create({
+    store,
+    reporter: { log: () => {}, count: () => {}, observe: () => {} },
+    isStoreResponsive: () => isResponsive,
+    getRetryAfterMs: () => behaviour === 'overloaded' ? RETRY_AFTER_MS : undefined,
+    requestPhase: async () => undefined,
+    announceJob: () => {},
+    announceCancellation: () => {}
+  })
+  const has = (key: string): boolean => {
+    const answer = inner.call(0, { type: 'read', prefix: key })
+    return answer !== 'waiting' && answer.type === 'read' && answer.entries.some((entry) => entry.key === key)
+  }
+  const setBehaviour = (next: StoreBehaviour, responsive = true): void => {
+    behaviour = next
+    isResponsive = responsive
+  }
+  return { jobService, has, setBehaviour, countCalls: () => calls }
+}
+
+const repetitions = [
+  { guards: 'its response was lost, and the store is silent', first: 'loses-responses', then: 'responds', responsive: false, expected: { type: 'unknown', reason: 'store-silent' }, calls: 0 },
+  { guards: 'its response was lost, and the store refuses calls', first: 'loses-responses', then: 'refuses', responsive: true, expected: { type: 'unknown', reason: 'unavailable' }, calls: 1 },
+  { guards: 'its response was lost, and jobs are refused for overload', first: 'loses-responses', then: 'overloaded', responsive: true, expected: { type: 'accepted', alreadyStored: true }, calls: 1 },
+  { guards: 'it was accepted without its caller hearing of it, and the store is silent', first: 'responds', then: 'responds', responsive: false, expected: { type: 'accepted', alreadyStored: true }, calls: 0 },
+  { guards: 'it was accepted without its caller hearing of it, and the store refuses calls', first: 'responds', then: 'refuses', responsive: true, expected: { type: 'accepted', alreadyStored: true }, calls: 1 }
+] as const
+
+for (const { guards, first, then, responsive, expected, calls } of repetitions) {
+  // REFUSED: the second submission was answered with 503, "never runs", and the job of the first one ran.
+  test(`job service: guards against the failure that a submission is refused although an earlier one may be stored: ${guards}`, async () => {
+    const { jobService, has, setBehaviour, countCalls } = createTroubledService()
+    setBehaviour(first)
+    await jobService.submit(DEFINITION, performance.now())
+    assert.ok(has(jobKey(ID)))
+    setBehaviour(then, responsive)
+    const callsBefore = countCalls()
+    assert.deepEqual(await jobService.submit(DEFINITION, performance.now() + 1_000), expected)
+    assert.equal(countCalls() - callsBefore, calls)
+  })
+}
+
+// REFUSED: the caller was told that its job never runs while the first submission was being stored.
+test('job service: guards against the failure that a submission is refused while an earlier one is being stored', async () => {
+  const { jobService, setBehaviour } = createTroubledService()
+  const first = jobService.submit(DEFINITION, performance.now() + 1_000)
+  setBehaviour('responds', false)
+  assert.deepEqual(await jobService.submit(DEFINITION, performance.now() + 1_000), { type: 'unknown', reason: 'store-silent' })
+  assert.deepEqual(await first, { type: 'accepted', alreadyStored: false })
+})
+
+const refusedBefore = [
+  { guards: 'was never submitted here', first: undefined },
+  { guards: 'was refused before it was stored', first: 'refuses' }
+] as const
+
+for (const { guards, first } of refusedBefore) {
+  test(`job service: a job that ${guards} is refused without a call while the store is silent`, async () => {
+    const { jobService, setBehaviour, countCalls } = createTroubledService()
+    if (first !== undefined) {
+      setBehaviour(first)
+      assert.equal((await jobService.submit(DEFINITION, performance.now())).type, 'refused')
+    }
+    setBehaviour('responds', false)
+    const callsBefore = countCalls()
+    assert.deepEqual(await jobService.submit(DEFINITION, performance.now() + 1_000), { type: 'refused', reason: 'store-silent' })
+    assert.equal(countCalls(), callsBefore)
+  })
+}
+
 const lookups = [
   { guards: 'a job without a progress record', puts: [{ key: jobKey(ID), value: JSON.stringify(DEFINITION) }], phase: 'queued', cancelled: 'cancelled' },
   { guards: 'a job that has ended and whose definition is deleted', puts: [{ key: progressKey(ID), value: COMPLETED }], phase: 'completed', cancelled: 'completed' },
