--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -308,7 +308,6 @@
     if (event.type === 'start-answered') recordStartResponse(target, event.task, event.run, event.response)
     // The response may be one of the incarnation before, which knows nothing of this one.
     if (target.entry.incarnation !== event.incarnation) return
-    if (event.response.type !== 'unanswered') target.commandSilence.recordAnswer()
     if (event.type === 'stop-answered' && event.response.type === 'accepted') recordRejection(target, event.task, event.run)
     const live = target.find(event.task, event.run)
     if (live === undefined) return
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -21,7 +21,7 @@
 const FAILURE_PAUSE_MS = { first: 1_500, last: 2_500 } as const
 
 /** Weights in the score of a target, relative to its ratio of free capacity. */
-const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5, foreignLease: 20, silence: 35, refusal: 40, crash: 30 } as const
+const SCORE_WEIGHTS = { dataRack: 4, interference: 3, failures: 6, warmUp: 1, slowness: 0.5, recentStart: 5, foreignLease: 20, refusal: 40, crash: 30 } as const
 /** Upper limit of the excess duration that lowers the score of a target, in multiples of the declared duration. */
 const MAX_SLOWNESS_FACTOR = 6
 
@@ -119,8 +119,6 @@
   if (warmUpRemainingMs > 0) score -= SCORE_WEIGHTS.warmUp
   // What runs there must be waited for longer if the target is gone again soon.
   if (mayHoldForeignLease(state, target)) score -= SCORE_WEIGHTS.foreignLease
-  // A task whose start has no answer waits until no copy of it can be executed.
-  if (target.commandSilence.isSilent(state.now)) score -= SCORE_WEIGHTS.silence
   score -= SCORE_WEIGHTS.slowness * Math.min(MAX_SLOWNESS_FACTOR, Math.max(0, target.slowness - 1))
   return score - SCORE_WEIGHTS.failures * target.computeFailureRatio(state.now)
 }
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -87,7 +87,6 @@
   live.startCommandsEndAt = state.now + LATE_COMMAND_MS
   live.endsWithTarget = false
   recordStartSent(target, live, state.now)
-  target.commandSilence.recordSent(state.now)
   const { payload } = task.step.job.definition
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
   state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command })
@@ -104,7 +103,6 @@
   }
   live.sendCount += 1
   live.lastSentAt = state.now
-  target.commandSilence.recordSent(state.now)
   state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command: { task: task.key, run: live.run } })
 }
 
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -1,4 +1,3 @@
-import { CommandSilence } from './command-silence.ts'
 import type { Demand } from './job.ts'
 import { NO_DEMAND, addDemands } from './job.ts'
 import type { LiveRun } from './live-run.ts'
@@ -45,7 +44,6 @@
   leaseUntilMs = 0
   /** Whether its host refuses connections or another target responds there; reset by a listing. */
   processEnded = false
-  readonly commandSilence = CommandSilence.create()
   /** When the last start command was sent, on the scheduler's clock. */
   lastStartAt = -Infinity
   /** No task starts before this time, on the scheduler's clock. */
