--- a/test/workflow/lasting-bad-targets.test.ts
+++ b/test/workflow/lasting-bad-targets.test.ts
@@ -19,8 +19,8 @@
 /** Targets that work have less room, so that a task would rather start on those that do not. */
 const WORKING = { cpuMillis: 2_000, memoryMiB: 1_000, accelerators: 0 }
 
-/** How a target treats starts; it carries out stops, and lists its runs. */
-type Behaviour = 'works' | 'fails' | 'refuses' | 'overloaded' | 'start-unanswered'
+/** How a target treats starts; it carries out stops, unless it answers no commands, and lists its runs. */
+type Behaviour = 'works' | 'fails' | 'refuses' | 'overloaded' | 'start-unanswered' | 'unanswered'
 
 type Run = { readonly task: string, readonly run: number, readonly startedAt: number }
 
@@ -76,11 +76,13 @@
         return { type: 'accepted', clockMs: now }
       case 'refuses': return { type: 'refused', reason: 'invalid', clockMs: now }
       case 'overloaded': return { type: 'refused', reason: 'unhealthy', clockMs: now }
-      case 'start-unanswered': return { type: 'unanswered', reason: 'timeout' }
+      case 'start-unanswered':
+      case 'unanswered': return { type: 'unanswered', reason: 'timeout' }
     }
   }
 
   private stop (target: string, task: string): CommandResponse {
+    if (this.behaviours.get(target) === 'unanswered') return { type: 'unanswered', reason: 'timeout' }
     this.runsOf(target).delete(task)
     return { type: 'accepted', clockMs: this.harness.now }
   }
@@ -128,7 +130,8 @@
   { guards: 'fail it', behaviour: 'fails', bad: [1, 3, 5] },
   { guards: 'refuse its starts', behaviour: 'refuses', bad: [1, 2, 3, 4, 5] },
   { guards: 'are overloaded', behaviour: 'overloaded', bad: [1, 2, 3, 4, 5] },
-  { guards: 'answer no starts', behaviour: 'start-unanswered', bad: [1] }
+  { guards: 'answer no starts', behaviour: 'start-unanswered', bad: [1] },
+  { guards: 'answer no commands', behaviour: 'unanswered', bad: [1, 2, 3] }
 ]
 
 for (const { guards, behaviour, bad } of cases) {
