Take no time and no term that is none from other members

Callers could have seen two runs of a task: a response to a request to stand down without a finite time made the end of the earlier leader's commands NaN, so that each comparison with it was false and its leases counted as ended at once; and a request to stand down with something else than a term made the latest requested term of a witness NaN, so that it confirmed an earlier term again after it had promised not to. Nothing of either was seen; found by reading. Evidence: three rows of controller/earlier-witnesses failed (ended at once in place of after 8,000 ms), one row of controller/given-confirmations failed (confirmed). Change: such a response counts as none, such a request is refused. After: both files and controller/malformed pass, 61 of 61.

--- a/src/controller/earlier-leaders.ts
+++ b/src/controller/earlier-leaders.ts
@@ -3,6 +3,7 @@
 import { LEASE_GRACE_MS, MAX_CONFIRMATION_AGE_MS } from './leadership.ts'
 import type { StandDown, Term } from './leadership.ts'
 import type { Peer } from './member-call.ts'
+import { isStandDown } from './member-call-guards.ts'
 import type { ProcessState } from './process-probe.ts'
 import type { Reporter } from './reporter.ts'
 import type { UnsettledTerm } from './store-keys.ts'
@@ -127,7 +128,7 @@
     const { leader, term } = earlier
     const { reporter, checkProcess } = this.options
     const standDown = await this.requestStandDown(leader)
-    if (standDown !== undefined) {
+    if (isStandDown(standDown)) {
       this.recordEnd(leader, standDown.quietForMs)
       reporter.log('info', 'earlier-leader-stopped', { member: leader.member, term, answer: standDown.type, quietForMs: Math.round(standDown.quietForMs) })
       return true
--- a/src/controller/member-call-guards.ts
+++ b/src/controller/member-call-guards.ts
@@ -1,5 +1,6 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
 import type { JobDefinition } from '../workflow/job.ts'
+import type { StandDown } from './leadership.ts'
 import type { MemberResponse, Peer } from './member-call.ts'
 import { isJobDefinition, isJobSettings } from './record-guards.ts'
 
@@ -21,6 +22,16 @@
     (value.waiting === undefined || isObject(value.waiting)) && (value.overloads === undefined || isListOf(value.overloads, isObject))
 }
 
+/** Whether a value is a response to the leader of a later term that tells for how long no commands have been sent. */
+export function isStandDown (value: unknown): value is StandDown {
+  return isObject(value) && Number.isFinite(value.quietForMs) && Number(value.quietForMs) >= 0
+}
+
+/** Whether a value is the number of a term. */
+export function isTermNumber (value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) > 0
+}
+
 /** Whether a value is a response of the advisor, or says why there is none. */
 export function isAdviceResponse (value: unknown): value is AdviceResponse {
   if (!isObject(value)) return false
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -10,7 +10,7 @@
 import type { Leadership, StandDown } from './leadership.ts'
 import type { MemberResponse, MemberCall, Peer } from './member-call.ts'
 import type { AdviceCache } from './advice-cache.ts'
-import { isAdviceResponse, isAnnouncedJob, isCachedAdvice, isPeer, isWelcome } from './member-call-guards.ts'
+import { isAdviceResponse, isAnnouncedJob, isCachedAdvice, isPeer, isTermNumber, isWelcome } from './member-call-guards.ts'
 import type { Reporter } from './reporter.ts'
 import type { LeaderRecord } from './store-keys.ts'
 
@@ -97,6 +97,7 @@
       case 'cancel-stored': return this.handleAnnouncement((controller) => controller.cancelJob(call.id))
       case 'phase': return this.handlePhaseRequest(call.id)
       case 'stand-down':
+        if (!isTermNumber(call.term)) return { type: 'not-leading' }
         return { type: 'stood-down', standDown: this.options.getLeadership().stepDownForTerm(call.term) }
       case 'confirm-term': return { type: 'term-confirmed', confirmed: this.options.getLeadership().confirmTerm(call.term) }
       case 'probe': return { type: 'probed', refused: await this.options.probe(call.address) === 'refused' }
