Keep the promise to a silent target while a later record may name it

Callers could have seen two runs of a task: a target that answers, falls silent again while the record without it is being stored, and answers once more was commanded as soon as that record was stored, although the next one to be stored still named it. A leader that died before the record after that would have handed on an end of leases that were given again. Change: a promise ends only when the last record that was to be stored does not name the target either.

--- a/src/workflow/silent-targets.ts
+++ b/src/workflow/silent-targets.ts
@@ -44,6 +44,8 @@
   private changed = false
   private restartedChanged = false
   private writtenAt = -Infinity
+  /** Targets in the last record that was to be stored; it may be stored after an earlier one is. */
+  private requested: ReadonlySet<string> = new Set()
 
   private constructor () {}
 
@@ -102,9 +104,9 @@
     this.checkAt = -Infinity
   }
 
-  /** Ends the promise for the targets that a stored record does not have any more. Returns their ids. */
+  /** Ends the promise for the targets that neither a stored record nor one that may be stored next has any more. Returns their ids. */
   recordStored (ids: ReadonlySet<string>): readonly string[] {
-    const released = [...this.promised].filter(([id, { recorded }]) => !recorded && !ids.has(id)).map(([id]) => id)
+    const released = [...this.promised].filter(([id, { recorded }]) => !recorded && !ids.has(id) && !this.requested.has(id)).map(([id]) => id)
     for (const id of released) this.promised.delete(id)
     return released
   }
@@ -160,6 +162,7 @@
     const recorded = [...this.promised].filter(([, promised]) => promised.recorded)
     state.effects.push({ type: 'store-silent-targets', targets: { ...Object.fromEntries(this.restarted), ...Object.fromEntries(recorded.map(([id, { target }]) => [id, target])) } })
     if (this.changed) log(state, 'info', 'silent-targets', { ...formatTargets(recorded.map(([id]) => id)), takenOut: this.promised.size - recorded.length, longestMs: this.computeLongestMs(state.now) })
+    this.requested = new Set(recorded.map(([id]) => id))
     this.changed = false
     this.restartedChanged = false
     this.writtenAt = state.now
--- a/test/workflow/silent-targets.test.ts
+++ b/test/workflow/silent-targets.test.ts
@@ -96,6 +96,25 @@
   assert.equal(harness.scheduler.isPromisedSilent('t1'), true)
 })
 
+// TWICE: the record that the committer has not stored yet would name a target that has leases again.
+test('silent targets: guards against the failure that a record without a target ends the promise while a later one with it may be stored', () => {
+  const harness = createSilentTarget()
+  pass(harness, 1_100)
+  harness.apply({ type: 'silent-targets-stored', ids: ['t1'] })
+  harness.listTarget('t1')
+  const withoutTarget = getRecords(pass(harness, TICK_MS)).at(-1)
+  harness.apply({ type: 'list-unanswered', id: 't1' })
+  harness.apply({ type: 'target-silent', id: 't1', cause: 'no-answer' })
+  const withTarget = getRecords(pass(harness, 1_100)).at(-1)
+  assert.deepEqual([Object.keys(withoutTarget!), Object.keys(withTarget!)], [[], ['t1']])
+  harness.listTarget('t1')
+  harness.apply({ type: 'silent-targets-stored', ids: [] })
+  assert.equal(harness.scheduler.isPromisedSilent('t1'), true)
+  assert.deepEqual(getRecords(pass(harness, TICK_MS)).at(-1), {})
+  harness.apply({ type: 'silent-targets-stored', ids: [] })
+  assert.equal(harness.scheduler.isPromisedSilent('t1'), false)
+})
+
 // LOST: a target that answers must not wait for a record that was set aside or lost.
 test('silent targets: guards against the failure that a record is not stored again while it is not stored, or while a wait in it goes on', () => {
   const harness = createSilentTarget()
