Command a target again whose entry in the record of silent targets was refused

Callers saw no task on a target that had answered nothing for a second, for the rest of the term, when the store refused the record: the promise not to command it ended with a stored record without it only. Evidence: controller/refused-silent-record, the first test (no run on the target after 18 s). Change: when the committer sets the record aside, it tells which targets the stored one has; the promise ends for all others. After: the test passes; the second one, that jobs are stored beside such refusals, passed before and passes.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -76,6 +76,8 @@
   readonly reporter: Reporter
   /** Earlier terms whose runs this leader does not know yet. */
   readonly getUnsettledTerms: () => readonly UnsettledTerm[]
+  /** Targets in the record of silent targets that the claim has repeated; none without it. */
+  readonly claimedSilentTargets?: readonly string[]
   /** Members that confirm the term; without it, none do. */
   readonly getWitnesses?: () => readonly Peer[]
   readonly getProgress: (job: string) => JobProgress | undefined
@@ -85,6 +87,8 @@
   /** Number of the last run that was started. */
   readonly getLastRun: () => number
   readonly onStored: (batch: Pick<Batch, 'phases' | 'released' | 'completions' | 'targets' | 'witnesses' | 'silentTargets'>) => void
+  /** Called when the record of silent targets is set aside, so that the store still has the one before, with these targets. */
+  readonly onSilentTargetsRefused?: (storedTargets: readonly string[]) => void
   /** Called when another leader has written to the store. */
   readonly onFenced: () => void
 }
@@ -102,6 +106,8 @@
   private targetsToStore: TargetsRecord | undefined
   private settingsToStore: RemovedSettings | undefined
   private silentTargetsToStore: SilentTargetsById | undefined
+  /** Targets in the stored record of silent targets. */
+  private storedSilentTargets: readonly string[]
   /** Whether the record of the term is stored although nothing else is. */
   private recordWanted = false
   private commitVersion: number
@@ -111,6 +117,7 @@
 
   private constructor (private readonly options: CommitterOptions) {
     this.commitVersion = options.commitVersion
+    this.storedSilentTargets = options.claimedSilentTargets ?? []
     this.jobRecords = JobRecords.create(options)
   }
 
@@ -292,6 +299,7 @@
       if (outcome.type === 'committed') {
         this.commitVersion = outcome.version
         this.batchLimit = Math.min(MAX_ENTRIES, this.batchLimit + 1)
+        this.storedSilentTargets = batch.silentTargets ?? this.storedSilentTargets
         this.options.reporter.observe('commit', performance.now() - startedAt)
         this.options.onStored(batch)
         return
@@ -334,9 +342,10 @@
   }
 
   /** Sets the only record of a batch aside. The record of a job is replaced, unless the replacement is refused too. */
-  private setAside ({ jobs, removedProgress }: BatchSource, puts: readonly Put[]): void {
+  private setAside ({ jobs, removedProgress, silentTargets }: BatchSource, puts: readonly Put[]): void {
     const [id] = jobs
     this.batchLimit = MAX_ENTRIES
+    if (silentTargets !== undefined) this.options.onSilentTargetsRefused?.(this.storedSilentTargets)
     const { key, value } = puts.at(-1)!
     if (id === undefined) return this.jobRecords.reportSetAside(removedProgress[0] ?? key, 'refused', Buffer.byteLength(value))
     this.jobRecords.refuse(id, value)
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -106,6 +106,8 @@
         if (silentTargets !== undefined) this.applyEvent({ type: 'silent-targets-stored', ids: silentTargets })
         for (const waiter of this.commitWaiters.splice(0)) waiter()
       },
+      claimedSilentTargets: Object.keys(options.term.silentTargets ?? {}),
+      onSilentTargetsRefused: (ids) => this.applyEvent({ type: 'silent-targets-stored', ids }),
       onFenced: () => options.onFenced('another leader has written to the store')
     })
     this.adviceDispatcher = AdviceDispatcher.create({
