Claim without the record of silent targets when claims with it are refused

Nobody could lead the cell when the store refused the record of silent targets, which each claim repeats. Evidence: the third test of controller/refused-silent-record failed (0 leaders 9 s after the end of the leader). Change: after three claims in a row that the store has refused although it granted their leases, a claim leaves the record out; its leader then waits as without one. After: the test passes.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -37,6 +37,8 @@
 const SMALL_HOST_DELAY_MS = 500
 const WATCH_WAIT_MS = 1_500
 const CLAIM_RETRY_DELAY_MS = 150
+/** After as many refused claims in a row, the store may refuse the record of silent targets; a claim without it only waits longer. */
+const MAX_REFUSED_CLAIMS = 3
 
 /** A term of leadership, as it starts. */
 export type Term = {
@@ -106,6 +108,8 @@
   /** Whether the leadership has become free since the last claim began. */
   private claimWanted = false
   private isCandidate = true
+  /** Number of claims in a row that the store has refused although it has granted their leases. */
+  private refusedClaims = 0
 
   private constructor (private readonly options: LeadershipOptions) {
     this.watcher = PrefixWatcher.create({
@@ -287,9 +291,10 @@
     const record: LeaderRecord = { member, address, term, nonce, lease: lease.value.lease }
     const unsettled = listUnsettledTerms(previous)
     const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled }
-    const silentTargets = this.silentTargets.read(silentEntry.unwrapOr(undefined), previous?.term)
+    const silentTargets = this.refusedClaims >= MAX_REFUSED_CLAIMS ? {} : this.silentTargets.read(silentEntry.unwrapOr(undefined), previous?.term)
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }, ...formatClaimedSilentTargets(term, silentTargets)]
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
+    this.refusedClaims = result.isErr() && result.error.verdict === 'not-applied' ? this.refusedClaims + 1 : 0
     if (result.isOk() && !result.value.committed) {
       await this.revokeLease(lease.value.lease)
       // Only another leader ends the claim; a commit of the previous one may have changed the commit key.
--- a/test/controller/refused-silent-record.test.ts
+++ b/test/controller/refused-silent-record.test.ts
@@ -60,3 +60,18 @@
     cell.close()
   }
 })
+
+// LOST: the claim repeats the record, so that nobody could lead.
+test('refused silent targets: guards against the failure that a store which refuses the record leaves the cell without a leader', async () => {
+  const cell = await create()
+  try {
+    cell.targets.targets.get('t0')!.unreachableUntil = Infinity
+    await cell.time.advance(2_000)
+    refuseRecord(cell)
+    cell.kill(cell.leaders[0]!)
+    await cell.time.advance(BOUND_MS)
+    assert.equal(cell.leaders.length, 1)
+  } finally {
+    cell.close()
+  }
+})
