Take over the witnesses of the term before with a claim

Callers saw tasks that last start again 13.4 s after the last fault when a leader's host went silent within 0.1 s of its election beside a silent target, and two runs of a task when a young leader lived behind links that refuse connections: no witnesses were on record before the leader had chosen its own, so that its successor waited for the whole grace, or took a refused connection for the end of the process. Change: a claim stores the witnesses of the term before, without the member itself; the leader needs them as any stored ones, and keeps them for 5 s although they have said no hello yet.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -65,7 +65,7 @@
 
   private constructor (private readonly options: ControllerOptions) {
     this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, wallClockOffsetMs: Date.now() - performance.now() })
-    this.witnesses = Witnesses.create({ ...options, term: options.term.term, getPeers: () => this.members, onChosen: () => this.committer.storeRecord() })
+    this.witnesses = Witnesses.create({ ...options, term: options.term.term, claimed: options.term.witnesses, getPeers: () => this.members, onChosen: () => this.committer.storeRecord() })
     this.permission = CommandPermission.create({ isLeaseConfirmed: options.isLeaseConfirmed, isTermConfirmed: () => this.witnesses.permitCommands(), reporter: options.reporter })
     this.relayedCommands = RelayedCommands.create({
       direct: options.commands,
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -3,6 +3,7 @@
 import { Moment } from '../util/moment.ts'
 import { delay } from './delay.ts'
 import { GivenConfirmations } from './given-confirmations.ts'
+import type { Peer } from './member-call.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
 import type { SilentTargetsById } from '../workflow/silent-targets.ts'
 import { SilentTargetsReader, formatSilentTargets } from './silent-targets-record.ts'
@@ -12,6 +13,7 @@
 import type { CommitRecord, LeaderRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 import { listUnsettledTerms } from './unsettled-terms.ts'
+import { inheritWitnesses } from './witness-set.ts'
 
 /** How long the store keeps the leader's key without a renewal, in milliseconds. */
 const LEASE_TTL_MS = 1_500
@@ -49,6 +51,8 @@
   readonly unsettled: readonly UnsettledTerm[]
   /** Targets that get no leases and no starts until a record without them is stored; none if it is missing. */
   readonly silentTargets?: SilentTargetsById
+  /** Members that have to confirm the term, as the claim has stored them; none if it is missing. */
+  readonly witnesses?: readonly Peer[]
 }
 
 /**
@@ -290,7 +294,8 @@
     this.lastClaimNonce = nonce
     const record: LeaderRecord = { member, address, term, nonce, lease: lease.value.lease }
     const unsettled = listUnsettledTerms(previous)
-    const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled }
+    const witnesses = inheritWitnesses(previous?.witnesses, address)
+    const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled, ...witnesses.length > 0 && { witnesses } }
     const silentTargets = this.refusedClaims >= MAX_REFUSED_CLAIMS ? {} : this.silentTargets.read(silentEntry.unwrapOr(undefined), previous?.term)
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }, ...formatClaimedSilentTargets(term, silentTargets)]
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
@@ -311,7 +316,7 @@
     this.limitGrace(sentAt)
     this.leaderRecord = record
     this.options.reporter.log('info', 'leadership-won', { term, version, unsettled: unsettled.map((earlier) => `${earlier.leader.member}/${earlier.term}`).join(',') })
-    this.options.onElected({ term, commitVersion: version, unsettled, silentTargets })
+    this.options.onElected({ term, commitVersion: version, unsettled, silentTargets, witnesses })
     return true
   }
 
--- a/src/controller/witness-set.ts
+++ b/src/controller/witness-set.ts
@@ -51,6 +51,17 @@
   return chosen
 }
 
+/**
+ * Returns the witnesses of a claim: those of the term before, as stored, without the member itself. Without them, nobody could tell
+ * how long a leader goes on that ends before it has chosen its own.
+ *
+ * @example
+ * inheritWitnesses([{ member: 'entry-2', address: '10.0.0.2:7420' }], '10.0.0.1:7420')
+ */
+export function inheritWitnesses (stored: unknown, ownAddress: string): readonly Peer[] {
+  return (parseWitnesses(stored) ?? []).filter(({ address }) => address !== ownAddress)
+}
+
 /**
  * Parses the witnesses in a stored record; undefined if there are none, or if the value is not a list of members at different
  * addresses.
--- a/src/controller/witnesses.ts
+++ b/src/controller/witnesses.ts
@@ -11,12 +11,16 @@
 const ASK_AFTER_MS = 700
 /** Interval of the calls to each witness, and to each member that may become one, in milliseconds. */
 const ASK_INTERVAL_MS = 250
+/** How long the witnesses that the claim has stored are kept although they have sent no hello yet, in milliseconds. */
+const KEEP_CLAIMED_MS = 5_000
 /** Minimum time between two log lines on commands that are withheld, in milliseconds. */
 const LOG_INTERVAL_MS = 1_000
 
 export type WitnessesOptions = {
   readonly term: number
   readonly self: Peer
+  /** The witnesses that the claim has stored; none without it. */
+  readonly claimed?: readonly Peer[]
   readonly reporter: Reporter
   /** The other members that have sent a hello recently. */
   readonly getPeers: () => readonly Peer[]
@@ -33,7 +37,8 @@
  * those on record to stop confirming, so that it need not wait for a leader that does not respond.
  */
 export class Witnesses {
-  private stored: readonly Peer[] = []
+  private stored: readonly Peer[]
+  private readonly createdAt = performance.now()
   /** Witnesses that may be stored already; undefined if none but `stored` are. */
   private pending: readonly Peer[] | undefined
   /** When the last call that was confirmed was sent, by address. */
@@ -45,10 +50,12 @@
   private withheld = false
   private loggedAt = -Infinity
 
-  private constructor (private readonly options: WitnessesOptions) {}
+  private constructor (private readonly options: WitnessesOptions) {
+    this.stored = options.claimed ?? []
+  }
 
   /**
-   * Creates the witnesses of a term, of which none is stored yet.
+   * Creates the witnesses of a term, of which none is stored but those of the claim.
    *
    * @example
    * const witnesses = Witnesses.create({ term: 3, self, reporter, getPeers, requestConfirmation, getAloneUntil, onChosen })
@@ -93,6 +100,10 @@
     return [this.stored, this.pending ?? []].filter(({ length }) => length > 0)
   }
 
+  private get claimedToKeep (): readonly Peer[] {
+    return performance.now() - this.createdAt < KEEP_CLAIMED_MS ? this.options.claimed ?? [] : []
+  }
+
   private get renewalAgeMs (): number {
     return performance.now() - this.options.getAloneUntil()
   }
@@ -108,7 +119,7 @@
 
   private choose (peers: readonly Peer[]): void {
     const { self, reporter, term, onChosen } = this.options
-    const chosen = chooseWitnesses({ self, witnesses: this.stored, candidates: peers.filter(({ address }) => this.confirmedAt.has(address)) })
+    const chosen = chooseWitnesses({ self, witnesses: this.stored, candidates: [...this.claimedToKeep, ...peers.filter(({ address }) => this.confirmedAt.has(address))] })
     const isSame = chosen.length === this.stored.length && chosen.every(({ address }) => this.stored.some((witness) => witness.address === address))
     if (isSame) return
     this.pending = chosen
--- a/test/controller/witness-set.test.ts
+++ b/test/controller/witness-set.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { Peer } from '../../src/controller/member-call.ts'
 import { listUnsettledTerms } from '../../src/controller/unsettled-terms.ts'
-import { chooseWitnesses, computeBlockingCount, computeQuorum, parseWitnesses } from '../../src/controller/witness-set.ts'
+import { chooseWitnesses, computeBlockingCount, computeQuorum, parseWitnesses, inheritWitnesses } from '../../src/controller/witness-set.ts'
 
 const SELF: Peer = { member: 'm0', address: 'm0:1', failureDomain: 'a' }
 
@@ -62,3 +62,9 @@
   const record = { term: 4, nonce: 'n', leader: second, unsettled: [earlier], witnesses: [SELF] }
   assert.deepEqual(listUnsettledTerms(record), [earlier, { term: 4, leader: second, witnesses: [SELF] }])
 })
+
+// TWICE: a leader that is its own witness confirms itself, whoever leads.
+test('witness set: guards against the failure that a member that claims becomes its own witness, or takes over a damaged record', () => {
+  const [own, other] = [{ member: 'm1', address: 'm1:1' }, { member: 'm2', address: 'm2:1' }]
+  assert.deepEqual([inheritWitnesses([own, other], 'm1:1'), inheritWitnesses([own], 'm1:1'), inheritWitnesses([null], 'm1:1'), inheritWitnesses(undefined, 'm1:1')], [[other], [], [], []])
+})
--- a/test/controller/witnesses.test.ts
+++ b/test/controller/witnesses.test.ts
@@ -59,6 +59,15 @@
   }
 }
 
+async function withTime (play: (time: VirtualTime) => Promise<void>): Promise<void> {
+  const time = VirtualTime.install()
+  try {
+    await play(time)
+  } finally {
+    time.uninstall()
+  }
+}
+
 async function withLeader (play: (leader: WitnessedLeader) => Promise<void>): Promise<void> {
   const leader = WitnessedLeader.create()
   try {
@@ -180,3 +189,25 @@
   await leader.run(10_000)
   assert.equal(leader.calls, calls)
 }))
+
+// LOST: a successor waits for the whole grace of a leader without witnesses on record. TWICE: only those on record count.
+test('witnesses: guards against the failure that those of the claim do not count, or are dropped before members have said hello', () => withTime(async (time) => {
+  let chosen = 0
+  const witnesses = Witnesses.create({
+    term: 2,
+    self: { member: 'm0', address: 'm0:1' },
+    claimed: PEERS.slice(0, 3),
+    reporter: { log: () => {}, count: () => {}, observe: () => {} },
+    getPeers: () => [],
+    requestConfirmation: async () => false,
+    getAloneUntil: () => performance.now() - (chosen === 0 ? 0 : RENEWAL_PERMITS_MS),
+    onChosen: () => { chosen += 1 }
+  })
+  witnesses.update()
+  await time.advance(4_900)
+  witnesses.update()
+  assert.deepEqual([witnesses.toStore, chosen], [PEERS.slice(0, 3), 0])
+  await time.advance(200)
+  witnesses.update()
+  assert.deepEqual([witnesses.toStore, chosen, witnesses.permitCommands()], [[], 1, false])
+}))
