Leave members that have moved out of the witnesses of a claim

Change: a claim leaves out its own member by name too, and a leader those that say hello from another address.

--- a/src/controller/witness-set.ts
+++ b/src/controller/witness-set.ts
@@ -56,10 +56,10 @@
  * how long a leader goes on that ends before it has chosen its own.
  *
  * @example
- * inheritWitnesses([{ member: 'entry-2', address: '10.0.0.2:7420' }], '10.0.0.1:7420')
+ * inheritWitnesses([{ member: 'entry-2', address: '10.0.0.2:7420' }], self)
  */
-export function inheritWitnesses (stored: unknown, ownAddress: string): readonly Peer[] {
-  return (parseWitnesses(stored) ?? []).filter(({ address }) => address !== ownAddress)
+export function inheritWitnesses (stored: unknown, self: Peer): readonly Peer[] {
+  return (parseWitnesses(stored) ?? []).filter(({ member, address }) => member !== self.member && address !== self.address)
 }
 
 /**
--- a/src/controller/witnesses.ts
+++ b/src/controller/witnesses.ts
@@ -100,8 +100,10 @@
     return [this.stored, this.pending ?? []].filter(({ length }) => length > 0)
   }
 
-  private get claimedToKeep (): readonly Peer[] {
-    return performance.now() - this.createdAt < KEEP_CLAIMED_MS ? this.options.claimed ?? [] : []
+  /** The witnesses of the claim, for a while; not those that have said hello from another address since. */
+  private selectClaimed (peers: readonly Peer[]): readonly Peer[] {
+    if (performance.now() - this.createdAt >= KEEP_CLAIMED_MS) return []
+    return (this.options.claimed ?? []).filter(({ member, address }) => !peers.some((peer) => peer.member === member && peer.address !== address))
   }
 
   private get renewalAgeMs (): number {
@@ -119,7 +121,7 @@
 
   private choose (peers: readonly Peer[]): void {
     const { self, reporter, term, onChosen } = this.options
-    const chosen = chooseWitnesses({ self, witnesses: this.stored, candidates: [...this.claimedToKeep, ...peers.filter(({ address }) => this.confirmedAt.has(address))] })
+    const chosen = chooseWitnesses({ self, witnesses: this.stored, candidates: [...this.selectClaimed(peers), ...peers.filter(({ address }) => this.confirmedAt.has(address))] })
     const isSame = chosen.length === this.stored.length && chosen.every(({ address }) => this.stored.some((witness) => witness.address === address))
     if (isSame) return
     this.pending = chosen
--- a/test/controller/witness-set.test.ts
+++ b/test/controller/witness-set.test.ts
@@ -66,5 +66,6 @@
 // TWICE: a leader that is its own witness confirms itself, whoever leads.
 test('witness set: guards against the failure that a member that claims becomes its own witness, or takes over a damaged record', () => {
   const [own, other] = [{ member: 'm1', address: 'm1:1' }, { member: 'm2', address: 'm2:1' }]
-  assert.deepEqual([inheritWitnesses([own, other], 'm1:1'), inheritWitnesses([own], 'm1:1'), inheritWitnesses([null], 'm1:1'), inheritWitnesses(undefined, 'm1:1')], [[other], [], [], []])
+  const moved = { member: 'm1', address: 'm1:2' }
+  assert.deepEqual([inheritWitnesses([own, other], own), inheritWitnesses([own, other], moved), inheritWitnesses([null], own), inheritWitnesses(undefined, own)], [[other], [other], [], []])
 })
--- a/test/controller/witnesses.test.ts
+++ b/test/controller/witnesses.test.ts
@@ -193,12 +193,13 @@
 // LOST: a successor waits for the whole grace of a leader without witnesses on record. TWICE: only those on record count.
 test('witnesses: guards against the failure that those of the claim do not count, or are dropped before members have said hello', () => withTime(async (time) => {
   let chosen = 0
+  let present: readonly Peer[] = []
   const witnesses = Witnesses.create({
     term: 2,
     self: { member: 'm0', address: 'm0:1' },
     claimed: PEERS.slice(0, 3),
     reporter: { log: () => {}, count: () => {}, observe: () => {} },
-    getPeers: () => [],
+    getPeers: () => present,
     requestConfirmation: async () => false,
     getAloneUntil: () => performance.now() - (chosen === 0 ? 0 : RENEWAL_PERMITS_MS),
     onChosen: () => { chosen += 1 }
@@ -207,7 +208,10 @@
   await time.advance(4_900)
   witnesses.update()
   assert.deepEqual([witnesses.toStore, chosen], [PEERS.slice(0, 3), 0])
-  await time.advance(200)
+  present = [{ member: 'm1', address: 'm1:2' }]
   witnesses.update()
-  assert.deepEqual([witnesses.toStore, chosen, witnesses.permitCommands()], [[], 1, false])
+  await time.advance(50)
+  witnesses.update()
+  assert.deepEqual([witnesses.toStore, chosen], [PEERS.slice(1, 3), 1], 'one has moved')
+  assert.equal(witnesses.permitCommands(), false)
 }))
