--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -13,7 +13,7 @@
 import type { CommitRecord, LeaderRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 import { listUnsettledTerms } from './unsettled-terms.ts'
-import { parseWitnesses } from './witness-set.ts'
+import { inheritWitnesses } from './witness-set.ts'
 
 /** How long the store keeps the leader's key without a renewal, in milliseconds. */
 const LEASE_TTL_MS = 1_500
@@ -39,6 +39,8 @@
 const SMALL_HOST_DELAY_MS = 500
 const WATCH_WAIT_MS = 1_500
 const CLAIM_RETRY_DELAY_MS = 150
+/** After as many refused claims in a row, the store may refuse the record of silent targets; a claim without it only waits longer. */
+const MAX_REFUSED_CLAIMS = 3
 
 /** A term of leadership, as it starts. */
 export type Term = {
@@ -47,10 +49,10 @@
   readonly commitVersion: number
   /** Earlier terms whose runs may still be on targets, the last one at the end; empty if no member has ever led. */
   readonly unsettled: readonly UnsettledTerm[]
-  /** The witnesses that the claim has stored, taken over from the leader before; missing if there are none. */
-  readonly witnesses?: readonly Peer[]
   /** Targets that get no leases and no starts until a record without them is stored; none if it is missing. */
   readonly silentTargets?: SilentTargetsById
+  /** Members that have to confirm the term, as the claim has stored them; none if it is missing. */
+  readonly witnesses?: readonly Peer[]
 }
 
 /**
@@ -110,6 +112,8 @@
   /** Whether the leadership has become free since the last claim began. */
   private claimWanted = false
   private isCandidate = true
+  /** Number of claims in a row that the store has refused although it has granted their leases. */
+  private refusedClaims = 0
 
   private constructor (private readonly options: LeadershipOptions) {
     this.watcher = PrefixWatcher.create({
@@ -290,11 +294,12 @@
     this.lastClaimNonce = nonce
     const record: LeaderRecord = { member, address, term, nonce, lease: lease.value.lease }
     const unsettled = listUnsettledTerms(previous)
-    const witnesses = inheritWitnesses(previous, address)
-    const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled, witnesses }
-    const silentTargets = this.silentTargets.read(silentEntry.unwrapOr(undefined), previous?.term)
+    const witnesses = inheritWitnesses(previous?.witnesses, { member, address })
+    const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled, ...witnesses.length > 0 && { witnesses } }
+    const silentTargets = this.refusedClaims >= MAX_REFUSED_CLAIMS ? {} : this.silentTargets.read(silentEntry.unwrapOr(undefined), previous?.term)
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }, ...formatClaimedSilentTargets(term, silentTargets)]
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
+    this.refusedClaims = result.isErr() && result.error.verdict === 'not-applied' ? this.refusedClaims + 1 : 0
     if (result.isOk() && !result.value.committed) {
       await this.revokeLease(lease.value.lease)
       // Only another leader ends the claim; a commit of the previous one may have changed the commit key.
@@ -311,7 +316,7 @@
     this.limitGrace(sentAt)
     this.leaderRecord = record
     this.options.reporter.log('info', 'leadership-won', { term, version, unsettled: unsettled.map((earlier) => `${earlier.leader.member}/${earlier.term}`).join(',') })
-    this.options.onElected({ term, commitVersion: version, unsettled, witnesses, silentTargets })
+    this.options.onElected({ term, commitVersion: version, unsettled, silentTargets, witnesses })
     return true
   }
 
@@ -359,11 +364,6 @@
   }
 }
 
-/** A leader that ends before it has chosen witnesses would otherwise be waited for as one that has none. */
-function inheritWitnesses (previous: CommitRecord | undefined, address: string): readonly Peer[] {
-  return (parseWitnesses(previous?.witnesses) ?? []).filter((witness) => witness.address !== address)
-}
-
 /** A record of the term before is not valid beyond a claim, so that the claim repeats it. */
 function formatClaimedSilentTargets (term: number, targets: SilentTargetsById): readonly Put[] {
   return Object.keys(targets).length === 0 ? [] : [{ key: SILENT_TARGETS_KEY, value: formatSilentTargets(term, targets, performance.now()) }]
--- a/src/controller/witnesses.ts
+++ b/src/controller/witnesses.ts
@@ -10,19 +10,19 @@
 export const CONFIRMATION_PERMITS_MS = 1_000
 /** Age of the last confirmed renewal from which the witnesses are asked, in milliseconds. */
 const ASK_AFTER_MS = 700
-/** Time within which inherited witnesses have to confirm the new term, in milliseconds. */
-const INHERITED_KEPT_MS = 2_000
 /** Interval of the calls to each witness, and to each member that may become one, in milliseconds. */
 const ASK_INTERVAL_MS = 250
+/** How long the witnesses that the claim has stored are kept although they have sent no hello yet, in milliseconds. */
+const KEEP_CLAIMED_MS = 5_000
 /** Minimum time between two log lines on commands that are withheld, in milliseconds. */
 const LOG_INTERVAL_MS = 1_000
 
 export type WitnessesOptions = {
   readonly term: number
   readonly self: Peer
+  /** The witnesses that the claim has stored; none without it. */
+  readonly claimed?: readonly Peer[]
   readonly reporter: Reporter
-  /** The witnesses that the claim has stored; none if it is missing. */
-  readonly inherited?: readonly Peer[] | undefined
   /** The other members that have sent a hello recently. */
   readonly getPeers: () => readonly Peer[]
   /** Asks a member to confirm that it knows of no later term; false without a response. Without it, there are no witnesses. */
@@ -39,6 +39,7 @@
  */
 export class Witnesses {
   private stored: readonly Peer[]
+  private readonly createdAt = performance.now()
   /** Witnesses that may be stored already; undefined if none but `stored` are. */
   private pending: readonly Peer[] | undefined
   /** When the last call that was confirmed was sent, by address. */
@@ -50,14 +51,12 @@
   private withheld = false
   private loggedAt = -Infinity
 
-  private readonly createdAt = performance.now()
-
   private constructor (private readonly options: WitnessesOptions) {
-    this.stored = options.inherited ?? []
+    this.stored = options.claimed ?? []
   }
 
   /**
-   * Creates the witnesses of a term that begins.
+   * Creates the witnesses of a term, of which none is stored but those of the claim.
    *
    * @example
    * const witnesses = Witnesses.create({ term: 3, self, reporter, getPeers, requestConfirmation, getAloneUntil, onChosen })
@@ -101,16 +100,17 @@
     return permitted
   }
 
-  /** The inherited witnesses, as long as they may not have been asked yet. */
-  private get inherited (): readonly Peer[] {
-    return performance.now() - this.createdAt < INHERITED_KEPT_MS ? this.options.inherited ?? [] : []
-  }
-
   /** A successor may read either of them. */
   private get requiredSets (): ReadonlyArray<readonly Peer[]> {
     return [this.stored, this.pending ?? []].filter(({ length }) => length > 0)
   }
 
+  /** The witnesses of the claim, for a while; not those that have said hello from another address since. */
+  private selectClaimed (peers: readonly Peer[]): readonly Peer[] {
+    if (performance.now() - this.createdAt >= KEEP_CLAIMED_MS) return []
+    return (this.options.claimed ?? []).filter(({ member, address }) => !peers.some((peer) => peer.member === member && peer.address !== address))
+  }
+
   private get renewalAgeMs (): number {
     return performance.now() - this.options.getAloneUntil()
   }
@@ -126,7 +126,7 @@
 
   private choose (peers: readonly Peer[]): void {
     const { self, reporter, term, onChosen } = this.options
-    const chosen = chooseWitnesses({ self, witnesses: this.stored, candidates: [...peers.filter(({ address }) => this.confirmedAt.has(address)), ...this.inherited] })
+    const chosen = chooseWitnesses({ self, witnesses: this.stored, candidates: [...this.selectClaimed(peers), ...peers.filter(({ address }) => this.confirmedAt.has(address))] })
     const isSame = chosen.length === this.stored.length && chosen.every(({ address }) => this.stored.some((witness) => witness.address === address))
     if (isSame) return
     this.pending = chosen
