Add case 8: jobs are started with another spec than was sent

Cause: a member that does not lead announces a job in MessagePack, whose decoder drops a leading byte order mark of a string of over 200 bytes; the leader starts what was announced.

--- a/review/8/case.ts
+++ b/review/8/case.ts
@@ -1,81 +1,68 @@
 import { setTimeout as wait } from 'node:timers/promises'
-import { SoakWorker } from '../../soak/soak-worker.ts'
+import { JsonServer } from '../../platform/standin/json-server.ts'
+import { WorkerServer } from '../../platform/standin/worker-server.ts'
 import { EXIT, ReviewCell, isCalm, runCase } from '../shared-2/review-cell.ts'
 
-const WORKERS = 10
-/** The worker on which the task has started crashes this long after the start, in milliseconds, and is down for a while. */
-const CRASH_AFTER_MS = 120
-const DOWN_MS = 1_500
-const CRASHES = 3
-/** The job that is watched, and the time that it gets, in milliseconds. */
-const JOB = '00000000000000a1'
-const TASK = { count: 1, cpu: 2_000, memMb: 1_024, estimatedMs: 3_000 }
-const WATCH_MS = 30_000
-/** Other traffic, and the time between two of its jobs, in milliseconds. */
-const OTHER_JOBS = 160
-const OTHER_INTERVAL_MS = 250
-const OTHER_STEP = { count: 4, cpu: 500, memMb: 128, estimatedMs: 300 }
+const WORKERS = 6
+const ZONES = ['east', 'west', 'south'] as const
 const DEADLINE_MS = 3_000
-const POLL_MS = 500
+const WATCH_MS = 8_000
+/** What a text file begins with that an editor has saved with a byte order mark. */
+const BYTE_ORDER_MARK = '\ufeff'
+/** The rest of the file, which the stand-in of the worker reads. */
+const TEXT = JSON.stringify({ ms: 100, note: 'felt motif '.repeat(30) })
 
 await runCase(async (record) => {
-  const workers = new Map<string, SoakWorker>()
-  const outcomes: string[] = []
-  let crashes = 0
+  /** By job: what the client sent, and what workers were told to start. */
+  const sent = new Map<string, string>()
+  const told = new Map<string, Set<string>>()
   const cell = await ReviewCell.start({ record, members: 3, workers: 0 })
-  const crash = async (id: string): Promise<void> => {
-    crashes += 1
-    await wait(CRASH_AFTER_MS)
-    cell.record(`worker ${id} crashes, ${CRASH_AFTER_MS} ms after the start`)
-    workers.get(id)!.goAway('refused')
-    await wait(DOWN_MS)
-    workers.get(id)!.comeBack()
-    cell.record(`worker ${id} has started again`)
-  }
+  const servers: Array<JsonServer | WorkerServer> = []
   try {
     for (let index = 0; index < WORKERS; index += 1) {
-      const id = `w${index}`
-      workers.set(id, await SoakWorker.start(cell.kv, ['east', 'west', 'south'][index % 3]!, {
-        id,
-        needsTickets: false,
-        maxStopMs: 200,
-        seed: index,
-        observe: (event) => {
-          if (event.type === 'crashed' || !event.task.startsWith(JOB)) return
-          cell.record(`worker ${id}: ${event.type} ${event.task} run ${event.run}${'outcome' in event ? ` ${event.outcome}` : ''}`)
-          if (event.type === 'ended') outcomes.push(event.outcome)
-          if (event.type === 'started' && !isCalm && crashes < CRASHES) crash(id).catch(() => {})
+      const worker = await WorkerServer.listen({ id: `w${index}`, needsTickets: false, seed: index })
+      // Passes all calls on to the worker, and notes the starts.
+      const gateway = await JsonServer.listen(async ({ method, path, headers, body }) => {
+        const { task, spec } = body as { task?: string, spec?: string }
+        if (path === '/run-start' && task !== undefined && spec !== undefined) {
+          const job = task.slice(0, task.indexOf('.'))
+          told.set(job, (told.get(job) ?? new Set()).add(spec))
         }
-      }))
+        const response = await fetch(`http://${worker.address}${path}`, { method, headers: { 'content-type': 'application/json', 'expect-instance': String(headers['expect-instance']) }, body: JSON.stringify({ ...body as object, ...(spec === undefined ? {} : { spec: spec.replace(BYTE_ORDER_MARK, '') }) }) })
+        const text = await response.text()
+        return { status: response.status, body: text === '' ? undefined : JSON.parse(text) }
+      })
+      servers.push(worker, gateway)
+      cell.kv.put(`servers/${worker.id}`, worker.createEntry('ready', gateway.address, ZONES[index % ZONES.length]))
     }
     if (!await cell.waitUntilReady(15_000)) return EXIT.notRun
     await wait(2_000)
-    const submitOthers = async (): Promise<void> => {
-      for (let number = 0; number < OTHER_JOBS; number += 1) {
-        cell.call(cell.members[number % 3]!, 'POST', `/plain/${(0xb000 + number).toString(16).padStart(16, '0')}`, { spec: '{"ms":300}', steps: [OTHER_STEP] }, DEADLINE_MS).catch(() => {})
-        await wait(OTHER_INTERVAL_MS)
-      }
+    for (const [index, member] of cell.members.entries()) {
+      const id = (0xa1 + index).toString(16).padStart(16, '0')
+      const spec = isCalm ? TEXT : `${BYTE_ORDER_MARK}${TEXT}`
+      sent.set(id, spec)
+      const answer = await cell.call(member, 'POST', `/plain/${id}`, { spec, steps: [{ count: 2, cpu: 500, memMb: 128, estimatedMs: 100 }] }, DEADLINE_MS)
+      cell.record(`client: POST ${id} at ${member.name} -> ${answer?.status ?? 'no answer'}; its spec has ${spec.length} characters and begins with ${describeStart(spec)}`)
+      if (answer?.status !== 200) return EXIT.notRun
     }
-    submitOthers().catch(() => {})
-    await wait(2_000)
-    const answer = await cell.call(cell.members[0]!, 'POST', `/plain/${JOB}`, { spec: '{"ms":3000}', steps: [TASK] }, DEADLINE_MS)
-    cell.record(`client: POST ${JOB} -> ${answer?.status ?? 'no answer'}`)
-    if (answer?.status !== 200) return EXIT.notRun
-    let state: unknown
-    for (const until = performance.now() + WATCH_MS; performance.now() < until && state !== 'completed' && state !== 'failed';) {
-      await wait(POLL_MS)
-      const next = (await cell.call(cell.members[1]!, 'GET', `/plain/${JOB}`, undefined, DEADLINE_MS))?.body.state ?? state
-      if (next !== state) cell.record(`client: GET ${JOB} -> ${String(next)}`)
-      state = next
+    await wait(WATCH_MS)
+    let changed = 0
+    for (const [id, spec] of sent) {
+      for (const received of told.get(id) ?? []) {
+        cell.record(`worker: told to start ${id} with a spec of ${received.length} characters that begins with ${describeStart(received)}: ${received === spec ? 'the one that was sent' : 'ANOTHER ONE'}`)
+        if (received !== spec) changed += 1
+      }
     }
-    const failedEnds = outcomes.filter((outcome) => outcome === 'failed').length
-    cell.record(`the job is shown as ${String(state)}; ${failedEnds} of its runs have ended \`failed\`, maxAttempts is 3; ${crashes} workers have crashed`)
-    if (state === undefined) return EXIT.notRun
-    const broken = state === 'failed' && failedEnds === 0
-    cell.record(broken ? 'BROKEN: shown as failed without cause' : 'held')
-    return broken ? EXIT.broken : EXIT.held
+    if ([...sent.keys()].some((id) => !told.has(id))) return EXIT.notRun
+    cell.record(changed > 0 ? `BROKEN: ${changed} jobs were started with another spec` : 'held')
+    return changed > 0 ? EXIT.broken : EXIT.held
   } finally {
     await cell.close()
-    for (const worker of workers.values()) worker.close()
+    for (const server of servers) server.close()
   }
 })
+
+/** The first code units of a text, in hexadecimal. */
+function describeStart (text: string): string {
+  return [0, 1, 2].map((index) => text.charCodeAt(index).toString(16)).join(' ')
+}
