--- a/review/9/case.ts
+++ b/review/9/case.ts
@@ -4,7 +4,7 @@
 import { EXIT, ReviewCell, isCalm, runCase } from '../shared-2/review-cell.ts'
 import { WorkerLink } from '../shared-2/worker-link.ts'
 
-const WORKERS = 6
+const WORKERS = 8
 const ZONES = ['east', 'west', 'south'] as const
 const DEADLINE_MS = 3_000
 /** The worker that crashes, is down for this time, and is cut off later, in milliseconds. */
