Carry the texts of member calls unchanged

Cause: calls between members were MessagePack; its library decodes texts of over 200 bytes with a TextDecoder, which drops a leading mark, and encodes longer ones with a TextEncoder, which replaces unpaired surrogates. The leader starts the tasks from the announced definition.

Change: member calls are JSON, through one codec that the relay shares. JSON escapes unpaired surrogates, and a text never stands at the start of what is decoded. Members of releases with different codecs reject each other's calls; they still find jobs in the store.

--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -1,5 +1,5 @@
 // Bundles the process that runs on the operators' platform into target/damaskfield-platform.mjs. A process starts anew
-// after each loss of power, so the bundle holds only what the process uses.
+// after each loss of power, so the bundle holds only what the process uses. Optional argument: another file to write.
 import { build } from 'esbuild'
 
 // Packages that bunyan uses only for streams that the process does not have; loading them takes time at each start.
@@ -24,7 +24,7 @@
 
 await build({
   entryPoints: ['platform/main.ts'],
-  outfile: 'target/damaskfield-platform.mjs',
+  outfile: process.argv[2] ?? 'target/damaskfield-platform.mjs',
   bundle: true,
   platform: 'node',
   target: 'node20',
--- a/src/adapters/grpc-member-calls.ts
+++ b/src/adapters/grpc-member-calls.ts
@@ -1,6 +1,5 @@
 import { Client, Metadata, Server, ServerCredentials, credentials, status } from '@grpc/grpc-js'
 import type { ServerDuplexStream, ServerUnaryCall, ServiceError, sendUnaryData } from '@grpc/grpc-js'
-import { decode, encode } from '@msgpack/msgpack'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { MemberResponse, MemberCall, MemberCallFailure } from '../controller/member-call.ts'
@@ -9,6 +8,7 @@
 import { RELAY_METHOD, acceptRelayStream } from './grpc-relay-stream.ts'
 import type { RelayStreamAcceptor } from './grpc-relay-stream.ts'
 import { CHANNEL_OPTIONS } from './member-channel-options.ts'
+import { decodeMessage, encodeMessage } from './message-codec.ts'
 
 const MAX_MESSAGE_BYTES = 4_194_304
 
@@ -17,16 +17,11 @@
   requestStream: false,
   responseStream: false,
   requestSerialize: (call: MemberCall): Buffer => encodeMessage(call),
-  requestDeserialize: (bytes: Buffer): MemberCall => decode(bytes) as MemberCall,
+  requestDeserialize: (bytes: Buffer): MemberCall => decodeMessage(bytes) as MemberCall,
   responseSerialize: (response: MemberResponse): Buffer => encodeMessage(response),
-  responseDeserialize: (bytes: Buffer): MemberResponse => decode(bytes) as MemberResponse
+  responseDeserialize: (bytes: Buffer): MemberResponse => decodeMessage(bytes) as MemberResponse
 } as const
 
-function encodeMessage (message: MemberCall | MemberResponse): Buffer {
-  // Without this option, an undefined field would be decoded as null.
-  return Buffer.from(encode(message, { ignoreUndefined: true }))
-}
-
 /** Options of the server. */
 export type MemberCallServerOptions = {
   /** Address to listen on, for example `127.0.0.1:0`; with port 0 the operating system chooses a free port. */
--- a/src/adapters/relay-codec.ts
+++ b/src/adapters/relay-codec.ts
@@ -1,4 +1,5 @@
 import type { RelayEntry, RelayReply, RelayRequest } from '../controller/relay-message.ts'
+import { decodeMessage, encodeMessage } from './message-codec.ts'
 
 const RELAYED_TYPES: ReadonlySet<unknown> = new Set(['start', 'stop', 'throttle', 'list'] satisfies ReadonlyArray<RelayEntry['relayed']['type']>)
 const RESPONSE_TYPES: ReadonlySet<unknown> = new Set(['accepted', 'refused', 'unanswered', 'listed'] satisfies ReadonlyArray<RelayReply['responses'][number]['response']['type']>)
@@ -8,9 +9,9 @@
 /** A message on a relay stream that does not have the expected form; gRPC ends the stream then. */
 class MalformedMessageError extends Error {}
 
-/** Encodes a message as JSON, because its codec is native code. */
+/** Encodes a message. */
 export function encodeRelayMessage (message: RelayRequest | RelayReply): Buffer {
-  return Buffer.from(JSON.stringify(message))
+  return encodeMessage(message)
 }
 
 /**
@@ -33,7 +34,7 @@
 }
 
 function parse (bytes: Buffer): Fields {
-  const message: unknown = JSON.parse(bytes.toString())
+  const message = decodeMessage(bytes)
   requireThat(isObject(message) && typeof message.sequence === 'number')
   return message as Fields
 }
