Carry the texts of peer messages unchanged

The same cause as in member calls, found by reading for it: messages between the members of the product's own interface were MessagePack, so that work whose payload, output or reason had a long text with a byte order mark at its start or an unpaired surrogate arrived changed.

Change: the same JSON codec; the limit of 100 levels, which the library had for the sender, is checked in the project. @msgpack/msgpack is not needed any more.

Evidence: the two new cases of adapters/grpc-peer failed before (2 of 18), none after; adapters/ and cluster/ pass, 194 tests.

--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -2,7 +2,7 @@
  * Store calls by purpose, peer traffic and processor time of members, in virtual time.
  * Run with `node --import tsx bench/cluster.ts`.
  */
-import { encode } from '@msgpack/msgpack'
+import { encodeMessage } from '../src/adapters/message-codec.ts'
 import type { GroupSummary } from '../src/model/peer.ts'
 import { bootstrap, publish, resourcesForSlots, buildTeamChanges } from '../test/cluster/operator.ts'
 import { Simulation } from '../test/cluster/simulation.ts'
@@ -38,7 +38,7 @@
   let bytes = 0
   let messages = 0
   simulation.onSend = (message) => {
-    bytes += encode({ from: 'm0', incarnation: '000000000000', message }, { ignoreUndefined: true }).length
+    bytes += encodeMessage({ from: 'm0', incarnation: '000000000000', message }).length
     messages += 1
   }
   const before = process.cpuUsage()
--- a/bench/grants.ts
+++ b/bench/grants.ts
@@ -2,7 +2,7 @@
  * How near to its limit a team gets, and how soon grants follow demand, in virtual time.
  * Run with `node --import tsx bench/grants.ts`.
  */
-import { encode } from '@msgpack/msgpack'
+import { encodeMessage } from '../src/adapters/message-codec.ts'
 import { Random } from '../src/util/random.ts'
 import { bootstrap, publish, resourcesForSlots, buildTeamChanges } from '../test/cluster/operator.ts'
 import { Simulation } from '../test/cluster/simulation.ts'
@@ -79,7 +79,7 @@
   simulation.onSend = (message) => {
     if (!message.type.startsWith('grant')) return
     messages += 1
-    bytes += encode(message, { ignoreUndefined: true }).length
+    bytes += encodeMessage(message).length
   }
   const before = process.cpuUsage()
   simulation.advance(seconds * 1_000)
--- a/src/adapters/peer-service.ts
+++ b/src/adapters/peer-service.ts
@@ -1,11 +1,14 @@
-import { decode, encode } from '@msgpack/msgpack'
 import type { PeerEnvelope, PeerMessage } from '../model/peer.ts'
 import { isIntersectionOf, isShape, isString } from './guards.ts'
 import type { Guard } from './guards.ts'
+import { decodeMessage, encodeMessage } from './message-codec.ts'
 
 /** Maximum size of a message between members. */
 export const MAX_PEER_MESSAGE_BYTES = 4_194_304
 
+/** Maximum number of levels of an envelope; the receiver may handle its values by functions that call themselves. */
+const MAX_ENVELOPE_LEVELS = 100
+
 /** An idle connection is probed after this time. */
 export const KEEPALIVE_INTERVAL_MS = 5_000
 /** A connection is closed if a probe gets no response within this time. */
@@ -45,8 +48,13 @@
  * decodeEnvelope(encodeEnvelope(envelope))
  */
 export function encodeEnvelope (envelope: PeerEnvelope): Buffer {
-  // Without this option, an undefined field would be decoded as null.
-  return Buffer.from(encode(envelope, { ignoreUndefined: true }))
+  if (hasMoreLevels(envelope, MAX_ENVELOPE_LEVELS)) throw new Error('the message is nested too deep')
+  return encodeMessage(envelope)
+}
+
+function hasMoreLevels (value: unknown, levels: number): boolean {
+  if (typeof value !== 'object' || value === null) return false
+  return levels === 0 || Object.values(value).some((item) => hasMoreLevels(item, levels - 1))
 }
 
 /**
@@ -55,8 +63,8 @@
  * @example
  * decodeEnvelope(encodeEnvelope(envelope))
  */
-export function decodeEnvelope (bytes: Uint8Array): PeerEnvelope {
-  const value = decode(bytes)
+export function decodeEnvelope (bytes: Buffer): PeerEnvelope {
+  const value = decodeMessage(bytes)
   if (!isEnvelope(value)) throw new Error('the message is not a peer envelope')
   return value
 }
--- a/test/adapters/grpc-peer.test.ts
+++ b/test/adapters/grpc-peer.test.ts
@@ -10,6 +10,7 @@
 import type { PeerEnvelope, PeerMessage } from '../../src/model/peer.ts'
 import { createWork } from '../standins/fixtures.ts'
 import { SHORT_TIMEOUT_MS, LONG_TIMEOUT_MS, createCounter, pollUntil } from './harness.ts'
+import { TEXTS } from './texts.ts'
 import { createRefusedAddress, startRelay, serveBytes } from './raw-server.ts'
 import type { Relay } from './raw-server.ts'
 
@@ -57,6 +58,14 @@
   })
 })
 
+for (const { name, text } of TEXTS) {
+  // Work was started with another payload than its caller had sent, if the caller reached a member that doesn't own the group.
+  test(`peers: guards against the failure that work arrives with another payload: ${name}`, () => {
+    const sent = createSubmit('n1', { text })
+    assert.deepEqual(decodeEnvelope(encodeEnvelope(sent)), sent)
+  })
+}
+
 test('an undefined field is not received as null', () => {
   const sent = createEnvelope({ type: 'heartbeat-answer', sequence: 1, sentAt: 2, revision: 3, roster: undefined })
   const arrived = decodeEnvelope(encodeEnvelope(sent))
