Refuse bodies that are not UTF-8

Callers saw (by reading, none reported it): a body with bytes that are not UTF-8 was accepted, and its tasks were started with U+FFFD in their place.

Cause: the body was decoded without a check, and the decoder replaces what it can't read. JSON must be UTF-8, so that such a job can't be run as sent.

Change: both interfaces refuse it with 400 before anything is stored.

--- a/src/api/read-body.ts
+++ b/src/api/read-body.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
+import { decodeUtf8 } from '../util/decode-utf8.ts'
 
 /** Why a body could not be read. */
-export type BodyError = 'too-large' | 'interrupted'
+export type BodyError = 'too-large' | 'interrupted' | 'not-utf8'
 
 /**
  * Reads the body of a request, up to a limit in bytes.
@@ -23,5 +24,6 @@
   } catch {
     return err('interrupted')
   }
-  return ok(Buffer.concat(chunks).toString('utf8'))
+  const text = decodeUtf8(Buffer.concat(chunks))
+  return text === undefined ? err('not-utf8') : ok(text)
 }
--- a/src/api/work-routes.ts
+++ b/src/api/work-routes.ts
@@ -11,6 +11,7 @@
 import type { ApiOptions } from './options.ts'
 import { parseSubmission } from './parse-submission.ts'
 import { createProblemDocument, createFailureDocument, createRefusalDocument } from './problem-document.ts'
+import type { BodyError } from './read-body.ts'
 import { readBody } from './read-body.ts'
 import { respondJson, respondProblem } from './respond.ts'
 
@@ -144,8 +145,11 @@
   return undefined
 }
 
-function createBodyProblem (error: 'too-large' | 'interrupted', limitBytes: number) {
-  return error === 'too-large'
-    ? createProblemDocument(413, 'too-large', `The body has more than ${limitBytes} bytes`)
-    : createProblemDocument(400, 'invalid', 'The body was interrupted')
+function createBodyProblem (error: BodyError, limitBytes: number) {
+  switch (error) {
+    case 'too-large': return createProblemDocument(413, 'too-large', `The body has more than ${limitBytes} bytes`)
+    case 'interrupted': return createProblemDocument(400, 'invalid', 'The body was interrupted')
+    case 'not-utf8': return createProblemDocument(400, 'invalid', 'The body is not valid UTF-8')
+    default: return assertNever(error)
+  }
 }
--- a/test/api/api-server.test.ts
+++ b/test/api/api-server.test.ts
@@ -38,14 +38,14 @@
 before(async () => { address = `http://127.0.0.1:${await server.listen('127.0.0.1', 0)}` })
 after(async () => await server.close())
 
-async function post (path: string, body: string, headers: Readonly<Record<string, string>> = {}): Promise<{ readonly status: number, readonly type: string, readonly retryAfter: string, readonly body: Record<string, unknown> }> {
+async function post (path: string, body: string | Buffer, headers: Readonly<Record<string, string>> = {}): Promise<{ readonly status: number, readonly type: string, readonly retryAfter: string, readonly body: Record<string, unknown> }> {
   const response = await request(`${address}${path}`, { method: 'POST', body, headers: { connection: 'close', ...headers } })
   const parsed = await response.body.json() as Record<string, unknown>
   return { status: response.statusCode, type: String(response.headers['content-type']), retryAfter: String(response.headers['retry-after']), body: parsed }
 }
 
 const valid = { queue: 'q', resources: RESOURCES }
-const invalidRequests: readonly { readonly guards: string, readonly path: string, readonly body: string, readonly status: number, readonly code: string, readonly headers?: Readonly<Record<string, string>> }[] = [
+const invalidRequests: readonly { readonly guards: string, readonly path: string, readonly body: string | Buffer, readonly status: number, readonly code: string, readonly headers?: Readonly<Record<string, string>> }[] = [
   { guards: 'broken JSON', path: '/v1/requests', body: '{"queue":', status: 400, code: 'invalid' },
   { guards: 'a body that is not an object', path: '/v1/requests', body: '[]', status: 400, code: 'invalid' },
   { guards: 'an unknown field', path: '/v1/requests', body: JSON.stringify({ ...valid, quue: 1 }), status: 400, code: 'invalid' },
@@ -54,6 +54,7 @@
   { guards: 'an excessive number of tasks', path: '/v1/jobs', body: JSON.stringify({ ...valid, kind: 'gang', count: 1e12 }), status: 400, code: 'invalid' },
   { guards: 'a repeated field', path: '/v1/requests', body: '{"queue":"a","queue":"b","resources":{"slots":1}}', status: 400, code: 'invalid' },
   { guards: 'a body over the limit', path: '/v1/requests', body: JSON.stringify({ ...valid, payload: 'x'.repeat(LIMIT_BYTES) }), status: 413, code: 'too-large' },
+  { guards: 'a payload that is not UTF-8, which would arrive changed,', path: '/v1/requests', body: Buffer.from(JSON.stringify({ ...valid, payload: 'caf\u00e9' }), 'latin1'), status: 400, code: 'invalid' },
   { guards: 'an idempotency key with spaces', path: '/v1/requests', body: JSON.stringify(valid), headers: { 'idempotency-key': 'a b' }, status: 400, code: 'invalid' },
   { guards: 'an unknown path', path: '/v1/nothing', body: '', status: 404, code: 'not-found' },
   { guards: 'a publication without a key', path: '/v1/configuration', body: '{}', status: 401, code: 'key-missing' },
--- a/test/platform/end-to-end.test.ts
+++ b/test/platform/end-to-end.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
+import { request } from 'undici'
 import { CELL_HOST, CELL_KEY, StandinCell } from '../../platform/standin/cell.ts'
 import { StandinOperator } from '../../platform/standin/operator.ts'
 
@@ -80,6 +81,22 @@
   { scenario: 'the number of waiting jobs of an unknown queue', method: 'GET', path: '/none/', key: undefined, status: 404 }
 ]
 
+// A decoder replaces such bytes, so that the tasks would be started with another payload than the caller has sent.
+test('platform: guards against the failure that a job whose payload is not UTF-8 is accepted and changed', async () => {
+  const cell = await StandinCell.start({ members: 1, workers: 0 })
+  try {
+    await waitUntil('configured', async () => (await cell.request(0, 'GET', '/short/')).status === 200)
+    const path = '/short/00000000000000c2'
+    const body = Buffer.from(JSON.stringify({ spec: 'caf\u00e9', steps: [TASK] }), 'latin1')
+    const response = await request(`http://${cell.callerAddresses[0]}${path}`, { method: 'POST', headers: { host: CELL_HOST, key: CELL_KEY, 'content-type': 'application/json' }, body })
+    assert.equal(response.statusCode, 400)
+    await response.body.dump()
+    assert.equal((await cell.request(0, 'GET', path)).status, 410)
+  } finally {
+    await cell.close()
+  }
+})
+
 test('platform: invalid requests are rejected with the right status', async (context) => {
   const cell = await StandinCell.start({ members: 1, workers: 0 })
   try {
