Start runs only on incarnations that have just answered

Cause: a target that has restarted takes starts that were meant for its life before; its id and address are the same. Their lease is a time on the clock of that life, far ahead of the new one, so that the new life holds all its runs for the longest lease (10 s) where leaders count 3.5 s. The leader learned of the restart from a list request that waits for up to 1.2 s on a silent connection, and sent starts (again) meanwhile. Its successor, or the leader itself once the target was cut off, started the tasks elsewhere.

Change: a start is sent only if the incarnation that it is meant for has answered within 200 ms, else it is asked first (IncarnationCheck, in the process that sends, so also in relays; an answer that was read after a pause of the process doesn't count). A list request gives a lease under the same condition. Neither waits for a connection for longer than 150 ms.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,4 +1,4 @@
-import type { CommandClient, CommandResponse } from '../ports/command-client.ts'
+import type { CommandClient, CommandResponse, CommandTarget } from '../ports/command-client.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { Overload } from '../workflow/advice-backlog.ts'
 import type { CellConfiguration } from '../workflow/cell-configuration.ts'
@@ -339,10 +339,10 @@
     const { commands } = this
     const { reporter, term } = this.options
     switch (effect.type) {
-      case 'start': return this.applyResponse(commands.start(effect, { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }), (response) => ({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
-      case 'stop': return this.applyResponse(commands.stop(effect, { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }), (response) => ({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
+      case 'start': return this.applyResponse(commands.start(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }), (response) => ({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
+      case 'stop': return this.applyResponse(commands.stop(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }), (response) => ({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
       case 'throttle':
-        commands.throttle(effect, { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
+        commands.throttle(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
         return
       case 'request-advice': return this.adviceDispatcher.enqueue(effect)
       case 'store-progress': return this.committer.storeProgress(effect.job)
@@ -394,3 +394,8 @@
     this.sessions.delete(id)
   }
 }
+
+/** The target of a command without the rest of its effect, which a relay would carry as well. */
+function toCommandTarget ({ id, address, incarnation }: CommandTarget): CommandTarget {
+  return { id, address, ...incarnation !== undefined && { incarnation } }
+}
--- a/src/ports/command-client.ts
+++ b/src/ports/command-client.ts
@@ -1,7 +1,10 @@
 import type { TargetListing } from '../workflow/target-entry.ts'
 
-/** The incarnation of the target that a command is meant for. */
-export type CommandTarget = { readonly id: string, readonly address: string }
+/**
+ * The target that a command is meant for. `incarnation`: the one that a start is meant for; neither the id nor the address tells
+ * the incarnations of a target apart. Missing in starts that members of older releases relay.
+ */
+export type CommandTarget = { readonly id: string, readonly address: string, readonly incarnation?: number }
 
 /** Starts a run of a task. */
 export type StartCommand = {
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -4,6 +4,7 @@
 import type { ProbeResult } from '../../src/adapters/probe-address.ts'
 import { AdviceCache } from '../../src/controller/advice-cache.ts'
 import { Controller } from '../../src/controller/controller.ts'
+import { IncarnationCheck } from '../../src/controller/incarnation-check.ts'
 import { JobService } from '../../src/controller/job-service.ts'
 import { Leadership } from '../../src/controller/leadership.ts'
 import type { Term } from '../../src/controller/leadership.ts'
@@ -41,10 +42,12 @@
   readonly leadership: Leadership
   readonly link: MemberLink
   readonly jobService: JobService
+  private readonly commands: IncarnationCheck
   private controller: Controller | undefined
 
   private constructor (private readonly options: VirtualMemberOptions) {
     const { self, store, reporter, callMember, probe } = options
+    this.commands = IncarnationCheck.create({ commands: options.commands, reporter })
     const advisor = AdviceCache.create({ advise: async () => ({ type: 'failed', reason: 'none' }) })
     this.link = MemberLink.create({
       self,
@@ -87,13 +90,13 @@
   }
 
   private startController (term: Term, advisor: AdviceCache): void {
-    const { self, store, commands, reporter, probe, longestLeaseMs } = this.options
+    const { self, store, reporter, probe, longestLeaseMs } = this.options
     const processProbe = ProcessProbe.create({ probe, furtherPorts: FURTHER_PORTS })
     this.controller?.stop()
     this.controller = Controller.create({
       store,
       term,
-      commands,
+      commands: this.commands,
       openRelayStream: () => { throw new Error('too few targets for relays') },
       advisor,
       self,
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -69,6 +69,16 @@
     this.publish(target)
   }
 
+  /**
+   * Crashes a target, which is silent for a time and then starts again under its id. Nothing is published: the next incarnation does
+   * not reach the store.
+   */
+  crash (target: SimulatedTarget, downMs: number): void {
+    this.endRuns(target, 'with the process of its target')
+    target.unreachableUntil = this.time.nowMs + downMs
+    this.time.schedule(downMs, () => target.crash(this.time.nowMs))
+  }
+
   /** Takes a target away with all that it holds and knows. Its host refuses connections, or nothing answers there. */
   takeAway (target: SimulatedTarget, away: 'silent' | 'refusing'): void {
     this.endRuns(target, 'as its target went away')
--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -142,8 +142,18 @@
 // A process that was paused with a command in its queue got a free connection before its timers ran, and sent the command.
 test('http exchange: guards against the failure that a request which waited for a connection during a pause of the process is sent after its timeout', async () => {
   let pausedMs = 0
-  const exchange = HttpExchange.create(TIMEOUT_MS, { monotonic: () => 0, timeOfDay: () => pausedMs })
+  const exchange = HttpExchange.create(TIMEOUT_MS, { clocks: { monotonic: () => 0, timeOfDay: () => pausedMs } })
   pausedMs = 5_000
   assert.throws(() => exchange.onRequestStart({} as Dispatcher.DispatchController), { name: 'AbortError' })
   assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'timeout', sent: false } })
 })
+
+// TWICE: a start waited for a connection behind others to a silent worker, and reached the next life of the worker.
+test('http exchange: guards against the failure that a request is sent which has waited for a connection longer than it may', async () => {
+  let waitedMs = 0
+  const clock = (): number => waitedMs
+  const exchange = HttpExchange.create(TIMEOUT_MS, { sendWithinMs: 10, clocks: { monotonic: clock, timeOfDay: clock } })
+  waitedMs = 100
+  assert.throws(() => exchange.onRequestStart({} as Dispatcher.DispatchController), { name: 'AbortError' })
+  assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'timeout', sent: false } })
+})
