Hand on restarts that are not published yet

Cause: a leader that lists a restarted target before its entry is published hands on the new incarnation with the end of the leases from before. Its successor found the entry of the life before, matched neither record with it, and counted 3.5 s from the last command.

Change: a successor that reads an entry of an earlier incarnation than was handed on takes the target for the later one, whose entry it awaits.

--- a/src/workflow/silent-targets.ts
+++ b/src/workflow/silent-targets.ts
@@ -88,6 +88,12 @@
     return target?.incarnation === incarnation ? target.leasesEndAt : undefined
   }
 
+  /** The last incarnation of the target that an earlier owner has handed on; its entry may still be that of one before. */
+  findIncarnation (id: string): number | undefined {
+    const handedOn = [this.promised.get(id)?.target, this.restarted.get(id)].filter((target) => target !== undefined)
+    return handedOn.length === 0 ? undefined : Math.max(...handedOn.map(({ incarnation }) => incarnation))
+  }
+
   /** Looks for targets that have fallen silent or answer again, and stores the record if it has to change. */
   update (state: CellState): void {
     if (state.earlierCommandsEndAt === undefined || state.now < this.checkAt) return
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -17,6 +17,22 @@
  * from those that its first listing contains.
  */
 export function handleTargetPublished (state: CellState, entry: TargetEntry): void {
+  if (state.targets.get(entry.id) === undefined && isOfEarlierIncarnation(state, entry)) return publishLaterIncarnation(state, entry)
+  addTarget(state, entry)
+}
+
+/** Whether an earlier owner has listed a later incarnation, which had not published itself. */
+function isOfEarlierIncarnation (state: CellState, { id, incarnation }: TargetEntry): boolean {
+  return incarnation < (state.silentTargets.findIncarnation(id) ?? -Infinity)
+}
+
+/** Adds the incarnation that an earlier owner has listed; commands to the one before may reach it. */
+function publishLaterIncarnation (state: CellState, entry: TargetEntry): void {
+  addTarget(state, { ...entry, incarnation: state.silentTargets.findIncarnation(entry.id)! })
+  state.targets.get(entry.id)!.awaitsEntry = true
+}
+
+function addTarget (state: CellState, entry: TargetEntry): void {
   const known = state.targets.get(entry.id)
   state.startPassNeeded = true
   if (known !== undefined && known.entry.incarnation === entry.incarnation) {
@@ -51,7 +67,7 @@
  * capacity and labels are known.
  */
 export function handleTargetRestarted (state: CellState, target: TargetState, incarnation: number): void {
-  handleTargetPublished(state, { ...target.entry, incarnation })
+  addTarget(state, { ...target.entry, incarnation })
   const restarted = state.targets.get(target.id)!
   restarted.awaitsEntry = true
   restarted.published = target.published
--- a/test/workflow/uncertain-restarts.test.ts
+++ b/test/workflow/uncertain-restarts.test.ts
@@ -207,9 +207,10 @@
   assert.deepEqual(stored.ids, [])
 })
 
+const LEASES_END_AT = 9_000
+
 // TWICE: an owner forgot 3.5 s before their end that leases of a restarted target go on for 10 s, and started its tasks elsewhere.
 test('cell: guards against the failure that the leases of a restarted target that is not listed count as over before the end that was handed on', () => {
-  const LEASES_END_AT = 9_000
   const next = CellScheduler.create(OPTIONS)
   next.expectEarlierRuns()
   next.apply({ type: 'silent-targets-restored', targets: { t1: { incarnation: 2, leasesEndAt: LEASES_END_AT, isCommanded: true } } }, 1_000)
@@ -222,3 +223,28 @@
   }
   assert.deepEqual(next.findUnsettledTargets(LEASES_END_AT + 100).open, [])
 })
+
+const NEXT_INCARNATION = 2
+/** What an owner has stored of a target that has restarted; its successor finds the entry of the incarnation before. */
+const handedOn = [
+  { what: 'commands the next incarnation', record: { incarnation: NEXT_INCARNATION, leasesEndAt: LEASES_END_AT, isCommanded: true as const } },
+  { what: 'hears nothing of the next incarnation', record: { incarnation: NEXT_INCARNATION, leasesEndAt: LEASES_END_AT } }
+]
+
+for (const { what, record } of handedOn) {
+  // TWICE: what an owner had learned of a restart was ignored while the entry was still that of the life before, and 3.5 s counted.
+  test(`cell: guards against the failure that the next owner doesn't know of a restart that is not published: the owner before ${what}`, () => {
+    const next = CellScheduler.create(OPTIONS)
+    next.expectEarlierRuns()
+    next.apply({ type: 'silent-targets-restored', targets: { t1: record } }, 1_000)
+    next.apply({ type: 'incarnations-restored', incarnations: { t1: 1 } }, 1_000)
+    next.apply({ type: 'targets-stored', ids: ['t1'] }, 1_000)
+    next.apply({ type: 'target-published', entry: buildEntry('t1') }, 1_000)
+    assert.equal(next.longestEarlierLeaseMs, LONGEST_LEASE_MS)
+    for (const now of [1_500, LEASES_END_AT - 100]) {
+      next.apply({ type: 'tick', aloneUntil: now, earlierCommandsEndAt: 1_000 }, now)
+      assert.deepEqual(next.findUnsettledTargets(now).open, ['t1'], `at ${now}`)
+    }
+    assert.deepEqual(next.findUnsettledTargets(LEASES_END_AT + 100).open, [])
+  })
+}
