--- a/test/controller/late-starts.test.ts
+++ b/test/controller/late-starts.test.ts
@@ -34,9 +34,10 @@
       const leader = cell.leaders[0]!
       cell.submitLasting(cell.hosts.find((host) => host !== leader)!, 'lasting', TASKS)
       await cell.time.advance(MAX_SUBMISSION_MS, () => cell.acceptedJobs.size > 0)
-      cell.targets.lateRatio = 1
+      // A target answers just before a start is sent to it, so that only the starts are late.
+      cell.targets.lateStartRatio = 1
       await cell.time.advance(60)
-      cell.targets.lateRatio = 0
+      cell.targets.lateStartRatio = 0
       for (const id of RESTARTED) restart(cell, id, entry === 'published')
       for (const host of cell.hosts) host.unreachedTargets = new Set(RESTARTED)
       cell.restart(leader, end === 'moved' ? `${leader.name}-other:1` : leader.address)
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -30,6 +30,8 @@
   readonly targets = new Map<string, SimulatedTarget>()
   /** Ratio of the commands that are carried out late and not answered. */
   lateRatio = 0
+  /** The same for starts only, where it is higher. */
+  lateStartRatio = 0
   readonly lastRuns = LastRuns.create()
   /** End of each target's lease, on its own clock. */
   private readonly leases = new Map<string, number>()
@@ -100,12 +102,12 @@
 
   /** Creates the client of a member; `isCut` says whether it does not reach a target now. */
   connect (isCut: (target: string) => boolean): CommandClient {
-    const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome): Promise<CommandResponse> => {
+    const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome, lateRatio = this.lateRatio): Promise<CommandResponse> => {
       const target = this.targets.get(id)!
-      return this.send<CommandResponse>(target, isCut, () => this.toResponse(target, carryOut(target)))
+      return this.send<CommandResponse>(target, isCut, () => this.toResponse(target, carryOut(target)), lateRatio)
     }
     return {
-      start: ({ id }, start) => command(id, (target) => this.start(target, start)),
+      start: ({ id }, start) => command(id, (target) => this.start(target, start), Math.max(this.lateRatio, this.lateStartRatio)),
       stop: ({ id }, { task, run, epoch }) => command(id, (target) => target.stop(task, run, epoch, this.time.nowMs)),
       throttle: async () => UNANSWERED,
       list: ({ id }, request) => this.list(this.targets.get(id)!, request, isCut)
@@ -162,14 +164,14 @@
   }
 
   /** Carries out a call of the process that sends it, which gets the response unless it is lost. */
-  private send<Response> (target: SimulatedTarget, isCut: (target: string) => boolean, carryOut: () => Response): Promise<Response | Unanswered> {
+  private send<Response> (target: SimulatedTarget, isCut: (target: string) => boolean, carryOut: () => Response, lateRatio = this.lateRatio): Promise<Response | Unanswered> {
     const owner: VirtualProcess | undefined = this.time.currentProcess
     return new Promise((resolve) => {
       const respond = (response: Response | Unanswered, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(response), owner) }
       const isReachable = (): boolean => !isCut(target.id) && target.isReachable(this.time.nowMs)
       if (target.away === 'refusing' && !isCut(target.id)) return respond(REFUSED, this.drawLatencyMs())
       if (!isReachable()) return respond(UNANSWERED, TIMEOUT_MS)
-      if (this.random.next() < this.lateRatio) {
+      if (this.random.next() < lateRatio) {
         this.time.schedule(LATE_MS + this.random.nextInt(LATE_SPREAD_MS), () => { if (target.away === undefined) carryOut() })
         return respond(UNANSWERED, TIMEOUT_MS)
       }
