Bind starts and leases to connections that have answered

Change: a connection ends with the process that has accepted it. A start, or a list request with a lease or a cursor, is written only if the incarnation that it is meant for has answered a request that was sent after the last connection to the target was opened; this is asked again when a request is about to be written. Else the target is asked first, without lease and cursor. A target that closes all its connections gets commands on new ones within 200 ms of an answer, or it would get none. A start that was not sent for this reason counts as not sent, so that its task starts elsewhere at once. The special cases for times in list requests are taken back, and the test of restarted-and-gone is as it was.

--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -1,35 +1,46 @@
-import type { CommandClient, CommandResponse, CommandTarget, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
+import { WITHHELD } from '../ports/command-client.ts'
+import type { CommandClient, CommandResponse, CommandTarget, ConnectionCommands, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
 import { Moment } from '../util/moment.ts'
 import type { Clocks } from '../util/moment.ts'
-import { MAX_ANSWER_AGE_MS } from '../workflow/list-request.ts'
 import type { Reporter } from './reporter.ts'
 
-const NOT_SENT = { type: 'unanswered', reason: 'incarnation-not-confirmed' } as const
+const NOT_SENT = { type: 'unanswered', reason: 'incarnation-not-confirmed', sent: false } as const
+/** A start may open a connection, or another command meanwhile, so that the target has to be asked again. */
+const MAX_START_ATTEMPTS = 3
 
-/** The last incarnation of a target that has answered a list request, and when. */
-type Answer = { readonly incarnation: number, readonly at: Moment }
+/** After so many commands in a row that were withheld, a target counts as one that keeps no connections open. */
+const WITHHELD_IN_A_ROW = 2
+/** How long an answer of a target that keeps no connections open allows commands, in milliseconds; a restart takes longer. */
+const MAX_ANSWER_AGE_MS = 200
+
+/** The incarnation that has answered a list request at an address, and when it was asked, on the monotonic clock. */
+type Answer = { readonly incarnation: number, readonly address: string, readonly askedAt: number, readonly asked: Moment }
 
 export type IncarnationCheckOptions = {
-  readonly commands: CommandClient
+  readonly commands: ConnectionCommands
   readonly reporter: Reporter
   readonly clocks?: Clocks
 }
 
 /**
- * Sends a start only if the incarnation that it is meant for has answered just before. A restarted target takes commands that
- * were meant for its incarnation before, under the same id and at the same address, and its clock begins anew: a lease that was
- * measured on the clock before would last as long as a lease can. Nobody would know of it until the target answers again.
+ * Sends what gives a lease only to the incarnation of a target that it is meant for. A restarted target takes commands for its
+ * incarnation before, under the same id and at the same address, and its clock begins anew: a lease that was measured on the clock
+ * before would last as long as a lease can, and nobody would know of it until the target answers again.
+ *
+ * A connection ends with the process that has accepted it. So if an incarnation answers after a connection was opened, nothing that
+ * is sent on this connection reaches a later one. A command is sent only while that holds for all connections to the target, one
+ * that was opened for the command itself included; else the target is asked first. Only a target that closes all its connections gets
+ * commands on new ones, right after an answer.
  */
 export class IncarnationCheck implements CommandClient {
+  /** By target id. */
   private readonly answers = new Map<string, Answer>()
   /** Pending questions for the incarnation of a target; the starts of a moment share one. */
-  private readonly questions = new Map<string, Promise<unknown>>()
-  private seenRunningAt: Moment
-  private pauses = 0
+  private readonly questions = new Map<string, Promise<ListResponse>>()
+  /** Commands in a row that were withheld, by target id. */
+  private readonly withheldCounts = new Map<string, number>()
 
-  private constructor (private readonly options: IncarnationCheckOptions) {
-    this.seenRunningAt = Moment.now(options.clocks)
-  }
+  private constructor (private readonly options: IncarnationCheckOptions) {}
 
   /**
    * Wraps the client of one process.
@@ -43,9 +54,14 @@
   }
 
   async start (target: CommandTarget, command: StartCommand): Promise<CommandResponse> {
-    if (!this.isConfirmed(target)) await this.ask(target, command.epoch)
-    if (this.isConfirmed(target)) return this.options.commands.start(target, command)
-    this.options.reporter.count('start-withheld', NOT_SENT.reason)
+    const { commands, reporter } = this.options
+    if (target.incarnation === undefined) return commands.start(target, command)
+    for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
+      if (!this.isConfirmed(target) && !await this.ask(target, command.epoch)) break
+      const response = await commands.start(target, command, () => this.mayBeSent(target))
+      if (!this.countWithheld(target, response)) return response
+    }
+    reporter.count('start-withheld', NOT_SENT.reason)
     return NOT_SENT
   }
 
@@ -57,41 +73,61 @@
     return this.options.commands.throttle(target, command)
   }
 
+  /** A request that holds for one incarnation only is replaced by one without lease and cursor unless that incarnation is confirmed. */
   async list (target: CommandTarget, request: ListRequest): Promise<ListResponse> {
-    this.notePause()
-    const { pauses } = this
-    const response = await this.options.commands.list(target, request)
-    this.notePause()
-    // What is read after a pause of this process may have been sent before it.
-    if (response.type === 'listed' && pauses === this.pauses) this.recordAnswer(target.id, response.listing.incarnation)
+    const isGeneral = target.incarnation === undefined || (request.leaseUntilMs === undefined && request.acknowledged === 0)
+    if (isGeneral) return this.listNow(target, request, () => true)
+    const response = await this.listNow(target, request, () => this.mayBeSent(target))
+    if (!this.countWithheld(target, response)) return response
+    return this.listNow(target, { epoch: request.epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 }, () => true)
+  }
+
+  private async listNow (target: CommandTarget, request: ListRequest, mayBeSent: () => boolean): Promise<ListResponse> {
+    const askedAt = this.options.clocks?.monotonic() ?? performance.now()
+    const asked = Moment.now(this.options.clocks)
+    const response = await this.options.commands.list(target, request, mayBeSent)
+    if (response.type === 'listed') this.recordAnswer(target.id, { incarnation: response.listing.incarnation, address: target.address, askedAt, asked })
     return response
   }
 
-  private isConfirmed ({ id, incarnation }: CommandTarget): boolean {
-    if (incarnation === undefined) return true
+  private isConfirmed ({ id, address, incarnation }: CommandTarget): boolean {
     const answer = this.answers.get(id)
-    return answer?.incarnation === incarnation && answer.at.ageMs <= MAX_ANSWER_AGE_MS
+    if (answer === undefined || answer.incarnation !== incarnation || answer.address !== address) return false
+    return this.options.commands.getConnectedAt(address) < answer.askedAt
   }
 
-  private async ask (target: CommandTarget, epoch: number): Promise<void> {
-    const question = this.questions.get(target.id) ?? this.list(target, { epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 })
+  private mayBeSent (target: CommandTarget): boolean {
+    if (this.isConfirmed(target)) return true
+    const answer = this.answers.get(target.id)
+    const keepsNone = (this.withheldCounts.get(target.id) ?? 0) >= WITHHELD_IN_A_ROW
+    return keepsNone && answer !== undefined && answer.incarnation === target.incarnation && answer.address === target.address && answer.asked.ageMs <= MAX_ANSWER_AGE_MS
+  }
+
+  /** Returns whether a command was withheld. */
+  private countWithheld ({ id }: CommandTarget, response: CommandResponse | ListResponse): boolean {
+    const isWithheld = response.type === 'unanswered' && response.reason === WITHHELD
+    if (isWithheld) this.withheldCounts.set(id, (this.withheldCounts.get(id) ?? 0) + 1)
+    else this.withheldCounts.delete(id)
+    return isWithheld
+  }
+
+  /** Returns whether the incarnation has answered. */
+  private async ask (target: CommandTarget, epoch: number): Promise<boolean> {
+    const question = this.questions.get(target.id) ?? this.listNow(target, { epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 }, () => true)
     this.questions.set(target.id, question)
     this.options.reporter.count('incarnation-asked', 'start')
     try {
-      await question
+      const response = await question
+      return response.type === 'listed' && response.listing.incarnation === target.incarnation
     } finally {
       if (this.questions.get(target.id) === question) this.questions.delete(target.id)
     }
   }
 
-  private recordAnswer (id: string, incarnation: number): void {
-    // Responses on different connections may overtake each other.
-    if (incarnation < (this.answers.get(id)?.incarnation ?? -Infinity)) return
-    this.answers.set(id, { incarnation, at: Moment.now(this.options.clocks) })
-  }
-
-  private notePause (): void {
-    if (this.seenRunningAt.ageMs > MAX_ANSWER_AGE_MS) this.pauses += 1
-    this.seenRunningAt = Moment.now(this.options.clocks)
+  /** Responses on different connections may overtake each other. */
+  private recordAnswer (id: string, answer: Answer): void {
+    const known = this.answers.get(id)
+    const isNewer = known === undefined || answer.incarnation > known.incarnation || (answer.incarnation === known.incarnation && answer.askedAt > known.askedAt)
+    if (isNewer) this.answers.set(id, answer)
   }
 }
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -85,9 +85,9 @@
     const { id, commands, term } = this.options
     const sentAt = performance.now()
     const request = buildListRequest(target, sentAt, this.options.leaseMs, this.options.isCommanded())
-    const response = await commands.list({ id, address: target.entry.address }, { ...request, epoch: computeFencingNumber(term, target.restarts) })
+    const response = await commands.list({ id, address: target.entry.address, incarnation: target.entry.incarnation }, { ...request, epoch: computeFencingNumber(term, target.restarts) })
     if (this.stopped.signal.aborted || (response.type !== 'listed' && this.isReplaced(target))) return
-    await this.handleListResponse(target, response, sentAt, request.waitMs === 0)
+    await this.handleListResponse(target, response, sentAt)
   }
 
   /** Whether the target has restarted since: a request to the incarnation before that is refused says nothing of this one. */
@@ -96,7 +96,7 @@
     return current !== undefined && current.entry.incarnation !== target.entry.incarnation
   }
 
-  private async handleListResponse (target: TargetState, response: ListResponse, sentAt: number, isUncertain: boolean): Promise<void> {
+  private async handleListResponse (target: TargetState, response: ListResponse, sentAt: number): Promise<void> {
     const { id, applyEvent } = this.options
     if (response.type === 'unanswered' && !this.lastListUnanswered) {
       // A single lost response must not take the target out of use or delay the completions of its runs.
@@ -109,8 +109,7 @@
       return delay(RETRY_DELAY_MS, this.stopped.signal)
     }
     applyEvent({ type: 'target-listed', id, sentAt, listing: response.listing })
-    // An uncertain request extends no lease; the next one does, unless it comes too late after this answer.
-    if (isUncertain || target.lastProcessed === target.lastAcknowledged) return
+    if (target.lastProcessed === target.lastAcknowledged) return
     await Promise.race([this.options.waitForCommit(), delay(COMMIT_WAIT_MS, this.stopped.signal)])
     if (target.lastProcessed !== target.lastAcknowledged && response.listing.ended.length > 0) await delay(UNACKNOWLEDGED_PAUSE_MS, this.stopped.signal)
   }
--- a/src/ports/command-client.ts
+++ b/src/ports/command-client.ts
@@ -1,8 +1,8 @@
 import type { TargetListing } from '../workflow/target-entry.ts'
 
 /**
- * The target that a command is meant for. `incarnation`: the one that a start is meant for; neither the id nor the address tells
- * the incarnations of a target apart. Missing in starts that members of older releases relay.
+ * The target that a command is meant for. `incarnation`: the one that a command with a lease is meant for; neither the id
+ * nor the address tells the incarnations of a target apart. Missing in commands that members of older releases relay.
  */
 export type CommandTarget = { readonly id: string, readonly address: string, readonly incarnation?: number }
 
@@ -52,8 +52,8 @@
 export type CommandResponse =
   | { readonly type: 'accepted', readonly clockMs: number | undefined }
   | { readonly type: 'refused', readonly reason: CommandRefusal, readonly clockMs: number | undefined }
-  /** The command may have been executed, or may be executed later. */
-  | { readonly type: 'unanswered', readonly reason: string }
+  /** The command may have been executed, or may be executed later, unless `sent` is false: then it certainly was not sent. */
+  | { readonly type: 'unanswered', readonly reason: string, readonly sent?: false }
 
 /** Response to a list request. */
 export type ListResponse =
@@ -69,6 +69,17 @@
   readonly list: (target: CommandTarget, request: ListRequest) => Promise<ListResponse>
 }
 
+/** Reason of an unanswered request: it was not sent, because its sender did not allow it any more. */
+export const WITHHELD = 'withheld'
+
+/** Sends commands on connections that it keeps open. Asks `mayBeSent` just before a command is written; by default it may. */
+export type ConnectionCommands = Pick<CommandClient, 'stop' | 'throttle'> & {
+  readonly start: (target: CommandTarget, command: StartCommand, mayBeSent?: () => boolean) => Promise<CommandResponse>
+  readonly list: (target: CommandTarget, request: ListRequest, mayBeSent?: () => boolean) => Promise<ListResponse>
+  /** When the last connection to an address was opened, on the monotonic clock; -Infinity if none was. */
+  readonly getConnectedAt: (address: string) => number
+}
+
 /** Permission of the advisor to run a step on a target. */
 export type Ticket = { readonly target: string, readonly ticket: string }
 
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -22,6 +22,9 @@
   'other-incarnation': 1_000
 }
 
+/** A target whose incarnation could not be confirmed for a start gets no other start for this time, in milliseconds. */
+const UNSENT_PAUSE_MS = 300
+
 /** A start without an answer is stopped after this time, which is longer than slow targets need, in milliseconds. */
 const UNANSWERED_START_MS = 4_000
 
@@ -46,9 +49,17 @@
     case 'refused': return handleStartRefusal(state, target, live, response.reason)
     case 'unanswered':
       count(state, 'start-unanswered', response.reason)
+      if (response.sent === false && live.sendCount === 1) handleUnsentStart(state, target, live)
   }
 }
 
+/** The target may have restarted. Its next listing tells; the task need not wait for it. */
+function handleUnsentStart (state: CellState, target: TargetState, live: LiveRun): void {
+  pauseStarts(state, target, UNSENT_PAUSE_MS)
+  removeRun(state, live)
+  stopGangMembers(state, live)
+}
+
 function handleStartRefusal (state: CellState, target: TargetState, live: LiveRun, reason: CommandRefusal): void {
   count(state, 'start-refused', reason)
   log(state, 'warn', 'start-refused', { task: live.task.key, run: live.run, target: target.id, reason, sends: live.sendCount })
--- a/src/workflow/list-request.ts
+++ b/src/workflow/list-request.ts
@@ -1,11 +1,6 @@
 import type { ListRequest } from '../ports/command-client.ts'
 import type { TargetState } from './target-state.ts'
 
-/**
- * How long an answer of a target shows that it has not restarted since, in milliseconds. No restart is faster, with the time for
- * which a command may wait for a connection.
- */
-export const MAX_ANSWER_AGE_MS = 200
 /** How long the target may delay its listing until a run completes. */
 const LIST_WAIT_MS = 1_000
 /** Wait for targets where best-effort tasks run beside latency-bound ones, because throttling needs recent latencies. */
@@ -17,8 +12,8 @@
 
 /**
  * Builds the next list request for a target. It extends the lease of the runs only while the target is reachable: leases
- * on an unreachable target must expire, so that the tasks can start elsewhere. After a request without an answer, or
- * some time after the last one, the target may have restarted, so that the next one carries nothing that holds for one incarnation only, and is answered at once. For
+ * on an unreachable target must expire, so that the tasks can start elsewhere. After a request without an answer the target
+ * may have restarted, so that the next one carries nothing that holds for one incarnation only, and is answered at once. For
  * the same reason a cursor is sent until it has been answered, and no longer: a request may be executed late. `isCommanded`: whether
  * this owner may give the target leases.
  *
@@ -26,7 +21,7 @@
  * const request = buildListRequest(target, performance.now(), 5_000, true)
  */
 export function buildListRequest (target: TargetState, now: number, leaseMs: number, isCommanded = true): Omit<ListRequest, 'epoch'> {
-  const isCertain = target.reachable && !target.listUnanswered && now - target.lastHeardAt <= MAX_ANSWER_AGE_MS
+  const isCertain = target.reachable && !target.listUnanswered
   const clockMs = isCertain && isCommanded ? target.estimateClockMs(now) : undefined
   const leaseUntilMs = clockMs === undefined ? undefined : Math.floor(clockMs + leaseMs)
   if (leaseUntilMs !== undefined) target.extendLease(leaseUntilMs, now)
--- a/src/workflow/unanswered-starts.ts
+++ b/src/workflow/unanswered-starts.ts
@@ -1,3 +1,4 @@
+import { assertNever } from '../util/assert-never.ts'
 import type { CellState } from './cell-state.ts'
 import type { CommandResponse } from '../ports/command-client.ts'
 import type { TaskKey } from './job.ts'
@@ -39,7 +40,12 @@
 
 /** Whether a response shows that a command will not be executed later. */
 function isConclusive (response: CommandResponse): boolean {
-  return response.type === 'accepted' || (response.type === 'refused' && response.reason !== 'failed')
+  switch (response.type) {
+    case 'accepted': return true
+    case 'refused': return response.reason !== 'failed'
+    case 'unanswered': return response.sent === false
+    default: return assertNever(response)
+  }
 }
 
 /** Whether start commands of the run may still be executed. */
--- a/test/controller/incarnation-check.test.ts
+++ b/test/controller/incarnation-check.test.ts
@@ -1,62 +1,88 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { IncarnationCheck } from '../../src/controller/incarnation-check.ts'
-import type { CommandClient, ListResponse } from '../../src/ports/command-client.ts'
-import { buildListRequest } from '../../src/workflow/list-request.ts'
-import { createHarnessWithTarget } from '../workflow/harness.ts'
+import { WITHHELD } from '../../src/ports/command-client.ts'
+import type { ConnectionCommands, ListResponse } from '../../src/ports/command-client.ts'
 
 const OLD = 1
 const NEXT = 2
 const TARGET = { id: 't1', address: 'a:1', incarnation: OLD }
 const START = { task: 'a.0.0.0', run: 1, payload: 'p', leaseUntilMs: 400_000, epoch: 3, checkpoint: '', ticket: undefined }
 const LIST = { epoch: 3, acknowledged: 0, leaseUntilMs: undefined, waitMs: 1_000 }
+const LEASE = { epoch: 3, acknowledged: 7, leaseUntilMs: 400_000, waitMs: 1_000 }
+const UNANSWERED = { type: 'unanswered', reason: 'timeout' } as const
+const NOT_SENT = { type: 'unanswered', reason: WITHHELD } as const
 
-/** A target behind the check, and the clocks of its process. */
-type Setup = { readonly check: IncarnationCheck, readonly sent: string[], readonly clock: { monotonicMs: number, timeOfDayMs: number }, answer: ListResponse, onList: () => void }
+/** A target behind the check, whose connections open as a test says. */
+class Setup {
+  readonly sent: string[] = []
+  answer: ListResponse = listed(OLD)
+  now = 0
+  private connectedAt = -Infinity
+  /** Time that each call takes until it is written. */
+  writeMs = 1
+  /** Calls from now on before which a connection is opened. */
+  private readonly openings: boolean[] = []
 
-function createSetup (): Setup {
-  const sent: string[] = []
-  const clock = { monotonicMs: 0, timeOfDayMs: 0 }
-  const commands: CommandClient = {
-    start: async () => { sent.push('start'); return { type: 'accepted', clockMs: 1 } },
+  private readonly commands: ConnectionCommands = {
+    start: async (_target, _command, mayBeSent) => {
+      if (!this.openAndAsk(mayBeSent)) return NOT_SENT
+      this.sent.push('start')
+      return { type: 'accepted', clockMs: 1 }
+    },
     stop: async () => ({ type: 'accepted', clockMs: 1 }),
     throttle: async () => ({ type: 'accepted', clockMs: 1 }),
-    list: async ({ id }, { waitMs, leaseUntilMs }) => { sent.push(`list ${id} ${waitMs} ${leaseUntilMs ?? 'no lease'}`); setup.onList(); return setup.answer }
+    list: async (_target, { waitMs, leaseUntilMs, acknowledged }, mayBeSent) => {
+      if (!this.openAndAsk(mayBeSent)) return NOT_SENT
+      this.sent.push(`list wait ${waitMs} lease ${leaseUntilMs ?? 'none'} cursor ${acknowledged}`)
+      return this.answer
+    },
+    getConnectedAt: () => this.connectedAt
+  }
+
+  readonly check = IncarnationCheck.create({ commands: this.commands, reporter: { log: () => {}, count: () => {}, observe: () => {} }, clocks: { monotonic: () => { this.now += 1; return this.now }, timeOfDay: () => this.now } })
+
+  /** Says for each of the next calls whether a connection is opened for it. */
+  openConnections (...openings: readonly boolean[]): void {
+    this.openings.push(...openings)
+  }
+
+  private openAndAsk (mayBeSent: (() => boolean) | undefined): boolean {
+    this.now += this.writeMs
+    if (this.openings.shift() === true) this.connectedAt = this.now
+    return mayBeSent?.() !== false
   }
-  const reporter = { log: () => {}, count: () => {}, observe: () => {} }
-  const check = IncarnationCheck.create({ commands, reporter, clocks: { monotonic: () => clock.monotonicMs, timeOfDay: () => clock.timeOfDayMs } })
-  const setup: Setup = { check, sent, clock, answer: listed(OLD), onList: () => {} }
-  return setup
 }
 
 function listed (incarnation: number): ListResponse {
   return { type: 'listed', listing: { incarnation, clockMs: 1, running: [], ended: [] } }
 }
 
-function pass (clock: Setup['clock'], ms: number): void {
-  clock.monotonicMs += ms
-  clock.timeOfDayMs += ms
+/** The target has answered on a connection that was opened before. */
+async function meet ({ check }: Setup): Promise<void> {
+  await check.list(TARGET, LIST)
 }
 
-const UNANSWERED = { type: 'unanswered', reason: 'timeout' } as const
-const QUESTION = 'list t1 0 no lease'
+const QUESTION = 'list wait 0 lease none cursor 0'
 
-const cases: ReadonlyArray<{ readonly name: string, readonly prepare: (setup: Setup) => Promise<unknown>, readonly expected: readonly string[] }> = [
-  { name: 'its incarnation has just answered', prepare: async ({ check }) => check.list(TARGET, LIST), expected: ['start'] },
-  { name: 'it has never answered, and answers', prepare: async () => {}, expected: [QUESTION, 'start'] },
-  { name: 'it answered some time ago, and answers', prepare: async ({ check, clock }) => { await check.list(TARGET, LIST); pass(clock, 201) }, expected: [QUESTION, 'start'] },
-  { name: 'the host of the member was suspended since its answer', prepare: async ({ check, clock }) => { await check.list(TARGET, LIST); clock.timeOfDayMs += 4_000 }, expected: [QUESTION, 'start'] },
-  { name: 'the member was paused while it waited for the answer', prepare: async (setup) => { setup.onList = () => pass(setup.clock, 1_500); await setup.check.list(TARGET, LIST); setup.onList = () => {} }, expected: [QUESTION, 'start'] },
-  { name: 'it answered some time ago, and has restarted', prepare: async (setup) => { await setup.check.list(TARGET, LIST); pass(setup.clock, 201); setup.answer = listed(NEXT) }, expected: [QUESTION] },
-  { name: 'its next incarnation has just answered', prepare: async (setup) => { setup.answer = listed(NEXT); await setup.check.list(TARGET, LIST); setup.answer = listed(OLD) }, expected: [QUESTION] },
-  { name: 'it answered some time ago, and is silent', prepare: async (setup) => { await setup.check.list(TARGET, LIST); pass(setup.clock, 201); setup.answer = UNANSWERED }, expected: [QUESTION] },
+const starts: ReadonlyArray<{ readonly name: string, readonly prepare: (setup: Setup) => Promise<void>, readonly expected: readonly string[] }> = [
+  { name: 'it has answered since the last connection was opened', prepare: meet, expected: ['start'] },
+  { name: 'it has never answered', prepare: async () => {}, expected: [QUESTION, 'start'] },
+  { name: 'a connection is opened for the first question', prepare: async (setup) => setup.openConnections(true), expected: [QUESTION, QUESTION, 'start'] },
+  { name: 'a connection is opened for the start', prepare: async (setup) => { await meet(setup); setup.openConnections(true) }, expected: [QUESTION, 'start'] },
+  { name: 'a connection is opened for the start, and the next incarnation answers there', prepare: async (setup) => { await meet(setup); setup.openConnections(true); setup.answer = listed(NEXT) }, expected: [QUESTION] },
+  { name: 'a connection is opened for the start, and nobody answers there', prepare: async (setup) => { await meet(setup); setup.openConnections(true); setup.answer = UNANSWERED }, expected: [QUESTION] },
+  { name: 'it keeps no connection open', prepare: async (setup) => { await meet(setup); setup.openConnections(...Array(9).fill(true) as boolean[]) }, expected: [QUESTION, QUESTION, 'start'] },
+  { name: 'it keeps no connection open, and the start is written late', prepare: async (setup) => { await meet(setup); setup.writeMs = 300; setup.openConnections(...Array(9).fill(true) as boolean[]) }, expected: [QUESTION, QUESTION] },
+  { name: 'its next incarnation has answered', prepare: async (setup) => { setup.answer = listed(NEXT); await meet(setup) }, expected: [QUESTION] },
+  { name: 'it answered at another address', prepare: async (setup) => { await setup.check.list({ ...TARGET, address: 'b:1' }, LIST) }, expected: [QUESTION, 'start'] },
   { name: 'it refuses the question', prepare: async (setup) => { setup.answer = { type: 'refused', reason: 'other-incarnation' } }, expected: [QUESTION] }
 ]
 
-for (const { name, prepare, expected } of cases) {
+for (const { name, prepare, expected } of starts) {
   // TWICE: a start that was meant for the life before makes a restarted target hold its runs for the longest lease.
   test(`incarnation check: guards against the failure that a start reaches an incarnation that it is not meant for: ${name}`, async () => {
-    const setup = createSetup()
+    const setup = new Setup()
     await prepare(setup)
     setup.sent.length = 0
     const response = await setup.check.start(TARGET, START)
@@ -65,30 +91,31 @@
   })
 }
 
+const lists: ReadonlyArray<{ readonly name: string, readonly prepare: (setup: Setup) => Promise<void>, readonly expected: readonly string[] }> = [
+  { name: 'it has answered since the last connection was opened', prepare: meet, expected: ['list wait 1000 lease 400000 cursor 7'] },
+  { name: 'it has never answered', prepare: async () => {}, expected: [QUESTION] },
+  { name: 'a connection is opened for the request', prepare: async (setup) => { await meet(setup); setup.openConnections(true) }, expected: [QUESTION] }
+]
+
+for (const { name, prepare, expected } of lists) {
+  // TWICE: a lease or a cursor that was meant for the life before holds for the next one, or discards its completions unread.
+  test(`incarnation check: guards against the failure that a lease or a cursor reaches an incarnation that it is not meant for: ${name}`, async () => {
+    const setup = new Setup()
+    await prepare(setup)
+    setup.sent.length = 0
+    assert.equal((await setup.check.list(TARGET, LEASE)).type, 'listed')
+    assert.deepEqual(setup.sent, expected)
+  })
+}
+
 test('incarnation check: starts of the same moment share one question', async () => {
-  const { check, sent } = createSetup()
+  const { check, sent } = new Setup()
   await Promise.all([1, 2, 3].map((run) => check.start(TARGET, { ...START, run })))
   assert.deepEqual(sent, [QUESTION, 'start', 'start', 'start'])
 })
 
 test('incarnation check: a start without an incarnation, which a member of an older release has relayed, is sent', async () => {
-  const { check, sent } = createSetup()
+  const { check, sent } = new Setup()
   await check.start({ id: 't1', address: 'a:1' }, START)
   assert.deepEqual(sent, ['start'])
 })
-
-const LEASE_MS = 3_500
-const ages = [
-  { ageMs: 200, givesLease: true },
-  { ageMs: 201, givesLease: false }
-]
-
-for (const { ageMs, givesLease } of ages) {
-  // TWICE: a list request that was held up behind commands to a silent target gave its next life the longest lease.
-  test(`list request: guards against the failure that a lease is given to an incarnation that may have ended: ${ageMs} ms after its last answer`, () => {
-    const harness = createHarnessWithTarget()
-    const request = buildListRequest(harness.scheduler.getTarget('t1')!, harness.now + ageMs, LEASE_MS)
-    assert.equal(request.leaseUntilMs !== undefined, givesLease)
-    assert.equal(request.waitMs > 0, givesLease)
-  })
-}
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -12,7 +12,7 @@
 import type { MemberCall, MemberCallFailure, MemberResponse, Peer } from '../../src/controller/member-call.ts'
 import { ProcessProbe } from '../../src/controller/process-probe.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
-import type { CommandClient } from '../../src/ports/command-client.ts'
+import type { ConnectionCommands } from '../../src/ports/command-client.ts'
 import type { Store } from '../../src/ports/store.ts'
 import type { TargetEntry } from '../../src/workflow/target-entry.ts'
 import { CONFIGURATION } from '../workflow/harness.ts'
@@ -30,7 +30,7 @@
 export type VirtualMemberOptions = {
   readonly self: Peer
   readonly store: Store
-  readonly commands: CommandClient
+  readonly commands: ConnectionCommands
   readonly callMember: (address: string, call: MemberCall, timeoutMs: number) => Promise<MemberCallResult>
   readonly probe: (address: string) => Promise<ProbeResult>
   readonly reporter: Reporter
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -1,11 +1,12 @@
-import { NO_LISTENER } from '../../src/ports/command-client.ts'
-import type { CommandClient, CommandResponse, ListRequest, ListResponse, StartCommand } from '../../src/ports/command-client.ts'
+import { NO_LISTENER, WITHHELD } from '../../src/ports/command-client.ts'
+import type { CommandResponse, ConnectionCommands, ListRequest, ListResponse, StartCommand } from '../../src/ports/command-client.ts'
 import { toTerm } from '../../src/controller/fencing-number.ts'
 import type { Random } from '../../src/util/random.ts'
 import { LastRuns } from '../workflow/last-runs.ts'
 import { LONGEST_LEASE_MS, SimulatedTarget } from '../workflow/simulated-target.ts'
 import type { CommandOutcome } from '../workflow/simulated-target.ts'
 import type { RunHistory } from './run-history.ts'
+import { VirtualConnections } from './virtual-connections.ts'
 import { TARGET_PREFIX } from './virtual-member.ts'
 import type { VirtualStore } from './virtual-store.ts'
 import type { VirtualProcess, VirtualTime } from './virtual-time.ts'
@@ -20,7 +21,15 @@
 const UNANSWERED = { type: 'unanswered', reason: 'timeout' } as const
 const REFUSED = { type: 'unanswered', reason: NO_LISTENER } as const
 
-type Unanswered = typeof UNANSWERED | typeof REFUSED
+const RESET = { type: 'unanswered', reason: 'broken' } as const
+const NOT_SENT = { type: 'unanswered', reason: WITHHELD } as const
+
+type Unanswered = typeof UNANSWERED | typeof REFUSED | typeof RESET | typeof NOT_SENT
+
+/** The way from a member to the targets. */
+type VirtualLink = { readonly isCut: (target: string) => boolean, readonly connections: VirtualConnections }
+
+type SendLimits = { readonly mayBeSent?: (() => boolean) | undefined, readonly lateRatio?: number }
 
 /** Payload of tasks that last until they are stopped; that of others is their longest duration in milliseconds. */
 export const LASTING_PAYLOAD = 'lasting'
@@ -101,16 +110,19 @@
   }
 
   /** Creates the client of a member; `isCut` says whether it does not reach a target now. */
-  connect (isCut: (target: string) => boolean): CommandClient {
-    const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome, lateRatio = this.lateRatio): Promise<CommandResponse> => {
+  connect (isCut: (target: string) => boolean): ConnectionCommands {
+    const link: VirtualLink = { isCut, connections: VirtualConnections.create() }
+    const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome, limits: SendLimits = {}): Promise<CommandResponse> => {
       const target = this.targets.get(id)!
-      return this.send<CommandResponse>(target, isCut, () => this.toResponse(target, carryOut(target)), lateRatio)
+      return this.send<CommandResponse>(target, link, () => this.toResponse(target, carryOut(target)), limits)
     }
     return {
-      start: ({ id }, start) => command(id, (target) => this.start(target, start), Math.max(this.lateRatio, this.lateStartRatio)),
+      start: ({ id }, start, mayBeSent) => command(id, (target) => this.start(target, start), { mayBeSent, lateRatio: Math.max(this.lateRatio, this.lateStartRatio) }),
       stop: ({ id }, { task, run, epoch }) => command(id, (target) => target.stop(task, run, epoch, this.time.nowMs)),
       throttle: async () => UNANSWERED,
-      list: ({ id }, request) => this.list(this.targets.get(id)!, request, isCut)
+      list: ({ id }, request, mayBeSent) => this.list(this.targets.get(id)!, request, link, mayBeSent),
+      // The address of each target is its own.
+      getConnectedAt: (address) => link.connections.getOpenedAt(address)
     }
   }
 
@@ -133,16 +145,16 @@
   }
 
   /** Lists as the target does: at once if a run has ended, else when one ends or the request has waited. */
-  private async list (target: SimulatedTarget, { epoch, acknowledged, leaseUntilMs, waitMs }: ListRequest, isCut: (target: string) => boolean): Promise<ListResponse> {
+  private async list (target: SimulatedTarget, { epoch, acknowledged, leaseUntilMs, waitMs }: ListRequest, link: VirtualLink, mayBeSent: (() => boolean) | undefined): Promise<ListResponse> {
     const { incarnation } = target
-    const first = await this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, leaseUntilMs))
+    const first = await this.send<ListResponse>(target, link, () => this.listNow(target, epoch, acknowledged, leaseUntilMs), { mayBeSent })
     if (waitMs === 0 || first.type !== 'listed' || first.listing.ended.length > 0) return first
     const { nowMs } = this.time
     const nextEndAt = Math.min(nowMs + waitMs, ...[...target.runs.values()].map(({ endsAt }) => endsAt))
     await this.time.wait(nextEndAt - nowMs + 1)
     // The connection of a waiting request ends with the process of its target.
     if (target.incarnation !== incarnation) return UNANSWERED
-    return this.send<ListResponse>(target, isCut, () => this.listNow(target, epoch, acknowledged, undefined))
+    return this.send<ListResponse>(target, link, () => this.listNow(target, epoch, acknowledged, undefined))
   }
 
   private listNow (target: SimulatedTarget, epoch: number, acknowledged: number, leaseUntilMs: number | undefined): ListResponse {
@@ -164,13 +176,15 @@
   }
 
   /** Carries out a call of the process that sends it, which gets the response unless it is lost. */
-  private send<Response> (target: SimulatedTarget, isCut: (target: string) => boolean, carryOut: () => Response, lateRatio = this.lateRatio): Promise<Response | Unanswered> {
+  private send<Response> (target: SimulatedTarget, { isCut, connections }: VirtualLink, carryOut: () => Response, { mayBeSent, lateRatio = this.lateRatio }: SendLimits = {}): Promise<Response | Unanswered> {
     const owner: VirtualProcess | undefined = this.time.currentProcess
     return new Promise((resolve) => {
       const respond = (response: Response | Unanswered, delayMs: number): void => { this.time.schedule(delayMs, () => resolve(response), owner) }
       const isReachable = (): boolean => !isCut(target.id) && target.isReachable(this.time.nowMs)
       if (target.away === 'refusing' && !isCut(target.id)) return respond(REFUSED, this.drawLatencyMs())
       if (!isReachable()) return respond(UNANSWERED, TIMEOUT_MS)
+      if (!connections.use(target.toEntry(), performance.now())) return respond(RESET, this.drawLatencyMs())
+      if (mayBeSent?.() === false) return respond(NOT_SENT, 0)
       if (this.random.next() < lateRatio) {
         this.time.schedule(LATE_MS + this.random.nextInt(LATE_SPREAD_MS), () => { if (target.away === undefined) carryOut() })
         return respond(UNANSWERED, TIMEOUT_MS)
--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -1,12 +1,16 @@
 import assert from 'node:assert/strict'
+import { createServer as createHttpServer } from 'node:http'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'node:test'
+import { setTimeout as wait } from 'node:timers/promises'
+import { ok } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import { HttpClient } from '../../platform/http-client.ts'
 import { HttpExchange } from '../../platform/http-exchange.ts'
 
 const TIMEOUT_MS = 300
+const RESPONSE_DELAY_MS = 200
 /** Where no timeout is expected; a busy machine may take more than the other one for the connection alone. */
 const AMPLE_TIMEOUT_MS = 10_000
 const BUSY_MS = 5
@@ -148,12 +152,33 @@
   assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'timeout', sent: false } })
 })
 
-// TWICE: a start waited for a connection behind others to a silent worker, and reached the next life of the worker.
-test('http exchange: guards against the failure that a request is sent which has waited for a connection longer than it may', async () => {
-  let waitedMs = 0
-  const clock = (): number => waitedMs
-  const exchange = HttpExchange.create(TIMEOUT_MS, { sendWithinMs: 10, clocks: { monotonic: clock, timeOfDay: clock } })
-  waitedMs = 100
-  assert.throws(() => exchange.onRequestStart({} as Dispatcher.DispatchController), { name: 'AbortError' })
-  assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'timeout', sent: false } })
+// TWICE: a start waited for a connection behind others to a silent worker, and reached the next life of the worker on a new one.
+test('http client: guards against the failure that a request is written to a connection although it may not be sent there', async () => {
+  const received: string[] = []
+  const server = createHttpServer((request, response) => {
+    received.push(request.url ?? '')
+    setTimeout(() => response.end('{}'), RESPONSE_DELAY_MS)
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const client = HttpClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, 2)
+  try {
+    assert.equal(client.connectedAt, -Infinity)
+    assert.ok((await client.send({ method: 'POST', path: '/first', timeoutMs: AMPLE_TIMEOUT_MS })).isOk())
+    // The pool uses a connection again in a later turn of the event loop.
+    await wait(RESPONSE_DELAY_MS)
+    const askedAt = performance.now()
+    const mayBeSent = (): boolean => client.connectedAt < askedAt
+    const send = (path: string): ReturnType<HttpClient['send']> => client.send({ method: 'POST', path, timeoutMs: AMPLE_TIMEOUT_MS, mayBeSent })
+    const onOpen = send('/open')
+    await wait(RESPONSE_DELAY_MS / 2)
+    const onNew = send('/new')
+    assert.deepEqual((await onOpen).map(({ status }) => status), ok(200))
+    assert.deepEqual((await onNew)._unsafeUnwrapErr(), { reason: 'withheld', sent: false })
+    assert.deepEqual(received, ['/first', '/open'])
+    assert.ok(client.connectedAt > askedAt)
+  } finally {
+    client.close()
+    server.close()
+    server.closeAllConnections()
+  }
 })
--- a/test/workflow/restarted-and-gone.test.ts
+++ b/test/workflow/restarted-and-gone.test.ts
@@ -30,16 +30,12 @@
   { longestLeaseMs: 6_000, goneAfterMs: 20_000, expectedMs: 3_400 }
 ]
 
-/** Lists the runs of `t1` on a request that extends their leases, as a session does: after a pause it first asks without one. */
+/** Lists the runs of `t1` on a request that extends their leases, as a session does. */
 function pollTarget (harness: CellHarness, incarnation: number, clockMs: number): void {
   const target = harness.scheduler.getTarget('t1')!
+  buildListRequest(target, harness.now, LEASE_MS)
   const startedRuns = new Set(harness.getStarts().filter((start) => start.incarnation === incarnation).map(({ command }) => command.run))
-  const list = (): void => { harness.listTarget('t1', { incarnation, clockMs, running: harness.runningOn('t1').filter(({ run }) => startedRuns.has(run)) }) }
-  if (buildListRequest(target, harness.now, LEASE_MS).leaseUntilMs === undefined) {
-    list()
-    buildListRequest(target, harness.now, LEASE_MS)
-  }
-  list()
+  harness.listTarget('t1', { incarnation, clockMs, running: harness.runningOn('t1').filter(({ run }) => startedRuns.has(run)) })
 }
 
 /** Creates a lasting task that runs on the target `t1`, the only one. */
