Send a cursor again that was left out

Cause: a list request is reduced (no cursor, no lease) if the target may have restarted, but the session took the answer as one to the cursor. The target never got it, listed the same ends again, and so answered each request at once.

Change: the answer says that its request was reduced, and the session sends the cursor again.

Evidence: the new case of controller/target-session failed before.

--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -79,7 +79,8 @@
     if (isGeneral) return this.listNow(target, request, () => true)
     const response = await this.listNow(target, request, () => this.mayBeSent(target))
     if (!this.countWithheld(target, response)) return response
-    return this.listNow(target, { epoch: request.epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 }, () => true)
+    const reduced = await this.listNow(target, { epoch: request.epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 }, () => true)
+    return reduced.type === 'listed' ? { ...reduced, isReduced: true } : reduced
   }
 
   private async listNow (target: CommandTarget, request: ListRequest, mayBeSent: () => boolean): Promise<ListResponse> {
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -108,6 +108,8 @@
       applyEvent({ type: 'target-silent', id, cause: toSilenceCause(response) })
       return delay(RETRY_DELAY_MS, this.stopped.signal)
     }
+    // The target has not got the cursor, which must be sent again: it lists the completions before it at once until then.
+    if (response.isReduced === true) target.sentCursor = 0
     applyEvent({ type: 'target-listed', id, sentAt, listing: response.listing })
     if (target.lastProcessed === target.lastAcknowledged) return
     await Promise.race([this.options.waitForCommit(), delay(COMMIT_WAIT_MS, this.stopped.signal)])
--- a/src/ports/command-client.ts
+++ b/src/ports/command-client.ts
@@ -57,7 +57,8 @@
 
 /** Response to a list request. */
 export type ListResponse =
-  | { readonly type: 'listed', readonly listing: TargetListing }
+  /** `isReduced`: the request was sent without its cursor and lease, because the target may have restarted. */
+  | { readonly type: 'listed', readonly listing: TargetListing, readonly isReduced?: true }
   | { readonly type: 'refused', readonly reason: CommandRefusal }
   | { readonly type: 'unanswered', readonly reason: string }
 
--- a/test/controller/incarnation-check.test.ts
+++ b/test/controller/incarnation-check.test.ts
@@ -103,7 +103,8 @@
     const setup = new Setup()
     await prepare(setup)
     setup.sent.length = 0
-    assert.equal((await setup.check.list(TARGET, LEASE)).type, 'listed')
+    const response = await setup.check.list(TARGET, LEASE)
+    assert.deepEqual([response.type, response.type === 'listed' && response.isReduced === true], ['listed', expected[0] === QUESTION])
     assert.deepEqual(setup.sent, expected)
   })
 }
--- a/test/controller/target-session.test.ts
+++ b/test/controller/target-session.test.ts
@@ -84,3 +84,34 @@
   session.stop()
   assert.deepEqual(requests.slice(0, 3).map(({ acknowledged, leaseUntilMs }) => [acknowledged, leaseUntilMs !== undefined]), [[7, true], [0, false], [7, true]])
 })
+
+// A cursor that was left out counted as sent: the target went on listing the same completions at once, hundreds of times a second.
+test('target session: guards against the failure that a cursor which was not sent is never sent again', async () => {
+  const harness = CellHarness.create([buildEntry('t1')])
+  const target = harness.scheduler.getTarget('t1')!
+  target.lastAcknowledged = 7
+  const requests: ListRequest[] = []
+  const commands = {
+    list: async (_target: CommandTarget, request: ListRequest) => {
+      requests.push(request)
+      await wait(LIST_MS)
+      return { type: 'listed', listing: { incarnation: 1, clockMs: 1, running: [], ended: [] }, ...requests.length === 1 && { isReduced: true } }
+    }
+  } as unknown as CommandClient
+  const session = TargetSession.create({
+    id: 't1',
+    commands,
+    term: 1,
+    leaseMs: 1_000,
+    reporter: { log: () => {}, count: () => {}, observe: () => {} },
+    getTarget: () => target,
+    applyEvent: (event) => { harness.apply(event) },
+    waitForCommit: async () => {},
+    isCommanded: () => true,
+    canSendCommands: () => true
+  })
+  const deadline = performance.now() + TIMEOUT_MS
+  while (requests.length < 4 && performance.now() < deadline) await wait(POLL_INTERVAL_MS)
+  session.stop()
+  assert.deepEqual(requests.slice(0, 4).map(({ acknowledged }) => acknowledged), [7, 7, 0, 0])
+})
