Log which life of its target a run was started on

Cause: target-seen and target-restarted name incarnations, but no line of a run does, a start that is withheld was only counted, and the line that ends a takeover's wait did not name the targets it took for lapsed. Change: run-started (the life that was meant, the lease on its clock, the clock of the life that answered), start-withheld, the incarnation in run-ended, run-lost, run-adopted and start-refused, and the targets in earlier-runs-settled. 200 lines a second of run-started in place of 40.

--- a/src/telemetry/log-rate-limiter.ts
+++ b/src/telemetry/log-rate-limiter.ts
@@ -1,5 +1,7 @@
 /** Maximum number of lines that are written per message id and window; further lines are only counted. */
 const MAX_LINES_PER_WINDOW = 40
+/** Larger numbers for messages that are needed of each run, also of a burst. */
+const MAX_LINES_BY_MESSAGE: Readonly<Record<string, number>> = { 'run-started': 200 }
 const WINDOW_MS = 1_000
 
 type Window = { startedAt: number, written: number, dropped: number }
@@ -27,7 +29,7 @@
       this.windows.set(message, { startedAt: now, written: 1, dropped: 0 })
       return { write: true, dropped: window?.dropped ?? 0 }
     }
-    if (window.written < MAX_LINES_PER_WINDOW) {
+    if (window.written < (MAX_LINES_BY_MESSAGE[message] ?? MAX_LINES_PER_WINDOW)) {
       window.written += 1
       return { write: true, dropped: 0 }
     }
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -8,6 +8,7 @@
 import { forgetRefusals, recordStartRefusal, recordUnhealthyTarget } from './start-refusal.ts'
 import { isOverCapacity } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
+import type { LogFields } from './task-wait-fields.ts'
 
 /** A target that refused a command gets no other start for this time, in milliseconds. */
 const REFUSAL_PAUSE_MS: Readonly<Record<CommandRefusal, number>> = {
@@ -42,6 +43,7 @@
       state.resendPause.recordResponseTime(state.now - live.startedAt)
       live.phase = 'running'
       forgetRefusals(live.task)
+      logStarted(state, live, response.clockMs)
       live.respondedAt = state.now
       live.startedAt = state.now
       live.percentChangedAt = state.now
@@ -49,12 +51,23 @@
     case 'refused': return handleStartRefusal(state, target, live, response.reason)
     case 'unanswered':
       count(state, 'start-unanswered', response.reason)
-      if (response.sent === false && live.sendCount === 1) handleUnsentStart(state, target, live)
+      if (response.sent === false && live.sendCount === 1) handleUnsentStart(state, target, live, response.reason)
   }
 }
 
+/**
+ * Logs the incarnation that a start was meant for and the clock of the one that accepted it. A clock that is behind what this owner
+ * knows of the incarnation is that of a later one, which began anew.
+ */
+function logStarted (state: CellState, { task, run, target, sendCount }: LiveRun, clockMs: number | undefined): void {
+  const expectedClockMs = target.estimateClockMs(state.now)
+  const clocks: LogFields = clockMs === undefined || expectedClockMs === undefined ? {} : { clockMs, clockBehindMs: Math.round(expectedClockMs - clockMs) }
+  log(state, 'info', 'run-started', { task: task.key, run, target: target.id, incarnation: target.entry.incarnation, leaseUntilMs: target.leaseUntilMs, sends: sendCount, ...clocks })
+}
+
 /** The target may have restarted. Its next listing tells; the task need not wait for it. */
-function handleUnsentStart (state: CellState, target: TargetState, live: LiveRun): void {
+function handleUnsentStart (state: CellState, target: TargetState, live: LiveRun, reason: string): void {
+  log(state, 'warn', 'start-withheld', { task: live.task.key, run: live.run, target: target.id, incarnation: target.entry.incarnation, reason, askedMs: Math.round(state.now - live.startedAt) })
   pauseStarts(state, target, UNSENT_PAUSE_MS)
   removeRun(state, live)
   stopGangMembers(state, live)
@@ -62,7 +75,7 @@
 
 function handleStartRefusal (state: CellState, target: TargetState, live: LiveRun, reason: CommandRefusal): void {
   count(state, 'start-refused', reason)
-  log(state, 'warn', 'start-refused', { task: live.task.key, run: live.run, target: target.id, reason, sends: live.sendCount })
+  log(state, 'warn', 'start-refused', { task: live.task.key, run: live.run, target: target.id, incarnation: target.entry.incarnation, reason, sends: live.sendCount })
   pauseStarts(state, target, REFUSAL_PAUSE_MS[reason])
   if (reason === 'fenced') state.effects.push({ type: 'fenced', target: target.id })
   if (reason === 'invalid' || reason === 'failed') recordStartRefusal(state, live.task, target)
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -97,7 +97,7 @@
     log(state, 'warn', 'unknown-run-ended', { task: completion.task, run: completion.run, target: target.id, ending: completion.outcome })
     return
   }
-  log(state, 'info', 'run-ended', { task: completion.task, run: completion.run, target: target.id, ending: completion.outcome, failures: task.failures })
+  log(state, 'info', 'run-ended', { task: completion.task, run: completion.run, target: target.id, incarnation: target.entry.incarnation, ending: completion.outcome, failures: task.failures })
   count(state, 'run-ended', completion.outcome)
   if (completion.checkpoint !== '') task.checkpoint = completion.checkpoint
   if (live !== undefined) {
@@ -189,7 +189,7 @@
   const wanted = task.step.job.active && task.phase !== 'done' && task.runs.size === 0
   const live = addRun(state, { task, run: listed.run, target, phase: 'running', ticket: undefined })
   live.respondedAt = state.now
-  log(state, 'info', 'run-adopted', { task: task.key, run: listed.run, target: target.id, wanted })
+  log(state, 'info', 'run-adopted', { task: task.key, run: listed.run, target: target.id, incarnation: target.entry.incarnation, wanted })
   if (!wanted) sendStop(state, live, 'another run of the task exists, or the task or job has ended')
   return live
 }
@@ -197,7 +197,7 @@
 /** Removes a run that has certainly ended although no completion of it was listed. */
 export function removeLostRun (state: CellState, live: LiveRun, reason: string): void {
   live.task.lostRuns += 1
-  log(state, 'warn', 'run-lost', { task: live.task.key, run: live.run, target: live.target.id, reason, phase: live.phase, ageMs: Math.round(state.now - live.startedAt), lostRuns: live.task.lostRuns })
+  log(state, 'warn', 'run-lost', { task: live.task.key, run: live.run, target: live.target.id, incarnation: live.target.entry.incarnation, reason, phase: live.phase, ageMs: Math.round(state.now - live.startedAt), lostRuns: live.task.lostRuns })
   count(state, 'run-lost', live.phase)
   removeRun(state, live)
 }
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -10,6 +10,7 @@
 import { sendStop } from './runs.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
+import { formatTargets } from './task-wait-fields.ts'
 import { hasUnansweredStarts, transferUnansweredStarts } from './unanswered-starts.ts'
 
 /**
@@ -196,8 +197,8 @@
     state.commandedIncarnations.delete(id)
   }
   storeTargets(state)
-  const unlisted = [...state.targets.values()].filter(({ listed }) => !listed).length
-  log(state, 'info', 'earlier-runs-settled', { by, targets: state.targets.size, unlisted, gone: gone.length })
+  const unlisted = [...state.targets.values()].filter(({ listed }) => !listed).map(({ id }) => id)
+  log(state, 'info', 'earlier-runs-settled', { by, targets: state.targets.size, unlisted: unlisted.length, unlistedTargets: formatTargets(unlisted).targets ?? '', gone: gone.length })
 }
 
 /** Stores the list of targets that may have runs. While previous owners may have runs, their targets stay on the list. */
