Send on unconfirmed connections only where the leader has stored it

Callers could see: TWICE. A burst of three starts or more that opens connections to a target which has just restarted was sent to the next life.

Cause: a target counted as one that keeps no connections open after two withheld commands in a row, and then got commands on any connection within 200 ms of an answer. Starts of a burst that wait for connections of their own are withheld one after another, so that the third one met that rule, with an answer of the life before.

Change: the rule of 200 ms holds only for targets that are marked with `mayReachNext`: the leader has stored that its commands there may reach a later incarnation. Without the mark such a target gets no starts, and list requests without lease and cursor. The count of withheld commands is gone. A start asks up to five times in place of three (a client opens at most four connections to a target), and is not handed on while the answer is older than the connection of its question.

Cases of controller/incarnation-check that said that a target without open connections gets starts after two questions now ask for the mark, and without it for no start at all and reduced requests only, which is stricter.

--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -5,12 +5,13 @@
 import type { Reporter } from './reporter.ts'
 
 const NOT_SENT = { type: 'unanswered', reason: 'incarnation-not-confirmed', sent: false } as const
-/** A start may open a connection, or another command meanwhile, so that the target has to be asked again. */
-const MAX_START_ATTEMPTS = 3
+/**
+ * A start, or another command meanwhile, may open a connection, so that the target has to be asked again. A client opens so many of
+ * them at most while the target closes none, and one attempt more succeeds.
+ */
+const MAX_START_ATTEMPTS = 5
 
-/** After so many commands in a row that were withheld, a target counts as one that keeps no connections open. */
-const WITHHELD_IN_A_ROW = 2
-/** How long an answer of a target that keeps no connections open allows commands, in milliseconds; a restart takes longer. */
+/** How long an answer allows commands on new connections to a target that keeps none open, in milliseconds. */
 const MAX_ANSWER_AGE_MS = 200
 
 /** The incarnation that has answered a list request at an address, and when it was asked, on the monotonic clock. */
@@ -29,16 +30,14 @@
  *
  * A connection ends with the process that has accepted it. So if an incarnation answers after a connection was opened, nothing that
  * is sent on this connection reaches a later one. A command is sent only while that holds for all connections to the target, one
- * that was opened for the command itself included; else the target is asked first. Only a target that closes all its connections gets
- * commands on new ones, right after an answer.
+ * that was opened for the command itself included; else the target is asked first. A target that closes all its connections gets
+ * commands on new ones, right after an answer, but only once the leader has stored that they may reach a later incarnation.
  */
 export class IncarnationCheck implements CommandClient {
   /** By target id. */
   private readonly answers = new Map<string, Answer>()
   /** Pending questions for the incarnation of a target; the starts of a moment share one. */
   private readonly questions = new Map<string, Promise<ListResponse>>()
-  /** Commands in a row that were withheld, by target id. */
-  private readonly withheldCounts = new Map<string, number>()
 
   private constructor (private readonly options: IncarnationCheckOptions) {}
 
@@ -57,9 +56,11 @@
     const { commands, reporter } = this.options
     if (target.incarnation === undefined) return commands.start(target, command)
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
-      if (!this.isConfirmed(target) && !await this.ask(target, command.epoch)) break
+      if (!this.mayBeSent(target) && !await this.ask(target, command.epoch)) break
+      // A connection that was opened for the question does not count yet.
+      if (!this.mayBeSent(target)) continue
       const response = await commands.start(target, command, () => this.mayBeSent(target))
-      if (!this.countWithheld(target, response)) return response
+      if (!isWithheld(response)) return response
     }
     reporter.count('start-withheld', NOT_SENT.reason)
     return NOT_SENT
@@ -78,7 +79,7 @@
     const isGeneral = target.incarnation === undefined || (request.leaseUntilMs === undefined && request.acknowledged === 0)
     if (isGeneral) return this.listNow(target, request, () => true)
     const response = await this.listNow(target, request, () => this.mayBeSent(target))
-    if (!this.countWithheld(target, response)) return response
+    if (!isWithheld(response)) return response
     const reduced = await this.listNow(target, { epoch: request.epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 }, () => true)
     return reduced.type === 'listed' ? { ...reduced, isReduced: true } : reduced
   }
@@ -91,25 +92,21 @@
     return response
   }
 
-  private isConfirmed ({ id, address, incarnation }: CommandTarget): boolean {
-    const answer = this.answers.get(id)
-    if (answer === undefined || answer.incarnation !== incarnation || answer.address !== address) return false
-    return this.options.commands.getConnectedAt(address) < answer.askedAt
+  private mayBeSent (target: CommandTarget): boolean {
+    const answer = this.findAnswer(target)
+    if (answer === undefined) return false
+    return this.isConfirmed(target, answer) || (target.mayReachNext === true && answer.asked.ageMs <= MAX_ANSWER_AGE_MS)
   }
 
-  private mayBeSent (target: CommandTarget): boolean {
-    if (this.isConfirmed(target)) return true
-    const answer = this.answers.get(target.id)
-    const keepsNone = (this.withheldCounts.get(target.id) ?? 0) >= WITHHELD_IN_A_ROW
-    return keepsNone && answer !== undefined && answer.incarnation === target.incarnation && answer.address === target.address && answer.asked.ageMs <= MAX_ANSWER_AGE_MS
+  /** Whether the answer came after the last connection to the target had been opened. */
+  private isConfirmed ({ address }: CommandTarget, { askedAt }: Answer): boolean {
+    return this.options.commands.getConnectedAt(address) < askedAt
   }
 
-  /** Returns whether a command was withheld. */
-  private countWithheld ({ id }: CommandTarget, response: CommandResponse | ListResponse): boolean {
-    const isWithheld = response.type === 'unanswered' && response.reason === WITHHELD
-    if (isWithheld) this.withheldCounts.set(id, (this.withheldCounts.get(id) ?? 0) + 1)
-    else this.withheldCounts.delete(id)
-    return isWithheld
+  /** Finds the answer of the incarnation that is meant, if it is the latest one to have answered at its address. */
+  private findAnswer ({ id, address, incarnation }: CommandTarget): Answer | undefined {
+    const answer = this.answers.get(id)
+    return answer?.incarnation === incarnation && answer?.address === address ? answer : undefined
   }
 
   /** Returns whether the incarnation has answered. */
@@ -132,3 +129,7 @@
     if (isNewer) this.answers.set(id, answer)
   }
 }
+
+function isWithheld (response: CommandResponse | ListResponse): boolean {
+  return response.type === 'unanswered' && response.reason === WITHHELD
+}
--- a/test/controller/incarnation-check.test.ts
+++ b/test/controller/incarnation-check.test.ts
@@ -2,11 +2,13 @@
 import { test } from 'node:test'
 import { IncarnationCheck } from '../../src/controller/incarnation-check.ts'
 import { WITHHELD } from '../../src/ports/command-client.ts'
-import type { ConnectionCommands, ListResponse } from '../../src/ports/command-client.ts'
+import type { CommandTarget, ConnectionCommands, ListResponse } from '../../src/ports/command-client.ts'
 
 const OLD = 1
 const NEXT = 2
 const TARGET = { id: 't1', address: 'a:1', incarnation: OLD }
+/** The same once the leader has stored that its commands may reach a later incarnation. */
+const UNBOUND_TARGET = { ...TARGET, mayReachNext: true } as const
 const START = { task: 'a.0.0.0', run: 1, payload: 'p', leaseUntilMs: 400_000, epoch: 3, checkpoint: '', ticket: undefined }
 const LIST = { epoch: 3, acknowledged: 0, leaseUntilMs: undefined, waitMs: 1_000 }
 const LEASE = { epoch: 3, acknowledged: 7, leaseUntilMs: 400_000, waitMs: 1_000 }
@@ -64,51 +66,79 @@
 }
 
 const QUESTION = 'list wait 0 lease none cursor 0'
+const FULL_LIST = 'list wait 1000 lease 400000 cursor 7'
+const MAX_QUESTIONS = 5
 
-const starts: ReadonlyArray<{ readonly name: string, readonly prepare: (setup: Setup) => Promise<void>, readonly expected: readonly string[] }> = [
+/** The target closes each connection after a response. */
+function closeEach (setup: Setup): void {
+  setup.openConnections(...Array(2 * MAX_QUESTIONS).fill(true) as boolean[])
+}
+
+type CommandCase = { readonly name: string, readonly prepare: (setup: Setup) => Promise<void>, readonly expected: readonly string[], readonly target?: CommandTarget }
+
+const starts: readonly CommandCase[] = [
   { name: 'it has answered since the last connection was opened', prepare: meet, expected: ['start'] },
   { name: 'it has never answered', prepare: async () => {}, expected: [QUESTION, 'start'] },
   { name: 'a connection is opened for the first question', prepare: async (setup) => setup.openConnections(true), expected: [QUESTION, QUESTION, 'start'] },
   { name: 'a connection is opened for the start', prepare: async (setup) => { await meet(setup); setup.openConnections(true) }, expected: [QUESTION, 'start'] },
   { name: 'a connection is opened for the start, and the next incarnation answers there', prepare: async (setup) => { await meet(setup); setup.openConnections(true); setup.answer = listed(NEXT) }, expected: [QUESTION] },
   { name: 'a connection is opened for the start, and nobody answers there', prepare: async (setup) => { await meet(setup); setup.openConnections(true); setup.answer = UNANSWERED }, expected: [QUESTION] },
-  { name: 'it keeps no connection open', prepare: async (setup) => { await meet(setup); setup.openConnections(...Array(9).fill(true) as boolean[]) }, expected: [QUESTION, QUESTION, 'start'] },
-  { name: 'it keeps no connection open, and the start is written late', prepare: async (setup) => { await meet(setup); setup.writeMs = 300; setup.openConnections(...Array(9).fill(true) as boolean[]) }, expected: [QUESTION, QUESTION] },
+  { name: 'a connection is opened for the first question and for three starts', prepare: async (setup) => setup.openConnections(true, false, true, false, true, false, true), expected: [QUESTION, QUESTION, QUESTION, QUESTION, QUESTION, 'start'] },
+  { name: 'it keeps no connection open', prepare: async (setup) => { await meet(setup); closeEach(setup) }, expected: Array<string>(MAX_QUESTIONS - 1).fill(QUESTION) },
+  { name: 'it keeps no connection open, which is stored', target: UNBOUND_TARGET, prepare: async (setup) => { await meet(setup); closeEach(setup) }, expected: ['start'] },
+  { name: 'it keeps no connection open, which is stored, and has not answered for some time', target: UNBOUND_TARGET, prepare: async (setup) => { await meet(setup); closeEach(setup); setup.now += 300 }, expected: [QUESTION, 'start'] },
+  { name: 'it keeps no connection open, which is stored, and the start is written late', target: UNBOUND_TARGET, prepare: async (setup) => { await meet(setup); setup.writeMs = 300; closeEach(setup) }, expected: Array<string>(MAX_QUESTIONS - 1).fill(QUESTION) },
+  { name: 'it keeps no connection open, which is stored, and the next incarnation answers', target: UNBOUND_TARGET, prepare: async (setup) => { await meet(setup); closeEach(setup); setup.now += 300; setup.answer = listed(NEXT) }, expected: [QUESTION] },
   { name: 'its next incarnation has answered', prepare: async (setup) => { setup.answer = listed(NEXT); await meet(setup) }, expected: [QUESTION] },
   { name: 'it answered at another address', prepare: async (setup) => { await setup.check.list({ ...TARGET, address: 'b:1' }, LIST) }, expected: [QUESTION, 'start'] },
   { name: 'it refuses the question', prepare: async (setup) => { setup.answer = { type: 'refused', reason: 'other-incarnation' } }, expected: [QUESTION] }
 ]
 
-for (const { name, prepare, expected } of starts) {
+for (const { name, prepare, expected, target = TARGET } of starts) {
   // TWICE: a start that was meant for the life before makes a restarted target hold its runs for the longest lease.
   test(`incarnation check: guards against the failure that a start reaches an incarnation that it is not meant for: ${name}`, async () => {
     const setup = new Setup()
     await prepare(setup)
     setup.sent.length = 0
-    const response = await setup.check.start(TARGET, START)
+    const response = await setup.check.start(target, START)
     assert.deepEqual(setup.sent, expected)
     assert.equal(response.type, expected.includes('start') ? 'accepted' : 'unanswered')
   })
 }
 
-const lists: ReadonlyArray<{ readonly name: string, readonly prepare: (setup: Setup) => Promise<void>, readonly expected: readonly string[] }> = [
-  { name: 'it has answered since the last connection was opened', prepare: meet, expected: ['list wait 1000 lease 400000 cursor 7'] },
+const lists: readonly CommandCase[] = [
+  { name: 'it has answered since the last connection was opened', prepare: meet, expected: [FULL_LIST] },
   { name: 'it has never answered', prepare: async () => {}, expected: [QUESTION] },
-  { name: 'a connection is opened for the request', prepare: async (setup) => { await meet(setup); setup.openConnections(true) }, expected: [QUESTION] }
+  { name: 'a connection is opened for the request', prepare: async (setup) => { await meet(setup); setup.openConnections(true) }, expected: [QUESTION] },
+  { name: 'it keeps no connection open', prepare: async (setup) => { await meet(setup); closeEach(setup) }, expected: [QUESTION] },
+  { name: 'it keeps no connection open, which is stored', target: UNBOUND_TARGET, prepare: async (setup) => { await meet(setup); closeEach(setup) }, expected: [FULL_LIST] },
+  { name: 'it keeps no connection open, which is stored, and has not answered for some time', target: UNBOUND_TARGET, prepare: async (setup) => { await meet(setup); closeEach(setup); setup.now += 300 }, expected: [QUESTION] }
 ]
 
-for (const { name, prepare, expected } of lists) {
+for (const { name, prepare, expected, target = TARGET } of lists) {
   // TWICE: a lease or a cursor that was meant for the life before holds for the next one, or discards its completions unread.
   test(`incarnation check: guards against the failure that a lease or a cursor reaches an incarnation that it is not meant for: ${name}`, async () => {
     const setup = new Setup()
     await prepare(setup)
     setup.sent.length = 0
-    const response = await setup.check.list(TARGET, LEASE)
+    const response = await setup.check.list(target, LEASE)
     assert.deepEqual([response.type, response.type === 'listed' && response.isReduced === true], ['listed', expected[0] === QUESTION])
     assert.deepEqual(setup.sent, expected)
   })
 }
 
+// Requests without lease and cursor are all that such a target gets, as long as nobody has stored that more may reach its next one.
+test('incarnation check: guards against the failure that a target which keeps no connections open gets a lease after some reduced requests', async () => {
+  const setup = new Setup()
+  await meet(setup)
+  setup.openConnections(...Array(40).fill(true) as boolean[])
+  setup.sent.length = 0
+  const responses: ListResponse[] = []
+  for (let request = 0; request < 10; request += 1) responses.push(await setup.check.list(TARGET, LEASE))
+  assert.ok(responses.every((response) => response.type === 'listed' && response.isReduced === true))
+  assert.deepEqual(setup.sent, Array(10).fill(QUESTION))
+})
+
 test('incarnation check: starts of the same moment share one question', async () => {
   const { check, sent } = new Setup()
   await Promise.all([1, 2, 3].map((run) => check.start(TARGET, { ...START, run })))
