Relay commands only through members that bind them to incarnations

Cause: the hello doesn't tell whether a member binds commands. A member of a release before incarnations were checked relays a start on a connection on which no incarnation has answered, and a leader that binds its own commands would use it. Streams of leaders of older releases are served as before. Members in the harness of the relays say that they bind, as members of this release do.

--- a/src/adapters/grpc-member-calls.ts
+++ b/src/adapters/grpc-member-calls.ts
@@ -5,7 +5,7 @@
 import type { MemberResponse, MemberCall, MemberCallFailure } from '../controller/member-call.ts'
 import type { RelayReply, RelayRequest } from '../controller/relay-message.ts'
 import { assertNever } from '../util/assert-never.ts'
-import { RELAY_METHOD, acceptRelayStream } from './grpc-relay-stream.ts'
+import { BOUND_RELAY_METHOD, RELAY_METHOD, acceptRelayStream } from './grpc-relay-stream.ts'
 import type { RelayStreamAcceptor } from './grpc-relay-stream.ts'
 import { CHANNEL_OPTIONS } from './member-channel-options.ts'
 import { decodeMessage, encodeMessage } from './message-codec.ts'
@@ -50,7 +50,8 @@
       }
     })
     if (onRelayStream !== undefined) {
-      server.addService({ relay: RELAY_METHOD }, { relay: (stream: ServerDuplexStream<RelayRequest, RelayReply>) => acceptRelayStream(stream, onRelayStream) })
+      const accept = (stream: ServerDuplexStream<RelayRequest, RelayReply>): void => acceptRelayStream(stream, onRelayStream)
+      server.addService({ boundRelay: BOUND_RELAY_METHOD, relay: RELAY_METHOD }, { boundRelay: accept, relay: accept })
     }
     return new Promise((resolve, reject) => {
       server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
--- a/src/adapters/grpc-relay-stream.ts
+++ b/src/adapters/grpc-relay-stream.ts
@@ -4,9 +4,12 @@
 import { CHANNEL_OPTIONS } from './member-channel-options.ts'
 import { decodeRelayReply, decodeRelayRequest, encodeRelayMessage } from './relay-codec.ts'
 
-/** Method of the stream on which a member relays commands of the leader. */
-export const RELAY_METHOD = {
-  path: '/damaskfield.Member/Relay',
+/**
+ * Method of the stream on which a member relays commands of the leader, and binds them to the incarnations that are meant. Members
+ * of older releases don't have it.
+ */
+export const BOUND_RELAY_METHOD = {
+  path: '/damaskfield.Member/BoundRelay',
   requestStream: true,
   responseStream: true,
   requestSerialize: encodeRelayMessage,
@@ -15,6 +18,9 @@
   responseDeserialize: decodeRelayReply
 } as const
 
+/** Method of the stream on which leaders of older releases send commands. */
+export const RELAY_METHOD = { ...BOUND_RELAY_METHOD, path: '/damaskfield.Member/Relay' } as const
+
 /** The relay's end of a stream. */
 export type RelayStreamHandler = {
   readonly handle: (request: RelayRequest) => void
@@ -45,7 +51,7 @@
  */
 export function openRelayStream (address: string, { onReply, onClosed }: RelayStreamEvents): RelayStream {
   const client = new Client(address, credentials.createInsecure(), CHANNEL_OPTIONS)
-  const call = client.makeBidiStreamRequest(RELAY_METHOD.path, RELAY_METHOD.requestSerialize, RELAY_METHOD.responseDeserialize, new Metadata())
+  const call = client.makeBidiStreamRequest(BOUND_RELAY_METHOD.path, BOUND_RELAY_METHOD.requestSerialize, BOUND_RELAY_METHOD.responseDeserialize, new Metadata())
   let open = true
   const end = (reason: string): void => {
     if (!open) return
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -10,6 +10,11 @@
   /** Failure domain and processor cores of its host, where the member has sent them. */
   readonly failureDomain?: string
   readonly cores?: number
+  /**
+   * Whether the member, as a leader and as a relay, sends what gives a lease only to the incarnation that is meant. Missing in hellos
+   * and records of older releases.
+   */
+  readonly bindsCommands?: true
 }
 
 /** A call from one member to another. */
--- a/test/adapters/relay-stream.test.ts
+++ b/test/adapters/relay-stream.test.ts
@@ -2,14 +2,18 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'node:test'
+import { Client, Metadata, Server, ServerCredentials, credentials } from '@grpc/grpc-js'
+import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { MemberCallServer } from '../../src/adapters/grpc-member-calls.ts'
 import { openRelayStream } from '../../src/adapters/grpc-relay-stream.ts'
+import { decodeRelayReply, decodeRelayRequest, encodeRelayMessage } from '../../src/adapters/relay-codec.ts'
 import type { RelayReply, RelayRequest } from '../../src/controller/relay-message.ts'
 
 const REQUEST: RelayRequest = {
   sequence: 5,
   entries: [{ number: 1, validUntilMs: 2_000, relayed: { type: 'start', target: { id: 't1', address: 't1:80' }, command: { task: 'a.0.0.0', run: 1, payload: '{"é":1}', leaseUntilMs: 10, epoch: 3, checkpoint: '', ticket: undefined } } }]
 }
+const STREAM_TIMEOUT_MS = 5_000
 const REPLY: RelayReply = { sequence: 5, responses: [{ number: 1, response: { type: 'refused', reason: 'no-room', clockMs: 7 } }] }
 
 /** Serves relay streams that record each request and answer it with `REPLY`. */
@@ -104,3 +108,42 @@
   server.close()
   assert.deepEqual(reply, REPLY)
 })
+
+/** The method of older releases, whose members relay commands to whichever incarnation of a target responds. */
+const UNBOUND_METHOD = { path: '/damaskfield.Member/Relay', requestStream: true, responseStream: true, requestSerialize: encodeRelayMessage, requestDeserialize: decodeRelayRequest, responseSerialize: encodeRelayMessage, responseDeserialize: decodeRelayReply } as const
+
+// After a rollback within some seconds, a leader still took the member at an address for one that binds commands.
+test('relay stream: guards against the failure that a member of an older release gets commands that it does not bind', async () => {
+  const requests: RelayRequest[] = []
+  const server = new Server()
+  server.addService({ relay: UNBOUND_METHOD }, { relay: (stream: ServerDuplexStream<RelayRequest, RelayReply>) => { stream.on('data', (request: RelayRequest) => { requests.push(request) }) } })
+  const port = await new Promise<number>((resolve, reject) => server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (error, bound) => error === null ? resolve(bound) : reject(error)))
+  try {
+    const reason = await new Promise<string>((resolve, reject) => {
+      openRelayStream(`127.0.0.1:${port}`, { onReply: () => reject(new Error('replied')), onClosed: resolve }).send(REQUEST)
+      setTimeout(() => reject(new Error('the stream was accepted')), STREAM_TIMEOUT_MS).unref()
+    })
+    assert.match(reason, /UNIMPLEMENTED/)
+    assert.deepEqual(requests, [])
+  } finally {
+    server.forceShutdown()
+  }
+})
+
+// A leader of an older release has to use the members that are replaced before it.
+test('relay stream: guards against the failure that a member refuses the stream of a leader of an older release', async () => {
+  const { server, address } = await serve()
+  const client = new Client(address, credentials.createInsecure())
+  try {
+    const reply = await new Promise<RelayReply>((resolve, reject) => {
+      const call = client.makeBidiStreamRequest(UNBOUND_METHOD.path, UNBOUND_METHOD.requestSerialize, UNBOUND_METHOD.responseDeserialize, new Metadata())
+      call.on('data', resolve)
+      call.on('error', reject)
+      call.write(REQUEST)
+    })
+    assert.deepEqual(reply, REPLY)
+  } finally {
+    client.close()
+    server.close()
+  }
+})
--- a/test/controller/relay-harness.ts
+++ b/test/controller/relay-harness.ts
@@ -25,7 +25,7 @@
 
 /** Builds the member `m<number>` of a failure domain. */
 export function buildPeer (number: number, failureDomain = 'east', cores = 1): Peer {
-  return { member: `m${number}`, address: `m${number}:1`, failureDomain, cores }
+  return { member: `m${number}`, address: `m${number}:1`, failureDomain, cores, bindsCommands: true }
 }
 
 /** Records the commands that it gets and responds to each. */
--- a/test/controller/relayed-commands.test.ts
+++ b/test/controller/relayed-commands.test.ts
@@ -44,7 +44,9 @@
   { guards: 'a small cell has none', members: [buildPeer(1), buildPeer(2)], targets: new Map([['east', 33]]), expected: {} },
   { guards: 'the largest members of each failure domain, as many as its targets need', members: [buildPeer(1, 'east', 0.3), buildPeer(2, 'east', 1.3), buildPeer(3, 'east', 1.3), buildPeer(4, 'west', 0.3)], targets: new Map([['east', 76], ['west', 40]]), expected: { east: ['m2', 'm3'], west: ['m4'] } },
   { guards: 'none in a failure domain without members', members: [buildPeer(1, 'east')], targets: new Map([['east', 60], ['west', 60]]), expected: { east: ['m1'] } },
-  { guards: 'members that do not tell their failure domain are left out', members: [{ member: 'old', address: 'old:1' }], targets: LARGE_CELL, expected: {} }
+  { guards: 'members that do not tell their failure domain are left out', members: [{ member: 'old', address: 'old:1' }], targets: LARGE_CELL, expected: {} },
+  // A relay of an older release sends starts on connections on which no incarnation has answered.
+  { guards: 'members that relay commands to whichever incarnation responds are left out, however large they are', members: [{ member: 'old', address: 'old:1', failureDomain: 'east', cores: 4 }, buildPeer(1)], targets: LARGE_CELL, expected: { east: ['m1'] } }
 ]
 
 for (const { guards, members, targets, expected } of selections) {
