Know which earlier terms have bound their commands

Cause: a record of targets says that commands were bound, and a leader of an older release that takes over after a rollback and ends before it has stored its own targets leaves the record of the leader before it. Nothing tells its term apart.

--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -295,7 +295,7 @@
     const record: LeaderRecord = { member, address, term, nonce, lease: lease.value.lease }
     const unsettled = listUnsettledTerms(previous)
     const witnesses = inheritWitnesses(previous?.witnesses, { member, address })
-    const commit: CommitRecord = { term, nonce, leader: { member, address }, unsettled, ...witnesses.length > 0 && { witnesses } }
+    const commit: CommitRecord = { term, nonce, leader: { member, address, bindsCommands: true }, unsettled, ...witnesses.length > 0 && { witnesses } }
     const silentTargets = this.refusedClaims >= MAX_REFUSED_CLAIMS ? {} : this.silentTargets.read(silentEntry.unwrapOr(undefined), previous?.term)
     const puts = [{ key: LEADER_KEY, value: JSON.stringify(record), lease: lease.value.lease }, { key: COMMIT_KEY, value: JSON.stringify(commit) }, ...formatClaimedSilentTargets(term, silentTargets)]
     const result = await transact(store, [{ type: 'absent', key: LEADER_KEY }, requireUnchanged(COMMIT_KEY, previousEntry.value?.version)], puts)
