Wait for the longest lease only beside targets whose commands aren't bound

Cause: a start or a lease reaches only the incarnation that it is meant for since the check of incarnations, and the scheduler still waited for leases of 10 s that commands to the incarnation before might have given: 10.3 s for each target that restarted and went away before it answered.

Change: with areCommandsBound these waits (mayHoldForeignLease, the inherited leases, the record of restarted targets) apply to unbound targets only: those whose listings were reduced five times in a row on one incarnation, and all targets of a stored record without the field `unbound`, which an owner of an older release wrote. A mark is stored first; only then do commands carry mayReachNext. Marks of earlier owners are repeated in each record until the commands of these owners, late ones included, have no effect (25 s). The ordinary wait stays for every stored target id. An incarnation that never answered this owner holds at most an ordinary lease, in place of 12 s. Which targets are preferred and spared after a restart stays as it was.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -62,6 +62,8 @@
   readonly released: readonly string[]
   readonly completions: readonly ProcessedCompletions[]
   readonly targets: readonly string[] | undefined
+  /** Those among the targets whose commands may reach a later incarnation. */
+  readonly unbound: readonly string[] | undefined
   /** The witnesses in the record of the term. */
   readonly witnesses: readonly Peer[]
   /** Targets in the record of silent targets; undefined if it is not part of the transaction. */
@@ -86,7 +88,7 @@
   readonly getProcessedCompletions: () => readonly ProcessedCompletions[]
   /** Number of the last run that was started. */
   readonly getLastRun: () => number
-  readonly onStored: (batch: Pick<Batch, 'phases' | 'released' | 'completions' | 'targets' | 'witnesses' | 'silentTargets'>) => void
+  readonly onStored: (batch: Pick<Batch, 'phases' | 'released' | 'completions' | 'targets' | 'unbound' | 'witnesses' | 'silentTargets'>) => void
   /** Called when the record of silent targets is set aside, so that the store still has the one before, with these targets. */
   readonly onSilentTargetsRefused?: (storedTargets: readonly string[]) => void
   /** Called when another leader has written to the store. */
@@ -225,14 +227,14 @@
     // Completions of jobs that are left for the next transaction must not be acknowledged by this one.
     const completions = this.jobsToStore.size === 0 ? this.options.getProcessedCompletions() : []
     const source = { jobs: records.map(({ id }) => id), removedProgress, targets, settings, silentTargets }
-    return { nonce, source, puts, deletes, phases, released, completions, targets: targets?.ids, witnesses, silentTargets: silentTargets === undefined ? undefined : listSilent(silentTargets) }
+    return { nonce, source, puts, deletes, phases, released, completions, targets: targets?.ids, unbound: targets?.unbound, witnesses, silentTargets: silentTargets === undefined ? undefined : listSilent(silentTargets) }
   }
 
   /** Creates a commit without records, which shows whether the store accepts this leader's commits. */
   private createProbe (): Batch {
     const nonce = randomUUID()
     const source = { jobs: [], removedProgress: [], targets: undefined, settings: undefined, silentTargets: undefined }
-    return { nonce, source, puts: [this.createCommitPut(nonce)], deletes: [], phases: new Map(), released: [], completions: [], targets: undefined, witnesses: this.witnesses, silentTargets: undefined }
+    return { nonce, source, puts: [this.createCommitPut(nonce)], deletes: [], phases: new Map(), released: [], completions: [], targets: undefined, unbound: undefined, witnesses: this.witnesses, silentTargets: undefined }
   }
 
   private get witnesses (): readonly Peer[] {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -64,7 +64,7 @@
   private reportedChannels = 0
 
   private constructor (private readonly options: ControllerOptions) {
-    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, wallClockOffsetMs: Date.now() - performance.now() })
+    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, areCommandsBound: true, wallClockOffsetMs: Date.now() - performance.now() })
     this.witnesses = Witnesses.create({ ...options, term: options.term.term, claimed: options.term.witnesses, getPeers: () => this.members, onChosen: () => this.committer.storeRecord() })
     this.permission = CommandPermission.create({ isLeaseConfirmed: options.isLeaseConfirmed, isTermConfirmed: () => this.witnesses.permitCommands(), reporter: options.reporter })
     this.relayedCommands = RelayedCommands.create({
@@ -99,10 +99,10 @@
       needsDefinition: (job) => this.scheduler.needsDefinition(job),
       getProcessedCompletions: () => this.scheduler.getProcessedCompletions(),
       getLastRun: () => this.scheduler.lastRunNumber,
-      onStored: ({ phases, released, completions, targets, witnesses, silentTargets }) => {
+      onStored: ({ phases, released, completions, targets, unbound, witnesses, silentTargets }) => {
         this.witnesses.recordStored(witnesses)
         this.applyEvent({ type: 'progress-stored', phases, released, completions })
-        if (targets !== undefined) this.applyEvent({ type: 'targets-stored', ids: targets })
+        if (targets !== undefined) this.applyEvent({ type: 'targets-stored', ids: targets, unbound })
         if (silentTargets !== undefined) this.applyEvent({ type: 'silent-targets-stored', ids: silentTargets })
         for (const waiter of this.commitWaiters.splice(0)) waiter()
       },
@@ -347,7 +347,7 @@
       case 'request-advice': return this.adviceDispatcher.enqueue(effect)
       case 'store-progress': return this.committer.storeProgress(effect.job)
       case 'forget-job': return this.committer.removeProgress(effect.job)
-      case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed, incarnations: effect.incarnations })
+      case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed, incarnations: effect.incarnations, ...effect.unbound !== undefined && { unbound: effect.unbound } })
       case 'store-silent-targets': return this.committer.storeSilentTargets(effect.targets)
       case 'store-settings': return this.committer.storeSettings(effect.record)
       case 'watch-target':
@@ -384,6 +384,7 @@
       getTarget: () => this.scheduler.getTarget(id),
       applyEvent: (event) => this.applyEvent(event),
       isCommanded: () => !this.scheduler.isPromisedSilent(id),
+      mayReachNext: () => this.scheduler.mayReachNext(id),
       waitForCommit: () => new Promise((resolve) => this.commitWaiters.push(resolve)),
       canSendCommands: () => this.permission.isGranted()
     }))
@@ -396,6 +397,6 @@
 }
 
 /** The target of a command without the rest of its effect, which a relay would carry as well. */
-function toCommandTarget ({ id, address, incarnation }: CommandTarget): CommandTarget {
-  return { id, address, ...incarnation !== undefined && { incarnation } }
+function toCommandTarget ({ id, address, incarnation, mayReachNext }: CommandTarget): CommandTarget {
+  return { id, address, ...incarnation !== undefined && { incarnation }, ...mayReachNext === true && { mayReachNext } }
 }
--- a/src/controller/read-stored-state.ts
+++ b/src/controller/read-stored-state.ts
@@ -33,7 +33,7 @@
   const targets = record?.ids ?? []
   const events: readonly CellEvent[] = [
     { type: 'closed-targets-restored', closed: record?.closed ?? {} },
-    { type: 'incarnations-restored', incarnations: record?.incarnations ?? {} },
+    { type: 'incarnations-restored', incarnations: record?.incarnations ?? {}, unbound: record === undefined ? [] : record.unbound },
     { type: 'targets-stored', ids: targets },
     ...readStoredSettings(state.value.entries, (key) => reporter.log('error', 'settings-unreadable', { key })),
     ...readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))
--- a/src/controller/store-keys.ts
+++ b/src/controller/store-keys.ts
@@ -88,4 +88,9 @@
   readonly closed?: ClosedTargets
   /** The incarnations that commands were measured for; missing in records of older releases. */
   readonly incarnations?: Incarnations
+  /**
+   * Targets whose commands may reach a later incarnation than the one that is meant; commands to others are bound to it. Missing in
+   * records of older releases, whose leaders and relays may have sent commands that were not.
+   */
+  readonly unbound?: readonly string[]
 }
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -14,6 +14,8 @@
 const RETRY_DELAY_MS = 250
 /** Pause before the next list request while completions cannot be acknowledged, in milliseconds. */
 const UNACKNOWLEDGED_PAUSE_MS = 200
+/** Pause before the next list request after several in a row were sent without lease and cursor, in milliseconds. */
+const REDUCED_PAUSE_MS = 100
 
 export type TargetSessionOptions = {
   readonly id: string
@@ -27,6 +29,8 @@
   readonly waitForCommit: () => Promise<void>
   /** Whether the target may get leases and starts. */
   readonly isCommanded: () => boolean
+  /** Whether commands to the target may reach a later incarnation, and that is stored; without it they may not. */
+  readonly mayReachNext?: () => boolean
   /** Whether this member may still send commands. */
   readonly canSendCommands: () => boolean
 }
@@ -85,7 +89,8 @@
     const { id, commands, term } = this.options
     const sentAt = performance.now()
     const request = buildListRequest(target, sentAt, this.options.leaseMs, this.options.isCommanded())
-    const response = await commands.list({ id, address: target.entry.address, incarnation: target.entry.incarnation }, { ...request, epoch: computeFencingNumber(term, target.restarts) })
+    const addressee = { id, address: target.entry.address, incarnation: target.entry.incarnation, ...this.options.mayReachNext?.() === true && { mayReachNext: true as const } }
+    const response = await commands.list(addressee, { ...request, epoch: computeFencingNumber(term, target.restarts) })
     if (this.stopped.signal.aborted || (response.type !== 'listed' && this.isReplaced(target))) return
     await this.handleListResponse(target, response, sentAt)
   }
@@ -110,7 +115,8 @@
     }
     // The target has not got the cursor, which must be sent again: it lists the completions before it at once until then.
     if (response.isReduced === true) target.sentCursor = 0
-    applyEvent({ type: 'target-listed', id, sentAt, listing: response.listing })
+    applyEvent({ type: 'target-listed', id, sentAt, listing: response.listing, ...response.isReduced === true && { isReduced: true } })
+    if (target.reducedListings > 1) await delay(REDUCED_PAUSE_MS, this.stopped.signal)
     if (target.lastProcessed === target.lastAcknowledged) return
     await Promise.race([this.options.waitForCommit(), delay(COMMIT_WAIT_MS, this.stopped.signal)])
     if (target.lastProcessed !== target.lastAcknowledged && response.listing.ended.length > 0) await delay(UNACKNOWLEDGED_PAUSE_MS, this.stopped.signal)
--- a/src/ports/command-client.ts
+++ b/src/ports/command-client.ts
@@ -4,7 +4,13 @@
  * The target that a command is meant for. `incarnation`: the one that a command with a lease is meant for; neither the id
  * nor the address tells the incarnations of a target apart. Missing in commands that members of older releases relay.
  */
-export type CommandTarget = { readonly id: string, readonly address: string, readonly incarnation?: number }
+export type CommandTarget = {
+  readonly id: string
+  readonly address: string
+  readonly incarnation?: number
+  /** The leader has stored that commands to this target may reach a later incarnation than the one that is meant. */
+  readonly mayReachNext?: true
+}
 
 /** Starts a run of a task. */
 export type StartCommand = {
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -38,8 +38,9 @@
 import type { UnsettledTargets } from './earlier-lapse.ts'
 import { computeLongestEarlierLeaseMs, restoreIncarnations } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
-import { removeGoneTargets, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn, useSpareTargets } from './targets.ts'
+import { removeGoneTargets, recordReduction, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn, useSpareTargets } from './targets.ts'
 import { hasUnansweredStarts, recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
+import { UnboundTargets } from './unbound-targets.ts'
 import { UnsettledRunsLog } from './unsettled-runs-log.ts'
 
 /**
@@ -84,6 +85,7 @@
       storedTargets: new Set(),
       closedTargets: new Map(),
       commandedIncarnations: new Map(),
+      unboundTargets: UnboundTargets.create(resolved.areCommandsBound === true),
       aloneUntil: Infinity,
       earlierCommandsEndAt: undefined,
       silentTargets: SilentTargets.create(),
@@ -155,6 +157,11 @@
     return this.state.silentTargets.isPromised(id)
   }
 
+  /** Whether it is stored that commands to a target may reach a later incarnation than the one that is meant. */
+  mayReachNext (id: string): boolean {
+    return this.state.unboundTargets.mayReachNext(id)
+  }
+
   /** Phase of a job as callers may see it: `completed` or `failed` only once that is stored. Undefined if the job is unknown. */
   getPhase (id: string): JobPhase | undefined {
     const job = this.state.jobs.get(id)
@@ -259,9 +266,11 @@
         return
       case 'job-cancelled': return this.handleJobCancelled(event.id)
       case 'progress-stored': return this.handleProgressStored(event)
-      case 'targets-stored': return recordStoredTargets(state, event.ids)
+      case 'targets-stored':
+        state.unboundTargets.recordStored(event.unbound ?? [])
+        return recordStoredTargets(state, event.ids)
       case 'closed-targets-restored': return restoreClosedTargets(state, event.closed)
-      case 'incarnations-restored': return restoreIncarnations(state, event.incarnations)
+      case 'incarnations-restored': return restoreIncarnations(state, event.incarnations, event.unbound)
       case 'silent-targets-restored': return state.silentTargets.restore(state, event.targets)
       case 'silent-targets-stored': return this.handleSilentTargetsStored(event.ids)
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
@@ -277,6 +286,7 @@
     if (target === undefined) return
     if (target.matchesIncarnation(event.listing)) {
       handleListing(this.state, target, event.listing, event.sentAt)
+      recordReduction(this.state, target, event.isReduced === true)
       return this.state.silentTargets.handleAnswer(target)
     }
     if (event.listing.incarnation < target.entry.incarnation) return
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -20,6 +20,7 @@
 import type { Job, StepRun, Task } from './task.ts'
 import type { DepartedTarget } from './departed-targets.ts'
 import type { LiveRun } from './live-run.ts'
+import type { UnboundTargets } from './unbound-targets.ts'
 import type { UnsettledRunsLog } from './unsettled-runs-log.ts'
 
 /** State of an ended job that is kept for the retention time, so that callers can read it. */
@@ -65,6 +66,7 @@
    * leases measured on its clock have ended.
    */
   readonly commandedIncarnations: Map<string, number>
+  readonly unboundTargets: UnboundTargets
   /** Until when certainly no other owner has acted. */
   aloneUntil: number
   /** When the last of the earlier owners sends no more commands; undefined before their targets are known. */
--- a/src/workflow/departed-targets.ts
+++ b/src/workflow/departed-targets.ts
@@ -22,5 +22,6 @@
     if (state.now - removedAt < computeForeignLeasesMs(state)) continue
     state.departedTargets.delete(id)
     state.commandedIncarnations.delete(id)
+    state.unboundTargets.forget(id)
   }
 }
--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -26,8 +26,16 @@
   return [...state.targets.values()].some((target) => !target.listed && !target.unused && mayHoldForeignLease(state, target)) ? longestLeaseMs : leaseMs
 }
 
-/** Whether the target may hold a lease that was measured on the clock of its incarnation before. */
+/**
+ * Whether the target may hold a lease that was measured on the clock of its incarnation before. Commands that are bound to an
+ * incarnation give no such lease.
+ */
 export function mayHoldForeignLease (state: CellState, target: TargetState): boolean {
+  return state.unboundTargets.has(target.id) && hasRestartedLately(state, target)
+}
+
+/** Whether an earlier incarnation of the target was commanded so recently that leases measured on its clock would go on. */
+export function hasRestartedLately (state: CellState, target: TargetState): boolean {
   const { id, entry } = target
   const commanded = state.commandedIncarnations.get(id)
   if (commanded !== undefined) return commanded !== entry.incarnation
@@ -70,8 +78,9 @@
   return Math.max(Math.min(now, aloneUntil), earlierCommandsEndAt + options.leaseMs)
 }
 
-/** Records what previous owners have stored. */
-export function restoreIncarnations (state: CellState, incarnations: Incarnations): void {
+/** Records what previous owners have stored. `unbound`: the targets whose commands they did not bind; all, if it is undefined. */
+export function restoreIncarnations (state: CellState, incarnations: Incarnations, unbound: readonly string[] | undefined): void {
+  state.unboundTargets.restore(unbound, state.now)
   for (const [id, incarnation] of Object.entries(incarnations)) state.commandedIncarnations.set(id, incarnation)
 }
 
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -20,8 +20,8 @@
   | { readonly type: 'domains-out', readonly domains: readonly string[] }
   | { readonly type: 'target-published', readonly entry: TargetEntry }
   | { readonly type: 'target-withdrawn', readonly id: string }
-  /** `sentAt`: when the list request was sent; the listing is at least as recent. */
-  | { readonly type: 'target-listed', readonly id: string, readonly sentAt: number, readonly listing: TargetListing }
+  /** `sentAt`: when the list request was sent; the listing is at least as recent. `isReduced`: it was sent without its lease and cursor. */
+  | { readonly type: 'target-listed', readonly id: string, readonly sentAt: number, readonly listing: TargetListing, readonly isReduced?: boolean }
   /** A single list request had no answer. */
   | { readonly type: 'list-unanswered', readonly id: string }
   | { readonly type: 'target-silent', readonly id: string, readonly cause: SilenceCause }
@@ -40,10 +40,12 @@
   | { readonly type: 'job-cancelled', readonly id: string }
   /** All progress up to these completions has been stored. The definitions of `released` jobs have been removed. */
   | { readonly type: 'progress-stored', readonly phases: ReadonlyMap<string, JobPhase>, readonly released: readonly string[], readonly completions: readonly ProcessedCompletions[] }
-  | { readonly type: 'targets-stored', readonly ids: readonly string[] }
+  /** `unbound`: those among the stored targets whose commands may reach a later incarnation. */
+  | { readonly type: 'targets-stored', readonly ids: readonly string[], readonly unbound?: readonly string[] | undefined }
   /** Closed targets of previous owners, as stored. */
   | { readonly type: 'closed-targets-restored', readonly closed: ClosedTargets }
-  | { readonly type: 'incarnations-restored', readonly incarnations: Incarnations }
+  /** `unbound`: targets whose commands may have reached later incarnations; all, if it is missing. */
+  | { readonly type: 'incarnations-restored', readonly incarnations: Incarnations, readonly unbound?: readonly string[] | undefined }
   /** Targets that previous owners have promised not to command, and that this one must not command either. */
   | { readonly type: 'silent-targets-restored', readonly targets: SilentTargetsById }
   /** The record of silent targets has been stored with these targets. */
--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -4,6 +4,8 @@
   readonly leaseMs: number
   /** The longest lease of a target: a lease that ends later, on its clock, is shortened. */
   readonly longestLeaseMs: number
+  /** Whether commands to an incarnation of a target reach no later one, apart from targets that are marked; without it they may. */
+  readonly areCommandsBound?: boolean
   /** A command without a response is sent again after this time, or later where responses are slow. */
   readonly resendAfterMs: number
   /** Maximum number of targets in one advice request. */
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -1,7 +1,7 @@
 import { findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { hasRecentStart } from './crash-suspicion.ts'
-import { mayHoldForeignLease } from './earlier-leases.ts'
+import { hasRestartedLately } from './earlier-leases.ts'
 import { getOpenTargets } from './open-targets.ts'
 import { hasJustRefused, hasRefused } from './start-refusal.ts'
 import { isSuitable } from './target-acceptance.ts'
@@ -83,7 +83,7 @@
  */
 function computeRiskPenalty (state: CellState, target: TargetState, { crashes }: Task): number {
   if (crashes.isSuspect) return (crashes.includes(target.entry.address) ? SCORE_WEIGHTS.crash : 0) + (hasRecentStart(state, target) ? SCORE_WEIGHTS.recentStart : 0)
-  return mayHoldForeignLease(state, target) ? SCORE_WEIGHTS.foreignLease : 0
+  return hasRestartedLately(state, target) ? SCORE_WEIGHTS.foreignLease : 0
 }
 
 /** Whether all waiting tasks of the step prefer other targets: this one has refused them, or has crashed under them. */
@@ -118,7 +118,7 @@
   if (spec.latencyTargetMs > 0 && target.bestEffortCpuMillis > 0) score -= SCORE_WEIGHTS.interference
   if (warmUpRemainingMs > 0) score -= SCORE_WEIGHTS.warmUp
   // What runs there must be waited for longer if the target is gone again soon.
-  if (mayHoldForeignLease(state, target)) score -= SCORE_WEIGHTS.foreignLease
+  if (hasRestartedLately(state, target)) score -= SCORE_WEIGHTS.foreignLease
   score -= SCORE_WEIGHTS.slowness * Math.min(MAX_SLOWNESS_FACTOR, Math.max(0, target.slowness - 1))
   return score - SCORE_WEIGHTS.failures * target.computeFailureRatio(state.now)
 }
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -87,7 +87,8 @@
   recordStartSent(target, live, state.now)
   const { payload } = task.step.job.definition
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
-  state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command })
+  const mayReachNext = state.unboundTargets.mayReachNext(target.id)
+  state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, ...mayReachNext && { mayReachNext }, command })
 }
 
 /** Sends the stop command of a run, or resends it. */
--- a/src/workflow/spare-targets.ts
+++ b/src/workflow/spare-targets.ts
@@ -1,6 +1,6 @@
 import { findQueue, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
-import { mayHoldForeignLease } from './earlier-leases.ts'
+import { hasRestartedLately } from './earlier-leases.ts'
 import { needsAdvice } from './placement.ts'
 import { hasStartableTask } from './startable.ts'
 import { acceptsWork, isSuitable } from './target-acceptance.ts'
@@ -30,7 +30,7 @@
   const spares = [...state.targets.values()].filter(({ spare }) => spare)
   if (spares.length === 0) return false
   const waiting = [...state.openSteps].filter((step) => waitsForTarget(state, step))
-  const released = spares.filter((target) => !mayHoldForeignLease(state, target) || !hasOpenTargetBeside(state, target) || waiting.some((step) => mayUse(state, step, target)))
+  const released = spares.filter((target) => !hasRestartedLately(state, target) || !hasOpenTargetBeside(state, target) || waiting.some((step) => mayUse(state, step, target)))
   for (const target of released) {
     target.spare = false
     recordRoom(state, target)
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -38,6 +38,8 @@
   sentCursor = 0
   /** Highest cursor that the target has answered. */
   answeredCursor = 0
+  /** Listings in a row that were requested without lease and cursor. */
+  reducedListings = 0
   /** Whether the last list request had no answer, so that the target may have restarted. */
   listUnanswered = false
   /** Latest lease expiry that any command or list request has set, on the target's clock. */
@@ -76,6 +78,8 @@
   leaseRequestedAt = -Infinity
   /** When the leases that were measured on the clocks of earlier incarnations have expired, on the scheduler's clock. */
   private earlierLeasesEndAt = -Infinity
+  /** How long leases may go on that were given before its first response here. */
+  private unknownClockExpiryMs = UNKNOWN_CLOCK_EXPIRY_MS
   /** When it first answered a request that was sent to it as this incarnation; undefined before that. */
   private fencedAt: number | undefined
   private decayedAt = 0
@@ -147,6 +151,12 @@
     this.earlierLeasesEndAt = Math.max(previous.earlierLeasesEndAt, lastEndsAt)
   }
 
+  /** Records that no command to the incarnation before reaches this one, so that an earlier owner gave the only leases, if any. */
+  expectOwnLeases (previous: TargetState, leaseMs: number): void {
+    this.earlierLeasesEndAt = previous.earlierLeasesEndAt
+    this.unknownClockExpiryMs = toSchedulerTime(leaseMs) + EXPIRY_MARGIN_MS
+  }
+
   /** When it last responded, on the scheduler's clock. */
   get lastHeardAt (): number {
     return this.clock?.readAt ?? this.firstSeenAt
@@ -163,7 +173,7 @@
   }
 
   private getOwnLeaseExpiryTime (): number {
-    if (this.clock === undefined) return this.firstSeenAt + UNKNOWN_CLOCK_EXPIRY_MS
+    if (this.clock === undefined) return this.firstSeenAt + this.unknownClockExpiryMs
     const remainingMs = Math.max(0, this.leaseUntilMs - this.clock.clockMs)
     return this.clock.readAt + toSchedulerTime(remainingMs) + EXPIRY_MARGIN_MS
   }
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -2,7 +2,7 @@
 import type { CellState } from './cell-state.ts'
 import { takeDeparted } from './departed-targets.ts'
 import { closeDrainingTargets, holdBackTasks, releaseTasks, toClosedTargets } from './closed-targets.ts'
-import { forgetEarlierIncarnations, recordNewTarget, toIncarnations } from './earlier-leases.ts'
+import { computeForeignLeasesMs, forgetEarlierIncarnations, recordNewTarget, toIncarnations } from './earlier-leases.ts'
 import { haveLeasesExpired } from './expired-leases.ts'
 import { hasOpenTargetBeside, isEmptiedByRestart, releaseSpareTargets } from './spare-targets.ts'
 import { confirmCrash, confirmReplacedCrashes } from './crashes.ts'
@@ -77,7 +77,8 @@
 function replaceTarget (state: CellState, previous: TargetState, next: TargetState): void {
   logRestart(state, previous, next)
   confirmCrash(state, previous)
-  next.inheritLeases(previous, state.options.longestLeaseMs)
+  if (state.unboundTargets.has(next.id)) next.inheritLeases(previous, state.options.longestLeaseMs)
+  else next.expectOwnLeases(previous, state.options.leaseMs)
   next.spare = isEmptiedByRestart(state, previous) && hasOpenTargetBeside(state, previous)
   transferRuns(state, previous, next)
 }
@@ -93,7 +94,7 @@
     lastCursor: previous.sentCursor,
     listUnanswered: previous.listUnanswered,
     ...(previous.leaseRequestedAt === -Infinity ? {} : { leaseRequestedMsAgo: Math.round(state.now - previous.leaseRequestedAt) }),
-    longestLeaseMs: state.options.longestLeaseMs
+    longestLeaseMs: state.unboundTargets.has(next.id) ? state.options.longestLeaseMs : state.options.leaseMs
   })
 }
 
@@ -151,7 +152,8 @@
   }
   const closed = closeDrainingTargets(state)
   const forgotten = forgetEarlierIncarnations(state)
-  if (drained.length > 0 || closed || forgotten) storeTargets(state)
+  const bound = state.earlierCommandsEndAt !== undefined && state.unboundTargets.forgetInherited(state.now, state.earlierCommandsEndAt, computeForeignLeasesMs(state))
+  if (drained.length > 0 || closed || forgotten || bound) storeTargets(state)
 }
 
 /** Lets the spare targets be used that are needed, once they are stored as targets that may have runs. */
@@ -159,6 +161,14 @@
   if (releaseSpareTargets(state)) storeTargets(state)
 }
 
+/** Marks a target whose commands were withheld again and again, and stores that before any command may reach a later incarnation. */
+export function recordReduction (state: CellState, target: TargetState, isReduced: boolean): void {
+  target.reducedListings = isReduced ? target.reducedListings + 1 : 0
+  if (!state.unboundTargets.markIfReduced(target.id, target.reducedListings)) return
+  log(state, 'warn', 'target-unbound', { target: target.id, incarnation: target.entry.incarnation, reducedListings: target.reducedListings })
+  storeTargets(state)
+}
+
 /** Records the list of targets that was stored, without those that can no longer have runs. */
 export function recordStoredTargets (state: CellState, ids: readonly string[]): void {
   for (const id of ids) {
@@ -209,7 +219,10 @@
     for (const id of state.storedTargets) ids.add(id)
   }
   const closed = toClosedTargets(state)
-  state.effects.push({ type: 'store-targets', ids: [...ids], closed, incarnations: toIncarnations(state, [...ids, ...Object.keys(closed)]) })
+  const stored = [...ids, ...Object.keys(closed)]
+  const incarnations = toIncarnations(state, stored)
+  const unbound = state.unboundTargets.toStored([...new Set([...stored, ...Object.keys(incarnations)])])
+  state.effects.push({ type: 'store-targets', ids: [...ids], closed, incarnations, ...unbound !== undefined && { unbound } })
 }
 
 function mayHoldRuns (state: CellState, target: TargetState): boolean {
