Look at the permission of a command as it is written

Callers could see: TWICE. A start was written up to a second after its leader had lost its permission, or after its relay had seen a later term.

Cause: PermittedCommands looked at the permission, and CommandRelay at the term and at the time until which a command is valid, before the command was handed on. IncarnationCheck then asked the target (200 ms a question), and the command waited for a free connection (up to 600 ms); nobody looked again. A process that was suspended meanwhile wrote what it had queued.

Change: the permission goes down to the moment of writing with each command (`mayBeSent`): starts, list requests, stops and limits of speed. Questions to a target give nothing and need none. A relay also drops what it has not written when the stream of its leader ends; the leader counts these as unanswered, as before. A start that is withheld for this reason says nothing of its target.

--- a/src/controller/command-relay.ts
+++ b/src/controller/command-relay.ts
@@ -1,4 +1,4 @@
-import type { CommandClient } from '../ports/command-client.ts'
+import type { CommandClient, SendPermission } from '../ports/command-client.ts'
 import { assertNever } from '../util/assert-never.ts'
 import { toTerm } from './fencing-number.ts'
 import { RELAY_BATCH_MS } from './relay-message.ts'
@@ -14,6 +14,9 @@
   readonly now?: () => number
 }
 
+/** Why a relay does not send a command any more. */
+type Obstacle = 'too-late' | 'earlier-term' | 'stream-closed'
+
 /** Sends the commands of the leader to targets. It decides nothing, and retries nothing. */
 export class CommandRelay {
   private constructor (private readonly options: CommandRelayOptions) {}
@@ -32,31 +35,49 @@
 
   /** Opens a session for one stream of a leader. */
   open (reply: (message: RelayReply) => void): RelaySession {
-    return RelaySession.create((entry) => this.execute(entry), reply)
+    return RelaySession.create((entry, isOpen) => this.execute(entry, isOpen), reply)
+  }
+
+  /** Looks for obstacles again when the command is written: it may have waited for its target or for a connection. */
+  private async execute (entry: RelayEntry, isOpen: () => boolean): Promise<RelayedResponse> {
+    const { relayed } = entry
+    let obstacle = this.findObstacle(entry, isOpen)
+    if (obstacle !== undefined) return this.withhold(relayed, obstacle)
+    const response = await this.send(relayed, () => {
+      obstacle = this.findObstacle(entry, isOpen)
+      return obstacle === undefined
+    })
+    return obstacle === undefined ? response : this.withhold(relayed, obstacle)
   }
 
-  private async execute ({ relayed, validUntilMs }: RelayEntry): Promise<RelayedResponse> {
+  private findObstacle ({ relayed, validUntilMs }: RelayEntry, isOpen: () => boolean): Obstacle | undefined {
     // The process may have been suspended, or the message may have waited in a buffer.
-    if (this.now() > validUntilMs) return this.withhold(relayed, 'too-late')
-    if (toTerm(relayed.command.epoch) < this.options.getLatestTerm()) {
-      this.options.reporter.count('relay-withheld', 'earlier-term')
-      return relayed.type === 'list' ? { type: 'refused', reason: 'fenced' } : { type: 'refused', reason: 'fenced', clockMs: undefined }
-    }
-    return this.send(relayed)
+    if (this.now() > validUntilMs) return 'too-late'
+    if (toTerm(relayed.command.epoch) < this.options.getLatestTerm()) return 'earlier-term'
+    return isOpen() ? undefined : 'stream-closed'
   }
 
-  private withhold ({ type }: RelayedCommand, reason: string): RelayedResponse {
-    this.options.reporter.count('relay-withheld', `${type}-${reason}`)
-    return { type: 'unanswered', reason }
+  private withhold ({ type }: RelayedCommand, obstacle: Obstacle): RelayedResponse {
+    const { reporter } = this.options
+    switch (obstacle) {
+      case 'earlier-term':
+        reporter.count('relay-withheld', obstacle)
+        return type === 'list' ? { type: 'refused', reason: 'fenced' } : { type: 'refused', reason: 'fenced', clockMs: undefined }
+      case 'too-late':
+      case 'stream-closed':
+        reporter.count('relay-withheld', `${type}-${obstacle}`)
+        return { type: 'unanswered', reason: obstacle }
+      default: return assertNever(obstacle)
+    }
   }
 
-  private send (relayed: RelayedCommand): Promise<RelayedResponse> {
+  private send (relayed: RelayedCommand, mayBeSent: SendPermission): Promise<RelayedResponse> {
     const { commands } = this.options
     switch (relayed.type) {
-      case 'start': return commands.start(relayed.target, relayed.command)
-      case 'stop': return commands.stop(relayed.target, relayed.command)
-      case 'throttle': return commands.throttle(relayed.target, relayed.command)
-      case 'list': return commands.list(relayed.target, relayed.command)
+      case 'start': return commands.start(relayed.target, relayed.command, mayBeSent)
+      case 'stop': return commands.stop(relayed.target, relayed.command, mayBeSent)
+      case 'throttle': return commands.throttle(relayed.target, relayed.command, mayBeSent)
+      case 'list': return commands.list(relayed.target, relayed.command, mayBeSent)
       default: return assertNever(relayed)
     }
   }
@@ -66,6 +87,9 @@
   }
 }
 
+/** Executes a command while its stream is open. */
+type RelayEntryExecutor = (entry: RelayEntry, isOpen: () => boolean) => Promise<RelayedResponse>
+
 /** Executes the commands of one stream and gathers the responses of a few milliseconds into one message. */
 export class RelaySession {
   private readonly responses: Array<RelayReply['responses'][number]> = []
@@ -73,21 +97,21 @@
   private replyScheduled = false
   private closed = false
 
-  private constructor (private readonly execute: (entry: RelayEntry) => Promise<RelayedResponse>, private readonly reply: (message: RelayReply) => void) {}
+  private constructor (private readonly execute: RelayEntryExecutor, private readonly reply: (message: RelayReply) => void) {}
 
-  static create (execute: (entry: RelayEntry) => Promise<RelayedResponse>, reply: (message: RelayReply) => void): RelaySession {
+  static create (execute: RelayEntryExecutor, reply: (message: RelayReply) => void): RelaySession {
     return new RelaySession(execute, reply)
   }
 
   handle ({ sequence, entries }: RelayRequest): void {
     this.lastSequence = sequence
     for (const entry of entries) {
-      this.execute(entry).then((response) => this.addResponse(entry, response), (error: unknown) => this.addResponse(entry, { type: 'unanswered', reason: String(error) }))
+      this.execute(entry, () => !this.closed).then((response) => this.addResponse(entry, response), (error: unknown) => this.addResponse(entry, { type: 'unanswered', reason: String(error) }))
     }
     if (entries.length === 0) this.scheduleReply()
   }
 
-  /** Discards the responses that have not been sent, because the leader has closed the stream. */
+  /** Discards the commands and responses that have not been sent, because the stream of the leader has ended. */
   close (): void {
     this.closed = true
   }
--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -1,5 +1,5 @@
 import { WITHHELD } from '../ports/command-client.ts'
-import type { CommandClient, CommandResponse, CommandTarget, ConnectionCommands, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
+import type { CommandClient, CommandResponse, CommandTarget, ConnectionCommands, ListRequest, ListResponse, SendPermission, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
 import { Moment } from '../util/moment.ts'
 import type { Clocks } from '../util/moment.ts'
 import type { Reporter } from './reporter.ts'
@@ -52,39 +52,39 @@
     return new IncarnationCheck(options)
   }
 
-  async start (target: CommandTarget, command: StartCommand): Promise<CommandResponse> {
+  async start (target: CommandTarget, command: StartCommand, isPermitted: SendPermission = isAlwaysPermitted): Promise<CommandResponse> {
     const { commands, reporter } = this.options
-    if (target.incarnation === undefined) return commands.start(target, command)
+    if (target.incarnation === undefined) return commands.start(target, command, isPermitted)
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
       if (!this.mayBeSent(target) && !await this.ask(target, command.epoch)) break
       // A connection that was opened for the question does not count yet.
       if (!this.mayBeSent(target)) continue
-      const response = await commands.start(target, command, () => this.mayBeSent(target))
-      if (!isWithheld(response)) return response
+      const response = await commands.start(target, command, () => isPermitted() && this.mayBeSent(target))
+      if (!isWithheld(response) || !isPermitted()) return response
     }
     reporter.count('start-withheld', NOT_SENT.reason)
     return NOT_SENT
   }
 
-  stop (target: CommandTarget, command: StopCommand): Promise<CommandResponse> {
-    return this.options.commands.stop(target, command)
+  stop (target: CommandTarget, command: StopCommand, isPermitted?: SendPermission): Promise<CommandResponse> {
+    return this.options.commands.stop(target, command, isPermitted)
   }
 
-  throttle (target: CommandTarget, command: ThrottleCommand): Promise<CommandResponse> {
-    return this.options.commands.throttle(target, command)
+  throttle (target: CommandTarget, command: ThrottleCommand, isPermitted?: SendPermission): Promise<CommandResponse> {
+    return this.options.commands.throttle(target, command, isPermitted)
   }
 
   /** A request that holds for one incarnation only is replaced by one without lease and cursor unless that incarnation is confirmed. */
-  async list (target: CommandTarget, request: ListRequest): Promise<ListResponse> {
+  async list (target: CommandTarget, request: ListRequest, isPermitted: SendPermission = isAlwaysPermitted): Promise<ListResponse> {
     const isGeneral = target.incarnation === undefined || (request.leaseUntilMs === undefined && request.acknowledged === 0)
-    if (isGeneral) return this.listNow(target, request, () => true)
-    const response = await this.listNow(target, request, () => this.mayBeSent(target))
-    if (!isWithheld(response)) return response
-    const reduced = await this.listNow(target, { epoch: request.epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 }, () => true)
+    if (isGeneral) return this.listNow(target, request, isPermitted)
+    const response = await this.listNow(target, request, () => isPermitted() && this.mayBeSent(target))
+    if (!isWithheld(response) || !isPermitted()) return response
+    const reduced = await this.listNow(target, toQuestion(request), isPermitted)
     return reduced.type === 'listed' ? { ...reduced, isReduced: true } : reduced
   }
 
-  private async listNow (target: CommandTarget, request: ListRequest, mayBeSent: () => boolean): Promise<ListResponse> {
+  private async listNow (target: CommandTarget, request: ListRequest, mayBeSent: SendPermission): Promise<ListResponse> {
     const askedAt = this.options.clocks?.monotonic() ?? performance.now()
     const asked = Moment.now(this.options.clocks)
     const response = await this.options.commands.list(target, request, mayBeSent)
@@ -111,7 +111,7 @@
 
   /** Returns whether the incarnation has answered. */
   private async ask (target: CommandTarget, epoch: number): Promise<boolean> {
-    const question = this.questions.get(target.id) ?? this.listNow(target, { epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 }, () => true)
+    const question = this.questions.get(target.id) ?? this.listNow(target, toQuestion({ epoch }), isAlwaysPermitted)
     this.questions.set(target.id, question)
     this.options.reporter.count('incarnation-asked', 'start')
     try {
@@ -133,3 +133,12 @@
 function isWithheld (response: CommandResponse | ListResponse): boolean {
   return response.type === 'unanswered' && response.reason === WITHHELD
 }
+
+/** The list request that asks for the incarnation alone. It gives no lease, so that it may be sent at any time. */
+function toQuestion ({ epoch }: Pick<ListRequest, 'epoch'>): ListRequest {
+  return { epoch, acknowledged: 0, leaseUntilMs: undefined, waitMs: 0 }
+}
+
+function isAlwaysPermitted (): boolean {
+  return true
+}
--- a/src/controller/relayed-commands.ts
+++ b/src/controller/relayed-commands.ts
@@ -1,5 +1,5 @@
 import { NO_LISTENER } from '../ports/command-client.ts'
-import type { CommandClient, CommandResponse, CommandTarget, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
+import type { CommandClient, CommandResponse, CommandTarget, ListRequest, ListResponse, SendPermission, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
 import { hash } from '../util/hash.ts'
 import type { Peer } from './member-call.ts'
 import { RELAY_CLOSED, RELAY_LOST, RelayConnection } from './relay-connection.ts'
@@ -64,24 +64,24 @@
     this.closeUnusedConnections()
   }
 
-  start (target: CommandTarget, command: StartCommand): Promise<CommandResponse> {
+  start (target: CommandTarget, command: StartCommand, mayBeSent?: SendPermission): Promise<CommandResponse> {
     const connection = this.findConnection(target)
-    return connection === undefined ? this.options.direct.start(target, command) : this.sendCommand(connection, { type: 'start', target, command })
+    return connection === undefined ? this.options.direct.start(target, command, mayBeSent) : this.sendCommand(connection, { type: 'start', target, command })
   }
 
-  stop (target: CommandTarget, command: StopCommand): Promise<CommandResponse> {
+  stop (target: CommandTarget, command: StopCommand, mayBeSent?: SendPermission): Promise<CommandResponse> {
     const connection = this.findConnection(target)
-    return connection === undefined ? this.options.direct.stop(target, command) : this.sendCommand(connection, { type: 'stop', target, command })
+    return connection === undefined ? this.options.direct.stop(target, command, mayBeSent) : this.sendCommand(connection, { type: 'stop', target, command })
   }
 
-  throttle (target: CommandTarget, command: ThrottleCommand): Promise<CommandResponse> {
+  throttle (target: CommandTarget, command: ThrottleCommand, mayBeSent?: SendPermission): Promise<CommandResponse> {
     const connection = this.findConnection(target)
-    return connection === undefined ? this.options.direct.throttle(target, command) : this.sendCommand(connection, { type: 'throttle', target, command })
+    return connection === undefined ? this.options.direct.throttle(target, command, mayBeSent) : this.sendCommand(connection, { type: 'throttle', target, command })
   }
 
-  async list (target: CommandTarget, command: ListRequest): Promise<ListResponse> {
+  async list (target: CommandTarget, command: ListRequest, mayBeSent?: SendPermission): Promise<ListResponse> {
     const connection = this.findConnection(target)
-    if (connection === undefined) return this.options.direct.list(target, command)
+    if (connection === undefined) return this.options.direct.list(target, command, mayBeSent)
     const response = await this.sendThrough(connection, { type: 'list', target, command })
     return response.type === 'accepted' ? { type: 'unanswered', reason: 'mismatched' } : response
   }
--- a/src/ports/command-client.ts
+++ b/src/ports/command-client.ts
@@ -63,21 +63,22 @@
   | { readonly type: 'refused', readonly reason: CommandRefusal }
   | { readonly type: 'unanswered', readonly reason: string }
 
-/** Sends commands to targets. */
-export type CommandClient = {
-  readonly start: (target: CommandTarget, command: StartCommand) => Promise<CommandResponse>
-  readonly stop: (target: CommandTarget, command: StopCommand) => Promise<CommandResponse>
-  readonly throttle: (target: CommandTarget, command: ThrottleCommand) => Promise<CommandResponse>
-  readonly list: (target: CommandTarget, request: ListRequest) => Promise<ListResponse>
-}
-
 /** Reason of an unanswered request: it was not sent, because its sender did not allow it any more. */
 export const WITHHELD = 'withheld'
 
-/** Sends commands on connections that it keeps open. Asks `mayBeSent` just before a command is written; by default it may. */
-export type ConnectionCommands = Pick<CommandClient, 'stop' | 'throttle'> & {
-  readonly start: (target: CommandTarget, command: StartCommand, mayBeSent?: () => boolean) => Promise<CommandResponse>
-  readonly list: (target: CommandTarget, request: ListRequest, mayBeSent?: () => boolean) => Promise<ListResponse>
+/** Whether a command may be written to a connection, asked just before that; by default it may. */
+export type SendPermission = () => boolean
+
+/** Sends commands to targets. A command that may not be sent any more when its turn comes is answered with the reason `withheld`. */
+export type CommandClient = {
+  readonly start: (target: CommandTarget, command: StartCommand, mayBeSent?: SendPermission) => Promise<CommandResponse>
+  readonly stop: (target: CommandTarget, command: StopCommand, mayBeSent?: SendPermission) => Promise<CommandResponse>
+  readonly throttle: (target: CommandTarget, command: ThrottleCommand, mayBeSent?: SendPermission) => Promise<CommandResponse>
+  readonly list: (target: CommandTarget, request: ListRequest, mayBeSent?: SendPermission) => Promise<ListResponse>
+}
+
+/** Sends commands on connections that it keeps open. */
+export type ConnectionCommands = CommandClient & {
   /** When the last connection to an address was opened, on the monotonic clock; -Infinity if none was. */
   readonly getConnectedAt: (address: string) => number
 }
