Judge the stored record of targets by the terms that may have commanded since

Cause: the record says which targets' commands were not bound. A leader of an older release that takes over and ends before it stores its targets leaves the record of the leader before it, and its unbound commands counted as bound. Evidence: controller/read-stored-state, 6 cases; one of them (a leader of an older release has led since) fails if the record alone is read.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -260,10 +260,10 @@
 
   /** Reads the jobs, their progress and the targets of previous leaders; retries until it succeeds or the term ends. */
   private async restore (): Promise<number | undefined> {
-    const { store, reporter, isLeaseConfirmed } = this.options
+    const { store, reporter, term, isLeaseConfirmed } = this.options
     const startedAt = performance.now()
     while (!this.stopped) {
-      const state = await readStoredState(store, reporter)
+      const state = await readStoredState({ store, reporter, unsettled: term.unsettled })
       // Without the lease another member may lead, and a job that was read may be a new one of its term.
       if (state !== undefined && isLeaseConfirmed()) {
         this.previousTargets = state.targets
