--- a/test/platform/restarting-target.ts
+++ b/test/platform/restarting-target.ts
@@ -44,17 +44,19 @@
     return this.received.filter((request) => request.incarnation === incarnation).map(({ path }) => path)
   }
 
-  /** Ends the present life. Its port refuses connections from then on. */
+  /** Ends the present life, which answers nothing from then on. Its port refuses connections. */
   async crash (end: ConnectionEnd): Promise<void> {
     const { server, sockets } = this
-    this.sockets = new Set()
     this.server = undefined
     const closed = new Promise((resolve) => server?.close(resolve))
     for (const socket of sockets) {
+      socket.removeAllListeners('data')
       if (end === 'closed') socket.destroy()
       if (end === 'reset') socket.resetAndDestroy()
     }
-    if (end !== 'left open') await closed
+    if (end === 'left open') return
+    this.sockets = new Set()
+    await closed
   }
 
   /** Starts the next life at the same port. */
