--- a/test/soak/worker-server.test.ts
+++ b/test/soak/worker-server.test.ts
@@ -299,6 +299,28 @@
       assert.equal(worker.events.length, 2)
       assert.ok(performance.now() - startedAt >= 990)
     }
+  },
+  {
+    // A process takes what it has received with it: otherwise the next incarnation would start tasks that nobody has sent to it.
+    behaviour: 'a slow start is lost with the incarnation that received it',
+    play: async (worker) => {
+      worker.server.delay = { calls: 'all', beforeMs: 2 * TASK_MS, afterMs: 0 }
+      const isAnswered = worker.start({ deadlineMs: 3 * LONG_MS }).then(() => true, () => false)
+      await wait(TASK_MS)
+      worker.server.crash()
+      assert.equal(await isAnswered, false)
+      assert.deepEqual(worker.events, [{ type: 'crashed' }])
+    }
+  },
+  {
+    behaviour: 'a slow response is lost with the incarnation that gives it',
+    play: async (worker) => {
+      worker.server.delay = { calls: 'all', beforeMs: 0, afterMs: 2 * TASK_MS }
+      const isAnswered = worker.start().then(() => true, () => false)
+      await wait(TASK_MS)
+      worker.server.crash()
+      assert.equal(await isAnswered, false)
+    }
   }
 ]
 
