--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -16,6 +16,8 @@
 const BROKEN_REQUEST_RATIO = 0.7
 const LOST_RESPONSE_RATIO = 0.02
 const LATE_REQUEST_RATIO = 0.02
+/** A request to an incarnation that has not answered on its connection carries no cursor and no lease. */
+const REDUCED = { acknowledged: 0, leaseUntilMs: undefined } as const
 
 export type SimulatedSessionOptions = {
   readonly target: SimulatedTarget
@@ -55,21 +57,25 @@
     const restarted = target.incarnation !== this.lastIncarnation
     this.lastIncarnation = target.incarnation
     if (restarted && simulation.restarting && occurs(BROKEN_REQUEST_RATIO)) return this.handleUnanswered(0)
-    const request = { ...buildListRequest(known, time.now, this.options.leaseMs, this.options.isCommanded()), epoch: computeFencingNumber(this.options.epoch, known.restarts) }
+    const { incarnation } = target
+    const isReduced = simulation.connected && incarnation !== known.entry.incarnation
+    const request = { ...buildListRequest(known, time.now, this.options.leaseMs, this.options.isCommanded()), ...isReduced && REDUCED, epoch: computeFencingNumber(this.options.epoch, known.restarts) }
+    if (isReduced) known.sentCursor = 0
     const sentAt = time.now
     if (target.away === 'refusing') return this.handleUnanswered(0)
     if (!target.isReachable(time.now)) return this.handleUnanswered(simulation.restarting ? TIMEOUT_MS : 0)
     if (simulation.late && occurs(LATE_REQUEST_RATIO)) {
-      time.schedule(this.options.drawLateDelayMs(), () => { this.list(request) })
+      time.schedule(this.options.drawLateDelayMs(), () => { if (!simulation.connected || target.incarnation === incarnation) this.list(request) })
       return this.handleUnanswered(TIMEOUT_MS)
     }
     time.schedule(1, () => {
+      if (simulation.connected && target.incarnation !== incarnation) return this.handleUnanswered(0)
       const listing = this.list(request)
       if (listing === undefined) return this.pollAfter(POLL_INTERVAL_MS)
       if (simulation.restarting && occurs(LOST_RESPONSE_RATIO)) return this.handleUnanswered(TIMEOUT_MS)
       this.lastListUnanswered = false
       target.firstAnsweredAt = Math.min(target.firstAnsweredAt, time.now)
-      time.schedule(1, () => { if (isLeading()) this.options.applyEvent({ type: 'target-listed', id: target.id, sentAt, listing }) })
+      time.schedule(1, () => { if (isLeading()) this.options.applyEvent({ type: 'target-listed', id: target.id, sentAt, listing, isReduced }) })
       this.pollAfter(POLL_INTERVAL_MS)
     })
   }
--- a/test/workflow/simulated-store.ts
+++ b/test/workflow/simulated-store.ts
@@ -10,6 +10,8 @@
 export class SimulatedStore {
   /** The incarnations of targets that commands were measured for. */
   incarnations: Incarnations = {}
+  /** The targets whose commands may reach later incarnations; undefined if all may. */
+  unbound: readonly string[] | undefined = []
   targets: { readonly ids: readonly string[], readonly closed: ClosedTargets } = { ids: [], closed: {} }
   /** Targets that get no leases and no starts, with times on the clock that all leaders share here. */
   silentTargets: SilentTargetsById = {}
--- a/test/workflow/simulation-options.ts
+++ b/test/workflow/simulation-options.ts
@@ -25,8 +25,13 @@
   readonly lasting: boolean
   /** Targets go away for 20 to 30 s, silent or refusing, some of them 0.5 to 20 s after they have restarted. */
   readonly leaving: boolean
+  /**
+   * Each command but a stop goes over a connection that ends with the incarnation that it is meant for, and a target loses with its
+   * end what it has not carried out yet. Without it, commands reach whichever incarnation is there.
+   */
+  readonly connected: boolean
   /** New leaders follow one another every 2 to 8 s. */
   readonly takingOver: boolean
 }
 
-export const NO_OPTIONS: SimulationOptions = { draining: false, crashing: false, shrinking: false, restless: false, restarting: false, late: false, varied: false, slow: false, refusing: false, lasting: false, leaving: false, takingOver: false }
+export const NO_OPTIONS: SimulationOptions = { draining: false, crashing: false, shrinking: false, restless: false, restarting: false, late: false, varied: false, slow: false, refusing: false, lasting: false, leaving: false, connected: false, takingOver: false }
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -151,6 +151,7 @@
     const scheduler = CellScheduler.create({
       leaseMs: LEASE_MS,
       longestLeaseMs: LONGEST_LEASE_MS,
+      areCommandsBound: this.options.connected,
       firstRunNumber: (this.epoch - 1) * 1_000_000 + 1,
       wallClockOffsetMs: this.options.varied && this.epoch % 2 === 0 ? CLOCK_DIFFERENCE_MS : 0
     })
@@ -286,7 +287,7 @@
     if (Object.keys(stored.closed).length > 0) this.takeoversWithClosedTargets += 1
     this.apply({ type: 'silent-targets-restored', targets: this.store.silentTargets })
     this.apply({ type: 'closed-targets-restored', closed: stored.closed })
-    this.apply({ type: 'incarnations-restored', incarnations: this.store.incarnations })
+    this.apply({ type: 'incarnations-restored', incarnations: this.store.incarnations, unbound: this.store.unbound })
     this.apply({ type: 'targets-stored', ids: stored.ids })
     for (const definition of this.jobs.values()) this.apply(this.store.buildRestoreEvent(definition))
     for (const id of this.cancelledAt.keys()) this.apply({ type: 'job-cancelled', id })
@@ -324,12 +325,13 @@
     }
   }
 
-  private storeTargets ({ ids, closed, incarnations }: Extract<CellEffect, { type: 'store-targets' }>, epoch: number): void {
+  private storeTargets ({ ids, closed, incarnations, unbound }: Extract<CellEffect, { type: 'store-targets' }>, epoch: number): void {
     this.time.schedule(20, () => {
       if (epoch !== this.epoch) return
       this.store.incarnations = incarnations
+      this.store.unbound = unbound
       if (this.options.draining) this.store.targets = { ids, closed }
-      this.apply({ type: 'targets-stored', ids })
+      this.apply({ type: 'targets-stored', ids, unbound })
     })
   }
 
@@ -354,9 +356,10 @@
     const delayed = this.occurs(this.options.late ? 0.08 : 0.03)
     if (delayed) this.faults.delayedCommands += 1
     const incarnation = target.incarnation
+    if (this.options.connected && effect.type === 'start' && effect.incarnation !== incarnation) return this.withhold(effect, epoch)
     const fencingNumber = computeFencingNumber(epoch, effect.restarts)
     const arrive = (): void => {
-      if (!(delayed ? this.mayArriveLate(target, incarnation) : target.isReachable(this.now))) return
+      if (!(delayed ? this.mayArriveLate(target, incarnation) : this.mayArrive(target, incarnation))) return
       const outcome = effect.type === 'start' ? this.startRun(effect, target, fencingNumber, delayed) : target.stop(effect.command.task, effect.command.run, fencingNumber, this.now)
       const lost = delayed || this.occurs(0.03)
       if (lost && !delayed) this.faults.lostResponses += 1
@@ -366,8 +369,21 @@
     this.time.schedule(delayed ? this.drawLateDelayMs() : 1, arrive)
   }
 
+  /** Another incarnation has answered than the one that the start is meant for, so that it is not sent. */
+  private withhold (effect: Extract<CellEffect, { type: 'start' }>, epoch: number): void {
+    this.time.schedule(1, () => {
+      if (epoch === this.epoch) this.apply({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response: { type: 'unanswered', reason: 'incarnation-not-confirmed', sent: false } })
+    })
+  }
+
+  /** A connection ends with the incarnation that has accepted it. */
+  private mayArrive (target: SimulatedTarget, incarnation: number): boolean {
+    return target.isReachable(this.now) && (!this.options.connected || target.incarnation === incarnation)
+  }
+
   /** A delayed command waits in the target itself, so that a crash loses it, or in the network, from where it reaches any incarnation. */
   private mayArriveLate (target: SimulatedTarget, incarnation: number): boolean {
+    if (this.options.connected) return !target.left && target.away === undefined && incarnation === target.incarnation
     if (this.options.late && this.options.restarting) return !target.left && target.away === undefined
     return target.isReachable(this.now) && incarnation === target.incarnation
   }
