Take commands of older releases for unbound after a rollback

Cause: the record of targets tells that commands are bound, and the leader after one of an older release that has ended before it had stored its own record read that of the leader before, or none, as one of bound commands. Change: the record counts only if the leaders of all terms that aren't settled have bound their commands. The members of the virtual cell say that they bind commands, as members of this release do.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -31,6 +31,7 @@
 import type { LeaderState } from './summary-log.ts'
 import { TargetSession } from './target-session.ts'
 import { TickWatch } from './tick-watch.ts'
+import { areCommandsBound } from './unsettled-terms.ts'
 import { Witnesses } from './witnesses.ts'
 
 const TICK_INTERVAL_MS = 50
@@ -260,10 +261,10 @@
 
   /** Reads the jobs, their progress and the targets of previous leaders; retries until it succeeds or the term ends. */
   private async restore (): Promise<number | undefined> {
-    const { store, reporter, isLeaseConfirmed } = this.options
+    const { store, reporter, term, isLeaseConfirmed } = this.options
     const startedAt = performance.now()
     while (!this.stopped) {
-      const state = await readStoredState(store, reporter)
+      const state = await readStoredState(store, reporter, areCommandsBound(term.unsettled))
       // Without the lease another member may lead, and a job that was read may be a new one of its term.
       if (state !== undefined && isLeaseConfirmed()) {
         this.previousTargets = state.targets
--- a/src/controller/read-stored-state.ts
+++ b/src/controller/read-stored-state.ts
@@ -21,22 +21,29 @@
 
 /**
  * Reads the jobs, their progress, and the targets and settings that earlier leaders have stored; undefined if a call to the store fails.
+ * `areCommandsBound`: whether all leaders of unsettled terms have bound their commands; if not, the record of targets may be that of
+ * a leader before them.
  *
  * @example
- * const state = await readStoredState(store, reporter)
+ * const state = await readStoredState(store, reporter, areCommandsBound(term.unsettled))
  * for (const event of state?.events ?? []) scheduler.apply(event, performance.now())
  */
-export async function readStoredState (store: Store, reporter: Reporter): Promise<StoredState | undefined> {
+export async function readStoredState (store: Store, reporter: Reporter, areCommandsBound: boolean): Promise<StoredState | undefined> {
   const [jobs, progress, state] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, STATE_PREFIX)])
   if (jobs.isErr() || progress.isErr() || state.isErr()) return undefined
   const record = state.value.entries.filter(({ key }) => key === TARGETS_KEY).map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
   const targets = record?.ids ?? []
   const events: readonly CellEvent[] = [
     { type: 'closed-targets-restored', closed: record?.closed ?? {} },
-    { type: 'incarnations-restored', incarnations: record?.incarnations ?? {}, unbound: record === undefined ? [] : record.unbound },
+    { type: 'incarnations-restored', incarnations: record?.incarnations ?? {}, unbound: areCommandsBound ? findUnbound(record) : undefined },
     { type: 'targets-stored', ids: targets },
     ...readStoredSettings(state.value.entries, (key) => reporter.log('error', 'settings-unreadable', { key })),
     ...readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))
   ]
   return { events, targets, jobCount: jobs.value.entries.length, version: jobs.value.version }
 }
+
+/** Returns the targets whose commands may have reached later incarnations; undefined if all may have. */
+function findUnbound (record: TargetsRecord | undefined): readonly string[] | undefined {
+  return record === undefined ? [] : record.unbound
+}
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -183,7 +183,7 @@
     const connection = this.store.connect()
     const findHost = (): VirtualHost | undefined => this.hosts.find((host) => host.name === name)
     const member = this.time.runIn(process, () => VirtualMember.start({
-      self: { member: name, address },
+      self: { member: name, address, bindsCommands: true },
       store: connection,
       commands: this.targets.connect((target) => findHost()?.cutFromTargets === true || findHost()?.unreachedTargets.has(target) === true),
       callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
