--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -31,6 +31,7 @@
 import type { LeaderState } from './summary-log.ts'
 import { TargetSession } from './target-session.ts'
 import { TickWatch } from './tick-watch.ts'
+import { areCommandsBound } from './unsettled-terms.ts'
 import { Witnesses } from './witnesses.ts'
 
 const TICK_INTERVAL_MS = 50
@@ -263,7 +264,7 @@
     const { store, reporter, term, isLeaseConfirmed } = this.options
     const startedAt = performance.now()
     while (!this.stopped) {
-      const state = await readStoredState({ store, reporter, unsettled: term.unsettled })
+      const state = await readStoredState(store, reporter, areCommandsBound(term.unsettled))
       // Without the lease another member may lead, and a job that was read may be a new one of its term.
       if (state !== undefined && isLeaseConfirmed()) {
         this.previousTargets = state.targets
--- a/test/controller/read-stored-state.test.ts
+++ b/test/controller/read-stored-state.test.ts
@@ -4,6 +4,7 @@
 import { readStoredState } from '../../src/controller/read-stored-state.ts'
 import { STATE_PREFIX, TARGETS_KEY } from '../../src/controller/store-keys.ts'
 import type { TargetsRecord, UnsettledTerm } from '../../src/controller/store-keys.ts'
+import { areCommandsBound } from '../../src/controller/unsettled-terms.ts'
 import type { Store } from '../../src/ports/store.ts'
 
 const REPORTER = { log: () => {}, count: () => {}, observe: () => {} }
@@ -34,7 +35,7 @@
 for (const { what, record, unsettled, expected } of cases) {
   // TWICE: a successor that takes unbound commands for bound ones counts 3.5 s for a lease of 10 s on a restarted target.
   test(`stored state: guards against the failure that a leader does not learn whose commands may have reached a later incarnation: ${what}`, async () => {
-    const state = await readStoredState({ store: holding(record), reporter: REPORTER, unsettled })
+    const state = await readStoredState(holding(record), REPORTER, areCommandsBound(unsettled))
     const restored = state?.events.find((event) => event.type === 'incarnations-restored')
     assert.ok(restored?.type === 'incarnations-restored')
     assert.deepEqual(restored.unbound, expected)
