Let workers restart behind a cut in the soak, beside a leader that ends

Cause: the soak's proxy closed the members' side of a connection with the worker's, and published a restarted worker as its link opened, so that no command could be sent to a life that nobody knew of.

Change: the fault recut. Workers crash without a sign and are back before the store shows it; connections of the former life go on until something that is sent on them gets through, and are reset then; the leader fails, and the workers are cut off. Jobs of the kind long, only where they are named, last 8 to 15 s. A TWICE names the lives and leases of both runs.

--- a/soak/inject-fault.ts
+++ b/soak/inject-fault.ts
@@ -6,7 +6,7 @@
 import type { LoopbackProxy } from './loopback-proxy.ts'
 import type { LinkState } from './proxied-stream.ts'
 import type { SoakCell } from './soak-cell.ts'
-import type { LeaderFailure, LeaderLoss, SoakFault, Takeover, WorkersCut } from './soak-fault.ts'
+import type { LeaderFailure, LeaderLoss, Recut, SoakFault, Takeover, WorkersCut } from './soak-fault.ts'
 import type { SoakWorker } from './soak-worker.ts'
 import { troubleStore } from './store-trouble.ts'
 
@@ -64,6 +64,7 @@
     case 'departures':
       await cell.sendWorkersAway(fault.gone)
       return failLeadersInTurn(cell, fault.leaders)
+    case 'recut': return restartAndCutWorkers(cell, fault)
     case 'workers-drain': return runAll(fault.workers, (worker) => cell.drainWorker(worker, fault.forMs))
     case 'late-orders': return delayOrders(cell, fault.share, fault.forMs)
     case 'domain-out':
@@ -134,6 +135,15 @@
   await runAll(workers, (worker) => cell.workers[worker]!.cutOff(state, reborn, forMs))
 }
 
+async function restartAndCutWorkers (cell: SoakCell, { workers, restart, leaders, cutAfterMs, state, forMs }: Recut): Promise<void> {
+  await runAll(workers, (worker) => cell.workers[worker]!.restartUnseen(restart))
+  const cut = async (): Promise<void> => {
+    await wait(cutAfterMs)
+    await cutWorkers(cell, { workers, state, reborn: false }, forMs)
+  }
+  await Promise.all([cut(), failLeadersInTurn(cell, leaders)])
+}
+
 async function delayOrders (cell: SoakCell, share: number, forMs: number): Promise<void> {
   if (share === 0) return
   cell.setLateOrders({ share, survivesCrash: false })
--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -1,10 +1,20 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
-import { ProxiedStream } from './proxied-stream.ts'
+import { computeRetransmissionDelay, ProxiedStream } from './proxied-stream.ts'
 import type { LinkState } from './proxied-stream.ts'
 
-/** `isEstablished`: whether the network has set up the connection; on a link that holds its bytes, this waits until it is open. */
-type ProxiedConnection = { readonly client: Socket, readonly peer: Socket, readonly requests: ProxiedStream, readonly responses: ProxiedStream, isEstablished: boolean }
+type ProxiedConnection = {
+  readonly client: Socket
+  readonly peer: Socket
+  readonly requests: ProxiedStream
+  readonly responses: ProxiedStream
+  /** Whether the network has set up the connection; on a link that holds its bytes, this waits until it is open. */
+  isEstablished: boolean
+  /** Whether the target has ended without a sign, so that the client does not know it yet. */
+  isAbandoned: boolean
+  /** When the client first sent something on an abandoned connection, which is reset as soon as this gets through. */
+  unansweredSinceMs: number | undefined
+}
 
 const DEFAULT_HOST = '127.0.0.1'
 
@@ -40,7 +50,7 @@
     const before = this.state
     if (state === before) return
     this.state = state
-    if (before === 'dark') this.resetAll()
+    if (before === 'dark') this.resetAll(({ isAbandoned, client }) => !isAbandoned || client.destroyed)
     if (isRefusing(before) && !isRefusing(state)) this.server.listen(this.port, this.host)
     for (const connection of this.connections) {
       connection.isEstablished ||= state !== 'held'
@@ -49,6 +59,7 @@
     }
     if (isRefusing(state) && !isRefusing(before)) this.server.close()
     if (state === 'reset' || state === 'refused') this.resetAll()
+    for (const connection of this.connections) this.retransmitUnanswered(connection)
   }
 
   /** Closes the target's side of all connections, as a process that ends does. A disturbed link holds back that they have ended. */
@@ -56,18 +67,31 @@
     for (const { peer } of this.connections) peer.destroy()
   }
 
+  /**
+   * Ends the target's side of all connections without a sign, as a host that loses its power. Open connections go on for the
+   * client until something that it sends gets through: then they are reset, as the next process at the address knows nothing of
+   * them.
+   */
+  abandonConnections (): void {
+    for (const connection of this.connections) {
+      connection.isAbandoned = true
+      connection.peer.destroy()
+    }
+  }
+
   close (): void {
     this.server.close()
     this.resetAll()
   }
 
-  private resetAll (): void {
-    for (const connection of this.connections) this.reset(connection)
+  private resetAll (isAffected: (connection: ProxiedConnection) => boolean = () => true): void {
+    for (const connection of this.connections) if (isAffected(connection)) this.reset(connection)
   }
 
   private reset (connection: ProxiedConnection): void {
     this.connections.delete(connection)
-    connection.client.destroy()
+    if (connection.isAbandoned) connection.client.resetAndDestroy()
+    else connection.client.destroy()
     connection.peer.destroy()
   }
 
@@ -80,16 +104,33 @@
     const { state } = this
     const requests = ProxiedStream.create(peer, 'requests', state)
     const responses = ProxiedStream.create(client, 'responses', state)
-    const connection: ProxiedConnection = { client, peer, requests, responses, isEstablished: state !== 'held' }
+    const connection: ProxiedConnection = { client, peer, requests, responses, isEstablished: state !== 'held', isAbandoned: false, unansweredSinceMs: undefined }
     this.connections.add(connection)
-    client.on('data', (bytes) => requests.write(bytes)).on('error', () => {}).on('close', () => this.closeSide(connection, requests))
+    client.on('data', (bytes) => this.receiveFromClient(connection, bytes)).on('error', () => {}).on('close', () => this.closeSide(connection, requests))
     peer.on('data', (bytes) => responses.write(bytes)).on('error', () => {}).on('close', () => this.closeSide(connection, responses))
   }
 
+  private receiveFromClient (connection: ProxiedConnection, bytes: Buffer): void {
+    if (!connection.isAbandoned) return connection.requests.write(bytes)
+    connection.unansweredSinceMs ??= performance.now()
+    this.resetIfReached(connection)
+  }
+
+  /** Resets an abandoned connection at the next retransmission of what was sent on it, if it gets through then. */
+  private retransmitUnanswered (connection: ProxiedConnection): void {
+    const { unansweredSinceMs } = connection
+    if (unansweredSinceMs === undefined) return
+    setTimeout(() => this.resetIfReached(connection), computeRetransmissionDelay(performance.now() - unansweredSinceMs)).unref()
+  }
+
+  private resetIfReached (connection: ProxiedConnection): void {
+    if (isForwarding(this.state) && this.connections.has(connection)) this.reset(connection)
+  }
+
   /** Passes on that one side has closed, which may have to wait like the bytes that it has sent before. */
   private closeSide (connection: ProxiedConnection, stream: ProxiedStream): void {
-    const { client, peer, isEstablished } = connection
-    if (this.state === 'dark') return
+    const { client, peer, isEstablished, isAbandoned } = connection
+    if (this.state === 'dark' || (isAbandoned && !client.destroyed)) return
     if (!isEstablished || !stream.isHolding || (client.destroyed && peer.destroyed)) this.reset(connection)
     else stream.end()
   }
@@ -98,3 +139,8 @@
 function isRefusing (state: LinkState): boolean {
   return state === 'refused' || state === 'refuses-new'
 }
+
+/** Whether what a client sends reaches the target's host at once. */
+function isForwarding (state: LinkState): boolean {
+  return state === 'open' || state === 'slow' || state === 'one-way' || state === 'refuses-new'
+}
--- a/soak/random-fault.ts
+++ b/soak/random-fault.ts
@@ -4,6 +4,7 @@
 import { chooseIndexes } from './choose-indexes.ts'
 import type { LinkState } from './proxied-stream.ts'
 import { createRandomLoss } from './random-loss.ts'
+import { createRandomRecut } from './random-recut.ts'
 import { getKind } from './soak-fault.ts'
 import type { LeaderFailure, SoakFault, WorkersCut } from './soak-fault.ts'
 import { STORE_TROUBLES } from './store-trouble.ts'
@@ -12,6 +13,10 @@
   readonly random: Random
   /** Random numbers of the losses of workers and leaders. */
   readonly lossRandom: Random
+  /** Random numbers of the restarts with a cut. */
+  readonly recutRandom: Random
+  /** Time until the end of the traffic, which a recut should not outlast. */
+  readonly remainingMs: number
   readonly members: number
   readonly workers: number
   /** Beginnings of the kinds; all kinds if empty. */
@@ -55,10 +60,10 @@
  * give the same fault.
  *
  * @example
- * createRandomFault({ random: Random.create(7), lossRandom: Random.create(8), members: 4, workers: 8 })
+ * createRandomFault({ random: Random.create(7), lossRandom: Random.create(8), recutRandom: Random.create(9), remainingMs: 20_000, members: 4, workers: 8 })
  */
 export function createRandomFault (options: RandomFaultOptions): SoakFault {
-  const { random, lossRandom, members, workers, kinds = [] } = options
+  const { random, lossRandom, recutRandom, remainingMs, members, workers, kinds = [] } = options
   const forMs = MIN_FAULT_MS + random.nextInt(MAX_FAULT_MS - MIN_FAULT_MS)
   const member = random.nextInt(members)
   const worker = random.nextInt(workers)
@@ -110,7 +115,8 @@
       seed: random.nextInt(SEED_RANGE)
     }))
   ]
-  const candidates = [createRandomLoss(lossRandom, workers), faults[random.nextInt(faults.length)]]
+  const candidates = [createRandomRecut({ random: recutRandom, workers, remainingMs }), createRandomLoss(lossRandom, workers), faults[random.nextInt(faults.length)]]
   const chosen = candidates.find((fault) => fault !== undefined && (kinds.length === 0 || kinds.some((kind) => getKind(fault).startsWith(kind))))
-  return chosen ?? createRandomFault(options)
+  // A kind that would outlast the traffic may be the only one.
+  return chosen ?? createRandomFault({ ...options, remainingMs: Infinity })
 }
--- a/soak/run-history.ts
+++ b/soak/run-history.ts
@@ -1,4 +1,4 @@
-import type { WorkerEvent } from '../platform/standin/worker-server.ts'
+import type { WorkerEvent, WorkerLife } from '../platform/standin/worker-server.ts'
 import { getStepName } from '../platform/standin/worker-task.ts'
 import { Disruptions } from './disruptions.ts'
 import { LastingTasks } from './lasting-tasks.ts'
@@ -8,7 +8,8 @@
 type WorkerCompletion = Extract<WorkerEvent, { type: 'ended' }>
 type WorkerAcknowledgement = Extract<WorkerEvent, { type: 'acknowledged' }>
 
-type PresentRun = { readonly worker: string, readonly text: string, readonly startedAtMs: number }
+/** `life`: what the worker had granted when the run started. */
+type PresentRun = { readonly worker: string, readonly text: string, readonly startedAtMs: number, readonly life: WorkerLife | undefined }
 
 /** What is known of a task, or of a gang: the end of one of its members represents all of them. */
 type WorkHistory = {
@@ -39,6 +40,8 @@
   readonly getDomain: (worker: string) => string
   /** Returns the workers that are up, published and not draining, and on which the advisor lets a step run. */
   readonly findWorkers: (stepName: string) => readonly string[]
+  /** Returns what a breach tells of the worker of a run. */
+  readonly findLife?: (worker: string) => WorkerLife | undefined
 }
 
 /** A task that lasts must have a run only while there is room for it this many times. */
@@ -200,12 +203,13 @@
     task.starts += 1
     if (this.refusedJobs.has(known.job.id)) this.recordBreach('REFUSED', `${known.id} starts although its job was refused`)
     if (foreignCheckpoint !== undefined) this.recordBreach('UNASKED', `${known.id} starts with the checkpoint ${foreignCheckpoint} of another task`)
-    this.checkRepetition(known, task, text, lateByMs !== undefined, atMs)
+    const started: PresentRun = { worker, text, startedAtMs: atMs, life: this.options.findLife?.(worker) }
+    this.checkRepetition(known, task, started, lateByMs !== undefined)
     this.checkOrder(known, text, atMs)
     this.checkAttempts(known, task, text, lateByMs !== undefined, atMs)
     // Bounds of time do not hold for an order that was held up.
     if (lateByMs === undefined) this.checkPermission(known, worker, atMs)
-    task.running.set(`${worker}/${run}`, { worker, text, startedAtMs: atMs })
+    task.running.set(`${worker}/${run}`, started)
     this.lasting.recordStart(known.id, atMs)
     this.checkSpread(known, worker)
     const bookedCpuMillis = (this.bookedCpuMillis.get(worker) ?? 0) + known.step.cpuMillis
@@ -216,9 +220,10 @@
   }
 
   /** Checks that a start does not repeat work that is in progress or done. */
-  private checkRepetition (known: KnownTask, { running, work }: TaskHistory, text: string, isLate: boolean, atMs: number): void {
+  private checkRepetition (known: KnownTask, { running, work }: TaskHistory, started: PresentRun, isLate: boolean): void {
+    const { text, startedAtMs: atMs } = started
     if (known.step.speculative === true) return this.checkLateCopy(known, work, text, isLate, atMs)
-    if (running.size > 0) this.recordBreach('TWICE', `${known.id} ${text} starts concurrently with ${[...running.values()].map((present) => `${present.text}, started ${Math.round(atMs - present.startedAtMs)} ms before`).join(', ')}`)
+    if (running.size > 0) this.recordBreach('TWICE', `${known.id} ${text}${this.describeLife(started, atMs)} starts concurrently with ${[...running.values()].map((present) => `${present.text}${this.describeLife(present, atMs)}, started ${Math.round(atMs - present.startedAtMs)} ms before`).join(', ')}`)
     if (work.done && (work.doneAcknowledgedAtMs !== undefined || this.completedAtMs.has(known.job.id))) this.recordBreach('TWICE', `${known.id} ${text} starts after its completion was acknowledged`)
     else if (!isLate && atMs > work.lapsedAcknowledgedAtMs + END_GRACE_MS) this.recordBreach('TWICE', `${known.id} ${text} starts ${Math.round(atMs - work.lapsedAcknowledgedAtMs)} ms after a completion was acknowledged whose lease had expired`)
     for (const starts of work.startsAfterDone.values()) starts.push(text)
@@ -231,6 +236,14 @@
     this.recordBreach('TWICE', `${known.id} ${text} starts ${Math.round(atMs - knownSinceMs)} ms after the completion of another copy was acknowledged`)
   }
 
+  /** The incarnation on which a run is present, and its lease when the run started and now. */
+  private describeLife ({ worker, startedAtMs, life }: PresentRun, nowMs: number): string {
+    if (life === undefined) return ''
+    const { leaseEndsAtMs } = this.options.findLife?.(worker) ?? life
+    const text = `on the life since ${new Date(life.startedAtMs).toISOString()}, with a lease of ${Math.round(life.leaseEndsAtMs - startedAtMs)} ms at its start`
+    return ` (${text}${nowMs === startedAtMs ? '' : ` and ${Math.round(leaseEndsAtMs - nowMs)} ms left`})`
+  }
+
   private checkAttempts ({ id, job, step }: KnownTask, { acknowledgedFailures, lastFailureAcknowledgedAtMs }: TaskHistory, text: string, isLate: boolean, atMs: number): void {
     if (step.longRunning === true || acknowledgedFailures < job.maxAttempts) return
     const isAllowedCopy = step.speculative === true && (isLate || atMs <= lastFailureAcknowledgedAtMs + END_GRACE_MS || !this.isCalmSince(atMs))
--- a/soak/soak-fault.ts
+++ b/soak/soak-fault.ts
@@ -1,6 +1,6 @@
 import type { WorkerDelay } from '../platform/standin/worker-server.ts'
 import type { LinkState } from './proxied-stream.ts'
-import type { AwayState, CutState } from './soak-worker.ts'
+import type { AwayState, CutState, UnseenRestart } from './soak-worker.ts'
 import type { StoreTrouble } from './store-trouble.ts'
 
 /** A fault that is caused from outside the member processes. Several faults may overlap. */
@@ -28,6 +28,8 @@
   | { readonly type: 'workers-reborn-gone', readonly gone: WorkersGone, readonly afterMs: number }
   /** Some workers end, and leaders fail one after another beside them. */
   | { readonly type: 'departures', readonly gone: WorkersGone, readonly leaders: readonly LeaderLoss[] }
+  /** Some workers restart without a sign; then leaders fail, and the workers are cut off. */
+  | Recut
   /** Some workers drain for a while and leave for good, and new ones join. */
   | { readonly type: 'workers-drain', readonly workers: readonly number[], readonly forMs: number }
   | { readonly type: 'late-orders', readonly share: number, readonly forMs: number }
@@ -55,6 +57,19 @@
   readonly seed: number
 }
 
+/** A restart of workers that no connection shows, with the failure of leaders and the cut that follow it. */
+export type Recut = {
+  readonly type: 'recut'
+  readonly workers: readonly number[]
+  readonly restart: UnseenRestart
+  /** The first one fails the given time after the workers are back, each other one after the one before. */
+  readonly leaders: readonly LeaderLoss[]
+  /** The cut begins after this time since the workers are back. */
+  readonly cutAfterMs: number
+  readonly state: CutState
+  readonly forMs: number
+}
+
 /** Workers that are cut off; with `reborn` they crash meanwhile. */
 export type WorkersCut = { readonly workers: readonly number[], readonly state: CutState, readonly reborn: boolean }
 
@@ -73,7 +88,7 @@
 
 /**
  * The type of a fault; for a takeover with the trouble of the store and the failure of the leader, for a failure of the
- * leader alone with its kind, and for a trouble of the store alone with its mode.
+ * leader alone and for a recut with the kind of the (first) failure, and for a trouble of the store alone with its mode.
  *
  * @example
  * getKind({ type: 'store', mode: 'busy', pausesLeases: false, forMs: 500 }) // 'store/busy'
@@ -82,6 +97,7 @@
   switch (fault.type) {
     case 'takeover': return `${fault.type}/${fault.trouble}/${fault.leader}`
     case 'leader': return `${fault.type}/${fault.leader}`
+    case 'recut': return `${fault.type}/${fault.leaders[0]?.leader ?? 'none'}`
     case 'store': return `${fault.type}/${fault.mode}`
     default: return fault.type
   }
--- a/soak/soak-jobs.ts
+++ b/soak/soak-jobs.ts
@@ -25,14 +25,16 @@
 }
 
 /**
- * Kinds of jobs. `plain`: one or two steps of a few tasks. `wide`: short steps of up to 36 tasks. `saved`: two steps that
+ * Kinds of jobs. `plain`: one or two steps of a few tasks. `long`: a few tasks of 8 to 15 s. `wide`: short steps of up to 36 tasks. `saved`: two steps that
  * checkpoint their work. `gang`: tasks that work only together. `lasting`: tasks that run until their caller cancels them.
  * `repeated`: several occurrences, some of which overlap. `copied`: tasks of which copies may run.
  */
-export type SoakJobKind = 'plain' | 'wide' | 'saved' | 'gang' | 'lasting' | 'repeated' | 'copied'
+export type SoakJobKind = 'plain' | 'long' | 'wide' | 'saved' | 'gang' | 'lasting' | 'repeated' | 'copied'
 
 /** The kinds from which jobs are drawn; those that are listed more often are drawn more often. */
 const JOB_KINDS: readonly SoakJobKind[] = ['plain', 'plain', 'plain', 'wide', 'wide', 'wide', 'saved', 'saved', 'gang', 'lasting', 'repeated', 'copied']
+/** Kinds that are drawn only where they are named: others would change the jobs of all seeds. */
+const NAMED_KINDS: readonly SoakJobKind[] = ['long']
 
 /** A job with the body of its submission and what its caller does with it. */
 export type SoakSubmission = {
@@ -60,6 +62,7 @@
 const LIMITED_STEPS_RATIO = 0.3
 const SHORT_TASK_MS = { min: 80, spread: 1_500 } as const
 const LONG_TASK_MS = { min: 2_000, spread: 4_000 } as const
+const VERY_LONG_TASK_MS = { min: 8_000, spread: 7_000 } as const
 const REPEATED_TASK_MS = { min: 200, spread: 1_600 } as const
 const CANCEL_DELAY_MS = { min: 200, spread: 1_500 } as const
 /** Time after which each run of a task that lasts fails, in a job whose tasks do. */
@@ -80,7 +83,7 @@
  */
 export function createSoakJob (random: Random, id: string, options: { readonly maxAttempts: number, readonly needsTicket: boolean, readonly kinds?: readonly string[] }): SoakSubmission {
   const { maxAttempts, needsTicket, kinds = [] } = options
-  const candidates = JOB_KINDS.filter((candidate) => kinds.length === 0 || kinds.includes(candidate))
+  const candidates = kinds.length === 0 ? JOB_KINDS : [...JOB_KINDS, ...NAMED_KINDS].filter((candidate) => kinds.includes(candidate))
   const kind = candidates[random.nextInt(candidates.length)]!
   const fails = random.next() < FAILING_JOBS_RATIO
   const isCancelled = random.next() < CANCELLED_JOBS_RATIO
@@ -99,6 +102,7 @@
       const counts = Array.from({ length: 1 + random.nextInt(2) }, () => 1 + random.nextInt(4))
       return { steps: counts.map((count, index) => ({ count, cpuMillis: PLAIN_CPU_MILLIS, ms, ...(index === 0 ? {} : { after: index - 1 }) })) }
     }
+    case 'long': return { steps: [{ count: 1 + random.nextInt(4), cpuMillis: PLAIN_CPU_MILLIS, ms: draw(random, VERY_LONG_TASK_MS) }] }
     case 'wide': {
       const counts = Array.from({ length: 1 + random.nextInt(2) }, () => drawWidth(random))
       const perTargetLimit = random.next() < LIMITED_STEPS_RATIO ? 1 + random.nextInt(3) : undefined
--- a/soak/soak-worker.ts
+++ b/soak/soak-worker.ts
@@ -11,6 +11,9 @@
 /** How a worker that has gone away is missed: nothing answers, or its host refuses connections. */
 export type AwayState = 'dark' | 'refused'
 
+/** Times of a restart that no connection shows: until the next incarnation starts, and from then until its entry is published. */
+export type UnseenRestart = { readonly downMs: number, readonly heartbeatAfterMs: number }
+
 /** Loopback address of the links; another one than that of other listeners, which would take the port of a link that does not listen. */
 const DEFAULT_LINK_HOST = '127.0.0.2'
 /** Three heartbeat intervals of silence, after which the entry of a worker is removed. */
@@ -24,6 +27,9 @@
   private isPublished = false
   private isAway = false
   private expiry: NodeJS.Timeout | undefined
+  private heartbeat: NodeJS.Timeout | undefined
+  /** Number of faults that cut the worker off from the store. */
+  private cuts = 0
 
   private constructor (readonly server: WorkerServer, private readonly link: LoopbackProxy, private readonly kv: KvServer, readonly domain: string) {}
 
@@ -48,6 +54,7 @@
   /** Ends with all its runs. Its entry expires, and its address is silent or refuses connections until it comes back. */
   goAway (state: AwayState): void {
     if (this.isAway || this.state === 'left') return
+    clearTimeout(this.heartbeat)
     this.link.setState(state)
     this.isAway = true
     this.server.isOff = true
@@ -59,15 +66,25 @@
   comeBack (): boolean {
     if (!this.isAway) return false
     clearTimeout(this.expiry)
-    this.isAway = false
-    if (this.state === 'left') return true
-    this.server.crash()
-    this.server.isOff = false
-    this.link.setState('open')
+    this.startAgain()
     this.register()
     return true
   }
 
+  /**
+   * Crashes without a sign and starts again under its id and at its address. Connections that were open go on until something is
+   * sent on them. Calls reach the next incarnation at once; the entry of the one before stays until the next heartbeat, or expires.
+   */
+  async restartUnseen ({ downMs, heartbeatAfterMs }: UnseenRestart): Promise<void> {
+    if (this.isAway || this.state === 'left') return
+    this.link.abandonConnections()
+    this.goAway('dark')
+    await wait(downMs)
+    if (!this.isAway) return
+    this.startAgain()
+    this.heartbeat = setTimeout(() => { if (this.cuts === 0) this.register() }, heartbeatAfterMs).unref()
+  }
+
   /** Loses all state and starts again under the same id. */
   crash (): void {
     this.restart()
@@ -77,11 +94,13 @@
   /** Cuts the worker off from all members and from the store. With `reborn` it crashes meanwhile and starts again under its id. */
   async cutOff (state: CutState, reborn: boolean, ms: number): Promise<void> {
     this.setLinkState(state)
+    this.cuts += 1
     const expiry = setTimeout(() => this.unregister(), REGISTRATION_TIMEOUT_MS)
     await wait(ms / 2)
     if (reborn) this.restart()
     await wait(ms / 2)
     clearTimeout(expiry)
+    this.cuts -= 1
     this.setLinkState('open')
     this.register()
   }
@@ -110,6 +129,7 @@
 
   close (): void {
     clearTimeout(this.expiry)
+    clearTimeout(this.heartbeat)
     this.link.close()
     this.server.close()
   }
@@ -123,8 +143,18 @@
     this.link.closeTargetSides()
   }
 
+  private startAgain (): void {
+    this.isAway = false
+    if (this.state === 'left') return
+    this.server.crash()
+    this.server.isOff = false
+    this.link.setState('open')
+  }
+
   private register (): void {
     if (this.state === 'left' || this.isAway) return
+    clearTimeout(this.expiry)
+    clearTimeout(this.heartbeat)
     this.kv.put(this.key, this.server.createEntry(this.state, this.link.address, this.domain))
     this.isPublished = true
   }
--- a/test/soak/inject-fault.test.ts
+++ b/test/soak/inject-fault.test.ts
@@ -7,6 +7,7 @@
 import { injectFault } from '../../soak/inject-fault.ts'
 import { SoakCell } from '../../soak/soak-cell.ts'
 import type { SoakFault, WorkersGone } from '../../soak/soak-fault.ts'
+import type { SoakWorker, UnseenRestart } from '../../soak/soak-worker.ts'
 
 const AWAY_MS = 600
 const CRASHED_MS = 300
@@ -43,3 +44,41 @@
     }
   })
 }
+
+const LEADER_AFTER_MS = 300
+
+for (const { leaders, cutAfterMs, order } of [
+  { leaders: ['kill'], cutAfterMs: LEADER_AFTER_MS - 200, order: ['back', 'cut', 'leader fails'] },
+  { leaders: ['terminate'], cutAfterMs: LEADER_AFTER_MS + 200, order: ['back', 'leader fails', 'cut'] },
+  { leaders: ['kill', 'kill'], cutAfterMs: LEADER_AFTER_MS - 200, order: ['back', 'cut', 'leader fails', 'leader fails'] },
+  { leaders: [], cutAfterMs: LEADER_AFTER_MS, order: ['back', 'cut'] }
+] as const) {
+  // Without this order no lease of the restarted worker outlives the time that the next leader waits for it.
+  test(`soak fault: in a recut workers come back, and ${order.slice(1).join(', then ')}`, async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'damaskfield-fault-'))
+    const cell = await SoakCell.start({ members: 0, workers: 1, bundle: '', folder, subnet: 10 })
+    const events: string[] = []
+    mock.method(cell, 'findLeader', () => 0)
+    mock.method(cell, 'restartMember', async () => { events.push('leader fails') })
+    mock.method(cell.workers[0]!, 'cutOff', async () => { events.push('cut') })
+    const { restartUnseen } = cell.workers[0]!
+    mock.method(cell.workers[0]!, 'restartUnseen', async function (this: SoakWorker, restart: UnseenRestart) {
+      await restartUnseen.call(this, restart)
+      events.push('back')
+    })
+    try {
+      await injectFault(cell, {
+        type: 'recut',
+        workers: [0],
+        restart: { downMs: CRASHED_MS, heartbeatAfterMs: 0 },
+        leaders: leaders.map((leader) => ({ afterMs: LEADER_AFTER_MS, leader, forMs: 0 })),
+        cutAfterMs,
+        state: 'silent',
+        forMs: AWAY_MS
+      })
+      assert.deepEqual(events, order)
+    } finally {
+      await cell.close()
+    }
+  })
+}
--- a/test/soak/loopback-proxy.test.ts
+++ b/test/soak/loopback-proxy.test.ts
@@ -85,6 +85,47 @@
   })
 }
 
+type Abandoned = { readonly state: LinkState, readonly sends: boolean, readonly seen: 'while disturbed' | 'after the heal' | 'never' }
+
+const ABANDONED: readonly Abandoned[] = [
+  { state: 'open', sends: true, seen: 'while disturbed' },
+  { state: 'open', sends: false, seen: 'never' },
+  { state: 'silent', sends: true, seen: 'after the heal' },
+  { state: 'held', sends: true, seen: 'after the heal' },
+  { state: 'dark', sends: true, seen: 'after the heal' },
+  { state: 'dark', sends: false, seen: 'never' }
+]
+
+for (const { state, sends, seen } of ABANDONED) {
+  // A proxy that closes the client's side with the target's hides a restart from nobody, unlike a host that loses its power.
+  test(`loopback proxy: a client ${sends ? 'that sends something' : 'that sends nothing'} on a connection of an earlier process learns of its end ${seen} while its link is ${state}`, async () => {
+    const server = createServer((socket) => socket.pipe(socket).on('error', () => {}))
+    await once(server.listen(0, '127.0.0.1'), 'listening')
+    const link = await LoopbackProxy.listen(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+    let end: string | undefined
+    const client = connect(Number(link.address.split(':')[1]), '127.0.0.1').on('error', ({ code }: NodeJS.ErrnoException) => { end = code }).resume()
+    await once(client, 'connect')
+    await wait(20)
+    link.abandonConnections()
+    link.setState(state)
+    await wait(DISTURBED_MS / 2)
+    assert.equal(end, undefined)
+    if (sends) client.write('a')
+    await wait(DISTURBED_MS / 2)
+    assert.equal(end, seen === 'while disturbed' ? 'ECONNRESET' : undefined)
+    link.setState('open')
+    await wait(RETRANSMITTED_MS)
+    assert.deepEqual([end, client.destroyed], seen === 'never' ? [undefined, false] : ['ECONNRESET', true])
+    const next = connect(Number(link.address.split(':')[1]), '127.0.0.1').on('error', () => {})
+    next.write('b')
+    assert.equal(String(await once(next, 'data')), 'b')
+    next.destroy()
+    client.destroy()
+    link.close()
+    server.close()
+  })
+}
+
 for (const { state, goesOn } of [{ state: 'refused', goesOn: false }, { state: 'refuses-new', goesOn: true }] as const) {
   // A member that is refused a connection knows that no process listens, which no other state may tell it.
   test(`loopback proxy: connections are refused while a link is ${state}, and set up at the same address afterwards; earlier ones ${goesOn ? 'go on' : 'end'}`, async () => {
--- a/test/soak/soak-worker.test.ts
+++ b/test/soak/soak-worker.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
-import { request } from 'undici'
+import { Client, request } from 'undici'
 import { KvServer } from '../../platform/standin/kv-server.ts'
 import { SoakWorker } from '../../soak/soak-worker.ts'
 import type { AwayState } from '../../soak/soak-worker.ts'
@@ -61,6 +61,47 @@
   })
 }
 
+type Unseen = { readonly scenario: string, readonly isCut: boolean, readonly cutMs: number, readonly later: 'reborn' | 'none' }
+
+const HEARTBEAT_MS = 600
+const UNSEEN: readonly Unseen[] = [
+  { scenario: 'is published with its next heartbeat', isCut: false, cutMs: 0, later: 'reborn' },
+  { scenario: 'is not published while it is cut off', isCut: true, cutMs: 5_500, later: 'none' }
+]
+
+for (const { scenario, isCut, cutMs, later } of UNSEEN) {
+  // A restart that the store shows at once, or that ends all connections, is known before anything can be sent to the next incarnation.
+  test(`soak worker: a restart that no connection shows ${scenario}, and calls reach the next incarnation before`, async () => {
+    const kv = await KvServer.listen()
+    const worker = await SoakWorker.start(kv, 'east', { id: 'w1', needsTickets: false })
+    const readEntry = (): Entry => JSON.parse(kv.read('servers/w1') ?? 'null') ?? undefined
+    const { address } = JSON.parse(kv.read('servers/w1')!) as { readonly address: string }
+    const earlier = new Client(`http://${address}`)
+    const call = async (dispatcher?: Client): Promise<number | undefined> => {
+      const { body } = await request(`http://${address}/hold`, { method: 'POST', headers: { 'expect-instance': 'w1' }, body: '{}', ...(dispatcher === undefined ? {} : { dispatcher }) })
+      return (await body.json() as { readonly born: number }).born
+    }
+    try {
+      const before = await call(earlier)
+      await worker.restartUnseen({ downMs: FAULT_MS, heartbeatAfterMs: HEARTBEAT_MS })
+      const next = await call()
+      assert.deepEqual([before === next, readEntry()?.born === before, next === worker.server.life.startedAtMs], [false, true, true])
+      await assert.rejects(call(earlier))
+      const cut = isCut ? worker.cutOff('silent', false, cutMs) : undefined
+      await wait(HEARTBEAT_MS)
+      if (cut !== undefined) assert.equal(readEntry()?.born, before)
+      if (cut !== undefined) await wait(4_000)
+      assert.equal(readEntry()?.born, later === 'reborn' ? next : undefined)
+      await cut
+      assert.equal(readEntry()?.born, next)
+    } finally {
+      await earlier.destroy()
+      worker.close()
+      kv.close()
+    }
+  })
+}
+
 /** Other faults of a worker that is away, which must not bring it back. */
 const OVERLAPPING: ReadonlyArray<{ readonly fault: string, readonly cause: (worker: SoakWorker) => Promise<void> | void }> = [
   { fault: 'a crash', cause: (worker) => worker.crash() },
