--- a/soak/run-history.ts
+++ b/soak/run-history.ts
@@ -1,4 +1,4 @@
-import type { WorkerEvent, WorkerLife } from '../platform/standin/worker-server.ts'
+import type { WorkerEvent, WorkerIncarnation } from '../platform/standin/worker-server.ts'
 import { getStepName } from '../platform/standin/worker-task.ts'
 import { Disruptions } from './disruptions.ts'
 import { LastingTasks } from './lasting-tasks.ts'
@@ -8,8 +8,8 @@
 type WorkerCompletion = Extract<WorkerEvent, { type: 'ended' }>
 type WorkerAcknowledgement = Extract<WorkerEvent, { type: 'acknowledged' }>
 
-/** `life`: what the worker had granted when the run started. */
-type PresentRun = { readonly worker: string, readonly text: string, readonly startedAtMs: number, readonly life: WorkerLife | undefined }
+/** `incarnation`: that of its worker, with the lease at the start of the run. */
+type PresentRun = { readonly worker: string, readonly text: string, readonly startedAtMs: number, readonly incarnation: WorkerIncarnation | undefined }
 
 /** What is known of a task, or of a gang: the end of one of its members represents all of them. */
 type WorkHistory = {
@@ -41,7 +41,7 @@
   /** Returns the workers that are up, published and not draining, and on which the advisor lets a step run. */
   readonly findWorkers: (stepName: string) => readonly string[]
   /** Returns what a breach tells of the worker of a run. */
-  readonly findLife?: (worker: string) => WorkerLife | undefined
+  readonly findIncarnation?: (worker: string) => WorkerIncarnation | undefined
 }
 
 /** A task that lasts must have a run only while there is room for it this many times. */
@@ -203,7 +203,7 @@
     task.starts += 1
     if (this.refusedJobs.has(known.job.id)) this.recordBreach('REFUSED', `${known.id} starts although its job was refused`)
     if (foreignCheckpoint !== undefined) this.recordBreach('UNASKED', `${known.id} starts with the checkpoint ${foreignCheckpoint} of another task`)
-    const started: PresentRun = { worker, text, startedAtMs: atMs, life: this.options.findLife?.(worker) }
+    const started: PresentRun = { worker, text, startedAtMs: atMs, incarnation: this.options.findIncarnation?.(worker) }
     this.checkRepetition(known, task, started, lateByMs !== undefined)
     this.checkOrder(known, text, atMs)
     this.checkAttempts(known, task, text, lateByMs !== undefined, atMs)
@@ -223,7 +223,7 @@
   private checkRepetition (known: KnownTask, { running, work }: TaskHistory, started: PresentRun, isLate: boolean): void {
     const { text, startedAtMs: atMs } = started
     if (known.step.speculative === true) return this.checkLateCopy(known, work, text, isLate, atMs)
-    if (running.size > 0) this.recordBreach('TWICE', `${known.id} ${text}${this.describeLife(started, atMs)} starts concurrently with ${[...running.values()].map((present) => `${present.text}${this.describeLife(present, atMs)}, started ${Math.round(atMs - present.startedAtMs)} ms before`).join(', ')}`)
+    if (running.size > 0) this.recordBreach('TWICE', `${known.id} ${text}${this.describeIncarnation(started, atMs)} starts concurrently with ${[...running.values()].map((present) => `${present.text}${this.describeIncarnation(present, atMs)}, started ${Math.round(atMs - present.startedAtMs)} ms before`).join(', ')}`)
     if (work.done && (work.doneAcknowledgedAtMs !== undefined || this.completedAtMs.has(known.job.id))) this.recordBreach('TWICE', `${known.id} ${text} starts after its completion was acknowledged`)
     else if (!isLate && atMs > work.lapsedAcknowledgedAtMs + END_GRACE_MS) this.recordBreach('TWICE', `${known.id} ${text} starts ${Math.round(atMs - work.lapsedAcknowledgedAtMs)} ms after a completion was acknowledged whose lease had expired`)
     for (const starts of work.startsAfterDone.values()) starts.push(text)
@@ -237,11 +237,13 @@
   }
 
   /** The incarnation on which a run is present, and its lease when the run started and now. */
-  private describeLife ({ worker, startedAtMs, life }: PresentRun, nowMs: number): string {
-    if (life === undefined) return ''
-    const { leaseEndsAtMs } = this.options.findLife?.(worker) ?? life
-    const text = `on the life since ${new Date(life.startedAtMs).toISOString()}, with a lease of ${Math.round(life.leaseEndsAtMs - startedAtMs)} ms at its start`
-    return ` (${text}${nowMs === startedAtMs ? '' : ` and ${Math.round(leaseEndsAtMs - nowMs)} ms left`})`
+  private describeIncarnation ({ worker, startedAtMs, incarnation }: PresentRun, nowMs: number): string {
+    if (incarnation === undefined) return ''
+    const startedAt = new Date(incarnation.startedAtMs).toISOString()
+    const leaseMs = Math.round(incarnation.leaseEndsAtMs - startedAtMs)
+    const { leaseEndsAtMs } = this.options.findIncarnation?.(worker) ?? incarnation
+    const leftText = nowMs === startedAtMs ? '' : ` and ${Math.round(leaseEndsAtMs - nowMs)} ms left`
+    return ` (on the incarnation since ${startedAt}, with a lease of ${leaseMs} ms at its start${leftText})`
   }
 
   private checkAttempts ({ id, job, step }: KnownTask, { acknowledgedFailures, lastFailureAcknowledgedAtMs }: TaskHistory, text: string, isLate: boolean, atMs: number): void {
--- a/soak/soak-cell.ts
+++ b/soak/soak-cell.ts
@@ -114,7 +114,7 @@
       capacityCpuMillis: WORKER_CPU_MILLIS,
       getDomain: (worker) => getFailureDomain(Number(worker.slice(1))),
       findWorkers: (stepName) => cell.workers.filter(({ isAvailable, server }) => isAvailable && isGoodWorker(stepName, server.id, goodRatio)).map(({ server }) => server.id),
-      findLife: (worker) => cell.servers.get(worker)?.life
+      findIncarnation: (worker) => cell.servers.get(worker)?.incarnation
     })
     const cell: SoakCell = new SoakCell(kv, advisor, await LoopbackProxy.listen(advisor.address), history, options)
     cell.publishConfiguration()
@@ -320,7 +320,7 @@
   private recordWorkerEvent (id: string, event: WorkerEvent): void {
     if (this.isClosing) return
     if (event.type === 'started') for (const server of this.servers.values()) if (server.id !== id) server.settle()
-    const { startedAtMs, leaseEndsAtMs } = this.servers.get(id)!.life
+    const { startedAtMs, leaseEndsAtMs } = this.servers.get(id)!.incarnation
     this.workerLog.write(`${JSON.stringify({ time: new Date().toISOString(), worker: id, incarnation: startedAtMs, leaseMs: Math.round(leaseEndsAtMs - performance.now()), ...event })}\n`)
     this.history.recordWorkerEvent(id, event, performance.now())
   }
--- a/test/soak/run-history.test.ts
+++ b/test/soak/run-history.test.ts
@@ -146,12 +146,12 @@
 // A breach that names no incarnations and leases can't be told from a start that was late without the logs.
 test('soak history: two concurrent runs are reported with the incarnations of their workers and the leases at their starts and now', () => {
   const lives = new Map([['w1', { startedAtMs: 1_000, leaseEndsAtMs: 10_000 }], ['w2', { startedAtMs: 2_000, leaseEndsAtMs: 7_500 }]])
-  const history = RunHistory.create({ capacityCpuMillis: 2_000, getDomain: () => 'west', findWorkers: () => [], findLife: (worker) => lives.get(worker) })
+  const history = RunHistory.create({ capacityCpuMillis: 2_000, getDomain: () => 'west', findWorkers: () => [], findIncarnation: (worker) => lives.get(worker) })
   history.recordSubmission(JOB)
   history.recordWorkerEvent('w1', startedEvent('a.0.0.0'), 500)
   lives.set('w1', { startedAtMs: 1_000, leaseEndsAtMs: 10_400 })
   history.recordWorkerEvent('w2', startedEvent('a.0.0.0', 1_000_001), 4_000)
-  assert.match(history.breaches[0]!, /^TWICE: a\.0\.0\.0 run 1000001 of term 2 on w2 \(on the life since 1970-01-01T00:00:02\.000Z, with a lease of 3500 ms at its start\) starts concurrently with run 1 of term 1 on w1 \(on the life since 1970-01-01T00:00:01\.000Z, with a lease of 9500 ms at its start and 6400 ms left\), started 3500 ms before/)
+  assert.match(history.breaches[0]!, /^TWICE: a\.0\.0\.0 run 1000001 of term 2 on w2 \(on the incarnation since 1970-01-01T00:00:02\.000Z, with a lease of 3500 ms at its start\) starts concurrently with run 1 of term 1 on w1 \(on the incarnation since 1970-01-01T00:00:01\.000Z, with a lease of 9500 ms at its start and 6400 ms left\), started 3500 ms before/)
 })
 
 type LastingEntry =
--- a/test/soak/soak-worker.test.ts
+++ b/test/soak/soak-worker.test.ts
@@ -85,7 +85,7 @@
       const before = await call(earlier)
       await worker.restartUnseen({ downMs: FAULT_MS, heartbeatAfterMs: HEARTBEAT_MS })
       const next = await call()
-      assert.deepEqual([before === next, readEntry()?.born === before, next === worker.server.life.startedAtMs], [false, true, true])
+      assert.deepEqual([before === next, readEntry()?.born === before, next === worker.server.incarnation.startedAtMs], [false, true, true])
       await assert.rejects(call(earlier))
       const cut = isCut ? worker.cutOff('silent', false, cutMs) : undefined
       await wait(HEARTBEAT_MS)
