--- a/test/platform/http-client-reconnect.test.ts
+++ b/test/platform/http-client-reconnect.test.ts
@@ -91,6 +91,28 @@
   }
 }
 
+// TWICE: the connections of a pool that was replaced outlived their client, and were opened without the knowledge of the next one.
+test('http client: guards against the failure that a request of a replaced pool is written after its client was closed', async () => {
+  const target = await RestartingTarget.start()
+  target.answer = (request) => request.path === SILENT_PATH ? undefined : formatAnswer(request)
+  const client = HttpClient.create(target.address, 1)
+  const send = (path: string, timeoutMs: number): Sending => client.send({ method: 'POST', path, body: {}, timeoutMs })
+  try {
+    const pending = send(SILENT_PATH, SILENT_TIMEOUT_MS)
+    const queued = send(BOUND_PATH, SILENT_TIMEOUT_MS)
+    await Promise.all([send(SILENT_PATH, SHORT_TIMEOUT_MS), send(SILENT_PATH, SHORT_TIMEOUT_MS)])
+    client.close()
+    await target.crash('reset')
+    await target.restart()
+    assert.deepEqual((await queued)._unsafeUnwrapErr(), { reason: 'unreachable', sent: false })
+    assert.deepEqual((await pending)._unsafeUnwrapErr(), { reason: 'broken', sent: true })
+    assert.deepEqual(target.pathsOf(2), [])
+  } finally {
+    client.close()
+    await target.close()
+  }
+})
+
 // By reading, not seen: undici queues the request of a connection again that it has closed itself (`UND_ERR_INFO`).
 test('http exchange: guards against the failure that a request which was written is written again, or is reported as not sent', async () => {
   const exchange = HttpExchange.create(AMPLE_TIMEOUT_MS, { mayBeSent: () => true })
