--- a/test/controller/restart-bounds.test.ts
+++ b/test/controller/restart-bounds.test.ts
@@ -10,7 +10,7 @@
 const targets: ReadonlyArray<{ readonly name: string, readonly end: TargetEnd }> = [
   { name: 'target silent', end: { away: 'silent' } },
   { name: 'target refusing', end: { away: 'refusing' } },
-  ...[500, 2_000, 5_000, 8_000, 12_000, 20_000].map((restartedBeforeMs) => ({ name: `target restarted and silent after ${restartedBeforeMs / 1_000} s`, end: { away: 'silent', restartedBeforeMs } as const }))
+  ...[50, 500, 2_000, 5_000, 8_000, 12_000, 20_000].map((restartedBeforeMs) => ({ name: `target restarted and silent after ${restartedBeforeMs / 1_000} s`, end: { away: 'silent', restartedBeforeMs } as const }))
 ]
 
 const leaders: ReadonlyArray<{ readonly name: string, readonly end: LeaderEnd | undefined, /** Whether its rows are played with both longest leases where they matter. */ readonly isBasic?: boolean }> = [
