Give restarts that no leader has heard of a test file of their own

With 165 rows controller/restart-bounds took 225 of the 240 s that a file may take at a load average of 35 to 40. The 19 rows of targets that are gone 0.05 s after a restart move to controller/unheard-restarts, with the same demands; the ends of leaders stand in restart-bounds.ts.

--- a/test/controller/restart-bounds.ts
+++ b/test/controller/restart-bounds.ts
@@ -40,6 +40,24 @@
 
 export type RestartScenario = { readonly target: TargetEnd, readonly leader: LeaderEnd | undefined, readonly longestLeaseMs: number }
 
+/** The ends of leaders beside which targets end. */
+export const LEADER_ENDS: ReadonlyArray<{ readonly name: string, readonly end: LeaderEnd | undefined, /** Whether its rows are played with both longest leases where they matter. */ readonly isBasic?: boolean }> = [
+  { name: 'leader stays', end: undefined, isBasic: true },
+  { name: 'leader killed, same address', end: { times: 1, then: 'same-address' }, isBasic: true },
+  { name: 'leader killed, host silent', end: { times: 1, then: 'silent' }, isBasic: true },
+  { name: 'leader killed, host refusing', end: { times: 1, then: 'refusing' } },
+  { name: 'leader killed, host closing connections', end: { times: 1, then: 'closing' } },
+  { name: 'leader paused for 4 s', end: { times: 1, then: 'paused', pauseMs: 4_000 } },
+  { name: 'leader paused for 20 s', end: { times: 1, then: 'paused', pauseMs: 20_000 } },
+  { name: 'leader killed, other address', end: { times: 1, then: 'other-address' } },
+  ...[2, 4, 8].flatMap((times) => [
+    { name: `leader killed ${times} times, same address`, end: { times, then: 'same-address' } as const },
+    { name: `leader killed ${times} times, other address`, end: { times, then: 'other-address' } as const }
+  ]),
+  { name: 'leader killed 4 times, other address, old ones silent', end: { times: 4, then: 'other-address-silent' } },
+  { name: 'leader killed, and the next one at its election, other addresses, old ones silent', end: { times: 2, then: 'other-address-silent', intervalMs: 0 } }
+]
+
 /** The task that had no run for longest, measured against what it was owed. */
 export type LongestGap = { readonly task: string, readonly gapMs: number, readonly allowedMs: number, readonly sinceDisturbanceMs: number }
 
