Give up starts that have waited for as long as a command may take

Callers saw: tasks waited for a target that had just been cut off. A start that waited for a free connection behind others was answered as one without an answer after 603 ms, so that its task waited for up to 4 s more; one that was withheld could ask and wait again up to five times.

Change: a start that has not been written 600 ms after it was handed on is given up, counts as not sent, and is not written any more (StartPermit).

--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -3,6 +3,7 @@
 import { Moment } from '../util/moment.ts'
 import type { Clocks } from '../util/moment.ts'
 import type { Reporter } from './reporter.ts'
+import { StartPermit } from './start-permit.ts'
 
 const NOT_SENT = { type: 'unanswered', reason: 'incarnation-not-confirmed', sent: false } as const
 /**
@@ -53,16 +54,22 @@
   }
 
   async start (target: CommandTarget, command: StartCommand, isPermitted: SendPermission = isAlwaysPermitted): Promise<CommandResponse> {
-    const { commands, reporter } = this.options
-    if (target.incarnation === undefined) return commands.start(target, command, isPermitted)
-    for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
+    if (target.incarnation === undefined) return this.options.commands.start(target, command, isPermitted)
+    const permit = StartPermit.create(isPermitted)
+    const response = await Promise.race([this.tryStart(target, command, permit), permit.expired.then(() => NOT_SENT)])
+    permit.close()
+    if (response === NOT_SENT) this.options.reporter.count('start-withheld', NOT_SENT.reason)
+    return response
+  }
+
+  private async tryStart (target: CommandTarget, command: StartCommand, permit: StartPermit): Promise<CommandResponse> {
+    for (let attempt = 0; attempt < MAX_START_ATTEMPTS && !permit.isExpired; attempt += 1) {
       if (!this.mayBeSent(target) && !await this.ask(target, command.epoch)) break
       // A connection that was opened for the question does not count yet.
       if (!this.mayBeSent(target)) continue
-      const response = await commands.start(target, command, () => isPermitted() && this.mayBeSent(target))
-      if (!isWithheld(response) || !isPermitted()) return response
+      const response = await this.options.commands.start(target, command, () => permit.isGranted() && this.mayBeSent(target) && permit.use())
+      if (!isWithheld(response) || !permit.isGranted()) return response
     }
-    reporter.count('start-withheld', NOT_SENT.reason)
     return NOT_SENT
   }
 
--- a/test/platform/incarnation-sockets.test.ts
+++ b/test/platform/incarnation-sockets.test.ts
@@ -12,6 +12,9 @@
 const WAITING_LIST = { ...LEASE, waitMs: 1_000 }
 const SETTLE_MS = 30
 const BURST = 12
+/** How long a command may take, and how much later a busy machine may notice it. */
+const COMMAND_TIMEOUT_MS = 600
+const BUSY_MS = 300
 const MAX_QUESTIONS = 5
 const LISTED_PATH = '/hold'
 const START_PATH = '/run-start'
@@ -84,3 +87,30 @@
     })
   })
 }
+
+const silences: ReadonlyArray<{ readonly name: string, readonly prepare: (setup: Setup) => Promise<void> }> = [
+  { name: 'that it has not met', prepare: async () => {} },
+  { name: 'that it has met', prepare: async ({ check, meant }) => { await check.list(meant, LEASE) } },
+  { name: 'that it has met, with all connections open', prepare: async (setup) => { await startBurst(setup) } }
+]
+
+for (const { name, prepare } of silences) {
+  // Tasks waited for a target that had been cut off: for each question, and for a free connection after it.
+  test(`incarnation sockets: guards against the failure that a start that is not sent waits longer than a command may: target ${name} and that falls silent`, async () => {
+    await play(async (setup) => {
+      await prepare(setup)
+      setup.target.answer = () => undefined
+      const startedAt = performance.now()
+      const results = await Promise.all(Array.from({ length: BURST }, async (_, run) => {
+        const response = await setup.check.start(setup.meant, { ...START, run: BURST + run })
+        return { response, waitedMs: performance.now() - startedAt }
+      }))
+      const sentRuns = new Set(setup.target.received.filter(({ path }) => path === START_PATH).map(({ body }) => body.run))
+      const unsent = results.filter((_, run) => !sentRuns.has(BURST + run))
+      for (const { response, waitedMs } of unsent) {
+        assert.deepEqual(response, { type: 'unanswered', reason: 'incarnation-not-confirmed', sent: false })
+        assert.ok(waitedMs < COMMAND_TIMEOUT_MS + BUSY_MS, `${waitedMs} ms`)
+      }
+    })
+  })
+}
