Test that a target whose listings are always reduced is commanded again

Cause: a target that closes its connections gets leases and starts only once its mark is stored; no test played the session as a whole. Change: a case of controller/target-session.

--- a/test/controller/target-session.test.ts
+++ b/test/controller/target-session.test.ts
@@ -115,3 +115,38 @@
   session.stop()
   assert.deepEqual(requests.slice(0, 4).map(({ acknowledged }) => acknowledged), [7, 7, 0, 0])
 })
+
+// A target that closes its connections gets neither leases nor starts, so that its runs lapse, and each listing follows the one before at once.
+test('target session: guards against the failure that a target whose listings are always reduced is never commanded again', async () => {
+  const harness = CellHarness.create([buildEntry('t1')], undefined, { areCommandsBound: true })
+  const addressees: CommandTarget[] = []
+  const commands = {
+    list: async (target: CommandTarget) => {
+      addressees.push(target)
+      await wait(LIST_MS)
+      return { type: 'listed', listing: { incarnation: 1, clockMs: 1, running: [], ended: [] }, ...target.mayReachNext !== true && { isReduced: true } }
+    }
+  } as unknown as CommandClient
+  const session = TargetSession.create({
+    id: 't1',
+    commands,
+    term: 1,
+    leaseMs: 1_000,
+    reporter: { log: () => {}, count: () => {}, observe: () => {} },
+    getTarget: () => harness.scheduler.getTarget('t1'),
+    applyEvent: (event) => {
+      for (const effect of harness.apply(event)) {
+        if (effect.type === 'store-targets') harness.apply({ type: 'targets-stored', ids: effect.ids, unbound: effect.unbound })
+      }
+    },
+    waitForCommit: async () => {},
+    isCommanded: () => true,
+    mayReachNext: () => harness.scheduler.mayReachNext('t1'),
+    canSendCommands: () => true
+  })
+  const startedAt = performance.now()
+  while (addressees.length < 7 && performance.now() < startedAt + TIMEOUT_MS) await wait(POLL_INTERVAL_MS)
+  session.stop()
+  assert.deepEqual(addressees.slice(0, 7).map(({ mayReachNext }) => mayReachNext), [undefined, undefined, undefined, undefined, undefined, true, true])
+  assert.ok(performance.now() - startedAt >= 300, 'it was asked again and again without a pause')
+})
