Keep no object for a task that waits or is done

Cause: the leader made an object of each task of each accepted job when it accepted or restored the job, with five collections each, and kept those of finished tasks until the whole job had ended. 160,000 to 170,000 of them filled the heap of 200 MB, and each next leader restored the same.

Change: StepTasks keeps the objects of those tasks of which something is known (a run, a refusal, a failure, a crash, a checkpoint); for all others there are a count and a bit set. A gang that can't fit makes none either. Tasks that last keep an object once their turn has come, because how long each has waited is counted. The record of progress is formatted from the bit set: the same text, without one long integer for each finished task.

--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice-requests.ts
@@ -149,7 +149,10 @@
 function estimateTimeUntilReadyMs (job: Job, step: StepRun, now: number): number | undefined {
   let longestMs = 0
   for (const stepNumber of step.spec.after) {
-    for (const task of job.occurrences.get(step.occurrence)![stepNumber]?.tasks ?? []) {
+    const tasks = job.occurrences.get(step.occurrence)![stepNumber]?.tasks
+    if (tasks === undefined) continue
+    if (tasks.unstartedCount > 0) return undefined
+    for (const task of tasks.known()) {
       if (task.phase === 'done') continue
       const [live] = task.runs
       if (live === undefined || live.phase !== 'running') return undefined
--- a/src/workflow/advice-targets.ts
+++ b/src/workflow/advice-targets.ts
@@ -3,7 +3,7 @@
 import { getOpenTargets } from './open-targets.ts'
 import type { OpenTargets } from './open-targets.ts'
 import { computeScore, isUnwantedByAll } from './placement.ts'
-import { isStartable } from './startable.ts'
+import { countStartableTasks } from './startable.ts'
 import { countFreeSlots, isSuitable } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import { acceptsTaskOf } from './task-acceptance.ts'
@@ -53,7 +53,7 @@
   const seed = hashText(step.key)
   // Such a gang needs a whole rack, and the free capacity of single targets does not show which racks are suitable.
   if (isFirstRequest && step.spec.gang && step.spec.sameRack) return selectForRack(state, step, open, prefetch)
-  const neededSlots = countStartableTasks(state, step) * CAPACITY_FACTOR
+  const neededSlots = countWantedSlots(state, step) * CAPACITY_FACTOR
   const choice = neededSlots * CHOICE_FACTOR
   const source = changed?.filter(({ entry }) => entry.pool === pool) ?? open.walk(seed)
   const withCapacity = hasRoom ? findCandidates(state, step, source, choice, (target) => acceptsTaskOf(state, target, step) && needsTicket(step, target, neededAt)) : []
@@ -108,9 +108,8 @@
   return Math.max(1, countFreeSlots(target, step)) * (step.advice.isAllowed(target.id) ? 1 : allowedRatio)
 }
 
-function countStartableTasks (state: CellState, step: StepRun): number {
-  if (!step.spec.speculative) return step.waitingTasks
-  return step.tasks.filter((task) => isStartable(task, state.now)).length
+function countWantedSlots (state: CellState, step: StepRun): number {
+  return step.spec.speculative ? countStartableTasks(step, state.now) : step.waitingTasks
 }
 
 function sortByScore (state: CellState, step: StepRun, targets: readonly TargetState[], seed: number): readonly TargetState[] {
--- a/src/workflow/cell-summary.ts
+++ b/src/workflow/cell-summary.ts
@@ -1,7 +1,7 @@
 import type { CellState } from './cell-state.ts'
 import { needsAdvice } from './placement.ts'
 import { acceptsWork } from './target-acceptance.ts'
-import { isStartable } from './startable.ts'
+import { countStartableTasks } from './startable.ts'
 
 /** Utilisation and backlog of a cell, as written to the log. */
 export type CellSummary = {
@@ -35,7 +35,7 @@
   const usable = targets.filter((target) => acceptsWork(state, target))
   const ready = [...state.openSteps].filter((step) => step.ready)
   const unadvised = ready.filter((step) => needsAdvice(state, step) && !step.advice.hasResponse && !step.advice.requestPending)
-  const waiting = ready.map((step) => ({ step, tasks: step.tasks.filter((task) => isStartable(task, state.now)).length }))
+  const waiting = ready.map((step) => ({ step, tasks: countStartableTasks(step, state.now) }))
   return {
     jobs: [...state.jobs.values()].filter((job) => job.active).length,
     targets: targets.length,
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -90,7 +90,7 @@
 /** Stops the other members of a gang after one was refused, because they would wait for it until their timeout. */
 function stopGangMembers (state: CellState, live: LiveRun): void {
   if (!live.task.step.spec.gang) return
-  for (const task of live.task.step.tasks) {
+  for (const task of live.task.step.tasks.known()) {
     for (const member of task.runs) {
       if (member.run === live.run && member.phase !== 'stopping') sendStop(state, member, 'a member of the gang could not start')
     }
--- a/src/workflow/concluded-starts.ts
+++ b/src/workflow/concluded-starts.ts
@@ -1,5 +1,6 @@
 import type { CellState } from './cell-state.ts'
 import type { LiveRun } from './live-run.ts'
+import type { StepTasks } from './step-tasks.ts'
 import type { Job, Task } from './task.ts'
 
 /** Time between two looks for what to store, in milliseconds: the tasks of a job start at about the same time. */
@@ -51,16 +52,15 @@
 }
 
 /** Formats the numbers of such runs for the stored record, by task index. */
-export function toStoredRuns (tasks: readonly Task[]): Readonly<Record<string, number>> {
-  return Object.fromEntries(tasks.flatMap(({ index, concludedRun }) => concludedRun === undefined ? [] : [[String(index), concludedRun]]))
+export function toStoredRuns (tasks: Iterable<Task>): Readonly<Record<string, number>> {
+  return Object.fromEntries([...tasks].flatMap(({ index, concludedRun }) => concludedRun === undefined ? [] : [[String(index), concludedRun]]))
 }
 
 /** Restores the numbers of such runs. A record of another release may contain anything. */
-export function restoreConcludedRuns (tasks: readonly Task[], stored: unknown): void {
+export function restoreConcludedRuns (tasks: StepTasks, stored: unknown): void {
   if (typeof stored !== 'object' || stored === null) return
-  const runs = new Map<string, unknown>(Object.entries(stored))
-  for (const task of tasks) {
-    const run = runs.get(String(task.index))
-    if (Number.isSafeInteger(run)) task.concludedRun = Number(run)
+  for (const [index, run] of Object.entries(stored)) {
+    const task = Number.isSafeInteger(run) ? tasks.get(Number(index)) : undefined
+    if (task !== undefined) task.concludedRun = Number(run)
   }
 }
--- a/src/workflow/crashes.ts
+++ b/src/workflow/crashes.ts
@@ -68,7 +68,7 @@
 
 /** Indexes the targets that may have crashed under the tasks of a restored job. */
 export function indexRestoredCrashes (state: CellState, job: string): void {
-  for (const task of state.jobs.get(job)?.tasks() ?? []) {
+  for (const task of state.jobs.get(job)?.knownTasks() ?? []) {
     for (const incarnation of task.crashes.possibleCrashes) indexPossibleCrash(state, task, incarnation)
   }
 }
--- a/src/workflow/gang-placement.ts
+++ b/src/workflow/gang-placement.ts
@@ -4,7 +4,8 @@
 import type { Demand } from './job.ts'
 import type { LiveRun } from './live-run.ts'
 import type { TargetState } from './target-state.ts'
-import type { StepRun } from './task.ts'
+import { countFreeSlots } from './target-acceptance.ts'
+import type { StepRun, Task } from './task.ts'
 
 /**
  * Books capacity for all members of a gang, or for none. With `sameRack`, each rack is tried before all targets together.
@@ -12,6 +13,7 @@
  */
 export function placeGang (state: CellState, step: StepRun, run: number, candidates: readonly TargetState[], undo: (live: LiveRun) => void): readonly LiveRun[] | undefined {
   for (const group of findCandidateGroups(step, candidates)) {
+    if (!haveRoom(step, group)) continue
     const placed = placeOnCandidates(state, step, run, group, undo)
     if (placed !== undefined) return placed
   }
@@ -25,14 +27,24 @@
   return [...racks.values(), candidates]
 }
 
+/** Whether the targets have room for all members together, as far as their free capacity tells. */
+function haveRoom (step: StepRun, targets: readonly TargetState[]): boolean {
+  let slots = 0
+  for (const target of targets) slots += Math.max(0, countFreeSlots(target, step))
+  return slots >= step.spec.count
+}
+
 function placeOnCandidates (state: CellState, step: StepRun, run: number, candidates: readonly TargetState[], undo: (live: LiveRun) => void): readonly LiveRun[] | undefined {
   const placed: LiveRun[] = []
-  for (const task of step.tasks) {
+  const unstarted: Task[] = []
+  for (const task of step.tasks.unfinished()) {
     const target = chooseTarget(state, candidates, task)
     if (target === undefined || !canStart(state, target, task)) {
       placed.forEach(undo)
+      for (const placedTask of unstarted) step.tasks.forget(placedTask)
       return undefined
     }
+    if (!step.tasks.has(task.index)) unstarted.push(task)
     const ticket = step.advice.findTicket(target.id, target.entry.incarnation, state.now)
     placed.push(addRun(state, { task, run, target, phase: 'starting', ticket }))
   }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -131,17 +131,15 @@
 function handleTaskDone (state: CellState, target: TargetState, task: Task): void {
   target.recordOutcome(false, state.now)
   if (task.step.spec.longRunning) return
-  const endedTasks = task.step.spec.gang ? task.step.tasks : [task]
-  for (const member of endedTasks) {
-    finishTask(state, member)
-    stopOtherRuns(state, member, target, task)
-  }
+  finishTask(state, task)
+  stopOtherRuns(state, task, target)
+  if (!task.step.spec.gang) return
+  for (const member of task.step.tasks.unfinished()) finishTask(state, member)
 }
 
 /** Stops the runs of an ended task on other targets. The other members of a gang end by themselves. */
-function stopOtherRuns (state: CellState, member: Task, target: TargetState, ended: Task): void {
-  if (member !== ended) return
-  for (const live of member.runs) {
+function stopOtherRuns (state: CellState, ended: Task, target: TargetState): void {
+  for (const live of ended.runs) {
     if (live.target !== target && live.phase !== 'stopping') sendStop(state, live, 'the task has ended on another target')
   }
 }
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -44,7 +44,7 @@
 /** Whether a job has ended and none of its runs can be on a target. */
 export function isReleasable (job: Job): boolean {
   if (job.active) return false
-  for (const task of job.tasks()) {
+  for (const task of job.knownTasks()) {
     if (task.runs.size > 0) return false
   }
   return true
@@ -106,9 +106,10 @@
 
 /** Marks a task as done. Its step and its job end with their last task. */
 export function finishTask (state: CellState, task: Task): void {
-  if (task.phase === 'done') return
+  if (task.phase === 'done') return task.step.tasks.release(task)
   task.phase = 'done'
   const { step } = task
+  step.tasks.finish(task)
   step.unfinishedTasks -= 1
   state.effects.push({ type: 'store-progress', job: step.job.definition.id })
   if (!step.done) return
@@ -146,7 +147,7 @@
 export function failExhaustedJobs (state: CellState, newQueues: ReadonlySet<string>): void {
   for (const job of state.jobs.values()) {
     if (!newQueues.has(job.definition.queue)) continue
-    for (const task of job.tasks()) {
+    for (const task of job.knownTasks()) {
       if (job.active && task.failures > 0) failIfExhausted(state, task)
     }
   }
@@ -160,7 +161,7 @@
   for (const steps of job.occurrences.values()) {
     for (const step of steps) state.openSteps.delete(step)
   }
-  stopRuns(state, job.tasks(), phase)
+  stopRuns(state, job.knownTasks(), phase)
   state.effects.push({ type: 'store-progress', job: job.definition.id })
   log(state, 'info', 'job-ended', { job: job.definition.id, phase, reason })
 }
--- a/src/workflow/lasting-task-waits.ts
+++ b/src/workflow/lasting-task-waits.ts
@@ -61,7 +61,8 @@
     const found: WaitingTask[] = []
     for (const step of state.openSteps) {
       if (!isWanted(state, step)) continue
-      for (const task of step.tasks) {
+      for (const task of step.tasks.unfinished()) {
+        step.tasks.keep(task)
         const wait = findTaskWait(state, task)
         if (wait !== undefined) found.push({ task, since: this.waiting.get(task)?.since ?? getLastRunTime(state, wait), wait })
       }
--- a/src/workflow/placement.ts
+++ b/src/workflow/placement.ts
@@ -88,7 +88,7 @@
 
 /** Whether all waiting tasks of the step prefer other targets: this one has refused them, or has crashed under them. */
 export function isUnwantedByAll (target: TargetState, { tasks }: StepRun): boolean {
-  return tasks.every((task) => task.phase !== 'waiting' || hasRefused(target, task) || task.crashes.includes(target.entry.address))
+  return tasks.unstartedCount === 0 && [...tasks.known()].every((task) => task.phase !== 'waiting' || hasRefused(target, task) || task.crashes.includes(target.entry.address))
 }
 
 /** Whether the task avoids the target because of recent refusals or failures. The last attempt uses trusted targets only. */
--- a/src/workflow/progress-record.ts
+++ b/src/workflow/progress-record.ts
@@ -1,3 +1,4 @@
+import { parseBitSet } from '../util/bit-set.ts'
 import { restoreConcludedRuns, toStoredRuns } from './concluded-starts.ts'
 import type { StoredCrashes } from './crash-record.ts'
 import type { Job, StepRun } from './task.ts'
@@ -55,17 +56,15 @@
 }
 
 function toStepProgress (step: StepRun): StepProgress {
-  let bits = 0n
   const failedRuns: Record<string, readonly number[]> = {}
   const crashes: Record<string, StoredCrashes> = {}
-  for (const task of step.tasks) {
-    if (task.phase === 'done') bits |= 1n << BigInt(task.index)
+  for (const task of step.tasks.known()) {
     if (!task.crashes.isEmpty) crashes[String(task.index)] = task.crashes.toStored()
     if (task.failures > 0) failedRuns[String(task.index)] = [...task.failedRuns]
   }
-  const concludedRuns = toStoredRuns(step.tasks)
+  const concludedRuns = toStoredRuns(step.tasks.known())
   return {
-    done: bits.toString(16),
+    done: step.tasks.formatDone(),
     failedRuns,
     gangFailedRuns: [...step.gangFailedRuns],
     ...(Object.keys(crashes).length === 0 ? {} : { crashes }),
@@ -73,16 +72,19 @@
   }
 }
 
+function restoreDone (step: StepRun, index: number): void {
+  if (step.tasks.has(index)) step.tasks.get(index)!.phase = 'done'
+  else step.waitingTasks -= 1
+  step.tasks.finishAt(index)
+  step.unfinishedTasks -= 1
+}
+
 function restoreStepProgress (step: StepRun, stored: StepProgress): void {
-  const bits = BigInt(`0x${stored.done}`)
   for (const run of stored.gangFailedRuns) step.gangFailedRuns.add(run)
   restoreConcludedRuns(step.tasks, stored.concludedRuns)
-  for (const task of step.tasks) {
-    for (const run of stored.failedRuns[String(task.index)] ?? []) task.failedRuns.add(run)
-    const crashes = stored.crashes?.[String(task.index)]
-    if (crashes !== undefined) task.crashes.restore(crashes)
-    if ((bits >> BigInt(task.index) & 1n) === 0n) continue
-    task.phase = 'done'
-    step.unfinishedTasks -= 1
+  for (const [index, runs] of Object.entries(stored.failedRuns)) {
+    for (const run of runs) step.tasks.get(Number(index))?.failedRuns.add(run)
   }
+  for (const [index, crashes] of Object.entries(stored.crashes ?? {})) step.tasks.get(Number(index))?.crashes.restore(crashes)
+  for (const index of parseBitSet(stored.done, step.spec.count)) restoreDone(step, index)
 }
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -42,6 +42,7 @@
     throttlePercent: 100,
     gauge: undefined
   }
+  task.step.tasks.keep(task)
   task.runs.add(live)
   if (task.phase === 'waiting') task.phase = 'live'
   target.add(live)
@@ -67,6 +68,7 @@
     task.phase = 'waiting'
     if (task.step.job.active) state.openSteps.add(task.step)
   }
+  task.step.tasks.release(task)
   state.startPassNeeded = true
   // The outcome of an ended job may be stored already. Its definition is removed after its last run, in another commit.
   if (!task.step.job.active && task.runs.size === 0) state.effects.push({ type: 'store-progress', job: task.step.job.definition.id })
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -69,7 +69,7 @@
 
 /** Starts tasks of a step; returns false if more tickets could help. */
 function startTasks (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
-  for (const task of step.tasks) {
+  for (const task of step.tasks.unfinished()) {
     if (!mayStart(state, task)) continue
     // The number of crashes after which a task is given up may have fallen since its last one.
     if (giveUpIfExhausted(state, task)) return true
@@ -141,7 +141,9 @@
 
 /** Starts a gang; returns false if more tickets could help. */
 function startGang (state: CellState, step: StepRun, candidates: readonly TargetState[]): boolean {
-  if (!step.tasks.every((task) => mayStart(state, task)) || step.tasks.some((task) => giveUpIfExhausted(state, task))) return true
+  if (step.unfinishedTasks < step.spec.count) return true
+  const known = [...step.tasks.known()]
+  if (!known.every((task) => mayStart(state, task)) || known.some((task) => giveUpIfExhausted(state, task))) return true
   if (!isWithinMaximum(state, step, computeTotalDemand(step))) return true
   const run = state.lastRunNumber + 1
   alignCheckpoints(step)
@@ -160,8 +162,12 @@
 
 /** Sets the same checkpoint for all members of a gang, because they must start from the same one. */
 function alignCheckpoints (step: StepRun): void {
-  const checkpoint = step.tasks.map((task) => task.checkpoint).sort().at(-1) ?? ''
-  for (const task of step.tasks) task.checkpoint = checkpoint
+  const checkpoint = [...step.tasks.known()].map((task) => task.checkpoint).sort().at(-1) ?? ''
+  if (checkpoint === '') return
+  for (const task of step.tasks.unfinished()) {
+    step.tasks.keep(task)
+    task.checkpoint = checkpoint
+  }
 }
 
 function markJobStarted (state: CellState, step: StepRun): void {
--- a/src/workflow/startable.ts
+++ b/src/workflow/startable.ts
@@ -27,7 +27,20 @@
 /** Whether a task of the step may start now. Only speculative tasks can start while they have a run. */
 export function hasStartableTask (step: StepRun, now: number): boolean {
   if (step.waitingTasks > 0) return true
-  return step.spec.speculative && step.tasks.some((task) => isStartable(task, now))
+  if (!step.spec.speculative) return false
+  for (const task of step.tasks.known()) {
+    if (isStartable(task, now)) return true
+  }
+  return false
+}
+
+/** Number of tasks of the step that may start now. */
+export function countStartableTasks ({ tasks }: StepRun, now: number): number {
+  let count = tasks.unstartedCount
+  for (const task of tasks.known()) {
+    if (isStartable(task, now)) count += 1
+  }
+  return count
 }
 
 function isSlow (live: LiveRun, now: number): boolean {
--- a/src/workflow/task-wait.ts
+++ b/src/workflow/task-wait.ts
@@ -60,7 +60,7 @@
   if (targets !== undefined) return { type: 'held-back', targets }
   const remainingMs = computeRemainingPauseMs(task, state.now)
   if (remainingMs > 0) return { type: 'refused', remainingMs }
-  const member = step.spec.gang ? step.tasks.find((other) => other !== task && !mayStartWithGang(state, other)) : undefined
+  const member = step.spec.gang ? [...step.tasks.known()].find((other) => other !== task && !mayStartWithGang(state, other)) : undefined
   return member === undefined ? findStepWait(state, step) : { type: 'gang-member', member }
 }
 
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -4,13 +4,13 @@
 import type { LiveRun } from './live-run.ts'
 import type { StartRefusal } from './start-refusal.ts'
 import { StepAdvice } from './step-advice.ts'
+import { StepTasks } from './step-tasks.ts'
 
 /** `live`: the task has a run that may be present on a target. */
 export type TaskPhase = 'waiting' | 'live' | 'done'
 
 /** One task of a step of an occurrence. */
 export class Task {
-  private currentPhase: TaskPhase = 'waiting'
   /** Numbers of failed runs; a completion that is listed again after a change of owner counts once. */
   readonly failedRuns = new Set<number>()
   readonly crashes = CrashRecord.create()
@@ -28,10 +28,11 @@
   /** The targets that have refused it since then, and when they did so on the scheduler's clock; `-Infinity` for unhealthy ones. */
   readonly refusedBy = new Map<string, number>()
 
-  private constructor (readonly key: TaskKey, readonly index: number, readonly step: StepRun) {}
+  private constructor (readonly key: TaskKey, readonly index: number, readonly step: StepRun, private currentPhase: TaskPhase) {}
 
-  static create (step: StepRun, index: number): Task {
-    return new Task(formatTaskKey(step.job.definition.id, step.occurrence, step.stepNumber, index), index, step)
+  /** Creates the object of a task. The step counts it in this phase already. */
+  static create (step: StepRun, index: number, phase: TaskPhase): Task {
+    return new Task(formatTaskKey(step.job.definition.id, step.occurrence, step.stepNumber, index), index, step, phase)
   }
 
   get phase (): TaskPhase {
@@ -53,7 +54,7 @@
 /** A step of one occurrence of a job. */
 export class StepRun {
   readonly key: string
-  readonly tasks: readonly Task[]
+  readonly tasks: StepTasks
   readonly advice = StepAdvice.create()
   /** Numbers of failed runs of the whole gang. */
   readonly gangFailedRuns = new Set<number>()
@@ -65,7 +66,7 @@
 
   private constructor (readonly job: Job, readonly occurrence: number, readonly stepNumber: number, readonly spec: Step) {
     this.key = formatStepKey(job.definition.id, occurrence, stepNumber)
-    this.tasks = Array.from({ length: spec.count }, (_, index) => Task.create(this, index))
+    this.tasks = StepTasks.create(Math.floor(spec.count), (index, phase) => Task.create(this, index, phase))
     this.unfinishedTasks = spec.count
     this.waitingTasks = spec.count
   }
@@ -124,7 +125,7 @@
 
   /** Whether a task of it has a run that may be on a target, those of one step left out. */
   hasRuns (leftOut: StepRun | undefined): boolean {
-    for (const task of this.tasks()) {
+    for (const task of this.knownTasks()) {
       if (task.step !== leftOut && task.runs.size > 0) return true
     }
     return false
@@ -141,12 +142,13 @@
 
   /** Returns the task with these parts of its key if its occurrence is open. */
   findTask (occurrence: number, step: number, index: number): Task | undefined {
-    return this.occurrences.get(occurrence)?.[step]?.tasks[index]
+    return this.occurrences.get(occurrence)?.[step]?.tasks.get(index)
   }
 
-  * tasks (): Iterable<Task> {
+  /** The tasks of open occurrences of which something is known. All others wait, or are done. */
+  * knownTasks (): Iterable<Task> {
     for (const steps of this.occurrences.values()) {
-      for (const step of steps) yield * step.tasks
+      for (const step of steps) yield * step.tasks.known()
     }
   }
 }
