Let tasks wait while many starts have no answer

Cause: a start pass turned every task that fitted into a start at once. Of four jobs of 10,000 tasks and 4,000 bytes, 40,000 starts went out in one pass of four seconds (0.98 s once tasks had no objects), each with a text of 4,175 bytes that is copied into the message to the relay and the request of the relay.

Change: StartWindow counts the starts without an answer: up to 96 for one target, and 200 to 1,000 for all, more as answers are quick and fewer as they are slow; a long payload counts several times. A quarter is kept for jobs of which nothing runs, so that a large job doesn't hold up others. A start counts for one second at most, so that a target which answers nothing holds up others no longer. The members of a gang still start together.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -30,8 +30,10 @@
 import type { JobProgress } from './progress-record.ts'
 import { toJobProgress } from './progress-record.ts'
 import { applyConfiguration, restoreRemovedSettings } from './removed-settings.ts'
+import { formatRunKey } from './run-key.ts'
 import { SilentTargets } from './silent-targets.ts'
 import { runStartPass } from './start-pass.ts'
+import { StartWindow } from './start-window.ts'
 import { stopStragglers } from './stragglers.ts'
 import { forgetDepartedTargets } from './departed-targets.ts'
 import { findUnsettledTargets } from './earlier-lapse.ts'
@@ -100,6 +102,7 @@
       startPassNeeded: false,
       passWork: { passes: 0, steps: 0, targets: 0 },
       resendPause: ResendPause.create(resolved.resendAfterMs),
+      startWindow: StartWindow.create(),
       concludedStarts: ConcludedStarts.create(),
       lastingTasks: LastingTaskWaits.create(),
       lastingPrecedence: LastingPrecedence.create(),
@@ -303,6 +306,7 @@
   }
 
   private handleCommandResponse (event: Extract<CellEvent, { type: 'start-answered' | 'stop-answered' }>): void {
+    if (event.type === 'start-answered' && this.state.startWindow.recordAnswer(formatRunKey(event.task, event.run), this.state.now)) this.state.startPassNeeded = true
     const target = this.state.targets.get(event.target)
     if (target === undefined) return
     if (event.type === 'start-answered') recordStartResponse(target, event.task, event.run, event.response)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -15,6 +15,7 @@
 import type { ResendPause } from './resend-pause.ts'
 import type { RoomLog } from './room-log.ts'
 import type { SilentTargets } from './silent-targets.ts'
+import type { StartWindow } from './start-window.ts'
 import type { SubmissionBucket } from './submission-share.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
@@ -94,6 +95,7 @@
   startPassNeeded: boolean
   readonly passWork: PassWork
   readonly resendPause: ResendPause
+  readonly startWindow: StartWindow
   readonly concludedStarts: ConcludedStarts
   readonly lastingTasks: LastingTaskWaits
   readonly lastingPrecedence: LastingPrecedence
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -1,6 +1,7 @@
 import { changeBatchRuns, changeUsage, isUrgent, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { LivePhase, LiveRun } from './live-run.ts'
+import { formatRunKey } from './run-key.ts'
 import type { TargetState } from './target-state.ts'
 import type { Task } from './task.ts'
 import { LATE_COMMAND_MS, recordStartSent } from './unanswered-starts.ts'
@@ -88,6 +89,7 @@
   live.endsWithTarget = false
   recordStartSent(target, live, state.now)
   const { payload } = task.step.job.definition
+  if (live.sendCount === 1) state.startWindow.recordSent({ target: target.id, run: formatRunKey(task.key, live.run), payloadBytes: payload.length }, state.now)
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
   state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command })
 }
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -13,6 +13,7 @@
 import { findAllowedTargets, chooseTarget, needsAdvice } from './placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
 import { hasStartableTask, isStartable } from './startable.ts'
+import type { StartRoom } from './start-window.ts'
 import type { TargetState } from './target-state.ts'
 import { usesReserve } from './task-acceptance.ts'
 import type { StepRun, Task } from './task.ts'
@@ -74,8 +75,11 @@
     // The number of crashes after which a task is given up may have fallen since its last one.
     if (giveUpIfExhausted(state, task)) return true
     if (!isWithinMaximum(state, step, step.spec.demand)) return true
-    const target = chooseTarget(state, candidates, task)
+    if (!isWithinWindow(step, state.startWindow.getRoom(state.now))) return true
+    const withinWindow = findWithinWindow(state, step, candidates)
+    const target = chooseTarget(state, withinWindow, task)
     if (target === undefined) {
+      if (withinWindow.length < candidates.length) return true
       logBlocked(state, step, 'no-room')
       return false
     }
@@ -94,6 +98,21 @@
   return true
 }
 
+/** Finds the targets that can take one more start of the step, as far as the starts under way are concerned. */
+function findWithinWindow ({ startWindow }: CellState, step: StepRun, targets: readonly TargetState[]): readonly TargetState[] {
+  return startWindow.isOpenForAllTargets ? targets : targets.filter(({ id }) => isWithinWindow(step, startWindow.getRoomOf(id)))
+}
+
+/** Whether a start of the step may use the room that is left for starts under way. */
+function isWithinWindow (step: StepRun, room: StartRoom): boolean {
+  switch (room) {
+    case 'free': return true
+    case 'reserved': return step.isIdle
+    case 'none': return false
+    default: return assertNever(room)
+  }
+}
+
 /** Whether a run of the task may start now; not while a run may be on a closed target of a previous owner. */
 function mayStart (state: CellState, task: Task): boolean {
   return isStartable(task, state.now) && !state.heldBackTasks.has(task)
@@ -145,6 +164,7 @@
   const known = [...step.tasks.known()]
   if (!known.every((task) => mayStart(state, task)) || known.some((task) => giveUpIfExhausted(state, task))) return true
   if (!isWithinMaximum(state, step, computeTotalDemand(step))) return true
+  if (!isWithinWindow(step, state.startWindow.getRoom(state.now))) return true
   const run = state.lastRunNumber + 1
   alignCheckpoints(step)
   const placed = placeGang(state, step, run, candidates, (live) => removeRun(state, live))
