Refuse jobs that the leader's memory has no room for

Cause: nothing bounded the jobs that wait.

Change: the leader estimates what the jobs that have not ended take. Members of earlier releases don't see the field.

No run of processes has filled the memory by jobs.

--- a/src/controller/admission.ts
+++ b/src/controller/admission.ts
@@ -6,31 +6,36 @@
 /** No job is accepted that would wait longer for a channel, in milliseconds, however late its objective is. */
 const MAX_BEARABLE_WAIT_MS = 8_000
 
+/** When callers are to come back that were refused because the leader's memory is full, in milliseconds. */
+const FULL_RETRY_AFTER_MS = 5_000
+
 /** Callers are never told to come back sooner than this, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000
 
 export type AdmissionOptions = {
   /** The leader's overloads; empty if they are not known. */
   readonly getOverloads: () => readonly Overload[]
+  /** Whether the jobs that have not ended fill the leader's memory. */
+  readonly isLeaderFull: () => boolean
   readonly now?: () => number
 }
 
-/** Decides which submissions are refused because the leader could not start their jobs in time. */
+/** Decides which submissions are refused because the leader could not hold their jobs, or not start them in time. */
 export class Admission {
   /** By queue and organisation, and by job, when callers that were refused are to come back, on the monotonic clock. */
   private readonly promises = new Map<string, Map<string, number>>()
 
-  private constructor (private readonly getOverloads: () => readonly Overload[], private readonly now: () => number) {}
+  private constructor (private readonly options: AdmissionOptions, private readonly now: () => number) {}
 
   /**
    * Creates the admission of a member.
    *
    * @example
-   * const admission = Admission.create({ getOverloads: () => link.getOverloads() })
+   * const admission = Admission.create({ getOverloads: () => link.getOverloads(), isLeaderFull: () => link.isLeaderFull() })
    * const retryAfterMs = admission.getRetryAfterMs(definition) // undefined: the job is welcome
    */
-  static create ({ getOverloads, now = () => performance.now() }: AdmissionOptions): Admission {
-    return new Admission(getOverloads, now)
+  static create (options: AdmissionOptions): Admission {
+    return new Admission(options, options.now ?? (() => performance.now()))
   }
 
   /**
@@ -39,8 +44,9 @@
    * caller that comes back too early keeps its time.
    */
   getRetryAfterMs ({ id, queue, organisation, steps }: JobDefinition): number | undefined {
+    if (this.options.isLeaderFull()) return FULL_RETRY_AFTER_MS
     const key = JSON.stringify([queue, organisation])
-    const overload = this.getOverloads().find((each) => each.queue === queue && each.organisation === organisation)
+    const overload = this.options.getOverloads().find((each) => each.queue === queue && each.organisation === organisation)
     if (overload === undefined) {
       this.promises.delete(key)
       return undefined
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -156,6 +156,11 @@
     return this.scheduler.overloads
   }
 
+  /** Whether no further job should be accepted, because those that have not ended fill the memory. */
+  get isFull (): boolean {
+    return this.scheduler.isFull
+  }
+
   /** The other members that have sent a hello recently. */
   get members (): readonly Peer[] {
     return this.peers.list
--- a/src/controller/member-call-guards.ts
+++ b/src/controller/member-call-guards.ts
@@ -19,7 +19,8 @@
 /** Whether a value is the leader's response to a hello. */
 export function isWelcome (value: unknown): value is Extract<MemberResponse, { type: 'welcome' }> {
   return isObject(value) && value.type === 'welcome' && isListOf(value.peers, isPeer) &&
-    (value.waiting === undefined || isObject(value.waiting)) && (value.overloads === undefined || isListOf(value.overloads, isObject))
+    (value.waiting === undefined || isObject(value.waiting)) && (value.overloads === undefined || isListOf(value.overloads, isObject)) &&
+    (value.isFull === undefined || typeof value.isFull === 'boolean')
 }
 
 /** Whether a value is a response to the leader of a later term that tells for how long no commands have been sent. */
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -38,9 +38,10 @@
   | { readonly type: 'known-advice', readonly advice: readonly CachedAdvice[] }
   /**
    * `peers`: some other members. `waiting`: number of jobs without a started task, by queue; undefined while the leader reads
-   * the store. `overloads`: long waits for advice; not sent by leaders of an earlier version.
+   * the store. `overloads`: long waits for advice; `isFull`: no further job should be accepted. Both aren't sent by leaders of an
+   * earlier version.
    */
-  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined, readonly overloads?: readonly Overload[] }
+  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined, readonly overloads?: readonly Overload[], readonly isFull?: boolean }
   /** The leader has applied what the sender has stored. */
   | { readonly type: 'noted' }
   /** The member leads no earlier term. */
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -52,8 +52,8 @@
   /** Number of waiting jobs by queue, as last received from the leader. */
   private waitingJobs: { readonly counts: Readonly<Record<string, number>>, readonly at: number } | undefined
 
-  /** Long waits for advice, as last received from the leader. */
-  private overloads: { readonly list: readonly Overload[], readonly at: number } | undefined
+  /** Long waits for advice, and whether no further job should be accepted, as last received from the leader. */
+  private overloads: { readonly list: readonly Overload[], readonly isFull: boolean, readonly at: number } | undefined
 
   /** The other members, as last received from the leader. */
   private peers: readonly Peer[] = []
@@ -111,7 +111,7 @@
     const controller = this.options.getController()
     if (controller === undefined || !isPeer(peer)) return { type: 'not-leading' }
     controller.recordPeer(peer)
-    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads }
+    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads, isFull: controller.isFull }
   }
 
   private handleAnnouncement (applyToController: (controller: Controller) => boolean): MemberResponse {
@@ -209,6 +209,13 @@
     return this.overloads.list
   }
 
+  /** Whether the jobs that have not ended fill the leader's memory; false if no leader has said so recently. */
+  isLeaderFull (): boolean {
+    const controller = this.options.getController()
+    if (controller !== undefined) return controller.isFull
+    return this.overloads !== undefined && performance.now() - this.overloads.at <= MAX_OVERLOADS_AGE_MS && this.overloads.isFull
+  }
+
   private async runHelloLoop (): Promise<void> {
     while (!this.stopped.signal.aborted) {
       await this.sendHello()
@@ -227,7 +234,7 @@
     const response = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_TIMEOUT_MS)
     if (response.isErr() || !isWelcome(response.value)) return
     if (response.value.waiting !== undefined) this.waitingJobs = { counts: response.value.waiting, at: sentAt }
-    this.overloads = { list: response.value.overloads ?? [], at: sentAt }
+    this.overloads = { list: response.value.overloads ?? [], isFull: response.value.isFull ?? false, at: sentAt }
     this.peers = response.value.peers.filter(({ member }) => member !== this.options.self.member)
   }
 
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -11,6 +11,7 @@
 import type { CellEffect } from './effect.ts'
 import { handleListing, removeRunsLostByRestarts } from './handle-listing.ts'
 import type { CellEvent, ProcessedCompletions } from './event.ts'
+import { HeldJobs } from './held-jobs.ts'
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
 import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
@@ -74,6 +75,7 @@
       batchRuns: new Map(),
       submissionBuckets: new Map(),
       jobs: new Map(),
+      heldJobs: HeldJobs.create(),
       endedJobs: new Map(),
       openSteps: new Set(),
       targets: new Map(),
@@ -190,6 +192,11 @@
     return this.state.adviceBacklog.overloads
   }
 
+  /** Whether the jobs that have not ended take so much memory that no further one should be accepted. */
+  get isFull (): boolean {
+    return this.state.heldJobs.isFull
+  }
+
   get summary (): CellSummary {
     return buildCellSummary(this.state)
   }
@@ -341,6 +348,7 @@
       const job = this.state.jobs.get(id)
       if (job === undefined) continue
       this.state.jobs.delete(id)
+      this.state.heldJobs.remove(job.definition)
       this.state.endedJobs.set(id, { phase: job.phase, endedAt: job.endedAt ?? this.state.now })
     }
     for (const { target: id, incarnation, lastNumber } of completions) {
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -7,6 +7,7 @@
 import type { Demand, JobDefinition, JobPhase, TaskKey } from './job.ts'
 import { NO_DEMAND } from './job.ts'
 import type { OrganisationSettings, QueueSettings } from './job-settings.ts'
+import type { HeldJobs } from './held-jobs.ts'
 import type { KnownSettings } from './known-settings.ts'
 import type { LastingPrecedence } from './lasting-precedence.ts'
 import type { LastingTaskWaits } from './lasting-task-waits.ts'
@@ -42,6 +43,7 @@
   readonly batchRuns: Map<string, number>
   readonly submissionBuckets: Map<string, SubmissionBucket>
   readonly jobs: Map<string, Job>
+  readonly heldJobs: HeldJobs
   /** Ended jobs whose definitions are no longer stored. */
   readonly endedJobs: Map<string, EndedJob>
   /** Steps of active jobs that have tasks to start. */
--- a/test/controller/admission.test.ts
+++ b/test/controller/admission.test.ts
@@ -8,7 +8,7 @@
 const OVERLOAD: Overload = { queue: 'stock', organisation: 'zuu', backlogMs: 6_000, ownMs: 6_000, share: 0.5, stepMs: 600, objective: { stretch: 2, latencyObjectiveMs: 1_000 } }
 
 function createAdmission (overload: Partial<Overload>): Admission {
-  return Admission.create({ getOverloads: () => [{ ...OVERLOAD, ...overload }], now: () => 0 })
+  return Admission.create({ getOverloads: () => [{ ...OVERLOAD, ...overload }], isLeaderFull: () => false, now: () => 0 })
 }
 
 type Case = { readonly guards: string, readonly overload?: Partial<Overload>, readonly step?: Partial<Step>, readonly expected: number | undefined }
@@ -42,3 +42,12 @@
   const times = ['a', 'b', 'a', 'a', 'c'].map((id) => admission.getRetryAfterMs(buildJob(id, { estimatedMs: 3_000 })))
   assert.deepEqual(times, [3_200, 3_800, 3_200, 3_200, 4_400])
 })
+
+// Each leader in turn ended while it held, or restored, what had been accepted; the jobs were served by nobody.
+test('admission: guards against the failure that a job is accepted which the leader cannot hold', () => {
+  let isLeaderFull = true
+  const admission = Admission.create({ getOverloads: () => [], isLeaderFull: () => isLeaderFull })
+  assert.equal(admission.getRetryAfterMs(buildJob('a', {})), 5_000)
+  isLeaderFull = false
+  assert.equal(admission.getRetryAfterMs(buildJob('a', {})), undefined)
+})
