Bound the open steps of all jobs together

Cause: a job opened its due occurrences as long as it had fewer than 10,000 tasks to end, whatever other jobs had opened. Each step takes some 1.7 KB, so ten jobs with very many due occurrences filled the heap of 200 MB, and a new leader opened the same again.

Change: while 12,000 steps of all jobs are open, only a job that has no open task opens an occurrence. Each job gets one, the others open as steps end.

--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -12,6 +12,8 @@
 
 /** While a job has as many tasks that have not ended, no further occurrence of it opens, so that it leaves time for others. */
 const MAX_OPEN_TASKS = 10_000
+/** While as many steps of all jobs have not ended, only jobs without a task that has not ended open an occurrence: each step takes memory. */
+const MAX_OPEN_STEPS = 12_000
 
 /** Adds a job that a caller submitted; a known job is left unchanged. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
@@ -55,13 +57,17 @@
 export function openDueOccurrences (state: CellState, job: Job): void {
   if (!mayOpenOccurrence(state, job)) return
   let openTasks = countOpenTasks([...job.occurrences.values()].flat())
-  while (openTasks < MAX_OPEN_TASKS && mayOpenOccurrence(state, job)) {
+  while (mayOpenFurther(state, openTasks) && mayOpenOccurrence(state, job)) {
     const steps = job.openOccurrence()
     openTasks += countOpenTasks(steps)
     openSteps(state, steps)
   }
 }
 
+function mayOpenFurther ({ openSteps }: CellState, openTasks: number): boolean {
+  return openTasks === 0 || (openTasks < MAX_OPEN_TASKS && openSteps.size < MAX_OPEN_STEPS)
+}
+
 function mayOpenOccurrence (state: CellState, { active, nextOccurrence, definition }: Job): boolean {
   return active && nextOccurrence < definition.occurrences && isDue(state, definition, nextOccurrence)
 }
--- a/test/workflow/many-occurrences.test.ts
+++ b/test/workflow/many-occurrences.test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { StepRun } from '../../src/workflow/task.ts'
 import { buildJob, createHarnessWithTarget } from './harness.ts'
 
 const OCCURRENCES = 30_000
 const MAX_OPEN_TASKS = 10_000
+const MAX_OPEN_STEPS = 12_000
+const JOBS = 8
 
 // A caller submitted a job with very many occurrences that were due: each leader in turn was busy with it until it ended.
 test('jobs: guards against the failure that a job with very many due occurrences takes the time and memory of the leader', () => {
@@ -12,6 +15,20 @@
   assert.equal(harness.scheduler.getProgress('a')!.nextOccurrence, MAX_OPEN_TASKS / 2)
 })
 
+// The bound held for each job alone: ten such jobs filled the heap, and that of each next leader.
+test('jobs: guards against the failure that several jobs with very many due occurrences take the memory of the leader', (context) => {
+  const create = context.mock.method(StepRun, 'create')
+  const harness = createHarnessWithTarget()
+  const ids = Array.from({ length: JOBS }, (_, index) => `j${index}`)
+  for (const id of ids) harness.scheduler.apply({ type: 'job-accepted', definition: { ...buildJob(id, { count: 1, demand: { cpuMillis: 5_000, memoryMiB: 1, accelerators: 0 } }), occurrences: OCCURRENCES } }, harness.now)
+  harness.advance(50)
+  assert.ok(create.mock.callCount() <= MAX_OPEN_STEPS + JOBS, `${create.mock.callCount()} steps`)
+  assert.deepEqual(ids.map((id) => harness.scheduler.getProgress(id)!.nextOccurrence > 0), ids.map(() => true))
+  harness.apply({ type: 'job-cancelled', id: 'j0' })
+  harness.advance(50)
+  assert.ok(harness.scheduler.getProgress('j2')!.nextOccurrence > 1)
+})
+
 test('jobs: an occurrence that waits for others of its job opens when these have ended', () => {
   const harness = createHarnessWithTarget()
   const done = 'f'.repeat(MAX_OPEN_TASKS / 4)
