--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -11,6 +11,7 @@
 import type { CellEffect } from './effect.ts'
 import { handleListing, removeRunsLostByRestarts } from './handle-listing.ts'
 import type { CellEvent, ProcessedCompletions } from './event.ts'
+import { HeldJobs } from './held-jobs.ts'
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
 import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
@@ -30,8 +31,10 @@
 import type { JobProgress } from './progress-record.ts'
 import { toJobProgress } from './progress-record.ts'
 import { applyConfiguration, restoreRemovedSettings } from './removed-settings.ts'
+import { formatRunKey } from './run-key.ts'
 import { SilentTargets } from './silent-targets.ts'
 import { runStartPass } from './start-pass.ts'
+import { StartWindow } from './start-window.ts'
 import { stopStragglers } from './stragglers.ts'
 import { forgetDepartedTargets } from './departed-targets.ts'
 import { findUnsettledTargets } from './earlier-lapse.ts'
@@ -73,6 +76,7 @@
       batchRuns: new Map(),
       submissionBuckets: new Map(),
       jobs: new Map(),
+      heldJobs: HeldJobs.create(),
       endedJobs: new Map(),
       openSteps: new Set(),
       targets: new Map(),
@@ -102,6 +106,7 @@
       startPassNeeded: false,
       passWork: { passes: 0, steps: 0, targets: 0 },
       resendPause: ResendPause.create(resolved.resendAfterMs),
+      startWindow: StartWindow.create(),
       concludedStarts: ConcludedStarts.create(),
       lastingTasks: LastingTaskWaits.create(),
       lastingPrecedence: LastingPrecedence.create(),
@@ -194,6 +199,11 @@
     return this.state.adviceBacklog.overloads
   }
 
+  /** Whether the jobs that have not ended take so much memory that no further one should be accepted. */
+  get isFull (): boolean {
+    return this.state.heldJobs.isFull
+  }
+
   get summary (): CellSummary {
     return buildCellSummary(this.state)
   }
@@ -313,6 +323,7 @@
   }
 
   private handleCommandResponse (event: Extract<CellEvent, { type: 'start-answered' | 'stop-answered' }>): void {
+    if (event.type === 'start-answered' && this.state.startWindow.recordAnswer(formatRunKey(event.task, event.run), this.state.now)) this.state.startPassNeeded = true
     const target = this.state.targets.get(event.target)
     if (target === undefined) return
     if (event.type === 'start-answered') recordStartResponse(target, event.task, event.run, event.response)
@@ -347,6 +358,7 @@
       const job = this.state.jobs.get(id)
       if (job === undefined) continue
       this.state.jobs.delete(id)
+      this.state.heldJobs.remove(job.definition)
       this.state.endedJobs.set(id, { phase: job.phase, endedAt: job.endedAt ?? this.state.now })
     }
     for (const { target: id, incarnation, lastNumber } of completions) {
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -7,6 +7,7 @@
 import type { Demand, JobDefinition, JobPhase, TaskKey } from './job.ts'
 import { NO_DEMAND } from './job.ts'
 import type { OrganisationSettings, QueueSettings } from './job-settings.ts'
+import type { HeldJobs } from './held-jobs.ts'
 import type { KnownSettings } from './known-settings.ts'
 import type { LastingPrecedence } from './lasting-precedence.ts'
 import type { LastingTaskWaits } from './lasting-task-waits.ts'
@@ -15,6 +16,7 @@
 import type { ResendPause } from './resend-pause.ts'
 import type { RoomLog } from './room-log.ts'
 import type { SilentTargets } from './silent-targets.ts'
+import type { StartWindow } from './start-window.ts'
 import type { SubmissionBucket } from './submission-share.ts'
 import type { TargetState } from './target-state.ts'
 import type { Job, StepRun, Task } from './task.ts'
@@ -42,6 +44,7 @@
   readonly batchRuns: Map<string, number>
   readonly submissionBuckets: Map<string, SubmissionBucket>
   readonly jobs: Map<string, Job>
+  readonly heldJobs: HeldJobs
   /** Ended jobs whose definitions are no longer stored. */
   readonly endedJobs: Map<string, EndedJob>
   /** Steps of active jobs that have tasks to start. */
@@ -96,6 +99,7 @@
   startPassNeeded: boolean
   readonly passWork: PassWork
   readonly resendPause: ResendPause
+  readonly startWindow: StartWindow
   readonly concludedStarts: ConcludedStarts
   readonly lastingTasks: LastingTaskWaits
   readonly lastingPrecedence: LastingPrecedence
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -12,6 +12,8 @@
 
 /** While a job has as many tasks that have not ended, no further occurrence of it opens, so that it leaves time for others. */
 const MAX_OPEN_TASKS = 10_000
+/** While as many steps of all jobs have not ended, only jobs without a task that has not ended open an occurrence: each step takes memory. */
+const MAX_OPEN_STEPS = 12_000
 
 /** Adds a job that a caller submitted; a known job is left unchanged. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
@@ -36,6 +38,7 @@
 
 function addJob (state: CellState, job: Job): void {
   state.jobs.set(job.definition.id, job)
+  state.heldJobs.add(job.definition)
   storeSettingsOf(state, job.definition)
   for (const steps of job.occurrences.values()) openSteps(state, steps)
   openDueOccurrences(state, job)
@@ -44,7 +47,7 @@
 /** Whether a job has ended and none of its runs can be on a target. */
 export function isReleasable (job: Job): boolean {
   if (job.active) return false
-  for (const task of job.tasks()) {
+  for (const task of job.knownTasks()) {
     if (task.runs.size > 0) return false
   }
   return true
@@ -54,13 +57,17 @@
 export function openDueOccurrences (state: CellState, job: Job): void {
   if (!mayOpenOccurrence(state, job)) return
   let openTasks = countOpenTasks([...job.occurrences.values()].flat())
-  while (openTasks < MAX_OPEN_TASKS && mayOpenOccurrence(state, job)) {
+  while (mayOpenFurther(state, openTasks) && mayOpenOccurrence(state, job)) {
     const steps = job.openOccurrence()
     openTasks += countOpenTasks(steps)
     openSteps(state, steps)
   }
 }
 
+function mayOpenFurther ({ openSteps }: CellState, openTasks: number): boolean {
+  return openTasks === 0 || (openTasks < MAX_OPEN_TASKS && openSteps.size < MAX_OPEN_STEPS)
+}
+
 function mayOpenOccurrence (state: CellState, { active, nextOccurrence, definition }: Job): boolean {
   return active && nextOccurrence < definition.occurrences && isDue(state, definition, nextOccurrence)
 }
@@ -106,9 +113,10 @@
 
 /** Marks a task as done. Its step and its job end with their last task. */
 export function finishTask (state: CellState, task: Task): void {
-  if (task.phase === 'done') return
+  if (task.phase === 'done') return task.step.tasks.release(task)
   task.phase = 'done'
   const { step } = task
+  step.tasks.finish(task)
   step.unfinishedTasks -= 1
   state.effects.push({ type: 'store-progress', job: step.job.definition.id })
   if (!step.done) return
@@ -146,7 +154,7 @@
 export function failExhaustedJobs (state: CellState, newQueues: ReadonlySet<string>): void {
   for (const job of state.jobs.values()) {
     if (!newQueues.has(job.definition.queue)) continue
-    for (const task of job.tasks()) {
+    for (const task of job.knownTasks()) {
       if (job.active && task.failures > 0) failIfExhausted(state, task)
     }
   }
@@ -160,7 +168,7 @@
   for (const steps of job.occurrences.values()) {
     for (const step of steps) state.openSteps.delete(step)
   }
-  stopRuns(state, job.tasks(), phase)
+  stopRuns(state, job.knownTasks(), phase)
   state.effects.push({ type: 'store-progress', job: job.definition.id })
   log(state, 'info', 'job-ended', { job: job.definition.id, phase, reason })
 }
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -1,6 +1,7 @@
 import { changeBatchRuns, changeUsage, isUrgent, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { LivePhase, LiveRun } from './live-run.ts'
+import { formatRunKey } from './run-key.ts'
 import type { TargetState } from './target-state.ts'
 import type { Task } from './task.ts'
 import { LATE_COMMAND_MS, recordStartSent } from './unanswered-starts.ts'
@@ -42,6 +43,7 @@
     throttlePercent: 100,
     gauge: undefined
   }
+  task.step.tasks.keep(task)
   task.runs.add(live)
   if (task.phase === 'waiting') task.phase = 'live'
   target.add(live)
@@ -67,6 +69,7 @@
     task.phase = 'waiting'
     if (task.step.job.active) state.openSteps.add(task.step)
   }
+  task.step.tasks.release(task)
   state.startPassNeeded = true
   // The outcome of an ended job may be stored already. Its definition is removed after its last run, in another commit.
   if (!task.step.job.active && task.runs.size === 0) state.effects.push({ type: 'store-progress', job: task.step.job.definition.id })
@@ -86,6 +89,7 @@
   live.endsWithTarget = false
   recordStartSent(target, live, state.now)
   const { payload } = task.step.job.definition
+  if (live.sendCount === 1) state.startWindow.recordSent({ target: target.id, run: formatRunKey(task.key, live.run), payloadBytes: payload.length }, state.now)
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
   const mayReachNext = state.unboundTargets.mayReachNext(target.id)
   state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, ...mayReachNext && { mayReachNext }, command })
