Count only list requests with a lease or a cursor as reduced or not

Cause: a list request without both, as after one that got no answer, says nothing of the connections of its target, but set the count of reduced listings to 0. A target that closes its connections and loses one list in five was marked late or never, without leases and starts until then (found in a review, by reading). Change: such a listing leaves the count as it is. Evidence: controller/target-session and workflow/unbound-targets pass; no test of its own.

--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -2,6 +2,7 @@
 import type { CommandClient, CommandResponse, CommandTarget, ConnectionCommands, ListRequest, ListResponse, SendPermission, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
 import { Moment } from '../util/moment.ts'
 import type { Clocks } from '../util/moment.ts'
+import { isGeneralList } from './is-general-list.ts'
 import type { Reporter } from './reporter.ts'
 import { StartPermit } from './start-permit.ts'
 
@@ -83,8 +84,7 @@
 
   /** A request that holds for one incarnation only is replaced by one without lease and cursor unless that incarnation is confirmed. */
   async list (target: CommandTarget, request: ListRequest, isPermitted: SendPermission = isAlwaysPermitted): Promise<ListResponse> {
-    const isGeneral = target.incarnation === undefined || (request.leaseUntilMs === undefined && request.acknowledged === 0)
-    if (isGeneral) return this.listNow(target, request, isPermitted)
+    if (target.incarnation === undefined || isGeneralList(request)) return this.listNow(target, request, isPermitted)
     const response = await this.listNow(target, request, () => isPermitted() && this.mayBeSent(target))
     if (!isWithheld(response) || !isPermitted()) return response
     const reduced = await this.listNow(target, toQuestion(request), isPermitted)
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -5,6 +5,7 @@
 import type { TargetState } from '../workflow/target-state.ts'
 import { delay } from './delay.ts'
 import { computeFencingNumber } from './fencing-number.ts'
+import { isGeneralList } from './is-general-list.ts'
 import type { Reporter } from './reporter.ts'
 
 /**
@@ -35,6 +36,9 @@
   readonly canSendCommands: () => boolean
 }
 
+/** When a list request was sent, and whether it carried neither a lease nor a cursor. */
+type SentList = { readonly sentAt: number, readonly isGeneral: boolean }
+
 /** Renews the lease of one target's runs and reads their completions, with one list request at a time. */
 export class TargetSession {
   private readonly stopped = new AbortController()
@@ -92,7 +96,7 @@
     const addressee = { id, address: target.entry.address, incarnation: target.entry.incarnation, ...this.options.mayReachNext?.() === true && { mayReachNext: true as const } }
     const response = await commands.list(addressee, { ...request, epoch: computeFencingNumber(term, target.restarts) })
     if (this.stopped.signal.aborted || (response.type !== 'listed' && this.isReplaced(target))) return
-    await this.handleListResponse(target, response, sentAt)
+    await this.handleListResponse(target, response, { sentAt, isGeneral: isGeneralList(request) })
   }
 
   /** Whether the target has restarted since: a request to the incarnation before that is refused says nothing of this one. */
@@ -101,7 +105,7 @@
     return current !== undefined && current.entry.incarnation !== target.entry.incarnation
   }
 
-  private async handleListResponse (target: TargetState, response: ListResponse, sentAt: number): Promise<void> {
+  private async handleListResponse (target: TargetState, response: ListResponse, { sentAt, isGeneral }: SentList): Promise<void> {
     const { id, applyEvent } = this.options
     if (response.type === 'unanswered' && !this.lastListUnanswered) {
       // A single lost response must not take the target out of use or delay the completions of its runs.
@@ -115,7 +119,7 @@
     }
     // The target has not got the cursor, which must be sent again: it lists the completions before it at once until then.
     if (response.isReduced === true) target.sentCursor = 0
-    applyEvent({ type: 'target-listed', id, sentAt, listing: response.listing, ...response.isReduced === true && { isReduced: true } })
+    applyEvent({ type: 'target-listed', id, sentAt, listing: response.listing, ...!isGeneral && { isReduced: response.isReduced === true } })
     if (target.reducedListings > 1) await delay(REDUCED_PAUSE_MS, this.stopped.signal)
     if (target.lastProcessed === target.lastAcknowledged) return
     await Promise.race([this.options.waitForCommit(), delay(COMMIT_WAIT_MS, this.stopped.signal)])
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -296,7 +296,7 @@
     if (target === undefined) return
     if (target.matchesIncarnation(event.listing)) {
       handleListing(this.state, target, event.listing, event.sentAt)
-      recordReduction(this.state, target, event.isReduced === true)
+      if (event.isReduced !== undefined) recordReduction(this.state, target, event.isReduced)
       return this.state.silentTargets.handleAnswer(target)
     }
     if (event.listing.incarnation < target.entry.incarnation) return
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -20,7 +20,7 @@
   | { readonly type: 'domains-out', readonly domains: readonly string[] }
   | { readonly type: 'target-published', readonly entry: TargetEntry }
   | { readonly type: 'target-withdrawn', readonly id: string }
-  /** `sentAt`: when the list request was sent; the listing is at least as recent. `isReduced`: it was sent without its lease and cursor. */
+  /** `sentAt`: when the list request was sent; the listing is at least as recent. `isReduced`: whether it was sent without its lease and cursor; missing if it had neither. */
   | { readonly type: 'target-listed', readonly id: string, readonly sentAt: number, readonly listing: TargetListing, readonly isReduced?: boolean }
   /** A single list request had no answer. */
   | { readonly type: 'list-unanswered', readonly id: string }
