End the permission of a term's commands with the term

Cause: the permission belongs to the member. A command that still waits for its target when its term ends was permitted again once the same member won a later term (found in a review, by reading; the fencing number and the absolute lease bound the harm). Change: a controller that is stopped permits nothing. Evidence: no test of its own; controller/withdrawn-permission passes.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -74,7 +74,8 @@
       reporter: options.reporter,
       getFailureDomain: (target) => this.scheduler.getTarget(target)?.entry.failureDomain
     })
-    this.commands = PermittedCommands.create(this.relayedCommands, () => this.permission.isGranted())
+    // The member may win a later term while commands of this one wait for their targets.
+    this.commands = PermittedCommands.create(this.relayedCommands, () => !this.stopped && this.permission.isGranted())
     const { reporter } = options
     this.earlierLeaders = EarlierLeaders.create({ ...options, isStopped: () => this.stopped })
     this.lateJobs = LateJobs.create({
