Count the longest lease beside unbound targets whose restart nobody has heard of

Cause: for targets whose commands aren't bound to an incarnation, the longest lease counted only once a restart had been heard. A successor that found the entry of the life before, or none, counted 3.5 s, or what was handed on for the life before; the owner itself did so too. For a life that has not answered, an earlier leader that may still command counted for nothing.

--- a/src/workflow/earlier-lapse.ts
+++ b/src/workflow/earlier-lapse.ts
@@ -19,12 +19,20 @@
   const { leaseMs, longestLeaseMs } = state.options
   const target = state.targets.get(id)
   const commandsEndAt = state.earlierCommandsEndAt ?? Infinity
-  const isForeign = target !== undefined && mayHoldForeignLease(state, target)
-  const foreignEndsAt = isForeign ? state.silentTargets.findEarlierLeasesEnd(id, target.entry.incarnation) ?? commandsEndAt + longestLeaseMs * CLOCK_DRIFT_FACTOR : -Infinity
-  const lapsesAt = Math.max(commandsEndAt + leaseMs * CLOCK_DRIFT_FACTOR, foreignEndsAt)
+  const longestEndAt = commandsEndAt + longestLeaseMs * CLOCK_DRIFT_FACTOR
+  // What was handed on is about the incarnations that somebody has heard of.
+  if (state.unboundTargets.mayHaveReachedUnheard(id)) return longestEndAt
+  const lapsesAt = Math.max(commandsEndAt + leaseMs * CLOCK_DRIFT_FACTOR, computeForeignLapse(state, id, longestEndAt))
   return Math.min(lapsesAt, state.silentTargets.findEnd(id, target?.entry.incarnation) ?? Infinity)
 }
 
+/** When the leases have ended that were measured on the clock of another incarnation; `longestEndAt` if nobody has handed that on. */
+function computeForeignLapse (state: CellState, id: string, longestEndAt: number): number {
+  const target = state.targets.get(id)
+  if (target === undefined || !mayHoldForeignLease(state, target)) return -Infinity
+  return state.silentTargets.findEarlierLeasesEnd(id, target.entry.incarnation) ?? longestEndAt
+}
+
 /**
  * Finds the targets of earlier owners that may have runs: they are not listed, and their leases may go on after `time`. An unused
  * target that does not answer has none.
--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -1,6 +1,7 @@
 import type { CellState } from './cell-state.ts'
 import type { TargetState } from './target-state.ts'
 import { LATE_COMMAND_MS } from './unanswered-starts.ts'
+import { findUnlistedTargets } from './unlisted-targets.ts'
 
 /** The clocks of targets and owners differ by less, in milliseconds. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_000
@@ -23,7 +24,12 @@
  */
 export function computeLongestEarlierLeaseMs (state: CellState): number {
   const { leaseMs, longestLeaseMs } = state.options
-  return [...state.targets.values()].some((target) => !target.listed && !target.unused && mayHoldForeignLease(state, target)) ? longestLeaseMs : leaseMs
+  const mayHoldLongest = findUnlistedTargets(state).some((id) => {
+    const target = state.targets.get(id)
+    if (target?.unused === true) return false
+    return state.unboundTargets.mayHaveReachedUnheard(id) || (target !== undefined && mayHoldForeignLease(state, target))
+  })
+  return mayHoldLongest ? longestLeaseMs : leaseMs
 }
 
 /**
--- a/src/workflow/silent-targets.ts
+++ b/src/workflow/silent-targets.ts
@@ -2,6 +2,7 @@
 import type { CellState } from './cell-state.ts'
 import { computeEarlierLapse } from './earlier-lapse.ts'
 import { mayHoldForeignLease } from './earlier-leases.ts'
+import { computeLeasesExpiry } from './expired-leases.ts'
 import type { TargetState } from './target-state.ts'
 import { formatTargets } from './task-wait-fields.ts'
 
@@ -193,11 +194,11 @@
 
 /** Computes when all leases on a silent target have ended, whichever owner gave them. */
 function computeLeasesEnd (state: CellState, id: string, target: TargetState | undefined): number {
-  if (target?.listed === true) return target.getExpiryTime()
+  if (target?.listed === true) return computeLeasesExpiry(state, target)
   if (target?.unused === true) return target.firstSeenAt
   const earlierLapse = computeEarlierLapse(state, id)
   // Late commands of this owner to the incarnation before may reach a target that has restarted.
-  return target !== undefined && target.restarts > 0 ? Math.max(earlierLapse, target.getExpiryTime()) : earlierLapse
+  return target !== undefined && target.restarts > 0 ? Math.max(earlierLapse, computeLeasesExpiry(state, target)) : earlierLapse
 }
 
 function isAnswering ({ listed, reachable }: TargetState): boolean {
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -162,6 +162,11 @@
     return this.clock?.readAt ?? this.firstSeenAt
   }
 
+  /** Whether this incarnation has answered this owner. */
+  get hasAnswered (): boolean {
+    return this.clock !== undefined
+  }
+
   /** Upper estimate of the time on the target's clock; undefined before its first response. */
   estimateClockMs (now: number): number | undefined {
     return this.clock === undefined ? undefined : this.clock.clockMs + (now - this.clock.readAt)
@@ -243,8 +248,13 @@
   }
 }
 
-/** When all leases have certainly expired that were given up to this time, on the scheduler's clock. */
-function computeLastExpiry (givenUntil: number, longestLeaseMs: number): number {
+/**
+ * Computes when all leases have certainly expired that were given up to a time, on the scheduler's clock.
+ *
+ * @example
+ * computeLastExpiry(1_000, 3_500) // 4_722: the slowest clock of a target runs at 98%
+ */
+export function computeLastExpiry (givenUntil: number, longestLeaseMs: number): number {
   return givenUntil + toSchedulerTime(longestLeaseMs) + EXPIRY_MARGIN_MS
 }
 
--- a/src/workflow/task-wait.ts
+++ b/src/workflow/task-wait.ts
@@ -1,5 +1,6 @@
 import type { CellState } from './cell-state.ts'
 import { findQueue } from './cell-state.ts'
+import { computeLeasesExpiry } from './expired-leases.ts'
 import { computeTotalDemand } from './gang-placement.ts'
 import type { LiveRun } from './live-run.ts'
 import { checkMaximum } from './organisation-maximum.ts'
@@ -78,7 +79,7 @@
 function findLiveWait (state: CellState, live: LiveRun): TaskWait | undefined {
   const { target, phase } = live
   if (!target.reachable) {
-    const remainingMs = target.getExpiryTime() - state.now
+    const remainingMs = computeLeasesExpiry(state, target) - state.now
     return remainingMs > 0 ? { type: 'silent-target', live, remainingMs } : { type: 'lease-unconfirmed', live }
   }
   if (state.runsLostByRestarts.has(live)) return { type: 'restart-unconfirmed', live }
--- a/src/workflow/unbound-targets.ts
+++ b/src/workflow/unbound-targets.ts
@@ -32,11 +32,23 @@
     return !this.areCommandsBound || this.marked.has(id) || this.inherited === 'all' || this.inherited.has(id)
   }
 
+  /**
+   * Whether commands to the target may have reached an incarnation that nobody has heard of, although those to other targets can't have.
+   */
+  mayHaveReachedUnheard (id: string): boolean {
+    return this.areCommandsBound && this.has(id)
+  }
+
   /** Whether this owner's commands to a target may reach a later incarnation, and that is stored. */
   mayReachNext (id: string): boolean {
     return this.stored.has(id)
   }
 
+  /** Whether commands of earlier owners to the target may have reached an incarnation that nobody has heard of. */
+  mayEarlierHaveReachedUnheard (id: string): boolean {
+    return this.areCommandsBound && (this.inherited === 'all' || this.inherited.has(id))
+  }
+
   /** Takes over the marks of earlier owners; undefined if their commands were not bound. */
   restore (ids: readonly string[] | undefined, now: number): void {
     this.inherited = ids === undefined ? 'all' : new Set(ids)
