Forget the answers of targets that have gone away

Cause: IncarnationCheck kept the last answer of each target that it had ever met.

Change: an answer is forgotten after a minute without another one, when a target is met for the first time. A target that is called again is asked first.

Evidence: a case of controller/incarnation-check: 50 targets that answer once, 5 s apart, were all remembered without the change.

--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -16,6 +16,9 @@
 /** How long an answer allows commands on new connections to a target that keeps none open, in milliseconds. */
 const MAX_ANSWER_AGE_MS = 200
 
+/** An answer is forgotten after this time without another one, in milliseconds. */
+const FORGET_AFTER_MS = 60_000
+
 /** The incarnation that has answered a list request at an address, and when it was asked, on the monotonic clock. */
 type Answer = { readonly incarnation: number, readonly address: string, readonly askedAt: number, readonly asked: Moment }
 
@@ -43,6 +46,11 @@
 
   private constructor (private readonly options: IncarnationCheckOptions) {}
 
+  /** Number of targets whose last answer is known. */
+  get knownCount (): number {
+    return this.answers.size
+  }
+
   /**
    * Wraps the client of one process.
    *
@@ -132,9 +140,17 @@
   /** Responses on different connections may overtake each other. */
   private recordAnswer (id: string, answer: Answer): void {
     const known = this.answers.get(id)
+    if (known === undefined) this.forgetOldAnswers()
     const isNewer = known === undefined || answer.incarnation > known.incarnation || (answer.incarnation === known.incarnation && answer.askedAt > known.askedAt)
     if (isNewer) this.answers.set(id, answer)
   }
+
+  /** Targets come and go; one whose answer is forgotten is asked again. */
+  private forgetOldAnswers (): void {
+    for (const [id, { asked }] of this.answers) {
+      if (asked.ageMs > FORGET_AFTER_MS) this.answers.delete(id)
+    }
+  }
 }
 
 function isWithheld (response: CommandResponse | ListResponse): boolean {
--- a/test/controller/incarnation-check.test.ts
+++ b/test/controller/incarnation-check.test.ts
@@ -139,6 +139,16 @@
   assert.deepEqual(setup.sent, Array(10).fill(QUESTION))
 })
 
+// A member kept a record of each target that it had ever met.
+test('incarnation check: guards against the failure that targets which have gone away are remembered for good', async () => {
+  const setup = new Setup()
+  for (let number = 0; number < 50; number += 1) {
+    await setup.check.list({ ...TARGET, id: `gone${number}` }, LIST)
+    setup.now += 5_000
+  }
+  assert.ok(setup.check.knownCount <= 15, `${setup.check.knownCount} are known`)
+})
+
 test('incarnation check: starts of the same moment share one question', async () => {
   const { check, sent } = new Setup()
   await Promise.all([1, 2, 3].map((run) => check.start(TARGET, { ...START, run })))
