Keep the starts of each target apart only when one has too many

Cause: each start of a pass asked the window about every candidate as soon as 72 starts were under way, 640,000 times for 1,600 starts on 400 targets.

Change: the window knows the targets that have no room for any start; without one all candidates are taken as they are.

--- a/src/workflow/start-window.ts
+++ b/src/workflow/start-window.ts
@@ -24,6 +24,8 @@
   /** By run, the one that was sent first first. */
   private readonly starts = new Map<string, StartUnderWay>()
   private readonly countsByTarget = new Map<string, number>()
+  /** Targets without room for one more start of any task. */
+  private readonly crowdedTargets = new Set<string>()
   private weight = 0
   private maxStarts = INITIAL_STARTS
   private limited = false
@@ -47,7 +49,7 @@
     const weight = Math.max(1, Math.ceil(payloadBytes / BYTES_OF_WEIGHT))
     this.starts.set(run, { target, sentAt: now, weight })
     this.weight += weight
-    this.countsByTarget.set(target, this.count(target) + 1)
+    this.setCount(target, this.count(target) + 1)
   }
 
   /** Records the answer to a start, or that there is none; returns whether tasks have waited for room since the last one. */
@@ -62,7 +64,7 @@
 
   /** Whether each target has room for one more start of any task. */
   get isOpenForAllTargets (): boolean {
-    return this.starts.size < MAX_STARTS_OF_TARGET * COMMON_RATIO
+    return this.crowdedTargets.size === 0
   }
 
   /** The room for one more start on any target. */
@@ -103,8 +105,13 @@
     if (start === undefined) return
     this.starts.delete(run)
     this.weight -= start.weight
-    const count = this.count(start.target) - 1
-    if (count === 0) this.countsByTarget.delete(start.target)
-    else this.countsByTarget.set(start.target, count)
+    this.setCount(start.target, this.count(start.target) - 1)
+  }
+
+  private setCount (target: string, count: number): void {
+    if (count === 0) this.countsByTarget.delete(target)
+    else this.countsByTarget.set(target, count)
+    if (count < MAX_STARTS_OF_TARGET * COMMON_RATIO) this.crowdedTargets.delete(target)
+    else this.crowdedTargets.add(target)
   }
 }
