Log commands that are withheld where they would be sent

Cause: a start that was withheld was counted at the sending process and logged by the leader; a list request that was reduced left no trace. The leader does not know which life had answered its relay.

Change: the sending process counts both (`start-withheld`, `list-withheld`) and writes `incarnation-not-confirmed` with the life that was meant, the one that answered last and the age of that answer.

Evidence: four new cases of controller/incarnation-check.

--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -67,7 +67,7 @@
     const permit = StartPermit.create(isPermitted)
     const response = await Promise.race([this.tryStart(target, command, permit), permit.expired.then(() => NOT_SENT)])
     permit.close()
-    if (response === NOT_SENT) this.options.reporter.count('start-withheld', NOT_SENT.reason)
+    if (response === NOT_SENT) this.reportWithheld(target, 'start')
     return response
   }
 
@@ -95,6 +95,7 @@
     if (target.incarnation === undefined || isGeneralList(request)) return this.listNow(target, request, isPermitted)
     const response = await this.listNow(target, request, () => isPermitted() && this.mayBeSent(target))
     if (!isWithheld(response) || !isPermitted()) return response
+    this.reportWithheld(target, 'list')
     const reduced = await this.listNow(target, toQuestion(request), isPermitted)
     return reduced.type === 'listed' ? { ...reduced, isReduced: true } : reduced
   }
@@ -137,6 +138,19 @@
     }
   }
 
+  /** The scheduler of another process may have sent the command, and knows nothing of the answers that this one has got. */
+  private reportWithheld ({ id, incarnation }: CommandTarget, command: 'start' | 'list'): void {
+    const { reporter } = this.options
+    const answer = this.answers.get(id)
+    reporter.count(`${command}-withheld`, NOT_SENT.reason)
+    reporter.log(command === 'start' ? 'warn' : 'info', NOT_SENT.reason, {
+      target: id,
+      command,
+      ...incarnation !== undefined && { incarnation },
+      ...answer !== undefined && { answeredBy: answer.incarnation, answerAgeMs: Math.round(answer.asked.ageMs) }
+    })
+  }
+
   /** Responses on different connections may overtake each other. */
   private recordAnswer (id: string, answer: Answer): void {
     const known = this.answers.get(id)
--- a/test/controller/incarnation-check.test.ts
+++ b/test/controller/incarnation-check.test.ts
@@ -18,6 +18,8 @@
 /** A target behind the check, whose connections open as a test says. */
 class Setup {
   readonly sent: string[] = []
+  readonly lines: unknown[] = []
+  readonly counters: string[] = []
   answer: ListResponse = listed(OLD)
   now = 0
   private connectedAt = -Infinity
@@ -42,7 +44,7 @@
     getConnectedAt: () => this.connectedAt
   }
 
-  readonly check = IncarnationCheck.create({ commands: this.commands, reporter: { log: () => {}, count: () => {}, observe: () => {} }, clocks: { monotonic: () => { this.now += 1; return this.now }, timeOfDay: () => this.now } })
+  readonly check = IncarnationCheck.create({ commands: this.commands, reporter: { log: (_level, message, { answerAgeMs, ...fields }) => { this.lines.push({ message, ...fields, ...answerAgeMs !== undefined && { hasAge: true } }) }, count: (counter) => { this.counters.push(counter) }, observe: () => {} }, clocks: { monotonic: () => { this.now += 1; return this.now }, timeOfDay: () => this.now } })
 
   /** Says for each of the next calls whether a connection is opened for it. */
   openConnections (...openings: readonly boolean[]): void {
@@ -139,6 +141,24 @@
   assert.deepEqual(setup.sent, Array(10).fill(QUESTION))
 })
 
+const reports = [
+  { name: 'a start to a target that does not answer', prepare: async (setup: Setup) => { setup.answer = UNANSWERED }, send: ({ check }: Setup) => check.start(TARGET, START), fields: { command: 'start' } },
+  { name: 'a start to a target whose next incarnation answers', prepare: async (setup: Setup) => { setup.answer = listed(NEXT) }, send: ({ check }: Setup) => check.start(TARGET, START), fields: { command: 'start', answeredBy: NEXT, hasAge: true } },
+  { name: 'a lease to a target that has not answered', prepare: async () => {}, send: ({ check }: Setup) => check.list(TARGET, LEASE), fields: { command: 'list' } },
+  { name: 'a lease on a new connection', prepare: async (setup: Setup) => { await meet(setup); setup.openConnections(true) }, send: ({ check }: Setup) => check.list(TARGET, LEASE), fields: { command: 'list', answeredBy: OLD, hasAge: true } }
+]
+
+for (const { name, prepare, send, fields } of reports) {
+  // A log did not tell which life of a target had answered the process that withheld a command.
+  test(`incarnation check: guards against the failure that a withheld command leaves no trace: ${name}`, async () => {
+    const setup = new Setup()
+    await prepare(setup)
+    await send(setup)
+    assert.deepEqual(setup.lines, [{ message: 'incarnation-not-confirmed', target: 't1', incarnation: OLD, ...fields }])
+    assert.ok(setup.counters.includes(`${fields.command}-withheld`))
+  })
+}
+
 // A member kept a record of each target that it had ever met.
 test('incarnation check: guards against the failure that targets which have gone away are remembered for good', async () => {
   const setup = new Setup()
