--- a/src/controller/incarnation-check.ts
+++ b/src/controller/incarnation-check.ts
@@ -18,6 +18,8 @@
 
 /** An answer is forgotten after this time without another one, in milliseconds. */
 const FORGET_AFTER_MS = 60_000
+/** Old answers are looked for no more often than this, in milliseconds. */
+const FORGET_INTERVAL_MS = 1_000
 
 /** The incarnation that has answered a list request at an address, and when it was asked, on the monotonic clock. */
 type Answer = { readonly incarnation: number, readonly address: string, readonly askedAt: number, readonly asked: Moment }
@@ -43,6 +45,7 @@
   private readonly answers = new Map<string, Answer>()
   /** Pending questions for the incarnation of a target; the starts of a moment share one. */
   private readonly questions = new Map<string, Promise<ListResponse>>()
+  private lastForgotAt = -Infinity
 
   private constructor (private readonly options: IncarnationCheckOptions) {}
 
@@ -154,13 +157,14 @@
   /** Responses on different connections may overtake each other. */
   private recordAnswer (id: string, answer: Answer): void {
     const known = this.answers.get(id)
-    if (known === undefined) this.forgetOldAnswers()
+    if (known === undefined && answer.askedAt - this.lastForgotAt >= FORGET_INTERVAL_MS) this.forgetOldAnswers(answer.askedAt)
     const isNewer = known === undefined || answer.incarnation > known.incarnation || (answer.incarnation === known.incarnation && answer.askedAt > known.askedAt)
     if (isNewer) this.answers.set(id, answer)
   }
 
   /** Targets come and go; one whose answer is forgotten is asked again. */
-  private forgetOldAnswers (): void {
+  private forgetOldAnswers (now: number): void {
+    this.lastForgotAt = now
     for (const [id, { asked }] of this.answers) {
       if (asked.ageMs > FORGET_AFTER_MS) this.answers.delete(id)
     }
