Hand on when the leases on silent unbound targets have ended

Cause: beside an unbound target each new leader counted the longest lease anew, because what was handed on may be about the lives that somebody had heard of only. Change: an owner that counts lives that nobody has heard of says so in the record of silent targets (countsUnheard); only such ends are taken over beside unbound targets. An owner's own marks don't lengthen the wait for earlier ones.

--- a/src/controller/silent-targets-record.ts
+++ b/src/controller/silent-targets-record.ts
@@ -8,7 +8,7 @@
 const MAX_WAIT_MS = 60_000
 
 /** `endsInMs`: how long the leases on the target go on at most, from the writing of the record. */
-type StoredTarget = { readonly incarnation: number, readonly endsInMs: number, readonly isCommanded?: true }
+type StoredTarget = { readonly incarnation: number, readonly endsInMs: number, readonly isCommanded?: true, readonly countsUnheard?: true }
 
 /**
  * The targets that get no leases and no starts, as stored under `lead/silent`. It holds for as long as the last commit is of its
@@ -23,7 +23,7 @@
  * formatSilentTargets(3, { t1: { incarnation: 7, leasesEndAt: 1_500 } }, 1_000) // {"term":3,"targets":{"t1":{"incarnation":7,"endsInMs":500}}}
  */
 export function formatSilentTargets (term: number, targets: SilentTargetsById, now: number): string {
-  const stored = Object.entries(targets).map(([id, { incarnation, leasesEndAt, isCommanded }]): [string, StoredTarget] => [id, { incarnation, endsInMs: Math.max(0, Math.ceil(leasesEndAt - now)), ...(isCommanded === true ? { isCommanded } : {}) }])
+  const stored = Object.entries(targets).map(([id, { incarnation, leasesEndAt, isCommanded, countsUnheard }]): [string, StoredTarget] => [id, { incarnation, endsInMs: Math.max(0, Math.ceil(leasesEndAt - now)), ...isCommanded === true && { isCommanded }, ...countsUnheard === true && { countsUnheard } }])
   return JSON.stringify({ term, targets: Object.fromEntries(stored) } satisfies SilentTargetsRecord)
 }
 
@@ -61,7 +61,7 @@
     const seenAt = this.seen?.version === entry.version ? this.seen.at : this.now()
     return Object.fromEntries(Object.entries(record.targets).flatMap(([id, stored]): Array<[string, SilentTarget]> => {
       if (!isStoredTarget(stored)) return []
-      return [[id, { incarnation: stored.incarnation, leasesEndAt: seenAt + stored.endsInMs * CLOCK_DRIFT_FACTOR, ...(stored.isCommanded === true ? { isCommanded: true } : {}) }]]
+      return [[id, { incarnation: stored.incarnation, leasesEndAt: seenAt + stored.endsInMs * CLOCK_DRIFT_FACTOR, ...stored.isCommanded === true && { isCommanded: true as const }, ...stored.countsUnheard === true && { countsUnheard: true as const } }]]
     }))
   }
 }
--- a/src/workflow/earlier-lapse.ts
+++ b/src/workflow/earlier-lapse.ts
@@ -20,8 +20,7 @@
   const target = state.targets.get(id)
   const commandsEndAt = state.earlierCommandsEndAt ?? Infinity
   const longestEndAt = commandsEndAt + longestLeaseMs * CLOCK_DRIFT_FACTOR
-  // What was handed on is about the incarnations that somebody has heard of.
-  if (state.unboundTargets.mayHaveReachedUnheard(id)) return longestEndAt
+  if (state.unboundTargets.mayEarlierHaveReachedUnheard(id)) return Math.min(longestEndAt, state.silentTargets.findUnheardEnd(id, target?.entry.incarnation) ?? Infinity)
   const lapsesAt = Math.max(commandsEndAt + leaseMs * CLOCK_DRIFT_FACTOR, computeForeignLapse(state, id, longestEndAt))
   return Math.min(lapsesAt, state.silentTargets.findEnd(id, target?.entry.incarnation) ?? Infinity)
 }
--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -27,7 +27,7 @@
   const mayHoldLongest = findUnlistedTargets(state).some((id) => {
     const target = state.targets.get(id)
     if (target?.unused === true) return false
-    return state.unboundTargets.mayHaveReachedUnheard(id) || (target !== undefined && mayHoldForeignLease(state, target))
+    return state.unboundTargets.mayEarlierHaveReachedUnheard(id) || (target !== undefined && mayHoldForeignLease(state, target))
   })
   return mayHoldLongest ? longestLeaseMs : leaseMs
 }
--- a/src/workflow/expired-leases.ts
+++ b/src/workflow/expired-leases.ts
@@ -21,6 +21,7 @@
  */
 export function computeLeasesExpiry (state: CellState, target: TargetState): number {
   const { leaseMs, longestLeaseMs } = state.options
+  // Unknown only before all targets are known, when nothing of earlier owners starts anywhere.
   const earlierCommandsEndAt = state.earlierCommandsEndAt ?? -Infinity
   const ownUnheardExpiry = state.unboundTargets.mayReachNext(target.id) ? computeLastExpiry(target.leaseRequestedAt + MAX_SENDING_MS, longestLeaseMs) : -Infinity
   const earlierUnheardExpiry = state.unboundTargets.mayEarlierHaveReachedUnheard(target.id) ? computeLastExpiry(earlierCommandsEndAt + MAX_SENDING_MS, longestLeaseMs) : -Infinity
--- a/src/workflow/silent-targets.ts
+++ b/src/workflow/silent-targets.ts
@@ -23,8 +23,9 @@
 /**
  * The incarnation of a target that answers nothing, and when all leases there have ended at the latest, on the scheduler's clock.
  * `isCommanded`: it does answer, and only the leases that were measured on the clocks of its earlier incarnations end then.
+ * `countsUnheard`: the leases on incarnations that nobody has heard of have ended then too; missing in records of older releases.
  */
-export type SilentTarget = { readonly incarnation: number, readonly leasesEndAt: number, readonly isCommanded?: true }
+export type SilentTarget = { readonly incarnation: number, readonly leasesEndAt: number, readonly isCommanded?: true, readonly countsUnheard?: true }
 
 /** Silent targets, and restarted ones that are commanded, by their ids. */
 export type SilentTargetsById = Readonly<Record<string, SilentTarget>>
@@ -83,6 +84,11 @@
     return target !== undefined && (incarnation === undefined || target.incarnation === incarnation) ? target.leasesEndAt : undefined
   }
 
+  /** The same for the leases on all incarnations, those included that nobody has heard of. */
+  findUnheardEnd (id: string, incarnation: number | undefined): number | undefined {
+    return this.promised.get(id)?.target.countsUnheard === true ? this.findEnd(id, incarnation) : undefined
+  }
+
   /** When the leases have ended that were measured on the clocks of incarnations before this one of the target, if that is known. */
   findEarlierLeasesEnd (id: string, incarnation: number): number | undefined {
     const target = this.restarted.get(id)
@@ -131,12 +137,14 @@
     const incarnation = target?.entry.incarnation ?? promised?.target.incarnation ?? state.commandedIncarnations.get(id)
     const leasesEndAt = computeLeasesEnd(state, id, target)
     if (incarnation === undefined || leasesEndAt === Infinity) return
+    const counts = state.options.areCommandsBound === true ? { countsUnheard: true } as const : {}
     if (promised?.target.incarnation === incarnation) {
-      this.changed ||= !promised.recorded || promised.target.leasesEndAt - leasesEndAt > IMPROVEMENT_MS
-      this.promised.set(id, { target: { incarnation, leasesEndAt: Math.min(promised.target.leasesEndAt, leasesEndAt) }, recorded: true })
+      const known = isOutdated(state, id, promised.target) ? Infinity : promised.target.leasesEndAt
+      this.changed ||= !promised.recorded || known === Infinity || known - leasesEndAt > IMPROVEMENT_MS
+      this.promised.set(id, { target: { incarnation, leasesEndAt: Math.min(known, leasesEndAt), ...counts }, recorded: true })
     } else if (promised !== undefined || (this.promised.size < MAX_TARGETS && state.aloneUntil >= state.now - MAX_ALONE_AGE_MS)) {
       this.changed = true
-      this.promised.set(id, { target: { incarnation, leasesEndAt }, recorded: true })
+      this.promised.set(id, { target: { incarnation, leasesEndAt, ...counts }, recorded: true })
     }
   }
 
@@ -188,6 +196,11 @@
   return target.listUnanswered && state.now - target.firstSeenAt >= NEVER_HEARD_AFTER_MS
 }
 
+/** Whether the owner that has handed the end of the leases on did not count incarnations that nobody has heard of, and there may be some. */
+function isOutdated ({ unboundTargets }: CellState, id: string, { countsUnheard }: SilentTarget): boolean {
+  return countsUnheard !== true && unboundTargets.mayEarlierHaveReachedUnheard(id)
+}
+
 function isStored ({ storedTargets, closedTargets }: CellState, id: string): boolean {
   return storedTargets.has(id) || closedTargets.has(id)
 }
--- a/src/workflow/unbound-targets.ts
+++ b/src/workflow/unbound-targets.ts
@@ -32,13 +32,6 @@
     return !this.areCommandsBound || this.marked.has(id) || this.inherited === 'all' || this.inherited.has(id)
   }
 
-  /**
-   * Whether commands to the target may have reached an incarnation that nobody has heard of, although those to other targets can't have.
-   */
-  mayHaveReachedUnheard (id: string): boolean {
-    return this.areCommandsBound && this.has(id)
-  }
-
   /** Whether this owner's commands to a target may reach a later incarnation, and that is stored. */
   mayReachNext (id: string): boolean {
     return this.stored.has(id)
