Name the line of an accepted start by what the target did

Change: start-accepted, beside start-refused and start-withheld. Evidence: workflow/start-logs passes.

--- a/src/telemetry/log-rate-limiter.ts
+++ b/src/telemetry/log-rate-limiter.ts
@@ -1,7 +1,7 @@
 /** Maximum number of lines that are written per message id and window; further lines are only counted. */
 const MAX_LINES_PER_WINDOW = 40
 /** Larger numbers for messages that are needed of each run, also of a burst. */
-const MAX_LINES_BY_MESSAGE: Readonly<Record<string, number>> = { 'run-started': 200 }
+const MAX_LINES_BY_MESSAGE: Readonly<Record<string, number>> = { 'start-accepted': 200 }
 const WINDOW_MS = 1_000
 
 type Window = { startedAt: number, written: number, dropped: number }
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -62,7 +62,7 @@
 function logStarted (state: CellState, { task, run, target, sendCount }: LiveRun, clockMs: number | undefined): void {
   const expectedClockMs = target.estimateClockMs(state.now)
   const clocks: LogFields = clockMs === undefined || expectedClockMs === undefined ? {} : { clockMs, clockBehindMs: Math.round(expectedClockMs - clockMs) }
-  log(state, 'info', 'run-started', { task: task.key, run, target: target.id, incarnation: target.entry.incarnation, leaseUntilMs: target.leaseUntilMs, sends: sendCount, ...clocks })
+  log(state, 'info', 'start-accepted', { task: task.key, run, target: target.id, incarnation: target.entry.incarnation, leaseUntilMs: target.leaseUntilMs, sends: sendCount, ...clocks })
 }
 
 /** The target may have restarted. Its next listing tells; the task need not wait for it. */
--- a/test/workflow/start-logs.test.ts
+++ b/test/workflow/start-logs.test.ts
@@ -13,13 +13,13 @@
   {
     what: 'the incarnation that it was meant for has taken',
     response: { type: 'accepted', clockMs: TARGET_CLOCK_MS },
-    message: 'run-started',
+    message: 'start-accepted',
     fields: { incarnation: INCARNATION, clockMs: TARGET_CLOCK_MS, clockBehindMs: 0 }
   },
   {
     what: 'a later incarnation has taken',
     response: { type: 'accepted', clockMs: RESTARTED_CLOCK_MS },
-    message: 'run-started',
+    message: 'start-accepted',
     fields: { incarnation: INCARNATION, clockMs: RESTARTED_CLOCK_MS, clockBehindMs: TARGET_CLOCK_MS - RESTARTED_CLOCK_MS }
   },
   {
