Give the target of a command a file of its own

Change: toCommandTarget moves; nothing else. Evidence: types, linter and controller/unheard-restarts, withdrawn-permission pass.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,4 +1,4 @@
-import type { CommandClient, CommandResponse, CommandTarget } from '../ports/command-client.ts'
+import type { CommandClient, CommandResponse } from '../ports/command-client.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { Overload } from '../workflow/advice-backlog.ts'
 import type { CellConfiguration } from '../workflow/cell-configuration.ts'
@@ -31,6 +31,7 @@
 import type { LeaderState } from './summary-log.ts'
 import { TargetSession } from './target-session.ts'
 import { TickWatch } from './tick-watch.ts'
+import { toCommandTarget } from './to-command-target.ts'
 import { areCommandsBound } from './unsettled-terms.ts'
 import { Witnesses } from './witnesses.ts'
 
@@ -402,8 +403,3 @@
     this.sessions.delete(id)
   }
 }
-
-/** The target of a command without the rest of its effect, which a relay would carry as well. */
-function toCommandTarget ({ id, address, incarnation, mayReachNext }: CommandTarget): CommandTarget {
-  return { id, address, ...incarnation !== undefined && { incarnation }, ...mayReachNext === true && { mayReachNext } }
-}
