--- a/src/workflow/unbound-targets.ts
+++ b/src/workflow/unbound-targets.ts
@@ -1,4 +1,7 @@
-/** So many listings in a row without their lease and cursor show that a target keeps no connections open. One that does has some, as connections open. */
+/**
+ * So many listings in a row without their lease and cursor show that a target keeps no connections open. Others have a few in a row
+ * while their connections are opened.
+ */
 const REDUCED_LISTINGS = 15
 
 /**
@@ -28,6 +31,7 @@
     return new UnboundTargets(areCommandsBound)
   }
 
+  /** Whether commands of this owner or of earlier ones to the target may have reached a later incarnation. */
   has (id: string): boolean {
     return !this.areCommandsBound || this.marked.has(id) || this.inherited === 'all' || this.inherited.has(id)
   }
