Keep the ports of test targets that are down from connections

Cause: a target of the tests that is down has no listener, so that a connection of any process on the machine may get its port. The target then could not start again (EADDRINUSE, unhandled), and the senders of platform/incarnation-schedules went on for good. Change: targets listen at 127.0.0.2, where no connection comes from; a restart that fails rejects, and the senders stop.

--- a/test/platform/incarnation-schedules.test.ts
+++ b/test/platform/incarnation-schedules.test.ts
@@ -84,14 +84,17 @@
       target.answer = answerWith(random, manner)
       let over = false
       const sending = sendCommands(random, target, commands, () => over)
-      for (let restarts = 0; restarts < RESTARTS; restarts += 1) {
-        await wait(random.nextInt(MAX_UPTIME_MS))
-        await target.crash(ENDS[random.nextInt(ENDS.length)]!)
-        await wait(random.nextInt(MAX_DOWN_MS))
-        await target.restart()
+      try {
+        for (let restarts = 0; restarts < RESTARTS; restarts += 1) {
+          await wait(random.nextInt(MAX_UPTIME_MS))
+          await target.crash(ENDS[random.nextInt(ENDS.length)]!)
+          await wait(random.nextInt(MAX_DOWN_MS))
+          await target.restart()
+        }
+        await wait(MAX_UPTIME_MS)
+      } finally {
+        over = true
       }
-      await wait(MAX_UPTIME_MS)
-      over = true
       accepted += await sending
       commands.close()
       await target.close()
--- a/test/platform/restarting-target.test.ts
+++ b/test/platform/restarting-target.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
 import { WorkerCommands } from '../../platform/worker-commands.ts'
@@ -29,3 +31,30 @@
   await wait(SETTLE_MS)
   assert.equal(countOpenSockets(), before)
 })
+
+// A connection of any process may get a port that nobody listens at: the target could not start again, and its test ran on for good.
+test('restarting target: guards against the failure that it cannot restart because its port is in use for a connection', async () => {
+  const target = await RestartingTarget.start()
+  const [host, port] = target.address.split(':')
+  const socket = connect({ host: host!, port: Number(port) })
+  try {
+    await once(socket, 'connect')
+    assert.notEqual(socket.localAddress, host)
+  } finally {
+    socket.destroy()
+    await target.close()
+  }
+})
+
+test('restarting target: a restart that fails is reported', async () => {
+  const target = await RestartingTarget.start()
+  const [host, port] = target.address.split(':')
+  await target.crash('closed')
+  const other = createServer().listen(Number(port), host)
+  try {
+    await once(other, 'listening')
+    await assert.rejects(target.restart(), { code: 'EADDRINUSE' })
+  } finally {
+    other.close()
+  }
+})
--- a/test/platform/restarting-target.ts
+++ b/test/platform/restarting-target.ts
@@ -1,7 +1,10 @@
+import { once } from 'node:events'
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 
 const HEADER_END = '\r\n\r\n'
+/** Connections are opened from 127.0.0.1, so that none of them gets the port of a target that is down. */
+const HOST = '127.0.0.2'
 
 /** One request as a life of the target has read it. */
 export type ReceivedRequest = { readonly incarnation: number, readonly path: string, readonly body: Readonly<Record<string, unknown>> }
@@ -36,7 +39,7 @@
   }
 
   get address (): string {
-    return `127.0.0.1:${this.port}`
+    return `${HOST}:${this.port}`
   }
 
   /** What a life has received, by path. */
@@ -79,7 +82,7 @@
       this.readRequests(socket, incarnation)
     })
     this.server = server
-    await new Promise<void>((resolve) => server.listen(this.port, '127.0.0.1', resolve))
+    await once(server.listen(this.port, HOST), 'listening')
     this.port = (server.address() as AddressInfo).port
   }
 
