--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -30,6 +30,7 @@
 import { RoomLog } from './room-log.ts'
 import type { JobProgress } from './progress-record.ts'
 import { toJobProgress } from './progress-record.ts'
+import { handleProgressStored } from './handle-progress-stored.ts'
 import { applyConfiguration, restoreRemovedSettings } from './removed-settings.ts'
 import { formatRunKey } from './run-key.ts'
 import { SilentTargets } from './silent-targets.ts'
@@ -275,7 +276,7 @@
         state.endedJobs.set(event.id, { phase: event.phase, endedAt: isFinalPhase(event.phase) ? state.now : Infinity })
         return
       case 'job-cancelled': return this.handleJobCancelled(event.id)
-      case 'progress-stored': return this.handleProgressStored(event)
+      case 'progress-stored': return handleProgressStored(state, event)
       case 'targets-stored':
         state.unboundTargets.recordStored(event.unbound ?? [])
         return recordStoredTargets(state, event.ids)
@@ -349,24 +350,6 @@
     if (job !== undefined) endJob(this.state, job, 'cancelled', 'cancelled by its caller')
   }
 
-  private handleProgressStored ({ phases, released, completions }: Extract<CellEvent, { type: 'progress-stored' }>): void {
-    for (const [id, phase] of phases) {
-      const job = this.state.jobs.get(id)
-      if (job !== undefined) job.visiblePhase = phase
-    }
-    for (const id of released) {
-      const job = this.state.jobs.get(id)
-      if (job === undefined) continue
-      this.state.jobs.delete(id)
-      this.state.heldJobs.remove(job.definition)
-      this.state.endedJobs.set(id, { phase: job.phase, endedAt: job.endedAt ?? this.state.now })
-    }
-    for (const { target: id, incarnation, lastNumber } of completions) {
-      const target = this.state.targets.get(id)
-      if (target?.entry.incarnation === incarnation) target.lastAcknowledged = Math.max(target.lastAcknowledged, lastNumber)
-    }
-  }
-
   private handleTick ({ aloneUntil, late = false, earlierCommandsEndAt }: Extract<CellEvent, { type: 'tick' }>): void {
     const { state } = this
     state.aloneUntil = aloneUntil ?? Infinity
