Close connections of the soak's proxy that cannot be reset

Cause: as with the test target, a socket whose end waits to be sent cannot be reset; its handle stays open and keeps a core busy. The proxy resets the client's side of an abandoned connection, which may have ended. Not seen in a run of the soak: found by looking for the same cause.

--- a/soak/loopback-proxy.ts
+++ b/soak/loopback-proxy.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { computeRetransmissionDelay, ProxiedStream } from './proxied-stream.ts'
 import type { LinkState } from './proxied-stream.ts'
+import { resetSocket } from './reset-socket.ts'
 
 type ProxiedConnection = {
   readonly client: Socket
@@ -90,7 +91,7 @@
 
   private reset (connection: ProxiedConnection): void {
     this.connections.delete(connection)
-    if (connection.isAbandoned) connection.client.resetAndDestroy()
+    if (connection.isAbandoned) resetSocket(connection.client)
     else connection.client.destroy()
     connection.peer.destroy()
   }
--- a/test/platform/restarting-target.ts
+++ b/test/platform/restarting-target.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events'
 import { createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { resetSocket } from '../../soak/reset-socket.ts'
 
 const HEADER_END = '\r\n\r\n'
 /** Connections are opened from 127.0.0.1, so that none of them gets the port of a target that is down. */
@@ -55,8 +56,7 @@
     for (const socket of sockets) {
       socket.removeAllListeners('data')
       if (end === 'closed') socket.destroy()
-      // A socket whose end waits to be sent cannot be reset, and would stay open.
-      if (end === 'reset') socket.writableEnded ? socket.destroy() : socket.resetAndDestroy()
+      if (end === 'reset') resetSocket(socket)
     }
     if (end === 'left open') return
     this.sockets = new Set()
