--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -143,6 +143,15 @@
   assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'broken', sent: true } })
 })
 
+// Found by reading: a write that may have taken effect is reported as one that has not, so that its sender repeats it.
+test('http exchange: guards against the failure that a written request whose connection is opened anew and refused is reported as not sent', async () => {
+  const exchange = HttpExchange.create(TIMEOUT_MS)
+  const controller = { abort: () => {} } as unknown as Dispatcher.DispatchController
+  exchange.onRequestStart(controller)
+  exchange.onResponseError(controller, Object.assign(new Error('connect ECONNREFUSED'), { code: 'ECONNREFUSED' }))
+  assert.deepEqual(await exchange.outcome, { type: 'failed', failure: { reason: 'no-listener', sent: true } })
+})
+
 // A process that was paused with a command in its queue got a free connection before its timers ran, and sent the command.
 test('http exchange: guards against the failure that a request which waited for a connection during a pause of the process is sent after its timeout', async () => {
   let pausedMs = 0
