--- a/test/platform/worker-commands.test.ts
+++ b/test/platform/worker-commands.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict'
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'node:test'
 import { JsonServer } from '../../platform/standin/json-server.ts'
 import { WorkerCommands } from '../../platform/worker-commands.ts'
+import type { CommandResponse, CommandTarget } from '../../src/ports/command-client.ts'
 
 const START = { task: 'a.0.0.0', run: 1, payload: '', leaseUntilMs: 1, epoch: 1, checkpoint: '', ticket: undefined }
 
@@ -28,3 +31,42 @@
     }
   })
 }
+
+const CONNECTIONS = 4
+
+type SendStarts = (commands: WorkerCommands, target: CommandTarget) => ReadonlyArray<Promise<CommandResponse>>
+
+const sendOne: SendStarts = (commands, target) => [commands.start(target, START)]
+
+const failures: ReadonlyArray<{ readonly what: string, readonly worker: 'closed' | 'silent' | 'breaking', readonly send: SendStarts, readonly last: CommandResponse }> = [
+  { what: 'the connection is refused', worker: 'closed', send: sendOne, last: { type: 'unanswered', reason: 'no-listener', sent: false } },
+  { what: 'no connection is free in time', worker: 'silent', send: (commands, target) => Array.from({ length: CONNECTIONS + 1 }, () => commands.start(target, START)), last: { type: 'unanswered', reason: 'timeout', sent: false } },
+  { what: 'it may not be sent any more', worker: 'silent', send: (commands, target) => [commands.start(target, START, () => false)], last: { type: 'unanswered', reason: 'withheld', sent: false } },
+  { what: 'a stop finds no listener', worker: 'closed', send: (commands, target) => [commands.stop(target, { task: 'a.0.0.0', run: 1, epoch: 1 })], last: { type: 'unanswered', reason: 'no-listener', sent: false } },
+  { what: 'the worker does not answer what it has got', worker: 'silent', send: sendOne, last: { type: 'unanswered', reason: 'timeout' } },
+  { what: 'the worker closes the connection instead of an answer', worker: 'breaking', send: sendOne, last: { type: 'unanswered', reason: 'broken' } }
+]
+
+for (const { what, worker, send, last } of failures) {
+  // LOST: a task waited up to 12 s for a start that its worker had certainly not got, or TWICE if it does not wait for one that it may have got.
+  test(`worker commands: guards against the failure that a command without an answer counts as sent, or as not sent, by mistake: ${what}`, async () => {
+    const sockets = new Set<Socket>()
+    const server = createServer((socket) => {
+      sockets.add(socket.on('error', () => {}))
+      if (worker === 'breaking') socket.on('data', () => socket.destroy())
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const { port } = server.address() as AddressInfo
+    if (worker === 'closed') await new Promise((resolve) => server.close(resolve))
+    const commands = WorkerCommands.create()
+    try {
+      const responses = await Promise.all(send(commands, { id: 'i-1', address: `127.0.0.1:${port}` }))
+      assert.deepEqual(responses.at(-1), last)
+      for (const earlier of responses.slice(0, -1)) assert.deepEqual(earlier, { type: 'unanswered', reason: 'timeout' })
+    } finally {
+      commands.close()
+      for (const socket of sockets) socket.destroy()
+      server.close()
+    }
+  })
+}
