Let a task start elsewhere once no copy of its start was sent

Cause: only a start that had been sent once was given up when it certainly had not left. A start is sent again after 150 ms, so one that gets no connection within 600 ms has always been sent again, and its task waited for a listing although no copy had left. Change: the scheduler counts the copies that were not sent, and gives the run up once that holds for all of them. A copy that may have been sent still counts, whichever answer comes first. Evidence: workflow/unsent-starts failed first in 1 of 5 cases (neither copy sent: no start on t2); the two with a copy that may have been executed passed before and after. unsent-starts, simulation, resends, liveness and start-logs pass (74).

--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -51,7 +51,7 @@
     case 'refused': return handleStartRefusal(state, target, live, response.reason)
     case 'unanswered':
       count(state, 'start-unanswered', response.reason)
-      if (response.sent === false && live.sendCount === 1) handleUnsentStart(state, target, live, response.reason)
+      if (response.sent === false) handleUnsentStart(state, target, live, response.reason)
   }
 }
 
@@ -65,8 +65,10 @@
   log(state, 'info', 'start-accepted', { task: task.key, run, target: target.id, incarnation: target.entry.incarnation, leaseUntilMs: target.leaseUntilMs, sends: sendCount, ...clocks })
 }
 
-/** The target may have restarted. Its next listing tells; the task need not wait for it. */
+/** The target may have restarted. Its next listing tells; the task need not wait for it, unless another copy of the start may have been sent. */
 function handleUnsentStart (state: CellState, target: TargetState, live: LiveRun, reason: string): void {
+  live.unsentCount += 1
+  if (live.unsentCount < live.sendCount) return
   log(state, 'warn', 'start-withheld', { task: live.task.key, run: live.run, target: target.id, incarnation: target.entry.incarnation, reason, askedMs: Math.round(state.now - live.startedAt) })
   pauseStarts(state, target, UNSENT_PAUSE_MS)
   removeRun(state, live)
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -29,6 +29,8 @@
   ticket: string | undefined
   /** Number of commands sent in the current phase. */
   sendCount: number
+  /** Number of its start commands that certainly were not sent. */
+  unsentCount: number
   lastSentAt: number
   /** When the target responded to the command of the current phase; undefined before the response. */
   respondedAt: number | undefined
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -34,6 +34,7 @@
     phase,
     ticket,
     sendCount: 0,
+    unsentCount: 0,
     lastSentAt: state.now,
     respondedAt: undefined,
     startedAt: state.now,
