Tell the leader that a relay has not sent a start that was too late

Cause: a relay answers a command that it withholds, because it was suspended or the command waited in its queue for too long, as one that may have been sent. Change: it says sent: false if it has handed the command to no client, or if the client says so. What the client says of a command that it may have written stays unknown. The new case of adapters/relay-codec passed before too: the codec passes the field on.

--- a/src/controller/command-relay.ts
+++ b/src/controller/command-relay.ts
@@ -42,12 +42,12 @@
   private async execute (entry: RelayEntry, isOpen: () => boolean): Promise<RelayedResponse> {
     const { relayed } = entry
     let obstacle = this.findObstacle(entry, isOpen)
-    if (obstacle !== undefined) return this.withhold(relayed, obstacle)
+    if (obstacle !== undefined) return this.withhold(relayed, obstacle, true)
     const response = await this.send(relayed, () => {
       obstacle = this.findObstacle(entry, isOpen)
       return obstacle === undefined
     })
-    return obstacle === undefined ? response : this.withhold(relayed, obstacle)
+    return obstacle === undefined ? response : this.withhold(relayed, obstacle, 'sent' in response && response.sent === false)
   }
 
   private findObstacle ({ relayed, validUntilMs }: RelayEntry, isOpen: () => boolean): Obstacle | undefined {
@@ -57,7 +57,8 @@
     return isOpen() ? undefined : 'stream-closed'
   }
 
-  private withhold ({ type }: RelayedCommand, obstacle: Obstacle): RelayedResponse {
+  /** `isUnsent`: the command certainly was not written. */
+  private withhold ({ type }: RelayedCommand, obstacle: Obstacle, isUnsent: boolean): RelayedResponse {
     const { reporter } = this.options
     switch (obstacle) {
       case 'earlier-term':
@@ -66,7 +67,7 @@
       case 'too-late':
       case 'stream-closed':
         reporter.count('relay-withheld', `${type}-${obstacle}`)
-        return { type: 'unanswered', reason: obstacle }
+        return { type: 'unanswered', reason: obstacle, ...isUnsent && { sent: false as const } }
       default: return assertNever(obstacle)
     }
   }
--- a/test/adapters/relay-codec.test.ts
+++ b/test/adapters/relay-codec.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { decodeRelayReply, decodeRelayRequest } from '../../src/adapters/relay-codec.ts'
+import { decodeRelayReply, decodeRelayRequest, encodeRelayMessage } from '../../src/adapters/relay-codec.ts'
 import type { CommandClient } from '../../src/ports/command-client.ts'
 import { CommandRelay } from '../../src/controller/command-relay.ts'
 
@@ -41,3 +41,9 @@
     session.close()
   }), { seed: SEED, numRuns: RUNS })
 })
+
+// A task waited for a start that certainly was not sent, because the leader was not told.
+test('relay codec: guards against the failure that the leader does not learn that a command was not sent', () => {
+  const reply = { sequence: 1, responses: [{ number: 4, response: { type: 'unanswered', reason: 'timeout', sent: false } as const }] }
+  assert.deepEqual(decodeRelayReply(encodeRelayMessage(reply)), reply)
+})
--- a/test/controller/command-relay.test.ts
+++ b/test/controller/command-relay.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { CommandRelay } from '../../src/controller/command-relay.ts'
+import { WITHHELD } from '../../src/ports/command-client.ts'
+import type { CommandResponse } from '../../src/ports/command-client.ts'
 import type { RelayReply, RelayedCommand } from '../../src/controller/relay-message.ts'
 import { LIST, LISTED, RecordingClient, SILENT_REPORTER, START, STOP, TARGET, settle } from './relay-harness.ts'
 
@@ -20,7 +22,7 @@
   { guards: 'sends a stop', relayed: { type: 'stop', target: TARGET, command: STOP }, sent: ['stop t1 a.0.0.0 1'], response: { type: 'accepted', clockMs: 500 } },
   { guards: 'sends a throttle command', relayed: { type: 'throttle', target: TARGET, command: { ...STOP, percent: 50 } }, sent: ['throttle t1 a.0.0.0 1'], response: { type: 'accepted', clockMs: 500 } },
   { guards: 'sends a list request', relayed: { type: 'list', target: TARGET, command: LIST }, sent: ['list t1'], response: LISTED },
-  { guards: 'that was suspended does not send a start whose time has passed', relayed: start, options: { validUntilMs: NOW - 1 }, sent: [], response: { type: 'unanswered', reason: 'too-late' } },
+  { guards: 'that was suspended does not send a start whose time has passed', relayed: start, options: { validUntilMs: NOW - 1 }, sent: [], response: { type: 'unanswered', reason: 'too-late', sent: false } },
   { guards: 'that has seen a later term does not send a start of an earlier one', relayed: start, options: { latestTerm: 4 }, sent: [], response: { type: 'refused', reason: 'fenced', clockMs: undefined } },
   { guards: 'that has not read the leader record yet sends a start of a later term', relayed: start, options: { latestTerm: 0 }, sent: ['start t1 a.0.0.0 1'], response: { type: 'accepted', clockMs: 500 } }
 ]
@@ -33,6 +35,30 @@
   })
 }
 
+const WITHHELD_START: CommandResponse = { type: 'unanswered', reason: WITHHELD, sent: false }
+const waits: ReadonlyArray<{ readonly what: string, readonly answer: CommandResponse, readonly response: unknown }> = [
+  { what: 'was not written', answer: WITHHELD_START, response: { type: 'unanswered', reason: 'too-late', sent: false } },
+  { what: 'may have been written', answer: { type: 'unanswered', reason: 'broken' }, response: { type: 'unanswered', reason: 'too-late' } }
+]
+
+for (const { what, answer, response } of waits) {
+  // A task waited for a start that its relay had withheld, as if the start could still be executed.
+  test(`relay: guards against the failure that a start which became too late in its queue counts as sent, or as not sent, by mistake: it ${what}`, async () => {
+    let now = NOW
+    const client = new RecordingClient()
+    client.start = async (_target, _command, mayBeSent) => {
+      now += 1_000
+      assert.equal(mayBeSent?.(), false)
+      return answer
+    }
+    const replies: RelayReply[] = []
+    const relay = CommandRelay.create({ commands: client, reporter: SILENT_REPORTER, getLatestTerm: () => 3, now: () => now })
+    relay.open((reply) => replies.push(reply)).handle({ sequence: 7, entries: [{ number: 4, relayed: start, validUntilMs: NOW + 500 }] })
+    await settle()
+    assert.deepEqual(replies, [{ sequence: 7, responses: [{ number: 4, response }] }])
+  })
+}
+
 test('relay: an unexpected error of one command is its response, and the others are sent', async () => {
   const client = new RecordingClient()
   client.start = () => Promise.reject(new Error('boom'))
--- a/test/controller/relayed-commands.test.ts
+++ b/test/controller/relayed-commands.test.ts
@@ -195,6 +195,6 @@
   const setup = createCommands([buildPeer(1)])
   await setup.commands.start(target(1), START)
   setup.network.timeOfDay += 2_000
-  assert.deepEqual(await setup.commands.start(target(1), { ...START, run: 2 }), { type: 'unanswered', reason: 'too-late' })
+  assert.deepEqual(await setup.commands.start(target(1), { ...START, run: 2 }), { type: 'unanswered', reason: 'too-late', sent: false })
   assert.deepEqual(getRelayedCalls(setup), ['start t1 a.0.0.0 1'])
 })
