Tell earlier owners that are not known yet from none at all

Cause: earlierCommandsEndAt was undefined in both cases, and each reader chose one. expired-leases took it for none: while a new leader had not read all its targets, a restarted target that fell silent, or a silent one with a mark of an earlier owner, counted as free of that owner's leases, and its task started elsewhere. earlier-lapse took it for not known yet, and waited without end where there was no earlier owner (the controller never asks in that case). silent-targets, targets and earlier-leases read both cases safely. Change: a discriminated union (none, unknown, known); the wait of a task has no atMostMs in the log while that is unknown. Only tests have met it: in the cell it takes a read of the targets of more than a lease, with the leader's lease renewed meanwhile.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -92,7 +92,7 @@
       commandedIncarnations: new Map(),
       unboundTargets: UnboundTargets.create(resolved.areCommandsBound === true),
       aloneUntil: Infinity,
-      earlierCommandsEndAt: undefined,
+      earlierCommands: { type: 'none' },
       silentTargets: SilentTargets.create(),
       runsLostByRestarts: new Map(),
       restarts: new Map(),
@@ -133,6 +133,7 @@
   /** Indicates that runs of a previous owner may exist, so that tasks of restored jobs wait for the listings of targets. */
   expectEarlierRuns (): void {
     this.state.earlierRunsPossible = true
+    this.state.earlierCommands = { type: 'unknown' }
   }
 
   /** Whether some tasks wait because of runs of a previous owner. */
@@ -353,7 +354,7 @@
   private handleTick ({ aloneUntil, late = false, earlierCommandsEndAt }: Extract<CellEvent, { type: 'tick' }>): void {
     const { state } = this
     state.aloneUntil = aloneUntil ?? Infinity
-    state.earlierCommandsEndAt = earlierCommandsEndAt
+    if (earlierCommandsEndAt !== undefined) state.earlierCommands = { type: 'known', endAt: earlierCommandsEndAt }
     useSpareTargets(state)
     if (!late) {
       resendCommands(state)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -3,6 +3,7 @@
 import type { CellConfiguration } from './cell-configuration.ts'
 import type { ConcludedStarts } from './concluded-starts.ts'
 import type { CrashRate } from './crash-rate.ts'
+import type { EarlierCommands } from './earlier-commands.ts'
 import type { CellEffect } from './effect.ts'
 import type { Demand, JobDefinition, JobPhase, TaskKey } from './job.ts'
 import { NO_DEMAND } from './job.ts'
@@ -72,8 +73,7 @@
   readonly unboundTargets: UnboundTargets
   /** Until when certainly no other owner has acted. */
   aloneUntil: number
-  /** When the last of the earlier owners sends no more commands; undefined before their targets are known. */
-  earlierCommandsEndAt: number | undefined
+  earlierCommands: EarlierCommands
   readonly silentTargets: SilentTargets
   /** Runs that restarts of their targets have ended after that time, and when the restarts were seen. */
   readonly runsLostByRestarts: Map<LiveRun, number>
--- a/src/workflow/earlier-lapse.ts
+++ b/src/workflow/earlier-lapse.ts
@@ -1,4 +1,5 @@
 import type { CellState } from './cell-state.ts'
+import { computeCommandsEnd } from './earlier-commands.ts'
 import { mayHoldForeignLease } from './earlier-leases.ts'
 import { findUnlistedTargets } from './unlisted-targets.ts'
 
@@ -18,7 +19,7 @@
 export function computeEarlierLapse (state: CellState, id: string): number {
   const { leaseMs, longestLeaseMs } = state.options
   const target = state.targets.get(id)
-  const commandsEndAt = state.earlierCommandsEndAt ?? Infinity
+  const commandsEndAt = computeCommandsEnd(state.earlierCommands)
   const longestEndAt = commandsEndAt + longestLeaseMs * CLOCK_DRIFT_FACTOR
   if (state.unboundTargets.mayEarlierHaveReachedUnheard(id)) return Math.min(longestEndAt, state.silentTargets.findUnheardEnd(id, target?.entry.incarnation) ?? Infinity)
   const lapsesAt = Math.max(commandsEndAt + leaseMs * CLOCK_DRIFT_FACTOR, computeForeignLapse(state, id, longestEndAt))
--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/earlier-leases.ts
@@ -80,8 +80,9 @@
 }
 
 /** How long this owner certainly waits for a target that it has not listed if it knows of no longer leases there. */
-function computeWaitEnd ({ now, aloneUntil, earlierCommandsEndAt = -Infinity, options }: CellState): number {
-  return Math.max(Math.min(now, aloneUntil), earlierCommandsEndAt + options.leaseMs)
+function computeWaitEnd ({ now, aloneUntil, earlierCommands, options }: CellState): number {
+  const waitedUntil = Math.min(now, aloneUntil)
+  return earlierCommands.type === 'known' ? Math.max(waitedUntil, earlierCommands.endAt + options.leaseMs) : waitedUntil
 }
 
 /** Records what previous owners have stored. `unbound`: the targets whose commands they did not bind; all, if it is undefined. */
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -60,6 +60,6 @@
    * `aloneUntil`: no other owner can have extended the leases of runs before this time; no other owner exists if it is missing. What would expire
    * later may go on under a successor. `late`: the process was busy or suspended, so that responses may wait to be read.
    * `earlierCommandsEndAt`: when the last earlier owner sends no more commands; missing before all targets are known. Silent
-   * targets are stored only with it.
+   * targets are stored only from then on.
    */
   | { readonly type: 'tick', readonly aloneUntil?: number, readonly late?: boolean, readonly earlierCommandsEndAt?: number | undefined }
--- a/src/workflow/expired-leases.ts
+++ b/src/workflow/expired-leases.ts
@@ -1,4 +1,5 @@
 import type { CellState } from './cell-state.ts'
+import { computeCommandsEnd } from './earlier-commands.ts'
 import { computeLastExpiry } from './target-state.ts'
 import type { TargetState } from './target-state.ts'
 
@@ -21,8 +22,7 @@
  */
 export function computeLeasesExpiry (state: CellState, target: TargetState): number {
   const { leaseMs, longestLeaseMs } = state.options
-  // Unknown only before all targets are known, when nothing of earlier owners starts anywhere.
-  const earlierCommandsEndAt = state.earlierCommandsEndAt ?? -Infinity
+  const earlierCommandsEndAt = computeCommandsEnd(state.earlierCommands)
   const ownUnheardExpiry = state.unboundTargets.mayReachNext(target.id) ? computeLastExpiry(target.leaseRequestedAt + MAX_SENDING_MS, longestLeaseMs) : -Infinity
   const earlierUnheardExpiry = state.unboundTargets.mayEarlierHaveReachedUnheard(target.id) ? computeLastExpiry(earlierCommandsEndAt + MAX_SENDING_MS, longestLeaseMs) : -Infinity
   // An incarnation that has not answered this owner knows no fencing number of it, so that an earlier owner may still command it.
--- a/src/workflow/silent-targets.ts
+++ b/src/workflow/silent-targets.ts
@@ -103,7 +103,7 @@
 
   /** Looks for targets that have fallen silent or answer again, and stores the record if it has to change. */
   update (state: CellState): void {
-    if (state.earlierCommandsEndAt === undefined || state.now < this.checkAt) return
+    if (state.earlierCommands.type !== 'known' || state.now < this.checkAt) return
     this.checkAt = state.now + CHECK_INTERVAL_MS
     for (const id of new Set([...state.storedTargets, ...state.closedTargets.keys(), ...this.promised.keys()])) this.updateTarget(state, id)
     this.updateRestarted(state)
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -152,7 +152,7 @@
   }
   const closed = closeDrainingTargets(state)
   const forgotten = forgetEarlierIncarnations(state)
-  const bound = state.earlierCommandsEndAt !== undefined && state.unboundTargets.forgetInherited(state.now, state.earlierCommandsEndAt, computeForeignLeasesMs(state))
+  const bound = state.earlierCommands.type === 'known' && state.unboundTargets.forgetInherited(state.now, state.earlierCommands.endAt, computeForeignLeasesMs(state))
   if (drained.length > 0 || closed || forgotten || bound) storeTargets(state)
 }
 
--- a/src/workflow/task-wait-fields.ts
+++ b/src/workflow/task-wait-fields.ts
@@ -32,7 +32,7 @@
   switch (wait.type) {
     case 'earlier-runs': return formatTargets(findUnlistedTargets(state))
     case 'held-back': return formatTargets([...wait.targets])
-    case 'silent-target': return { ...formatRun(state, wait.live), atMostMs: Math.ceil(wait.remainingMs) }
+    case 'silent-target': return { ...formatRun(state, wait.live), ...Number.isFinite(wait.remainingMs) && { atMostMs: Math.ceil(wait.remainingMs) } }
     case 'lease-unconfirmed':
     case 'restart-unconfirmed': return { ...formatRun(state, wait.live), ...formatAlone(state) }
     case 'starting':
