Settle terms no earlier than the targets that are known then are stored

Cause: a commit says at once that the terms before are settled, but the list of targets that the leader stores for that goes into it only if there is room, and probes never have it. A leader that ended between the two left its successor the list of a leader before the settled term: targets whose commands that term had not bound counted as bound. Change: until the list is stored, a commit repeats the terms as they were last recorded (at first in the claim); how long their commands go on was counted from an earlier writing, which ends no wait too early.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -6,10 +6,13 @@
 import type { JobProgress } from '../workflow/progress-record.ts'
 import type { RemovedSettings } from '../workflow/removed-settings.ts'
 import type { SilentTargetsById } from '../workflow/silent-targets.ts'
+import { countRecords } from './batch-source.ts'
+import type { BatchSource } from './batch-source.ts'
 import { delay } from './delay.ts'
 import type { Peer } from './member-call.ts'
 import { JobRecords } from './job-records.ts'
 import type { JobRecord } from './job-records.ts'
+import { RecordedTerms } from './recorded-terms.ts'
 import type { Reporter } from './reporter.ts'
 import { computeReservedTerm } from './run-numbers.ts'
 import { formatSilentTargets } from './silent-targets-record.ts'
@@ -43,17 +46,9 @@
   | { readonly type: 'refused' }
   | { readonly type: 'unknown' }
 
-/** What a batch was made of, so that it can be divided. */
-type BatchSource = {
-  readonly jobs: readonly string[]
-  readonly removedProgress: readonly string[]
-  readonly targets: TargetsRecord | undefined
-  readonly settings: RemovedSettings | undefined
-  readonly silentTargets: SilentTargetsById | undefined
-}
-
 type Batch = {
   readonly nonce: string
+  readonly unsettled: readonly UnsettledTerm[]
   readonly source: BatchSource
   readonly puts: readonly Put[]
   readonly deletes: readonly string[]
@@ -78,6 +73,8 @@
   readonly reporter: Reporter
   /** Earlier terms whose runs this leader does not know yet. */
   readonly getUnsettledTerms: () => readonly UnsettledTerm[]
+  /** Those in the claim of the term; none without it. */
+  readonly claimedTerms?: readonly UnsettledTerm[]
   /** Targets in the record of silent targets that the claim has repeated; none without it. */
   readonly claimedSilentTargets?: readonly string[]
   /** Members that confirm the term; without it, none do. */
@@ -103,6 +100,7 @@
   private readonly jobsToStore = new Set<string>()
   private readonly progressToRemove = new Set<string>()
   private readonly jobRecords: JobRecords
+  private readonly recordedTerms: RecordedTerms
   /** Maximum number of records in a batch; smaller while the record that the store refuses is searched. */
   private batchLimit = MAX_ENTRIES
   private targetsToStore: TargetsRecord | undefined
@@ -121,6 +119,7 @@
     this.commitVersion = options.commitVersion
     this.storedSilentTargets = options.claimedSilentTargets ?? []
     this.jobRecords = JobRecords.create(options)
+    this.recordedTerms = RecordedTerms.create(options.claimedTerms ?? [])
   }
 
   /**
@@ -151,6 +150,7 @@
   /** Stores the targets that may hold runs. */
   storeTargets (record: TargetsRecord): void {
     this.targetsToStore = record
+    this.recordedTerms.expectTargets()
     this.startCommitting()
   }
 
@@ -218,7 +218,8 @@
     const nonce = randomUUID()
     const { witnesses } = this
     this.recordWanted = false
-    const puts = [this.createCommitPut(nonce), ...records.map(({ id, value }): Put => ({ key: progressKey(id), value }))]
+    const unsettled = this.recordedTerms.select(this.options.getUnsettledTerms(), targets !== undefined)
+    const puts = [this.createCommitPut(nonce, unsettled), ...records.map(({ id, value }): Put => ({ key: progressKey(id), value }))]
     if (settings !== undefined) puts.push({ key: SETTINGS_KEY, value: JSON.stringify(settings) })
     if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify(targets) })
     if (silentTargets !== undefined) puts.push({ key: SILENT_TARGETS_KEY, value: formatSilentTargets(this.options.term, silentTargets, performance.now()) })
@@ -227,24 +228,25 @@
     // Completions of jobs that are left for the next transaction must not be acknowledged by this one.
     const completions = this.jobsToStore.size === 0 ? this.options.getProcessedCompletions() : []
     const source = { jobs: records.map(({ id }) => id), removedProgress, targets, settings, silentTargets }
-    return { nonce, source, puts, deletes, phases, released, completions, targets: targets?.ids, unbound: targets?.unbound, witnesses, silentTargets: silentTargets === undefined ? undefined : listSilent(silentTargets) }
+    return { nonce, unsettled, source, puts, deletes, phases, released, completions, targets: targets?.ids, unbound: targets?.unbound, witnesses, silentTargets: silentTargets === undefined ? undefined : listSilent(silentTargets) }
   }
 
   /** Creates a commit without records, which shows whether the store accepts this leader's commits. */
   private createProbe (): Batch {
     const nonce = randomUUID()
+    const unsettled = this.recordedTerms.select(this.options.getUnsettledTerms(), false)
     const source = { jobs: [], removedProgress: [], targets: undefined, settings: undefined, silentTargets: undefined }
-    return { nonce, source, puts: [this.createCommitPut(nonce)], deletes: [], phases: new Map(), released: [], completions: [], targets: undefined, unbound: undefined, witnesses: this.witnesses, silentTargets: undefined }
+    return { nonce, unsettled, source, puts: [this.createCommitPut(nonce, unsettled)], deletes: [], phases: new Map(), released: [], completions: [], targets: undefined, unbound: undefined, witnesses: this.witnesses, silentTargets: undefined }
   }
 
   private get witnesses (): readonly Peer[] {
     return this.options.getWitnesses?.() ?? []
   }
 
-  private createCommitPut (nonce: string): Put {
-    const { term, self, getUnsettledTerms, getLastRun } = this.options
+  private createCommitPut (nonce: string, unsettled: readonly UnsettledTerm[]): Put {
+    const { term, self, getLastRun } = this.options
     const { witnesses } = this
-    const record: CommitRecord = { term, nonce, leader: self, unsettled: getUnsettledTerms(), reservedTerm: computeReservedTerm(getLastRun()), ...witnesses.length > 0 && { witnesses } }
+    const record: CommitRecord = { term, nonce, leader: self, unsettled, reservedTerm: computeReservedTerm(getLastRun()), ...witnesses.length > 0 && { witnesses } }
     return { key: COMMIT_KEY, value: JSON.stringify(record) }
   }
 
@@ -301,6 +303,7 @@
       if (outcome.type === 'committed') {
         this.commitVersion = outcome.version
         this.batchLimit = Math.min(MAX_ENTRIES, this.batchLimit + 1)
+        this.recordedTerms.recordStored(batch.unsettled, batch.targets !== undefined && this.targetsToStore === undefined)
         this.storedSilentTargets = batch.silentTargets ?? this.storedSilentTargets
         this.options.reporter.observe('commit', performance.now() - startedAt)
         this.options.onStored(batch)
@@ -322,8 +325,10 @@
   /** Whether the store accepts a commit without records now. */
   private async acceptsProbe (): Promise<boolean> {
     if (this.stopped) return false
-    const outcome = await this.tryCommit(this.createProbe())
+    const probe = this.createProbe()
+    const outcome = await this.tryCommit(probe)
     if (outcome.type !== 'committed') return false
+    this.recordedTerms.recordStored(probe.unsettled, false)
     this.commitVersion = outcome.version
     return true
   }
@@ -384,7 +389,3 @@
 function listSilent (targets: SilentTargetsById): readonly string[] {
   return Object.keys(targets).filter((id) => targets[id]!.isCommanded !== true)
 }
-
-function countRecords ({ jobs, removedProgress, targets, settings, silentTargets }: BatchSource): number {
-  return jobs.length + removedProgress.length + [targets, settings, silentTargets].filter((record) => record !== undefined).length
-}
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -109,6 +109,7 @@
         if (silentTargets !== undefined) this.applyEvent({ type: 'silent-targets-stored', ids: silentTargets })
         for (const waiter of this.commitWaiters.splice(0)) waiter()
       },
+      claimedTerms: options.term.unsettled,
       claimedSilentTargets: Object.keys(options.term.silentTargets ?? {}),
       onSilentTargetsRefused: (ids) => this.applyEvent({ type: 'silent-targets-stored', ids }),
       onFenced: () => options.onFenced('another leader has written to the store')
