Keep the marks of targets that have left in the record

Cause: the record of targets names the marks of stored and known targets only. A marked target that left lost its mark there at once, while this owner kept it for 25 s (departed-targets.ts). The next owner took the target's next incarnation for one that is bound; and the same owner used the mark of a target that came back before any record named it again. Change: the record repeats the marks of departed targets until commands to them have no effect. No wait of a takeover is longer for it: only runs that start on such a target count with the longest lease.

--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -221,7 +221,8 @@
   const closed = toClosedTargets(state)
   const stored = [...ids, ...Object.keys(closed)]
   const incarnations = toIncarnations(state, stored)
-  const unbound = state.unboundTargets.toStored([...new Set([...stored, ...Object.keys(incarnations)])])
+  // Commands to a marked target that has left may still reach its next incarnation, which may come back under the next owner.
+  const unbound = state.unboundTargets.toStored([...new Set([...stored, ...Object.keys(incarnations), ...state.departedTargets.keys()])])
   state.effects.push({ type: 'store-targets', ids: [...ids], closed, incarnations, ...unbound !== undefined && { unbound } })
 }
 
