Relay nothing of an earlier term while no leader is on record

Cause: a relay compared the term of a command with that of the record that is there now, and with 0 while there is none: between two leaders it sent commands of any earlier term. It did not count that the leader of a later term had asked it to stop leading, before its watch showed the record either. Whether a term is confirmed (confirmTerm) took both into account already. Change: Leadership.latestTerm is the latest term that the member has read or been asked for. Not seen in operation: a command of an earlier term has to be under way, 0.8 s at most where clocks agree.

--- a/src/controller/command-relay.ts
+++ b/src/controller/command-relay.ts
@@ -25,7 +25,7 @@
    * Creates the relay of one member.
    *
    * @example
-   * const relay = CommandRelay.create({ commands, reporter, getLatestTerm: () => leadership.leader?.term ?? 0 })
+   * const relay = CommandRelay.create({ commands, reporter, getLatestTerm: () => leadership.latestTerm })
    * const session = relay.open((reply) => stream.write(reply))
    * session.handle({ sequence: 1, entries: [] })
    */
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -143,6 +143,11 @@
     return this.leaderRecord
   }
 
+  /** The latest term that this member knows of, also while no record of a leader is there. */
+  get latestTerm (): number {
+    return Math.max(this.latestSeenTerm, this.latestRequestedTerm, this.leaderRecord?.term ?? 0)
+  }
+
   get isLeading (): boolean {
     return this.held !== undefined
   }
