Hold all connections in the test of a start without a free one

Change: lists that wait longer than the start hold the connections, so that it can't be written. As strict: the answer has to say not sent.

--- a/test/platform/worker-commands.test.ts
+++ b/test/platform/worker-commands.test.ts
@@ -34,20 +34,31 @@
 
 const CONNECTIONS = 4
 
-type SendStarts = (commands: WorkerCommands, target: CommandTarget) => ReadonlyArray<Promise<CommandResponse>>
+/** Longer than a command may wait, in milliseconds. */
+const HELD_MS = 1_500
 
-const sendOne: SendStarts = (commands, target) => [commands.start(target, START)]
+type Send = (commands: WorkerCommands, target: CommandTarget) => Promise<CommandResponse>
 
-const failures: ReadonlyArray<{ readonly what: string, readonly worker: 'closed' | 'silent' | 'breaking', readonly send: SendStarts, readonly last: CommandResponse }> = [
-  { what: 'the connection is refused', worker: 'closed', send: sendOne, last: { type: 'unanswered', reason: 'no-listener', sent: false } },
-  { what: 'no connection is free in time', worker: 'silent', send: (commands, target) => Array.from({ length: CONNECTIONS + 1 }, () => commands.start(target, START)), last: { type: 'unanswered', reason: 'timeout', sent: false } },
-  { what: 'it may not be sent any more', worker: 'silent', send: (commands, target) => [commands.start(target, START, () => false)], last: { type: 'unanswered', reason: 'withheld', sent: false } },
-  { what: 'a stop finds no listener', worker: 'closed', send: (commands, target) => [commands.stop(target, { task: 'a.0.0.0', run: 1, epoch: 1 })], last: { type: 'unanswered', reason: 'no-listener', sent: false } },
-  { what: 'the worker does not answer what it has got', worker: 'silent', send: sendOne, last: { type: 'unanswered', reason: 'timeout' } },
-  { what: 'the worker closes the connection instead of an answer', worker: 'breaking', send: sendOne, last: { type: 'unanswered', reason: 'broken' } }
+const sendOne: Send = (commands, target) => commands.start(target, START)
+
+/** All connections wait for lists when the start is sent. */
+const sendBesideLists: Send = async (commands, target) => {
+  const lists = Array.from({ length: CONNECTIONS }, () => commands.list(target, { epoch: 1, acknowledged: 0, leaseUntilMs: undefined, waitMs: HELD_MS }))
+  const response = await commands.start(target, START)
+  await Promise.all(lists)
+  return response
+}
+
+const failures: ReadonlyArray<{ readonly what: string, readonly worker: 'closed' | 'silent' | 'breaking', readonly send: Send, readonly expected: CommandResponse }> = [
+  { what: 'the connection is refused', worker: 'closed', send: sendOne, expected: { type: 'unanswered', reason: 'no-listener', sent: false } },
+  { what: 'no connection is free in time', worker: 'silent', send: sendBesideLists, expected: { type: 'unanswered', reason: 'timeout', sent: false } },
+  { what: 'it may not be sent any more', worker: 'silent', send: (commands, target) => commands.start(target, START, () => false), expected: { type: 'unanswered', reason: 'withheld', sent: false } },
+  { what: 'a stop finds no listener', worker: 'closed', send: (commands, target) => commands.stop(target, { task: 'a.0.0.0', run: 1, epoch: 1 }), expected: { type: 'unanswered', reason: 'no-listener', sent: false } },
+  { what: 'the worker does not answer what it has got', worker: 'silent', send: sendOne, expected: { type: 'unanswered', reason: 'timeout' } },
+  { what: 'the worker closes the connection instead of an answer', worker: 'breaking', send: sendOne, expected: { type: 'unanswered', reason: 'broken' } }
 ]
 
-for (const { what, worker, send, last } of failures) {
+for (const { what, worker, send, expected } of failures) {
   // LOST: a task waited up to 12 s for a start that its worker had certainly not got, or TWICE if it does not wait for one that it may have got.
   test(`worker commands: guards against the failure that a command without an answer counts as sent, or as not sent, by mistake: ${what}`, async () => {
     const sockets = new Set<Socket>()
@@ -60,9 +71,7 @@
     if (worker === 'closed') await new Promise((resolve) => server.close(resolve))
     const commands = WorkerCommands.create()
     try {
-      const responses = await Promise.all(send(commands, { id: 'i-1', address: `127.0.0.1:${port}` }))
-      assert.deepEqual(responses.at(-1), last)
-      for (const earlier of responses.slice(0, -1)) assert.deepEqual(earlier, { type: 'unanswered', reason: 'timeout' })
+      assert.deepEqual(await send(commands, { id: 'i-1', address: `127.0.0.1:${port}` }), expected)
     } finally {
       commands.close()
       for (const socket of sockets) socket.destroy()
