--- a/test/controller/leader-chains.ts
+++ b/test/controller/leader-chains.ts
@@ -27,6 +27,8 @@
   readonly endMs?: number
   /** Whether a command that an incarnation has not carried out yet ends with it; else the next one carries it out. */
   readonly lateCommandsEndWithTarget?: boolean
+  /** Targets that close each connection after their answer. */
+  readonly closingIds?: ReadonlySet<string>
 }
 
 /** What a chain of leaders has shown. */
@@ -50,10 +52,11 @@
  * @example
  * const { violations } = await playLeaderChain(7)
  */
-export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS, { endMs = END_MS, lateCommandsEndWithTarget = false }: ChainOptions = {}): Promise<ChainOutcome> {
+export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS, { endMs = END_MS, lateCommandsEndWithTarget = false, closingIds = new Set() }: ChainOptions = {}): Promise<ChainOutcome> {
   const cell = VirtualCell.create(seed, { members: MEMBERS, targets: TARGETS, longestLeaseMs: LONGEST_LEASE_MS })
   const faults: string[] = []
   cell.targets.lateCommandsEndWithTarget = lateCommandsEndWithTarget
+  cell.targets.closingIds = closingIds
   try {
     scheduleFaults(cell, kinds, faults)
     scheduleJobs(cell)
--- a/test/controller/virtual-connections.ts
+++ b/test/controller/virtual-connections.ts
@@ -14,14 +14,19 @@
   /** Of their own, so that the faults of a seed don't depend on it. */
   private readonly random = Random.create(SEED)
 
-  private constructor () {}
+  private constructor (private readonly isClosing: (address: string) => boolean) {}
 
-  static create (): VirtualConnections {
-    return new VirtualConnections()
+  /** `isClosing`: whether the target at an address closes each connection after its answer. */
+  static create (isClosing: (address: string) => boolean = () => false): VirtualConnections {
+    return new VirtualConnections(isClosing)
   }
 
   /** Chooses the connection of a call, or opens one. False if it has ended with its incarnation and resets the call, like others. */
   use ({ address, incarnation }: TargetEntry, now: number): boolean {
+    if (this.isClosing(address)) {
+      this.openedAt.set(address, now)
+      return true
+    }
     const open = this.accepted.get(address) ?? []
     this.accepted.set(address, open)
     if (open.length === 0 || (open.length < MAX_CONNECTIONS && this.random.next() < BUSY_RATIO)) {
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -43,6 +43,8 @@
   lateStartRatio = 0
   /** Whether a command that an incarnation has not carried out yet ends with it; else the next one carries it out. */
   lateCommandsEndWithTarget = false
+  /** Targets that close each connection after their answer. */
+  closingIds: ReadonlySet<string> = new Set()
   readonly lastRuns = LastRuns.create()
   /** End of each target's lease, on its own clock. */
   private readonly leases = new Map<string, number>()
@@ -113,7 +115,7 @@
 
   /** Creates the client of a member; `isCut` says whether it does not reach a target now. */
   connect (isCut: (target: string) => boolean): ConnectionCommands {
-    const link: VirtualLink = { isCut, connections: VirtualConnections.create() }
+    const link: VirtualLink = { isCut, connections: VirtualConnections.create((address) => this.isClosing(address)) }
     const command = (id: string, carryOut: (target: SimulatedTarget) => CommandOutcome, limits: SendLimits = {}): Promise<CommandResponse> => {
       const target = this.targets.get(id)!
       return this.send<CommandResponse>(target, link, () => this.toResponse(target, carryOut(target)), limits)
@@ -128,6 +130,10 @@
     }
   }
 
+  private isClosing (address: string): boolean {
+    return [...this.closingIds].some((id) => this.targets.get(id)?.toEntry().address === address)
+  }
+
   private start (target: SimulatedTarget, { task, run, leaseUntilMs, epoch, payload }: StartCommand): CommandOutcome {
     const { nowMs } = this.time
     target.completeDueRuns(nowMs)
