Revoke starts without an answer by a new fencing number

LOST: a task that lasts had no run for 15.6 s beside one target that lists its runs but answers neither starts nor stops (advised: 16.6 s).

Cause: the start is sent for 4 s without an answer, and its stop has none either. Its run then counts as present until the last start can no longer be executed, 12 s after it was sent.

Change: a run that is given up begins a new series of commands to its target, with a higher fencing number of the same term. By the platform's protocol a target does nothing for a lower number than it has seen. So once it has answered a list request of the new series, a run that it doesn't list is not there and never will be. The deadline of the start was not used: the protocol names the refusal `late` but doesn't say that a start whose own deadline has passed is refused while list requests have extended the lease. Targets whose commands may reach a later incarnation, which knows of no number, keep the 12 s, and so does a listing that was requested before the new series. A command that the target refuses since it knows the next series of the same leader doesn't end the term. The awaited listing isn't delayed until a run ends.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -348,10 +348,10 @@
     const { commands } = this
     const { reporter, term } = this.options
     switch (effect.type) {
-      case 'start': return this.applyResponse(commands.start(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }), (response) => ({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
-      case 'stop': return this.applyResponse(commands.stop(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }), (response) => ({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response }))
+      case 'start': return this.applyResponse(commands.start(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.series) }), (response) => ({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, series: effect.series, task: effect.command.task, run: effect.command.run, response }))
+      case 'stop': return this.applyResponse(commands.stop(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.series) }), (response) => ({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, series: effect.series, task: effect.command.task, run: effect.command.run, response }))
       case 'throttle':
-        commands.throttle(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.restarts) }).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
+        commands.throttle(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.series) }).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
         return
       case 'request-advice': return this.adviceDispatcher.enqueue(effect)
       case 'store-progress': return this.committer.storeProgress(effect.job)
--- a/src/controller/fencing-number.ts
+++ b/src/controller/fencing-number.ts
@@ -1,16 +1,16 @@
-/** Number of fencing numbers that belong to each term; more than the restarts of a target that one leader can see. */
+/** Number of fencing numbers that belong to each term; more than the series of commands that one leader can send to a target. */
 const NUMBERS_PER_TERM = 1_000_000
 
 /**
- * Computes the number that commands carry to a target which has restarted so often under the leader of a term. A target does
- * nothing for a lower number than it has seen, so that commands to an incarnation have no effect on the next one once that has
- * received one. The numbers of a term are above those of all earlier terms, and above the bare terms that older releases send.
+ * Computes the number that the commands of a series to a target carry. A series begins when the target series under the leader of
+ * the term, or when the leader revokes its commands. A target does nothing for a lower number than it has seen, so that commands of
+ * a series have no effect once the target has received one of the next. The numbers of a term are above those of all earlier terms, and above the bare terms that older releases send.
  *
  * @example
  * computeFencingNumber(3, 2) // 3_000_002
  */
-export function computeFencingNumber (term: number, restarts: number): number {
-  return term * NUMBERS_PER_TERM + Math.min(restarts, NUMBERS_PER_TERM - 1)
+export function computeFencingNumber (term: number, series: number): number {
+  return term * NUMBERS_PER_TERM + Math.min(series, NUMBERS_PER_TERM - 1)
 }
 
 /**
--- a/src/controller/target-session.ts
+++ b/src/controller/target-session.ts
@@ -94,8 +94,11 @@
     const sentAt = performance.now()
     const request = buildListRequest(target, sentAt, this.options.leaseMs, this.options.isCommanded())
     const addressee = { id, address: target.entry.address, incarnation: target.entry.incarnation, ...this.options.mayReachNext?.() === true && { mayReachNext: true as const } }
-    const response = await commands.list(addressee, { ...request, epoch: computeFencingNumber(term, target.restarts) })
+    const { commandSeries } = target
+    const response = await commands.list(addressee, { ...request, epoch: computeFencingNumber(term, commandSeries) })
     if (this.stopped.signal.aborted || (response.type !== 'listed' && this.isReplaced(target))) return
+    // A command of the next series has overtaken it.
+    if (response.type === 'refused' && response.reason === 'fenced' && commandSeries < target.commandSeries) return
     await this.handleListResponse(target, response, { sentAt, isGeneral: isGeneralList(request) })
   }
 
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -43,6 +43,7 @@
 import { computeLongestEarlierLeaseMs, restoreIncarnations } from './earlier-leases.ts'
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordReduction, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn, useSpareTargets } from './targets.ts'
+import { toKnownResponse } from './revoked-commands.ts'
 import { hasUnansweredStarts, recordRejection, recordStartResponse, resendRejections } from './unanswered-starts.ts'
 import { UnboundTargets } from './unbound-targets.ts'
 import { UnsettledRunsLog } from './unsettled-runs-log.ts'
@@ -96,6 +97,7 @@
       silentTargets: SilentTargets.create(),
       runsLostByRestarts: new Map(),
       restarts: new Map(),
+      revocations: new Map(),
       departedTargets: new Map(),
       heldBackTasks: new Map(),
       earlierRunsPossible: false,
@@ -328,15 +330,16 @@
     if (event.type === 'start-answered' && this.state.startWindow.recordAnswer(formatRunKey(event.task, event.run), this.state.now)) this.state.startPassNeeded = true
     const target = this.state.targets.get(event.target)
     if (target === undefined) return
-    if (event.type === 'start-answered') recordStartResponse(target, event.task, event.run, event.response)
+    const response = toKnownResponse(target, event)
+    if (event.type === 'start-answered') recordStartResponse(target, event.task, event.run, response)
     // The response may be one of the incarnation before, which knows nothing of this one.
     if (target.entry.incarnation !== event.incarnation) return
-    if (event.type === 'stop-answered' && event.response.type === 'accepted') recordRejection(target, event.task, event.run)
+    if (event.type === 'stop-answered' && response.type === 'accepted') recordRejection(target, event.task, event.run)
     const live = target.find(event.task, event.run)
     if (live === undefined) return
     if (event.type === 'start-answered' && !hasUnansweredStarts(target, live)) live.startCommandsEndAt = Math.min(live.startCommandsEndAt, this.state.now)
-    if (event.type === 'start-answered') handleStartResponse(this.state, target, live, event.response)
-    else handleStopResponse(this.state, target, live, event.response)
+    if (event.type === 'start-answered') handleStartResponse(this.state, target, live, response)
+    else handleStopResponse(this.state, target, live, response)
   }
 
   private handleSilentTargetsStored (ids: readonly string[]): void {
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -79,6 +79,8 @@
   readonly runsLostByRestarts: Map<LiveRun, number>
   /** How often targets have restarted under this owner, by their ids; also of targets that were removed since. */
   readonly restarts: Map<string, number>
+  /** How often this owner has revoked its commands to targets, by their ids; also of targets that were removed since. */
+  readonly revocations: Map<string, number>
   /** Targets that were removed so recently that commands to them may still be executed, by their ids. */
   readonly departedTargets: Map<string, DepartedTarget>
   /** Tasks that may run on closed targets of previous owners, and the ids of these targets. */
--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -5,6 +5,7 @@
 import { haveLeasesExpired } from './expired-leases.ts'
 import type { LiveRun } from './live-run.ts'
 import { removeRun, sendStart, sendStop } from './runs.ts'
+import { revokeStarts } from './revoked-commands.ts'
 import { forgetRefusals, recordStartRefusal, recordUnhealthyTarget } from './start-refusal.ts'
 import { isOverCapacity } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
@@ -146,6 +147,7 @@
   if (state.now - live.startedAt < UNANSWERED_START_MS) return sendStart(state, live)
   recordStartRefusal(state, live.task, live.target)
   pauseStarts(state, live.target, REFUSAL_PAUSE_MS.failed)
+  revokeStarts(state, live)
   giveUpStart(state, live, 'no answer to its start')
 }
 
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -7,13 +7,13 @@
 type WithoutEpoch<Command> = Omit<Command, 'epoch'>
 
 /**
- * Action that the scheduler of a cell requests. `restarts`: how often the target has restarted under this owner. `mayReachNext`: it is
- * stored that commands to the target may reach a later incarnation.
+ * Action that the scheduler of a cell requests. `series`: the series of commands to the target that it belongs to, see `TargetState`.
+ * `mayReachNext`: it is stored that commands to the target may reach a later incarnation.
  */
 export type CellEffect =
-  | { readonly type: 'start', readonly target: string, readonly incarnation: number, readonly restarts: number, readonly id: string, readonly address: string, readonly mayReachNext?: true, readonly command: WithoutEpoch<StartCommand> }
-  | { readonly type: 'stop', readonly target: string, readonly incarnation: number, readonly restarts: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StopCommand> }
-  | { readonly type: 'throttle', readonly target: string, readonly restarts: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<ThrottleCommand> }
+  | { readonly type: 'start', readonly target: string, readonly incarnation: number, readonly series: number, readonly id: string, readonly address: string, readonly mayReachNext?: true, readonly command: WithoutEpoch<StartCommand> }
+  | { readonly type: 'stop', readonly target: string, readonly incarnation: number, readonly series: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<StopCommand> }
+  | { readonly type: 'throttle', readonly target: string, readonly series: number, readonly id: string, readonly address: string, readonly command: WithoutEpoch<ThrottleCommand> }
   /** `urgent`: the step is in a queue with the highest priority, or one of its tasks lasts and has had no run for too long. */
   | { readonly type: 'request-advice', readonly step: string, readonly targets: readonly string[], readonly costMs: number, readonly urgent: boolean }
   | { readonly type: 'store-progress', readonly job: string }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -25,9 +25,9 @@
   /** A single list request had no answer. */
   | { readonly type: 'list-unanswered', readonly id: string }
   | { readonly type: 'target-silent', readonly id: string, readonly cause: SilenceCause }
-  /** `incarnation`: the one of the target that the command was sent to; another one may have sent the response. */
-  | { readonly type: 'start-answered', readonly target: string, readonly incarnation: number, readonly task: string, readonly run: number, readonly response: CommandResponse }
-  | { readonly type: 'stop-answered', readonly target: string, readonly incarnation: number, readonly task: string, readonly run: number, readonly response: CommandResponse }
+  /** `incarnation`: the one of the target that the command was sent to; another one may have sent the response. `series`: that of the command. */
+  | { readonly type: 'start-answered', readonly target: string, readonly incarnation: number, readonly series?: number, readonly task: string, readonly run: number, readonly response: CommandResponse }
+  | { readonly type: 'stop-answered', readonly target: string, readonly incarnation: number, readonly series?: number, readonly task: string, readonly run: number, readonly response: CommandResponse }
   | { readonly type: 'advised', readonly step: string, readonly requestedTargets: readonly string[], readonly response: AdviceResponse }
   /** Responses that members received from the advisor on behalf of a previous owner. */
   | { readonly type: 'advice-known', readonly advice: readonly CachedAdvice[] }
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -155,6 +155,7 @@
   const live = target.find(listed.task, listed.run) ?? adoptRun(state, target, listed)
   if (live === undefined) return false
   live.carriedOver = false
+  live.startsRevoked = false
   if (live.startCommandsEndAt <= sentAt) {
     live.endsWithTarget = true
     state.concludedStarts.record(live)
@@ -180,7 +181,7 @@
 function adoptRun (state: CellState, target: TargetState, listed: ListedRun): LiveRun | undefined {
   const task = findListedTask(state, listed.task)
   if (task === undefined) {
-    state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command: { task: listed.task, run: listed.run } })
+    state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, series: target.commandSeries, id: target.id, address: target.entry.address, command: { task: listed.task, run: listed.run } })
     log(state, 'warn', 'stop-ordered-for-unknown', { task: listed.task, run: listed.run, target: target.id })
     return undefined
   }
--- a/src/workflow/list-request.ts
+++ b/src/workflow/list-request.ts
@@ -7,8 +7,8 @@
 const THROTTLED_LIST_WAIT_MS = 500
 /** Wait while the target is not commanded, because leases and starts wait for a listing and a stored record. */
 const NOT_COMMANDED_LIST_WAIT_MS = 50
-/** Wait while runs of the incarnation before are being stopped, because their tasks wait for a listing without them. */
-const CARRIED_OVER_LIST_WAIT_MS = 50
+/** Wait while runs of the incarnation before are being stopped, or starts were revoked: their tasks wait for a listing without them. */
+const AWAITED_LIST_WAIT_MS = 50
 
 /**
  * Builds the next list request for a target. It extends the lease of the runs only while the target is reachable: leases
@@ -31,13 +31,13 @@
 
 function computeWaitMs (target: TargetState, isCommanded: boolean): number {
   if (!isCommanded) return NOT_COMMANDED_LIST_WAIT_MS
-  if (hasCarriedOverRuns(target)) return CARRIED_OVER_LIST_WAIT_MS
+  if (hasAwaitedRuns(target)) return AWAITED_LIST_WAIT_MS
   return target.latencyBoundRuns > 0 && target.bestEffortCpuMillis > 0 ? THROTTLED_LIST_WAIT_MS : LIST_WAIT_MS
 }
 
-function hasCarriedOverRuns ({ runs }: TargetState): boolean {
-  for (const { carriedOver } of runs.values()) {
-    if (carriedOver) return true
+function hasAwaitedRuns ({ runs }: TargetState): boolean {
+  for (const { carriedOver, startsRevoked } of runs.values()) {
+    if (carriedOver || startsRevoked) return true
   }
   return false
 }
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -19,6 +19,8 @@
   carriedOver: boolean
   /** From when on none of its start commands can be executed any more, on the scheduler's clock. */
   startCommandsEndAt: number
+  /** Whether its start commands were revoked, and no listing has shown since whether it is there. */
+  startsRevoked: boolean
   /** Whether its target has listed it on a request sent after that: no later incarnation of the target can have it. */
   endsWithTarget: boolean
   /** Whether its queue has the highest priority. */
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -28,6 +28,7 @@
     carriedOver: false,
     // An adopted run whose starts have been concluded is known to a previous owner; nobody sends starts of it again.
     startCommandsEndAt: task.concludedRun === run ? -Infinity : state.now + EARLIER_OWNER_MS + LATE_COMMAND_MS,
+    startsRevoked: false,
     endsWithTarget: false,
     settled: false,
     urgent: isUrgent(state, task.step.job.definition),
@@ -93,7 +94,7 @@
   if (live.sendCount === 1) state.startWindow.recordSent({ target: target.id, run: formatRunKey(task.key, live.run), payloadBytes: payload.length }, state.now)
   const command = { task: task.key, run: live.run, payload, leaseUntilMs, checkpoint: live.checkpoint, ticket: live.ticket }
   const mayReachNext = state.unboundTargets.mayReachNext(target.id)
-  state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, ...mayReachNext && { mayReachNext }, command })
+  state.effects.push({ type: 'start', target: target.id, incarnation: target.entry.incarnation, series: target.commandSeries, id: target.id, address: target.entry.address, ...mayReachNext && { mayReachNext }, command })
 }
 
 /** Sends the stop command of a run, or resends it. */
@@ -107,7 +108,7 @@
   }
   live.sendCount += 1
   live.lastSentAt = state.now
-  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command: { task: task.key, run: live.run } })
+  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, series: target.commandSeries, id: target.id, address: target.entry.address, command: { task: task.key, run: live.run } })
 }
 
 /** Stops all runs of the given tasks. */
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -71,6 +71,8 @@
   published = true
   /** Whether it has restarted and gets no starts while others have room, so that nobody has to wait for its leases. */
   spare = false
+  /** How often this owner has revoked its commands to targets of this id. */
+  revocations = 0
   /** Whether no owner had it on the stored list when it was first seen, so that nothing had been started there. */
   unused = false
   private clock: { readonly clockMs: number, readonly readAt: number } | undefined
@@ -97,6 +99,11 @@
     return this.entry.id
   }
 
+  /** The series of commands that this owner sends now. A target that has got a command of a later series does nothing for an earlier one. */
+  get commandSeries (): number {
+    return this.restarts + this.revocations
+  }
+
   recordClock (clockMs: number, now: number): void {
     this.clock = { clockMs, readAt: now }
   }
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -52,6 +52,7 @@
   const restarts = (state.restarts.get(entry.id) ?? 0) + (previous === undefined ? 0 : 1)
   if (previous !== undefined) state.restarts.set(entry.id, restarts)
   const target = TargetState.create(entry, state.now, restarts)
+  target.revocations = state.revocations.get(entry.id) ?? 0
   target.unused = unused && previous === undefined
   if (previous !== undefined) replaceTarget(state, previous, target)
   confirmReplacedCrashes(state, entry)
--- a/src/workflow/throttling.ts
+++ b/src/workflow/throttling.ts
@@ -40,7 +40,7 @@
   live.throttlePercent = percent
   live.lastSentAt = state.now
   const command = { task: live.task.key, run: live.run, percent }
-  state.effects.push({ type: 'throttle', target: live.target.id, restarts: live.target.restarts, id: live.target.id, address: live.target.entry.address, command })
+  state.effects.push({ type: 'throttle', target: live.target.id, series: live.target.commandSeries, id: live.target.id, address: live.target.entry.address, command })
 }
 
 function computeThrottlePercent (currentPercent: number, maxLatencyRatio: number): number {
--- a/src/workflow/unanswered-starts.ts
+++ b/src/workflow/unanswered-starts.ts
@@ -93,5 +93,5 @@
 function sendRejection (state: CellState, target: TargetState, start: UnansweredStart): void {
   start.stopSentAt = state.now
   const { task, run } = start
-  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, restarts: target.restarts, id: target.id, address: target.entry.address, command: { task, run } })
+  state.effects.push({ type: 'stop', target: target.id, incarnation: target.entry.incarnation, series: target.commandSeries, id: target.id, address: target.entry.address, command: { task, run } })
 }
--- a/test/controller/fencing-number.test.ts
+++ b/test/controller/fencing-number.test.ts
@@ -30,14 +30,15 @@
 
 const FENCED: ListResponse = { type: 'refused', reason: 'fenced' }
 
-/** Sends a list request to `t1`, which restarts or not while it is on its way, and returns the events that follow. */
-async function refuseRequest (restarts: boolean): Promise<{ readonly numbers: readonly number[], readonly silences: number }> {
+/** Sends a list request to `t1`, which restarts, or whose commands are revoked, or neither, while it is on its way, and returns the events that follow. */
+async function refuseRequest (change: 'restart' | 'revocation' | undefined): Promise<{ readonly numbers: readonly number[], readonly silences: number }> {
   const harness = CellHarness.create([buildEntry('t1')])
   const numbers: number[] = []
   const events: CellEvent[] = []
   const list = async (_target: CommandTarget, { epoch }: ListRequest): Promise<ListResponse> => {
     numbers.push(epoch)
-    if (numbers.length === 1 && restarts) harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
+    if (numbers.length === 1 && change === 'revocation') harness.scheduler.getTarget('t1')!.revocations += 1
+    if (numbers.length === 1 && change === 'restart') harness.apply({ type: 'target-published', entry: buildEntry('t1', { incarnation: 2 }) })
     await wait(POLL_INTERVAL_MS)
     return numbers.length === 1 ? FENCED : { type: 'listed', listing: { incarnation: 2, clockMs: 1, running: [], ended: [] } }
   }
@@ -60,13 +61,14 @@
 }
 
 const refusals = [
-  { guards: 'a leader stands down because a target that has restarted refused a request to its life before', restarts: true, expected: { numbers: [4_000_000, 4_000_001], silences: 0 } },
-  { guards: 'a leader goes on although a target refused a request to its present life', restarts: false, expected: { numbers: [4_000_000, 4_000_000], silences: 1 } }
-]
+  { guards: 'a leader stands down because a target that has restarted refused a request to its life before', change: 'restart', expected: { numbers: [4_000_000, 4_000_001], silences: 0 } },
+  { guards: 'a leader stands down because a target refused a request of a series that the leader has revoked', change: 'revocation', expected: { numbers: [4_000_000, 4_000_001], silences: 0 } },
+  { guards: 'a leader goes on although a target refused a request to its present life', change: undefined, expected: { numbers: [4_000_000, 4_000_000], silences: 1 } }
+] as const
 
-for (const { guards, restarts, expected } of refusals) {
-  // A request with the number of the life before is refused once the target has received one with the number of its present life.
-  test(`target session: guards against the failure that ${guards}`, async () => assert.deepEqual(await refuseRequest(restarts), expected))
+for (const { guards, change, expected } of refusals) {
+  // A request with the number of the life or series before is refused once the target has received one with the present number.
+  test(`target session: guards against the failure that ${guards}`, async () => assert.deepEqual(await refuseRequest(change), expected))
 }
 
 // The targets fence commands to the life before; the refusals must not end the term.
--- a/test/workflow/lasting-bad-targets.test.ts
+++ b/test/workflow/lasting-bad-targets.test.ts
@@ -37,7 +37,7 @@
   static create (bad: number, behaviour: Behaviour): BadTargets {
     const behaviours = new Map(Array.from({ length: TARGETS }, (_, index) => [`t${index}`, index < bad ? behaviour : 'works'] as const))
     const entries = [...behaviours].map(([id, how]) => buildEntry(id, how === 'works' ? { capacity: WORKING } : {}))
-    const harness = CellHarness.create(entries, { ...CONFIGURATION, queues: QUEUES })
+    const harness = CellHarness.create(entries, { ...CONFIGURATION, queues: QUEUES }, { areCommandsBound: true })
     harness.apply({ type: 'advice-channels', channels: 7 })
     return new BadTargets(harness, behaviours)
   }
--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -59,7 +59,7 @@
     if (restarted && simulation.restarting && occurs(BROKEN_REQUEST_RATIO)) return this.handleUnanswered(0)
     const { incarnation } = target
     const isReduced = simulation.connected && incarnation !== known.entry.incarnation
-    const request = { ...buildListRequest(known, time.now, this.options.leaseMs, this.options.isCommanded()), ...isReduced && REDUCED, epoch: computeFencingNumber(this.options.epoch, known.restarts) }
+    const request = { ...buildListRequest(known, time.now, this.options.leaseMs, this.options.isCommanded()), ...isReduced && REDUCED, epoch: computeFencingNumber(this.options.epoch, known.commandSeries) }
     if (isReduced) known.sentCursor = 0
     const sentAt = time.now
     if (target.away === 'refusing') return this.handleUnanswered(0)
--- a/test/workflow/simulation.ts
+++ b/test/workflow/simulation.ts
@@ -357,7 +357,7 @@
     if (delayed) this.faults.delayedCommands += 1
     const incarnation = target.incarnation
     if (this.options.connected && effect.type === 'start' && effect.incarnation !== incarnation) return this.withhold(effect, epoch)
-    const fencingNumber = computeFencingNumber(epoch, effect.restarts)
+    const fencingNumber = computeFencingNumber(epoch, effect.series)
     const arrive = (): void => {
       if (!(delayed ? this.mayArriveLate(target, incarnation) : this.mayArrive(target, incarnation))) return
       const outcome = effect.type === 'start' ? this.startRun(effect, target, fencingNumber, delayed) : target.stop(effect.command.task, effect.command.run, fencingNumber, this.now)
@@ -390,7 +390,7 @@
 
   private deliverResponse (effect: Extract<CellEffect, { type: 'start' | 'stop' }>, outcome: ReturnType<SimulatedTarget['start']>): void {
     const response = outcome === 'accepted' ? { type: 'accepted', clockMs: undefined } as const : { type: 'refused', reason: outcome, clockMs: undefined } as const
-    this.apply({ type: effect.type === 'start' ? 'start-answered' : 'stop-answered', target: effect.target, incarnation: effect.incarnation, task: effect.command.task, run: effect.command.run, response })
+    this.apply({ type: effect.type === 'start' ? 'start-answered' : 'stop-answered', target: effect.target, incarnation: effect.incarnation, series: effect.series, task: effect.command.task, run: effect.command.run, response })
   }
 
   private startRun (effect: Extract<CellEffect, { type: 'start' }>, target: SimulatedTarget, fencingNumber: number, late: boolean): ReturnType<SimulatedTarget['start']> {
