Move reading the state and sending commands out of the controller

Its reading of the stored state with retries and the sending of commands are files of their own; the state is still taken over at the moment at which the lease is confirmed. Evidence: types, linter; controller/controller, command-permission, late-jobs, fencing and workflow/start-logs 26 passed.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -14,29 +14,26 @@
 import { CommandPermission } from './command-permission.ts'
 import { Committer } from './committer.ts'
 import type { ControllerOptions } from './controller-options.ts'
-import { delay } from './delay.ts'
 import { EarlierLeaders } from './earlier-leaders.ts'
 import { findEarlierRunsEvent } from './earlier-runs-event.ts'
 import { LateJobs } from './late-jobs.ts'
-import { computeFencingNumber } from './fencing-number.ts'
 import type { Peer } from './member-call.ts'
 import { PermittedCommands } from './permitted-commands.ts'
-import { readStoredState } from './read-stored-state.ts'
+import type { StoredState } from './read-stored-state.ts'
 import { RecentPeers } from './recent-peers.ts'
 import { RelayedCommands } from './relayed-commands.ts'
+import { restoreState } from './restore-state.ts'
 import { computeFirstRun } from './run-numbers.ts'
 import { SchedulingPasses } from './scheduling-passes.ts'
+import { sendCommand } from './send-command.ts'
 import { StoreFeed } from './store-feed.ts'
 import { SummaryLog } from './summary-log.ts'
 import type { LeaderState } from './summary-log.ts'
 import { TargetSession } from './target-session.ts'
 import { TickWatch } from './tick-watch.ts'
-import { toCommandTarget } from './to-command-target.ts'
-import { areCommandsBound } from './unsettled-terms.ts'
 import { Witnesses } from './witnesses.ts'
 
 const TICK_INTERVAL_MS = 50
-const RESTORE_RETRY_DELAY_MS = 200
 
 /** Runs the work of a cell's leader: the scheduler, a session for each target, the commits and the advice requests. */
 export class Controller {
@@ -259,7 +256,7 @@
     this.applyEvent({ type: 'silent-targets-restored', targets: this.options.term.silentTargets ?? {} })
     this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS)
     this.earlierLeaders.stop().catch((error: unknown) => this.options.reporter.log('error', 'earlier-leaders-not-asked', { detail: String(error) }))
-    const version = await this.restore()
+    const version = await restoreState({ ...this.options, isStopped: () => this.stopped, onRead: (state) => this.takeOver(state) })
     // The term may have ended while the store was read; its feed would be stopped by nobody.
     if (version === undefined || this.stopped) return
     this.storeFeed.start()
@@ -267,22 +264,9 @@
     await this.lateJobs.read()
   }
 
-  /** Reads the jobs, their progress and the targets of previous leaders; retries until it succeeds or the term ends. */
-  private async restore (): Promise<number | undefined> {
-    const { store, reporter, term, isLeaseConfirmed } = this.options
-    const startedAt = performance.now()
-    while (!this.stopped) {
-      const state = await readStoredState(store, reporter, areCommandsBound(term.unsettled))
-      // Without the lease another member may lead, and a job that was read may be a new one of its term.
-      if (state !== undefined && isLeaseConfirmed()) {
-        this.previousTargets = state.targets
-        for (const event of state.events) this.applyEvent(event)
-        reporter.log('info', 'jobs-restored', { jobs: state.jobCount, durationMs: Math.round(performance.now() - startedAt) })
-        return state.version
-      }
-      await delay(RESTORE_RETRY_DELAY_MS)
-    }
-    return undefined
+  private takeOver ({ targets, events }: StoredState): void {
+    this.previousTargets = targets
+    for (const event of events) this.applyEvent(event)
   }
 
   private tick (): void {
@@ -348,10 +332,10 @@
     const { commands } = this
     const { reporter, term } = this.options
     switch (effect.type) {
-      case 'start': return this.applyResponse(commands.start(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.series) }), (response) => ({ type: 'start-answered', target: effect.target, incarnation: effect.incarnation, series: effect.series, task: effect.command.task, run: effect.command.run, response }))
-      case 'stop': return this.applyResponse(commands.stop(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.series) }), (response) => ({ type: 'stop-answered', target: effect.target, incarnation: effect.incarnation, series: effect.series, task: effect.command.task, run: effect.command.run, response }))
+      case 'start':
+      case 'stop': return this.applyResponse(sendCommand(commands, term.term, effect), (response) => ({ type: `${effect.type}-answered`, target: effect.target, incarnation: effect.incarnation, series: effect.series, task: effect.command.task, run: effect.command.run, response }))
       case 'throttle':
-        commands.throttle(toCommandTarget(effect), { ...effect.command, epoch: computeFencingNumber(term.term, effect.series) }).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
+        sendCommand(commands, term.term, effect).then((response) => reporter.count('pace', response.type), (error: unknown) => reporter.log('error', 'pace-failed', { detail: String(error) }))
         return
       case 'request-advice': return this.adviceDispatcher.enqueue(effect)
       case 'store-progress': return this.committer.storeProgress(effect.job)
--- a/src/controller/fencing-number.ts
+++ b/src/controller/fencing-number.ts
@@ -2,9 +2,10 @@
 const NUMBERS_PER_TERM = 1_000_000
 
 /**
- * Computes the number that the commands of a series to a target carry. A series begins when the target series under the leader of
+ * Computes the number that the commands of a series to a target carry. A series begins when the target restarts under the leader of
  * the term, or when the leader revokes its commands. A target does nothing for a lower number than it has seen, so that commands of
- * a series have no effect once the target has received one of the next. The numbers of a term are above those of all earlier terms, and above the bare terms that older releases send.
+ * a series have no effect once the target has received one of the next. The numbers of a term are above those of all earlier terms,
+ * and above the bare terms that older releases send.
  *
  * @example
  * computeFencingNumber(3, 2) // 3_000_002
