--- a/src/workflow/command-responses.ts
+++ b/src/workflow/command-responses.ts
@@ -6,7 +6,7 @@
 import type { LiveRun } from './live-run.ts'
 import { removeRun, sendStart, sendStop } from './runs.ts'
 import { revokeStarts } from './revoked-commands.ts'
-import { forgetRefusals, hasRefused, recordStartRefusal, recordUnansweredStart, recordUnhealthyTarget } from './start-refusal.ts'
+import { forgetRefusals, recordStartRefusal, recordUnhealthyTarget } from './start-refusal.ts'
 import { isOverCapacity } from './target-acceptance.ts'
 import type { TargetState } from './target-state.ts'
 import type { LogFields } from './task-wait-fields.ts'
@@ -29,10 +29,6 @@
 
 /** A start without an answer is stopped after this time, which is longer than slow targets need, in milliseconds. */
 const UNANSWERED_START_MS = 4_000
-/** So are the next starts of its task on other targets, which seem to be of the same kind, in milliseconds: as long as a target may take for a command. */
-const FURTHER_UNANSWERED_START_MS = 600
-/** So many of them are; more would show that the targets or this owner are slow. */
-const MAX_FURTHER_STARTS = 2
 
 /** Counter of the commands that are sent again. */
 export const RESENT_COUNTER = 'command-resent'
@@ -133,8 +129,7 @@
 }
 
 function resendCommand (state: CellState, live: LiveRun): void {
-  if (live.respondedAt !== undefined) return
-  if (state.now - live.lastSentAt < state.resendPause.getMs(live.sendCount) && !isStartLost(state, live)) return
+  if (live.respondedAt !== undefined || state.now - live.lastSentAt < state.resendPause.getMs(live.sendCount)) return
   if (live.phase !== 'running') count(state, RESENT_COUNTER, live.phase)
   switch (live.phase) {
     // A target whose last list request had no answer may have restarted.
@@ -149,20 +144,13 @@
   if (!live.task.step.job.active) return sendStop(state, live, 'the job has ended')
   if (live.task.phase === 'done') return sendStop(state, live, 'the task has ended')
   if (isOverCapacity(live.target)) return giveUpStart(state, live, 'the capacity of its target has shrunk')
-  if (!isStartLost(state, live)) return sendStart(state, live)
-  recordUnansweredStart(state, live.task, live.target)
+  if (state.now - live.startedAt < UNANSWERED_START_MS) return sendStart(state, live)
+  recordStartRefusal(state, live.task, live.target)
   pauseStarts(state, live.target, REFUSAL_PAUSE_MS.failed)
   revokeStarts(state, live)
   giveUpStart(state, live, 'no answer to its start')
 }
 
-/** Whether a run has been without an answer to its start for so long that its target seems to lose its starts. */
-function isStartLost ({ now }: CellState, { task, target, phase, startedAt }: LiveRun): boolean {
-  const unanswered = task.refusal?.unanswered ?? 0
-  const isFurther = unanswered > 0 && unanswered <= MAX_FURTHER_STARTS && !hasRefused(target, task)
-  return phase === 'starting' && now - startedAt >= (isFurther ? FURTHER_UNANSWERED_START_MS : UNANSWERED_START_MS)
-}
-
 /** Stops a run whose start is not sent again, and the other members of its gang. */
 function giveUpStart (state: CellState, live: LiveRun, reason: string): void {
   sendStop(state, live, reason)
--- a/src/workflow/start-refusal.ts
+++ b/src/workflow/start-refusal.ts
@@ -8,25 +8,15 @@
 /** How long a task avoids a target that refused it, in milliseconds. */
 const AVOIDANCE_MS = 5_000
 
-/**
- * The last refusal of a start of a task that says nothing of why, and the number of such refusals since it last started.
- * `unanswered`: how many of the last ones in a row were starts without an answer.
- */
-export type StartRefusal = { readonly target: string, readonly at: number, readonly count: number, readonly unanswered: number }
+/** The last refusal of a start of a task that says nothing of why, and the number of such refusals since it last started. */
+export type StartRefusal = { readonly target: string, readonly at: number, readonly count: number }
 
 /** Records that a target has refused a start of the task. No run has failed, so it does not count as an attempt. */
 export function recordStartRefusal (state: CellState, task: Task, target: TargetState): void {
-  task.refusal = { target: target.id, at: state.now, count: (task.refusal?.count ?? 0) + 1, unanswered: 0 }
+  task.refusal = { target: target.id, at: state.now, count: (task.refusal?.count ?? 0) + 1 }
   task.refusedBy.set(target.id, state.now)
 }
 
-/** Records that a target has answered no start of the task, which counts as a refusal. */
-export function recordUnansweredStart (state: CellState, task: Task, target: TargetState): void {
-  const unanswered = (task.refusal?.unanswered ?? 0) + 1
-  recordStartRefusal(state, task, target)
-  task.refusal = { ...task.refusal!, unanswered }
-}
-
 /** Records that a target refuses all starts for a moment. The task does not wait, but prefers others. */
 export function recordUnhealthyTarget (task: Task, target: TargetState): void {
   if (!task.refusedBy.has(target.id)) task.refusedBy.set(target.id, -Infinity)
