Send commands again that a target refuses because others were revoked

Cause: a revocation makes the target refuse the copies in flight of other runs, which counted as `unhealthy`: a run whose first copy had been carried out and not answered was stopped, and the target got no starts for a second. Found by a review of the revocations. Change: such a refusal counts as no answer. The command is sent again with the number of now, and the first copy, if it was carried out, is listed. Evidence: the new test failed (one stop of a run that goes on) and passes; it takes the last copy of the series before. workflow/revoked passes.

--- a/src/workflow/revoked-commands.ts
+++ b/src/workflow/revoked-commands.ts
@@ -20,8 +20,11 @@
   live.startCommandsEndAt = Math.min(live.startCommandsEndAt, state.now + CLOCK_RESOLUTION_MS)
 }
 
-/** Returns the response, or that the target did nothing if it has only seen a later series of this owner than that of the command. */
+/**
+ * Returns the response; one to a command that the target has refused because it only knows a later series of this owner counts as none.
+ * An earlier copy of the command may have been carried out, and it is sent again with the series of now.
+ */
 export function toKnownResponse (target: TargetState, { series, response }: { readonly series?: number, readonly response: CommandResponse }): CommandResponse {
   const isRevoked = response.type === 'refused' && response.reason === 'fenced' && series !== undefined && series < target.commandSeries
-  return isRevoked ? { ...response, reason: 'unhealthy' } : response
+  return isRevoked ? { type: 'unanswered', reason: 'revoked' } : response
 }
--- a/test/workflow/revoked-commands.test.ts
+++ b/test/workflow/revoked-commands.test.ts
@@ -129,3 +129,19 @@
   harness.listTarget('t1', { running: harness.runningOn('t1') })
   assert.equal(buildListRequest(target, harness.now, LEASE_MS).waitMs, usualWaitMs)
 })
+
+// A copy that the target refuses because of the revocation of another run says nothing of the first one, which it runs.
+test('revoked commands: guards against the failure that a run that its target has begun is stopped because another one there was revoked', () => {
+  const harness = startLastingTask(true, 0)
+  advance(harness, GIVEN_UP_AFTER_MS - 400)
+  harness.acceptJob('k', 'stock')
+  const isOfK = ({ command }: SentCommand): boolean => command.task.startsWith('k.')
+  giveUpStart(harness)
+  const copies = harness.getStarts().filter(isOfK)
+  assert.ok(copies.length > 1, 'its start was not sent again')
+  const { command: { task, run }, series } = copies.findLast(({ series }) => series < harness.scheduler.getTarget('t1')!.commandSeries)!
+  // The first copy was carried out and its answer lost; the last one comes after the stop of the other run.
+  harness.apply({ type: 'start-answered', target: 't1', incarnation: 1, series, task, run, response: { type: 'refused', reason: 'fenced', clockMs: undefined } })
+  harness.listTarget('t1', { running: harness.runningOn('t1') })
+  assert.deepEqual(harness.getCommands('stop').filter(isOfK).length, 0)
+})
