Store the list of targets before the jobs of a backlog

Cause: a list of targets goes into a transaction after the jobs, if there is room. Terms are settled no earlier than that list, so that a backlog that fills each transaction kept them unsettled without end. Found by a review; before, such terms were settled without their targets. Change: the list comes first and takes one of the records of its batch.

--- a/src/controller/committer.ts
+++ b/src/controller/committer.ts
@@ -205,8 +205,11 @@
 
   private createBatch (): Batch {
     for (const id of this.jobRecords.takeRetries()) this.jobsToStore.add(id)
-    const { records, released, remainingEntries } = this.selectJobs()
-    let remainingRecords = this.batchLimit - records.length
+    // Terms are settled only with the targets, which a backlog must not keep out of each transaction.
+    const targets = this.takeTargets()
+    const limit = targets === undefined ? this.batchLimit : this.batchLimit - 1
+    const { records, released, remainingEntries } = this.selectJobs(limit)
+    let remainingRecords = limit - records.length
     const removedProgress = [...this.progressToRemove].slice(0, Math.min(remainingEntries, remainingRecords))
     remainingRecords -= removedProgress.length
     for (const id of removedProgress) this.progressToRemove.delete(id)
@@ -214,7 +217,6 @@
     if (silentTargets !== undefined) remainingRecords -= 1
     const settings = remainingRecords > 0 ? this.takeSettings() : undefined
     if (settings !== undefined) remainingRecords -= 1
-    const targets = remainingRecords > 0 ? this.takeTargets() : undefined
     const nonce = randomUUID()
     const { witnesses } = this
     this.recordWanted = false
@@ -272,13 +274,13 @@
    * Selects as many jobs as fit into one transaction, those of them whose definitions are deleted, and the number of
    * unused entries.
    */
-  private selectJobs (): { readonly records: readonly JobRecord[], readonly released: readonly string[], readonly remainingEntries: number } {
+  private selectJobs (limit: number): { readonly records: readonly JobRecord[], readonly released: readonly string[], readonly remainingEntries: number } {
     const records: JobRecord[] = []
     const released: string[] = []
     let remainingEntries = this.silentTargetsToStore === undefined ? MAX_ENTRIES : MAX_ENTRIES - 1
     let bytes = 0
     for (const id of this.jobsToStore) {
-      if (records.length >= this.batchLimit) break
+      if (records.length >= limit) break
       const record = this.jobRecords.build(id)
       // Without the record of its end, a job that has ended would be lost with its definition.
       const releasesDefinition = record?.phase !== undefined && !this.options.needsDefinition(id)
--- a/test/controller/settled-terms.test.ts
+++ b/test/controller/settled-terms.test.ts
@@ -92,3 +92,38 @@
     assert.deepEqual(store.readCommit().unsettled, [])
   })
 }
+
+// A backlog that fills each transaction: the targets come last, and now the terms wait for them.
+test('committer: guards against the failure that terms are never settled while each transaction is full of jobs', async () => {
+  const store = new ObservedStore(0)
+  store.inner.call(0, { type: 'transact', compares: [], puts: [{ key: COMMIT_KEY, value: JSON.stringify(CLAIM) }, { key: TARGETS_KEY, value: JSON.stringify(PREVIOUS_TARGETS) }], deletes: [] })
+  let jobs = 0
+  let transactions = 0
+  const storeJobs = (): void => {
+    for (let count = 0; count < 28; count += 1) committer.storeProgress(`j${jobs += 1}`)
+  }
+  const committer = Committer.create({
+    store,
+    term: CLAIM.term,
+    commitVersion: store.inner.version,
+    self: SELF,
+    reporter: SILENT_REPORTER,
+    claimedTerms: CLAIM.unsettled!,
+    getUnsettledTerms: () => [],
+    getProgress: () => ({ phase: 'running', nextOccurrence: 1, open: {} }),
+    needsDefinition: () => true,
+    getProcessedCompletions: () => [],
+    getLastRun: () => 0,
+    onStored: () => {
+      transactions += 1
+      storeJobs()
+    },
+    onFenced: () => assert.fail('fenced')
+  })
+  committer.storeTargets(TARGETS)
+  storeJobs()
+  const startedAt = performance.now()
+  while (store.readCommit().unsettled?.length !== 0 && performance.now() < startedAt + DEADLINE_MS) await wait(10)
+  committer.stop()
+  assert.deepEqual(store.readCommit().unsettled, [], `not settled after ${transactions} transactions with ${jobs} jobs`)
+})
