--- a/src/adapters/grpc-member-calls.ts
+++ b/src/adapters/grpc-member-calls.ts
@@ -3,7 +3,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { MemberResponse, MemberCall, MemberCallFailure } from '../controller/member-call.ts'
-import type { RelayReply, RelayRequest } from '../controller/relay-message.ts'
+import type { RelayReply, RelayRequest } from '../controller/commands/relay-message.ts'
 import { assertNever } from '../util/assert-never.ts'
 import { BOUND_RELAY_METHOD, RELAY_METHOD, acceptRelayStream } from './grpc-relay-stream.ts'
 import type { RelayStreamAcceptor } from './grpc-relay-stream.ts'
--- a/src/adapters/grpc-relay-stream.ts
+++ b/src/adapters/grpc-relay-stream.ts
@@ -1,6 +1,6 @@
 import { Client, Metadata, credentials } from '@grpc/grpc-js'
 import type { ServerDuplexStream } from '@grpc/grpc-js'
-import type { RelayReply, RelayRequest, RelayStream, RelayStreamEvents } from '../controller/relay-message.ts'
+import type { RelayReply, RelayRequest, RelayStream, RelayStreamEvents } from '../controller/commands/relay-message.ts'
 import { CHANNEL_OPTIONS } from './member-channel-options.ts'
 import { decodeRelayReply, decodeRelayRequest, encodeRelayMessage } from './relay-codec.ts'
 
--- a/src/adapters/relay-codec.ts
+++ b/src/adapters/relay-codec.ts
@@ -1,4 +1,4 @@
-import type { RelayEntry, RelayReply, RelayRequest } from '../controller/relay-message.ts'
+import type { RelayEntry, RelayReply, RelayRequest } from '../controller/commands/relay-message.ts'
 import { decodeMessage, encodeMessage } from './message-codec.ts'
 
 const RELAYED_TYPES: ReadonlySet<unknown> = new Set(['start', 'stop', 'throttle', 'list'] satisfies ReadonlyArray<RelayEntry['relayed']['type']>)
--- a/src/controller/admission.ts
+++ b/src/controller/admission/admission.ts
@@ -1,7 +1,7 @@
-import { MIN_BEARABLE_WAIT_MS, computeWaitMs } from '../workflow/advice-backlog.ts'
-import type { Overload } from '../workflow/advice-backlog.ts'
-import type { JobDefinition } from '../workflow/job.ts'
-import { computeChainsMs } from '../workflow/task.ts'
+import { MIN_BEARABLE_WAIT_MS, computeWaitMs } from '../../workflow/advice/advice-backlog.ts'
+import type { Overload } from '../../workflow/advice/advice-backlog.ts'
+import type { JobDefinition } from '../../workflow/job.ts'
+import { computeChainsMs } from '../../workflow/task.ts'
 
 /** No job is accepted that would wait longer for a channel, in milliseconds, however late its objective is. */
 const MAX_BEARABLE_WAIT_MS = 8_000
--- a/src/controller/advice-cache.ts
+++ b/src/controller/advice/advice-cache.ts
@@ -1,4 +1,4 @@
-import type { AdviceResponse, Advisor, CachedAdvice, Ticket } from '../ports/command-client.ts'
+import type { AdviceResponse, Advisor, CachedAdvice, Ticket } from '../../ports/command-client.ts'
 
 /**
  * How long a response is kept for a new leader, in milliseconds. It stays useful after its tickets expire, because the
--- a/src/controller/advice-channel.ts
+++ b/src/controller/advice/advice-channel.ts
@@ -1,6 +1,6 @@
 import type { AdviceChannel } from './advice-dispatcher.ts'
-import type { ControllerOptions } from './controller-options.ts'
-import type { Peer } from './member-call.ts'
+import type { ControllerOptions } from '../controller-options.ts'
+import type { Peer } from '../member-call.ts'
 
 /** Factor on the time that the advisor needs for a request. */
 const TIMEOUT_FACTOR = 1.5
--- a/src/controller/advice-dispatcher.ts
+++ b/src/controller/advice/advice-dispatcher.ts
@@ -1,4 +1,4 @@
-import type { AdviceResponse } from '../ports/command-client.ts'
+import type { AdviceResponse } from '../../ports/command-client.ts'
 
 /** A request for advice on the targets that may run a step. */
 export type AdviceRequest = {
--- a/src/controller/command-load.ts
+++ b/src/controller/commands/command-load.ts
@@ -1,4 +1,4 @@
-import type { CommandResponse } from '../ports/command-client.ts'
+import type { CommandResponse } from '../../ports/command-client.ts'
 
 /** Starts and stops of a leader over some time. */
 export type CommandCounts = {
--- a/src/controller/command-permission.ts
+++ b/src/controller/commands/command-permission.ts
@@ -1,6 +1,6 @@
-import { Moment } from '../util/moment.ts'
-import type { Clocks } from '../util/moment.ts'
-import type { Reporter } from './reporter.ts'
+import { Moment } from '../../util/moment.ts'
+import type { Clocks } from '../../util/moment.ts'
+import type { Reporter } from '../reporter.ts'
 
 /** A process that was last seen running longer ago than this may have been suspended, in milliseconds. */
 const SUSPENSION_THRESHOLD_MS = 750
--- a/src/controller/command-relay.ts
+++ b/src/controller/commands/command-relay.ts
@@ -1,9 +1,9 @@
-import type { CommandClient, SendPermission } from '../ports/command-client.ts'
-import { assertNever } from '../util/assert-never.ts'
-import { toTerm } from './fencing-number.ts'
+import type { CommandClient, SendPermission } from '../../ports/command-client.ts'
+import { assertNever } from '../../util/assert-never.ts'
+import { toTerm } from '../leadership/fencing-number.ts'
 import { RELAY_BATCH_MS } from './relay-message.ts'
 import type { RelayEntry, RelayReply, RelayRequest, RelayedCommand, RelayedResponse } from './relay-message.ts'
-import type { Reporter } from './reporter.ts'
+import type { Reporter } from '../reporter.ts'
 
 export type CommandRelayOptions = {
   readonly commands: CommandClient
--- a/src/controller/complete-listings.ts
+++ b/src/controller/commands/complete-listings.ts
@@ -1,6 +1,6 @@
-import type { CommandClient, ListResponse } from '../ports/command-client.ts'
-import type { TargetListing } from '../workflow/target-entry.ts'
-import { delay } from './delay.ts'
+import type { CommandClient, ListResponse } from '../../ports/command-client.ts'
+import type { TargetListing } from '../../workflow/target-entry.ts'
+import { delay } from '../delay.ts'
 
 const RETRY_DELAY_MS = 100
 
--- a/src/controller/incarnation-check.ts
+++ b/src/controller/commands/incarnation-check.ts
@@ -1,9 +1,9 @@
-import { WITHHELD } from '../ports/command-client.ts'
-import type { CommandClient, CommandResponse, CommandTarget, ConnectionCommands, ListRequest, ListResponse, SendPermission, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
-import { Moment } from '../util/moment.ts'
-import type { Clocks } from '../util/moment.ts'
+import { WITHHELD } from '../../ports/command-client.ts'
+import type { CommandClient, CommandResponse, CommandTarget, ConnectionCommands, ListRequest, ListResponse, SendPermission, StartCommand, StopCommand, ThrottleCommand } from '../../ports/command-client.ts'
+import { Moment } from '../../util/moment.ts'
+import type { Clocks } from '../../util/moment.ts'
 import { isGeneralList } from './is-general-list.ts'
-import type { Reporter } from './reporter.ts'
+import type { Reporter } from '../reporter.ts'
 import { StartPermit } from './start-permit.ts'
 
 const NOT_SENT = { type: 'unanswered', reason: 'incarnation-not-confirmed', sent: false } as const
--- a/src/controller/is-general-list.ts
+++ b/src/controller/commands/is-general-list.ts
@@ -1,4 +1,4 @@
-import type { ListRequest } from '../ports/command-client.ts'
+import type { ListRequest } from '../../ports/command-client.ts'
 
 /**
  * Returns whether a list request carries neither a lease nor a cursor, so that it may reach any incarnation of a target.
--- a/src/controller/permitted-commands.ts
+++ b/src/controller/commands/permitted-commands.ts
@@ -1,4 +1,4 @@
-import type { CommandClient, CommandResponse, CommandTarget, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
+import type { CommandClient, CommandResponse, CommandTarget, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../../ports/command-client.ts'
 
 const NOT_SENT = { type: 'unanswered', reason: 'not-permitted' } as const
 
--- a/src/controller/relay-connection.ts
+++ b/src/controller/commands/relay-connection.ts
@@ -1,4 +1,4 @@
-import type { Peer } from './member-call.ts'
+import type { Peer } from '../member-call.ts'
 import { RELAY_BATCH_MS } from './relay-message.ts'
 import type { RelayEntry, RelayReply, RelayStream, RelayStreamOpener, RelayedCommand, RelayedResponse } from './relay-message.ts'
 
--- a/src/controller/relay-message.ts
+++ b/src/controller/commands/relay-message.ts
@@ -1,4 +1,4 @@
-import type { CommandResponse, CommandTarget, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
+import type { CommandResponse, CommandTarget, ListRequest, ListResponse, StartCommand, StopCommand, ThrottleCommand } from '../../ports/command-client.ts'
 
 /** How long commands, and responses, are gathered into one message, in milliseconds. */
 export const RELAY_BATCH_MS = 5
--- a/src/controller/relay-selection.ts
+++ b/src/controller/commands/relay-selection.ts
@@ -1,4 +1,4 @@
-import type { Peer } from './member-call.ts'
+import type { Peer } from '../member-call.ts'
 
 /** Number of targets that one relay carries. */
 const TARGETS_PER_RELAY = 48
--- a/src/controller/relayed-commands.ts
+++ b/src/controller/commands/relayed-commands.ts
@@ -1,12 +1,12 @@
-import { NO_LISTENER } from '../ports/command-client.ts'
-import type { CommandClient, CommandResponse, CommandTarget, ListRequest, ListResponse, SendPermission, StartCommand, StopCommand, ThrottleCommand } from '../ports/command-client.ts'
-import { hash } from '../util/hash.ts'
-import type { Peer } from './member-call.ts'
+import { NO_LISTENER } from '../../ports/command-client.ts'
+import type { CommandClient, CommandResponse, CommandTarget, ListRequest, ListResponse, SendPermission, StartCommand, StopCommand, ThrottleCommand } from '../../ports/command-client.ts'
+import { hash } from '../../util/hash.ts'
+import type { Peer } from '../member-call.ts'
 import { RELAY_CLOSED, RELAY_LOST, RelayConnection } from './relay-connection.ts'
 import type { RelayStreamOpener, RelayedCommand, RelayedResponse } from './relay-message.ts'
 import { selectRelays } from './relay-selection.ts'
 import type { TargetCounts } from './relay-selection.ts'
-import type { Reporter } from './reporter.ts'
+import type { Reporter } from '../reporter.ts'
 
 /** A relay that was lost is not used again for this time, in milliseconds. */
 const LOST_RELAY_COOLDOWN_MS = 3_000
--- a/src/controller/send-command.ts
+++ b/src/controller/commands/send-command.ts
@@ -1,7 +1,7 @@
-import type { CommandClient, CommandResponse } from '../ports/command-client.ts'
-import { assertNever } from '../util/assert-never.ts'
-import type { CellEffect } from '../workflow/effect.ts'
-import { computeFencingNumber } from './fencing-number.ts'
+import type { CommandClient, CommandResponse } from '../../ports/command-client.ts'
+import { assertNever } from '../../util/assert-never.ts'
+import type { CellEffect } from '../../workflow/effect.ts'
+import { computeFencingNumber } from '../leadership/fencing-number.ts'
 import { toCommandTarget } from './to-command-target.ts'
 
 type CommandEffect = Extract<CellEffect, { readonly type: 'start' | 'stop' | 'throttle' }>
--- a/src/controller/start-permit.ts
+++ b/src/controller/commands/start-permit.ts
@@ -1,4 +1,4 @@
-import type { SendPermission } from '../ports/command-client.ts'
+import type { SendPermission } from '../../ports/command-client.ts'
 
 /** A start that has not been written for this time, which a command may take, is given up, in milliseconds. */
 const MAX_WAIT_MS = 600
--- a/src/controller/target-session.ts
+++ b/src/controller/commands/target-session.ts
@@ -1,12 +1,12 @@
-import { NO_LISTENER } from '../ports/command-client.ts'
-import type { ListResponse, CommandClient } from '../ports/command-client.ts'
-import type { CellEvent, SilenceCause } from '../workflow/event.ts'
-import { buildListRequest } from '../workflow/list-request.ts'
-import type { TargetState } from '../workflow/target-state.ts'
-import { delay } from './delay.ts'
-import { computeFencingNumber } from './fencing-number.ts'
+import { NO_LISTENER } from '../../ports/command-client.ts'
+import type { ListResponse, CommandClient } from '../../ports/command-client.ts'
+import type { CellEvent, SilenceCause } from '../../workflow/event.ts'
+import { buildListRequest } from '../../workflow/list-request.ts'
+import type { TargetState } from '../../workflow/target-state.ts'
+import { delay } from '../delay.ts'
+import { computeFencingNumber } from '../leadership/fencing-number.ts'
 import { isGeneralList } from './is-general-list.ts'
-import type { Reporter } from './reporter.ts'
+import type { Reporter } from '../reporter.ts'
 
 /**
  * How long the next list request waits for completions to be stored, so that it can acknowledge them, in milliseconds.
--- a/src/controller/to-command-target.ts
+++ b/src/controller/commands/to-command-target.ts
@@ -1,4 +1,4 @@
-import type { CommandTarget } from '../ports/command-client.ts'
+import type { CommandTarget } from '../../ports/command-client.ts'
 
 /**
  * Returns the target of a command without the rest of its effect, which a relay would carry as well.
--- a/src/controller/controller-options.ts
+++ b/src/controller/controller-options.ts
@@ -1,9 +1,9 @@
 import type { AdviceResponse, Advisor, CachedAdvice, CommandClient } from '../ports/command-client.ts'
 import type { Store } from '../ports/store.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
-import type { EarlierLeadersOptions } from './earlier-leaders.ts'
+import type { EarlierLeadersOptions } from './leadership/earlier-leaders.ts'
 import type { Peer } from './member-call.ts'
-import type { RelayStreamOpener } from './relay-message.ts'
+import type { RelayStreamOpener } from './commands/relay-message.ts'
 
 /** What the work of a leader needs of its member and of the platform. */
 export type ControllerOptions = Omit<EarlierLeadersOptions, 'isStopped' | 'now'> & {
--- a/src/controller/late-jobs.ts
+++ b/src/controller/late-jobs.ts
@@ -2,10 +2,10 @@
 import type { JobDefinition } from '../workflow/job.ts'
 import type { TargetListing } from '../workflow/target-entry.ts'
 import { delay } from './delay.ts'
-import { parseDefinition } from './read-stored-jobs.ts'
+import { parseDefinition } from './records/read-stored-jobs.ts'
 import type { Reporter } from './reporter.ts'
 import { readPrefix } from './store-calls.ts'
-import { CANCEL_SUFFIX, JOB_PREFIX } from './store-keys.ts'
+import { CANCEL_SUFFIX, JOB_PREFIX } from './records/store-keys.ts'
 
 const RETRY_DELAY_MS = 50
 
--- a/src/controller/earlier-runs-event.ts
+++ b/src/controller/leadership/earlier-runs-event.ts
@@ -1,5 +1,5 @@
-import type { CellEvent } from '../workflow/event.ts'
-import type { UnsettledTargets } from '../workflow/earlier-lapse.ts'
+import type { CellEvent } from '../../workflow/event.ts'
+import type { UnsettledTargets } from '../../workflow/takeover/earlier-lapse.ts'
 
 /** What a leader knows of the runs of earlier terms. */
 export type EarlierRuns = {
--- a/src/controller/leader-failure-detector.ts
+++ b/src/controller/leadership/leader-failure-detector.ts
@@ -1,6 +1,6 @@
-import type { ProbeResult } from '../adapters/probe-address.ts'
-import type { Reporter } from './reporter.ts'
-import type { LeaderRecord } from './store-keys.ts'
+import type { ProbeResult } from '../../adapters/probe-address.ts'
+import type { Reporter } from '../reporter.ts'
+import type { LeaderRecord } from '../records/store-keys.ts'
 
 /**
  * How long a member that has removed a leader does not check the following leaders, in milliseconds: its own network
--- a/src/controller/process-probe.ts
+++ b/src/controller/leadership/process-probe.ts
@@ -1,5 +1,5 @@
-import type { ProbeResult } from '../adapters/probe-address.ts'
-import { delay } from './delay.ts'
+import type { ProbeResult } from '../../adapters/probe-address.ts'
+import { delay } from '../delay.ts'
 
 /** A process may be between the end of one listener and the start of another; it is not at the second round. */
 const ROUNDS = 2
--- a/src/controller/recorded-terms.ts
+++ b/src/controller/leadership/recorded-terms.ts
@@ -1,4 +1,4 @@
-import type { UnsettledTerm } from './store-keys.ts'
+import type { UnsettledTerm } from '../records/store-keys.ts'
 
 /**
  * The earlier terms in the record of a leader's term. A successor takes the targets of a term that is settled from the stored list
--- a/src/controller/unsettled-terms.ts
+++ b/src/controller/leadership/unsettled-terms.ts
@@ -1,4 +1,4 @@
-import type { CommitRecord, UnsettledTerm } from './store-keys.ts'
+import type { CommitRecord, UnsettledTerm } from '../records/store-keys.ts'
 
 /**
  * Lists the terms whose runs may still be on targets when a new term begins: those that the last commit names, and its own.
--- a/src/controller/witness-answers.ts
+++ b/src/controller/leadership/witness-answers.ts
@@ -1,5 +1,5 @@
 import type { StandDown } from './leadership.ts'
-import type { Peer } from './member-call.ts'
+import type { Peer } from '../member-call.ts'
 import { computeBlockingCount } from './witness-set.ts'
 
 export type WitnessAnswersOptions = {
--- a/src/controller/witness-set.ts
+++ b/src/controller/leadership/witness-set.ts
@@ -1,4 +1,4 @@
-import type { Peer } from './member-call.ts'
+import type { Peer } from '../member-call.ts'
 
 /** Largest number of witnesses that a leader chooses. */
 const MAX_WITNESSES = 5
--- a/src/controller/witnesses.ts
+++ b/src/controller/leadership/witnesses.ts
@@ -1,7 +1,7 @@
-import { Moment } from '../util/moment.ts'
+import { Moment } from '../../util/moment.ts'
 import { LEASE_GRACE_MS } from './leadership.ts'
-import type { Peer } from './member-call.ts'
-import type { Reporter } from './reporter.ts'
+import type { Peer } from '../member-call.ts'
+import type { Reporter } from '../reporter.ts'
 import { chooseWitnesses, computeQuorum } from './witness-set.ts'
 
 /** How long a confirmed renewal of the lease permits commands by itself, from its sending, in milliseconds. */
--- a/src/controller/member-call-guards.ts
+++ b/src/controller/member-call-guards.ts
@@ -1,8 +1,8 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
 import type { JobDefinition } from '../workflow/job.ts'
-import type { StandDown } from './leadership.ts'
+import type { StandDown } from './leadership/leadership.ts'
 import type { MemberResponse, Peer } from './member-call.ts'
-import { isJobDefinition, isJobSettings } from './record-guards.ts'
+import { isJobDefinition, isJobSettings } from './records/record-guards.ts'
 
 type Fields = Readonly<Record<string, unknown>>
 
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -1,7 +1,7 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
-import type { Overload } from '../workflow/advice-backlog.ts'
+import type { Overload } from '../workflow/advice/advice-backlog.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
-import type { StandDown } from './leadership.ts'
+import type { StandDown } from './leadership/leadership.ts'
 
 /** A member of the cell and the address at which it accepts calls of other members. */
 export type Peer = {
--- a/src/controller/batch-source.ts
+++ b/src/controller/records/batch-source.ts
@@ -1,5 +1,5 @@
-import type { RemovedSettings } from '../workflow/removed-settings.ts'
-import type { SilentTargetsById } from '../workflow/silent-targets.ts'
+import type { RemovedSettings } from '../../workflow/settings/removed-settings.ts'
+import type { SilentTargetsById } from '../../workflow/takeover/silent-targets.ts'
 import type { TargetsRecord } from './store-keys.ts'
 
 /** What a batch was made of, so that it can be divided. */
--- a/src/controller/job-records.ts
+++ b/src/controller/records/job-records.ts
@@ -1,7 +1,7 @@
-import { STORE_VALUE_LIMIT_BYTES } from '../ports/store.ts'
-import type { JobPhase } from '../workflow/job.ts'
-import type { JobProgress } from '../workflow/progress-record.ts'
-import type { Reporter } from './reporter.ts'
+import { STORE_VALUE_LIMIT_BYTES } from '../../ports/store.ts'
+import type { JobPhase } from '../../workflow/job.ts'
+import type { JobProgress } from '../../workflow/progress-record.ts'
+import type { Reporter } from '../reporter.ts'
 import { progressKey } from './store-keys.ts'
 
 /** How long the record of a job that the store has refused is replaced, in milliseconds, before it is tried again. */
--- a/src/controller/parse-job-definition.ts
+++ b/src/controller/records/parse-job-definition.ts
@@ -1,4 +1,4 @@
-import type { JobDefinition } from '../workflow/job.ts'
+import type { JobDefinition } from '../../workflow/job.ts'
 import { isJobDefinition, isJobSettings } from './record-guards.ts'
 import { parseRecord } from './stored-record.ts'
 
--- a/src/controller/read-stored-settings.ts
+++ b/src/controller/records/read-stored-settings.ts
@@ -1,5 +1,5 @@
-import type { StoreEntry } from '../ports/store.ts'
-import type { CellEvent } from '../workflow/event.ts'
+import type { StoreEntry } from '../../ports/store.ts'
+import type { CellEvent } from '../../workflow/event.ts'
 import { isRemovedOrganisation, isRemovedQueue } from './record-guards.ts'
 import { SETTINGS_KEY } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
--- a/src/controller/record-guards.ts
+++ b/src/controller/records/record-guards.ts
@@ -1,9 +1,9 @@
-import type { StoredCrashes } from '../workflow/crash-record.ts'
-import { isFinalPhase } from '../workflow/job.ts'
-import type { JobDefinition, JobPhase, Step } from '../workflow/job.ts'
-import type { JobSettings, OrganisationSettings, QueueSettings } from '../workflow/job-settings.ts'
-import type { VersionedSettings } from '../workflow/known-settings.ts'
-import type { JobProgress, StepProgress } from '../workflow/progress-record.ts'
+import type { StoredCrashes } from '../../workflow/crashes/crash-record.ts'
+import { isFinalPhase } from '../../workflow/job.ts'
+import type { JobDefinition, JobPhase, Step } from '../../workflow/job.ts'
+import type { JobSettings, OrganisationSettings, QueueSettings } from '../../workflow/settings/job-settings.ts'
+import type { VersionedSettings } from '../../workflow/settings/known-settings.ts'
+import type { JobProgress, StepProgress } from '../../workflow/progress-record.ts'
 
 type Fields = Readonly<Record<string, unknown>>
 
--- a/src/controller/restore-state.ts
+++ b/src/controller/records/restore-state.ts
@@ -1,8 +1,8 @@
-import { delay } from './delay.ts'
-import type { ControllerOptions } from './controller-options.ts'
+import { delay } from '../delay.ts'
+import type { ControllerOptions } from '../controller-options.ts'
 import { readStoredState } from './read-stored-state.ts'
 import type { StoredState } from './read-stored-state.ts'
-import { areCommandsBound } from './unsettled-terms.ts'
+import { areCommandsBound } from '../leadership/unsettled-terms.ts'
 
 const RETRY_DELAY_MS = 200
 
--- a/src/controller/silent-targets-record.ts
+++ b/src/controller/records/silent-targets-record.ts
@@ -1,6 +1,6 @@
-import type { StoreEntry } from '../ports/store.ts'
-import { CLOCK_DRIFT_FACTOR } from '../workflow/earlier-lapse.ts'
-import type { SilentTarget, SilentTargetsById } from '../workflow/silent-targets.ts'
+import type { StoreEntry } from '../../ports/store.ts'
+import { CLOCK_DRIFT_FACTOR } from '../../workflow/takeover/earlier-lapse.ts'
+import type { SilentTarget, SilentTargetsById } from '../../workflow/takeover/silent-targets.ts'
 import { SILENT_TARGETS_KEY } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
--- a/src/controller/store-keys.ts
+++ b/src/controller/records/store-keys.ts
@@ -1,7 +1,7 @@
-import type { LeaseId } from '../ports/store.ts'
-import type { ClosedTargets } from '../workflow/closed-targets.ts'
-import type { Incarnations } from '../workflow/earlier-leases.ts'
-import type { Peer } from './member-call.ts'
+import type { LeaseId } from '../../ports/store.ts'
+import type { ClosedTargets } from '../../workflow/takeover/closed-targets.ts'
+import type { Incarnations } from '../../workflow/takeover/earlier-leases.ts'
+import type { Peer } from '../member-call.ts'
 
 /**
  * Keys in the store. `lead/holder` is bound to the lease of the leader. `state/commit` is written by each commit of the
--- a/src/controller/store-feed.ts
+++ b/src/controller/store-feed.ts
@@ -4,9 +4,9 @@
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import { PollInterval } from './poll-interval.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
-import { parseDefinition } from './read-stored-jobs.ts'
+import { parseDefinition } from './records/read-stored-jobs.ts'
 import type { Reporter } from './reporter.ts'
-import { CANCEL_SUFFIX, JOB_PREFIX, parseCancelKey } from './store-keys.ts'
+import { CANCEL_SUFFIX, JOB_PREFIX, parseCancelKey } from './records/store-keys.ts'
 
 const TARGET_WATCH_WAIT_MS = 1_500
 
--- a/src/controller/summary-log.ts
+++ b/src/controller/summary-log.ts
@@ -1,7 +1,7 @@
 import type { PassWork } from '../workflow/cell-state.ts'
 import type { CellSummary } from '../workflow/cell-summary.ts'
-import type { AdviceDispatcher } from './advice-dispatcher.ts'
-import type { CommandCounts } from './command-load.ts'
+import type { AdviceDispatcher } from './advice/advice-dispatcher.ts'
+import type { CommandCounts } from './commands/command-load.ts'
 import type { Reporter } from './reporter.ts'
 
 const SUMMARY_INTERVAL_MS = 2_000
--- a/src/workflow/advice-backlog.ts
+++ b/src/workflow/advice/advice-backlog.ts
@@ -1,9 +1,9 @@
 import { computeAdviceCostMs } from './advice-requests.ts'
-import type { Queue } from './cell-configuration.ts'
-import type { CellState } from './cell-state.ts'
-import { findQueue, log } from './cell-state.ts'
-import { needsAdvice } from './placement.ts'
-import type { Job, StepRun } from './task.ts'
+import type { Queue } from '../settings/cell-configuration.ts'
+import type { CellState } from '../cell-state.ts'
+import { findQueue, log } from '../cell-state.ts'
+import { needsAdvice } from '../room/placement.ts'
+import type { Job, StepRun } from '../task.ts'
 
 /** The wait for advice of jobs of a queue and an organisation, where it is long. */
 export type Overload = {
--- a/src/workflow/advice-requests.ts
+++ b/src/workflow/advice/advice-requests.ts
@@ -1,12 +1,12 @@
-import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
+import type { AdviceResponse, CachedAdvice } from '../../ports/command-client.ts'
 import { CAPACITY_FACTOR, updateAllowedRatio, selectAdviceTargets } from './advice-targets.ts'
-import { isUrgent, findQueue } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
+import { isUrgent, findQueue } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 import { isOverdue } from './overdue-advice.ts'
-import { needsAdvice } from './placement.ts'
-import { countFreeSlots } from './target-acceptance.ts'
-import { acceptsTaskOf } from './task-acceptance.ts'
-import type { Job, StepRun } from './task.ts'
+import { needsAdvice } from '../room/placement.ts'
+import { countFreeSlots } from '../room/target-acceptance.ts'
+import { acceptsTaskOf } from '../room/task-acceptance.ts'
+import type { Job, StepRun } from '../task.ts'
 
 /** Tickets of a step are requested this long before they are needed, on top of the estimated duration of the request. */
 const PREFETCH_MARGIN_MS = 150
--- a/src/workflow/advice-targets.ts
+++ b/src/workflow/advice/advice-targets.ts
@@ -1,13 +1,13 @@
-import { findQueue } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import { getOpenTargets } from './open-targets.ts'
-import type { OpenTargets } from './open-targets.ts'
-import { computeScore, isUnwantedByAll } from './placement.ts'
-import { countStartableTasks } from './startable.ts'
-import { countFreeSlots, isSuitable } from './target-acceptance.ts'
-import type { TargetState } from './target-state.ts'
-import { acceptsTaskOf } from './task-acceptance.ts'
-import type { StepRun } from './task.ts'
+import { findQueue } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import { getOpenTargets } from '../room/open-targets.ts'
+import type { OpenTargets } from '../room/open-targets.ts'
+import { computeScore, isUnwantedByAll } from '../room/placement.ts'
+import { countStartableTasks } from '../order/startable.ts'
+import { countFreeSlots, isSuitable } from '../room/target-acceptance.ts'
+import type { TargetState } from '../target-state.ts'
+import { acceptsTaskOf } from '../room/task-acceptance.ts'
+import type { StepRun } from '../task.ts'
 
 /** Ratio of requested targets that is expected to be allowed until the first response for the queue. */
 const DEFAULT_ALLOWED_RATIO = 0.5
--- a/src/workflow/overdue-advice.ts
+++ b/src/workflow/advice/overdue-advice.ts
@@ -1,8 +1,8 @@
-import type { CellState } from './cell-state.ts'
-import { findQueue } from './cell-state.ts'
-import { getOpenTargets } from './open-targets.ts'
-import { computeObjectiveMs } from './step-rank.ts'
-import type { StepRun } from './task.ts'
+import type { CellState } from '../cell-state.ts'
+import { findQueue } from '../cell-state.ts'
+import { getOpenTargets } from '../room/open-targets.ts'
+import { computeObjectiveMs } from '../order/step-rank.ts'
+import type { StepRun } from '../task.ts'
 
 /** How long a step waits for a channel to the advisor before it takes precedence, in milliseconds. */
 const MAX_CHANNEL_WAIT_MS = 2_000
--- a/src/workflow/cell-summary.ts
+++ b/src/workflow/cell-summary.ts
@@ -1,7 +1,7 @@
 import type { CellState } from './cell-state.ts'
-import { needsAdvice } from './placement.ts'
-import { acceptsWork } from './target-acceptance.ts'
-import { countStartableTasks } from './startable.ts'
+import { needsAdvice } from './room/placement.ts'
+import { acceptsWork } from './room/target-acceptance.ts'
+import { countStartableTasks } from './order/startable.ts'
 
 /** Utilisation and backlog of a cell, as written to the log. */
 export type CellSummary = {
--- a/src/workflow/revoked-commands.ts
+++ b/src/workflow/commands/revoked-commands.ts
@@ -1,7 +1,7 @@
-import type { CommandResponse } from '../ports/command-client.ts'
-import type { CellState } from './cell-state.ts'
-import type { LiveRun } from './live-run.ts'
-import type { TargetState } from './target-state.ts'
+import type { CommandResponse } from '../../ports/command-client.ts'
+import type { CellState } from '../cell-state.ts'
+import type { LiveRun } from '../live-run.ts'
+import type { TargetState } from '../target-state.ts'
 
 /** A list request that is sent so long after a revocation is of the new series for certain, in milliseconds. */
 const CLOCK_RESOLUTION_MS = 1
--- a/src/workflow/start-refusal.ts
+++ b/src/workflow/commands/start-refusal.ts
@@ -1,6 +1,6 @@
-import type { CellState } from './cell-state.ts'
-import type { TargetState } from './target-state.ts'
-import type { Task } from './task.ts'
+import type { CellState } from '../cell-state.ts'
+import type { TargetState } from '../target-state.ts'
+import type { Task } from '../task.ts'
 
 /** Pause of a task after the first refusal of a target, in milliseconds. It doubles with each one of a target that had refused it before. */
 const FIRST_PAUSE_MS = 500
--- a/src/workflow/unanswered-starts.ts
+++ b/src/workflow/commands/unanswered-starts.ts
@@ -1,10 +1,10 @@
-import { assertNever } from '../util/assert-never.ts'
-import type { CellState } from './cell-state.ts'
-import type { CommandResponse } from '../ports/command-client.ts'
-import type { TaskKey } from './job.ts'
-import type { LiveRun } from './live-run.ts'
-import { formatRunKey } from './run-key.ts'
-import type { TargetState } from './target-state.ts'
+import { assertNever } from '../../util/assert-never.ts'
+import type { CellState } from '../cell-state.ts'
+import type { CommandResponse } from '../../ports/command-client.ts'
+import type { TaskKey } from '../job.ts'
+import type { LiveRun } from '../live-run.ts'
+import { formatRunKey } from '../run-key.ts'
+import type { TargetState } from '../target-state.ts'
 
 /** A command without an answer may be executed until this time after it was sent, in milliseconds. */
 export const LATE_COMMAND_MS = 12_000
--- a/src/workflow/crash-suspicion.ts
+++ b/src/workflow/crashes/crash-suspicion.ts
@@ -1,7 +1,7 @@
-import type { CellState } from './cell-state.ts'
-import type { LiveRun } from './live-run.ts'
-import type { TargetState } from './target-state.ts'
-import type { Task } from './task.ts'
+import type { CellState } from '../cell-state.ts'
+import type { LiveRun } from '../live-run.ts'
+import type { TargetState } from '../target-state.ts'
+import type { Task } from '../task.ts'
 import { TRIAL_MS } from './trial.ts'
 
 /**
--- a/src/workflow/crashes.ts
+++ b/src/workflow/crashes/crashes.ts
@@ -1,11 +1,11 @@
-import { count, log } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
+import { count, log } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 import { findSuspects } from './crash-suspicion.ts'
-import { endJob } from './jobs.ts'
-import type { LiveRun } from './live-run.ts'
-import type { TargetEntry } from './target-entry.ts'
-import type { TargetState } from './target-state.ts'
-import type { Task } from './task.ts'
+import { endJob } from '../jobs.ts'
+import type { LiveRun } from '../live-run.ts'
+import type { TargetEntry } from '../target-entry.ts'
+import type { TargetState } from '../target-state.ts'
+import type { Task } from '../task.ts'
 import { SETTLED_MS, TRIAL_MS } from './trial.ts'
 
 /**
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -1,8 +1,8 @@
 import type { ThrottleCommand, StartCommand, StopCommand } from '../ports/command-client.ts'
-import type { ClosedTargets } from './closed-targets.ts'
-import type { Incarnations } from './earlier-leases.ts'
-import type { RemovedSettings } from './removed-settings.ts'
-import type { SilentTargetsById } from './silent-targets.ts'
+import type { ClosedTargets } from './takeover/closed-targets.ts'
+import type { Incarnations } from './takeover/earlier-leases.ts'
+import type { RemovedSettings } from './settings/removed-settings.ts'
+import type { SilentTargetsById } from './takeover/silent-targets.ts'
 
 type WithoutEpoch<Command> = Omit<Command, 'epoch'>
 
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -1,11 +1,11 @@
 import type { AdviceResponse, CachedAdvice, CommandResponse, CommandRefusal, NO_LISTENER } from '../ports/command-client.ts'
-import type { CellConfiguration } from './cell-configuration.ts'
-import type { ClosedTargets } from './closed-targets.ts'
-import type { Incarnations } from './earlier-leases.ts'
+import type { CellConfiguration } from './settings/cell-configuration.ts'
+import type { ClosedTargets } from './takeover/closed-targets.ts'
+import type { Incarnations } from './takeover/earlier-leases.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
-import type { RemovedSettings } from './removed-settings.ts'
-import type { SilentTargetsById } from './silent-targets.ts'
+import type { RemovedSettings } from './settings/removed-settings.ts'
+import type { SilentTargetsById } from './takeover/silent-targets.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
 
 /** Completions of one incarnation of a target that have been processed, up to and including `lastNumber`. */
--- a/src/workflow/job.ts
+++ b/src/workflow/job.ts
@@ -1,4 +1,4 @@
-import type { JobSettings } from './job-settings.ts'
+import type { JobSettings } from './settings/job-settings.ts'
 
 /** Resources of a task or a target, in thousandths of a core, mebibytes and whole accelerators. */
 export type Demand = {
--- a/src/workflow/lasting-precedence.ts
+++ b/src/workflow/order/lasting-precedence.ts
@@ -1,8 +1,8 @@
-import { findQueue } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import type { WaitingTask } from './lasting-task-waits.ts'
-import { getOpenTargets } from './open-targets.ts'
-import type { StepRun, Task } from './task.ts'
+import { findQueue } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import type { WaitingTask } from '../waits/lasting-task-waits.ts'
+import { getOpenTargets } from '../room/open-targets.ts'
+import type { StepRun, Task } from '../task.ts'
 
 /** A task that lasts and has had no run for this time takes precedence, in milliseconds. */
 const MAX_WAIT_MS = 2_000
--- a/src/workflow/startable.ts
+++ b/src/workflow/order/startable.ts
@@ -1,7 +1,7 @@
-import { mayCopy } from './crash-suspicion.ts'
-import type { LiveRun } from './live-run.ts'
-import { waitsAfterRefusal } from './start-refusal.ts'
-import type { StepRun, Task } from './task.ts'
+import { mayCopy } from '../crashes/crash-suspicion.ts'
+import type { LiveRun } from '../live-run.ts'
+import { waitsAfterRefusal } from '../commands/start-refusal.ts'
+import type { StepRun, Task } from '../task.ts'
 
 /** Maximum number of runs of a speculative task at a time. */
 const MAX_COPIES = 2
--- a/src/workflow/step-rank.ts
+++ b/src/workflow/order/step-rank.ts
@@ -1,7 +1,7 @@
-import { findQueue, getUsage } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import type { QueueSettings } from './job-settings.ts'
-import type { Job, StepRun } from './task.ts'
+import { findQueue, getUsage } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import type { QueueSettings } from '../settings/job-settings.ts'
+import type { Job, StepRun } from '../task.ts'
 
 /** A job that takes longer than this many times its objective is no longer useful to its caller. */
 const MAX_LATENESS_FACTOR = 3
--- a/src/workflow/submission-share.ts
+++ b/src/workflow/order/submission-share.ts
@@ -1,4 +1,4 @@
-import type { CellState } from './cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 
 /** Maximum burst of submissions of an organisation, in seconds of its rate. */
 const BURST_S = 1.5
--- a/src/workflow/progress-record.ts
+++ b/src/workflow/progress-record.ts
@@ -1,6 +1,6 @@
 import { parseBitSet } from '../util/bit-set.ts'
-import { restoreConcludedRuns, toStoredRuns } from './concluded-starts.ts'
-import type { StoredCrashes } from './crash-record.ts'
+import { restoreConcludedRuns, toStoredRuns } from './takeover/concluded-starts.ts'
+import type { StoredCrashes } from './crashes/crash-record.ts'
 import type { Job, StepRun } from './task.ts'
 import type { JobPhase } from './job.ts'
 
--- a/src/workflow/gang-placement.ts
+++ b/src/workflow/room/gang-placement.ts
@@ -1,11 +1,11 @@
 import { canStart, chooseTarget } from './placement.ts'
-import type { CellState } from './cell-state.ts'
-import { addRun } from './runs.ts'
-import type { Demand } from './job.ts'
-import type { LiveRun } from './live-run.ts'
-import type { TargetState } from './target-state.ts'
+import type { CellState } from '../cell-state.ts'
+import { addRun } from '../runs.ts'
+import type { Demand } from '../job.ts'
+import type { LiveRun } from '../live-run.ts'
+import type { TargetState } from '../target-state.ts'
 import { countFreeSlots } from './target-acceptance.ts'
-import type { StepRun, Task } from './task.ts'
+import type { StepRun, Task } from '../task.ts'
 
 /**
  * Books capacity for all members of a gang, or for none. With `sameRack`, each rack is tried before all targets together.
--- a/src/workflow/open-targets.ts
+++ b/src/workflow/room/open-targets.ts
@@ -1,10 +1,10 @@
-import { isUrgent } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import type { Demand } from './job.ts'
-import { NO_DEMAND, addDemands, maxDemand } from './job.ts'
+import { isUrgent } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import type { Demand } from '../job.ts'
+import { NO_DEMAND, addDemands, maxDemand } from '../job.ts'
 import { acceptsWork, countFreeSlots, isSuitable } from './target-acceptance.ts'
-import type { TargetState } from './target-state.ts'
-import type { StepRun } from './task.ts'
+import type { TargetState } from '../target-state.ts'
+import type { StepRun } from '../task.ts'
 
 /** Ratio of a target's capacity that non-urgent tasks may use. */
 export const NON_URGENT_CAPACITY_RATIO = 0.85
--- a/src/workflow/organisation-maximum.ts
+++ b/src/workflow/room/organisation-maximum.ts
@@ -1,8 +1,8 @@
-import { getUsage, isUrgent } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import type { Demand } from './job.ts'
-import { addDemands } from './job.ts'
-import type { Job, StepRun } from './task.ts'
+import { getUsage, isUrgent } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import type { Demand } from '../job.ts'
+import { addDemands } from '../job.ts'
+import type { Job, StepRun } from '../task.ts'
 
 /** Ratio of an organisation's maximum that jobs beyond its share of submissions, urgent jobs and other jobs may use. */
 const USABLE_MAXIMUM_RATIO = { exceedsShare: 0.6, urgent: 1, nonUrgent: 0.85 } as const
--- a/src/workflow/placement.ts
+++ b/src/workflow/room/placement.ts
@@ -1,13 +1,13 @@
-import { findQueue } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import { hasRecentStart } from './crash-suspicion.ts'
-import { hasRestartedLately } from './earlier-leases.ts'
+import { findQueue } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import { hasRecentStart } from '../crashes/crash-suspicion.ts'
+import { hasRestartedLately } from '../takeover/earlier-leases.ts'
 import { getOpenTargets } from './open-targets.ts'
-import { hasJustRefused, hasRefused } from './start-refusal.ts'
+import { hasJustRefused, hasRefused } from '../commands/start-refusal.ts'
 import { isSuitable } from './target-acceptance.ts'
-import type { TargetState } from './target-state.ts'
+import type { TargetState } from '../target-state.ts'
 import { acceptsTaskOf } from './task-acceptance.ts'
-import type { StepRun, Task } from './task.ts'
+import type { StepRun, Task } from '../task.ts'
 
 /** A target with a higher ratio of recent failures gets no tasks for a while after its last failure. */
 const SUSPECT_FAILURE_RATIO = 0.45
--- a/src/workflow/room-log.ts
+++ b/src/workflow/room/room-log.ts
@@ -1,4 +1,4 @@
-import type { TargetState } from './target-state.ts'
+import type { TargetState } from '../target-state.ts'
 
 /** Number of entries that are kept at least. A step that searched before the oldest of them searches all targets again. */
 const MAX_ENTRIES = 512
--- a/src/workflow/spare-targets.ts
+++ b/src/workflow/room/spare-targets.ts
@@ -1,12 +1,12 @@
-import { findQueue, recordRoom } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import { hasRestartedLately } from './earlier-leases.ts'
+import { findQueue, recordRoom } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import { hasRestartedLately } from '../takeover/earlier-leases.ts'
 import { needsAdvice } from './placement.ts'
-import { hasStartableTask } from './startable.ts'
+import { hasStartableTask } from '../order/startable.ts'
 import { acceptsWork, isSuitable } from './target-acceptance.ts'
-import type { TargetState } from './target-state.ts'
-import type { StepRun } from './task.ts'
-import { removeOutdatedStarts } from './unanswered-starts.ts'
+import type { TargetState } from '../target-state.ts'
+import type { StepRun } from '../task.ts'
+import { removeOutdatedStarts } from '../commands/unanswered-starts.ts'
 
 /** Whether nothing that was started on a target can be on its next incarnation. */
 export function isEmptiedByRestart (state: CellState, target: TargetState): boolean {
--- a/src/workflow/target-acceptance.ts
+++ b/src/workflow/room/target-acceptance.ts
@@ -1,6 +1,6 @@
-import type { CellState } from './cell-state.ts'
-import type { TargetState } from './target-state.ts'
-import type { StepRun } from './task.ts'
+import type { CellState } from '../cell-state.ts'
+import type { TargetState } from '../target-state.ts'
+import type { StepRun } from '../task.ts'
 
 /** Whether a target accepts new tasks at all. */
 export function acceptsWork (state: CellState, target: TargetState): boolean {
--- a/src/workflow/task-acceptance.ts
+++ b/src/workflow/room/task-acceptance.ts
@@ -1,9 +1,9 @@
-import { findQueue, isUrgent } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
+import { findQueue, isUrgent } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 import { NON_URGENT_CAPACITY_RATIO, getOpenTargets } from './open-targets.ts'
 import { acceptsWork, hasFreeCapacity } from './target-acceptance.ts'
-import type { TargetState } from './target-state.ts'
-import type { StepRun } from './task.ts'
+import type { TargetState } from '../target-state.ts'
+import type { StepRun } from '../task.ts'
 
 /** Whether the target accepts one more task of the step now. Advice is not checked. */
 export function acceptsTaskOf (state: CellState, target: TargetState, step: StepRun): boolean {
--- a/src/workflow/throttling.ts
+++ b/src/workflow/room/throttling.ts
@@ -1,6 +1,6 @@
-import type { CellState } from './cell-state.ts'
-import type { LiveRun } from './live-run.ts'
-import type { TargetState } from './target-state.ts'
+import type { CellState } from '../cell-state.ts'
+import type { LiveRun } from '../live-run.ts'
+import type { TargetState } from '../target-state.ts'
 
 /** Ratios of a task's latency to its target above which best-effort tasks are slowed, and below which they are sped up. */
 const THROTTLE_ABOVE_RATIO = 0.85
--- a/src/workflow/uncertain-usage.ts
+++ b/src/workflow/room/uncertain-usage.ts
@@ -1,8 +1,8 @@
-import type { CellState } from './cell-state.ts'
-import { haveLeasesExpired } from './expired-leases.ts'
-import type { Demand } from './job.ts'
-import { NO_DEMAND, addDemands, maxDemand } from './job.ts'
-import { findUnlistedTargets } from './unlisted-targets.ts'
+import type { CellState } from '../cell-state.ts'
+import { haveLeasesExpired } from '../takeover/expired-leases.ts'
+import type { Demand } from '../job.ts'
+import { NO_DEMAND, addDemands, maxDemand } from '../job.ts'
+import { findUnlistedTargets } from '../takeover/unlisted-targets.ts'
 
 /**
  * Computes the maximum usage of unknown runs: those of a previous owner on targets that have not been listed yet, and those
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -4,7 +4,7 @@
 import { formatRunKey } from './run-key.ts'
 import type { TargetState } from './target-state.ts'
 import type { Task } from './task.ts'
-import { LATE_COMMAND_MS, recordStartSent } from './unanswered-starts.ts'
+import { LATE_COMMAND_MS, recordStartSent } from './commands/unanswered-starts.ts'
 
 /** How long a previous owner that is not reached may go on sending commands, in milliseconds. */
 export const EARLIER_OWNER_MS = 8_000
--- a/src/workflow/cell-configuration.ts
+++ b/src/workflow/settings/cell-configuration.ts
@@ -1,4 +1,4 @@
-import type { Demand } from './job.ts'
+import type { Demand } from '../job.ts'
 
 /** Duration of an advice request and validity of its tickets. */
 export type AdviceTimings = {
--- a/src/workflow/removed-settings.ts
+++ b/src/workflow/settings/removed-settings.ts
@@ -1,10 +1,10 @@
 import type { CellConfiguration } from './cell-configuration.ts'
-import { log } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import type { JobDefinition } from './job.ts'
+import { log } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import type { JobDefinition } from '../job.ts'
 import { selectOrganisationSettings, selectQueueSettings } from './job-settings.ts'
 import type { OrganisationSettings, QueueSettings } from './job-settings.ts'
-import { failExhaustedJobs } from './jobs.ts'
+import { failExhaustedJobs } from '../jobs.ts'
 import type { VersionedSettings } from './known-settings.ts'
 
 /** Limit of the stored names of each kind, so that the record fits into one value of the store. */
--- a/src/workflow/closed-targets.ts
+++ b/src/workflow/takeover/closed-targets.ts
@@ -1,9 +1,9 @@
-import { changeUsage, recordRoom } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import type { TaskKey } from './job.ts'
-import { findListedTask } from './jobs.ts'
-import type { TargetState } from './target-state.ts'
-import type { Task } from './task.ts'
+import { changeUsage, recordRoom } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import type { TaskKey } from '../job.ts'
+import { findListedTask } from '../jobs.ts'
+import type { TargetState } from '../target-state.ts'
+import type { Task } from '../task.ts'
 
 /** Targets that get no more starts, and the tasks that may still run on each of them. */
 export type ClosedTargets = Readonly<Record<string, readonly TaskKey[]>>
--- a/src/workflow/concluded-starts.ts
+++ b/src/workflow/takeover/concluded-starts.ts
@@ -1,7 +1,7 @@
-import type { CellState } from './cell-state.ts'
-import type { LiveRun } from './live-run.ts'
-import type { StepTasks } from './step-tasks.ts'
-import type { Job, Task } from './task.ts'
+import type { CellState } from '../cell-state.ts'
+import type { LiveRun } from '../live-run.ts'
+import type { StepTasks } from '../step-tasks.ts'
+import type { Job, Task } from '../task.ts'
 
 /** Time between two looks for what to store, in milliseconds: the tasks of a job start at about the same time. */
 const STORE_INTERVAL_MS = 500
--- a/src/workflow/departed-targets.ts
+++ b/src/workflow/takeover/departed-targets.ts
@@ -1,7 +1,7 @@
-import type { CellState } from './cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 import { computeForeignLeasesMs } from './earlier-leases.ts'
-import type { TargetEntry } from './target-entry.ts'
-import type { TargetState } from './target-state.ts'
+import type { TargetEntry } from '../target-entry.ts'
+import type { TargetState } from '../target-state.ts'
 
 /** A target that has been removed, and when. */
 export type DepartedTarget = { readonly target: TargetState, readonly removedAt: number }
--- a/src/workflow/earlier-commands.ts
+++ b/src/workflow/takeover/earlier-commands.ts
@@ -1,4 +1,4 @@
-import { assertNever } from '../util/assert-never.ts'
+import { assertNever } from '../../util/assert-never.ts'
 
 /** What an owner knows of the commands of the owners before it. */
 export type EarlierCommands =
--- a/src/workflow/earlier-lapse.ts
+++ b/src/workflow/takeover/earlier-lapse.ts
@@ -1,4 +1,4 @@
-import type { CellState } from './cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 import { computeCommandsEnd } from './earlier-commands.ts'
 import { mayHoldForeignLease } from './earlier-leases.ts'
 import { findUnlistedTargets } from './unlisted-targets.ts'
--- a/src/workflow/earlier-leases.ts
+++ b/src/workflow/takeover/earlier-leases.ts
@@ -1,6 +1,6 @@
-import type { CellState } from './cell-state.ts'
-import type { TargetState } from './target-state.ts'
-import { LATE_COMMAND_MS } from './unanswered-starts.ts'
+import type { CellState } from '../cell-state.ts'
+import type { TargetState } from '../target-state.ts'
+import { LATE_COMMAND_MS } from '../commands/unanswered-starts.ts'
 import { findUnlistedTargets } from './unlisted-targets.ts'
 
 /** The clocks of targets and owners differ by less, in milliseconds. */
--- a/src/workflow/expired-leases.ts
+++ b/src/workflow/takeover/expired-leases.ts
@@ -1,7 +1,7 @@
-import type { CellState } from './cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 import { computeCommandsEnd } from './earlier-commands.ts'
-import { computeLastExpiry } from './target-state.ts'
-import type { TargetState } from './target-state.ts'
+import { computeLastExpiry } from '../target-state.ts'
+import type { TargetState } from '../target-state.ts'
 
 /** A command is written within this time after it was handed on, also by a relay, in milliseconds. */
 const MAX_SENDING_MS = 1_000
--- a/src/workflow/silent-targets.ts
+++ b/src/workflow/takeover/silent-targets.ts
@@ -1,10 +1,10 @@
-import { log } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
+import { log } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 import { computeEarlierLapse } from './earlier-lapse.ts'
 import { mayHoldForeignLease } from './earlier-leases.ts'
 import { computeLeasesExpiry } from './expired-leases.ts'
-import type { TargetState } from './target-state.ts'
-import { formatTargets } from './task-wait-fields.ts'
+import type { TargetState } from '../target-state.ts'
+import { formatTargets } from '../waits/task-wait-fields.ts'
 
 /** A target counts as silent so long after it was last heard, in milliseconds. */
 const SILENT_AFTER_MS = 1_000
--- a/src/workflow/unlisted-targets.ts
+++ b/src/workflow/takeover/unlisted-targets.ts
@@ -1,4 +1,4 @@
-import type { CellState } from './cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 
 /** Finds the targets that may have runs of previous owners because this one has not listed them. */
 export function findUnlistedTargets (state: CellState): readonly string[] {
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -4,8 +4,8 @@
 import type { CellOptions } from './options.ts'
 import { formatRunKey } from './run-key.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
-import { LATE_COMMAND_MS } from './unanswered-starts.ts'
-import type { UnansweredStart } from './unanswered-starts.ts'
+import { LATE_COMMAND_MS } from './commands/unanswered-starts.ts'
+import type { UnansweredStart } from './commands/unanswered-starts.ts'
 
 /** Minimum rate of a target's monotonic clock relative to ours. */
 const MIN_CLOCK_RATE_RATIO = 0.98
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -1,9 +1,9 @@
-import { CrashRecord } from './crash-record.ts'
+import { CrashRecord } from './crashes/crash-record.ts'
 import type { JobDefinition, JobPhase, Step, TaskKey } from './job.ts'
 import { isFinalPhase, formatStepKey, formatTaskKey } from './job.ts'
 import type { LiveRun } from './live-run.ts'
-import type { StartRefusal } from './start-refusal.ts'
-import { StepAdvice } from './step-advice.ts'
+import type { StartRefusal } from './commands/start-refusal.ts'
+import { StepAdvice } from './advice/step-advice.ts'
 import { StepTasks } from './step-tasks.ts'
 
 /** `live`: the task has a run that may be present on a target. */
--- a/src/workflow/lasting-task-waits.ts
+++ b/src/workflow/waits/lasting-task-waits.ts
@@ -1,9 +1,9 @@
-import type { CellState } from './cell-state.ts'
-import { isDue } from './jobs.ts'
+import type { CellState } from '../cell-state.ts'
+import { isDue } from '../jobs.ts'
 import { TaskWaitLog } from './task-wait-log.ts'
 import { findTaskWait } from './task-wait.ts'
 import type { TaskWait } from './task-wait.ts'
-import type { StepRun, Task } from './task.ts'
+import type { StepRun, Task } from '../task.ts'
 
 /** Time between two passes over the tasks that last, in milliseconds. */
 const CHECK_INTERVAL_MS = 250
--- a/src/workflow/task-wait-fields.ts
+++ b/src/workflow/waits/task-wait-fields.ts
@@ -1,13 +1,13 @@
-import { assertNever } from '../util/assert-never.ts'
-import { findQueue, getUsage } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import type { LiveRun } from './live-run.ts'
-import { getOpenTargets } from './open-targets.ts'
-import { isSuitable } from './target-acceptance.ts'
-import { acceptsTaskOf, hasReservedRoom } from './task-acceptance.ts'
+import { assertNever } from '../../util/assert-never.ts'
+import { findQueue, getUsage } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import type { LiveRun } from '../live-run.ts'
+import { getOpenTargets } from '../room/open-targets.ts'
+import { isSuitable } from '../room/target-acceptance.ts'
+import { acceptsTaskOf, hasReservedRoom } from '../room/task-acceptance.ts'
 import type { TaskWait } from './task-wait.ts'
-import type { StepRun, Task } from './task.ts'
-import { findUnlistedTargets } from './unlisted-targets.ts'
+import type { StepRun, Task } from '../task.ts'
+import { findUnlistedTargets } from '../takeover/unlisted-targets.ts'
 
 /** Number of ids in a list of targets; how many there are is a field of its own. */
 const MAX_LISTED_IDS = 5
--- a/src/workflow/task-wait-log.ts
+++ b/src/workflow/waits/task-wait-log.ts
@@ -1,9 +1,9 @@
-import { log } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
+import { log } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
 import type { WaitingTask } from './lasting-task-waits.ts'
 import { formatTaskWait } from './task-wait-fields.ts'
 import type { TaskWait } from './task-wait.ts'
-import type { Task } from './task.ts'
+import type { Task } from '../task.ts'
 
 /** A task without a run for a shorter time is not logged, in milliseconds. */
 const MIN_LOGGED_WAIT_MS = 2_000
--- a/src/workflow/task-wait.ts
+++ b/src/workflow/waits/task-wait.ts
@@ -1,12 +1,12 @@
-import type { CellState } from './cell-state.ts'
-import { findQueue } from './cell-state.ts'
-import { computeLeasesExpiry } from './expired-leases.ts'
-import { computeTotalDemand } from './gang-placement.ts'
-import type { LiveRun } from './live-run.ts'
-import { checkMaximum } from './organisation-maximum.ts'
-import { needsAdvice } from './placement.ts'
-import { computeRemainingPauseMs } from './start-refusal.ts'
-import type { StepRun, Task } from './task.ts'
+import type { CellState } from '../cell-state.ts'
+import { findQueue } from '../cell-state.ts'
+import { computeLeasesExpiry } from '../takeover/expired-leases.ts'
+import { computeTotalDemand } from '../room/gang-placement.ts'
+import type { LiveRun } from '../live-run.ts'
+import { checkMaximum } from '../room/organisation-maximum.ts'
+import { needsAdvice } from '../room/placement.ts'
+import { computeRemainingPauseMs } from '../commands/start-refusal.ts'
+import type { StepRun, Task } from '../task.ts'
 
 /** Why a task that lasts has no run, or none that its target confirms. */
 export type TaskWait =
--- a/src/workflow/unsettled-runs-log.ts
+++ b/src/workflow/waits/unsettled-runs-log.ts
@@ -1,10 +1,10 @@
-import { log } from './cell-state.ts'
-import type { CellState } from './cell-state.ts'
-import { computeEarlierLapse } from './earlier-lapse.ts'
-import { computeLongestEarlierLeaseMs } from './earlier-leases.ts'
+import { log } from '../cell-state.ts'
+import type { CellState } from '../cell-state.ts'
+import { computeEarlierLapse } from '../takeover/earlier-lapse.ts'
+import { computeLongestEarlierLeaseMs } from '../takeover/earlier-leases.ts'
 import { formatTargets } from './task-wait-fields.ts'
 import type { LogFields } from './task-wait-fields.ts'
-import { findUnlistedTargets } from './unlisted-targets.ts'
+import { findUnlistedTargets } from '../takeover/unlisted-targets.ts'
 
 const LOG_INTERVAL_MS = 1_000
 
--- a/test/adapters/relay-codec.test.ts
+++ b/test/adapters/relay-codec.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check'
 import { decodeRelayReply, decodeRelayRequest, encodeRelayMessage } from '../../src/adapters/relay-codec.ts'
 import type { CommandClient } from '../../src/ports/command-client.ts'
-import { CommandRelay } from '../../src/controller/command-relay.ts'
+import { CommandRelay } from '../../src/controller/commands/command-relay.ts'
 
 const SEED = 20261204
 const RUNS = 500
--- a/test/adapters/relay-stream.test.ts
+++ b/test/adapters/relay-stream.test.ts
@@ -7,7 +7,7 @@
 import { MemberCallServer } from '../../src/adapters/grpc-member-calls.ts'
 import { openRelayStream } from '../../src/adapters/grpc-relay-stream.ts'
 import { decodeRelayReply, decodeRelayRequest, encodeRelayMessage } from '../../src/adapters/relay-codec.ts'
-import type { RelayReply, RelayRequest } from '../../src/controller/relay-message.ts'
+import type { RelayReply, RelayRequest } from '../../src/controller/commands/relay-message.ts'
 
 const REQUEST: RelayRequest = {
   sequence: 5,
--- a/test/controller/admission.test.ts
+++ b/test/controller/admission.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { Admission } from '../../src/controller/admission.ts'
-import type { Overload } from '../../src/workflow/advice-backlog.ts'
+import { Admission } from '../../src/controller/admission/admission.ts'
+import type { Overload } from '../../src/workflow/advice/advice-backlog.ts'
 import type { Step } from '../../src/workflow/job.ts'
 import { buildJob } from '../workflow/harness.ts'
 
--- a/test/controller/advice-cache.test.ts
+++ b/test/controller/advice-cache.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { AdviceCache } from '../../src/controller/advice-cache.ts'
+import { AdviceCache } from '../../src/controller/advice/advice-cache.ts'
 import type { AdviceResponse } from '../../src/ports/command-client.ts'
 
 function createResponse (...targets: readonly string[]): AdviceResponse {
--- a/test/controller/advice-dispatcher.test.ts
+++ b/test/controller/advice-dispatcher.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { AdviceDispatcher } from '../../src/controller/advice-dispatcher.ts'
-import type { AdviceRequest } from '../../src/controller/advice-dispatcher.ts'
+import { AdviceDispatcher } from '../../src/controller/advice/advice-dispatcher.ts'
+import type { AdviceRequest } from '../../src/controller/advice/advice-dispatcher.ts'
 import type { AdviceResponse } from '../../src/ports/command-client.ts'
 
 /** Longer than the pause of a channel whose request failed, in milliseconds. */
--- a/test/controller/bound-terms.test.ts
+++ b/test/controller/bound-terms.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { CommitRecord } from '../../src/controller/store-keys.ts'
-import { areCommandsBound, listUnsettledTerms } from '../../src/controller/unsettled-terms.ts'
+import type { CommitRecord } from '../../src/controller/records/store-keys.ts'
+import { areCommandsBound, listUnsettledTerms } from '../../src/controller/leadership/unsettled-terms.ts'
 
 /** The release of a leader and its member: `b` binds commands to incarnations, `u` is an older release that doesn't. */
 type Leader = `${'b' | 'u'}${number}`
--- a/test/controller/command-load.test.ts
+++ b/test/controller/command-load.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { CommandLoad } from '../../src/controller/command-load.ts'
+import { CommandLoad } from '../../src/controller/commands/command-load.ts'
 
 test('command load: counts what was sent, sent again and not answered since the last call', () => {
   const load = CommandLoad.create()
--- a/test/controller/command-permission.test.ts
+++ b/test/controller/command-permission.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { CommandPermission } from '../../src/controller/command-permission.ts'
-import { PermittedCommands } from '../../src/controller/permitted-commands.ts'
+import { CommandPermission } from '../../src/controller/commands/command-permission.ts'
+import { PermittedCommands } from '../../src/controller/commands/permitted-commands.ts'
 import type { CommandClient, CommandResponse, ListResponse } from '../../src/ports/command-client.ts'
 import { Moment } from '../../src/util/moment.ts'
 
--- a/test/controller/command-relay.test.ts
+++ b/test/controller/command-relay.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { CommandRelay } from '../../src/controller/command-relay.ts'
+import { CommandRelay } from '../../src/controller/commands/command-relay.ts'
 import { WITHHELD } from '../../src/ports/command-client.ts'
 import type { CommandResponse } from '../../src/ports/command-client.ts'
-import type { RelayReply, RelayedCommand } from '../../src/controller/relay-message.ts'
+import type { RelayReply, RelayedCommand } from '../../src/controller/commands/relay-message.ts'
 import { LIST, LISTED, RecordingClient, SILENT_REPORTER, START, STOP, TARGET, settle } from './relay-harness.ts'
 
 const NOW = 1_000_000
--- a/test/controller/earlier-witnesses.test.ts
+++ b/test/controller/earlier-witnesses.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { EarlierLeaders } from '../../src/controller/earlier-leaders.ts'
-import { LEASE_GRACE_MS } from '../../src/controller/leadership.ts'
-import type { StandDown } from '../../src/controller/leadership.ts'
-import type { UnsettledTerm } from '../../src/controller/store-keys.ts'
-import { CONFIRMATION_PERMITS_MS, RENEWAL_PERMITS_MS } from '../../src/controller/witnesses.ts'
+import { EarlierLeaders } from '../../src/controller/leadership/earlier-leaders.ts'
+import { LEASE_GRACE_MS } from '../../src/controller/leadership/leadership.ts'
+import type { StandDown } from '../../src/controller/leadership/leadership.ts'
+import type { UnsettledTerm } from '../../src/controller/records/store-keys.ts'
+import { CONFIRMATION_PERMITS_MS, RENEWAL_PERMITS_MS } from '../../src/controller/leadership/witnesses.ts'
 
 const CLOCK_DRIFT_FACTOR = 1.03
 const ELECTED_AT = 100_000
--- a/test/controller/incarnation-check.test.ts
+++ b/test/controller/incarnation-check.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { IncarnationCheck } from '../../src/controller/incarnation-check.ts'
+import { IncarnationCheck } from '../../src/controller/commands/incarnation-check.ts'
 import { WITHHELD } from '../../src/ports/command-client.ts'
 import type { CommandTarget, ConnectionCommands, ListResponse } from '../../src/ports/command-client.ts'
 
--- a/test/controller/leader-failure-detector.test.ts
+++ b/test/controller/leader-failure-detector.test.ts
@@ -5,7 +5,7 @@
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import type { ProbeResult } from '../../src/adapters/probe-address.ts'
 import { probeAddress } from '../../src/adapters/probe-address.ts'
-import { LeaderFailureDetector } from '../../src/controller/leader-failure-detector.ts'
+import { LeaderFailureDetector } from '../../src/controller/leadership/leader-failure-detector.ts'
 
 const LEADER = { member: 'm2', address: 'm2:1', term: 1, nonce: 'n1' }
 
--- a/test/controller/leadership-grace.test.ts
+++ b/test/controller/leadership-grace.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { LEASE_GRACE_MS, Leadership } from '../../src/controller/leadership.ts'
+import { LEASE_GRACE_MS, Leadership } from '../../src/controller/leadership/leadership.ts'
 import type { Store, StoreCall, StoreFailure, StoreResponse } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
 
--- a/test/controller/leadership.test.ts
+++ b/test/controller/leadership.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { computeClaimDelayMs } from '../../src/controller/leadership.ts'
+import { computeClaimDelayMs } from '../../src/controller/leadership/leadership.ts'
 
 const pairs = [
   { smaller: 0.324, larger: 0.675 },
--- a/test/controller/living-leader.test.ts
+++ b/test/controller/living-leader.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { CONFIRMATION_PERMITS_MS, RENEWAL_PERMITS_MS } from '../../src/controller/witnesses.ts'
+import { CONFIRMATION_PERMITS_MS, RENEWAL_PERMITS_MS } from '../../src/controller/leadership/witnesses.ts'
 import { VirtualCell } from './virtual-cell.ts'
 import type { VirtualHost } from './virtual-cell.ts'
 import type { Service } from './virtual-store.ts'
--- a/test/controller/member-link.test.ts
+++ b/test/controller/member-link.test.ts
@@ -5,10 +5,10 @@
 import type { Result } from 'neverthrow'
 import type { MemberCallClient } from '../../src/adapters/grpc-member-calls.ts'
 import type { Controller } from '../../src/controller/controller.ts'
-import type { Leadership } from '../../src/controller/leadership.ts'
+import type { Leadership } from '../../src/controller/leadership/leadership.ts'
 import type { MemberResponse, MemberCall, MemberCallFailure } from '../../src/controller/member-call.ts'
 import { MemberLink } from '../../src/controller/member-link.ts'
-import { AdviceCache } from '../../src/controller/advice-cache.ts'
+import { AdviceCache } from '../../src/controller/advice/advice-cache.ts'
 
 type CallResult = Result<MemberResponse, MemberCallFailure>
 
--- a/test/controller/process-probe.test.ts
+++ b/test/controller/process-probe.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { ProbeResult } from '../../src/adapters/probe-address.ts'
-import { ProcessProbe } from '../../src/controller/process-probe.ts'
-import type { ProcessState } from '../../src/controller/process-probe.ts'
+import { ProcessProbe } from '../../src/controller/leadership/process-probe.ts'
+import type { ProcessState } from '../../src/controller/leadership/process-probe.ts'
 import { VirtualTime } from './virtual-time.ts'
 
 const ADDRESS = '10.1.0.17:7420'
--- a/test/controller/read-stored-state.test.ts
+++ b/test/controller/read-stored-state.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { ok } from 'neverthrow'
-import { readStoredState } from '../../src/controller/read-stored-state.ts'
-import { STATE_PREFIX, TARGETS_KEY } from '../../src/controller/store-keys.ts'
-import type { TargetsRecord, UnsettledTerm } from '../../src/controller/store-keys.ts'
-import { areCommandsBound } from '../../src/controller/unsettled-terms.ts'
+import { readStoredState } from '../../src/controller/records/read-stored-state.ts'
+import { STATE_PREFIX, TARGETS_KEY } from '../../src/controller/records/store-keys.ts'
+import type { TargetsRecord, UnsettledTerm } from '../../src/controller/records/store-keys.ts'
+import { areCommandsBound } from '../../src/controller/leadership/unsettled-terms.ts'
 import type { Store } from '../../src/ports/store.ts'
 
 const REPORTER = { log: () => {}, count: () => {}, observe: () => {} }
--- a/test/controller/recent-submissions.test.ts
+++ b/test/controller/recent-submissions.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { RecentSubmissions } from '../../src/controller/recent-submissions.ts'
-import type { AttemptOutcome, EarlierAttempts } from '../../src/controller/recent-submissions.ts'
+import { RecentSubmissions } from '../../src/controller/admission/recent-submissions.ts'
+import type { AttemptOutcome, EarlierAttempts } from '../../src/controller/admission/recent-submissions.ts'
 
 type Step = 'begin' | AttemptOutcome
 
--- a/test/controller/refused-silent-record.test.ts
+++ b/test/controller/refused-silent-record.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { err } from 'neverthrow'
-import { SILENT_TARGETS_KEY } from '../../src/controller/store-keys.ts'
+import { SILENT_TARGETS_KEY } from '../../src/controller/records/store-keys.ts'
 import type { StoreCall } from '../../src/ports/store.ts'
 import { VirtualCell } from './virtual-cell.ts'
 
--- a/test/controller/relay-harness.ts
+++ b/test/controller/relay-harness.ts
@@ -1,9 +1,9 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import type { CommandClient, CommandResponse, ListResponse } from '../../src/ports/command-client.ts'
 import type { Peer } from '../../src/controller/member-call.ts'
-import { CommandRelay } from '../../src/controller/command-relay.ts'
-import { RELAY_BATCH_MS } from '../../src/controller/relay-message.ts'
-import type { RelayReply, RelayRequest, RelayStreamEvents, RelayStreamOpener } from '../../src/controller/relay-message.ts'
+import { CommandRelay } from '../../src/controller/commands/command-relay.ts'
+import { RELAY_BATCH_MS } from '../../src/controller/commands/relay-message.ts'
+import type { RelayReply, RelayRequest, RelayStreamEvents, RelayStreamOpener } from '../../src/controller/commands/relay-message.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
 
 export const SILENT_REPORTER: Reporter = { log: () => {}, count: () => {}, observe: () => {} }
--- a/test/controller/relayed-commands.test.ts
+++ b/test/controller/relayed-commands.test.ts
@@ -3,8 +3,8 @@
 import { NO_LISTENER } from '../../src/ports/command-client.ts'
 import type { CommandResponse } from '../../src/ports/command-client.ts'
 import type { Peer } from '../../src/controller/member-call.ts'
-import { selectRelays } from '../../src/controller/relay-selection.ts'
-import { RelayedCommands } from '../../src/controller/relayed-commands.ts'
+import { selectRelays } from '../../src/controller/commands/relay-selection.ts'
+import { RelayedCommands } from '../../src/controller/commands/relayed-commands.ts'
 import { LIST, LISTED, RecordingClient, RelayNetwork, SILENT_REPORTER, START, STOP, buildPeer, settle } from './relay-harness.ts'
 
 const LARGE_CELL = new Map([['east', 200]])
--- a/test/controller/store-feed.test.ts
+++ b/test/controller/store-feed.test.ts
@@ -4,7 +4,7 @@
 import { ok } from 'neverthrow'
 import { PollInterval } from '../../src/controller/poll-interval.ts'
 import { StoreFeed } from '../../src/controller/store-feed.ts'
-import { cancelKey, jobKey } from '../../src/controller/store-keys.ts'
+import { cancelKey, jobKey } from '../../src/controller/records/store-keys.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
 import { buildJob } from '../workflow/harness.ts'
 
--- a/test/controller/target-session.test.ts
+++ b/test/controller/target-session.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
-import { TargetSession } from '../../src/controller/target-session.ts'
+import { TargetSession } from '../../src/controller/commands/target-session.ts'
 import type { CommandClient, CommandTarget, ListRequest } from '../../src/ports/command-client.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
 import { TargetState } from '../../src/workflow/target-state.ts'
--- a/test/controller/term-chains.test.ts
+++ b/test/controller/term-chains.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { EarlierLeaders } from '../../src/controller/earlier-leaders.ts'
-import { LEASE_GRACE_MS } from '../../src/controller/leadership.ts'
-import type { StandDown } from '../../src/controller/leadership.ts'
+import { EarlierLeaders } from '../../src/controller/leadership/earlier-leaders.ts'
+import { LEASE_GRACE_MS } from '../../src/controller/leadership/leadership.ts'
+import type { StandDown } from '../../src/controller/leadership/leadership.ts'
 import type { Peer } from '../../src/controller/member-call.ts'
-import type { CommitRecord, UnsettledTerm } from '../../src/controller/store-keys.ts'
-import { listUnsettledTerms } from '../../src/controller/unsettled-terms.ts'
+import type { CommitRecord, UnsettledTerm } from '../../src/controller/records/store-keys.ts'
+import { listUnsettledTerms } from '../../src/controller/leadership/unsettled-terms.ts'
 import { Random } from '../../src/util/random.ts'
 
 const MEMBERS = 4
--- a/test/controller/virtual-targets.ts
+++ b/test/controller/virtual-targets.ts
@@ -1,6 +1,6 @@
 import { NO_LISTENER, WITHHELD } from '../../src/ports/command-client.ts'
 import type { CommandResponse, ConnectionCommands, ListRequest, ListResponse, StartCommand } from '../../src/ports/command-client.ts'
-import { toTerm } from '../../src/controller/fencing-number.ts'
+import { toTerm } from '../../src/controller/leadership/fencing-number.ts'
 import type { Random } from '../../src/util/random.ts'
 import { LastRuns } from '../workflow/last-runs.ts'
 import { LONGEST_LEASE_MS, SimulatedTarget } from '../workflow/simulated-target.ts'
--- a/test/controller/witness-set.test.ts
+++ b/test/controller/witness-set.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Peer } from '../../src/controller/member-call.ts'
-import { listUnsettledTerms } from '../../src/controller/unsettled-terms.ts'
-import { chooseWitnesses, computeBlockingCount, computeQuorum, parseWitnesses, inheritWitnesses } from '../../src/controller/witness-set.ts'
+import { listUnsettledTerms } from '../../src/controller/leadership/unsettled-terms.ts'
+import { chooseWitnesses, computeBlockingCount, computeQuorum, parseWitnesses, inheritWitnesses } from '../../src/controller/leadership/witness-set.ts'
 
 const SELF: Peer = { member: 'm0', address: 'm0:1', failureDomain: 'a' }
 
--- a/test/controller/witnesses.test.ts
+++ b/test/controller/witnesses.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { LEASE_GRACE_MS } from '../../src/controller/leadership.ts'
+import { LEASE_GRACE_MS } from '../../src/controller/leadership/leadership.ts'
 import type { Peer } from '../../src/controller/member-call.ts'
-import { CONFIRMATION_PERMITS_MS, RENEWAL_PERMITS_MS, Witnesses } from '../../src/controller/witnesses.ts'
+import { CONFIRMATION_PERMITS_MS, RENEWAL_PERMITS_MS, Witnesses } from '../../src/controller/leadership/witnesses.ts'
 import { VirtualTime } from './virtual-time.ts'
 
 const TICK_MS = 50
--- a/test/platform/ended-processes.test.ts
+++ b/test/platform/ended-processes.test.ts
@@ -5,8 +5,8 @@
 import { listFurtherPorts, parseSettings } from '../../platform/settings.ts'
 import type { PlatformSettings } from '../../platform/settings.ts'
 import { probeAddress } from '../../src/adapters/probe-address.ts'
-import { COMMIT_KEY, LEADER_KEY, TARGETS_KEY } from '../../src/controller/store-keys.ts'
-import type { CommitRecord } from '../../src/controller/store-keys.ts'
+import { COMMIT_KEY, LEADER_KEY, TARGETS_KEY } from '../../src/controller/records/store-keys.ts'
+import type { CommitRecord } from '../../src/controller/records/store-keys.ts'
 import { MemberProcess } from './process-harness.ts'
 
 const OCTET = process.pid % 30
--- a/test/platform/incarnation-sockets.test.ts
+++ b/test/platform/incarnation-sockets.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
 import { WorkerCommands } from '../../platform/worker-commands.ts'
-import { IncarnationCheck } from '../../src/controller/incarnation-check.ts'
+import { IncarnationCheck } from '../../src/controller/commands/incarnation-check.ts'
 import type { CommandResponse, CommandTarget } from '../../src/ports/command-client.ts'
 import { formatAnswer, RestartingTarget } from './restarting-target.ts'
 
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -5,7 +5,7 @@
 import type { JsonRequest } from '../../platform/standin/json-server.ts'
 import type { KvServer } from '../../platform/standin/kv-server.ts'
 import { asJsonObject, asList } from '../../platform/json.ts'
-import { COMMIT_KEY, LEADER_KEY, TARGETS_KEY, jobKey } from '../../src/controller/store-keys.ts'
+import { COMMIT_KEY, LEADER_KEY, TARGETS_KEY, jobKey } from '../../src/controller/records/store-keys.ts'
 import { STEP } from '../workflow/harness.ts'
 
 const POLL_INTERVAL_MS = 20
--- a/test/workflow/advice-backlog.test.ts
+++ b/test/workflow/advice-backlog.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { computeWaitMs } from '../../src/workflow/advice-backlog.ts'
-import type { CellConfiguration, Organisation, Queue } from '../../src/workflow/cell-configuration.ts'
+import { computeWaitMs } from '../../src/workflow/advice/advice-backlog.ts'
+import type { CellConfiguration, Organisation, Queue } from '../../src/workflow/settings/cell-configuration.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
 
 const URGENT: Queue = { ...QUEUE, name: 'urgent', advice: { decisionMs: 40, perTargetMs: 0.4, validityMs: 2_000 } }
--- a/test/workflow/advice.test.ts
+++ b/test/workflow/advice.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { AdviceTimings } from '../../src/workflow/cell-configuration.ts'
+import type { AdviceTimings } from '../../src/workflow/settings/cell-configuration.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
 
 const ADVICE: AdviceTimings = { decisionMs: 400, perTargetMs: 6, validityMs: 2_500 }
--- a/test/workflow/backlog.test.ts
+++ b/test/workflow/backlog.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { AdviceTimings, CellConfiguration } from '../../src/workflow/cell-configuration.ts'
+import type { AdviceTimings, CellConfiguration } from '../../src/workflow/settings/cell-configuration.ts'
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import { Job } from '../../src/workflow/task.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
--- a/test/workflow/cell-scheduler.test.ts
+++ b/test/workflow/cell-scheduler.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { AdviceTimings } from '../../src/workflow/cell-configuration.ts'
+import type { AdviceTimings } from '../../src/workflow/settings/cell-configuration.ts'
 import { buildListRequest } from '../../src/workflow/list-request.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildConfiguration, buildEntry, buildJob, createHarnessWithTarget } from './harness.ts'
 
--- a/test/workflow/concluded-starts.test.ts
+++ b/test/workflow/concluded-starts.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { isJobProgress } from '../../src/controller/record-guards.ts'
+import { isJobProgress } from '../../src/controller/records/record-guards.ts'
 import type { JobProgress } from '../../src/workflow/progress-record.ts'
 import { CellHarness, buildEntry, buildJob } from './harness.ts'
 import type { SentCommand } from './harness.ts'
--- a/test/workflow/crashes-by-chance.test.ts
+++ b/test/workflow/crashes-by-chance.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Step } from '../../src/workflow/job.ts'
-import { CrashRate } from '../../src/workflow/crash-rate.ts'
+import { CrashRate } from '../../src/workflow/crashes/crash-rate.ts'
 import type { CrashEvidence } from './crashing-cell.ts'
 import { CrashingCell } from './crashing-cell.ts'
 import { CellHarness, buildEntry, buildJob } from './harness.ts'
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -1,4 +1,4 @@
-import type { CellConfiguration, Queue } from '../../src/workflow/cell-configuration.ts'
+import type { CellConfiguration, Queue } from '../../src/workflow/settings/cell-configuration.ts'
 import { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
--- a/test/workflow/lasting-advice.test.ts
+++ b/test/workflow/lasting-advice.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { CellConfiguration, Queue } from '../../src/workflow/cell-configuration.ts'
+import type { CellConfiguration, Queue } from '../../src/workflow/settings/cell-configuration.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
 import { SimulatedAdvisor } from './simulated-advisor.ts'
 
--- a/test/workflow/lasting-bad-targets.test.ts
+++ b/test/workflow/lasting-bad-targets.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { Queue } from '../../src/workflow/cell-configuration.ts'
+import type { Queue } from '../../src/workflow/settings/cell-configuration.ts'
 import type { CommandResponse } from '../../src/ports/command-client.ts'
 import type { ListedCompletion } from '../../src/workflow/target-entry.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildEntry } from './harness.ts'
--- a/test/workflow/organisation-maximum.test.ts
+++ b/test/workflow/organisation-maximum.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { CellConfiguration, Queue } from '../../src/workflow/cell-configuration.ts'
+import type { CellConfiguration, Queue } from '../../src/workflow/settings/cell-configuration.ts'
 import type { Step } from '../../src/workflow/job.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildEntry } from './harness.ts'
 
--- a/test/workflow/refused-starts.test.ts
+++ b/test/workflow/refused-starts.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { CommandRefusal } from '../../src/ports/command-client.ts'
-import type { Queue } from '../../src/workflow/cell-configuration.ts'
+import type { Queue } from '../../src/workflow/settings/cell-configuration.ts'
 import type { Step } from '../../src/workflow/job.ts'
 import { DEFAULT_CELL_OPTIONS } from '../../src/workflow/options.ts'
 import type { ListedRun } from '../../src/workflow/target-entry.ts'
--- a/test/workflow/removed-settings.test.ts
+++ b/test/workflow/removed-settings.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import type { CellConfiguration, Organisation, Queue } from '../../src/workflow/cell-configuration.ts'
+import type { CellConfiguration, Organisation, Queue } from '../../src/workflow/settings/cell-configuration.ts'
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import type { JobDefinition, Step } from '../../src/workflow/job.ts'
 import { CONFIGURATION, CellHarness, QUEUE, buildEntry, buildJob } from './harness.ts'
--- a/test/workflow/resends.test.ts
+++ b/test/workflow/resends.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import { DEFAULT_CELL_OPTIONS } from '../../src/workflow/options.ts'
-import { ResendPause } from '../../src/workflow/resend-pause.ts'
+import { ResendPause } from '../../src/workflow/commands/resend-pause.ts'
 import type { ListedCompletion } from '../../src/workflow/target-entry.ts'
 import { CellHarness, buildEntry, buildJob } from './harness.ts'
 
--- a/test/workflow/restarted-targets.test.ts
+++ b/test/workflow/restarted-targets.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { Incarnations } from '../../src/workflow/earlier-leases.ts'
+import type { Incarnations } from '../../src/workflow/takeover/earlier-leases.ts'
 import type { CommandResponse } from '../../src/ports/command-client.ts'
 import { buildListRequest } from '../../src/workflow/list-request.ts'
 import type { SentCommand } from './harness.ts'
--- a/test/workflow/revoked-commands.test.ts
+++ b/test/workflow/revoked-commands.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { computeFencingNumber } from '../../src/controller/fencing-number.ts'
+import { computeFencingNumber } from '../../src/controller/leadership/fencing-number.ts'
 import { Random } from '../../src/util/random.ts'
 import { buildListRequest } from '../../src/workflow/list-request.ts'
 import type { ListedRun } from '../../src/workflow/target-entry.ts'
--- a/test/workflow/silent-targets.test.ts
+++ b/test/workflow/silent-targets.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { CellEffect } from '../../src/workflow/effect.ts'
 import { buildListRequest } from '../../src/workflow/list-request.ts'
-import type { SilentTargetsById } from '../../src/workflow/silent-targets.ts'
+import type { SilentTargetsById } from '../../src/workflow/takeover/silent-targets.ts'
 import { CellHarness, buildEntry } from './harness.ts'
 
 const LEASE_MS = 3_500
--- a/test/workflow/simulated-session.ts
+++ b/test/workflow/simulated-session.ts
@@ -1,4 +1,4 @@
-import { computeFencingNumber } from '../../src/controller/fencing-number.ts'
+import { computeFencingNumber } from '../../src/controller/leadership/fencing-number.ts'
 import { NO_LISTENER } from '../../src/ports/command-client.ts'
 import type { ListRequest } from '../../src/ports/command-client.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
--- a/test/workflow/simulated-store.ts
+++ b/test/workflow/simulated-store.ts
@@ -1,10 +1,10 @@
 import type { CellScheduler } from '../../src/workflow/cell-scheduler.ts'
-import type { ClosedTargets } from '../../src/workflow/closed-targets.ts'
-import type { Incarnations } from '../../src/workflow/earlier-leases.ts'
+import type { ClosedTargets } from '../../src/workflow/takeover/closed-targets.ts'
+import type { Incarnations } from '../../src/workflow/takeover/earlier-leases.ts'
 import type { CellEvent } from '../../src/workflow/event.ts'
 import type { JobDefinition, JobPhase } from '../../src/workflow/job.ts'
 import type { JobProgress } from '../../src/workflow/progress-record.ts'
-import type { SilentTargetsById } from '../../src/workflow/silent-targets.ts'
+import type { SilentTargetsById } from '../../src/workflow/takeover/silent-targets.ts'
 
 /** What leaders have stored: the progress of jobs, and the targets that may have runs. */
 export class SimulatedStore {
--- a/test/workflow/takeover.test.ts
+++ b/test/workflow/takeover.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { LEASE_GRACE_MS } from '../../src/controller/leadership.ts'
+import { LEASE_GRACE_MS } from '../../src/controller/leadership/leadership.ts'
 import { EARLIER_OWNER_MS } from '../../src/workflow/runs.ts'
 import { buildConfiguration, buildEntry, buildJob, createHarnessWithTarget } from './harness.ts'
 
