--- a/src/controller/controller-options.ts
+++ b/src/controller/controller-options.ts
@@ -1,5 +1,6 @@
 import type { AdviceResponse, Advisor, CachedAdvice, CommandClient } from '../ports/command-client.ts'
 import type { Store } from '../ports/store.ts'
+import type { SchedulingFeatures } from '../settings/index.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import type { EarlierLeadersOptions } from './leadership/earlier-leaders.ts'
 import type { Peer } from './member-call.ts'
@@ -31,4 +32,6 @@
   /** Asks a member to confirm that it knows of no later term; false without a response. Without it, the leader has no witnesses. */
   readonly requestConfirmation?: (peer: Peer, term: number) => Promise<boolean>
   readonly onFenced: (reason: string) => void
+  /** Features of the scheduler during this term; without them, none is on. */
+  readonly features?: SchedulingFeatures
 }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -63,7 +63,7 @@
   private reportedChannels = 0
 
   private constructor (private readonly options: ControllerOptions) {
-    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, areCommandsBound: true, wallClockOffsetMs: Date.now() - performance.now() })
+    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, areCommandsBound: true, wallClockOffsetMs: Date.now() - performance.now(), ...options.features !== undefined && { features: options.features } })
     this.witnesses = Witnesses.create({ ...options, term: options.term.term, claimed: options.term.witnesses, getPeers: () => this.members, onChosen: () => this.committer.storeRecord() })
     this.permission = CommandPermission.create({ isLeaseConfirmed: options.isLeaseConfirmed, isTermConfirmed: () => this.witnesses.permitCommands(), reporter: options.reporter })
     this.relayedCommands = RelayedCommands.create({
@@ -343,6 +343,7 @@
       case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed, incarnations: effect.incarnations, ...effect.unbound !== undefined && { unbound: effect.unbound } })
       case 'store-silent-targets': return this.committer.storeSilentTargets(effect.targets)
       case 'store-settings': return this.committer.storeSettings(effect.record)
+      case 'store-learned': return this.committer.storeLearned(effect.record, effect.value)
       case 'watch-target':
         // Many targets may be read at once. The relays are chosen when all of them are known.
         setImmediate(() => this.startSession(effect.id))
--- a/src/controller/records/committer.ts
+++ b/src/controller/records/committer.ts
@@ -3,6 +3,7 @@
 import { STORE_VALUE_LIMIT_BYTES } from '../../ports/store.ts'
 import type { ProcessedCompletions } from '../../workflow/event.ts'
 import type { JobPhase } from '../../workflow/job.ts'
+import type { LearnedRecord } from '../../workflow/learned-records.ts'
 import type { JobProgress } from '../../workflow/progress-record.ts'
 import type { RemovedSettings } from '../../workflow/settings/removed-settings.ts'
 import type { SilentTargetsById } from '../../workflow/takeover/silent-targets.ts'
@@ -17,7 +18,7 @@
 import { computeReservedTerm } from '../run-numbers.ts'
 import { formatSilentTargets } from './silent-targets-record.ts'
 import { readKey, transact, requireUnchanged } from '../store-calls.ts'
-import { COMMIT_KEY, SETTINGS_KEY, SILENT_TARGETS_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from './store-keys.ts'
+import { COMMIT_KEY, SETTINGS_KEY, SILENT_TARGETS_KEY, TARGETS_KEY, cancelKey, jobKey, learnedKey, progressKey } from './store-keys.ts'
 import type { CommitRecord, TargetsRecord, UnsettledTerm } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
@@ -106,6 +107,8 @@
   private targetsToStore: TargetsRecord | undefined
   private settingsToStore: RemovedSettings | undefined
   private silentTargetsToStore: SilentTargetsById | undefined
+  /** What the leader has learned since it was last stored. */
+  private readonly learnedToStore = new Map<LearnedRecord, string>()
   /** Targets in the stored record of silent targets. */
   private storedSilentTargets: readonly string[]
   /** Whether the record of the term is stored although nothing else is. */
@@ -160,6 +163,13 @@
     this.startCommitting()
   }
 
+  /** Stores what the leader has learned. The latest text of each record counts. */
+  storeLearned (record: LearnedRecord, value: string): void {
+    if (!this.jobRecords.fits(learnedKey(record), value)) return
+    this.learnedToStore.set(record, value)
+    this.startCommitting()
+  }
+
   /** Stores the targets that get no leases and no starts; their waits are counted from when the transaction is created. */
   storeSilentTargets (targets: SilentTargetsById): void {
     this.silentTargetsToStore = targets
@@ -188,7 +198,7 @@
   }
 
   private get hasPending (): boolean {
-    return this.recordWanted || this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined || this.settingsToStore !== undefined || this.silentTargetsToStore !== undefined
+    return this.recordWanted || this.jobsToStore.size > 0 || this.progressToRemove.size > 0 || this.targetsToStore !== undefined || this.settingsToStore !== undefined || this.silentTargetsToStore !== undefined || this.learnedToStore.size > 0
   }
 
   private async commitPending (): Promise<void> {
@@ -217,6 +227,7 @@
     if (silentTargets !== undefined) remainingRecords -= 1
     const settings = remainingRecords > 0 ? this.takeSettings() : undefined
     if (settings !== undefined) remainingRecords -= 1
+    const learned = this.takeLearned(remainingRecords)
     const nonce = randomUUID()
     const { witnesses } = this
     this.recordWanted = false
@@ -225,11 +236,12 @@
     if (settings !== undefined) puts.push({ key: SETTINGS_KEY, value: JSON.stringify(settings) })
     if (targets !== undefined) puts.push({ key: TARGETS_KEY, value: JSON.stringify(targets) })
     if (silentTargets !== undefined) puts.push({ key: SILENT_TARGETS_KEY, value: formatSilentTargets(this.options.term, silentTargets, performance.now()) })
+    for (const [record, value] of learned) puts.push({ key: learnedKey(record), value })
     const deletes = [...released.flatMap((id) => [jobKey(id), cancelKey(id)]), ...removedProgress.map(progressKey)]
     const phases = new Map(records.flatMap(({ id, phase }) => phase === undefined ? [] : [[id, phase]]))
     // Completions of jobs that are left for the next transaction must not be acknowledged by this one.
     const completions = this.jobsToStore.size === 0 ? this.options.getProcessedCompletions() : []
-    const source = { jobs: records.map(({ id }) => id), removedProgress, targets, settings, silentTargets }
+    const source = { jobs: records.map(({ id }) => id), removedProgress, targets, settings, silentTargets, learned }
     return { nonce, unsettled, source, puts, deletes, phases, released, completions, targets: targets?.ids, unbound: targets?.unbound, witnesses, silentTargets: silentTargets === undefined ? undefined : listSilent(silentTargets) }
   }
 
@@ -237,7 +249,7 @@
   private createProbe (): Batch {
     const nonce = randomUUID()
     const unsettled = this.recordedTerms.select(this.options.getUnsettledTerms(), false)
-    const source = { jobs: [], removedProgress: [], targets: undefined, settings: undefined, silentTargets: undefined }
+    const source = { jobs: [], removedProgress: [], targets: undefined, settings: undefined, silentTargets: undefined, learned: new Map<LearnedRecord, string>() }
     return { nonce, unsettled, source, puts: [this.createCommitPut(nonce, unsettled)], deletes: [], phases: new Map(), released: [], completions: [], targets: undefined, unbound: undefined, witnesses: this.witnesses, silentTargets: undefined }
   }
 
@@ -270,6 +282,13 @@
     return record !== undefined && this.jobRecords.fits(SETTINGS_KEY, JSON.stringify(record)) ? record : undefined
   }
 
+  /** Takes the records of what the leader has learned, as many as a transaction has left. */
+  private takeLearned (limit: number): ReadonlyMap<LearnedRecord, string> {
+    const taken = new Map([...this.learnedToStore].slice(0, Math.max(0, limit)))
+    for (const record of taken.keys()) this.learnedToStore.delete(record)
+    return taken
+  }
+
   /**
    * Selects as many jobs as fit into one transaction, those of them whose definitions are deleted, and the number of
    * unused entries.
@@ -337,7 +356,7 @@
 
   /** Puts back what a refused batch was made of, to be stored in smaller batches. A single record is set aside. */
   private divide ({ source, puts }: Batch): void {
-    const { jobs, removedProgress, targets, settings, silentTargets } = source
+    const { jobs, removedProgress, targets, settings, silentTargets, learned } = source
     const count = countRecords(source)
     this.options.reporter.log('warn', 'batch-refused', { records: count })
     if (count > 1) {
@@ -346,6 +365,7 @@
       this.targetsToStore ??= targets
       this.settingsToStore ??= settings
       this.silentTargetsToStore ??= silentTargets
+      for (const [record, value] of learned) this.learnedToStore.set(record, this.learnedToStore.get(record) ?? value)
     } else this.setAside(source, puts)
     for (const id of jobs) this.jobsToStore.add(id)
   }
--- a/src/controller/records/read-stored-state.ts
+++ b/src/controller/records/read-stored-state.ts
@@ -1,10 +1,11 @@
-import type { Store } from '../../ports/store.ts'
+import type { Store, StoreEntry } from '../../ports/store.ts'
 import type { CellEvent } from '../../workflow/event.ts'
 import { readStoredJobs } from './read-stored-jobs.ts'
 import { readStoredSettings } from './read-stored-settings.ts'
 import type { Reporter } from '../reporter.ts'
 import { readPrefix } from '../store-calls.ts'
-import { JOB_PREFIX, PROGRESS_PREFIX, STATE_PREFIX, TARGETS_KEY } from './store-keys.ts'
+import { LEARNED_RECORDS } from '../../workflow/learned-records.ts'
+import { JOB_PREFIX, PROGRESS_PREFIX, STATE_PREFIX, TARGETS_KEY, learnedKey } from './store-keys.ts'
 import type { TargetsRecord } from './store-keys.ts'
 import { parseRecord } from './stored-record.ts'
 
@@ -38,6 +39,7 @@
     { type: 'incarnations-restored', incarnations: record?.incarnations ?? {}, unbound: areCommandsBound ? findUnbound(record) : undefined },
     { type: 'targets-stored', ids: targets },
     ...readStoredSettings(state.value.entries, (key) => reporter.log('error', 'settings-unreadable', { key })),
+    ...readLearnedRecords(state.value.entries),
     ...readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))
   ]
   return { events, targets, jobCount: jobs.value.entries.length, version: jobs.value.version }
@@ -47,3 +49,10 @@
 function findUnbound (record: TargetsRecord | undefined): readonly string[] | undefined {
   return record === undefined ? [] : record.unbound
 }
+
+function readLearnedRecords (entries: ReadonlyArray<Pick<StoreEntry, 'key' | 'value'>>): readonly CellEvent[] {
+  return LEARNED_RECORDS.flatMap((record) => {
+    const stored = entries.find(({ key }) => key === learnedKey(record))
+    return stored === undefined ? [] : [{ type: 'learned-restored', record, value: stored.value } as const]
+  })
+}
--- a/src/controller/records/store-keys.ts
+++ b/src/controller/records/store-keys.ts
@@ -1,6 +1,7 @@
 import type { LeaseId } from '../../ports/store.ts'
 import type { ClosedTargets } from '../../workflow/takeover/closed-targets.ts'
 import type { Incarnations } from '../../workflow/takeover/earlier-leases.ts'
+import type { LearnedRecord } from '../../workflow/learned-records.ts'
 import type { Peer } from '../member-call.ts'
 
 /**
@@ -20,6 +21,11 @@
 export const CANCEL_SUFFIX = '/cancelled'
 export const PROGRESS_PREFIX = 'progress/'
 
+/** Key of what a leader has learned. */
+export function learnedKey (record: LearnedRecord): string {
+  return `${STATE_PREFIX}learned/${record}`
+}
+
 export function jobKey (id: string): string {
   return `${JOB_PREFIX}${id}`
 }
--- a/src/settings/check-settings.ts
+++ b/src/settings/check-settings.ts
@@ -1,8 +1,9 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Problem } from '../model/problem.ts'
 import { parseJsonDocument, type JsonDocument } from '../util/json-document.ts'
-import { checkShape, type JsonField, type JsonShape } from '../util/json-shape.ts'
+import { checkShape, type JsonShape } from '../util/json-shape.ts'
 import { checkConstraints } from './check-constraints.ts'
+import { buildShape } from './setting.ts'
 import { SETTINGS_TABLE } from './settings-table.ts'
 import type { Settings } from './settings.ts'
 
@@ -46,17 +47,3 @@
   const constraintProblems = checkConstraints(settings, file, document)
   return constraintProblems.length > 0 ? err(constraintProblems) : ok(settings)
 }
-
-/** Path of a setting, without the segments of the enclosing records, and its field. */
-type SettingRow = readonly [readonly string[], JsonField]
-
-function buildShape (rows: readonly SettingRow[]): JsonShape {
-  const names = new Set(rows.map(([path]) => path[0]!))
-  const fields = [...names].map((name) => {
-    const rowsOfName = rows.filter(([path]) => path[0] === name)
-    const leafRow = rowsOfName.find(([path]) => path.length === 1)
-    if (leafRow !== undefined) return [name, leafRow[1]] as const
-    return [name, { shape: buildShape(rowsOfName.map(([path, field]) => [path.slice(1), field])) }] as const
-  })
-  return { type: 'record', fields: Object.fromEntries(fields) }
-}
--- a/src/settings/describe-settings.ts
+++ b/src/settings/describe-settings.ts
@@ -1,5 +1,7 @@
 import { describeShape } from '../util/json-shape.ts'
-import { SETTINGS_TABLE, type Setting } from './settings-table.ts'
+import { FEATURE_TABLE } from './feature-settings.ts'
+import type { Setting } from './setting.ts'
+import { SETTINGS_TABLE } from './settings-table.ts'
 
 /**
  * Returns a help text with one line for each setting.
@@ -8,7 +10,7 @@
  * settingsHelp().split('\n')[0]
  */
 export function settingsHelp (): string {
-  return getRows().map(([pointer, setting]) => `${pointer} (${formatAllowed(setting)}; ${formatDefault(setting)}): ${setting.description}`).join('\n')
+  return Object.entries<Setting>(SETTINGS_TABLE).map(([pointer, setting]) => `${pointer} (${formatAllowed(setting)}; ${formatDefault(setting)}): ${setting.description}`).join('\n')
 }
 
 /**
@@ -18,7 +20,6 @@
  * writeFileSync('docs/settings.md', settingsPage())
  */
 export function settingsPage (): string {
-  const lines = getRows().map(([pointer, setting]) => `| \`${pointer}\` | ${formatAllowed(setting)} | ${formatDefault(setting)} | ${setting.description} |`)
   return [
     '# Settings',
     '',
@@ -26,15 +27,20 @@
     '',
     'A member reads one JSON file when it starts: `damaskfield serve SETTINGS.json`. `damaskfield check SETTINGS.json` lists every problem in it. Unknown fields and repeated fields are refused. The setting `/member/id` is the field `id` of the object `member`.',
     '',
-    '| setting | allowed | default | meaning |',
-    '|---|---|---|---|',
-    ...lines,
+    ...formatTable(SETTINGS_TABLE),
+    '',
+    '## Features on the platform',
+    '',
+    'From `src/settings/feature-settings.ts`. A member on the operators\' platform reads these from the object `product` of its settings file, which `deploy/settings.json.template` fills in; the platform\'s own fields are in the object `platform` beside it. A file with a problem there is refused with the place of the problem, and a running member keeps the settings that it has. A change takes effect with the next term of a leader.',
+    '',
+    ...formatTable(FEATURE_TABLE),
     ''
   ].join('\n')
 }
 
-function getRows (): readonly (readonly [string, Setting])[] {
-  return Object.entries(SETTINGS_TABLE)
+function formatTable (table: Readonly<Record<string, Setting>>): readonly string[] {
+  const lines = Object.entries(table).map(([pointer, setting]) => `| \`${pointer}\` | ${formatAllowed(setting)} | ${formatDefault(setting)} | ${setting.description} |`)
+  return ['| setting | allowed | default | meaning |', '|---|---|---|---|', ...lines]
 }
 
 function formatAllowed ({ shape, unit }: Setting): string {
--- a/src/settings/settings-table.ts
+++ b/src/settings/settings-table.ts
@@ -1,22 +1,7 @@
 import type { JsonShape } from '../util/json-shape.ts'
+import type { LeafPointer, Setting } from './setting.ts'
 import type { Settings } from './settings.ts'
 
-/** One setting. A setting without a default is required unless it is `optional`. */
-export type Setting = {
-  readonly shape: JsonShape
-  readonly unit?: string
-  readonly default?: unknown
-  readonly optional?: boolean
-  readonly description: string
-}
-
-/** Union of the JSON pointers of all leaves of a type. */
-type LeafPointer<Value, Path extends string = ''> = {
-  [Name in keyof Value & string]-?: NonNullable<Value[Name]> extends string | number | boolean | readonly unknown[]
-    ? `${Path}/${Name}`
-    : LeafPointer<NonNullable<Value[Name]>, `${Path}/${Name}`>
-}[keyof Value & string]
-
 /** JSON pointer of a setting, for example `/member/id`. */
 export type SettingPointer = LeafPointer<Settings>
 
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -288,6 +288,7 @@
       case 'silent-targets-restored': return state.silentTargets.restore(state, event.targets)
       case 'silent-targets-stored': return this.handleSilentTargetsStored(event.ids)
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
+      case 'learned-restored': return
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
       case 'tick': return this.handleTick(event)
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -1,6 +1,7 @@
 import type { ThrottleCommand, StartCommand, StopCommand } from '../ports/command-client.ts'
 import type { ClosedTargets } from './takeover/closed-targets.ts'
 import type { Incarnations } from './takeover/earlier-leases.ts'
+import type { LearnedRecord } from './learned-records.ts'
 import type { RemovedSettings } from './settings/removed-settings.ts'
 import type { SilentTargetsById } from './takeover/silent-targets.ts'
 
@@ -21,6 +22,8 @@
   | { readonly type: 'store-targets', readonly ids: readonly string[], readonly closed: ClosedTargets, readonly incarnations: Incarnations, readonly unbound?: readonly string[] | undefined }
   | { readonly type: 'store-silent-targets', readonly targets: SilentTargetsById }
   | { readonly type: 'store-settings', readonly record: RemovedSettings }
+  /** What the owner has learned, to be stored with the next commit. */
+  | { readonly type: 'store-learned', readonly record: LearnedRecord, readonly value: string }
   | { readonly type: 'watch-target', readonly id: string }
   | { readonly type: 'forget-target', readonly id: string }
   /** A target has seen a newer epoch: this owner must stop. */
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -4,6 +4,7 @@
 import type { Incarnations } from './takeover/earlier-leases.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
+import type { LearnedRecord } from './learned-records.ts'
 import type { RemovedSettings } from './settings/removed-settings.ts'
 import type { SilentTargetsById } from './takeover/silent-targets.ts'
 import type { TargetEntry, TargetListing } from './target-entry.ts'
@@ -52,6 +53,8 @@
   | { readonly type: 'silent-targets-stored', readonly ids: readonly string[] }
   /** Settings of removed queues and organisations, as a previous owner stored them. */
   | { readonly type: 'settings-restored', readonly record: RemovedSettings }
+  /** What a previous owner has learned, as it was stored; the text may be damaged or of another release. */
+  | { readonly type: 'learned-restored', readonly record: LearnedRecord, readonly value: string }
   /** All targets of previous owners have been listed, apart from closed ones. */
   | { readonly type: 'earlier-runs-listed' }
   /** The leases of runs of a previous owner have expired on all targets that could not be listed. */
--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -1,3 +1,6 @@
+import { DEFAULT_FEATURES } from '../settings/index.ts'
+import type { SchedulingFeatures } from '../settings/index.ts'
+
 /** Times and limits of the scheduler of a cell. */
 export type CellOptions = {
   /** How long runs may continue after the last command or list request; at most `longestLeaseMs`. */
@@ -16,6 +19,7 @@
   readonly wallClockOffsetMs: number
   /** How long the outcome of a job is kept after its end. */
   readonly endedJobRetentionMs: number
+  readonly features: SchedulingFeatures
 }
 
 /** Options of the scheduler that apply unless they are overridden. */
@@ -26,5 +30,6 @@
   maxAdviceTargets: 100,
   firstRunNumber: 1,
   wallClockOffsetMs: 0,
-  endedJobRetentionMs: 150_000
+  endedJobRetentionMs: 150_000,
+  features: DEFAULT_FEATURES.scheduling
 }
--- a/test/controller/committer.test.ts
+++ b/test/controller/committer.test.ts
@@ -5,7 +5,8 @@
 import type { Result } from 'neverthrow'
 import { Committer } from '../../src/controller/records/committer.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
-import { COMMIT_KEY, SETTINGS_KEY, TARGETS_KEY, cancelKey, jobKey, progressKey } from '../../src/controller/records/store-keys.ts'
+import { readStoredState } from '../../src/controller/records/read-stored-state.ts'
+import { COMMIT_KEY, SETTINGS_KEY, TARGETS_KEY, cancelKey, jobKey, learnedKey, progressKey } from '../../src/controller/records/store-keys.ts'
 import type { Store, StoreResponse, StoreCall, StoreFailure } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
 import type { JobPhase } from '../../src/workflow/job.ts'
@@ -140,3 +141,17 @@
   assert.ok(store.readValue(TARGETS_KEY) !== undefined && store.readValue(progressKey('j39')) !== undefined)
   assert.deepEqual(entryCounts.map((count) => count <= MAX_TRANSACTION_ENTRIES), [true, true])
 })
+
+test('committer: guards against the failure that what a leader has learned is not there for the next one, or an older text is', async () => {
+  const store = await createStoreWithTerm()
+  const { committer } = createCommitter(store, () => 'running')
+  committer.storeLearned('run-times', 'first')
+  committer.storeLearned('run-times', 'second')
+  committer.storeLearned('past-use', 'x'.repeat(1_000_001))
+  await wait(100)
+  committer.stop()
+  assert.equal(store.readValue(learnedKey('run-times')), 'second')
+  assert.equal(store.readValue(learnedKey('past-use')), undefined)
+  const state = await readStoredState(store, NO_REPORTER, true)
+  assert.deepEqual(state?.events.filter(({ type }) => type === 'learned-restored'), [{ type: 'learned-restored', record: 'run-times', value: 'second' }])
+})
--- a/test/platform/ended-processes.test.ts
+++ b/test/platform/ended-processes.test.ts
@@ -8,6 +8,7 @@
 import { COMMIT_KEY, LEADER_KEY, TARGETS_KEY } from '../../src/controller/records/store-keys.ts'
 import type { CommitRecord } from '../../src/controller/records/store-keys.ts'
 import { MemberProcess } from './process-harness.ts'
+import { DEFAULT_FEATURES } from '../../src/settings/index.ts'
 
 const OCTET = process.pid % 30
 const METRICS_PORT = 9_464
@@ -95,7 +96,7 @@
 for (const { shows, changes, ports } of listeners) {
   test(`platform settings: guards against the failure that a port is probed where no member listens: ${shows}`, () => {
     const host = '10.1.0.17'
-    const settings: PlatformSettings = { member: 'm1', failureDomain: 'east', callers: { host, port: 8_183 }, readiness: { host, port: 8_184 }, members: { host, port: 7_420 }, storeAddress: '10.1.0.2:8182', advisorAddress: undefined, longestLeaseMs: 6_000, cores: 1, graceMs: 6_000, ...changes }
+    const settings: PlatformSettings = { member: 'm1', failureDomain: 'east', callers: { host, port: 8_183 }, readiness: { host, port: 8_184 }, members: { host, port: 7_420 }, storeAddress: '10.1.0.2:8182', advisorAddress: undefined, longestLeaseMs: 6_000, cores: 1, graceMs: 6_000, features: DEFAULT_FEATURES, ...changes }
     assert.deepEqual(listFurtherPorts(settings, METRICS_PORT), ports)
   })
 }
