Stop runs that can be saved for urgent steps at their organisation's maximum

Cause: urgent tasks of an organisation at its maximum wait behind its own batch tasks of several seconds, although these have more time left. Change: with /scheduling/preemption, a start pass notes the urgent steps that it leaves waiting; at most every 50 ms, runs of the same organisation and pool whose work is saved are stopped, no more than the waiting tasks need beside what ends by itself. The freed part is kept from work that is not urgent.

--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -19,6 +19,7 @@
 import { LastingPrecedence } from './order/lasting-precedence.ts'
 import { LastingTaskWaits } from './waits/lasting-task-waits.ts'
 import { PendingAdvice } from './advice/pending-advice.ts'
+import { Preemption } from './preemption/preemption.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
 import { restoreClosedTargets } from './takeover/closed-targets.ts'
@@ -113,6 +114,7 @@
       concludedStarts: ConcludedStarts.create(),
       lastingTasks: LastingTaskWaits.create(),
       lastingPrecedence: LastingPrecedence.create(),
+      preemption: Preemption.create(),
       unsettledRuns: UnsettledRunsLog.create()
     })
   }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -14,6 +14,7 @@
 import type { LastingTaskWaits } from './waits/lasting-task-waits.ts'
 import type { OpenTargets } from './room/open-targets.ts'
 import type { CellOptions } from './options.ts'
+import type { Preemption } from './preemption/preemption.ts'
 import type { ResendPause } from './commands/resend-pause.ts'
 import type { RoomLog } from './room/room-log.ts'
 import type { SilentTargets } from './takeover/silent-targets.ts'
@@ -105,6 +106,7 @@
   readonly concludedStarts: ConcludedStarts
   readonly lastingTasks: LastingTaskWaits
   readonly lastingPrecedence: LastingPrecedence
+  readonly preemption: Preemption
   readonly unsettledRuns: UnsettledRunsLog
 }
 
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -15,6 +15,8 @@
   target: TargetState
   /** Whether a previous owner started it. */
   readonly adopted: boolean
+  /** Whether it continues from a checkpoint, so that it began with progress. */
+  readonly resumed: boolean
   /** Whether it started on an earlier incarnation of the target and has not been listed by this one. */
   carriedOver: boolean
   /** From when on none of its start commands can be executed any more, on the scheduler's clock. */
--- a/src/workflow/room/organisation-maximum.ts
+++ b/src/workflow/room/organisation-maximum.ts
@@ -19,6 +19,7 @@
   const { organisation } = job.definition
   const maximum = state.organisations.find(organisation)?.maximum
   if (maximum === undefined) return 'within'
+  if (state.preemption.keepsMaximumFrom(state, step)) return 'reserved'
   const usage = addDemands(getUsage(state, organisation), state.uncertainUsage)
   if (fitsLimit(usage, demand, scaleDemand(maximum, getUsableRatio(state, job)))) return 'within'
   // Whether the job is idle comes last, because that examines all of its tasks.
--- a/src/workflow/room/task-acceptance.ts
+++ b/src/workflow/room/task-acceptance.ts
@@ -8,7 +8,7 @@
 /** Whether the target accepts one more task of the step now. Advice is not checked. */
 export function acceptsTaskOf (state: CellState, target: TargetState, step: StepRun): boolean {
   return hasFreeCapacity(target, step) && acceptsWork(state, target) && isWithinPerTargetLimit(target, step) &&
-    (isWithinNonUrgentCapacity(target, step) || mayUseReserve(state, step))
+    !state.preemption.keepsTargetFrom(state, target, step) && (isWithinNonUrgentCapacity(target, step) || mayUseReserve(state, step))
 }
 
 /**
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -6,6 +6,7 @@
 import { computeTotalDemand, placeGang } from './room/gang-placement.ts'
 import type { Demand } from './job.ts'
 import { isDue } from './jobs.ts'
+import { makeRoom } from './preemption/make-room.ts'
 import { checkMaximum } from './room/organisation-maximum.ts'
 import { getOpenTargets } from './room/open-targets.ts'
 import { selectOverdueSteps } from './advice/overdue-advice.ts'
@@ -25,6 +26,7 @@
   state.passWork.passes += 1
   state.uncertainUsage = computeUncertainUsage(state)
   for (const step of findReadySteps(state)) startStep(state, step)
+  makeRoom(state)
 }
 
 /**
@@ -55,6 +57,7 @@
   }
   if (needsAdvice(state, step) && !step.advice.hasResponse) {
     if (isWithinMaximum(state, step, step.spec.demand)) requestFirstAdvice(state, step)
+    else if (state.preemption.isMakingRoomFor(step)) requestAdvice(state, step)
     return
   }
   const candidates = findAllowedTargets(state, step)
@@ -133,8 +136,9 @@
   }
 }
 
-/** Logs why a step waits whenever the reason changes. */
+/** Records why a step waits, and logs it whenever the reason changes. */
 function logBlocked (state: CellState, step: StepRun, reason: 'unknown-queue' | 'maximum' | 'reserve' | 'no-room' | 'no-advice-channel'): void {
+  if (reason === 'maximum' || reason === 'no-room') state.preemption.recordWait(state, step, reason)
   if (step.blockedBy === reason) return
   step.blockedBy = reason
   const { definition } = step.job
--- a/test/workflow/harness.ts
+++ b/test/workflow/harness.ts
@@ -155,6 +155,11 @@
   }
 }
 
+/** Builds organisations with one that has this maximum in thousandths of a core, and may submit many jobs. */
+export function buildOrganisations (maximumCpuMillis: number): CellConfiguration['organisations'] {
+  return [{ ...CONFIGURATION.organisations[0]!, weight: 100, maximum: { ...NO_LIMIT, cpuMillis: maximumCpuMillis } }]
+}
+
 /** Creates a harness with one target, `t1`. */
 export function createHarnessWithTarget (changes: Parameters<typeof buildEntry>[1] = {}, configuration = CONFIGURATION): CellHarness {
   return CellHarness.create([buildEntry('t1', changes)], configuration)
