Stop runs that can be saved for urgent steps without room on their targets

Cause: urgent tasks find no room on the targets that the advisor allows, where mostly batch tasks of several seconds are booked. Change: each waiting task first takes what is free or ends soon; only then the fewest, then the smallest runs of one target are stopped. The target takes no work that is not urgent until the task has started, or for 2 s.

--- a/src/workflow/preemption/choose-victims.ts
+++ b/src/workflow/preemption/choose-victims.ts
@@ -15,11 +15,11 @@
  * chooseVictims({ cpuMillis: 9_000, memoryMiB: 0, accelerators: 0 }, victims, () => 1)
  */
 export function chooseVictims (missing: Demand, victims: readonly Victim[], getAllowance: (live: LiveRun) => number): readonly Victim[] {
-  const left = [...victims].sort((one, other) => toBucket(other) - toBucket(one))
+  const left = [...victims].sort((one, other) => toSlackBucket(other) - toSlackBucket(one))
   const chosen: Victim[] = []
   let rest = missing
   while (!isCovered(rest) && left.length > 0) {
-    const bucketSize = left.findIndex((victim) => toBucket(victim) !== toBucket(left[0]!))
+    const bucketSize = left.findIndex((victim) => toSlackBucket(victim) !== toSlackBucket(left[0]!))
     const [victim] = left.splice(findBest(rest, bucketSize === -1 ? left : left.slice(0, bucketSize)), 1)
     if (!frees(victim!.demand, rest) || countOfJob(chosen, victim!) >= getAllowance(victim!.live)) continue
     chosen.push(victim!)
@@ -46,7 +46,8 @@
   return chosen.filter((other) => other.live.task.step.job === live.task.step.job).length
 }
 
-function toBucket ({ slackMs }: Victim): number {
+/** Jobs in the same bucket are equally suitable; in a higher one, more time is left. */
+export function toSlackBucket ({ slackMs }: Victim): number {
   return Math.floor(slackMs / SLACK_BUCKET_MS)
 }
 
--- a/src/workflow/preemption/make-room.ts
+++ b/src/workflow/preemption/make-room.ts
@@ -6,10 +6,13 @@
 import type { Victim } from './choose-victims.ts'
 import { makeRoomInMaxima } from './maximum-room.ts'
 import type { WaitCause, WaitingStep } from './preemption.ts'
+import { makeRoomOnTargets } from './target-room.ts'
 import { RESTORE_MS } from './victims.ts'
 
 /** A job that takes longer than this many times its objective is no longer useful to its caller. */
 const MAX_LATENESS_FACTOR = 3
+/** A step that waits for room longer than this does not wait for a response of the advisor, in milliseconds. */
+const MAX_REQUEST_MS = 300
 /** Longest gain that is logged, in milliseconds: tasks that last have no end. */
 const MAX_LOGGED_GAIN_MS = 60_000
 
@@ -28,6 +31,7 @@
   if (waiting.length === 0 || state.earlierRunsPossible || preemption.getAllowedStops(now) === 0) return
   const useful = waiting.filter(({ step }) => isUseful(state, step))
   makeRoomInMaxima(state, useful.filter(({ cause }) => cause === 'maximum'), (plan) => carryOut(state, plan))
+  makeRoomOnTargets(state, useful.filter(lacksRoom), (plan) => carryOut(state, plan))
 }
 
 /** Whether a step is served before all that is not urgent, and its job is still useful when the room is free. */
@@ -40,6 +44,11 @@
   return endMs <= MAX_LATENESS_FACTOR * computeObjectiveMs(queue, job)
 }
 
+/** Whether a step waits for room. The targets of a request that has no response yet may have some. */
+function lacksRoom ({ step, cause, waitedMs }: WaitingStep): boolean {
+  return cause === 'no-room' && (!step.advice.requestPending || waitedMs >= MAX_REQUEST_MS)
+}
+
 /** Sends the stops of a plan as far as the number of stops is not limited. */
 function carryOut (state: CellState, { victims, steps, cause, gainMs }: StopPlan): void {
   const { preemption, now } = state
--- a/src/workflow/preemption/maximum-room.ts
+++ b/src/workflow/preemption/maximum-room.ts
@@ -4,14 +4,14 @@
 import { NO_DEMAND, addDemands } from '../job.ts'
 import type { LiveRun } from '../live-run.ts'
 import { countStartableTasks } from '../order/startable.ts'
-import { needsAdvice } from '../room/placement.ts'
-import { acceptsWork, countFreeSlots, isSuitable } from '../room/target-acceptance.ts'
+import { countFreeSlots } from '../room/target-acceptance.ts'
 import type { TargetState } from '../target-state.ts'
 import type { StepRun } from '../task.ts'
 import { chooseVictims, isCovered, subtractDemands } from './choose-victims.ts'
 import type { StopPlan } from './make-room.ts'
 import type { WaitingStep } from './preemption.ts'
 import { estimateWaitMs } from './time-left.ts'
+import { findUsableTargets } from './usable-targets.ts'
 import { endsSoon, findVictim } from './victims.ts'
 
 /** Number of steps of one organisation that one search makes room for: they need more than it may stop. */
@@ -83,13 +83,6 @@
   return { wanted, victimTargets: hasRoom ? undefined : new Set(usable) }
 }
 
-/** The targets that the advisor allows for a step, or may allow. */
-export function findUsableTargets (state: CellState, step: StepRun): readonly TargetState[] {
-  const pool = findQueue(state, step.job.definition)?.pool
-  const isLimited = needsAdvice(state, step) && step.advice.hasResponse
-  return [...state.targets.values()].filter((target) => target.entry.pool === pool && (!isLimited || step.advice.isAllowed(target.id)) && acceptsWork(state, target) && isSuitable(target, step))
-}
-
 /** What is missing for the wanted demand, beside what becomes free about as soon by itself; no limit leaves nothing missing. */
 function computeMissing (state: CellState, { organisation, runs, maximum }: { readonly organisation: string, readonly runs: readonly LiveRun[], readonly maximum: Demand }, wanted: Demand): Demand {
   const ending = runs.filter((live) => endsSoon(state, live)).reduce((sum, live) => addDemands(sum, live.task.step.spec.demand), NO_DEMAND)
--- a/src/workflow/preemption/preemption.ts
+++ b/src/workflow/preemption/preemption.ts
@@ -9,7 +9,7 @@
 export type WaitCause = 'maximum' | 'no-room'
 
 /** An urgent step that the last start pass left waiting. */
-export type WaitingStep = { readonly step: StepRun, readonly cause: WaitCause }
+export type WaitingStep = { readonly step: StepRun, readonly cause: WaitCause, readonly waitedMs: number }
 
 /** A run that was stopped, and the steps that may use its room before all that is not urgent. */
 type Claim = { readonly live: LiveRun, readonly target: TargetState, readonly steps: readonly StepRun[], readonly cause: WaitCause, readonly stoppedAt: number, endedAt: number | undefined }
@@ -87,7 +87,7 @@
     if (this.waits.size === 0 || now - this.searchedAt < SEARCH_INTERVAL_MS) return waiting
     for (const [step, { cause, since, lastAt }] of this.waits) {
       if (now - lastAt > WAIT_MEMORY_MS || !step.job.active) this.waits.delete(step)
-      else if (lastAt === now && now - since >= MIN_WAIT_MS) waiting.push({ step, cause })
+      else if (lastAt === now && now - since >= MIN_WAIT_MS) waiting.push({ step, cause, waitedMs: now - since })
     }
     if (waiting.length > 0) this.searchedAt = now
     return waiting
--- a/test/workflow/preemption.test.ts
+++ b/test/workflow/preemption.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { DEFAULT_FEATURES } from '../../src/settings/index.ts'
+import type { CellConfiguration } from '../../src/workflow/settings/cell-configuration.ts'
+import type { QueueSettings } from '../../src/workflow/settings/job-settings.ts'
 import type { Step } from '../../src/workflow/job.ts'
 import { buildJob, buildOrganisations, CellHarness, CONFIGURATION, QUEUE, buildEntry } from './harness.ts'
 
@@ -144,3 +146,53 @@
   harness.apply({ type: 'earlier-runs-listed' })
   assert.equal(harness.countStartedTasks('urgent'), 1)
 })
+
+type Placed = { readonly batch: readonly number[], readonly percent?: number }
+
+/** Fills targets with batch runs of these sizes, each target with its own; the urgent task fits none of them. */
+function createFullCell (placed: readonly Placed[], configuration: CellConfiguration): CellHarness {
+  const harness = CellHarness.create([], configuration, { features: { ...DEFAULT_FEATURES.scheduling, preemption: true } })
+  placed.forEach(({ batch, percent = 5 }, index) => {
+    harness.publishTarget(buildEntry(`t${index}`, { labels: [`on${index}`], capacity: { cpuMillis: 16_000, memoryMiB: 10_000, accelerators: 0 } }))
+    batch.forEach((cpu, position) => accept(harness, `b${index}${position}`, { queue: 'batch', cpu, changes: { ...SAVED, requiredLabel: `on${index}` } }))
+    settle(harness, percent)
+  })
+  return harness
+}
+
+function buildRoomConfiguration (advice: QueueSettings['advice'] = undefined, maximum = 0): CellConfiguration {
+  const [urgent, ...others] = QUEUES
+  return { ...CONFIGURATION, queues: [{ ...urgent!, advice }, ...others], organisations: buildOrganisations(maximum) }
+}
+
+const roomCases: ReadonlyArray<{ readonly guards: string, readonly placed: readonly Placed[], readonly cpu?: number, readonly maximum?: number, readonly tasks?: number, readonly silent?: string, readonly stopped: readonly string[] }> = [
+  { guards: 'an urgent task waits behind batch runs that fill its targets', placed: [{ batch: [13_000] }], stopped: ['b00.0.0.0'] },
+  { guards: 'more runs are stopped than necessary', placed: [{ batch: [6_500, 6_500] }, { batch: [13_000] }], cpu: 10_000, stopped: ['b10.0.0.0'] },
+  { guards: 'a run is stopped for each of two tasks that one of them has room for', placed: [{ batch: [13_000] }, { batch: [13_000] }], tasks: 2, stopped: ['b00.0.0.0'] },
+  { guards: 'a run is stopped although another one ends as soon', placed: [{ batch: [13_000] }, { batch: [13_000], percent: 90 }], stopped: [] },
+  { guards: 'a run is stopped on a target that does not respond', placed: [{ batch: [13_000] }, { batch: [13_000] }], silent: 't0', stopped: ['b10.0.0.0'] },
+  { guards: 'a larger run is stopped than necessary', placed: [{ batch: [13_000] }, { batch: [6_500, 6_500] }], stopped: ['b10.0.0.0'] },
+  { guards: 'a run is stopped for a task that its maximum would not let run', placed: [{ batch: [13_000] }, { batch: [13_000] }], cpu: 10_000, tasks: 2, maximum: 37_000, stopped: ['b00.0.0.0'] }
+]
+
+for (const { guards, placed, cpu = 7_000, maximum, tasks = 1, silent, stopped } of roomCases) {
+  test(`preemption: guards against the failure that ${guards}`, () => {
+    const harness = createFullCell(placed, buildRoomConfiguration(undefined, maximum))
+    if (silent !== undefined) harness.apply({ type: 'target-silent', id: silent, cause: 'no-answer' })
+    assert.deepEqual(waitFor(harness, { queue: 'urgent', cpu, count: tasks }), stopped)
+  })
+}
+
+test('preemption: guards against the failure that a run is stopped on a target that the advisor does not allow, or that batch work takes its room before there is a ticket', () => {
+  const harness = createFullCell([{ batch: [13_000] }, { batch: [13_000] }], buildRoomConfiguration({ decisionMs: 40, perTargetMs: 1, validityMs: 2_000 }))
+  const advise = (id: string): void => { harness.apply({ type: 'advised', step: 'urgent.0.0', requestedTargets: ['t0', 't1'], response: { type: 'advised', tickets: [{ target: id, ticket: 'k' }], validityMs: 150 } }) }
+  accept(harness, 'urgent', { queue: 'urgent', cpu: 7_000 })
+  advise('t1')
+  harness.advance(100)
+  assert.deepEqual(harness.getCommands('stop').map(({ target }) => target), ['t1'])
+  harness.advance(100)
+  accept(harness, 'other', { queue: 'batch', cpu: 5_000, changes: SAVED })
+  assert.deepEqual(endStopped(harness), [])
+  advise('t1')
+  assert.equal(harness.countStartedTasks('urgent'), 1)
+})
