Learn run times by queue, and start the newest first in a lasting backlog

Cause: declared run times are off by up to 90% on one deployment, and lateness, copies, stragglers and the prefetch of advice relied on them. In a lasting backlog the order by age starts each job just too late.

Change: src/workflow/run-times learns a decayed regression of real on declared run times by queue (setting /scheduling/learnedRunTimes), corrected by the slowness of the target relative to the others, and stores it as the learned record run-times. src/workflow/forecast/lasting-backlogs.ts finds backlogs by organisation and priority (setting /scheduling/completionForecast); the rank then orders steps that can still end on time newest first.

--- a/src/workflow/advice/advice-requests.ts
+++ b/src/workflow/advice/advice-requests.ts
@@ -157,7 +157,7 @@
       const [live] = task.runs
       if (live === undefined || live.phase !== 'running') return undefined
       const elapsedMs = now - live.startedAt
-      longestMs = Math.max(longestMs, task.step.spec.estimatedMs - elapsedMs)
+      longestMs = Math.max(longestMs, task.step.expectedMs - elapsedMs)
     }
   }
   return longestMs
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -11,6 +11,7 @@
 import type { CellEffect } from './effect.ts'
 import { handleListing, removeRunsLostByRestarts } from './handle-listing.ts'
 import type { CellEvent, ProcessedCompletions } from './event.ts'
+import { LastingBacklogs } from './forecast/lasting-backlogs.ts'
 import { HeldJobs } from './held-jobs.ts'
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
@@ -34,6 +35,7 @@
 import { applyConfiguration, restoreRemovedSettings } from './settings/removed-settings.ts'
 import { formatRunKey } from './run-key.ts'
 import { SilentTargets } from './takeover/silent-targets.ts'
+import { RunTimes } from './run-times/run-times.ts'
 import { runStartPass } from './start-pass.ts'
 import { StartWindow } from './commands/start-window.ts'
 import { stopStragglers } from './stragglers.ts'
@@ -104,6 +106,8 @@
       pendingAdvice: PendingAdvice.create(),
       adviceBacklog: AdviceBacklog.create(),
       allowedRatios: new Map(),
+      runTimes: RunTimes.create(resolved.features.learnedRunTimes),
+      lastingBacklogs: LastingBacklogs.create(resolved.features.completionForecast),
       uncertainUsage: NO_DEMAND,
       lastRunNumber: resolved.firstRunNumber - 1,
       startPassNeeded: false,
@@ -288,7 +292,9 @@
       case 'silent-targets-restored': return state.silentTargets.restore(state, event.targets)
       case 'silent-targets-stored': return this.handleSilentTargetsStored(event.ids)
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
-      case 'learned-restored': return
+      case 'learned-restored':
+        if (event.record === 'run-times') state.runTimes.restore(state, event.value)
+        return
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
       case 'tick': return this.handleTick(event)
@@ -375,6 +381,8 @@
     throttleTargets(state)
     prefetchAdvice(state)
     state.adviceBacklog.update(state)
+    state.runTimes.update(state)
+    state.lastingBacklogs.update(state)
     for (const job of state.jobs.values()) {
       if (job.active) openDueOccurrences(state, job)
     }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -10,10 +10,12 @@
 import type { OrganisationSettings, QueueSettings } from './settings/job-settings.ts'
 import type { HeldJobs } from './held-jobs.ts'
 import type { KnownSettings } from './settings/known-settings.ts'
+import type { LastingBacklogs } from './forecast/lasting-backlogs.ts'
 import type { LastingPrecedence } from './order/lasting-precedence.ts'
 import type { LastingTaskWaits } from './waits/lasting-task-waits.ts'
 import type { OpenTargets } from './room/open-targets.ts'
 import type { CellOptions } from './options.ts'
+import type { RunTimes } from './run-times/run-times.ts'
 import type { ResendPause } from './commands/resend-pause.ts'
 import type { RoomLog } from './room/room-log.ts'
 import type { SilentTargets } from './takeover/silent-targets.ts'
@@ -93,6 +95,8 @@
   readonly adviceBacklog: AdviceBacklog
   /** By queue, the ratio of targets in recent advice responses that the advisor allowed. */
   readonly allowedRatios: Map<string, number>
+  readonly runTimes: RunTimes
+  readonly lastingBacklogs: LastingBacklogs
   /** Maximum usage of runs that are not known here, as of the last start pass. */
   uncertainUsage: Demand
   /** Number of the last started run; higher than that of any run of a previous owner. */
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -101,7 +101,7 @@
   count(state, 'run-ended', completion.outcome)
   if (completion.checkpoint !== '') task.checkpoint = completion.checkpoint
   if (live !== undefined) {
-    if (completion.outcome === 'done') target.recordDuration(state.now - live.startedAt, task.step.spec.estimatedMs)
+    if (completion.outcome === 'done') state.runTimes.recordDone(state, live)
     removeRun(state, live)
   }
   applyOutcome(state, target, task, completion)
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -39,6 +39,7 @@
 function addJob (state: CellState, job: Job): void {
   state.jobs.set(job.definition.id, job)
   state.heldJobs.add(job.definition)
+  state.runTimes.applyTo(job)
   storeSettingsOf(state, job.definition)
   for (const steps of job.occurrences.values()) openSteps(state, steps)
   openDueOccurrences(state, job)
--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -15,6 +15,8 @@
   target: TargetState
   /** Whether a previous owner started it. */
   readonly adopted: boolean
+  /** Whether it started from a checkpoint, so that it does a part of the work only. */
+  readonly resumed: boolean
   /** Whether it started on an earlier incarnation of the target and has not been listed by this one. */
   carriedOver: boolean
   /** From when on none of its start commands can be executed any more, on the scheduler's clock. */
--- a/src/workflow/order/startable.ts
+++ b/src/workflow/order/startable.ts
@@ -5,9 +5,9 @@
 
 /** Maximum number of runs of a speculative task at a time. */
 const MAX_COPIES = 2
-/** A run that has taken this many times the declared duration may be slow. */
+/** A run that has taken this many times the estimated duration may be slow. */
 const SLOW_FACTOR = 2
-/** Extra time that a copy is expected to take beyond the declared duration, in milliseconds. */
+/** Extra time that a copy is expected to take beyond the estimated duration, in milliseconds. */
 const COPY_SLACK_MS = 300
 
 /**
@@ -44,9 +44,9 @@
 }
 
 function isSlow (live: LiveRun, now: number): boolean {
-  const { estimatedMs } = live.task.step.spec
+  const { expectedMs } = live.task.step
   const elapsedMs = now - live.startedAt
-  if (live.phase !== 'running' || elapsedMs < SLOW_FACTOR * estimatedMs + COPY_SLACK_MS) return false
+  if (live.phase !== 'running' || elapsedMs < SLOW_FACTOR * expectedMs + COPY_SLACK_MS) return false
   const remainingMs = elapsedMs * (100 - live.percent) / Math.max(1, live.percent)
-  return remainingMs > estimatedMs + COPY_SLACK_MS
+  return remainingMs > expectedMs + COPY_SLACK_MS
 }
--- a/src/workflow/order/step-rank.ts
+++ b/src/workflow/order/step-rank.ts
@@ -7,31 +7,33 @@
 const MAX_LATENESS_FACTOR = 3
 
 /** Expected end of a job relative to its objective: `0` on time, `1` late, `2` too late to be useful. */
-type Lateness = 0 | 1 | 2
+export type Lateness = 0 | 1 | 2
 
 /**
  * Sort key of a waiting step, compared field by field; smaller values go first. Jobs that exceed their organisation's
  * share and jobs that are too late to be useful come last. Then the priority of the queue counts, then whether the job has
  * started, because the resources of an unfinished job are wasted. Then come lateness, the weighted usage of the
- * organisation and the age of the job.
+ * organisation and the age of the job; of an organisation with a lasting backlog, the newest of those that can still end on
+ * time go first.
  */
-export type StepRank = readonly [deferred: number, priority: number, begun: number, lateness: number, weightedUsage: number, acceptedAt: number]
+export type StepRank = readonly [deferred: number, priority: number, begun: number, lateness: number, weightedUsage: number, orderTime: number]
 
 /** Computes the rank of a step. */
 export function computeRank (state: CellState, step: StepRun): StepRank {
   const { job, spec } = step
   const queue = findQueue(state, job.definition)
-  const lateness = computeLateness(state, step)
+  const priority = queue?.priority ?? Infinity
+  const lateness = computeLateness(state, step, queue)
   const deferred = (job.exceedsShare ? 1 : 0) + (lateness === 2 ? 1 : 0)
   const begun = job.phase === 'running' && !spec.longRunning
-  return [deferred, queue?.priority ?? Infinity, begun ? 0 : 1, begun ? 0 : lateness, computeWeightedUsage(state, job.definition.organisation), job.acceptedAt]
+  return [deferred, priority, begun ? 0 : 1, begun ? 0 : lateness, computeWeightedUsage(state, job.definition.organisation), state.lastingBacklogs.getOrderTime(step, priority, lateness)]
 }
 
-function computeLateness (state: CellState, { job, stepNumber, spec }: StepRun): Lateness {
-  const queue = findQueue(state, job.definition)
+/** Computes the lateness of a step of a queue. Work that lasts or is due at a time of day has no objective. */
+export function computeLateness (state: CellState, { job, stepNumber, spec }: StepRun, queue: QueueSettings | undefined): Lateness {
   if (queue === undefined || spec.longRunning || job.definition.firstAtMs > 0) return 0
   const objectiveMs = computeObjectiveMs(queue, job)
-  const endMs = state.now - job.acceptedAt + job.chainsMs[stepNumber]!
+  const endMs = state.now - job.acceptedAt + job.expectedChainsMs[stepNumber]!
   if (endMs <= objectiveMs) return 0
   return endMs <= MAX_LATENESS_FACTOR * objectiveMs ? 1 : 2
 }
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -25,6 +25,7 @@
     run,
     target,
     adopted: phase === 'running',
+    resumed: task.checkpoint !== '',
     carriedOver: false,
     // An adopted run whose starts have been concluded is known to a previous owner; nobody sends starts of it again.
     startCommandsEndAt: task.concludedRun === run ? -Infinity : state.now + EARLIER_OWNER_MS + LATE_COMMAND_MS,
--- a/src/workflow/stragglers.ts
+++ b/src/workflow/stragglers.ts
@@ -10,7 +10,7 @@
  */
 const STUCK_AFTER_MS = 2_000
 const STUCK_ESTIMATE_RATIO = 0.04
-/** A run with checkpoints is moved if it has taken and would still take more than this many times the declared duration. */
+/** A run with checkpoints is moved if it has taken and would still take more than this many times the estimated duration. */
 const SLOW_FACTOR = 2.5
 const COMPLETE_PERCENT = 100
 /** A target with a straggler gets no new tasks for this time, in milliseconds. */
@@ -34,13 +34,13 @@
 }
 
 function findStragglerReason (live: LiveRun, now: number): 'stuck' | 'slow' | undefined {
-  const { spec } = live.task.step
+  const { spec, expectedMs } = live.task.step
   // Best-effort tasks get only idle processor time, and the members of a gang wait for each other.
   if (live.phase !== 'running' || spec.fills || spec.gang) return undefined
   if (spec.longRunning && live.percent >= COMPLETE_PERCENT) return undefined
-  if (now - live.percentChangedAt > STUCK_AFTER_MS + spec.estimatedMs * STUCK_ESTIMATE_RATIO) return 'stuck'
+  if (now - live.percentChangedAt > STUCK_AFTER_MS + expectedMs * STUCK_ESTIMATE_RATIO) return 'stuck'
   if (spec.longRunning || !spec.checkpoints) return undefined
   const elapsedMs = now - live.startedAt
   const remainingMs = elapsedMs * (COMPLETE_PERCENT - live.percent) / Math.max(1, live.percent)
-  return elapsedMs > SLOW_FACTOR * spec.estimatedMs && remainingMs > SLOW_FACTOR * spec.estimatedMs ? 'slow' : undefined
+  return elapsedMs > SLOW_FACTOR * expectedMs && remainingMs > SLOW_FACTOR * expectedMs ? 'slow' : undefined
 }
--- a/src/workflow/target-state.ts
+++ b/src/workflow/target-state.ts
@@ -62,7 +62,7 @@
   recentSuccesses = 0
   /** When a run last failed, on the scheduler's clock. */
   lastFailureAt = -Infinity
-  /** Moving average of run durations as a multiple of the declared ones. */
+  /** Moving average of run durations as a multiple of the estimated ones. */
   slowness = 1
   entry: TargetEntry
   /** Whether its entry is that of an earlier incarnation, so that its capacity is unknown. */
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -3,6 +3,8 @@
 import { isFinalPhase, formatStepKey, formatTaskKey } from './job.ts'
 import type { LiveRun } from './live-run.ts'
 import type { StartRefusal } from './commands/start-refusal.ts'
+import { estimateRunMs } from './run-times/run-time-model.ts'
+import type { RunTimeModel } from './run-times/run-time-model.ts'
 import { StepAdvice } from './advice/step-advice.ts'
 import { StepTasks } from './step-tasks.ts'
 
@@ -79,6 +81,11 @@
     return this.unfinishedTasks === 0
   }
 
+  /** Estimated duration of one task, in milliseconds: the declared one unless enough runs of the queue are known. */
+  get expectedMs (): number {
+    return estimateRunMs(this.job.runTimeModel, this.spec.estimatedMs)
+  }
+
   /**
    * Whether its caller gets nothing of it now: no task of its job runs. Each task that lasts counts for itself. The members
    * of a gang are placed one after another, so that those placed before do not count.
@@ -109,9 +116,14 @@
   exceedsShare = false
   /** For each step, the declared duration from its start to the end of the job along the longest chain of steps. */
   readonly chainsMs: readonly number[]
+  /** The same with estimated durations instead of declared ones. */
+  expectedChainsMs: readonly number[]
+  /** Undefined while the declared durations count. */
+  runTimeModel: RunTimeModel | undefined
 
   private constructor (readonly definition: JobDefinition, readonly acceptedAt: number, readonly restored: boolean) {
     this.chainsMs = computeChainsMs(definition.steps)
+    this.expectedChainsMs = this.chainsMs
   }
 
   /** Creates a job. `restored`: a previous owner may have started its tasks. */
@@ -123,6 +135,12 @@
     return !isFinalPhase(this.phase)
   }
 
+  /** Estimates the durations of its tasks from what was learned of its queue. Its objective stays as declared. */
+  applyRunTimeModel (model: RunTimeModel): void {
+    this.runTimeModel = model
+    this.expectedChainsMs = computeChainsMs(this.definition.steps, (declaredMs) => estimateRunMs(model, declaredMs))
+  }
+
   /** Whether a task of it has a run that may be on a target, those of one step left out. */
   hasRuns (leftOut: StepRun | undefined): boolean {
     for (const task of this.knownTasks()) {
@@ -153,12 +171,13 @@
   }
 }
 
-/** Computes the longest declared duration from the start of each step to the end of the job. */
-export function computeChainsMs (steps: readonly Step[]): readonly number[] {
-  const chains = steps.map(({ estimatedMs }) => estimatedMs)
+/** Computes the longest duration from the start of each step to the end of the job; the declared one without an estimate. */
+export function computeChainsMs (steps: readonly Step[], estimate = (declaredMs: number): number => declaredMs): readonly number[] {
+  const durations = steps.map(({ estimatedMs }) => estimate(estimatedMs))
+  const chains = [...durations]
   for (let later = steps.length - 1; later >= 0; later--) {
     for (const earlier of steps[later]!.after) {
-      chains[earlier] = Math.max(chains[earlier]!, steps[earlier]!.estimatedMs + chains[later]!)
+      chains[earlier] = Math.max(chains[earlier]!, durations[earlier]! + chains[later]!)
     }
   }
   return chains
