Forecast waits for room and refuse jobs that would be of no use

Cause: with an organisation at its maximum all submissions were accepted, and 71 of 173 ended after three times their objective.

Members refuse a submission whose job would end after three times its objective (src/controller/admission).

--- a/src/controller/admission/admission.ts
+++ b/src/controller/admission/admission.ts
@@ -1,6 +1,8 @@
+import { ForecastRefusals } from './forecast-refusals.ts'
 import { MIN_BEARABLE_WAIT_MS, computeWaitMs } from '../../workflow/advice/advice-backlog.ts'
 import type { Overload } from '../../workflow/advice/advice-backlog.ts'
 import type { JobDefinition } from '../../workflow/job.ts'
+import type { CompletionForecast } from '../../workflow/forecast/completion-forecast.ts'
 import { computeChainsMs } from '../../workflow/task.ts'
 
 /** No job is accepted that would wait longer for a channel, in milliseconds, however late its objective is. */
@@ -12,11 +14,18 @@
 /** Callers are never told to come back sooner than this, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000
 
+/** What a refused job would have to wait for: the leader's memory, the advisor, or room. */
+export type RefusalCause = 'leader-full' | 'advice' | 'completion'
+
 export type AdmissionOptions = {
   /** The leader's overloads; empty if they are not known. */
   readonly getOverloads: () => readonly Overload[]
   /** Whether the jobs that have not ended fill the leader's memory. */
   readonly isLeaderFull: () => boolean
+  /** The leader's forecasts; empty if they are not known. */
+  readonly getForecasts?: () => readonly CompletionForecast[]
+  /** Called for each refusal with its cause. */
+  readonly onRefused?: (cause: RefusalCause) => void
   readonly now?: () => number
 }
 
@@ -25,7 +34,11 @@
   /** By queue and organisation, and by job, when callers that were refused are to come back, on the monotonic clock. */
   private readonly promises = new Map<string, Map<string, number>>()
 
-  private constructor (private readonly options: AdmissionOptions, private readonly now: () => number) {}
+  private readonly forecastRefusals: ForecastRefusals
+
+  private constructor (private readonly options: AdmissionOptions, private readonly now: () => number) {
+    this.forecastRefusals = ForecastRefusals.create(now, Math.random)
+  }
 
   /**
    * Creates the admission of a member.
@@ -43,8 +56,21 @@
    * welcome. Callers that are refused one after another get times one after another, as far apart as their jobs take; a
    * caller that comes back too early keeps its time.
    */
-  getRetryAfterMs ({ id, queue, organisation, steps }: JobDefinition): number | undefined {
-    if (this.options.isLeaderFull()) return FULL_RETRY_AFTER_MS
+  getRetryAfterMs (definition: JobDefinition): number | undefined {
+    if (this.options.isLeaderFull()) return this.refuse('leader-full', FULL_RETRY_AFTER_MS)
+    const adviceMs = this.getAdviceRetryMs(definition)
+    if (adviceMs !== undefined) return this.refuse('advice', adviceMs)
+    const completionMs = this.forecastRefusals.getRetryAfterMs(definition, this.options.getForecasts?.() ?? [])
+    return completionMs === undefined ? undefined : this.refuse('completion', completionMs)
+  }
+
+  private refuse (cause: RefusalCause, retryAfterMs: number): number {
+    this.options.onRefused?.(cause)
+    return retryAfterMs
+  }
+
+  /** Time until the channels to the advisor can serve the job; undefined if its wait for them is bearable. */
+  private getAdviceRetryMs ({ id, queue, organisation, steps }: JobDefinition): number | undefined {
     const key = JSON.stringify([queue, organisation])
     const overload = this.options.getOverloads().find((each) => each.queue === queue && each.organisation === organisation)
     if (overload === undefined) {
--- /dev/null
+++ b/src/controller/admission/forecast-refusals.ts
@@ -0,0 +1,100 @@
+import type { CompletionForecast } from '../../workflow/forecast/completion-forecast.ts'
+import type { Demand, JobDefinition, Step } from '../../workflow/job.ts'
+import { estimateRunMs } from '../../workflow/run-times/run-time-model.ts'
+import { computeChainsMs } from '../../workflow/task.ts'
+
+/** A job that takes longer than this many times its objective is of no use to its caller. */
+const MAX_LATENESS_FACTOR = 3
+/** A wait that every job can bear, in milliseconds: a forecast is not more precise. */
+const MIN_BEARABLE_WAIT_MS = 1_000
+/** Callers are never told to come back sooner than this, nor later than the second, in milliseconds. */
+const RETRY_AFTER_RANGE_MS = { min: 1_000, max: 30_000 } as const
+/** How long after its time a caller still goes before others, in milliseconds; it may come late under load. */
+const KEPT_MS = 3_000
+/** A caller that comes at its time is accepted unless the wait has become too long by more than this, in milliseconds. */
+const TOLERANCE_MS = 1_000
+/** Callers of one queue and organisation whose times are remembered. */
+const MAX_PROMISES = 1_000
+
+/** When a refused caller is to come back, on the monotonic clock, and how long its job takes all that such jobs may use. */
+type Promised = { readonly at: number, readonly costMs: number }
+
+/** Decides which submissions are refused because their jobs would end too late to be of use to their callers. */
+export class ForecastRefusals {
+  /** By queue and organisation, and by job, in the order of their times. */
+  private readonly promises = new Map<string, Map<string, Promised>>()
+
+  private constructor (private readonly now: () => number, private readonly random: () => number) {}
+
+  /**
+   * Creates the refusals of a member. `random`: spreads the times that members give for a forecast that all of them have.
+   *
+   * @example
+   * const refusals = ForecastRefusals.create(() => performance.now(), Math.random)
+   * refusals.getRetryAfterMs(definition, link.getForecasts()) // undefined: the job is welcome
+   */
+  static create (now: () => number, random: () => number): ForecastRefusals {
+    return new ForecastRefusals(now, random)
+  }
+
+  /** Returns after which time the caller should submit the job again, in milliseconds, or undefined if the job is welcome. */
+  getRetryAfterMs ({ id, queue, organisation, steps, firstAtMs }: JobDefinition, forecasts: readonly CompletionForecast[]): number | undefined {
+    if (firstAtMs > 0 || steps.some(({ longRunning }) => longRunning)) return undefined
+    const key = JSON.stringify([queue, organisation])
+    const forecast = forecasts.find((each) => each.queue === queue && each.organisation === organisation)
+    if (forecast === undefined) {
+      this.promises.delete(key)
+      return undefined
+    }
+    const now = this.now()
+    const promises = this.getPromises(key, now)
+    const own = promises.get(id)
+    const excessMs = forecast.waitMs + sumCosts(promises, own) - computeBearableWaitMs(steps, forecast)
+    if (excessMs <= 0 || (own !== undefined && now >= own.at && excessMs <= TOLERANCE_MS)) {
+      promises.delete(id)
+      return undefined
+    }
+    const promised = own !== undefined && now < own.at ? own : this.promise(promises, id, excessMs, computeCostMs(steps, forecast), forecast.members)
+    return Math.min(RETRY_AFTER_RANGE_MS.max, Math.max(RETRY_AFTER_RANGE_MS.min, promised.at - now))
+  }
+
+  /** Each member gives one time for each of its refused callers, so that they are as many times further apart as there are members. */
+  private promise (promises: Map<string, Promised>, id: string, excessMs: number, costMs: number, members: number): Promised {
+    const now = this.now()
+    const intervalMs = costMs * members
+    const lastAt = Math.max(...[...promises.values()].map(({ at }) => at))
+    const at = promises.size === 0 ? now + excessMs + this.random() * intervalMs : Math.max(now + excessMs, lastAt + intervalMs)
+    const promised = { at: Math.min(at, now + RETRY_AFTER_RANGE_MS.max), costMs }
+    promises.delete(id)
+    if (promises.size < MAX_PROMISES) promises.set(id, promised)
+    return promised
+  }
+
+  /** Returns the times whose callers may still come. */
+  private getPromises (key: string, now: number): Map<string, Promised> {
+    const valid = [...this.promises.get(key) ?? []].filter(([, { at }]) => at + KEPT_MS > now)
+    const promises = new Map(valid)
+    this.promises.set(key, promises)
+    return promises
+  }
+}
+
+/** Time that the jobs take whose callers come before the given one, or all of them for a new caller. */
+function sumCosts (promises: ReadonlyMap<string, Promised>, own: Promised | undefined): number {
+  return [...promises.values()].reduce((sum, { at, costMs }) => at < (own?.at ?? Infinity) ? sum + costMs : sum, 0)
+}
+
+/** Time that a job can wait and still be of use. The shorter of the declared and the estimated time counts, in doubt. */
+function computeBearableWaitMs (steps: readonly Step[], { objective: { stretch, latencyObjectiveMs }, runTimes }: CompletionForecast): number {
+  const declaredMs = Math.max(...computeChainsMs(steps))
+  const expectedMs = Math.max(...computeChainsMs(steps, (ms) => estimateRunMs(runTimes, ms)))
+  const usefulMs = MAX_LATENESS_FACTOR * (stretch * declaredMs + latencyObjectiveMs)
+  return Math.max(MIN_BEARABLE_WAIT_MS, usefulMs - Math.min(declaredMs, expectedMs))
+}
+
+/** Time that a job would take all that such jobs may use, in milliseconds. */
+function computeCostMs (steps: readonly Step[], { rate, runTimes }: CompletionForecast): number {
+  const computeUse = (resource: keyof Demand): number => steps.reduce((sum, { count, demand, estimatedMs }) => sum + count * demand[resource] * estimateRunMs(runTimes, estimatedMs), 0)
+  const costs = (['cpuMillis', 'memoryMiB', 'accelerators'] as const).map((resource) => rate[resource] > 0 ? computeUse(resource) / rate[resource] : 0)
+  return Math.max(...costs)
+}
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -5,6 +5,7 @@
 import { CellScheduler } from '../workflow/cell-scheduler.ts'
 import { RESENT_COUNTER } from '../workflow/commands/command-responses.ts'
 import type { CellEffect } from '../workflow/effect.ts'
+import type { CompletionForecast } from '../workflow/forecast/completion-forecast.ts'
 import type { CellEvent } from '../workflow/event.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import { createAdviceChannel } from './advice/advice-channel.ts'
@@ -157,6 +158,11 @@
     return this.scheduler.overloads
   }
 
+  /** Long waits for room, for which members refuse jobs. */
+  get forecasts (): readonly CompletionForecast[] {
+    return this.scheduler.forecasts
+  }
+
   /** Whether no further job should be accepted, because those that have not ended fill the memory. */
   get isFull (): boolean {
     return this.scheduler.isFull
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -1,5 +1,6 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
 import type { Overload } from '../workflow/advice/advice-backlog.ts'
+import type { CompletionForecast } from '../workflow/forecast/completion-forecast.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { StandDown } from './leadership/leadership.ts'
 
@@ -43,10 +44,10 @@
   | { readonly type: 'known-advice', readonly advice: readonly CachedAdvice[] }
   /**
    * `peers`: some other members. `waiting`: number of jobs without a started task, by queue; undefined while the leader reads
-   * the store. `overloads`: long waits for advice; `isFull`: no further job should be accepted. Both aren't sent by leaders of an
-   * earlier version.
+   * the store. `overloads`: long waits for advice; `forecasts`: long waits for room; `isFull`: no further job should be accepted. These
+   * aren't sent by leaders of an earlier version.
    */
-  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined, readonly overloads?: readonly Overload[], readonly isFull?: boolean }
+  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined, readonly overloads?: readonly Overload[], readonly forecasts?: readonly CompletionForecast[], readonly isFull?: boolean }
   /** The leader has applied what the sender has stored. */
   | { readonly type: 'noted' }
   /** The member leads no earlier term. */
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -3,6 +3,8 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { Overload } from '../workflow/advice/advice-backlog.ts'
+import { isCompletionForecast } from '../workflow/forecast/completion-forecast.ts'
+import type { CompletionForecast } from '../workflow/forecast/completion-forecast.ts'
 import type { JobPhase } from '../workflow/job.ts'
 import type { Controller } from './controller.ts'
 import { delay } from './delay.ts'
@@ -52,8 +54,8 @@
   /** Number of waiting jobs by queue, as last received from the leader. */
   private waitingJobs: { readonly counts: Readonly<Record<string, number>>, readonly at: number } | undefined
 
-  /** Long waits for advice, and whether no further job should be accepted, as last received from the leader. */
-  private overloads: { readonly list: readonly Overload[], readonly isFull: boolean, readonly at: number } | undefined
+  /** Long waits for advice and for room, and whether no further job should be accepted, as last received from the leader. */
+  private overloads: { readonly list: readonly Overload[], readonly forecasts: readonly CompletionForecast[], readonly isFull: boolean, readonly at: number } | undefined
 
   /** The other members, as last received from the leader. */
   private peers: readonly Peer[] = []
@@ -111,7 +113,7 @@
     const controller = this.options.getController()
     if (controller === undefined || !isPeer(peer)) return { type: 'not-leading' }
     controller.recordPeer(peer)
-    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads, isFull: controller.isFull }
+    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads, forecasts: controller.forecasts, isFull: controller.isFull }
   }
 
   private handleAnnouncement (applyToController: (controller: Controller) => boolean): MemberResponse {
@@ -209,6 +211,14 @@
     return this.overloads.list
   }
 
+  /** Gets the long waits for room; empty if no leader has sent them recently. */
+  getForecasts (): readonly CompletionForecast[] {
+    const controller = this.options.getController()
+    if (controller !== undefined) return controller.forecasts
+    if (this.overloads === undefined || performance.now() - this.overloads.at > MAX_OVERLOADS_AGE_MS) return []
+    return this.overloads.forecasts
+  }
+
   /** Whether the jobs that have not ended fill the leader's memory; false if no leader has said so recently. */
   isLeaderFull (): boolean {
     const controller = this.options.getController()
@@ -234,7 +244,7 @@
     const response = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_TIMEOUT_MS)
     if (response.isErr() || !isWelcome(response.value)) return
     if (response.value.waiting !== undefined) this.waitingJobs = { counts: response.value.waiting, at: sentAt }
-    this.overloads = { list: response.value.overloads ?? [], isFull: response.value.isFull ?? false, at: sentAt }
+    this.overloads = { list: response.value.overloads ?? [], forecasts: selectForecasts(response.value.forecasts), isFull: response.value.isFull ?? false, at: sentAt }
     this.peers = response.value.peers.filter(({ member }) => member !== this.options.self.member)
   }
 
@@ -254,3 +264,8 @@
     return responses.some((response) => response.isOk() && response.value.type === 'probed' && response.value.refused)
   }
 }
+
+/** Damaged forecasts are dropped; what a leader of another release sends may have another form. */
+function selectForecasts (forecasts: unknown): readonly CompletionForecast[] {
+  return Array.isArray(forecasts) ? forecasts.filter(isCompletionForecast) : []
+}
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -11,6 +11,8 @@
 import type { CellEffect } from './effect.ts'
 import { handleListing, removeRunsLostByRestarts } from './handle-listing.ts'
 import type { CellEvent, ProcessedCompletions } from './event.ts'
+import type { CompletionForecast } from './forecast/completion-forecast.ts'
+import { CompletionForecasts } from './forecast/completion-forecasts.ts'
 import { LastingBacklogs } from './forecast/lasting-backlogs.ts'
 import { HeldJobs } from './held-jobs.ts'
 import type { JobPhase } from './job.ts'
@@ -108,6 +110,7 @@
       allowedRatios: new Map(),
       runTimes: RunTimes.create(resolved.features.learnedRunTimes),
       lastingBacklogs: LastingBacklogs.create(resolved.features.completionForecast),
+      forecasts: CompletionForecasts.create(resolved.features.completionForecast),
       uncertainUsage: NO_DEMAND,
       lastRunNumber: resolved.firstRunNumber - 1,
       startPassNeeded: false,
@@ -207,6 +210,11 @@
     return this.state.adviceBacklog.overloads
   }
 
+  /** Long waits for room, for which members refuse jobs. */
+  get forecasts (): readonly CompletionForecast[] {
+    return this.state.forecasts.list
+  }
+
   /** Whether the jobs that have not ended take so much memory that no further one should be accepted. */
   get isFull (): boolean {
     return this.state.heldJobs.isFull
@@ -383,6 +391,7 @@
     state.adviceBacklog.update(state)
     state.runTimes.update(state)
     state.lastingBacklogs.update(state)
+    state.forecasts.update(state)
     for (const job of state.jobs.values()) {
       if (job.active) openDueOccurrences(state, job)
     }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -10,6 +10,7 @@
 import type { OrganisationSettings, QueueSettings } from './settings/job-settings.ts'
 import type { HeldJobs } from './held-jobs.ts'
 import type { KnownSettings } from './settings/known-settings.ts'
+import type { CompletionForecasts } from './forecast/completion-forecasts.ts'
 import type { LastingBacklogs } from './forecast/lasting-backlogs.ts'
 import type { LastingPrecedence } from './order/lasting-precedence.ts'
 import type { LastingTaskWaits } from './waits/lasting-task-waits.ts'
@@ -97,6 +98,7 @@
   readonly allowedRatios: Map<string, number>
   readonly runTimes: RunTimes
   readonly lastingBacklogs: LastingBacklogs
+  readonly forecasts: CompletionForecasts
   /** Maximum usage of runs that are not known here, as of the last start pass. */
   uncertainUsage: Demand
   /** Number of the last started run; higher than that of any run of a previous owner. */
--- /dev/null
+++ b/src/workflow/forecast/completion-forecast.ts
@@ -0,0 +1,40 @@
+import type { Demand } from '../job.ts'
+import type { RunTimeModel } from '../run-times/run-time-model.ts'
+import type { Queue } from '../settings/cell-configuration.ts'
+
+/** How long a further job of a queue and an organisation would wait for room, where that is long. */
+export type CompletionForecast = {
+  readonly queue: string
+  readonly organisation: string
+  /** `maximum`: the organisation's maximum holds it up; `room`: the targets of the pool do. */
+  readonly cause: 'maximum' | 'room'
+  readonly waitMs: number
+  /** What such jobs may use at a time; 0 in a field: no limit. */
+  readonly rate: Demand
+  /** Number of members, each of which tells refused callers when to come back. */
+  readonly members: number
+  readonly objective: Pick<Queue, 'stretch' | 'latencyObjectiveMs'>
+  /** Estimate of the run times of the queue; missing while the declared ones count. */
+  readonly runTimes?: RunTimeModel
+}
+
+/** Whether a value that the leader has sent is a forecast. */
+export function isCompletionForecast (value: unknown): value is CompletionForecast {
+  if (!isObject(value) || !isObject(value.rate) || !isObject(value.objective)) return false
+  const { rate, objective } = value
+  return typeof value.queue === 'string' && typeof value.organisation === 'string' &&
+    [value.waitMs, rate.cpuMillis, rate.memoryMiB, rate.accelerators, objective.stretch, objective.latencyObjectiveMs].every(isAmount) &&
+    isAmount(value.members) && value.members >= 1 && (value.runTimes === undefined || isRunTimeModel(value.runTimes))
+}
+
+function isRunTimeModel (value: unknown): value is RunTimeModel {
+  return isObject(value) && [value.interceptMs, value.slope, value.minDeclaredMs, value.maxDeclaredMs, value.floorMs].every(Number.isFinite)
+}
+
+function isAmount (value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0
+}
+
+function isObject (value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
--- a/src/workflow/room/organisation-maximum.ts
+++ b/src/workflow/room/organisation-maximum.ts
@@ -2,7 +2,7 @@
 import type { CellState } from '../cell-state.ts'
 import type { Demand } from '../job.ts'
 import { addDemands } from '../job.ts'
-import type { Job, StepRun } from '../task.ts'
+import type { StepRun } from '../task.ts'
 
 /** Ratio of an organisation's maximum that jobs beyond its share of submissions, urgent jobs and other jobs may use. */
 const USABLE_MAXIMUM_RATIO = { exceedsShare: 0.6, urgent: 1, nonUrgent: 0.85 } as const
@@ -20,17 +20,17 @@
   const maximum = state.organisations.find(organisation)?.maximum
   if (maximum === undefined) return 'within'
   const usage = addDemands(getUsage(state, organisation), state.uncertainUsage)
-  if (fitsLimit(usage, demand, scaleDemand(maximum, getUsableRatio(state, job)))) return 'within'
+  if (fitsLimit(usage, demand, scaleDemand(maximum, getUsableRatio(job.exceedsShare, isUrgent(state, job.definition))))) return 'within'
   // Whether the job is idle comes last, because that examines all of its tasks.
   if (isLessThanHalf(usage, maximum) && fitsLimit(usage, demand, addToLimit(maximum, spec.demand)) && step.isIdle) return 'within'
   if (!fitsLimit(usage, demand, maximum)) return 'exceeded'
   return isOnlyBatchJob(state, step) ? 'within' : 'reserved'
 }
 
-/** Ratio of the organisation's maximum that the job may use. Non-urgent jobs leave a reserve for urgent ones. */
-function getUsableRatio (state: CellState, job: Job): number {
-  if (job.exceedsShare) return USABLE_MAXIMUM_RATIO.exceedsShare
-  return isUrgent(state, job.definition) ? USABLE_MAXIMUM_RATIO.urgent : USABLE_MAXIMUM_RATIO.nonUrgent
+/** Ratio of the organisation's maximum that a job may use. Non-urgent jobs leave a reserve for urgent ones. */
+export function getUsableRatio (exceedsShare: boolean, urgent: boolean): number {
+  if (exceedsShare) return USABLE_MAXIMUM_RATIO.exceedsShare
+  return urgent ? USABLE_MAXIMUM_RATIO.urgent : USABLE_MAXIMUM_RATIO.nonUrgent
 }
 
 /** Whether a demand fits a limit. A single task fits even if it exceeds the whole limit. */
