--- a/src/workflow/live-run.ts
+++ b/src/workflow/live-run.ts
@@ -15,7 +15,7 @@
   target: TargetState
   /** Whether a previous owner started it. */
   readonly adopted: boolean
-  /** Whether it continues from a checkpoint, so that it began with progress. */
+  /** Whether it started from a checkpoint, so that it began with progress and does a part of the work only. */
   readonly resumed: boolean
   /** Whether it started on an earlier incarnation of the target and has not been listed by this one. */
   carriedOver: boolean
