Answer submissions and cancellations at once when the store falls silent

Cause: a member repeated a write without a response until the caller's deadline, so that callers got 504 after about 2.85 s or no response. Change: a write without a response is tried once more, and then again only while the store responds to other calls. A response that comes after that still announces the job and is remembered.

--- a/src/controller/job-service.ts
+++ b/src/controller/job-service.ts
@@ -1,15 +1,18 @@
-import type { Store } from '../ports/store.ts'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Store, StoreEntry, StoreFailure } from '../ports/store.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
-import { delay } from './delay.ts'
 import { RecentSubmissions } from './admission/recent-submissions.ts'
 import type { AttemptOutcome, EarlierAttempts } from './admission/recent-submissions.ts'
+import { writePromptly } from './prompt-write.ts'
 import type { Reporter } from './reporter.ts'
 import { readKey, transact } from './store-calls.ts'
 import { parseJobDefinition } from './records/parse-job-definition.ts'
 import { isJobProgress } from './records/record-guards.ts'
 import { parseRecord } from './records/stored-record.ts'
 import { cancelKey, jobKey, progressKey } from './records/store-keys.ts'
+import { waitAtMost } from './wait-at-most.ts'
 
 /**
  * Outcome of a submission. `accepted`: the job is stored, by this or an earlier submission. `refused`: the job is not
@@ -32,8 +35,6 @@
 
 /** Maximum length of a key of the store, in bytes. */
 const MAX_KEY_BYTES = 200
-/** Delay before a write whose response was lost is retried, in milliseconds. */
-const RETRY_DELAY_MS = 100
 
 export type JobServiceOptions = {
   readonly store: Store
@@ -66,15 +67,22 @@
     return new JobService(options)
   }
 
-  /** Stores a job. Retries until `deadline` (monotonic clock, milliseconds) once a write may have been applied. */
+  /**
+   * Stores a job. Answers by `deadline` (monotonic clock, milliseconds), and earlier if a write may have been applied and the store
+   * doesn't respond.
+   */
   async submit (definition: JobDefinition, deadline: number): Promise<SubmissionOutcome> {
     if (!hasStorableId(definition)) return { type: 'refused', reason: 'id-too-long' }
     const earlier = this.submissions.find(definition.id)
     if (!this.options.isStoreResponsive()) return refuse(earlier, 'store-silent')
     const retryAfterMs = this.options.getRetryAfterMs(definition)
     // A write whose outcome is unknown may be applied after a read, so that such a job is stored instead.
-    if (retryAfterMs !== undefined && earlier === 'none' && await this.isAbsent(definition.id)) return { type: 'refused', reason: 'overloaded', retryAfterMs }
-    return this.submissions.track(definition.id, () => this.storeJob(definition, earlier, deadline), toAttemptOutcome)
+    if (retryAfterMs !== undefined && earlier === 'none') {
+      const absent = await waitAtMost(this.isAbsent(definition.id), deadline - performance.now())
+      if (absent === true) return { type: 'refused', reason: 'overloaded', retryAfterMs }
+      if (absent === undefined) return refuse(this.submissions.find(definition.id), 'deadline')
+    }
+    return this.storeJob(definition, earlier, deadline)
   }
 
   private async storeJob (definition: JobDefinition, earlier: EarlierAttempts, deadline: number): Promise<SubmissionOutcome> {
@@ -82,19 +90,16 @@
     // The definition of a completed job is deleted, but its progress stays.
     const absentConditions = [key, progressKey(definition.id)].map((absentKey) => ({ type: 'absent', key: absentKey }) as const)
     const value = JSON.stringify(definition)
-    let mayBeStored = false
-    for (;;) {
-      const result = await transact(this.options.store, absentConditions, [{ key, value }])
-      if (result.isOk()) {
-        this.options.announceJob(definition)
-        return { type: 'accepted', alreadyStored: !result.value.committed }
-      }
-      const { reason, verdict } = result.error
-      mayBeStored ||= verdict === 'may-have-applied'
-      if (!mayBeStored) return refuse(earlier, reason)
-      if (performance.now() + RETRY_DELAY_MS > deadline) return { type: 'unknown', reason }
-      await delay(RETRY_DELAY_MS)
+    const write = async (): ReturnType<typeof transact> => {
+      const result = await this.submissions.track(definition.id, () => transact(this.options.store, absentConditions, [{ key, value }]), toAttemptOutcome)
+      // A response may come after the caller was told that the outcome is unknown.
+      if (result.isOk()) this.options.announceJob(definition)
+      return result
     }
+    const result = await writePromptly({ write, isStoreResponsive: this.options.isStoreResponsive, deadline })
+    if (result.isOk()) return { type: 'accepted', alreadyStored: !result.value.committed }
+    const { reason, verdict } = result.error
+    return verdict === 'not-applied' ? refuse(earlier, reason) : { type: 'unknown', reason }
   }
 
   /** Whether the store says that no earlier submission of the job has been stored. */
@@ -111,31 +116,35 @@
   }
 
   /**
-   * Cancels a job; the result is `found` once the cancellation is stored or if the job had already ended. Retries until
-   * `deadline` (monotonic clock, milliseconds) once a write may have been applied.
+   * Cancels a job; the result is `found` once the cancellation is stored or if the job had already ended. Answers by `deadline`
+   * (monotonic clock, milliseconds), and earlier if a write may have been applied and the store doesn't respond.
    */
   async cancel (id: string, deadline: number): Promise<CancelOutcome> {
-    let mayBeStored = false
-    for (;;) {
-      const outcome = await this.tryCancel(id)
-      mayBeStored ||= outcome.type === 'unknown'
-      if (outcome.type === 'found' || outcome.type === 'absent') return outcome
-      if (!mayBeStored) return outcome
-      if (performance.now() + RETRY_DELAY_MS > deadline) return { type: 'unknown', reason: outcome.reason }
-      await delay(RETRY_DELAY_MS)
+    const job = await waitAtMost(readKey(this.options.store, jobKey(id)), deadline - performance.now())
+    if (job === undefined || job.isErr()) return { type: 'unavailable', reason: job?.error.reason ?? 'timeout' }
+    if (job.value === undefined) return await waitAtMost(this.readProgress(id, 'absent'), deadline - performance.now()) ?? { type: 'unavailable', reason: 'timeout' }
+    let read: StoreEntry | undefined = job.value
+    const write = (): Promise<Result<PhaseLookup, StoreFailure>> => {
+      const entry = read
+      read = undefined
+      return this.tryCancel(id, entry)
     }
+    const result = await writePromptly({ write, isStoreResponsive: this.options.isStoreResponsive, deadline })
+    if (result.isOk()) return result.value
+    const { reason, verdict } = result.error
+    return { type: verdict === 'not-applied' ? 'unavailable' : 'unknown', reason }
   }
 
-  private async tryCancel (id: string): Promise<CancelOutcome> {
+  /** Stores a cancellation. Reads the job unless it has just been read. */
+  private async tryCancel (id: string, read: StoreEntry | undefined): Promise<Result<PhaseLookup, StoreFailure>> {
     const { store } = this.options
-    const job = await readKey(store, jobKey(id))
-    if (job.isErr()) return { type: 'unavailable', reason: job.error.reason }
-    if (job.value === undefined) return this.readProgress(id, 'absent')
-    const key = cancelKey(id)
-    const result = await transact(store, [{ type: 'version', key: jobKey(id), version: job.value.version }], [{ key, value: '{}' }])
-    if (result.isErr()) return { type: result.error.verdict === 'may-have-applied' ? 'unknown' : 'unavailable', reason: result.error.reason }
+    const job = read === undefined ? await readKey(store, jobKey(id)) : ok(read)
+    if (job.isErr()) return err({ ...job.error, verdict: 'not-applied' })
+    if (job.value === undefined) return toResult(await this.readProgress(id, 'absent'))
+    const result = await transact(store, [{ type: 'version', key: jobKey(id), version: job.value.version }], [{ key: cancelKey(id), value: '{}' }])
+    if (result.isErr()) return err(result.error)
     this.options.announceCancellation(id)
-    return { type: 'found', phase: 'cancelled' }
+    return ok({ type: 'found', phase: 'cancelled' })
   }
 
   private async readPhase (id: string): Promise<PhaseLookup> {
@@ -168,15 +177,20 @@
   }
 }
 
-function toAttemptOutcome (outcome: SubmissionOutcome): AttemptOutcome {
-  switch (outcome.type) {
-    case 'accepted': return 'stored'
-    case 'refused': return 'not-stored'
-    case 'unknown': return 'unknown'
-    default: return assertNever(outcome)
+function toAttemptOutcome (result: Result<unknown, StoreFailure>): AttemptOutcome {
+  if (result.isOk()) return 'stored'
+  switch (result.error.verdict) {
+    case 'not-applied': return 'not-stored'
+    case 'may-have-applied': return 'unknown'
+    default: return assertNever(result.error.verdict)
   }
 }
 
+/** A lookup that could not be made has changed nothing. */
+function toResult (lookup: PhaseLookup): Result<PhaseLookup, StoreFailure> {
+  return lookup.type === 'unavailable' ? err({ reason: 'unavailable', verdict: 'not-applied' }) : ok(lookup)
+}
+
 /** Whether all records of a job can be stored. A leader that could not store its progress would have to give it up later. */
 function hasStorableId ({ id }: JobDefinition): boolean {
   return [cancelKey(id), progressKey(id)].every((key) => Buffer.byteLength(key) <= MAX_KEY_BYTES)
