Add the detour to the store through other members

Cause: while the store refuses a single member, that member refuses all submissions, and as the leader loses its lease.

--- a/src/adapters/grpc-member-calls.ts
+++ b/src/adapters/grpc-member-calls.ts
@@ -29,8 +29,8 @@
 export type MemberCallServerOptions = {
   /** Address to listen on, for example `127.0.0.1:0`; with port 0 the operating system chooses a free port. */
   readonly address: string
-  /** Handles a call and returns the response. */
-  readonly onCall: (call: MemberCall) => Promise<MemberResponse>
+  /** Handles a call and returns the response. `isAwaited`: whether the caller still waits for it. */
+  readonly onCall: (call: MemberCall, isAwaited: () => boolean) => Promise<MemberResponse>
   /** Accepts a stream on which the leader sends commands for targets; without it, such streams are refused. */
   readonly onRelayStream?: RelayStreamAcceptor
   /** Called with the reason why a call could not be read. */
@@ -50,8 +50,9 @@
   static listen ({ address, onCall, onRelayStream, onUnreadableCall }: MemberCallServerOptions): Promise<MemberCallServer> {
     const server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES })
     server.addService({ call: { ...CALL_METHOD, requestDeserialize: createDeserializer(onUnreadableCall) } }, {
-      call: ({ request: { codec, content } }: ServerUnaryCall<MemberMessage<MemberCall>, MemberMessage<MemberResponse>>, respond: sendUnaryData<MemberMessage<MemberResponse>>) => {
-        onCall(content).then((response) => respond(null, { codec, content: response }), (error: unknown) => respond({ code: status.INTERNAL, details: String(error) }))
+      call: (received: ServerUnaryCall<MemberMessage<MemberCall>, MemberMessage<MemberResponse>>, respond: sendUnaryData<MemberMessage<MemberResponse>>) => {
+        const { codec, content } = received.request
+        onCall(content, () => !received.cancelled).then((response) => respond(null, { codec, content: response }), (error: unknown) => respond({ code: status.INTERNAL, details: String(error) }))
       }
     })
     if (onRelayStream !== undefined) {
--- a/src/controller/leadership/leadership.ts
+++ b/src/controller/leadership/leadership.ts
@@ -37,6 +37,8 @@
 /** Hosts with fewer cores than this claim only after the others had time to start, because they are too slow for a cell. */
 const SMALL_HOST_CORES = 0.5
 const SMALL_HOST_DELAY_MS = 500
+/** Delay of a claim that goes through another member, in milliseconds. */
+const DETOUR_DELAY_MS = 500
 const WATCH_WAIT_MS = 1_500
 const CLAIM_RETRY_DELAY_MS = 150
 /** After as many refused claims in a row, the store may refuse the record of silent targets; a claim without it only waits longer. */
@@ -76,6 +78,8 @@
   readonly address: string
   /** Processor cores of this member's host; larger hosts claim first. */
   readonly cores: number
+  /** Whether this member reaches the store only through another one, so that others claim first; never, without it. */
+  readonly isDetouring?: () => boolean
   readonly reporter: Reporter
   readonly onElected: (term: Term) => void
   readonly onLeadershipLost: (reason: string) => void
@@ -272,7 +276,7 @@
 
   private async claimUntilDecided (): Promise<void> {
     while (this.canClaim()) {
-      await delay(computeClaimDelayMs(this.options.cores), this.stopped.signal)
+      await delay(computeClaimDelayMs(this.options.cores) + (this.options.isDetouring?.() === true ? DETOUR_DELAY_MS : 0), this.stopped.signal)
       if (!this.canClaim()) return
       const decided = await this.tryClaim()
       if (decided) return
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -1,4 +1,5 @@
 import type { AdviceResponse, CachedAdvice } from '../ports/command-client.ts'
+import type { StoreCall, StoreFailure, StoreResponse } from '../ports/store.ts'
 import type { Overload } from '../workflow/advice/advice-backlog.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { StandDown } from './leadership/leadership.ts'
@@ -37,6 +38,14 @@
   | { readonly type: 'probe', readonly address: string }
   /** Requests the advisor responses that the member has cached. */
   | { readonly type: 'known-advice' }
+  /**
+   * Requests a call to the store on behalf of the sender, which waits for `timeoutMs`; not known to older releases. A watch is
+   * answered at once.
+   */
+  | { readonly type: 'store-call', readonly call: StoreCall, readonly timeoutMs: number }
+
+/** Why a member has not sent a call to the store. */
+export type StoreCallRefusal = 'off' | 'malformed' | 'busy' | 'lost' | 'late'
 
 /** Response of a member to a call. */
 export type MemberResponse =
@@ -55,6 +64,11 @@
   /** `refused`: whether the address refused the connection. */
   | { readonly type: 'probed', readonly refused: boolean }
   | { readonly type: 'phase', readonly phase: JobPhase | undefined }
+  | { readonly type: 'store-response', readonly response: StoreResponse }
+  /** `storeResponds`: whether the store serves other calls of the member, so that the failure concerns this call. */
+  | { readonly type: 'store-failure', readonly failure: StoreFailure, readonly storeResponds: boolean }
+  /** The call was not sent to the store and won't be. */
+  | { readonly type: 'store-call-refused', readonly reason: StoreCallRefusal }
   | { readonly type: 'advice', readonly answer: AdviceResponse }
   /** The member does not lead, has not read the store yet, or cannot confirm that it still leads. */
   | { readonly type: 'not-leading' }
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -13,6 +13,7 @@
 import { isAdviceResponse, isAnnouncedJob, isCachedAdvice, isPeer, isTermNumber, isWelcome } from './member-call-guards.ts'
 import type { Reporter } from './reporter.ts'
 import type { LeaderRecord } from './records/store-keys.ts'
+import type { StoreProxy } from './store-detour/store-proxy.ts'
 
 const HELLO_INTERVAL_MS = 1_000
 /** A busy leader may respond late, and a member with a shorter timeout would be considered gone. */
@@ -44,6 +45,8 @@
   readonly probe: (address: string) => Promise<ProbeResult>
   /** The controller of this member; undefined while it does not lead. */
   readonly getController: () => Controller | undefined
+  /** Makes calls to the store for other members; without it, they are refused. */
+  readonly storeProxy?: StoreProxy
 }
 
 /** Handles the calls between the members of a cell: from members to the leader, and from the leader to members. */
@@ -89,8 +92,8 @@
     this.options.client.close()
   }
 
-  /** Handles a call from another member. */
-  async handleCall (call: MemberCall): Promise<MemberResponse> {
+  /** Handles a call from another member. `isAwaited`: whether that member still waits for the response. */
+  async handleCall (call: MemberCall, isAwaited: () => boolean = () => true): Promise<MemberResponse> {
     switch (call.type) {
       case 'hello': return this.handleHello(call.peer)
       case 'job-stored': return this.handleAnnouncement((controller) => isAnnouncedJob(call.definition) && controller.acceptJob(call.definition))
@@ -103,10 +106,20 @@
       case 'probe': return { type: 'probed', refused: await this.options.probe(call.address) === 'refused' }
       case 'advise': return { type: 'advice', answer: await this.options.advisor.advise(call.step, call.targets, call.timeoutMs) }
       case 'known-advice': return { type: 'known-advice', advice: this.options.advisor.getCachedAdvice() }
+      case 'store-call': return await this.options.storeProxy?.serve(call.call, call.timeoutMs, isAwaited) ?? { type: 'store-call-refused', reason: 'off' }
       default: return assertNever(call)
     }
   }
 
+  /** The other members that this one knows of; the leader among them if it has sent the others. */
+  get knownMembers (): readonly Peer[] {
+    const members = this.options.getController()?.members
+    if (members !== undefined && members.length > 0) return members
+    const leader = this.options.getLeadership()?.leader
+    const isListed = leader === undefined || leader.member === this.options.self.member || this.peers.some(({ member }) => member === leader.member)
+    return isListed ? this.peers : [...this.peers, { member: leader.member, address: leader.address }]
+  }
+
   private handleHello (peer: Peer): MemberResponse {
     const controller = this.options.getController()
     if (controller === undefined || !isPeer(peer)) return { type: 'not-leading' }
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -61,10 +61,16 @@
   readonly verdict: WriteVerdict
 }
 
+/** Limits of one call, beside those of the client. `mayBeSent`: asked just before the call is sent; by default it may be. */
+export type StoreCallLimits = { readonly timeoutMs: number, readonly mayBeSent?: () => boolean }
+
 /** The platform's key-value service. */
 export type Store = {
-  readonly call: (call: StoreCall) => Promise<Result<StoreResponse, StoreFailure>>
+  readonly call: (call: StoreCall, limits?: StoreCallLimits) => Promise<Result<StoreResponse, StoreFailure>>
 }
 
+/** A store that knows whether it serves this process at present. */
+export type ObservedStore = Store & { readonly isResponsive: boolean }
+
 /** Maximum size of a value that the store accepts. */
 export const STORE_VALUE_LIMIT_BYTES = 1_000_000
