Start the last attempt of a speculative task on several targets

Cause: 4% of the urgent jobs fail because two runs of one of their tasks failed; a third of these have tasks of which copies may run. Change: with /scheduling/parallelLastAttempts, the start after which one more failure ends the job is made on up to three targets. The job fails once the last of these runs has ended without one that is done, also under a new owner; nothing of the task starts after the limit is reached.

--- a/src/workflow/advice/advice-targets.ts
+++ b/src/workflow/advice/advice-targets.ts
@@ -1,3 +1,4 @@
+import { countTargetsForLastAttempts } from '../attempts/targets-for-last-attempts.ts'
 import { findQueue } from '../cell-state.ts'
 import type { CellState } from '../cell-state.ts'
 import { getOpenTargets } from '../room/open-targets.ts'
@@ -62,8 +63,9 @@
 }
 
 /** Number of targets that a request of the step names even if fewer are expected to have the needed slots. */
-function computeMinTargets (state: CellState, { advice, job }: StepRun): number {
-  const minTargets = advice.hasResponse ? 1 : MIN_FIRST_REQUEST_TARGETS
+function computeMinTargets (state: CellState, step: StepRun): number {
+  const { advice, job } = step
+  const minTargets = advice.hasResponse ? countTargetsForLastAttempts(state, step) : MIN_FIRST_REQUEST_TARGETS
   const timings = findQueue(state, job.definition)?.advice
   if (advice.waitsForChannelSince === undefined || timings === undefined) return minTargets
   return Math.max(minTargets, Math.floor(timings.decisionMs * SCARCE_TARGETS_TIME_RATIO / timings.perTargetMs))
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -20,6 +20,7 @@
 import { LastingTaskWaits } from './waits/lasting-task-waits.ts'
 import { PendingAdvice } from './advice/pending-advice.ts'
 import { Preemption } from './preemption/preemption.ts'
+import { LastAttempts } from './attempts/last-attempts.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
 import { restoreClosedTargets } from './takeover/closed-targets.ts'
@@ -115,6 +116,7 @@
       lastingTasks: LastingTaskWaits.create(),
       lastingPrecedence: LastingPrecedence.create(),
       preemption: Preemption.create(),
+      lastAttempts: LastAttempts.create(),
       unsettledRuns: UnsettledRunsLog.create()
     })
   }
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -15,6 +15,7 @@
 import type { OpenTargets } from './room/open-targets.ts'
 import type { CellOptions } from './options.ts'
 import type { Preemption } from './preemption/preemption.ts'
+import type { LastAttempts } from './attempts/last-attempts.ts'
 import type { ResendPause } from './commands/resend-pause.ts'
 import type { RoomLog } from './room/room-log.ts'
 import type { SilentTargets } from './takeover/silent-targets.ts'
@@ -107,6 +108,7 @@
   readonly lastingTasks: LastingTaskWaits
   readonly lastingPrecedence: LastingPrecedence
   readonly preemption: Preemption
+  readonly lastAttempts: LastAttempts
   readonly unsettledRuns: UnsettledRunsLog
 }
 
--- a/src/workflow/handle-listing.ts
+++ b/src/workflow/handle-listing.ts
@@ -1,4 +1,5 @@
 import { assertNever } from '../util/assert-never.ts'
+import { mayAdoptBeside } from './attempts/last-attempts.ts'
 import { count, findJob, findTask, log, recordRoom } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { releaseTasks } from './takeover/closed-targets.ts'
@@ -185,7 +186,7 @@
     log(state, 'warn', 'stop-ordered-for-unknown', { task: listed.task, run: listed.run, target: target.id })
     return undefined
   }
-  const wanted = task.step.job.active && task.phase !== 'done' && task.runs.size === 0
+  const wanted = task.step.job.active && task.phase !== 'done' && (task.runs.size === 0 || mayAdoptBeside(state, task, target))
   const live = addRun(state, { task, run: listed.run, target, phase: 'running', ticket: undefined })
   live.respondedAt = state.now
   log(state, 'info', 'run-adopted', { task: task.key, run: listed.run, target: target.id, incarnation: target.entry.incarnation, wanted })
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -1,3 +1,4 @@
+import { awaitOtherRuns, awaitRestoredRuns } from './attempts/last-attempts.ts'
 import { findTask, log, findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
@@ -34,6 +35,7 @@
   if (progress !== undefined) restoreProgress(job, progress)
   if (isFinalPhase(job.phase)) job.endedAt = state.now
   addJob(state, job)
+  awaitRestoredRuns(state, job)
 }
 
 function addJob (state: CellState, job: Job): void {
@@ -143,11 +145,12 @@
   failIfExhausted(state, task)
 }
 
-/** Fails the job of a task that has no attempts left. How many it has is unknown until its queue is known. */
-function failIfExhausted (state: CellState, { key, step, failures: ownFailures }: Task): void {
+/** Fails the job of a task that has no attempts left, unless one of its runs may still end as done. How many it has is unknown until its queue is known. */
+export function failIfExhausted (state: CellState, task: Task): void {
+  const { key, step, failures: ownFailures } = task
   const limit = findQueue(state, step.job.definition)?.maxAttempts
   const failures = step.spec.gang ? step.gangFailedRuns.size : ownFailures
-  if (limit !== undefined && failures >= limit) endJob(state, step.job, 'failed', `task ${key} failed ${failures} times`)
+  if (limit !== undefined && failures >= limit && !awaitOtherRuns(state, task)) endJob(state, step.job, 'failed', `task ${key} failed ${failures} times`)
 }
 
 /** Fails the jobs of queues that were unknown until now if runs that failed meanwhile have exhausted their attempts. */
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -1,4 +1,6 @@
 import { assertNever } from '../util/assert-never.ts'
+import { mayStartBeside, recordParallelStart } from './attempts/last-attempts.ts'
+import { settleLastAttempts } from './attempts/settle-last-attempts.ts'
 import { requestAdvice } from './advice/advice-requests.ts'
 import { findQueue, log, getUsage } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
@@ -25,6 +27,7 @@
   state.startPassNeeded = false
   state.passWork.passes += 1
   state.uncertainUsage = computeUncertainUsage(state)
+  settleLastAttempts(state)
   for (const step of findReadySteps(state)) startStep(state, step)
   makeRoom(state)
 }
@@ -88,10 +91,23 @@
     }
     if (!takeReserve(state, step, target)) return true
     startTask(state, task, target)
+    startBeside(state, task, candidates)
   }
   return true
 }
 
+/** Starts further runs of a last attempt at once, as far as the maximum and the targets have room for them. */
+function startBeside (state: CellState, task: Task, candidates: readonly TargetState[]): void {
+  const { step } = task
+  if (!mayStartBeside(state, task)) return
+  while (mayStartBeside(state, task) && checkMaximum(state, step, step.spec.demand) === 'within' && isWithinWindow(step, state.startWindow.getRoom(state.now))) {
+    const target = chooseTarget(state, findWithinWindow(state, step, candidates), task)
+    if (target === undefined || !takeReserve(state, step, target)) break
+    startTask(state, task, target)
+  }
+  recordParallelStart(state, task)
+}
+
 /** Whether a task of the step may start on the target now: in a full pool, tasks use the reserve for urgent ones one after another. */
 function takeReserve (state: CellState, step: StepRun, target: TargetState): boolean {
   const { pool } = target.entry
@@ -118,7 +134,7 @@
 
 /** Whether a run of the task may start now; not while a run may be on a closed target of a previous owner. */
 function mayStart (state: CellState, task: Task): boolean {
-  return isStartable(task, state.now) && !state.heldBackTasks.has(task)
+  return isStartable(task, state.now) && !state.heldBackTasks.has(task) && !state.lastAttempts.has(task)
 }
 
 /** Whether the organisation may start tasks of the step with this total demand; logs why not. */
