Bound the time of a search for runs to stop

Cause: a search took about 30 ms with 1,275 runs and 300 waiting urgent steps. Change: no more runs are chosen than may be stopped, choices count towards the budget of targets, and searches are 100 ms apart.

--- a/src/workflow/preemption/choose-victims.ts
+++ b/src/workflow/preemption/choose-victims.ts
@@ -7,18 +7,21 @@
 /** A run that may be stopped. `slackMs`: time between the expected end of its job and the objective of the job. */
 export type Victim = { readonly live: LiveRun, readonly demand: Demand, readonly slackMs: number }
 
+/** Limits of a choice. `getAllowance`: how many runs of the job of a run may be stopped. */
+export type VictimLimits = { readonly maxCount: number, readonly getAllowance: (live: LiveRun) => number }
+
 /**
  * Chooses the runs to stop: first those whose jobs have the most time left, and of these as few and as small as cover what is
- * missing. If all together do not cover it, returns all. `getAllowance`: how many runs of the job of a run may be stopped.
+ * missing. If those within the limits do not cover it, returns what they free.
  *
  * @example
- * chooseVictims({ cpuMillis: 9_000, memoryMiB: 0, accelerators: 0 }, victims, () => 1)
+ * chooseVictims({ cpuMillis: 9_000, memoryMiB: 0, accelerators: 0 }, victims, { maxCount: 8, getAllowance: () => 1 })
  */
-export function chooseVictims (missing: Demand, victims: readonly Victim[], getAllowance: (live: LiveRun) => number): readonly Victim[] {
+export function chooseVictims (missing: Demand, victims: readonly Victim[], { maxCount, getAllowance }: VictimLimits): readonly Victim[] {
   const left = [...victims].sort((one, other) => toSlackBucket(other) - toSlackBucket(one))
   const chosen: Victim[] = []
   let rest = missing
-  while (!isCovered(rest) && left.length > 0) {
+  while (!isCovered(rest) && left.length > 0 && chosen.length < maxCount) {
     const bucketSize = left.findIndex((victim) => toSlackBucket(victim) !== toSlackBucket(left[0]!))
     const [victim] = left.splice(findBest(rest, bucketSize === -1 ? left : left.slice(0, bucketSize)), 1)
     if (!frees(victim!.demand, rest) || countOfJob(chosen, victim!) >= getAllowance(victim!.live)) continue
--- a/src/workflow/preemption/maximum-room.ts
+++ b/src/workflow/preemption/maximum-room.ts
@@ -21,7 +21,7 @@
 export function makeRoomInMaxima (state: CellState, waiting: readonly WaitingStep[], carryOut: (plan: StopPlan) => void): void {
   // Runs that are not known here count towards every organisation, and stops do not end them.
   if (waiting.length === 0 || !isCovered(state.uncertainUsage)) return
-  const steps = groupByOrganisation(waiting)
+  const steps = groupByOrganisation(state, waiting)
   const runs = findRunsOf(state, steps)
   for (const [organisation, waitingSteps] of steps) {
     const plan = planForOrganisation(state, { organisation, steps: waitingSteps, runs: runs.get(organisation) ?? [] })
@@ -29,10 +29,12 @@
   }
 }
 
-function groupByOrganisation (waiting: readonly WaitingStep[]): ReadonlyMap<string, readonly StepRun[]> {
+/** Groups the steps whose organisation has runs that may be stopped. */
+function groupByOrganisation (state: CellState, waiting: readonly WaitingStep[]): ReadonlyMap<string, readonly StepRun[]> {
   const groups = new Map<string, StepRun[]>()
   for (const { step } of waiting) {
     const { organisation } = step.job.definition
+    if ((state.batchRuns.get(organisation) ?? 0) === 0) continue
     const group = groups.get(organisation)
     if (group === undefined) groups.set(organisation, [step])
     else group.push(step)
@@ -62,7 +64,7 @@
   if (candidates.length === 0) return undefined
   const { wanted, victimTargets } = findWanted(state, served)
   const missing = computeMissing(state, { organisation, runs, maximum }, wanted)
-  const victims = chooseVictims(missing, victimTargets === undefined ? candidates : candidates.filter(({ live }) => victimTargets.has(live.target)), ({ task }) => state.preemption.getAllowance(task.step))
+  const victims = chooseVictims(missing, victimTargets === undefined ? candidates : candidates.filter(({ live }) => victimTargets.has(live.target)), { maxCount: state.preemption.getAllowedStops(state.now), getAllowance: ({ task }) => state.preemption.getAllowance(task.step) })
   if (victims.length === 0) return undefined
   return { victims, steps: served, cause: 'maximum', gainMs: estimateWaitMs(runs.filter((live) => !endsSoon(state, live)), missing, state.now) - state.preemption.stopMs }
 }
--- a/src/workflow/preemption/preemption.ts
+++ b/src/workflow/preemption/preemption.ts
@@ -19,7 +19,7 @@
 /** A step that no pass left waiting for this time waits no longer, in milliseconds. */
 const WAIT_MEMORY_MS = 300
 /** Time between two searches, in milliseconds: start passes run hundreds of times a second. */
-const SEARCH_INTERVAL_MS = 50
+const SEARCH_INTERVAL_MS = 100
 /** Limits of the number of stops. */
 const MAX_STOPS_AT_ONCE = 8
 const MAX_STOPS_PER_S = 30
--- a/src/workflow/preemption/target-room.ts
+++ b/src/workflow/preemption/target-room.ts
@@ -16,7 +16,9 @@
 import { endsSoon, findVictim } from './victims.ts'
 
 /** Number of targets that one search examines, once for each waiting task, so that its time is bounded. */
-const SEARCH_BUDGET_TARGETS = 6_000
+const SEARCH_BUDGET_TARGETS = 3_000
+/** A target of which runs are chosen counts this many times: that takes longer. */
+const CHOICE_COST = 8
 /** Number of tasks of one step that one search makes room for. */
 const MAX_TASKS_OF_STEP = 16
 /** Runs are stopped only if there is room this much sooner, in milliseconds: what is lost costs more than a shorter wait. */
@@ -97,9 +99,10 @@
 
   private choose (target: TargetState, step: StepRun): Choice | undefined {
     const { victims } = this.getRoom(target)
-    if (victims.length === 0) return undefined
+    if (victims.length === 0 || this.isExhausted) return undefined
+    this.budget -= CHOICE_COST
     const missing = this.computeMissing(target, step)
-    const chosen = chooseVictims(missing, victims, ({ task }) => this.state.preemption.getAllowance(task.step))
+    const chosen = chooseVictims(missing, victims, { maxCount: this.state.preemption.getAllowedStops(this.state.now), getAllowance: ({ task }) => this.state.preemption.getAllowance(task.step) })
     if (!coversMissing(missing, chosen)) return undefined
     const gainMs = estimateWaitMs(this.findLasting(target), missing, this.state.now) - this.state.preemption.stopMs
     return gainMs < MIN_GAIN_MS ? undefined : { target, victims: chosen, gainMs }
--- a/test/workflow/last-attempts.test.ts
+++ b/test/workflow/last-attempts.test.ts
@@ -81,6 +81,16 @@
   assert.deepEqual(harness.getCommands('stop').map(({ target }) => target), unanswered.map(({ target }) => target))
 })
 
+test('last attempts: guards against the failure that a copy starts after the last failure, because the last run is on a target that does not respond', () => {
+  const harness = failFirstRun({})
+  acceptStarts(harness)
+  const [, first, second, last] = harness.getStarts()
+  for (const failing of [first!, second!]) harness.completeRun(failing, 'failed')
+  harness.apply({ type: 'target-silent', id: last!.target, cause: 'no-answer' })
+  harness.advance(100)
+  assert.equal(harness.getStarts().length, 4)
+})
+
 const RUN = { task: 'job.0.0.0', checkpoint: '', percent: 10, gauge: undefined }
 
 /** A new owner restores a job of which a task has failed, and finds its other runs on two targets. */
