Refuse the part of an organisation's jobs that is beyond its share

Cause: jobs beyond the share of submissions are served after all others, so that their wait is another one than that of jobs within the share. Change: a forecast has the wait and the ratio of these jobs; members refuse that ratio of new jobs, and tell them to come back as fast as the share grows.

--- a/src/controller/admission/forecast-refusals.ts
+++ b/src/controller/admission/forecast-refusals.ts
@@ -49,19 +49,29 @@
     const now = this.now()
     const promises = this.getPromises(key, now)
     const own = promises.get(id)
-    const excessMs = forecast.waitMs + sumCosts(promises, own) - computeBearableWaitMs(steps, forecast)
-    if (excessMs <= 0 || (own !== undefined && now >= own.at && excessMs <= TOLERANCE_MS)) {
+    const bearableMs = computeBearableWaitMs(steps, forecast)
+    const excessMs = forecast.waitMs + sumCosts(promises, own) - bearableMs
+    const isBeyondShare = own === undefined && this.isBeyondShare(forecast, bearableMs)
+    if ((excessMs <= 0 && !isBeyondShare && !isEarly(own, now)) || (own !== undefined && now >= own.at && excessMs <= TOLERANCE_MS)) {
       promises.delete(id)
       return undefined
     }
-    const promised = own !== undefined && now < own.at ? own : this.promise(promises, id, excessMs, computeCostMs(steps, forecast), forecast.members)
+    const intervalMs = Math.max(computeCostMs(steps, forecast), forecast.beyondShare?.intervalMs ?? 0)
+    const promised = isEarly(own, now) ? own : this.promise(promises, id, { excessMs: Math.max(0, excessMs), costMs: isBeyondShare ? 0 : computeCostMs(steps, forecast), intervalMs: intervalMs * forecast.members })
     return Math.min(RETRY_AFTER_RANGE_MS.max, Math.max(RETRY_AFTER_RANGE_MS.min, promised.at - now))
   }
 
-  /** Each member gives one time for each of its refused callers, so that they are as many times further apart as there are members. */
-  private promise (promises: Map<string, Promised>, id: string, excessMs: number, costMs: number, members: number): Promised {
+  /**
+   * Whether a new job counts as beyond its organisation's share, and would be of no use then. Only the leader sees all jobs of an
+   * organisation; each member refuses the ratio of them that would be.
+   */
+  private isBeyondShare ({ beyondShare }: CompletionForecast, bearableMs: number): boolean {
+    return beyondShare !== undefined && beyondShare.waitMs > bearableMs && this.random() < beyondShare.ratio
+  }
+
+  /** Each member gives its own times, so that they are as many times further apart as there are members. */
+  private promise (promises: Map<string, Promised>, id: string, { excessMs, costMs, intervalMs }: { excessMs: number, costMs: number, intervalMs: number }): Promised {
     const now = this.now()
-    const intervalMs = costMs * members
     const lastAt = Math.max(...[...promises.values()].map(({ at }) => at))
     const at = promises.size === 0 ? now + excessMs + this.random() * intervalMs : Math.max(now + excessMs, lastAt + intervalMs)
     const promised = { at: Math.min(at, now + RETRY_AFTER_RANGE_MS.max), costMs }
@@ -79,6 +89,11 @@
   }
 }
 
+/** Whether a caller was told to come back later. */
+function isEarly (own: Promised | undefined, now: number): own is Promised {
+  return own !== undefined && now < own.at
+}
+
 /** Time that the jobs take whose callers come before the given one, or all of them for a new caller. */
 function sumCosts (promises: ReadonlyMap<string, Promised>, own: Promised | undefined): number {
   return [...promises.values()].reduce((sum, { at, costMs }) => at < (own?.at ?? Infinity) ? sum + costMs : sum, 0)
--- a/src/workflow/forecast/completion-forecasts.ts
+++ b/src/workflow/forecast/completion-forecasts.ts
@@ -1,8 +1,9 @@
 import { count, log } from '../cell-state.ts'
 import type { CellState } from '../cell-state.ts'
+import type { Queue } from '../settings/cell-configuration.ts'
 import { measureLoad } from './cell-load.ts'
 import type { CellLoad } from './cell-load.ts'
-import type { CompletionForecast } from './completion-forecast.ts'
+import type { BeyondShare, CompletionForecast } from './completion-forecast.ts'
 import { computeExpectedWait, wouldExceedShare } from './expected-wait.ts'
 
 const UPDATE_INTERVAL_MS = 250
@@ -14,11 +15,12 @@
 const FIRST_FORECAST_MS = 5_000
 /** With a larger part of the capacity of a pool on targets that are silent for a moment, its waits are not those of its work. */
 const MAX_SILENT_RATIO = 0.1
-/** Weight of the latest look in the share of time for which an organisation exceeds its share, and the ratio that counts. */
+/** Weight of the latest look in the ratio of an organisation's jobs that are beyond its share; half of them have to be. */
 const EXCESS_SMOOTHING_FACTOR = 0.2
-const MIN_EXCESS_RATIO = 0.6
+const MIN_EXCESS_RATIO = 0.5
 /** While waits are long, the longest is logged at most this often, in milliseconds. */
 const LOG_INTERVAL_MS = 5_000
+const MS_PER_S = 1_000
 
 /** How long further jobs would wait for room, by queue and organisation; only where that is long and has been for a while. */
 export class CompletionForecasts {
@@ -28,7 +30,7 @@
   private logAt = -Infinity
   /** By queue and organisation, since when the wait has been long, on the scheduler's clock. */
   private exceededSince = new Map<string, number>()
-  /** Share of the recent time for which organisations exceeded their share of submissions. */
+  /** Ratio of the recent time for which a further job of an organisation would have been beyond its share of submissions. */
   private excess = new Map<string, number>()
 
   private constructor (private readonly enabled: boolean) {}
@@ -67,21 +69,29 @@
     const forecasts = (state.configuration?.queues ?? []).flatMap((queue) => {
       if (isDisturbed(load, queue.pool)) return []
       return [...this.excess.keys()].flatMap((organisation) => {
-        const wait = computeExpectedWait(state, load, queue, organisation, this.excess.get(organisation)! > MIN_EXCESS_RATIO)
-        if (wait.waitMs <= MIN_FORECAST_WAIT_MS) return []
+        const wait = computeExpectedWait(state, load, queue, organisation, false)
+        const beyondShare = this.computeBeyondShare(state, load, queue, organisation)
+        if (Math.max(wait.waitMs, beyondShare?.waitMs ?? 0) <= MIN_FORECAST_WAIT_MS) return []
         const key = JSON.stringify([queue.name, organisation])
         const since = this.exceededSince.get(key) ?? state.now
         exceededSince.set(key, since)
         if (state.now - since < MIN_DURATION_MS) return []
         const runTimes = state.runTimes.getModel(queue.name)
         const { stretch, latencyObjectiveMs } = queue
-        return [{ queue: queue.name, organisation, ...wait, members: Math.max(1, state.pendingAdvice.channels), objective: { stretch, latencyObjectiveMs }, ...runTimes !== undefined && { runTimes } }]
+        return [{ queue: queue.name, organisation, ...wait, members: Math.max(1, state.pendingAdvice.channels), objective: { stretch, latencyObjectiveMs }, ...beyondShare !== undefined && { beyondShare }, ...runTimes !== undefined && { runTimes } }]
       })
     })
     this.exceededSince = exceededSince
     return forecasts
   }
 
+  private computeBeyondShare (state: CellState, load: CellLoad, queue: Queue, organisation: string): BeyondShare | undefined {
+    const ratio = this.excess.get(organisation) ?? 0
+    const weight = state.organisations.find(organisation)?.weight ?? 0
+    if (ratio < MIN_EXCESS_RATIO || weight <= 0) return undefined
+    return { waitMs: computeExpectedWait(state, load, queue, organisation, true).waitMs, ratio, intervalMs: MS_PER_S / weight }
+  }
+
   /** Organisations without waiting work have no long wait. */
   private updateExcess (state: CellState, { waiting }: CellLoad): void {
     const organisations = new Set(waiting.map(({ organisation }) => organisation))
@@ -92,7 +102,7 @@
   }
 
   private report (state: CellState, wasLong: boolean): void {
-    const [longest] = [...this.current].sort((left, right) => right.waitMs - left.waitMs)
+    const [longest] = [...this.current].sort((left, right) => getLongestWaitMs(right) - getLongestWaitMs(left))
     if (longest === undefined) {
       if (wasLong) log(state, 'info', 'completion-overload-ended', {})
       return
@@ -100,11 +110,15 @@
     for (const cause of new Set(this.current.map((forecast) => forecast.cause))) count(state, 'completion-overload', cause)
     if (state.now < this.logAt) return
     this.logAt = state.now + LOG_INTERVAL_MS
-    const { queue, organisation, cause, waitMs, rate, members } = longest
-    log(state, 'warn', 'completion-overloaded', { queue, organisation, cause, waitMs: Math.round(waitMs), usableCpuMillis: Math.round(rate.cpuMillis), usedCpuMillis: state.usage.get(organisation)?.cpuMillis ?? 0, exceedsShare: this.excess.get(organisation)! > MIN_EXCESS_RATIO, members, forecasts: this.current.length })
+    const { queue, organisation, cause, waitMs, rate, members, beyondShare } = longest
+    log(state, 'warn', 'completion-overloaded', { queue, organisation, cause, waitMs: Math.round(waitMs), usableCpuMillis: Math.round(rate.cpuMillis), usedCpuMillis: state.usage.get(organisation)?.cpuMillis ?? 0, beyondShareWaitMs: Math.round(beyondShare?.waitMs ?? 0), beyondShareRatio: Number((beyondShare?.ratio ?? 0).toFixed(2)), members, forecasts: this.current.length })
   }
 }
 
+function getLongestWaitMs ({ waitMs, beyondShare }: CompletionForecast): number {
+  return Math.max(waitMs, beyondShare?.waitMs ?? 0)
+}
+
 /** Whether so much of a pool is silent for a moment that its work waits for that. */
 function isDisturbed ({ pools }: CellLoad, pool: string): boolean {
   const room = pools.get(pool)
