--- a/src/workflow/forecast/cell-load.ts
+++ b/src/workflow/forecast/cell-load.ts
@@ -45,6 +45,8 @@
   readonly pools: ReadonlyMap<string, PoolRoom>
   /** By pool, the organisations that have work there. */
   readonly active: ReadonlyMap<string, ReadonlySet<string>>
+  /** Waits for room that were computed from this load, by what goes before; they are the same for all organisations. */
+  readonly roomWaits: Map<string, Demand>
 }
 
 /** Measures the work of a cell. It visits each run and each open step once. */
@@ -66,7 +68,7 @@
   }
   const waiting = [...state.openSteps].flatMap((step) => findWaitingTasks(state, step) ?? [])
   for (const { pool, organisation } of waiting) addActive(pool, organisation)
-  return { waiting, organisations, pools, active }
+  return { waiting, organisations, pools, active, roomWaits: new Map() }
 }
 
 function createRunningWork (): RunningWork {
--- a/src/workflow/forecast/completion-forecasts.ts
+++ b/src/workflow/forecast/completion-forecasts.ts
@@ -6,7 +6,7 @@
 import type { BeyondShare, CompletionForecast } from './completion-forecast.ts'
 import { computeExpectedWait, wouldExceedShare } from './expected-wait.ts'
 
-const UPDATE_INTERVAL_MS = 250
+const UPDATE_INTERVAL_MS = 400
 /** A wait that every job can bear, in milliseconds: the forecast is not more precise. */
 export const MIN_FORECAST_WAIT_MS = 1_000
 /** A wait has to be long for this time before it counts, in milliseconds: most bursts are over by then. */
@@ -16,7 +16,7 @@
 /** With a larger part of the capacity of a pool on targets that are silent for a moment, its waits are not those of its work. */
 const MAX_SILENT_RATIO = 0.1
 /** Weight of the latest look in the ratio of an organisation's jobs that are beyond its share; half of them have to be. */
-const EXCESS_SMOOTHING_FACTOR = 0.2
+const EXCESS_SMOOTHING_FACTOR = 0.3
 const MIN_EXCESS_RATIO = 0.5
 /** While waits are long, the longest is logged at most this often, in milliseconds. */
 const LOG_INTERVAL_MS = 5_000
--- a/src/workflow/forecast/expected-wait.ts
+++ b/src/workflow/forecast/expected-wait.ts
@@ -6,7 +6,7 @@
 import { getUsableRatio } from '../room/organisation-maximum.ts'
 import type { Queue } from '../settings/cell-configuration.ts'
 import { RESOURCES, mapDemand } from './cell-load.ts'
-import type { CellLoad, WaitingTasks } from './cell-load.ts'
+import type { CellLoad, PoolRoom, WaitingTasks } from './cell-load.ts'
 import type { CompletionForecast } from './completion-forecast.ts'
 import { HORIZON_MS } from './room-profile.ts'
 
@@ -20,9 +20,9 @@
  * runs. `exceedsShare`: it would be beyond the organisation's share of submissions, and so served after all others.
  */
 export function computeExpectedWait (state: CellState, load: CellLoad, queue: Queue, organisation: string, exceedsShare: boolean): ExpectedWait {
-  const ahead = load.waiting.filter((tasks) => goesBefore(tasks, queue.priority, exceedsShare))
-  const byMaximum = computeMaximumWait(state, load, ahead.filter((tasks) => tasks.organisation === organisation), queue, organisation, exceedsShare)
-  const byRoom = computeRoomWait(state, load, ahead.filter(({ pool, heldByMaximum }) => pool === queue.pool && !heldByMaximum), queue, organisation)
+  const own = load.waiting.filter((tasks) => tasks.organisation === organisation && goesBefore(tasks, queue.priority, exceedsShare))
+  const byMaximum = computeMaximumWait(state, load, own, queue, organisation, exceedsShare)
+  const byRoom = computeRoomWait(state, load, own.filter((tasks) => waitsForRoom(tasks, queue)), queue, organisation, exceedsShare)
   return byMaximum.waitMs >= byRoom.waitMs ? byMaximum : byRoom
 }
 
@@ -32,6 +32,10 @@
   return tasks.priority <= priority
 }
 
+function waitsForRoom (tasks: WaitingTasks, queue: Queue): boolean {
+  return tasks.pool === queue.pool && !tasks.heldByMaximum
+}
+
 /** Wait for the part of the organisation's maximum that the job may use. */
 function computeMaximumWait (state: CellState, { organisations }: CellLoad, ahead: readonly WaitingTasks[], queue: Queue, organisation: string, exceedsShare: boolean): ExpectedWait {
   const maximum = state.organisations.find(organisation)?.maximum
@@ -50,21 +54,31 @@
  * Wait for room on the targets of the pool. An organisation whose work is below its share waits only as long as its own work
  * takes in its share, because its steps go first.
  */
-function computeRoomWait (state: CellState, { pools, active }: CellLoad, ahead: readonly WaitingTasks[], { pool, priority }: Queue, organisation: string): ExpectedWait {
-  const room = pools.get(pool)
-  const share = computeShare(state, active.get(pool) ?? new Set(), organisation)
+function computeRoomWait (state: CellState, load: CellLoad, own: readonly WaitingTasks[], queue: Queue, organisation: string, exceedsShare: boolean): ExpectedWait {
+  const { pool, priority } = queue
+  const room = load.pools.get(pool)
+  const share = computeShare(state, load.active.get(pool) ?? new Set(), organisation)
   const ratio = priority === 0 ? 1 : NON_URGENT_CAPACITY_RATIO
   const rate = mapDemand((resource) => room === undefined ? 0 : Math.max(0, room.capacity[resource] * ratio - room.lasting[resource]))
-  if (room === undefined || ahead.length === 0) return { cause: 'room', waitMs: 0, rate }
-  const free = priority === 0 ? room.free : room.freeForNonUrgent
-  const own = ahead.filter((tasks) => tasks.organisation === organisation)
-  const waits = RESOURCES.filter((resource) => rate[resource] > 0).map((resource) => {
-    const waitMs = room.releases[resource].computeWaitMs(free[resource], toUses(ahead, resource))
-    return Math.min(waitMs, computeWorkMs(own, resource) / (rate[resource] * share))
-  })
+  if (room === undefined || own.length === 0) return { cause: 'room', waitMs: 0, rate }
+  const all = getRoomWaits(load, room, queue, exceedsShare)
+  const waits = RESOURCES.filter((resource) => rate[resource] > 0).map((resource) => Math.min(all[resource], computeWorkMs(own, resource) / (rate[resource] * share)))
   return { cause: 'room', waitMs: Math.min(HORIZON_MS, Math.max(0, ...waits)), rate: mapDemand((resource) => rate[resource] * share) }
 }
 
+/** Waits for room behind all that goes before a further job, whatever its organisation. */
+function getRoomWaits ({ waiting, roomWaits }: CellLoad, room: PoolRoom, queue: Queue, exceedsShare: boolean): Demand {
+  const { pool, priority } = queue
+  const key = JSON.stringify([pool, priority, exceedsShare])
+  const known = roomWaits.get(key)
+  if (known !== undefined) return known
+  const ahead = waiting.filter((tasks) => waitsForRoom(tasks, queue) && goesBefore(tasks, priority, exceedsShare))
+  const free = priority === 0 ? room.free : room.freeForNonUrgent
+  const waits = mapDemand((resource) => room.capacity[resource] === 0 ? 0 : room.releases[resource].computeWaitMs(free[resource], toUses(ahead, resource)))
+  roomWaits.set(key, waits)
+  return waits
+}
+
 function toUses (ahead: readonly WaitingTasks[], resource: keyof Demand): ReadonlyArray<{ readonly amount: number, readonly runMs: number }> {
   return ahead.map(({ tasks, demand, runMs }) => ({ amount: tasks * demand[resource], runMs }))
 }
