Play chains of leaders with the detour; start each search with its route

Change: the change of the route starts the search. The virtual cell has members with the detour, and its store serves members differently.

--- a/src/controller/store-detour/store-detour.ts
+++ b/src/controller/store-detour/store-detour.ts
@@ -168,20 +168,31 @@
 
   /** Searches a way if that is due; resolves at the end of the search. */
   private searchIfDue (): Promise<void> {
-    if (this.search === undefined && isSearchDue(this.route, performance.now())) this.search = this.searchWay().finally(() => { this.search = undefined })
+    if (this.search === undefined && isSearchDue(this.route, performance.now())) this.search = this.searchWay()
     return this.search ?? Promise.resolve()
   }
 
   private async searchWay (): Promise<void> {
+    const found = await this.findWay()
+    // The route that follows may need the next search at once.
+    this.search = undefined
+    this.options.reporter.count('store-detour', `found-${found.type}`)
+    this.apply({ type: 'search-ended', found })
+  }
+
+  private async findWay (): Promise<FoundWay> {
     const now = performance.now()
     for (const [address, failedAt] of this.failedProxies) {
       if (now - failedAt >= FAILURE_MEMORY_MS) this.failedProxies.delete(address)
     }
     const { getPeers, getLeaderAddress, self } = this.options
     const candidates = orderProxies({ candidates: getPeers(), ownDomain: self.failureDomain, leader: getLeaderAddress(), failedAt: this.failedProxies, now })
-    const found = await findFirst([this.tryDirect(), ...candidates.slice(0, TRIED_PROXIES).map((proxy) => this.tryProxy(proxy))])
-    this.options.reporter.count('store-detour', `found-${found.type}`)
-    this.apply({ type: 'search-ended', found })
+    try {
+      return await findFirst([this.tryDirect(), ...candidates.slice(0, TRIED_PROXIES).map((proxy) => this.tryProxy(proxy))])
+    } catch (error) {
+      this.reportError(error)
+      return { type: 'none' }
+    }
   }
 
   private async tryDirect (): Promise<FoundWay> {
@@ -206,6 +217,8 @@
     const { route } = this
     if (before === undefined && route.type === 'detour') this.reportBegin(route.proxy)
     else if (before !== undefined && !this.isDetouring) this.reportEnd(route.type, before)
+    // Calls wait for the search, whichever event has caused it.
+    if (route.type === 'searching') this.searchIfDue().catch((error: unknown) => this.reportError(error))
   }
 
   private reportBegin (proxy: Peer): void {
--- a/test/controller/leader-chains.ts
+++ b/test/controller/leader-chains.ts
@@ -29,6 +29,8 @@
   readonly lateCommandsEndWithTarget?: boolean
   /** Targets that close each connection after their answer. */
   readonly closingIds?: ReadonlySet<string>
+  /** Whether members call the store through others while it refuses them alone. */
+  readonly hasDetour?: boolean
 }
 
 /** What a chain of leaders has shown. */
@@ -52,8 +54,8 @@
  * @example
  * const { violations } = await playLeaderChain(7)
  */
-export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS, { endMs = END_MS, lateCommandsEndWithTarget = false, closingIds = new Set() }: ChainOptions = {}): Promise<ChainOutcome> {
-  const cell = VirtualCell.create(seed, { members: MEMBERS, targets: TARGETS, longestLeaseMs: LONGEST_LEASE_MS })
+export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS, { endMs = END_MS, lateCommandsEndWithTarget = false, closingIds = new Set(), hasDetour = false }: ChainOptions = {}): Promise<ChainOutcome> {
+  const cell = VirtualCell.create(seed, { members: MEMBERS, targets: TARGETS, longestLeaseMs: LONGEST_LEASE_MS, hasDetour })
   const faults: string[] = []
   cell.targets.lateCommandsEndWithTarget = lateCommandsEndWithTarget
   cell.targets.closingIds = closingIds
--- a/test/controller/store-detour/store-detour.test.ts
+++ b/test/controller/store-detour/store-detour.test.ts
@@ -140,6 +140,12 @@
   }))
 }
 
+test('store detour: guards against the failure that calls wait for a search that nobody makes after two proxies have failed', () => runVirtually(async () => {
+  const members = new Members('refuses', { m2: 'busy-with-writes', m3: 'busy-with-writes' })
+  assert.equal(describe(await members.store.call(WRITE)), 'not-applied')
+  assert.equal(describe(await members.store.call(READ)), 'read')
+}))
+
 const outages = [
   { service: 'silent', ownCalls: 130, memberCalls: 36, sentByOthers: 6 },
   { service: 'refuses', ownCalls: 525, memberCalls: 36, sentByOthers: 4 }
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -42,6 +42,8 @@
   readonly targets: number
   /** Longest lease of the targets, in milliseconds; 10 s without it. */
   readonly longestLeaseMs?: number
+  /** Whether members call the store through others while it refuses them alone. */
+  readonly hasDetour?: boolean
 }
 
 /** One line of a member's log. */
@@ -66,7 +68,7 @@
   linksBetweenSides: 'silent' | 'refusing' = 'silent'
   private readonly originalRandom = Math.random
 
-  private constructor (seed: number, readonly time: VirtualTime, private readonly longestLeaseMs: number | undefined) {
+  private constructor (seed: number, readonly time: VirtualTime, private readonly longestLeaseMs: number | undefined, private readonly hasDetour: boolean) {
     this.random = Random.create(seed)
     Math.random = () => this.random.next()
     const report = (text: string): void => { this.violations.push(`at ${Math.round(time.nowMs)}: ${text}`) }
@@ -83,8 +85,8 @@
    * await cell.time.advance(2_000)
    * cell.close()
    */
-  static create (seed: number, { members, targets, longestLeaseMs }: VirtualCellOptions): VirtualCell {
-    const cell = new VirtualCell(seed, VirtualTime.install(), longestLeaseMs)
+  static create (seed: number, { members, targets, longestLeaseMs, hasDetour = false }: VirtualCellOptions): VirtualCell {
+    const cell = new VirtualCell(seed, VirtualTime.install(), longestLeaseMs, hasDetour)
     for (let index = 0; index < targets; index += 1) cell.targets.add(`t${index}`)
     for (let index = 0; index < members; index += 1) cell.addHost(`m${index}`)
     return cell
@@ -185,6 +187,7 @@
     const member = this.time.runIn(process, () => VirtualMember.start({
       self: { member: name, address, bindsCommands: true },
       store: connection,
+      hasDetour: this.hasDetour,
       commands: this.targets.connect((target) => findHost()?.cutFromTargets === true || findHost()?.unreachedTargets.has(target) === true),
       callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
       probe: async (to) => {
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -13,7 +13,9 @@
 import { ProcessProbe } from '../../src/controller/leadership/process-probe.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
 import type { ConnectionCommands } from '../../src/ports/command-client.ts'
-import type { Store } from '../../src/ports/store.ts'
+import { StoreDetour } from '../../src/controller/store-detour/store-detour.ts'
+import { StoreProxy } from '../../src/controller/store-detour/store-proxy.ts'
+import type { ObservedStore } from '../../src/ports/store.ts'
 import type { TargetEntry } from '../../src/workflow/target-entry.ts'
 import { CONFIGURATION } from '../workflow/harness.ts'
 
@@ -29,7 +31,9 @@
 /** What a member reaches: the store, the targets and the other members. */
 export type VirtualMemberOptions = {
   readonly self: Peer
-  readonly store: Store
+  readonly store: ObservedStore
+  /** Whether the member calls the store through others while it is refused alone. */
+  readonly hasDetour: boolean
   readonly commands: ConnectionCommands
   readonly callMember: (address: string, call: MemberCall, timeoutMs: number) => Promise<MemberCallResult>
   readonly probe: (address: string) => Promise<ProbeResult>
@@ -44,9 +48,12 @@
   readonly jobService: JobService
   private readonly commands: IncarnationCheck
   private controller: Controller | undefined
+  private readonly store: ObservedStore
 
   private constructor (private readonly options: VirtualMemberOptions) {
-    const { self, store, reporter, callMember, probe } = options
+    const { self, store: direct, hasDetour, reporter, callMember, probe } = options
+    const store = hasDetour ? StoreDetour.create({ direct, self, reporter, getPeers: () => this.link.knownMembers, getLeaderAddress: () => this.leadership.leader?.address, callMember }) : direct
+    this.store = store
     this.commands = IncarnationCheck.create({ commands: options.commands, reporter })
     const advisor = AdviceCache.create({ advise: async () => ({ type: 'failed', reason: 'none' }) })
     this.link = MemberLink.create({
@@ -56,7 +63,8 @@
       reporter,
       probe,
       getLeadership: () => this.leadership,
-      getController: () => this.controller
+      getController: () => this.controller,
+      ...hasDetour && { storeProxy: StoreProxy.create({ direct, reporter }) }
     })
     this.jobService = JobService.create({
       store,
@@ -72,6 +80,7 @@
       member: self.member,
       address: self.address,
       cores: 2,
+      isDetouring: () => store instanceof StoreDetour && store.isDetouring,
       reporter,
       onElected: (term) => this.startController(term, advisor),
       onLeadershipLost: () => this.stopController(),
@@ -90,7 +99,8 @@
   }
 
   private startController (term: Term, advisor: AdviceCache): void {
-    const { self, store, reporter, probe, longestLeaseMs } = this.options
+    const { self, reporter, probe, longestLeaseMs } = this.options
+    const { store } = this
     const processProbe = ProcessProbe.create({ probe, furtherPorts: FURTHER_PORTS })
     this.controller?.stop()
     this.controller = Controller.create({
--- a/test/controller/virtual-store.ts
+++ b/test/controller/virtual-store.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow'
 import { COMMIT_KEY, PROGRESS_PREFIX, TARGETS_KEY, progressKey } from '../../src/controller/records/store-keys.ts'
 import type { CommitRecord } from '../../src/controller/records/store-keys.ts'
-import type { Store, StoreCall, StoreFailure, StoreResponse } from '../../src/ports/store.ts'
+import type { ObservedStore, StoreCall, StoreCallLimits, StoreFailure, StoreResponse } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
 import type { JobProgress } from '../../src/workflow/progress-record.ts'
 import type { Random } from '../../src/util/random.ts'
@@ -16,6 +16,9 @@
 const LATE_SPREAD_MS = 5_000
 
 type StoreResult = Result<StoreResponse, StoreFailure>
+
+const NO_RESPONSE: StoreResult = err({ reason: 'timeout', verdict: 'may-have-applied' })
+
 type Respond = (result: StoreResult, delayMs: number) => void
 type WatchCall = Extract<StoreCall, { type: 'watch' }>
 type WaitingWatch = { readonly call: WatchCall, readonly startedAt: number, readonly connection: VirtualConnection, readonly respond: Respond }
@@ -24,8 +27,10 @@
 export type Service = 'served' | 'rejected' | 'silent'
 
 /** The connection of one member to the store. */
-export class VirtualConnection implements Store {
+export class VirtualConnection implements ObservedStore {
   service: Service = 'served'
+  /** Whether the last call that has ended was served. */
+  isResponsive = true
 
   private constructor (private readonly store: VirtualStore) {}
 
@@ -33,8 +38,10 @@
     return new VirtualConnection(store)
   }
 
-  call (call: StoreCall): Promise<StoreResult> {
-    return this.store.handle(this, call)
+  async call (call: StoreCall, limits?: StoreCallLimits): Promise<StoreResult> {
+    const result = await this.store.handle(this, call, limits)
+    this.isResponsive = result.isOk()
+    return result
   }
 }
 
@@ -81,17 +88,17 @@
   }
 
   /** Handles a call; the response belongs to the process that calls. */
-  handle (connection: VirtualConnection, call: StoreCall): Promise<StoreResult> {
+  handle (connection: VirtualConnection, call: StoreCall, limits?: StoreCallLimits): Promise<StoreResult> {
     const owner: VirtualProcess | undefined = this.time.currentProcess
     return new Promise((resolve) => {
       const respond: Respond = (result, delayMs) => { this.time.schedule(delayMs, () => resolve(result), owner) }
+      if (limits !== undefined) respond(NO_RESPONSE, limits.timeoutMs)
       this.route(connection, call, respond)
     })
   }
 
   private route (connection: VirtualConnection, call: StoreCall, respond: Respond): void {
     const service = this.service === 'served' ? connection.service : this.service
-    const timeout = err({ reason: 'timeout', verdict: 'may-have-applied' } as const)
     const timeoutMs = call.type === 'watch' ? call.waitMs + WATCH_MARGIN_MS : CALL_TIMEOUT_MS
     if (service === 'rejected' || this.exceedsLimit(call)) {
       this.counts.rejected += 1
@@ -99,18 +106,18 @@
     }
     if (service === 'silent') {
       this.counts.silent += 1
-      return respond(timeout, timeoutMs)
+      return respond(NO_RESPONSE, timeoutMs)
     }
     const isWrite = call.type !== 'read' && call.type !== 'watch'
     if (isWrite && this.random.next() < this.lateRatio) {
       this.counts.late += 1
       this.time.schedule(LATE_MS + this.random.nextInt(LATE_SPREAD_MS), () => this.applyLate(call))
-      return respond(timeout, timeoutMs)
+      return respond(NO_RESPONSE, timeoutMs)
     }
     if (call.type !== 'watch' && this.random.next() < this.lostRatio) {
       this.counts.lost += 1
       this.time.schedule(this.drawLatencyMs(), () => this.apply(call))
-      return respond(timeout, timeoutMs)
+      return respond(NO_RESPONSE, timeoutMs)
     }
     this.time.schedule(this.drawLatencyMs(), () => this.answer(connection, call, respond))
   }
@@ -163,7 +170,7 @@
     if (response === 'waiting') return
     this.waitingWatches.delete(watch)
     if (this.service === 'served' && watch.connection.service === 'served') return watch.respond(ok(response), this.drawLatencyMs())
-    watch.respond(err({ reason: 'timeout', verdict: 'may-have-applied' }), watch.startedAt + watch.call.waitMs + WATCH_MARGIN_MS - this.time.nowMs)
+    watch.respond(NO_RESPONSE, watch.startedAt + watch.call.waitMs + WATCH_MARGIN_MS - this.time.nowMs)
   }
 
   /** Leases expire without a call; their watches are answered then. */
