--- a/src/controller/store-detour/store-detour.ts
+++ b/src/controller/store-detour/store-detour.ts
@@ -18,6 +18,8 @@
 const DIRECT_PATIENCE_MS = 300
 /** Time for a trial of a way, in milliseconds. */
 const TRIAL_TIMEOUT_MS = 300
+/** Time by which the trial of the own way may end later than that of a proxy, in milliseconds: one slow call is no reason for a detour. */
+const DIRECT_PREFERENCE_MS = 50
 /** Time limit of a call that a proxy makes, in milliseconds. */
 const PROXIED_CALL_TIMEOUT_MS = 400
 /** Time for a message to the proxy and back, in addition to the time limit of the call, in milliseconds. */
@@ -188,7 +190,8 @@
     const { getPeers, getLeaderAddress, self } = this.options
     const candidates = orderProxies({ candidates: getPeers(), ownDomain: self.failureDomain, leader: getLeaderAddress(), failedAt: this.failedProxies, now })
     try {
-      return await findFirst([this.tryDirect(), ...candidates.slice(0, TRIED_PROXIES).map((proxy) => this.tryProxy(proxy))])
+      const direct = this.tryDirect()
+      return await findFirst([direct, ...candidates.slice(0, TRIED_PROXIES).map((proxy) => this.tryProxy(proxy, direct))])
     } catch (error) {
       this.reportError(error)
       return { type: 'none' }
@@ -200,8 +203,10 @@
     return { type: result.isOk() ? 'direct' : 'none' }
   }
 
-  private async tryProxy (proxy: Peer): Promise<FoundWay> {
+  /** `direct`: the trial of the own way, which may end a little later and be preferred. */
+  private async tryProxy (proxy: Peer, direct: Promise<FoundWay>): Promise<FoundWay> {
     const { result } = await this.askProxy(proxy, TRIAL_CALL, TRIAL_TIMEOUT_MS)
+    await waitAtMost(direct, DIRECT_PREFERENCE_MS)
     return result.isOk() ? { type: 'proxy', proxy } : { type: 'none' }
   }
 
--- a/test/adapters/member-calls.test.ts
+++ b/test/adapters/member-calls.test.ts
@@ -52,3 +52,26 @@
   for (const socket of sockets) socket.destroy()
   silent.close()
 })
+
+// A proxy would make calls to the store that their sender has given up.
+test('member calls: guards against the failure that a member does not learn that its caller waits no longer', async () => {
+  const awaited: boolean[] = []
+  let ended = (): void => {}
+  const handled = new Promise<void>((resolve) => { ended = resolve })
+  const server = await MemberCallServer.listen({
+    address: '127.0.0.1:0',
+    onCall: async (_call, isAwaited) => {
+      awaited.push(isAwaited())
+      await wait(3 * TIMEOUT_MS)
+      awaited.push(isAwaited())
+      ended()
+      return { type: 'noted' }
+    }
+  })
+  const client = MemberCallClient.create()
+  assert.deepEqual((await client.call(`127.0.0.1:${server.port}`, { type: 'phase', id: 'a' }, TIMEOUT_MS))._unsafeUnwrapErr(), { reason: 'timeout' })
+  await handled
+  assert.deepEqual(awaited, [true, false])
+  client.close()
+  server.close()
+})
