--- a/src/controller/store-detour/store-detour.ts
+++ b/src/controller/store-detour/store-detour.ts
@@ -18,6 +18,8 @@
 const DIRECT_PATIENCE_MS = 300
 /** Time for a trial of a way, in milliseconds. */
 const TRIAL_TIMEOUT_MS = 300
+/** Time by which the trial of the own way may end later than that of a proxy, in milliseconds: one slow call is no reason for a detour. */
+const DIRECT_PREFERENCE_MS = 50
 /** Time limit of a call that a proxy makes, in milliseconds. */
 const PROXIED_CALL_TIMEOUT_MS = 400
 /** Time for a message to the proxy and back, in addition to the time limit of the call, in milliseconds. */
@@ -168,20 +170,32 @@
 
   /** Searches a way if that is due; resolves at the end of the search. */
   private searchIfDue (): Promise<void> {
-    if (this.search === undefined && isSearchDue(this.route, performance.now())) this.search = this.searchWay().finally(() => { this.search = undefined })
+    if (this.search === undefined && isSearchDue(this.route, performance.now())) this.search = this.searchWay()
     return this.search ?? Promise.resolve()
   }
 
   private async searchWay (): Promise<void> {
+    const found = await this.findWay()
+    // The route that follows may need the next search at once.
+    this.search = undefined
+    this.options.reporter.count('store-detour', `found-${found.type}`)
+    this.apply({ type: 'search-ended', found })
+  }
+
+  private async findWay (): Promise<FoundWay> {
     const now = performance.now()
     for (const [address, failedAt] of this.failedProxies) {
       if (now - failedAt >= FAILURE_MEMORY_MS) this.failedProxies.delete(address)
     }
     const { getPeers, getLeaderAddress, self } = this.options
     const candidates = orderProxies({ candidates: getPeers(), ownDomain: self.failureDomain, leader: getLeaderAddress(), failedAt: this.failedProxies, now })
-    const found = await findFirst([this.tryDirect(), ...candidates.slice(0, TRIED_PROXIES).map((proxy) => this.tryProxy(proxy))])
-    this.options.reporter.count('store-detour', `found-${found.type}`)
-    this.apply({ type: 'search-ended', found })
+    try {
+      const direct = this.tryDirect()
+      return await findFirst([direct, ...candidates.slice(0, TRIED_PROXIES).map((proxy) => this.tryProxy(proxy, direct))])
+    } catch (error) {
+      this.reportError(error)
+      return { type: 'none' }
+    }
   }
 
   private async tryDirect (): Promise<FoundWay> {
@@ -189,8 +203,10 @@
     return { type: result.isOk() ? 'direct' : 'none' }
   }
 
-  private async tryProxy (proxy: Peer): Promise<FoundWay> {
+  /** `direct`: the trial of the own way, which may end a little later and be preferred. */
+  private async tryProxy (proxy: Peer, direct: Promise<FoundWay>): Promise<FoundWay> {
     const { result } = await this.askProxy(proxy, TRIAL_CALL, TRIAL_TIMEOUT_MS)
+    await waitAtMost(direct, DIRECT_PREFERENCE_MS)
     return result.isOk() ? { type: 'proxy', proxy } : { type: 'none' }
   }
 
@@ -206,6 +222,8 @@
     const { route } = this
     if (before === undefined && route.type === 'detour') this.reportBegin(route.proxy)
     else if (before !== undefined && !this.isDetouring) this.reportEnd(route.type, before)
+    // Calls wait for the search, whichever event has caused it.
+    if (route.type === 'searching') this.searchIfDue().catch((error: unknown) => this.reportError(error))
   }
 
   private reportBegin (proxy: Peer): void {
