--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -3,6 +3,7 @@
 import { run } from 'node:test'
 import { spec } from 'node:test/reporters'
 import { existsSync, readFileSync, readdirSync } from 'node:fs'
+import { once } from 'node:events'
 import { join } from 'node:path'
 import { parseKnownRed } from './known-red.ts'
 
@@ -18,6 +19,8 @@
   process.exit(1)
 }
 
+// Tests that measure a process, such as its memory, run one file at a time after all others.
+const ALONE_SUFFIX = '.process.test.ts'
 // Four files at once leave cores free for the processes that some tests start.
 const CONCURRENT_FILES = 4
 const FILE_TIMEOUT_MS = 240_000
@@ -26,17 +29,22 @@
 const knownRed = existsSync('KNOWN-RED.txt') ? parseKnownRed(readFileSync('KNOWN-RED.txt', 'utf8')) : new Set()
 const counts = { passed: 0, failed: 0 }
 const passedOver = []
-const stream = run({ files: files.map((file) => join(process.cwd(), file)), concurrency: CONCURRENT_FILES, timeout: FILE_TIMEOUT_MS })
-stream.on('test:pass', (event) => { if (event.details.type !== 'suite') counts.passed += 1 })
-stream.on('test:fail', (event) => {
-  if (knownRed.has(event.name)) return passedOver.push(event.name)
-  if (event.details.type !== 'suite') counts.failed += 1
-  process.exitCode = 1
-})
-stream.on('end', () => {
-  setImmediate(() => {
-    for (const name of passedOver) console.log(`known failure, listed in KNOWN-RED.txt: ${name}`)
-    console.log(`\n${counts.passed} passed, ${counts.failed} failed`)
+const alone = files.filter((file) => file.endsWith(ALONE_SUFFIX))
+await runFiles(files.filter((file) => !alone.includes(file)), CONCURRENT_FILES)
+await runFiles(alone, 1)
+for (const name of passedOver) console.log(`known failure, listed in KNOWN-RED.txt: ${name}`)
+console.log(`\n${counts.passed} passed, ${counts.failed} failed`)
+
+async function runFiles (selected, concurrency) {
+  if (selected.length === 0) return
+  const stream = run({ files: selected.map((file) => join(process.cwd(), file)), concurrency, timeout: FILE_TIMEOUT_MS })
+  stream.on('test:pass', (event) => { if (event.details.type !== 'suite') counts.passed += 1 })
+  stream.on('test:fail', (event) => {
+    if (knownRed.has(event.name)) return passedOver.push(event.name)
+    if (event.details.type !== 'suite') counts.failed += 1
+    process.exitCode = 1
   })
-})
-stream.compose(spec).pipe(process.stdout)
+  const report = stream.compose(spec)
+  report.pipe(process.stdout, { end: false })
+  await once(report, 'end')
+}
--- a/test/platform/process-harness.ts
+++ b/test/platform/process-harness.ts
@@ -18,20 +18,20 @@
 
 /** One member process with a stand-in for the store, for tests of signals. */
 export class MemberProcess {
-  private constructor (readonly process: ProcessMember, readonly kv: KvServer, readonly settingsPath: string, private readonly address: URL, private readonly readinessUrl: string) {}
+  private constructor (readonly process: ProcessMember, readonly kv: KvServer, readonly settingsPath: string, readonly callers: URL, private readonly readinessUrl: string) {}
 
   /**
    * Starts the process; `octet` is the third of its loopback address 127.1.x.2, which differs between concurrent tests. The test can
-   * write the settings itself, to a path that it has prepared.
+   * write the settings itself, to a path that it has prepared, and set environment variables.
    */
-  static async start (octet: number, writeSettings: (path: string, text: string) => void = writeFileSync): Promise<MemberProcess> {
+  static async start (octet: number, writeSettings: (path: string, text: string) => void = writeFileSync, variables: Readonly<Record<string, string>> = {}): Promise<MemberProcess> {
     const kv = await KvServer.listen()
     StandinOperator.create(kv).configure({ version: 1, host: HOST, key: KEY, weight: 100, maxAttempts: 2, queues: [{ name: 'short', priority: 0 }] })
     const options = { name: 'm1', host: `127.1.${octet}.2`, failureDomain: 'east', storeAddress: kv.address, advisorAddress: kv.address, cores: 1 }
     const settings = { ...createMemberSettings(options) as object, bounds: { maxHoldMs: 6_000, graceS: GRACE_S } }
     const settingsPath = join(mkdtempSync(join(tmpdir(), 'damaskfield-signals-')), 'settings.json')
     writeSettings(settingsPath, JSON.stringify(settings))
-    const process = ProcessMember.spawn({ id: options.name, args: ['--import', 'tsx', 'platform/main.ts'], variables: { DAMASKFIELD_SETTINGS: settingsPath }, callerAddress: getCallerAddress(options) })
+    const process = ProcessMember.spawn({ id: options.name, args: ['--import', 'tsx', 'platform/main.ts'], variables: { ...variables, DAMASKFIELD_SETTINGS: settingsPath }, callerAddress: getCallerAddress(options) })
     return new MemberProcess(process, kv, settingsPath, new URL(getCallerAddress(options)), getReadinessAddress(options))
   }
 
@@ -46,7 +46,7 @@
 
   /** Opens a connection for callers. */
   async connect (): Promise<Socket> {
-    const socket = connect(Number(this.address.port), this.address.hostname)
+    const socket = connect(Number(this.callers.port), this.callers.hostname)
     await once(socket, 'connect')
     return socket
   }
