--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -78,6 +78,7 @@
   get organisation (): string | undefined { return this.organisationName }
   /** Number of requests whose response has not been sent to its end. */
   get requests (): number { return this.countedRequests }
+  get isRefusingFurther (): boolean { return this.isDiscarding }
   get isBetweenResponses (): boolean { return this.exchanges.length === 0 }
   /** Whether something has been sent after the present request, which has no body. */
   get isPipelining (): boolean {
--- a/src/ingress/ingress-port.ts
+++ b/src/ingress/ingress-port.ts
@@ -133,12 +133,14 @@
   /** Bytes that are no request get the library's usual response, unless an earlier request still waits for its own. */
   private handleClientError ({ code = '' }: NodeJS.ErrnoException, connection: CallerConnection): void {
     if (connection.destroyed) return
+    // After a refusal the rest of the request is missing.
+    if (connection.isRefusingFurther) return
     this.options.ingress.countClosed('malformed')
     const { phase } = connection.state
     connection.refuseFurther()
     if (phase === 'serving' || phase === 'unread') return
     if (connection.abortBody !== undefined) return connection.abortBody('interrupted')
-    if (phase === 'lingering' || !connection.isBetweenResponses) connection.destroy()
+    if (!connection.isBetweenResponses) connection.destroy()
     else connection.end(`HTTP/1.1 ${STATUS_LINES[code] ?? '400 Bad Request'}\r\nConnection: close\r\n\r\n`)
   }
 }
