Let the product's own limit apply to requests that wait on it

Cause: a caller of the product's interface waits on its connection until its request has ended; the limits on requests that are not accepted would count it. Change: a submission counts no more once it is handed over; the interface gets as many connections as callers may wait; an error of a handler ends the process as before.

--- a/src/api/work-routes.ts
+++ b/src/api/work-routes.ts
@@ -34,6 +34,8 @@
   if (body.isErr()) return respondProblem(response, createBodyProblem(body.error, options.bodyLimitBytes))
   const submission = parseSubmission(body.value, kind)
   if (submission.isErr()) return respondProblem(response, createProblemDocument(400, 'invalid', 'The body is not valid', { errors: submission.error }))
+  // From here on the limit of waiting connections applies.
+  getConnection(request)?.releaseRequests()
   const { suffix, hasIdempotencyKey, keyIssuedAt } = createWorkSuffix(submission.value.queue, idempotencyKey)
   const waiting = options.callers.submit({ suffix, hasIdempotencyKey, credential, submission: { ...submission.value, keyIssuedAt } })
   response.on('close', waiting.abandon)
--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -134,8 +134,9 @@
     this.events.onHeldChange(organisation, this.heldBytes, this.countedRequests)
   }
 
-  /** Counts its requests no more: they are being refused. */
+  /** Counts its requests and their body no more: they are being refused, or other limits apply to them from now on. */
   releaseRequests (): void {
+    this.setBodyBytes(0)
     this.countRequests(0)
   }
 
--- a/src/ingress/read-scheduler.ts
+++ b/src/ingress/read-scheduler.ts
@@ -47,7 +47,13 @@
   private schedule (): void {
     if (this.isScheduled) return
     this.isScheduled = true
-    setImmediate(() => { this.run().catch(() => {}) })
+    setImmediate(() => {
+      this.run().catch((error: unknown) => {
+        this.isScheduled = false
+        // An error of a handler ends the process, as it would without the scheduler.
+        setImmediate(() => { throw error })
+      })
+    })
   }
 
   private async run (): Promise<void> {
--- a/src/runtime/start-member.ts
+++ b/src/runtime/start-member.ts
@@ -87,7 +87,8 @@
   if (peerServer.isErr()) throw new Error(`cannot listen for members on ${settings.peers.listen}: ${peerServer.error.detail}`)
   let draining = false
   const ingress = Ingress.create({
-    settings: settings.ingress,
+    // Callers wait for the end of their requests on their connections.
+    settings: { ...settings.ingress, maxConnections: Math.max(settings.ingress.maxConnections, settings.limits.waitingConnections) },
     reporter: {
       count: (counter, reason) => telemetry.counters.count({ counter, reason }),
       log: (level, message, fields) => telemetry.report({ type: 'log', level, message, fields })
--- a/test/api/api-server-close.test.ts
+++ b/test/api/api-server-close.test.ts
@@ -116,6 +116,24 @@
   await closed
 })
 
+const unfinished = [
+  { guards: 'headers that do not end', text: 'GET /healthz HTTP/1.1\r\nHo' },
+  { guards: 'a body that does not end', text: 'POST /v1/jobs HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab' },
+  { guards: 'pipelined requests whose responses are not read', text: REQUEST.repeat(50_000) }
+]
+
+for (const { guards, text } of unfinished) {
+  test(`API server: guards against the failure that ${guards} keep it from closing`, async () => {
+    const { server, port } = await createServer()
+    const socket = await openConnection(port)
+    socket.on('error', () => {})
+    socket.write(text)
+    await wait(100)
+    await server.close()
+    socket.destroy()
+  })
+}
+
 /** Keeps the event loop from reading, as a long computation does. */
 function waitBusily (durationMs: number): void {
   const endsAt = performance.now() + durationMs
