Order waiting work by past use of the organisations

Cause: shares are kept over seconds, but some organisations use far more over hours, and nothing remembers an hour.

Change: a decayed account of each organisation's dominant share by weight is charged with each change of use, counts in the rank between lateness and the weighted usage, and is stored as the learned record past-use. Off unless /scheduling/pastUseHalfLifeS is set.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -7,6 +7,7 @@
 import type { CellEffect } from '../workflow/effect.ts'
 import type { CellEvent } from '../workflow/event.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
+import type { AccountEntry } from '../workflow/past-use/past-use.ts'
 import { createAdviceChannel } from './advice/advice-channel.ts'
 import { AdviceDispatcher } from './advice/advice-dispatcher.ts'
 import { CommandLoad } from './commands/command-load.ts'
@@ -157,6 +158,11 @@
     return this.scheduler.overloads
   }
 
+  /** What the organisations have used, as the leader knows it. */
+  get pastUse (): readonly AccountEntry[] {
+    return this.scheduler.pastUse
+  }
+
   /** Whether no further job should be accepted, because those that have not ended fill the memory. */
   get isFull (): boolean {
     return this.scheduler.isFull
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -14,10 +14,13 @@
 import { HeldJobs } from './held-jobs.ts'
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
-import { acceptJob, endJob, isReleasable, openDueOccurrences, restoreJob } from './jobs.ts'
+import { acceptJob, endJob, isReleasable, openDueOccurrences, removeEndedJobs, restoreJob } from './jobs.ts'
 import { KnownSettings } from './settings/known-settings.ts'
 import { LastingPrecedence } from './order/lasting-precedence.ts'
 import { LastingTaskWaits } from './waits/lasting-task-waits.ts'
+import { restorePastUse, updatePastUse } from './past-use/update-past-use.ts'
+import { PastUse } from './past-use/past-use.ts'
+import type { AccountEntry } from './past-use/past-use.ts'
 import { PendingAdvice } from './advice/pending-advice.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
@@ -75,6 +78,7 @@
       queues: KnownSettings.create(),
       organisations: KnownSettings.create(),
       usage: new Map(),
+      pastUse: PastUse.create(resolved.features.pastUseHalfLifeS),
       batchRuns: new Map(),
       submissionBuckets: new Map(),
       jobs: new Map(),
@@ -212,6 +216,11 @@
     return buildCellSummary(this.state)
   }
 
+  /** What the organisations have used, largest first; empty unless past use counts. */
+  get pastUse (): readonly AccountEntry[] {
+    return this.state.pastUse.list(this.state.now)
+  }
+
   /** Counts the known targets of each failure domain. */
   countTargetsByDomain (): ReadonlyMap<string, number> {
     const counts = new Map<string, number>()
@@ -288,7 +297,7 @@
       case 'silent-targets-restored': return state.silentTargets.restore(state, event.targets)
       case 'silent-targets-stored': return this.handleSilentTargetsStored(event.ids)
       case 'settings-restored': return restoreRemovedSettings(state, event.record)
-      case 'learned-restored': return
+      case 'learned-restored': return restorePastUse(state, event)
       case 'earlier-runs-listed': return resolveListedRuns(state)
       case 'earlier-runs-lapsed': return resolveEarlierRuns(state, 'lapsed')
       case 'tick': return this.handleTick(event)
@@ -375,21 +384,14 @@
     throttleTargets(state)
     prefetchAdvice(state)
     state.adviceBacklog.update(state)
+    updatePastUse(state)
     for (const job of state.jobs.values()) {
       if (job.active) openDueOccurrences(state, job)
     }
-    for (const [id, { endedAt }] of state.endedJobs) {
-      if (state.now - endedAt > state.options.endedJobRetentionMs) removeEndedJob(state, id)
-    }
+    removeEndedJobs(state)
     state.concludedStarts.store(state)
     state.lastingTasks.update(state)
     state.unsettledRuns.update(state)
     if (state.openSteps.size > 0) state.startPassNeeded = true
   }
 }
-
-/** Removes an ended job after the retention time, here and from the store. */
-function removeEndedJob (state: CellState, id: string): void {
-  state.endedJobs.delete(id)
-  state.effects.push({ type: 'forget-job', job: id })
-}
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -13,6 +13,7 @@
 import type { LastingPrecedence } from './order/lasting-precedence.ts'
 import type { LastingTaskWaits } from './waits/lasting-task-waits.ts'
 import type { OpenTargets } from './room/open-targets.ts'
+import type { PastUse } from './past-use/past-use.ts'
 import type { CellOptions } from './options.ts'
 import type { ResendPause } from './commands/resend-pause.ts'
 import type { RoomLog } from './room/room-log.ts'
@@ -41,6 +42,7 @@
   readonly queues: KnownSettings<QueueSettings>
   readonly organisations: KnownSettings<OrganisationSettings>
   readonly usage: Map<string, Demand>
+  readonly pastUse: PastUse
   /** By organisation, its runs that are neither urgent nor of tasks that last. */
   readonly batchRuns: Map<string, number>
   readonly submissionBuckets: Map<string, SubmissionBucket>
@@ -129,14 +131,21 @@
   return state.usage.get(organisation) ?? NO_DEMAND
 }
 
+/** Weight of the share of an organisation; 1 if it is not known. */
+export function getWeight (state: CellState, organisation: string): number {
+  return state.organisations.find(organisation)?.weight ?? 1
+}
+
 /** Adds a demand to the usage of an organisation, or subtracts it. */
 export function changeUsage (state: CellState, organisation: string, demand: Demand, sign: 1 | -1): void {
   const usage = getUsage(state, organisation)
-  state.usage.set(organisation, {
+  const changed = {
     cpuMillis: usage.cpuMillis + sign * demand.cpuMillis,
     memoryMiB: usage.memoryMiB + sign * demand.memoryMiB,
     accelerators: usage.accelerators + sign * demand.accelerators
-  })
+  }
+  state.usage.set(organisation, changed)
+  state.pastUse.charge({ organisation, usage: changed, weight: getWeight(state, organisation), now: state.now })
 }
 
 /** Counts a run that is neither urgent nor of a task that lasts, or uncounts it. */
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -172,3 +172,12 @@
   state.effects.push({ type: 'store-progress', job: job.definition.id })
   log(state, 'info', 'job-ended', { job: job.definition.id, phase, reason })
 }
+
+/** Removes ended jobs after the retention time, here and from the store. */
+export function removeEndedJobs (state: CellState): void {
+  for (const [id, { endedAt }] of state.endedJobs) {
+    if (state.now - endedAt <= state.options.endedJobRetentionMs) continue
+    state.endedJobs.delete(id)
+    state.effects.push({ type: 'forget-job', job: id })
+  }
+}
--- a/src/workflow/order/step-rank.ts
+++ b/src/workflow/order/step-rank.ts
@@ -1,4 +1,4 @@
-import { findQueue, getUsage } from '../cell-state.ts'
+import { findQueue, getUsage, getWeight } from '../cell-state.ts'
 import type { CellState } from '../cell-state.ts'
 import type { QueueSettings } from '../settings/job-settings.ts'
 import type { Job, StepRun } from '../task.ts'
@@ -12,10 +12,13 @@
 /**
  * Sort key of a waiting step, compared field by field; smaller values go first. Jobs that exceed their organisation's
  * share and jobs that are too late to be useful come last. Then the priority of the queue counts, then whether the job has
- * started, because the resources of an unfinished job are wasted. Then come lateness, the weighted usage of the
- * organisation and the age of the job.
+ * started, because the resources of an unfinished job are wasted. Then come lateness, the present and past use of the
+ * organisation (0 unless past use counts), its weighted usage and the age of the job.
  */
-export type StepRank = readonly [deferred: number, priority: number, begun: number, lateness: number, weightedUsage: number, acceptedAt: number]
+export type StepRank = readonly [deferred: number, priority: number, begun: number, lateness: number, pastUse: number, weightedUsage: number, acceptedAt: number]
+
+/** Index of `pastUse` in a rank. */
+export const PAST_USE_FIELD = 4
 
 /** Computes the rank of a step. */
 export function computeRank (state: CellState, step: StepRun): StepRank {
@@ -24,7 +27,7 @@
   const lateness = computeLateness(state, step)
   const deferred = (job.exceedsShare ? 1 : 0) + (lateness === 2 ? 1 : 0)
   const begun = job.phase === 'running' && !spec.longRunning
-  return [deferred, queue?.priority ?? Infinity, begun ? 0 : 1, begun ? 0 : lateness, computeWeightedUsage(state, job.definition.organisation), job.acceptedAt]
+  return [deferred, queue?.priority ?? Infinity, begun ? 0 : 1, begun ? 0 : lateness, computePastUse(state, job.definition.organisation), computeWeightedUsage(state, job.definition.organisation), job.acceptedAt]
 }
 
 function computeLateness (state: CellState, { job, stepNumber, spec }: StepRun): Lateness {
@@ -43,8 +46,11 @@
 
 /** Usage of an organisation divided by its weight. Organisations with a smaller value are served first. */
 function computeWeightedUsage (state: CellState, organisation: string): number {
-  const weight = state.organisations.find(organisation)?.weight ?? 1
-  return getUsage(state, organisation).cpuMillis / Math.max(weight, Number.MIN_VALUE)
+  return getUsage(state, organisation).cpuMillis / Math.max(getWeight(state, organisation), Number.MIN_VALUE)
+}
+
+function computePastUse (state: CellState, organisation: string): number {
+  return state.pastUse.computeOrderKey({ organisation, usage: getUsage(state, organisation), weight: getWeight(state, organisation), now: state.now })
 }
 
 /** Compares two ranks, as a comparator of `sort`. */
--- a/src/workflow/start-pass.ts
+++ b/src/workflow/start-pass.ts
@@ -9,6 +9,7 @@
 import { checkMaximum } from './room/organisation-maximum.ts'
 import { getOpenTargets } from './room/open-targets.ts'
 import { selectOverdueSteps } from './advice/overdue-advice.ts'
+import { recordOrderDecision } from './past-use/record-order-decision.ts'
 import { compareRanks, computeRank } from './order/step-rank.ts'
 import { findAllowedTargets, chooseTarget, needsAdvice } from './room/placement.ts'
 import { addRun, removeRun, sendStart } from './runs.ts'
@@ -35,7 +36,9 @@
   const ready = [...state.openSteps].filter((step) => hasStartableTask(step, state.now) && step.ready && mayStartStep(state, step))
   const overdue = selectOverdueSteps(state, ready)
   const rank = new Map(ready.map((step) => [step, computeRank(state, step)]))
-  return ready.sort((left, right) => Number(overdue.has(right)) - Number(overdue.has(left)) || compareRanks(rank.get(left)!, rank.get(right)!))
+  ready.sort((left, right) => Number(overdue.has(right)) - Number(overdue.has(left)) || compareRanks(rank.get(left)!, rank.get(right)!))
+  recordOrderDecision(state, ready, rank)
+  return ready
 }
 
 /**
