--- a/src/settings/feature-settings.ts
+++ b/src/settings/feature-settings.ts
@@ -19,17 +19,20 @@
 /** Features of the scheduler of a cell. */
 export type SchedulingFeatures = {
   readonly pastUseHalfLifeS: number
+  readonly submissionBurstS: number
   readonly learnedRunTimes: boolean
   readonly completionForecast: boolean
   readonly preemption: boolean
   readonly parallelLastAttempts: boolean
 }
 
+const MAX_SUBMISSION_BURST_S = 60
 const MAX_HALF_LIFE_S = 2_592_000
 
 /** All feature settings by JSON pointer, each with the default that leaves the feature off. The limits on callers are always in force. */
 export const FEATURE_TABLE: Readonly<Record<LeafPointer<FeatureSettings>, Setting>> = {
   '/scheduling/pastUseHalfLifeS': { shape: { type: 'number', integer: false, min: 0, max: MAX_HALF_LIFE_S }, unit: 's', default: 0, description: 'Half-life of the past use of an organisation, which orders waiting work. 0: past use does not count.' },
+  '/scheduling/submissionBurstS': { shape: { type: 'number', integer: false, min: 0.1, max: MAX_SUBMISSION_BURST_S }, unit: 's', default: 1.5, description: 'Burst of submissions of an organisation that counts as within its share, in seconds of its rate of `weight` jobs a second. Jobs beyond it are served after all others.' },
   '/scheduling/learnedRunTimes': flag('Run times are estimated from the runs that ended, beside what their jobs declare.'),
   '/scheduling/completionForecast': flag('Jobs are refused that would end too late to be of use to their callers.'),
   '/scheduling/preemption': flag('Runs that can be saved are stopped for urgent tasks that wait for room or for the maximum of their organisation.'),
