--- a/src/workflow/preemption/maximum-room.ts
+++ b/src/workflow/preemption/maximum-room.ts
@@ -12,7 +12,7 @@
 import type { WaitingStep } from './preemption.ts'
 import { estimateWaitMs } from './time-left.ts'
 import { findUsableTargets } from './usable-targets.ts'
-import { endsSoon, findVictim } from './victims.ts'
+import { MIN_GAIN_MS, endsSoon, findVictim } from './victims.ts'
 
 /** Number of steps of one organisation that one search makes room for: they need more than it may stop. */
 const MAX_SERVED_STEPS = 64
@@ -66,7 +66,9 @@
   const missing = computeMissing(state, { organisation, runs, maximum }, wanted)
   const victims = chooseVictims(missing, victimTargets === undefined ? candidates : candidates.filter(({ live }) => victimTargets.has(live.target)), { maxCount: state.preemption.getAllowedStops(state.now), getAllowance: ({ task }) => state.preemption.getAllowance(task.step) })
   if (victims.length === 0) return undefined
-  return { victims, steps: served, cause: 'maximum', gainMs: estimateWaitMs(runs.filter((live) => !endsSoon(state, live)), missing, state.now) - state.preemption.stopMs }
+  const freed = minDemand(missing, victims.reduce((sum, { demand }) => addDemands(sum, demand), NO_DEMAND))
+  const gainMs = estimateWaitMs(runs.filter((live) => !endsSoon(state, live)), freed, state.now) - state.preemption.stopMs
+  return gainMs < MIN_GAIN_MS ? undefined : { victims, steps: served, cause: 'maximum', gainMs }
 }
 
 function fitsMaximum (demand: Demand, maximum: Demand): boolean {
@@ -96,6 +98,10 @@
   }
 }
 
+function minDemand (left: Demand, right: Demand): Demand {
+  return { cpuMillis: Math.min(left.cpuMillis, right.cpuMillis), memoryMiB: Math.min(left.memoryMiB, right.memoryMiB), accelerators: Math.min(left.accelerators, right.accelerators) }
+}
+
 function multiplyDemand ({ cpuMillis, memoryMiB, accelerators }: Demand, factor: number): Demand {
   return { cpuMillis: cpuMillis * factor, memoryMiB: memoryMiB * factor, accelerators: accelerators * factor }
 }
--- a/src/workflow/preemption/target-room.ts
+++ b/src/workflow/preemption/target-room.ts
@@ -13,7 +13,7 @@
 import type { WaitingStep } from './preemption.ts'
 import { estimateWaitMs } from './time-left.ts'
 import { findUsableTargets } from './usable-targets.ts'
-import { endsSoon, findVictim } from './victims.ts'
+import { MIN_GAIN_MS, endsSoon, findVictim } from './victims.ts'
 
 /** Number of targets that one search examines, once for each waiting task, so that its time is bounded. */
 const SEARCH_BUDGET_TARGETS = 3_000
@@ -21,8 +21,6 @@
 const CHOICE_COST = 8
 /** Number of tasks of one step that one search makes room for. */
 const MAX_TASKS_OF_STEP = 16
-/** Runs are stopped only if there is room this much sooner, in milliseconds: what is lost costs more than a shorter wait. */
-const MIN_GAIN_MS = 200
 
 /** Room of a target that a search may still hand out, with what becomes free soon, and its runs that may be stopped. */
 type TargetRoom = { available: Demand, victims: readonly Victim[] }
--- a/src/workflow/preemption/victims.ts
+++ b/src/workflow/preemption/victims.ts
@@ -7,6 +7,8 @@
 
 /** Time that a task takes to continue from its checkpoint, in milliseconds. */
 export const RESTORE_MS = 600
+/** Runs are stopped only if there is room this much sooner, in milliseconds: what is lost costs more than a shorter wait. */
+export const MIN_GAIN_MS = 200
 /** A stopped task waits about this long for room again, in milliseconds. */
 const EXPECTED_WAIT_MS = 1_000
 
