Accept a refused caller that comes back early if there is room

Cause: such a caller was refused although a newcomer would have been accepted. Change: only callers that were refused for their organisation's share wait for their time in any case.

--- a/src/controller/admission/forecast-refusals.ts
+++ b/src/controller/admission/forecast-refusals.ts
@@ -22,8 +22,11 @@
 /** Callers of one queue and organisation whose times are remembered. */
 const MAX_PROMISES = 1_000
 
-/** When a refused caller is to come back, on the monotonic clock, and how long its job takes all that such jobs may use. */
-type Promised = { readonly at: number, readonly costMs: number }
+/**
+ * When a refused caller is to come back, on the monotonic clock, and how long its job takes all that such jobs may use.
+ * `isBeyondShare`: it was refused for its organisation's share of submissions, and not for the wait.
+ */
+type Promised = { readonly at: number, readonly costMs: number, readonly isBeyondShare: boolean }
 
 /** Decides which submissions are refused because their jobs would end too late to be of use to their callers. */
 export class ForecastRefusals {
@@ -58,12 +61,13 @@
     const bearableMs = computeBearableWaitMs(steps, forecast)
     const excessMs = forecast.waitMs + sumCosts(promises, own) - bearableMs
     const isBeyondShare = own === undefined && this.isBeyondShare(forecast, bearableMs)
-    if ((excessMs <= 0 && !isBeyondShare && !isEarly(own, now)) || (own !== undefined && now >= own.at && excessMs <= TOLERANCE_MS)) {
+    const mustWait = isBeyondShare || (isEarly(own, now) && own.isBeyondShare)
+    if ((excessMs <= 0 && !mustWait) || (own !== undefined && now >= own.at && excessMs <= TOLERANCE_MS)) {
       promises.delete(id)
       return undefined
     }
     const intervalMs = Math.max(computeCostMs(steps, forecast), forecast.beyondShare?.intervalMs ?? 0)
-    const promised = isEarly(own, now) ? own : this.promise(promises, id, { excessMs: Math.max(0, excessMs), costMs: isBeyondShare ? 0 : computeCostMs(steps, forecast), intervalMs: intervalMs * forecast.members })
+    const promised = isEarly(own, now) ? own : this.promise(promises, id, { excessMs: Math.max(0, excessMs), costMs: computeCostMs(steps, forecast), isBeyondShare, intervalMs: intervalMs * forecast.members })
     return Math.min(RETRY_AFTER_RANGE_MS.max, Math.max(RETRY_AFTER_RANGE_MS.min, promised.at - now))
   }
 
@@ -76,11 +80,11 @@
   }
 
   /** Each member gives its own times, so that they are as many times further apart as there are members. */
-  private promise (promises: Map<string, Promised>, id: string, { excessMs, costMs, intervalMs }: { excessMs: number, costMs: number, intervalMs: number }): Promised {
+  private promise (promises: Map<string, Promised>, id: string, { excessMs, intervalMs, ...promise }: Omit<Promised, 'at'> & { readonly excessMs: number, readonly intervalMs: number }): Promised {
     const now = this.now()
     const lastAt = Math.max(...[...promises.values()].map(({ at }) => at))
     const at = promises.size === 0 ? now + excessMs + this.random() * intervalMs : Math.max(now + excessMs, lastAt + intervalMs)
-    const promised = { at: Math.min(at, now + RETRY_AFTER_RANGE_MS.max), costMs }
+    const promised = { ...promise, at: Math.min(at, now + RETRY_AFTER_RANGE_MS.max) }
     promises.delete(id)
     if (promises.size < MAX_PROMISES) promises.set(id, promised)
     return promised
@@ -100,9 +104,9 @@
   return own !== undefined && now < own.at
 }
 
-/** Time that the jobs take whose callers come before the given one, or all of them for a new caller. */
+/** Time that the jobs take whose callers come before the given one, or all of them for a new caller; without those beyond the share. */
 function sumCosts (promises: ReadonlyMap<string, Promised>, own: Promised | undefined): number {
-  return [...promises.values()].reduce((sum, { at, costMs }) => at < (own?.at ?? Infinity) ? sum + costMs : sum, 0)
+  return [...promises.values()].reduce((sum, { at, costMs, isBeyondShare }) => !isBeyondShare && at < (own?.at ?? Infinity) ? sum + costMs : sum, 0)
 }
 
 /** Time that a job can wait and still be of use. The shorter of the declared and the estimated time counts, in doubt. */
--- a/test/controller/forecast-refusals.test.ts
+++ b/test/controller/forecast-refusals.test.ts
@@ -39,6 +39,7 @@
   { guards: 'callers that are refused come back at the same time', attempts: [{ id: 'a', at: 0, expected: 1_500 }, { id: 'b', at: 0, expected: 2_500 }, { id: 'c', at: 0, expected: 3_500 }] },
   { guards: 'members together tell more callers to come back than there is room for', members: 3, attempts: [{ id: 'a', at: 0, expected: 1_500 }, { id: 'b', at: 0, expected: 4_500 }] },
   { guards: 'a caller that comes back too early loses its time', attempts: [{ id: 'a', at: 0, expected: 1_500 }, { id: 'b', at: 0, expected: 2_500 }, { id: 'a', at: 300, expected: 1_200 }] },
+  { guards: 'a caller that comes back early waits although there is room', attempts: [{ id: 'a', at: 0, expected: 1_500 }, { id: 'a', at: 300, waitMs: 2_000, expected: undefined }] },
   { guards: 'a newcomer takes the room of a caller that was told to come back', attempts: [{ id: 'a', at: 0, expected: 1_500 }, { id: 'new', at: 1_500, waitMs: 2_500, expected: 2_000 - 1_000 }, { id: 'a', at: 1_500, waitMs: 2_500, expected: undefined }] },
   { guards: 'a caller that comes at its time is refused for what is not precise', attempts: [{ id: 'a', at: 0, expected: 1_500 }, { id: 'a', at: 1_500, waitMs: 3_000, expected: undefined }] },
   { guards: 'a caller that comes at its time is accepted although the load has grown', attempts: [{ id: 'a', at: 0, expected: 1_500 }, { id: 'a', at: 1_500, waitMs: 9_000, expected: 6_500 }] },
@@ -73,6 +74,7 @@
     const forecast = { ...FORECAST, waitMs: 0, beyondShare: { ...BEYOND_SHARE, waitMs } }
     const retryAfterMs = refusals.getRetryAfterMs(buildJob('a', STEP), [forecast])
     assert.equal(retryAfterMs, expected)
+    assert.equal(refusals.getRetryAfterMs(buildJob('a', STEP), [forecast]), expected, 'keeps its time')
     now = retryAfterMs ?? 0
     assert.equal(refusals.getRetryAfterMs(buildJob('a', STEP), [forecast]), undefined, 'accepted at its time')
   })
