--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -115,7 +115,7 @@
       adviceBacklog: AdviceBacklog.create(),
       allowedRatios: new Map(),
       runTimes: RunTimes.create(resolved.features.learnedRunTimes),
-      lastingBacklogs: LastingBacklogs.create(resolved.features.completionForecast),
+      lastingBacklogs: LastingBacklogs.create(resolved.features.newestFirstInBacklog),
       forecasts: CompletionForecasts.create(resolved.features.completionForecast),
       uncertainUsage: NO_DEMAND,
       lastRunNumber: resolved.firstRunNumber - 1,
