Check a configuration before it is sent

Cause: members read the platform's configuration leniently and leave out what they can't read; operators see a mistake only when it is in force.

Change: damaskfield configuration check FILE [--in-force FILE] [--json] reports errors with their place and the nearest name, entries that can never match, limits that contradict each other, and the differences from the version in force with their effect on running work. Exit code 0, 1 (warnings), 2 (errors).

--- a/src/cli/base-command.ts
+++ b/src/cli/base-command.ts
@@ -1,4 +1,5 @@
 import { Command, Option, UsageError, type BaseContext } from 'clipanion'
+import type { ConfigurationReport, TextFile } from '../servicefiles/index.ts'
 import type { Settings } from '../settings/index.ts'
 import { redactKeys } from '../util/team-key.ts'
 import { Client } from './client.ts'
@@ -20,6 +21,8 @@
   readonly startMember: (settings: Settings) => Promise<RunningMember>
   /** Resolves to the exit code. */
   readonly runDemo: (options: DemoOptions) => Promise<number>
+  /** Checks a configuration in the form of the operators' platform. */
+  readonly checkConfiguration: (file: TextFile, inForce?: TextFile) => ConfigurationReport
 }
 
 /** Context of each command. */
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -2,6 +2,7 @@
 import { DomainInCommand, DomainOutCommand, HostDrainCommand, HostUndrainCommand, KeyGiveCommand, KeyWithdrawCommand } from './actions.ts'
 import type { ProgramContext } from './base-command.ts'
 import { CheckCommand } from './check.ts'
+import { ConfigurationCheckCommand } from './configuration-check.ts'
 import { DemoCommand } from './demo.ts'
 import { ENTRY_COMMANDS } from './entries.ts'
 import { EXIT_CODE } from './exit-code.ts'
@@ -16,7 +17,7 @@
 
 /** All commands of the binary. */
 export const COMMANDS: readonly CommandClass<ProgramContext>[] = [
-  ServeCommand, DemoCommand, CheckCommand, PublishCommand, HistoryCommand, RollbackCommand, ...ENTRY_COMMANDS,
+  ServeCommand, DemoCommand, CheckCommand, ConfigurationCheckCommand, PublishCommand, HistoryCommand, RollbackCommand, ...ENTRY_COMMANDS,
   KeyGiveCommand, KeyWithdrawCommand, DomainOutCommand, DomainInCommand, HostDrainCommand, HostUndrainCommand,
   SubmitCommand, StatusCommand, CancelCommand, ExplainCommand, TopCommand
 ]
--- a/test/cli/program.test.ts
+++ b/test/cli/program.test.ts
@@ -5,6 +5,7 @@
 import { PassThrough } from 'node:stream'
 import { after, afterEach, beforeEach, test } from 'node:test'
 import type { Change } from '../../src/model/configuration.ts'
+import { checkConfiguration } from '../../platform/check-configuration.ts'
 import type { ProgramDependencies } from '../../src/cli/base-command.ts'
 import { runProgram } from '../../src/cli/program.ts'
 import { parseTeamKey, verifySecret } from '../../src/util/team-key.ts'
@@ -21,7 +22,8 @@
 
 const dependencies: ProgramDependencies = {
   startMember: async () => { throw new Error('the store did not answer') },
-  runDemo: async ({ write }) => { write('demo'); return 0 }
+  runDemo: async ({ write }) => { write('demo'); return 0 },
+  checkConfiguration
 }
 
 beforeEach(async () => {
@@ -232,3 +234,19 @@
     assert.equal((await run(line, { DAMASKFIELD_SERVER: address })).exitCode, 3)
   }
 })
+
+test('configuration check: guards against the failure that a script cannot tell errors from warnings, for both forms of a file', async () => {
+  const now = join(folder, 'now.damaskfield.json')
+  writeFileSync(now, JSON.stringify({ organisations: [felt.value], teams: [stock.value] }))
+  writeFileSync(file, JSON.stringify({ organisations: [felt.value], teams: [{ ...stock.value, weight: 2 }] }))
+  const changed = await run(`configuration check ${file} --in-force ${now} --json`)
+  assert.deepEqual([changed.exitCode, changed.json().changes], [0, ['~ team stock: weight 1 -> 2']])
+  const platform = join(folder, 'next.json')
+  const codes: number[] = []
+  for (const text of ['{"version":1}', '{"version":1,"tenants":[{"name":"a","weight":0,"maximum":{"cpu":1}}]}', '{"version":"1"}', '{']) {
+    writeFileSync(platform, text)
+    codes.push((await run(`configuration check ${platform}`)).exitCode)
+  }
+  assert.deepEqual(codes, [0, 1, 2, 2])
+  assert.equal((await run('configuration check no-such-file.json')).exitCode, 2)
+})
