--- a/test/workflow/forecast/lasting-backlogs.test.ts
+++ b/test/workflow/forecast/lasting-backlogs.test.ts
@@ -17,7 +17,7 @@
 function run (loads: readonly Load[], enabled: boolean, weight = 100): ReadonlyArray<{ readonly organisation: string, readonly startedAt: number, readonly waitedMs: number }> {
   const organisations = loads.map(({ organisation }) => ({ ...ORGANISATION, name: organisation, weight }))
   const capacity = { cpuMillis: 1_000, memoryMiB: 1_000, accelerators: 0 }
-  const harness = CellHarness.create([buildEntry('t1', { capacity })], { ...CONFIGURATION, organisations }, { features: { ...DEFAULT_FEATURES.scheduling, completionForecast: enabled } })
+  const harness = CellHarness.create([buildEntry('t1', { capacity })], { ...CONFIGURATION, organisations }, { features: { ...DEFAULT_FEATURES.scheduling, newestFirstInBacklog: enabled } })
   const jobs = new Map<string, { readonly organisation: string, readonly at: number }>()
   const started = []
   const endsAt = new Map<ReturnType<CellHarness['getStarts']>[number], number>()
