--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -20,11 +20,11 @@
   readonly count: (counter: string, reason: string) => void
 }
 
-/** `resources`: of the process by default. */
+/** `resources`: what the settings say of those of the process; the operating system is asked for the rest. */
 export type IngressOptions = {
   readonly settings: IngressSettings
   readonly reporter: IngressReporter
-  readonly resources?: ProcessResources
+  readonly resources?: Partial<ProcessResources>
 }
 
 /** A server whose connections are swept. */
@@ -48,7 +48,7 @@
   private reportedAtMs = 0
 
   private constructor ({ settings, resources }: IngressOptions, private readonly reporter: IngressReporter) {
-    this.resources = resources ?? readProcessResources()
+    this.resources = readProcessResources(resources)
     this.limits = computeLimits(settings, this.resources)
     setInterval(() => this.sweep(performance.now()), SWEEP_INTERVAL_MS).unref()
   }
--- a/src/ingress/process-resources.ts
+++ b/src/ingress/process-resources.ts
@@ -12,15 +12,19 @@
 const DEFAULT_DESCRIPTORS = 4_096
 
 /**
- * Reads the memory and the descriptors that this process has.
+ * Reads the memory and the descriptors that this process has. What its settings say of them goes before what the operating system
+ * says, which may tell the limits of the host.
  *
  * @example
- * readProcessResources() // { memoryBytes: 262144000, descriptors: 4100 }
+ * readProcessResources({ descriptors: 4_100 }) // { memoryBytes: 262144000, descriptors: 4100 }
  */
-export function readProcessResources (): ProcessResources {
+export function readProcessResources ({ memoryBytes, descriptors }: Partial<ProcessResources> = {}): ProcessResources {
+  return { memoryBytes: memoryBytes ?? readMemory(), descriptors: descriptors ?? readDescriptorLimit() }
+}
+
+function readMemory (): number {
   const constrainedBytes = process.constrainedMemory()
-  const memoryBytes = constrainedBytes > 0 ? Math.min(constrainedBytes, totalmem()) : totalmem()
-  return { memoryBytes, descriptors: readDescriptorLimit() }
+  return constrainedBytes > 0 ? Math.min(constrainedBytes, totalmem()) : totalmem()
 }
 
 function readDescriptorLimit (): number {
