--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -4,7 +4,7 @@
 import type { ConnectionState } from './connection-state.ts'
 import { findBoundary } from './request-boundary.ts'
 
-/** Largest part that is passed on at once, in bytes. One in chunks of one byte takes about 2 ms. */
+/** Largest part that is passed on at once, in bytes: one that comes in chunks of one byte costs an event for each. */
 const PART_BYTES = 8_192
 /** From this size on a request counts as large, in bytes. */
 const LARGE_BYTES = 16_384
--- a/src/workflow/forecast/room-profile.ts
+++ b/src/workflow/forecast/room-profile.ts
@@ -9,7 +9,7 @@
 /** Waiting tasks of one step: what they use of the resource together, and how long each runs. */
 export type WaitingUse = { readonly amount: number, readonly runMs: number }
 
-/** Room of one resource over the next seconds: what is free now, and what the runs of today release when they end. */
+/** Room of one resource over the next seconds: what is free now, and what the present runs release when they end. */
 export class RoomProfile {
   private constructor (private readonly releases: Float64Array) {}
 
--- a/src/workflow/past-use/past-use.ts
+++ b/src/workflow/past-use/past-use.ts
@@ -11,9 +11,8 @@
 const FORGOTTEN_HALF_LIVES = 20
 
 /**
- * How much more the account counts than present use. At the moment when an organisation starts work its present use is lower
- * than its mean, by more the larger its jobs are for its share; in a cell of 16 tasks with weights 1, 2 and 4, the largest
- * deviation from a share was 42% of it without past use, 6% with 4, 3% with 10 and 2% with 20 (half-life of 300 s).
+ * How much more the account counts than present use. At the moment when an organisation starts work, its present use is below its
+ * mean, by more the larger its jobs are for its share; a small factor lets that decide.
  */
 const ACCOUNT_FACTOR = 20
 
--- a/src/workflow/past-use/use-account.ts
+++ b/src/workflow/past-use/use-account.ts
@@ -2,7 +2,7 @@
 
 /**
  * Half-life of the recent mean, in seconds; also at most that of the account. A shorter one follows single jobs. A longer one
- * lets an organisation that was idle take all free room for longer: in a trial with five others, 5.5 s with 10 and 2.8 s with 5.
+ * lets an organisation that was idle take all free room for about half as long.
  */
 const RECENT_HALF_LIFE_S = 5
 
