Use one limit of lateness, and name the deferred ranks

Cause: the factor after which a job is of no use stood in three modules, and preemption read the first field of a rank by its index. Change: step-rank.ts exports both; no behaviour changes.

--- a/src/controller/admission/forecast-refusals.ts
+++ b/src/controller/admission/forecast-refusals.ts
@@ -1,10 +1,9 @@
 import type { CompletionForecast } from '../../workflow/forecast/completion-forecast.ts'
 import type { Demand, JobDefinition, Step } from '../../workflow/job.ts'
 import { estimateRunMs } from '../../workflow/run-times/run-time-model.ts'
+import { MAX_LATENESS_FACTOR } from '../../workflow/order/step-rank.ts'
 import { computeChainsMs } from '../../workflow/task.ts'
 
-/** A job that takes longer than this many times its objective is of no use to its caller. */
-const MAX_LATENESS_FACTOR = 3
 /**
  * Where the newest go first, work that waits this many times as long as it is of use refuses jobs. In a steady load of `a` times the
  * rate, the work that is still of use takes `a - 1` times that long, and one job in `a` ends in time: with 3, a quarter of them. Callers that
--- a/src/workflow/order/step-rank.ts
+++ b/src/workflow/order/step-rank.ts
@@ -4,7 +4,7 @@
 import type { Job, StepRun } from '../task.ts'
 
 /** A job that takes longer than this many times its objective is no longer useful to its caller. */
-const MAX_LATENESS_FACTOR = 3
+export const MAX_LATENESS_FACTOR = 3
 
 /** Expected end of a job relative to its objective: `0` on time, `1` late, `2` too late to be useful. */
 export type Lateness = 0 | 1 | 2
@@ -18,6 +18,11 @@
  */
 export type StepRank = readonly [deferred: number, priority: number, begun: number, lateness: number, pastUse: number, weightedUsage: number, orderTime: number]
 
+/** Whether a step with this rank comes after all that is not deferred. */
+export function isDeferred ([deferred]: StepRank): boolean {
+  return deferred > 0
+}
+
 /** Index of `pastUse` in a rank. */
 export const PAST_USE_FIELD = 4
 
--- a/src/workflow/preemption/make-room.ts
+++ b/src/workflow/preemption/make-room.ts
@@ -1,6 +1,6 @@
 import { count, findQueue, log } from '../cell-state.ts'
 import type { CellState } from '../cell-state.ts'
-import { computeObjectiveMs, computeRank } from '../order/step-rank.ts'
+import { MAX_LATENESS_FACTOR, computeObjectiveMs, computeRank, isDeferred } from '../order/step-rank.ts'
 import { sendStop } from '../runs.ts'
 import type { StepRun } from '../task.ts'
 import type { Victim } from './choose-victims.ts'
@@ -9,8 +9,6 @@
 import { makeRoomOnTargets } from './target-room.ts'
 import { RESTORE_MS } from './victims.ts'
 
-/** A job that takes longer than this many times its objective is no longer useful to its caller. */
-const MAX_LATENESS_FACTOR = 3
 /** A step that waits for room longer than this does not wait for a response of the advisor, in milliseconds. */
 const MAX_REQUEST_MS = 300
 /** Longest gain that is logged, in milliseconds: tasks that last have no end. */
@@ -38,7 +36,7 @@
 function isUseful (state: CellState, step: WaitingStep['step']): boolean {
   const { job, stepNumber } = step
   const queue = findQueue(state, job.definition)
-  if (queue === undefined || computeRank(state, step)[0] > 0) return false
+  if (queue === undefined || isDeferred(computeRank(state, step))) return false
   if (job.definition.firstAtMs > 0 || step.spec.longRunning) return true
   const endMs = state.now - job.acceptedAt + state.preemption.stopMs + job.chainsMs[stepNumber]!
   return endMs <= MAX_LATENESS_FACTOR * computeObjectiveMs(queue, job)
