Look up kept room by target and organisation

Change: sets of the targets and organisations, rebuilt when claims change. Measured: npm test -- workflow/preemption workflow/last-attempts workflow/simulation.test: 58 passed.

--- a/src/workflow/preemption/preemption.ts
+++ b/src/workflow/preemption/preemption.ts
@@ -41,6 +41,9 @@
   private readonly stoppedTasks = new WeakSet<Task>()
   private readonly stoppedTasksOfJobs = new WeakMap<Job, Task[]>()
   private claims: readonly Claim[] = []
+  /** Targets and organisations of the claims: they are asked for with each look at a target. */
+  private keptTargets: ReadonlySet<TargetState> = new Set()
+  private keptOrganisations: ReadonlySet<string> = new Set()
   /** Steps that room is made for, and until when, on the scheduler's clock. */
   private readonly servedUntil = new Map<StepRun, number>()
   private searchedAt = -Infinity
@@ -120,7 +123,7 @@
     const stopped = (this.stoppedTasksOfJobs.get(task.step.job) ?? []).filter(isAway)
     this.stoppedTasksOfJobs.set(task.step.job, [...stopped, task])
     for (const step of steps) this.servedUntil.set(step, now + CLAIM_MS)
-    this.claims = [...this.claims, { live, target, steps, cause, stoppedAt: now, endedAt: undefined }]
+    this.setClaims([...this.claims, { live, target, steps, cause, stoppedAt: now, endedAt: undefined }])
   }
 
   /** Learns how long stops take, and gives up the claims that nothing waits for. */
@@ -135,7 +138,7 @@
     for (const [step, until] of this.servedUntil) {
       if (until <= now) this.servedUntil.delete(step)
     }
-    this.claims = this.claims.filter(({ steps, stoppedAt }) => now - stoppedAt < CLAIM_MS && steps.some((step) => step.job.active && hasStartableTask(step, now)))
+    this.setClaims(this.claims.filter(({ steps, stoppedAt }) => now - stoppedAt < CLAIM_MS && steps.some((step) => step.job.active && hasStartableTask(step, now))))
   }
 
   /** Whether room is being made for the step, so that it will need its tickets. */
@@ -145,15 +148,19 @@
 
   /** Whether the part of the maximum that a task of the step would use is kept for urgent steps. */
   keepsMaximumFrom (state: CellState, { job, spec }: StepRun): boolean {
-    if (this.claims.length === 0 || spec.longRunning || isUrgent(state, job.definition)) return false
-    const { organisation } = job.definition
-    return this.claims.some(({ cause, live, endedAt }) => cause === 'maximum' && endedAt !== undefined && live.task.step.job.definition.organisation === organisation)
+    return this.keptOrganisations.has(job.definition.organisation) && !spec.longRunning && !isUrgent(state, job.definition)
   }
 
   /** Whether the room that a task of the step would use on the target is kept for urgent steps. */
   keepsTargetFrom (state: CellState, target: TargetState, { job }: StepRun): boolean {
-    if (this.claims.length === 0 || !this.claims.some((claim) => claim.target === target && claim.cause === 'no-room')) return false
-    return !isUrgent(state, job.definition)
+    return this.keptTargets.has(target) && !isUrgent(state, job.definition)
+  }
+
+  private setClaims (claims: readonly Claim[]): void {
+    this.claims = claims
+    this.keptTargets = new Set(claims.filter(({ cause }) => cause === 'no-room').map(({ target }) => target))
+    const ended = claims.filter(({ cause, endedAt }) => cause === 'maximum' && endedAt !== undefined)
+    this.keptOrganisations = new Set(ended.map(({ live }) => live.task.step.job.definition.organisation))
   }
 }
 
