--- a/review/shared-3/cell.ts
+++ b/review/shared-3/cell.ts
@@ -23,6 +23,8 @@
 const BOUNDS = { maxHoldMs: 10_000, graceS: 6 } as const
 const ZONES = ['east', 'west', 'south'] as const
 const HEARTBEAT_MS = 1_500
+/** Time after which the platform starts a process again that has ended. */
+const RESTART_DELAY_MS = 1_000
 const READY_TIMEOUT_MS = 20_000
 
 export type CellOptions = {
@@ -32,14 +34,22 @@
   readonly record: string
 }
 
+type Member = { readonly options: MemberOptions, readonly file: string, process: ProcessMember }
+
+/** The end of a member process that nobody has asked for. */
+export type ProcessEnd = { readonly at: number, readonly member: string, readonly detail: string }
+
 export type CallerResponse = { readonly status: number, readonly state: string | undefined }
 
 /** Member processes, a store, an operator and workers on loopback addresses. */
 export class Cell {
   readonly workers: Worker[] = []
   readonly events: Array<RunEvent & { readonly at: number }> = []
+  /** Ends of member processes by themselves. The platform starts each of them again. */
+  readonly processEnds: ProcessEnd[] = []
   private readonly startedAt = performance.now()
-  private readonly members: Array<{ readonly options: MemberOptions, readonly process: ProcessMember }> = []
+  private readonly members: Member[] = []
+  private isClosing = false
   private readonly heartbeats = new Set<NodeJS.Timeout>()
   private readonly folder = mkdtempSync(join(tmpdir(), 'damaskfield-review-'))
 
@@ -70,8 +80,9 @@
     this.kv.put(`servers/${worker.id}`, worker.createEntry())
   }
 
-  async submit (id: string, body: unknown): Promise<CallerResponse> {
-    return await this.call('POST', id, body)
+  /** `first`: number of the member to which the client is connected. */
+  async submit (id: string, body: unknown, first = 0): Promise<CallerResponse> {
+    return await this.call('POST', id, body, first)
   }
 
   async getState (id: string): Promise<CallerResponse> {
@@ -79,9 +90,10 @@
   }
 
   /** Sends a call of a client to one member after another until one answers it with 200. */
-  async call (method: 'POST' | 'GET' | 'DELETE', id: string, body?: unknown): Promise<CallerResponse> {
+  async call (method: 'POST' | 'GET' | 'DELETE', id: string, body?: unknown, first = 0): Promise<CallerResponse> {
     let last: CallerResponse = { status: 0, state: undefined }
-    for (const { options } of this.members) {
+    const start = first % this.members.length
+    for (const { options } of [...this.members.slice(start), ...this.members.slice(0, start)]) {
       last = await this.callMember(options, method, id, body)
       this.write('call', { method, id, member: options.name, ...last })
       if (last.status === 200) return last
@@ -90,6 +102,7 @@
   }
 
   async close (): Promise<void> {
+    this.isClosing = true
     for (const timer of this.heartbeats) clearInterval(timer)
     for (const { process } of this.members) process.signal('SIGKILL')
     await Promise.all(this.members.map(({ process }) => process.waitForExit()))
@@ -129,9 +142,28 @@
     const options: MemberOptions = { name: `member-${index}`, host, failureDomain: ZONES[index % ZONES.length]!, storeAddress: this.kv.address, advisorAddress: '127.0.0.1:9', cores: 1 }
     const file = join(this.folder, `${options.name}.json`)
     writeFileSync(file, JSON.stringify({ platform: { ...createMemberSettings(options) as object, bounds: BOUNDS }, product: PRODUCT }))
-    const log = createWriteStream(join(this.folder, `${options.name}.log`))
-    const process = ProcessMember.spawn({ id: options.name, args: NODE_ARGUMENTS, variables: { DAMASKFIELD_SETTINGS: file }, callerAddress: getCallerAddress(options), onOutput: (chunk) => log.write(chunk) })
-    this.members.push({ options, process })
+    this.members.push({ options, file, process: this.startProcess(options, file) })
+    this.keepRunning(this.members.at(-1)!).catch((error: unknown) => this.write('restart-failed', { detail: String(error) }))
+  }
+
+  private startProcess (options: MemberOptions, file: string): ProcessMember {
+    const log = createWriteStream(join(this.folder, `${options.name}.log`), { flags: 'a' })
+    return ProcessMember.spawn({ id: options.name, args: NODE_ARGUMENTS, variables: { DAMASKFIELD_SETTINGS: file }, callerAddress: getCallerAddress(options), onOutput: (chunk) => log.write(chunk) })
+  }
+
+  /** Starts a member again whenever its process has ended, as the platform does. */
+  private async keepRunning (member: Member): Promise<void> {
+    const { options, file } = member
+    for (;;) {
+      const exitCode = await member.process.waitForExit()
+      if (this.isClosing) return
+      const detail = /FATAL ERROR[^\n]*/.exec(member.process.standardError)?.[0] ?? `exit code ${exitCode}`
+      this.processEnds.push({ at: this.now, member: options.name, detail })
+      this.write('process-ended', { member: options.name, detail })
+      await wait(RESTART_DELAY_MS)
+      if (this.isClosing) return
+      member.process = this.startProcess(options, file)
+    }
   }
 
   private async waitUntilReady (): Promise<void> {
--- a/review/shared-3/worker.ts
+++ b/review/shared-3/worker.ts
@@ -31,6 +31,7 @@
   private readonly socketLives = new WeakMap<Socket, number>()
   private life = 1
   private isUp = true
+  private resetsConnections = false
   private bornMs = Date.now()
   private lifeStartedAt = performance.now()
   private leaseUntilMs = 0
@@ -44,7 +45,10 @@
 
   private constructor (private readonly options: WorkerOptions) {
     this.server = createServer((request, response) => { this.handle(request, response).catch(() => request.socket.destroy()) })
-    this.server.on('connection', (socket) => this.socketLives.set(socket, this.life))
+    this.server.on('connection', (socket) => {
+      this.socketLives.set(socket, this.life)
+      if (this.resetsConnections) socket.resetAndDestroy()
+    })
   }
 
   /** Starts a worker at a free port of the loopback address. */
@@ -76,9 +80,14 @@
     return JSON.stringify({ service: 'kit', address: this.address, zone, version: 'v1', taskSlots: 8, state: 'ready', coldRemainingMs: 0, sequence: Date.now(), capacity: CAPACITY, labels, born: this.bornMs })
   }
 
-  /** Ends with all its runs, without a sign: what was open stays open until something is sent on it. */
-  crash (): void {
+  /**
+   * Ends with all its runs. `none`: without a sign, what was open stays open until something is sent on it. `reset`: connections are
+   * reset at once, and new ones until the next start.
+   */
+  crash (sign: 'none' | 'reset' = 'none'): void {
     this.isUp = false
+    this.resetsConnections = sign === 'reset'
+    if (this.resetsConnections) this.server.closeAllConnections()
     for (const { task, run, endTimer } of this.runs.values()) {
       clearTimeout(endTimer)
       this.options.observe({ type: 'ended', worker: this.id, born: this.bornMs, task, run, how: 'crash' })
@@ -94,6 +103,7 @@
   start (born: number): void {
     this.life += 1
     this.isUp = true
+    this.resetsConnections = false
     this.bornMs = born
     this.lifeStartedAt = performance.now()
     this.leaseUntilMs = 0
