--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -2,47 +2,41 @@
 import { runCase } from '../shared-3/cell.ts'
 import type { Cell } from '../shared-3/cell.ts'
 
-const JOB = 'a1b2c3d4e5f60711'
-/** Time for the tasks to be at work before the trouble, and for what follows it, in milliseconds. */
-const CALM_MS = 4_000
-const WATCHED_MS = 9_000
-const CHECK_INTERVAL_MS = 20
+const JOBS = 70
+/** Steps of a large job. Its body has less than half of `maxBodyBytes`, and what is stored of it less than `valueBytes`. */
+const STEPS = 3_000
+const CALM_MS = 3_000
+const WATCHED_MS = 85_000
+const CHECK_INTERVAL_MS = 250
+/** Of the rule: ends of the processes of one machine by themselves, and machines on which that happens. */
+const ENDS_OF_A_MACHINE = 3
+const MACHINES = 2
 
-/** A program that is none of the workers registers itself under the id of one: its own service, address and start. */
-function writeForeignEntry (cell: Cell, id: string): void {
-  const entry = { service: 'log-shipper', address: '127.0.0.1:9', zone: 'east', version: 'ls-4', taskSlots: 1, state: 'ready', coldRemainingMs: 0, sequence: 1, capacity: { cpu: 500, memMb: 256, gpu: 0 }, labels: [], born: Date.now() }
-  cell.kv.put(`servers/${id}`, JSON.stringify(entry))
-  cell.write('foreign-entry', { id, entry })
+/** A job whose steps follow each other, with one short task each. */
+function createBody (steps: number): unknown {
+  return { spec: '{"ms":20}', steps: Array.from({ length: steps }, (_, step) => ({ count: 1, cpu: 100, ...step > 0 && { after: [step - 1] } })) }
 }
 
-/** Finds a task that runs on two workers now; returns a description. */
-function findDoubleRun (cell: Cell): string | undefined {
-  const places = new Map<string, string>()
-  for (const worker of cell.workers) {
-    for (const { task, run } of worker.running) {
-      const place = `${worker.id} (run ${run})`
-      const other = places.get(task)
-      if (other !== undefined) return `TWICE: task ${task} runs on ${other} and on ${place} at the same time, and both are up`
-      places.set(task, place)
-    }
-  }
-  return undefined
+/** The machines on which processes have ended so often by themselves. */
+function findCrashingMachines (cell: Cell): readonly string[] {
+  const members = cell.processEnds.map(({ member }) => member)
+  return [...new Set(members)].filter((member) => members.filter((other) => other === member).length >= ENDS_OF_A_MACHINE)
 }
 
 async function play (cell: Cell, isTroubled: boolean): Promise<string | undefined> {
-  const accepted = await cell.submit(JOB, { spec: '{"ms":30000}', steps: [{ count: 6, cpu: 1_000, memMb: 64, estimatedMs: 30_000 }] })
-  if (accepted.status !== 200) throw new Error('the job was not accepted')
   await wait(CALM_MS)
-  const busy = cell.workers.find(({ running }) => running.length > 0)
-  if (busy === undefined) throw new Error('no task has started')
-  if (isTroubled) writeForeignEntry(cell, busy.id)
+  const body = createBody(isTroubled ? STEPS : 1)
+  cell.write('burst', { jobs: JOBS, bodyBytes: JSON.stringify(body).length })
+  const outcomes = await Promise.all(Array.from({ length: JOBS }, async (_, index) => await cell.submit(`a1b2c3d4e5f7${index.toString(16).padStart(4, '0')}`, body, index)))
+  const accepted = outcomes.filter(({ status }) => status === 200).length
+  cell.write('burst-answered', { accepted, notAccepted: JOBS - accepted })
   const endAt = performance.now() + WATCHED_MS
-  let breach: string | undefined
   while (performance.now() < endAt) {
-    breach ??= findDoubleRun(cell)
     await wait(CHECK_INTERVAL_MS)
+    if (findCrashingMachines(cell).length < MACHINES) continue
+    return `FAULT: of ${JOBS} jobs ${accepted} were accepted; since then the processes of ${findCrashingMachines(cell).join(' and ')} have ended by themselves ${ENDS_OF_A_MACHINE} times (${cell.processEnds.at(-1)!.detail})`
   }
-  return breach
+  return undefined
 }
 
-await runCase({ members: 3, workers: Array.from({ length: 6 }, () => ({ kind: 'a' })), record: process.argv[2]! }, play)
+await runCase({ members: 7, workers: Array.from({ length: 6 }, () => ({ kind: 'a' })), record: process.argv[2]! }, play)
