review/14: one lost worker costs its lasting tasks 10.6 s where workers close connections

Cause: a worker whose listings could not be bound to one life 15 times in a row is marked, and the longest lease is waited for when it is lost.

Change: the case; the shared stand-ins can close connections and lose a worker.

--- a/review/shared-3/cell.ts
+++ b/review/shared-3/cell.ts
@@ -23,13 +23,15 @@
 const BOUNDS = { maxHoldMs: 10_000, graceS: 6 } as const
 const ZONES = ['east', 'west', 'south'] as const
 const HEARTBEAT_MS = 1_500
+/** An entry expires after three heartbeats of silence. */
+const EXPIRY_MS = 3 * HEARTBEAT_MS
 /** Time after which the platform starts a process again that has ended. */
 const RESTART_DELAY_MS = 1_000
 const READY_TIMEOUT_MS = 20_000
 
 export type CellOptions = {
   readonly members: number
-  readonly workers: ReadonlyArray<{ readonly kind: string }>
+  readonly workers: ReadonlyArray<{ readonly kind: string, readonly closesConnections?: boolean }>
   /** File to which the case writes what was sent, answered and run. */
   readonly record: string
 }
@@ -44,6 +46,8 @@
 /** Member processes, a store, an operator and workers on loopback addresses. */
 export class Cell {
   readonly workers: Worker[] = []
+  /** Workers that are lost for good: their entries expire. */
+  private readonly gone = new Set<Worker>()
   readonly events: Array<RunEvent & { readonly at: number }> = []
   /** Ends of member processes by themselves. The platform starts each of them again. */
   readonly processEnds: ProcessEnd[] = []
@@ -60,7 +64,7 @@
     writeFileSync(record, '')
     StandinOperator.create(cell.kv).configure({ version: 1, host: HOST, key: KEY, weight: 100, maxAttempts: 3, queues: [{ name: 'plain', priority: 1 }] })
     const subnet = await reserveSubnet(process.pid)
-    for (const [index, { kind }] of workers.entries()) await cell.addWorker(index, kind)
+    for (const [index, { kind, closesConnections = false }] of workers.entries()) await cell.addWorker(index, kind, closesConnections)
     for (let index = 0; index < members; index += 1) cell.addMember(index, `127.0.${subnet}.${index + 2}`)
     await cell.waitUntilReady()
     return cell
@@ -81,6 +85,14 @@
   }
 
   /** `first`: number of the member to which the client is connected. */
+  /** Loses a worker for good. */
+  lose (worker: Worker): void {
+    this.gone.add(worker)
+    worker.crash()
+    this.write('worker-lost', { worker: worker.id })
+    setTimeout(() => this.kv.remove(`servers/${worker.id}`), EXPIRY_MS).unref()
+  }
+
   async submit (id: string, body: unknown, first = 0): Promise<CallerResponse> {
     return await this.call('POST', id, body, first)
   }
@@ -122,12 +134,13 @@
     }
   }
 
-  private async addWorker (index: number, kind: string): Promise<void> {
+  private async addWorker (index: number, kind: string, closesConnections: boolean): Promise<void> {
     const zone = ZONES[index % ZONES.length]!
     const worker = await Worker.listen({
       id: `w${index}`,
       zone,
       labels: [kind, `r-${zone}`],
+      closesConnections,
       observe: (event) => {
         this.events.push({ ...event, at: this.now })
         this.write(event.type, event)
@@ -135,7 +148,7 @@
     })
     this.workers.push(worker)
     this.register(worker)
-    this.heartbeats.add(setInterval(() => this.register(worker), HEARTBEAT_MS))
+    this.heartbeats.add(setInterval(() => { if (!this.gone.has(worker)) this.register(worker) }, HEARTBEAT_MS))
   }
 
   private addMember (index: number, host: string): void {
--- a/review/shared-3/worker.ts
+++ b/review/shared-3/worker.ts
@@ -13,6 +13,8 @@
   readonly zone: string
   readonly labels: readonly [kind: string, rack: string]
   readonly observe: (event: RunEvent) => void
+  /** Whether each response closes its connection. */
+  readonly closesConnections?: boolean
 }
 
 type Run = { readonly task: string, readonly run: number, readonly startedAt: number, readonly ms: number, endTimer: NodeJS.Timeout | undefined }
@@ -134,7 +136,7 @@
     const fields = JSON.parse(Buffer.concat(chunks).toString() || '{}') as Fields
     const { status, body } = await this.serve(request, fields)
     if (this.life !== life || !this.isUp) return
-    response.writeHead(status, { 'content-type': 'application/json' })
+    response.writeHead(status, { 'content-type': 'application/json', ...this.options.closesConnections === true && { connection: 'close' } })
     response.end(body === undefined ? '' : JSON.stringify(body))
   }
 
