Create objects for the steps of a job only when they may start soon

Cause: a job's steps all got objects when it was accepted or restored, 1,410 bytes each beside 254 of the definition: 350 MB for 210,000 steps, in a heap of 200 MB. Objects of steps that had ended stayed until the job ended.

Change: the steps of an occurrence get objects when they may start or are next, 100 that wait at most; one that has ended is released. The order of steps is kept in a few bytes each. Records of progress leave out the steps behind the last one of which something is known.

--- a/src/util/bit-set.ts
+++ b/src/util/bit-set.ts
@@ -19,6 +19,13 @@
     return new BitSet(size)
   }
 
+  /** Creates a set of all integers from 0 to below its size. */
+  static createFull (size: number): BitSet {
+    const set = new BitSet(size)
+    for (let index = 0; index < size; index++) set.add(index)
+    return set
+  }
+
   has (index: number): boolean {
     return this.bytes !== undefined && (this.bytes[index >> 3]! >> (index & 7) & 1) === 1
   }
--- a/src/workflow/advice/advice-requests.ts
+++ b/src/workflow/advice/advice-requests.ts
@@ -103,7 +103,7 @@
 
 function findStep (state: CellState, key: string): StepRun | undefined {
   const [job, occurrence, step] = key.split('.')
-  return state.jobs.get(job!)?.occurrences.get(Number(occurrence))?.[Number(step)]
+  return state.jobs.get(job!)?.occurrences.get(Number(occurrence))?.find(Number(step))
 }
 
 /** Requests advice for steps whose tasks may start soon. */
@@ -148,9 +148,11 @@
 /** Estimates the time until all predecessors of a step have ended; undefined while one of their tasks is not running. */
 function estimateTimeUntilReadyMs (job: Job, step: StepRun, now: number): number | undefined {
   let longestMs = 0
+  const steps = job.occurrences.get(step.occurrence)!
   for (const stepNumber of step.spec.after) {
-    const tasks = job.occurrences.get(step.occurrence)![stepNumber]?.tasks
-    if (tasks === undefined) continue
+    if (steps.isDone(stepNumber)) continue
+    const tasks = steps.find(stepNumber)?.tasks
+    if (tasks === undefined) return undefined
     if (tasks.unstartedCount > 0) return undefined
     for (const task of tasks.known()) {
       if (task.phase === 'done') continue
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -17,7 +17,7 @@
 import { HeldJobs } from './held-jobs.ts'
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
-import { acceptJob, endJob, isReleasable, openDueOccurrences, removeEndedJobs, restoreJob } from './jobs.ts'
+import { acceptJob, endJob, isReleasable, openDueOccurrences, openNextSteps, removeEndedJobs, restoreJob } from './jobs.ts'
 import { KnownSettings } from './settings/known-settings.ts'
 import { LastingPrecedence } from './order/lasting-precedence.ts'
 import { LastingTaskWaits } from './waits/lasting-task-waits.ts'
@@ -407,7 +407,9 @@
     state.forecasts.update(state)
     updatePastUse(state)
     for (const job of state.jobs.values()) {
-      if (job.active) openDueOccurrences(state, job)
+      if (!job.active) continue
+      openNextSteps(state, job)
+      openDueOccurrences(state, job)
     }
     removeEndedJobs(state)
     state.concludedStarts.store(state)
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -8,6 +8,7 @@
 import { learnJobSettings, storeSettingsOf } from './settings/removed-settings.ts'
 import { consumeSubmissionShare } from './order/submission-share.ts'
 import { stopRuns } from './runs.ts'
+import type { OccurrenceSteps } from './occurrence-steps.ts'
 import type { StepRun, Task } from './task.ts'
 import { Job } from './task.ts'
 
@@ -59,10 +60,10 @@
 /** Opens the occurrences of a job that are due, as far as it may have open tasks. */
 export function openDueOccurrences (state: CellState, job: Job): void {
   if (!mayOpenOccurrence(state, job)) return
-  let openTasks = countOpenTasks([...job.occurrences.values()].flat())
+  let openTasks = [...job.occurrences.values()].reduce((sum, { unfinishedTasks }) => sum + unfinishedTasks, 0)
   while (mayOpenFurther(state, openTasks) && mayOpenOccurrence(state, job)) {
     const steps = job.openOccurrence()
-    openTasks += countOpenTasks(steps)
+    openTasks += steps.unfinishedTasks
     openSteps(state, steps)
   }
 }
@@ -75,10 +76,6 @@
   return active && nextOccurrence < definition.occurrences && isDue(state, definition, nextOccurrence)
 }
 
-function countOpenTasks (steps: readonly StepRun[]): number {
-  return steps.reduce((sum, { unfinishedTasks }) => sum + unfinishedTasks, 0)
-}
-
 /** Whether an occurrence is due. */
 export function isDue (state: CellState, { firstAtMs, intervalMs }: JobDefinition, occurrence: number): boolean {
   return firstAtMs === 0 || firstAtMs + occurrence * intervalMs <= getWallTimeMs(state)
@@ -90,7 +87,7 @@
  */
 export function findListedTask (state: CellState, key: string): Task | undefined {
   const known = findTask(state, key)
-  if (known !== undefined) return known
+  if (known !== undefined) return openStepOf(state, known)
   const [id, occurrence] = key.split('.')
   const job = state.jobs.get(id!)
   if (job === undefined || !(Number(occurrence) < job.definition.occurrences)) return undefined
@@ -99,7 +96,15 @@
     const steps = job.openOccurrence()
     if (job.active) openSteps(state, steps)
   }
-  return findTask(state, key)
+  const task = findTask(state, key)
+  return task === undefined ? undefined : openStepOf(state, task)
+}
+
+/** A previous owner may have started a task of a step that has had no object here until now. */
+function openStepOf (state: CellState, task: Task): Task {
+  const { step } = task
+  if (step.job.active && !step.done) state.openSteps.add(step)
+  return task
 }
 
 /** Returns the time of day, in milliseconds since 1970. */
@@ -107,32 +112,46 @@
   return state.now + state.options.wallClockOffsetMs
 }
 
-function openSteps (state: CellState, steps: readonly StepRun[]): void {
-  for (const step of steps) {
+function openSteps (state: CellState, steps: OccurrenceSteps): void {
+  for (const step of steps.known()) {
     if (!step.done) state.openSteps.add(step)
   }
+  openFurtherSteps(state, steps)
   state.startPassNeeded = true
 }
 
+function openFurtherSteps ({ openSteps }: CellState, steps: OccurrenceSteps): void {
+  for (const step of steps.openFurther()) openSteps.add(step)
+}
+
+/** Opens further steps of a job in place of those whose tasks have started. */
+export function openNextSteps (state: CellState, job: Job): void {
+  for (const steps of job.occurrences.values()) openFurtherSteps(state, steps)
+}
+
 /** Marks a task as done. Its step and its job end with their last task. */
 export function finishTask (state: CellState, task: Task): void {
   if (task.phase === 'done') return task.step.tasks.release(task)
   task.phase = 'done'
   const { step } = task
   step.tasks.finish(task)
-  step.unfinishedTasks -= 1
+  step.recordTaskDone()
   state.effects.push({ type: 'store-progress', job: step.job.definition.id })
   if (!step.done) return
   state.openSteps.delete(step)
   state.startPassNeeded = true
-  finishOccurrence(state, step)
+  finishStep(state, step)
 }
 
-function finishOccurrence (state: CellState, step: StepRun): void {
+function finishStep (state: CellState, step: StepRun): void {
   const { job } = step
   const steps = job.occurrences.get(step.occurrence)!
-  if (!steps.every((sibling) => sibling.done)) return
-  if (job.nextOccurrence >= job.definition.occurrences && [...job.occurrences.values()].flat().every((open) => open.done)) endJob(state, job, 'completed', 'all tasks have ended')
+  steps.release(step)
+  if (!steps.areDone) {
+    if (job.active) openFurtherSteps(state, steps)
+    return
+  }
+  if (job.nextOccurrence >= job.definition.occurrences && [...job.occurrences.values()].every(({ areDone }) => areDone)) endJob(state, job, 'completed', 'all tasks have ended')
 }
 
 /** Counts a failed run of a task that is not long-running. The job fails when the attempts are exhausted. */
@@ -170,7 +189,7 @@
   job.phase = phase
   job.endedAt = state.now
   for (const steps of job.occurrences.values()) {
-    for (const step of steps) state.openSteps.delete(step)
+    for (const step of steps.known()) state.openSteps.delete(step)
   }
   stopRuns(state, job.knownTasks(), phase)
   state.effects.push({ type: 'store-progress', job: job.definition.id })
--- a/src/workflow/progress-record.ts
+++ b/src/workflow/progress-record.ts
@@ -1,8 +1,9 @@
-import { parseBitSet } from '../util/bit-set.ts'
+import { BitSet, parseBitSet } from '../util/bit-set.ts'
 import { restoreConcludedRuns, toStoredRuns } from './takeover/concluded-starts.ts'
 import type { StoredCrashes } from './crashes/crash-record.ts'
+import type { OccurrenceSteps } from './occurrence-steps.ts'
 import type { Job, StepRun } from './task.ts'
-import type { JobPhase } from './job.ts'
+import type { JobPhase, Step } from './job.ts'
 
 /** Stored progress of one step: `done` is a bit set of the finished tasks in hexadecimal, `failedRuns` is by task index. */
 export type StepProgress = {
@@ -15,6 +16,9 @@
   readonly concludedRuns?: unknown
 }
 
+/** Stored progress of a step of which nothing is known. */
+const UNTOUCHED: StepProgress = { done: '0', failedRuns: {}, gangFailedRuns: [] }
+
 /** Stored progress of a job. With the definition it is enough for a new owner to continue the job. */
 export type JobProgress = {
   readonly phase: JobPhase
@@ -30,8 +34,8 @@
  * store.put(`progress/${job.definition.id}`, JSON.stringify(toJobProgress(job)))
  */
 export function toJobProgress (job: Job): JobProgress {
-  const unfinished = [...job.occurrences].filter(([, steps]) => steps.some(({ done }) => !done))
-  const open = job.active ? unfinished.map(([occurrence, steps]) => [occurrence, steps.map(toStepProgress)] as const) : []
+  const unfinished = [...job.occurrences].filter(([, steps]) => !steps.areDone)
+  const open = job.active ? unfinished.map(([occurrence, steps]) => [occurrence, toOccurrenceProgress(job, steps)] as const) : []
   return { phase: job.phase, nextOccurrence: job.nextOccurrence, open: Object.fromEntries(open) }
 }
 
@@ -48,13 +52,22 @@
   for (const occurrence of open) {
     job.nextOccurrence = occurrence
     const steps = job.openOccurrence()
-    progress.open[String(occurrence)]!.forEach((stored, index) => {
-      if (steps[index] !== undefined) restoreStepProgress(steps[index], stored)
-    })
+    progress.open[String(occurrence)]!.forEach((stored, index) => restoreStep(steps, index, stored, job.definition.steps[index]))
   }
   job.nextOccurrence = progress.nextOccurrence
 }
 
+/** Steps behind the last one of which something is known are left out. */
+function toOccurrenceProgress (job: Job, steps: OccurrenceSteps): readonly StepProgress[] {
+  return Array.from(steps.listKnown(), (step, number) => {
+    switch (step) {
+      case 'done': return { ...UNTOUCHED, done: BitSet.createFull(job.definition.steps[number]!.count).toHexadecimal() }
+      case 'waiting': return UNTOUCHED
+      default: return toStepProgress(step)
+    }
+  })
+}
+
 function toStepProgress (step: StepRun): StepProgress {
   const failedRuns: Record<string, readonly number[]> = {}
   const crashes: Record<string, StoredCrashes> = {}
@@ -72,11 +85,27 @@
   }
 }
 
+/** A step gets an object only if it has more to restore than that it has ended. */
+function restoreStep (steps: OccurrenceSteps, number: number, stored: StepProgress, spec: Step | undefined): void {
+  if (spec === undefined || isUntouched(stored)) return
+  if (isPlain(stored) && stored.done === BitSet.createFull(spec.count).toHexadecimal()) return steps.restoreDone(number)
+  restoreStepProgress(steps.open(number)!, stored)
+}
+
+function isUntouched (stored: StepProgress): boolean {
+  return stored.done === UNTOUCHED.done && isPlain(stored)
+}
+
+/** Whether nothing else is stored than which tasks have ended. */
+function isPlain ({ failedRuns, gangFailedRuns, crashes, concludedRuns }: StepProgress): boolean {
+  return gangFailedRuns.length === 0 && Object.keys(failedRuns).length === 0 && crashes === undefined && concludedRuns === undefined
+}
+
 function restoreDone (step: StepRun, index: number): void {
   if (step.tasks.has(index)) step.tasks.get(index)!.phase = 'done'
   else step.waitingTasks -= 1
   step.tasks.finishAt(index)
-  step.unfinishedTasks -= 1
+  step.recordTaskDone()
 }
 
 function restoreStepProgress (step: StepRun, stored: StepProgress): void {
--- a/src/workflow/step-tasks.ts
+++ b/src/workflow/step-tasks.ts
@@ -87,6 +87,11 @@
     if (!this.kept.has(index)) this.unstarted -= 1
   }
 
+  /** Records that all tasks are done. */
+  finishAll (): void {
+    for (let index = 0; index < this.size; index++) this.finishAt(index)
+  }
+
   /** Forgets a task if it is done, has no runs, and has nothing that is stored. */
   release (task: Task): void {
     const { phase, runs, failures, crashes, concludedRun, index } = task
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -6,6 +6,7 @@
 import { estimateRunMs } from './run-times/run-time-model.ts'
 import type { RunTimeModel } from './run-times/run-time-model.ts'
 import { StepAdvice } from './advice/step-advice.ts'
+import { OccurrenceSteps } from './occurrence-steps.ts'
 import { StepTasks } from './step-tasks.ts'
 
 /** `live`: the task has a run that may be present on a target. */
@@ -97,7 +98,31 @@
   /** Whether all predecessors have ended. */
   get ready (): boolean {
     const siblings = this.job.occurrences.get(this.occurrence)!
-    return this.spec.after.every((number) => siblings[number]?.done ?? true)
+    return this.spec.after.every((number) => siblings.isDone(number))
+  }
+
+  /** Whether nothing is to be known of a step that has ended but that it has. */
+  get isForgettable (): boolean {
+    if (this.gangFailedRuns.size > 0) return false
+    for (const { runs, failures, crashes } of this.tasks.known()) {
+      if (runs.size > 0 || failures > 0 || !crashes.isEmpty) return false
+    }
+    return true
+  }
+
+  /** Records that one of its tasks has ended. */
+  recordTaskDone (): void {
+    this.unfinishedTasks -= 1
+    const siblings = this.job.occurrences.get(this.occurrence)!
+    siblings.recordTaskDone()
+    if (this.done) siblings.recordDone(this.stepNumber)
+  }
+
+  /** Restores a step whose tasks had all ended, which its occurrence knows already. */
+  restoreDone (): void {
+    this.unfinishedTasks = 0
+    this.waitingTasks = 0
+    this.tasks.finishAll()
   }
 }
 
@@ -105,7 +130,7 @@
 export class Job {
   phase: JobPhase = 'queued'
   /** Steps of the opened occurrences, by occurrence. */
-  readonly occurrences = new Map<number, readonly StepRun[]>()
+  readonly occurrences = new Map<number, OccurrenceSteps>()
   /** Number of the next occurrence to open; all before it have ended or are in `occurrences`. */
   nextOccurrence = 0
   /** When the job ended, on the scheduler's clock; undefined while it is active. */
@@ -150,23 +175,23 @@
   }
 
   /** Creates the steps of the next occurrence. */
-  openOccurrence (): readonly StepRun[] {
+  openOccurrence (): OccurrenceSteps {
     const number = this.nextOccurrence
     this.nextOccurrence += 1
-    const steps = this.definition.steps.map((spec, index) => StepRun.create(this, number, index, spec))
+    const steps = OccurrenceSteps.create(this.definition.steps, (index, spec) => StepRun.create(this, number, index, spec))
     this.occurrences.set(number, steps)
     return steps
   }
 
   /** Returns the task with these parts of its key if its occurrence is open. */
   findTask (occurrence: number, step: number, index: number): Task | undefined {
-    return this.occurrences.get(occurrence)?.[step]?.tasks.get(index)
+    return this.occurrences.get(occurrence)?.open(step)?.tasks.get(index)
   }
 
   /** The tasks of open occurrences of which something is known. All others wait, or are done. */
   * knownTasks (): Iterable<Task> {
     for (const steps of this.occurrences.values()) {
-      for (const step of steps) yield * step.tasks.known()
+      for (const step of steps.known()) yield * step.tasks.known()
     }
   }
 }
