--- a/src/controller/admission/admission.ts
+++ b/src/controller/admission/admission.ts
@@ -20,8 +20,8 @@
 export type AdmissionOptions = {
   /** The leader's overloads; empty if they are not known. */
   readonly getOverloads: () => readonly Overload[]
-  /** Whether the jobs that have not ended fill the leader's memory. */
-  readonly isLeaderFull: () => boolean
+  /** Whether the jobs that have not ended leave no room in the leader's memory for this one. */
+  readonly isLeaderFull: (definition: JobDefinition) => boolean
   /** The leader's forecasts; empty if they are not known. */
   readonly getForecasts?: () => readonly CompletionForecast[]
   /** Called for each refusal with its cause. */
@@ -44,7 +44,7 @@
    * Creates the admission of a member.
    *
    * @example
-   * const admission = Admission.create({ getOverloads: () => link.getOverloads(), isLeaderFull: () => link.isLeaderFull() })
+   * const admission = Admission.create({ getOverloads: () => link.getOverloads(), isLeaderFull: (definition) => link.isLeaderFull(definition) })
    * const retryAfterMs = admission.getRetryAfterMs(definition) // undefined: the job is welcome
    */
   static create (options: AdmissionOptions): Admission {
@@ -57,7 +57,7 @@
    * caller that comes back too early keeps its time.
    */
   getRetryAfterMs (definition: JobDefinition): number | undefined {
-    if (this.options.isLeaderFull()) return this.refuse('leader-full', FULL_RETRY_AFTER_MS)
+    if (this.options.isLeaderFull(definition)) return this.refuse('leader-full', FULL_RETRY_AFTER_MS)
     const adviceMs = this.getAdviceRetryMs(definition)
     if (adviceMs !== undefined) return this.refuse('advice', adviceMs)
     const completionMs = this.forecastRefusals.getRetryAfterMs(definition, this.options.getForecasts?.() ?? [])
--- a/src/controller/controller-options.ts
+++ b/src/controller/controller-options.ts
@@ -1,6 +1,7 @@
 import type { AdviceResponse, Advisor, CachedAdvice, CommandClient } from '../ports/command-client.ts'
 import type { Store } from '../ports/store.ts'
 import type { SchedulingFeatures } from '../settings/index.ts'
+import type { JobMemory } from '../workflow/held-jobs.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import type { EarlierLeadersOptions } from './leadership/earlier-leaders.ts'
 import type { Peer } from './member-call.ts'
@@ -32,6 +33,8 @@
   /** Asks a member to confirm that it knows of no later term; false without a response. Without it, the leader has no witnesses. */
   readonly requestConfirmation?: (peer: Peer, term: number) => Promise<boolean>
   readonly onFenced: (reason: string) => void
+  /** Memory for the jobs that have not ended; without it, that of a process with the default heap. */
+  readonly jobMemory?: JobMemory
   /** Features of the scheduler during this term; without them, none is on. */
   readonly features?: SchedulingFeatures
 }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -9,12 +9,14 @@
 import type { CellEvent } from '../workflow/event.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { AccountEntry } from '../workflow/past-use/past-use.ts'
+import type { TargetListing } from '../workflow/target-entry.ts'
 import { createAdviceChannel } from './advice/advice-channel.ts'
 import { AdviceDispatcher } from './advice/advice-dispatcher.ts'
 import { CommandLoad } from './commands/command-load.ts'
 import { completeListings } from './commands/complete-listings.ts'
 import { CommandPermission } from './commands/command-permission.ts'
 import { Committer } from './records/committer.ts'
+import { JobLoader } from './records/job-loader.ts'
 import type { ControllerOptions } from './controller-options.ts'
 import { EarlierLeaders } from './leadership/earlier-leaders.ts'
 import { findEarlierRunsEvent } from './leadership/earlier-runs-event.ts'
@@ -51,6 +53,7 @@
   private readonly storeFeed: StoreFeed
   private readonly earlierLeaders: EarlierLeaders
   private readonly lateJobs: LateJobs
+  private readonly jobLoader: JobLoader
   private readonly summaryLog: SummaryLog
   private readonly commandLoad = CommandLoad.create()
   private readonly passes = SchedulingPasses.create(() => this.runPass())
@@ -65,7 +68,7 @@
   private reportedChannels = 0
 
   private constructor (private readonly options: ControllerOptions) {
-    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, areCommandsBound: true, wallClockOffsetMs: Date.now() - performance.now(), ...options.features !== undefined && { features: options.features } })
+    this.scheduler = CellScheduler.create({ firstRunNumber: computeFirstRun(options.term.term), leaseMs: options.leaseMs, longestLeaseMs: options.longestLeaseMs, areCommandsBound: true, wallClockOffsetMs: Date.now() - performance.now(), ...options.jobMemory !== undefined && { jobMemory: options.jobMemory }, ...options.features !== undefined && { features: options.features } })
     this.witnesses = Witnesses.create({ ...options, term: options.term.term, claimed: options.term.witnesses, getPeers: () => this.members, onChosen: () => this.committer.storeRecord() })
     this.permission = CommandPermission.create({ isLeaseConfirmed: options.isLeaseConfirmed, isTermConfirmed: () => this.witnesses.permitCommands(), reporter: options.reporter })
     this.relayedCommands = RelayedCommands.create({
@@ -84,10 +87,12 @@
       mayBeAcceptedElsewhere: () => this.earlierLeaders.mayAcceptJobs,
       isSettled: () => !this.scheduler.earlierRunsExpected,
       isLeaseConfirmed: options.isLeaseConfirmed,
+      jobMemory: options.jobMemory,
       isKnownJob: (id) => this.scheduler.getPhase(id) !== undefined,
-      onRead: (definitions) => definitions.forEach((definition) => this.applyEvent({ type: 'job-restored', definition, progress: undefined })),
+      onRead: (events) => events.forEach((event) => this.applyEvent(event)),
       isStopped: () => this.stopped
     })
+    this.jobLoader = JobLoader.create({ store: options.store, reporter, applyEvent: (event) => this.applyEvent(event), isStopped: () => this.stopped })
     this.summaryLog = SummaryLog.create(reporter)
     this.committer = Committer.create({
       store: options.store,
@@ -125,6 +130,7 @@
       targetPrefix: options.targetPrefix,
       parseTarget: options.parseTarget,
       applyEvent: (event) => this.applyEvent(event),
+      jobMemory: options.jobMemory,
       isKnownJob: (job) => this.scheduler.getPhase(job) !== undefined,
       mayAcceptJobs: () => this.mayAcceptJobs,
       onTargetsRead: () => this.handleTargetsRead()
@@ -169,11 +175,16 @@
     return this.scheduler.pastUse
   }
 
-  /** Whether no further job should be accepted, because those that have not ended fill the memory. */
+  /** Whether no further large job should be accepted, because those that have not ended fill the memory. */
   get isFull (): boolean {
     return this.scheduler.isFull
   }
 
+  /** Whether no further job should be accepted, however small. */
+  get isFullForAll (): boolean {
+    return this.scheduler.isFullForAll
+  }
+
   /** The other members that have sent a hello recently. */
   get members (): readonly Peer[] {
     return this.peers.list
@@ -311,11 +322,13 @@
     const { scheduler } = this
     if (!this.restored || !scheduler.earlierRunsExpected) return
     const aloneUntil = this.options.getAloneUntil()
-    const event = findEarlierRunsEvent({
-      lapsed: this.earlierLeaders.haveRunsLapsedBy(aloneUntil, scheduler.longestEarlierLeaseMs),
-      listed: scheduler.allTargetsListed && this.previousTargets.every((id) => scheduler.getTarget(id)?.listed === true),
-      unsettled: this.targetsRead ? scheduler.findUnsettledTargets(aloneUntil) : undefined
-    })
+    const event = scheduler.awaitsDeferredJobs
+      ? undefined
+      : findEarlierRunsEvent({
+        lapsed: this.earlierLeaders.haveRunsLapsedBy(aloneUntil, scheduler.longestEarlierLeaseMs),
+        listed: scheduler.allTargetsListed && this.previousTargets.every((id) => scheduler.getTarget(id)?.listed === true),
+        unsettled: this.targetsRead ? scheduler.findUnsettledTargets(aloneUntil) : undefined
+      })
     if (event === undefined) this.committer.renewRecord()
     else this.applyEvent(event)
   }
@@ -351,6 +364,7 @@
         return
       case 'request-advice': return this.adviceDispatcher.enqueue(effect)
       case 'store-progress': return this.committer.storeProgress(effect.job)
+      case 'load-job': return this.jobLoader.load(effect.job)
       case 'forget-job': return this.committer.removeProgress(effect.job)
       case 'store-targets': return this.committer.storeTargets({ ids: effect.ids, closed: effect.closed, incarnations: effect.incarnations, ...effect.unbound !== undefined && { unbound: effect.unbound } })
       case 'store-silent-targets': return this.committer.storeSilentTargets(effect.targets)
@@ -383,7 +397,7 @@
     this.sessions.get(id)?.stop()
     this.sessions.set(id, TargetSession.create({
       id,
-      commands: completeListings(this.commands, (listing) => this.lateJobs.mayBecomeKnown(listing)),
+      commands: completeListings(this.commands, (listing) => this.needDeferredJobs(listing) || this.lateJobs.mayBecomeKnown(listing)),
       term: this.options.term.term,
       leaseMs: this.options.leaseMs,
       reporter: this.options.reporter,
@@ -396,6 +410,13 @@
     }))
   }
 
+  /** Reads the deferred jobs that a listing names; returns whether there are any, so that it cannot be handled yet. */
+  private needDeferredJobs (listing: TargetListing): boolean {
+    const ids = this.stopped ? [] : this.scheduler.findDeferredJobs(listing)
+    if (ids.length > 0) this.applyEvent({ type: 'deferred-jobs-listed', ids })
+    return ids.length > 0
+  }
+
   private removeSession (id: string): void {
     this.sessions.get(id)?.stop()
     this.sessions.delete(id)
--- a/src/controller/late-jobs.ts
+++ b/src/controller/late-jobs.ts
@@ -1,10 +1,11 @@
 import type { Store } from '../ports/store.ts'
-import type { JobDefinition } from '../workflow/job.ts'
+import type { CellEvent } from '../workflow/event.ts'
+import type { JobMemory } from '../workflow/held-jobs.ts'
 import type { TargetListing } from '../workflow/target-entry.ts'
 import { delay } from './delay.ts'
-import { parseDefinition } from './records/read-stored-jobs.ts'
 import type { Reporter } from './reporter.ts'
-import { readPrefix } from './store-calls.ts'
+import { StoredJobs } from './records/stored-jobs.ts'
+import { readPages } from './store-calls.ts'
 import { CANCEL_SUFFIX, JOB_PREFIX } from './records/store-keys.ts'
 
 const RETRY_DELAY_MS = 50
@@ -17,9 +18,10 @@
   /** Whether all runs of earlier terms are known or have lapsed. */
   readonly isSettled: () => boolean
   readonly isLeaseConfirmed: () => boolean
+  readonly jobMemory?: JobMemory | undefined
   readonly isKnownJob: (id: string) => boolean
-  /** Called with the jobs that were stored since the term began; an earlier leader may have started them. */
-  readonly onRead: (definitions: readonly JobDefinition[]) => void
+  /** Called with events that restore the jobs that were stored since the term began; an earlier leader may have started them. */
+  readonly onRead: (events: readonly CellEvent[]) => void
   readonly isStopped: () => boolean
 }
 
@@ -66,13 +68,15 @@
   }
 
   private async tryRead (): Promise<boolean> {
-    const { store, reporter, isKnownJob, isLeaseConfirmed, isStopped, onRead } = this.options
-    const jobs = await readPrefix(store, JOB_PREFIX)
+    const { store, reporter, isKnownJob, isLeaseConfirmed, jobMemory, isStopped, onRead } = this.options
+    const late = StoredJobs.create((message, key) => reporter.log('error', message, { key }), jobMemory)
+    const jobs = await readPages(store, JOB_PREFIX, (entries) => {
+      const unknown = entries.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX) && !isKnownJob(key.slice(JOB_PREFIX.length)))
+      for (const entry of unknown) late.addJob(entry)
+    })
     if (jobs.isErr() || isStopped() || !isLeaseConfirmed()) return false
-    const definitions = jobs.value.entries.filter(({ key }) => !key.endsWith(CANCEL_SUFFIX)).flatMap((entry) => parseDefinition(entry, (message, key) => reporter.log('error', message, { key })))
-    const late = definitions.filter(({ id }) => !isKnownJob(id))
-    if (late.length > 0) reporter.log('info', 'late-jobs-restored', { jobs: late.length })
-    onRead(late)
+    if (late.size > 0) reporter.log('info', 'late-jobs-restored', { jobs: late.size })
+    onRead(late.toEvents())
     this.wereRead = true
     return true
   }
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -5,7 +5,8 @@
 import type { Overload } from '../workflow/advice/advice-backlog.ts'
 import { isCompletionForecast } from '../workflow/forecast/completion-forecast.ts'
 import type { CompletionForecast } from '../workflow/forecast/completion-forecast.ts'
-import type { JobPhase } from '../workflow/job.ts'
+import { estimateJobBytes, isLargeJob } from '../workflow/held-jobs.ts'
+import type { JobDefinition, JobPhase } from '../workflow/job.ts'
 import type { Controller } from './controller.ts'
 import { delay } from './delay.ts'
 import { LeaderFailureDetector } from './leadership/leader-failure-detector.ts'
@@ -57,8 +58,8 @@
   /** Number of waiting jobs by queue, as last received from the leader. */
   private waitingJobs: { readonly counts: Readonly<Record<string, number>>, readonly at: number } | undefined
 
-  /** Long waits for advice and for room, and whether no further job should be accepted, as last received from the leader. */
-  private overloads: { readonly list: readonly Overload[], readonly forecasts: readonly CompletionForecast[], readonly isFull: boolean, readonly at: number } | undefined
+  /** Long waits for advice and for room, and which jobs should not be accepted, as last received from the leader. */
+  private overloads: { readonly list: readonly Overload[], readonly forecasts: readonly CompletionForecast[], readonly isFull: boolean, readonly isFullForAll: boolean, readonly at: number } | undefined
 
   /** The other members, as last received from the leader. */
   private peers: readonly Peer[] = []
@@ -126,7 +127,7 @@
     const controller = this.options.getController()
     if (controller === undefined || !isPeer(peer)) return { type: 'not-leading' }
     controller.recordPeer(peer)
-    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads, forecasts: controller.forecasts, isFull: controller.isFull }
+    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads, forecasts: controller.forecasts, isFull: controller.isFull, isFullForAll: controller.isFullForAll }
   }
 
   private handleAnnouncement (applyToController: (controller: Controller) => boolean): MemberResponse {
@@ -232,11 +233,11 @@
     return this.overloads.forecasts
   }
 
-  /** Whether the jobs that have not ended fill the leader's memory; false if no leader has said so recently. */
-  isLeaderFull (): boolean {
-    const controller = this.options.getController()
-    if (controller !== undefined) return controller.isFull
-    return this.overloads !== undefined && performance.now() - this.overloads.at <= MAX_OVERLOADS_AGE_MS && this.overloads.isFull
+  /** Whether the jobs that have not ended leave no room in the leader's memory for a job; false if no leader has said so recently. */
+  isLeaderFull (definition: JobDefinition): boolean {
+    const state = this.options.getController() ?? this.overloads
+    if (state === undefined || ('at' in state && performance.now() - state.at > MAX_OVERLOADS_AGE_MS)) return false
+    return state.isFullForAll || (state.isFull && isLargeJob(estimateJobBytes(definition)))
   }
 
   private async runHelloLoop (): Promise<void> {
@@ -257,7 +258,7 @@
     const response = await this.callLeader(leader, { type: 'hello', peer: this.options.self }, HELLO_TIMEOUT_MS)
     if (response.isErr() || !isWelcome(response.value)) return
     if (response.value.waiting !== undefined) this.waitingJobs = { counts: response.value.waiting, at: sentAt }
-    this.overloads = { list: response.value.overloads ?? [], forecasts: selectForecasts(response.value.forecasts), isFull: response.value.isFull ?? false, at: sentAt }
+    this.overloads = { list: response.value.overloads ?? [], forecasts: selectForecasts(response.value.forecasts), ...readFullness(response.value), at: sentAt }
     this.peers = response.value.peers.filter(({ member }) => member !== this.options.self.member)
   }
 
@@ -278,6 +279,11 @@
   }
 }
 
+/** A leader of the release before refuses all jobs or none. */
+function readFullness ({ isFull = false, isFullForAll = isFull }: Extract<MemberResponse, { type: 'welcome' }>): { readonly isFull: boolean, readonly isFullForAll: boolean } {
+  return { isFull, isFullForAll }
+}
+
 /** Damaged forecasts are dropped; what a leader of another release sends may have another form. */
 function selectForecasts (forecasts: unknown): readonly CompletionForecast[] {
   return Array.isArray(forecasts) ? forecasts.filter(isCompletionForecast) : []
--- a/src/controller/prefix-watcher.ts
+++ b/src/controller/prefix-watcher.ts
@@ -1,7 +1,7 @@
 import type { Store, StoreChange, StoreEntry } from '../ports/store.ts'
 import { delay } from './delay.ts'
 import type { Reporter } from './reporter.ts'
-import { callStore, readPrefix } from './store-calls.ts'
+import { callStore, readPages, readPrefix } from './store-calls.ts'
 
 export type PrefixWatcherOptions = {
   readonly store: Store
@@ -14,6 +14,8 @@
   /** Pause between two watch calls, in milliseconds; batches changes that are not urgent. */
   readonly getPauseMs?: () => number
   readonly reporter: Reporter
+  /** Whether `onEntries` is called for each page of entries, so that they are not in memory all at once; by default it is not. */
+  readonly readsByPage?: boolean
   /**
    * Called with all entries below the prefix, initially and whenever changes may have been missed, and with the version of the
    * store that they are at least as recent as.
@@ -80,7 +82,9 @@
 
   /** Reads all entries. Returns the version to watch from; undefined if the entries could not be read. */
   private async readEntries (): Promise<number | undefined> {
-    const snapshot = await readPrefix(this.options.store, this.options.prefix)
+    const { store, prefix, readsByPage = false } = this.options
+    if (readsByPage) return await this.readEntriesByPage()
+    const snapshot = await readPrefix(store, prefix)
     if (this.stopped.signal.aborted) return undefined
     this.updateHealth(snapshot.isOk())
     if (snapshot.isErr()) return undefined
@@ -88,6 +92,15 @@
     return snapshot.value.version
   }
 
+  private async readEntriesByPage (): Promise<number | undefined> {
+    const version = await readPages(this.options.store, this.options.prefix, (entries, pageVersion) => {
+      if (!this.stopped.signal.aborted) this.options.onEntries(entries, pageVersion)
+    })
+    if (this.stopped.signal.aborted) return undefined
+    this.updateHealth(version.isOk())
+    return version.unwrapOr(undefined)
+  }
+
   /**
    * Waits for changes after `version`. Returns the version to watch from next; undefined if the history was compacted.
    */
--- a/src/controller/records/read-stored-state.ts
+++ b/src/controller/records/read-stored-state.ts
@@ -1,12 +1,13 @@
 import type { Store, StoreEntry } from '../../ports/store.ts'
 import type { CellEvent } from '../../workflow/event.ts'
-import { readStoredJobs } from './read-stored-jobs.ts'
+import type { JobMemory } from '../../workflow/held-jobs.ts'
 import { readStoredSettings } from './read-stored-settings.ts'
 import type { Reporter } from '../reporter.ts'
-import { readPrefix } from '../store-calls.ts'
+import { readPages, readPrefix } from '../store-calls.ts'
 import { LEARNED_RECORDS } from '../../workflow/learned-records.ts'
 import { JOB_PREFIX, PROGRESS_PREFIX, STATE_PREFIX, TARGETS_KEY, learnedKey } from './store-keys.ts'
 import type { TargetsRecord } from './store-keys.ts'
+import { StoredJobs } from './stored-jobs.ts'
 import { parseRecord } from './stored-record.ts'
 
 /** What earlier leaders have stored. */
@@ -29,8 +30,13 @@
  * const state = await readStoredState(store, reporter, areCommandsBound(term.unsettled))
  * for (const event of state?.events ?? []) scheduler.apply(event, performance.now())
  */
-export async function readStoredState (store: Store, reporter: Reporter, areCommandsBound: boolean): Promise<StoredState | undefined> {
-  const [jobs, progress, state] = await Promise.all([readPrefix(store, JOB_PREFIX), readPrefix(store, PROGRESS_PREFIX), readPrefix(store, STATE_PREFIX)])
+export async function readStoredState (store: Store, reporter: Reporter, areCommandsBound: boolean, jobMemory?: JobMemory): Promise<StoredState | undefined> {
+  const storedJobs = StoredJobs.create((message, key) => reporter.log('error', message, { key }), jobMemory)
+  const [jobs, progress, state] = await Promise.all([
+    readPages(store, JOB_PREFIX, (entries) => entries.forEach((entry) => storedJobs.addJob(entry))),
+    readPages(store, PROGRESS_PREFIX, (entries) => entries.forEach((entry) => storedJobs.addProgress(entry))),
+    readPrefix(store, STATE_PREFIX)
+  ])
   if (jobs.isErr() || progress.isErr() || state.isErr()) return undefined
   const record = state.value.entries.filter(({ key }) => key === TARGETS_KEY).map(({ value }) => parseRecord<TargetsRecord>(value)).at(0)
   const targets = record?.ids ?? []
@@ -40,9 +46,9 @@
     { type: 'targets-stored', ids: targets },
     ...readStoredSettings(state.value.entries, (key) => reporter.log('error', 'settings-unreadable', { key })),
     ...readLearnedRecords(state.value.entries),
-    ...readStoredJobs(jobs.value.entries, progress.value.entries, (message, key) => reporter.log('error', message, { key }))
+    ...storedJobs.toEvents()
   ]
-  return { events, targets, jobCount: jobs.value.entries.length, version: jobs.value.version }
+  return { events, targets, jobCount: storedJobs.size, version: jobs.value }
 }
 
 /** Returns the targets whose commands may have reached later incarnations; undefined if all may have. */
--- a/src/controller/records/restore-state.ts
+++ b/src/controller/records/restore-state.ts
@@ -6,7 +6,7 @@
 
 const RETRY_DELAY_MS = 200
 
-export type RestoreOptions = Pick<ControllerOptions, 'store' | 'reporter' | 'term' | 'isLeaseConfirmed'> & {
+export type RestoreOptions = Pick<ControllerOptions, 'store' | 'reporter' | 'term' | 'isLeaseConfirmed' | 'jobMemory'> & {
   readonly isStopped: () => boolean
   /** Takes the state over, at the moment at which the lease is confirmed. */
   readonly onRead: (state: StoredState) => void
@@ -19,10 +19,10 @@
  * @example
  * const version = await restoreState({ ...options, isStopped: () => this.stopped, onRead: (state) => this.takeOver(state) })
  */
-export async function restoreState ({ store, reporter, term, isLeaseConfirmed, isStopped, onRead }: RestoreOptions): Promise<number | undefined> {
+export async function restoreState ({ store, reporter, term, isLeaseConfirmed, jobMemory, isStopped, onRead }: RestoreOptions): Promise<number | undefined> {
   const startedAt = performance.now()
   while (!isStopped()) {
-    const state = await readStoredState(store, reporter, areCommandsBound(term.unsettled))
+    const state = await readStoredState(store, reporter, areCommandsBound(term.unsettled), jobMemory)
     // Without the lease another member may lead, and a job that was read may be a new one of its term.
     if (state !== undefined && isLeaseConfirmed()) {
       onRead(state)
--- a/src/controller/store-calls.ts
+++ b/src/controller/store-calls.ts
@@ -15,16 +15,25 @@
 /** Entries of the store and the revision that they are at least as recent as. */
 export type StoreSnapshot = { readonly entries: readonly StoreEntry[], readonly version: number }
 
-/** Reads all entries below a prefix, page by page; `version` is the store's revision of the first page. */
+/** Reads all entries below a prefix; `version` is the store's revision of the first page. */
 export async function readPrefix (store: Store, prefix: string): Promise<Result<StoreSnapshot, StoreFailure>> {
   const entries: StoreEntry[] = []
+  const version = await readPages(store, prefix, (page) => { entries.push(...page) })
+  return version.map((known) => ({ entries, version: known }))
+}
+
+/** Reads all entries below a prefix and hands them on page by page; returns the store's revision of the first page. */
+export async function readPages (store: Store, prefix: string, onPage: (entries: readonly StoreEntry[], version: number) => void): Promise<Result<number, StoreFailure>> {
+  let after: string | undefined
   let version: number | undefined
   for (;;) {
-    const page = await callStore(store, { type: 'read', prefix, after: entries.at(-1)?.key })
+    const page = await callStore(store, { type: 'read', prefix, after })
     if (page.isErr()) return err(page.error)
-    version ??= page.value.version
-    entries.push(...page.value.entries)
-    if (!page.value.more || page.value.entries.length === 0) return ok({ entries, version })
+    const { entries, more, version: pageVersion } = page.value
+    version ??= pageVersion
+    onPage(entries, pageVersion)
+    after = entries.at(-1)?.key
+    if (!more || after === undefined) return ok(version)
   }
 }
 
--- a/src/controller/store-feed.ts
+++ b/src/controller/store-feed.ts
@@ -1,10 +1,13 @@
 import type { Store, StoreChange, StoreEntry } from '../ports/store.ts'
 import type { CellEvent } from '../workflow/event.ts'
+import { toJobOutline } from '../workflow/deferred-jobs.ts'
+import { isLargeJob } from '../workflow/held-jobs.ts'
+import type { JobMemory } from '../workflow/held-jobs.ts'
 import type { JobDefinition } from '../workflow/job.ts'
 import type { TargetEntry } from '../workflow/target-entry.ts'
 import { PollInterval } from './poll-interval.ts'
 import { PrefixWatcher } from './prefix-watcher.ts'
-import { parseDefinition } from './records/read-stored-jobs.ts'
+import { parseDefinition } from './records/parse-definition.ts'
 import type { Reporter } from './reporter.ts'
 import { CANCEL_SUFFIX, JOB_PREFIX, parseCancelKey } from './records/store-keys.ts'
 
@@ -18,6 +21,7 @@
   /** Parses the value that a target has published; undefined if it is not a valid target. */
   readonly parseTarget: (key: string, value: string) => TargetEntry | undefined
   readonly applyEvent: (event: CellEvent) => void
+  readonly jobMemory?: JobMemory | undefined
   readonly isKnownJob: (job: string) => boolean
   /** Whether no other member can have accepted a job that is not known here. */
   readonly mayAcceptJobs: () => boolean
@@ -30,8 +34,8 @@
   private readonly watchers: PrefixWatcher[] = []
   private readonly publishedTargets = new Set<string>()
   private readonly pollInterval = PollInterval.create()
-  /** Jobs that were read while another member may have accepted them, by id. */
-  private readonly waitingJobs = new Map<string, JobDefinition>()
+  /** By id, what accepts the jobs that were read while another member may have accepted them. */
+  private readonly waitingJobs = new Map<string, CellEvent>()
 
   private constructor (private readonly options: StoreFeedOptions) {}
 
@@ -105,6 +109,8 @@
       // Members announce the jobs that they store; this watch finds the jobs of members that cannot reach the leader.
       getPauseMs: () => this.pollInterval.getIntervalMs(performance.now()),
       reporter,
+      // Large jobs must not be in memory all at once.
+      readsByPage: true,
       onEntries: (entries) => entries.forEach((entry) => this.applyJobEntry(entry)),
       onChanges: (changes) => {
         for (const change of changes) {
@@ -116,32 +122,36 @@
 
   private applyJobEntry ({ key, value }: StoreEntry): void {
     if (key.endsWith(CANCEL_SUFFIX)) this.cancelJob(parseCancelKey(key))
-    else parseDefinition({ key, value }, (message) => this.options.reporter.log('error', message, { key })).forEach((definition) => this.acceptJob(definition))
+    else if (!this.options.isKnownJob(key.slice(JOB_PREFIX.length))) parseDefinition({ key, value }, (message) => this.options.reporter.log('error', message, { key })).forEach((definition) => this.acceptJob(definition))
   }
 
   private cancelJob (id: string): void {
     // A cancellation applies to known jobs only.
     const waiting = this.waitingJobs.get(id)
     this.waitingJobs.delete(id)
-    if (waiting !== undefined) this.options.applyEvent({ type: 'job-accepted', definition: waiting })
+    if (waiting !== undefined) this.options.applyEvent(waiting)
     this.options.applyEvent({ type: 'job-cancelled', id })
   }
 
   private acceptJob (definition: JobDefinition): void {
     const mayAccept = this.options.mayAcceptJobs()
-    if (!this.options.isKnownJob(definition.id)) {
-      this.pollInterval.recordUnannouncedJob(performance.now())
-      this.options.reporter.log('info', 'job-found', { job: definition.id, mayAccept })
-    }
+    this.pollInterval.recordUnannouncedJob(performance.now())
+    this.options.reporter.log('info', 'job-found', { job: definition.id, mayAccept })
     // Another member that leads, or has led until now, may start the job as a new one.
     if (mayAccept) this.options.applyEvent({ type: 'job-accepted', definition })
-    else this.waitingJobs.set(definition.id, definition)
+    else this.waitingJobs.set(definition.id, toAcceptance(definition, this.options.jobMemory))
   }
 
   /** Accepts the jobs that were read while another member may have accepted them, once none can. */
   acceptWaitingJobs (): void {
     if (this.waitingJobs.size === 0 || !this.options.mayAcceptJobs()) return
-    for (const definition of this.waitingJobs.values()) this.options.applyEvent({ type: 'job-accepted', definition })
+    for (const acceptance of this.waitingJobs.values()) this.options.applyEvent(acceptance)
     this.waitingJobs.clear()
   }
 }
+
+/** A large job is read again when it can be accepted, so that those that wait take little memory. */
+function toAcceptance (definition: JobDefinition, memory: JobMemory | undefined): CellEvent {
+  const outline = toJobOutline(definition)
+  return isLargeJob(outline.bytes, memory) ? { type: 'job-deferred', outline, phase: 'queued', restored: false } : { type: 'job-accepted', definition }
+}
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -14,10 +14,11 @@
 import type { CompletionForecast } from './forecast/completion-forecast.ts'
 import { CompletionForecasts } from './forecast/completion-forecasts.ts'
 import { LastingBacklogs } from './forecast/lasting-backlogs.ts'
+import { DeferredJobs, getDeferredPhase, loadDeferredJobs, needDeferredJobs } from './deferred-jobs.ts'
 import { HeldJobs } from './held-jobs.ts'
 import type { JobPhase } from './job.ts'
 import { NO_DEMAND, isFinalPhase } from './job.ts'
-import { acceptJob, endJob, isReleasable, openDueOccurrences, openNextSteps, removeEndedJobs, restoreJob } from './jobs.ts'
+import { acceptJob, addLoadedJob, endJob, giveUpDeferredJob, isReleasable, openDueOccurrences, openNextSteps, removeEndedJobs, restoreDeferredJob, restoreJob } from './jobs.ts'
 import { KnownSettings } from './settings/known-settings.ts'
 import { LastingPrecedence } from './order/lasting-precedence.ts'
 import { LastingTaskWaits } from './waits/lasting-task-waits.ts'
@@ -32,7 +33,7 @@
 import { restoreClosedTargets } from './takeover/closed-targets.ts'
 import { ConcludedStarts } from './takeover/concluded-starts.ts'
 import { CrashRate } from './crashes/crash-rate.ts'
-import { confirmCrash, indexRestoredCrashes, prunePossibleCrashes, recordPossibleCrash } from './crashes/crashes.ts'
+import { confirmCrash, prunePossibleCrashes, recordPossibleCrash } from './crashes/crashes.ts'
 import { throttleTargets } from './room/throttling.ts'
 import { ResendPause } from './commands/resend-pause.ts'
 import { RoomLog } from './room/room-log.ts'
@@ -50,6 +51,7 @@
 import { findUnsettledTargets } from './takeover/earlier-lapse.ts'
 import type { UnsettledTargets } from './takeover/earlier-lapse.ts'
 import { computeLongestEarlierLeaseMs, restoreIncarnations } from './takeover/earlier-leases.ts'
+import type { TargetListing } from './target-entry.ts'
 import type { TargetState } from './target-state.ts'
 import { removeGoneTargets, recordReduction, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn, useSpareTargets } from './targets.ts'
 import { toKnownResponse } from './commands/revoked-commands.ts'
@@ -88,7 +90,8 @@
       batchRuns: new Map(),
       submissionBuckets: new Map(),
       jobs: new Map(),
-      heldJobs: HeldJobs.create(),
+      heldJobs: HeldJobs.create(resolved.jobMemory),
+      deferredJobs: DeferredJobs.create(),
       endedJobs: new Map(),
       openSteps: new Set(),
       targets: new Map(),
@@ -189,7 +192,7 @@
   /** Phase of a job as callers may see it: `completed` or `failed` only once that is stored. Undefined if the job is unknown. */
   getPhase (id: string): JobPhase | undefined {
     const job = this.state.jobs.get(id)
-    if (job === undefined) return this.state.endedJobs.get(id)?.phase
+    if (job === undefined) return getDeferredPhase(this.state, id) ?? this.state.endedJobs.get(id)?.phase
     return job.active || job.phase === 'cancelled' ? job.phase : job.visiblePhase
   }
 
@@ -210,6 +213,9 @@
     for (const { definition, phase } of this.state.jobs.values()) {
       if (phase === 'queued' && definition.firstAtMs === 0) counts[definition.queue] = (counts[definition.queue] ?? 0) + 1
     }
+    for (const { outline, phase, isCancelled } of this.state.deferredJobs.list()) {
+      if (phase === 'queued' && !outline.isTimed && !isCancelled) counts[outline.queue] = (counts[outline.queue] ?? 0) + 1
+    }
     return counts
   }
 
@@ -223,11 +229,28 @@
     return this.state.forecasts.list
   }
 
-  /** Whether the jobs that have not ended take so much memory that no further one should be accepted. */
+  /** Whether the jobs that have not ended take so much memory that no further large one should be accepted. */
   get isFull (): boolean {
     return this.state.heldJobs.isFull
   }
 
+  /** Whether they take so much memory that no further job should be accepted. */
+  get isFullForAll (): boolean {
+    return this.state.heldJobs.isFullForAll
+  }
+
+  /** Whether jobs are being read without which the runs of previous owners are not known. */
+  get awaitsDeferredJobs (): boolean {
+    return this.state.deferredJobs.isOneNeeded
+  }
+
+  /** The deferred jobs that a listing names. They must be read before the listing can be handled. */
+  findDeferredJobs ({ running, ended }: TargetListing): readonly string[] {
+    if (this.state.deferredJobs.size === 0) return []
+    const ids = new Set([...running, ...ended].map(({ task }) => task.slice(0, task.indexOf('.'))))
+    return [...ids].filter((id) => this.state.deferredJobs.find(id) !== undefined)
+  }
+
   get summary (): CellSummary {
     return buildCellSummary(this.state)
   }
@@ -296,9 +319,11 @@
         return
       case 'advice-known': return restoreCachedAdvice(state, event.advice)
       case 'job-accepted': return acceptJob(state, event.definition)
-      case 'job-restored':
-        restoreJob(state, event.definition, event.progress)
-        return indexRestoredCrashes(state, event.definition.id)
+      case 'job-restored': return restoreJob(state, event.definition, event.progress)
+      case 'job-deferred': return restoreDeferredJob(state, event.outline, event.phase, event.restored)
+      case 'job-loaded': return addLoadedJob(state, event.definition, event.progress)
+      case 'job-not-loaded': return giveUpDeferredJob(state, event.id, event.phase)
+      case 'deferred-jobs-listed': return needDeferredJobs(state, event.ids)
       case 'ended-job-restored':
         // Without a final phase it is a job that must not be started; it is kept until its record has been repaired.
         state.endedJobs.set(event.id, { phase: event.phase, endedAt: isFinalPhase(event.phase) ? state.now : Infinity })
@@ -379,7 +404,11 @@
 
   private handleJobCancelled (id: string): void {
     const job = this.state.jobs.get(id)
-    if (job !== undefined) endJob(this.state, job, 'cancelled', 'cancelled by its caller')
+    if (job !== undefined) return endJob(this.state, job, 'cancelled', 'cancelled by its caller')
+    const deferred = this.state.deferredJobs.find(id)
+    if (deferred === undefined) return
+    deferred.isCancelled = true
+    needDeferredJobs(this.state, [id])
   }
 
   private handleTick ({ aloneUntil, late = false, earlierCommandsEndAt }: Extract<CellEvent, { type: 'tick' }>): void {
@@ -411,6 +440,7 @@
       openNextSteps(state, job)
       openDueOccurrences(state, job)
     }
+    loadDeferredJobs(state)
     removeEndedJobs(state)
     state.concludedStarts.store(state)
     state.lastingTasks.update(state)
--- a/src/workflow/cell-state.ts
+++ b/src/workflow/cell-state.ts
@@ -8,6 +8,7 @@
 import type { Demand, JobDefinition, JobPhase, TaskKey } from './job.ts'
 import { NO_DEMAND } from './job.ts'
 import type { OrganisationSettings, QueueSettings } from './settings/job-settings.ts'
+import type { DeferredJobs } from './deferred-jobs.ts'
 import type { HeldJobs } from './held-jobs.ts'
 import type { KnownSettings } from './settings/known-settings.ts'
 import type { CompletionForecasts } from './forecast/completion-forecasts.ts'
@@ -53,6 +54,7 @@
   readonly submissionBuckets: Map<string, SubmissionBucket>
   readonly jobs: Map<string, Job>
   readonly heldJobs: HeldJobs
+  readonly deferredJobs: DeferredJobs
   /** Ended jobs whose definitions are no longer stored. */
   readonly endedJobs: Map<string, EndedJob>
   /** Steps of active jobs that have tasks to start. */
--- a/src/workflow/effect.ts
+++ b/src/workflow/effect.ts
@@ -19,6 +19,8 @@
   | { readonly type: 'request-advice', readonly step: string, readonly targets: readonly string[], readonly costMs: number, readonly urgent: boolean }
   | { readonly type: 'store-progress', readonly job: string }
   | { readonly type: 'forget-job', readonly job: string }
+  /** Reads a deferred job and its progress from the store. */
+  | { readonly type: 'load-job', readonly job: string }
   | { readonly type: 'store-targets', readonly ids: readonly string[], readonly closed: ClosedTargets, readonly incarnations: Incarnations, readonly unbound?: readonly string[] | undefined }
   | { readonly type: 'store-silent-targets', readonly targets: SilentTargetsById }
   | { readonly type: 'store-settings', readonly record: RemovedSettings }
--- a/src/workflow/event.ts
+++ b/src/workflow/event.ts
@@ -2,6 +2,7 @@
 import type { CellConfiguration } from './settings/cell-configuration.ts'
 import type { ClosedTargets } from './takeover/closed-targets.ts'
 import type { Incarnations } from './takeover/earlier-leases.ts'
+import type { JobOutline } from './deferred-jobs.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
 import type { LearnedRecord } from './learned-records.ts'
@@ -36,6 +37,14 @@
   | { readonly type: 'advice-channels', readonly channels: number }
   | { readonly type: 'job-accepted', readonly definition: JobDefinition }
   | { readonly type: 'job-restored', readonly definition: JobDefinition, readonly progress: JobProgress | undefined }
+  /** The definition of a stored job was left in the store; `restored`: a previous owner may have started its tasks. */
+  | { readonly type: 'job-deferred', readonly outline: JobOutline, readonly phase: JobPhase, readonly restored: boolean }
+  /** A deferred job was read. */
+  | { readonly type: 'job-loaded', readonly definition: JobDefinition, readonly progress: JobProgress | undefined }
+  /** A deferred job could not be read, and never can be; `phase`: what callers are to see of it, if its progress is stored. */
+  | { readonly type: 'job-not-loaded', readonly id: string, readonly phase: JobPhase | undefined }
+  /** Targets list tasks of deferred jobs. */
+  | { readonly type: 'deferred-jobs-listed', readonly ids: readonly string[] }
   /** The store has the outcome of a job, but no longer its definition. */
   | { readonly type: 'ended-job-restored', readonly id: string, readonly phase: JobPhase }
   | { readonly type: 'job-cancelled', readonly id: string }
--- a/src/workflow/held-jobs.ts
+++ b/src/workflow/held-jobs.ts
@@ -8,46 +8,118 @@
 /** Memory that each step with an object takes beside that, and each task that lasts, in bytes. */
 const OPENED_STEP_BYTES = 1_450
 const LASTING_TASK_BYTES = 1_500
-/** Memory for the jobs that have not ended, in bytes. A new owner needs about twice as much while it reads them. */
-const MAX_HELD_BYTES = 48_000_000
+
+/** Memory for the jobs that have not ended, in bytes. */
+export type JobMemory = {
+  /** What all of them may take. */
+  readonly maxBytes: number
+  /** The part of it that large jobs may take, so that they leave room for others. */
+  readonly maxLargeBytes: number
+  /** What a job takes at least to be a large one. */
+  readonly largeJobBytes: number
+}
+
+/** For a process with a heap of `FULL_HEAP_BYTES` or more. */
+export const DEFAULT_JOB_MEMORY: JobMemory = { maxBytes: 48_000_000, maxLargeBytes: 32_000_000, largeJobBytes: 250_000 }
+const FULL_HEAP_BYTES = 200_000_000
+
+/**
+ * Computes the memory for jobs in a process with this limit of its heap, in bytes.
+ *
+ * @example
+ * computeJobMemory(getHeapStatistics().heap_size_limit)
+ */
+export function computeJobMemory (heapLimitBytes: number): JobMemory {
+  const ratio = Math.min(1, heapLimitBytes / FULL_HEAP_BYTES)
+  const { maxBytes, maxLargeBytes, largeJobBytes } = DEFAULT_JOB_MEMORY
+  return { maxBytes: ratio * maxBytes, maxLargeBytes: ratio * maxLargeBytes, largeJobBytes }
+}
+
+/** Memory of jobs, in bytes. */
+type Bytes = { large: number, small: number }
 
 /** The memory that the jobs which have not ended take, by an estimate. What waits in a step takes none. */
 export class HeldJobs {
-  private bytes = 0
+  /** Of the jobs that the scheduler holds, those under way from the store included. */
+  private readonly held: Bytes = { large: 0, small: 0 }
+  /** Of the jobs that stay in the store until there is room for them. */
+  private readonly deferred: Bytes = { large: 0, small: 0 }
 
-  private constructor () {}
+  private constructor (private readonly memory: JobMemory) {}
 
   /**
    * Creates an object for no jobs.
    *
    * @example
    * const heldJobs = HeldJobs.create()
-   * heldJobs.add(definition)
-   * heldJobs.isFull // whether no further job should be accepted
+   * const bytes = estimateJobBytes(definition)
+   * if (heldJobs.fits(bytes)) heldJobs.add(bytes)
+   * heldJobs.isFull // whether no further large job should be accepted
    */
-  static create (): HeldJobs {
-    return new HeldJobs()
+  static create (memory = DEFAULT_JOB_MEMORY): HeldJobs {
+    return new HeldJobs(memory)
   }
 
+  /** Whether no further large job should be accepted. */
   get isFull (): boolean {
-    return this.bytes >= MAX_HELD_BYTES
+    return sum(this.held) + sum(this.deferred) >= this.memory.maxBytes
+  }
+
+  /** Whether no further job should be accepted, however small. */
+  get isFullForAll (): boolean {
+    return this.held.small + this.deferred.small + Math.min(this.held.large, this.memory.maxLargeBytes) >= this.memory.maxBytes
+  }
+
+  /** Whether there is room for a further job. One large job has room however large it is. */
+  fits (bytes: number): boolean {
+    const { large, small } = this.held
+    const { maxBytes, maxLargeBytes } = this.memory
+    if (this.isLarge(bytes)) return large === 0 || large + bytes <= maxLargeBytes
+    return small + Math.min(large, maxLargeBytes) + bytes <= maxBytes
+  }
+
+  /** Whether a job of this estimated size is a large one. */
+  isLarge (bytes: number): boolean {
+    return isLargeJob(bytes, this.memory)
+  }
+
+  add (bytes: number): void {
+    this.change(this.held, bytes)
   }
 
-  add (definition: JobDefinition): void {
-    this.bytes += estimateBytes(definition)
+  remove (bytes: number): void {
+    this.change(this.held, bytes, -1)
   }
 
-  remove (definition: JobDefinition): void {
-    this.bytes -= estimateBytes(definition)
+  addDeferred (bytes: number): void {
+    this.change(this.deferred, bytes)
   }
+
+  removeDeferred (bytes: number): void {
+    this.change(this.deferred, bytes, -1)
+  }
+
+  private change (total: Bytes, bytes: number, sign: 1 | -1 = 1): void {
+    total[this.isLarge(bytes) ? 'large' : 'small'] += sign * bytes
+  }
+}
+
+/** Whether a job of this estimated size is a large one. */
+export function isLargeJob (bytes: number, { largeJobBytes }: JobMemory = DEFAULT_JOB_MEMORY): boolean {
+  return bytes >= largeJobBytes
 }
 
-function estimateBytes ({ payload, steps }: JobDefinition): number {
+/** Estimates the memory that a job takes while it has not ended, in bytes. */
+export function estimateJobBytes ({ payload, steps }: JobDefinition): number {
   const opened = Math.min(steps.length, MAX_OPENED_STEPS)
-  return steps.reduce((sum, step) => sum + estimateStepBytes(step), JOB_BYTES + payload.length + opened * OPENED_STEP_BYTES)
+  return steps.reduce((total, step) => total + estimateStepBytes(step), JOB_BYTES + payload.length + opened * OPENED_STEP_BYTES)
 }
 
 /** Each task that lasts has an object from its turn on. */
 function estimateStepBytes ({ count, longRunning, after, image, requiredLabel = '', dataRack = '' }: Step): number {
   return STEP_BYTES + after.length * PREDECESSOR_BYTES + image.length + requiredLabel.length + dataRack.length + (longRunning ? count * LASTING_TASK_BYTES : 0)
 }
+
+function sum ({ large, small }: Bytes): number {
+  return large + small
+}
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -1,6 +1,10 @@
 import { awaitOtherRuns, awaitRestoredRuns } from './attempts/last-attempts.ts'
+import { indexRestoredCrashes } from './crashes/crashes.ts'
 import { findTask, log, findQueue } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
+import { deferJob, takeDeferredJob, toJobOutline } from './deferred-jobs.ts'
+import type { JobOutline } from './deferred-jobs.ts'
+import { estimateJobBytes } from './held-jobs.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import { isFinalPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
@@ -17,31 +21,87 @@
 /** While as many steps of all jobs have not ended, only jobs without a task that has not ended open an occurrence: each step takes memory. */
 const MAX_OPEN_STEPS = 12_000
 
-/** Adds a job that a caller submitted; a known job is left unchanged. */
+/** Adds a job that a caller submitted; a known job is left unchanged. It is deferred if there is no room for it. */
 export function acceptJob (state: CellState, definition: JobDefinition): void {
-  if (state.jobs.has(definition.id) || state.endedJobs.has(definition.id)) return
+  if (isKnown(state, definition.id) || state.endedJobs.has(definition.id)) return
+  const outline = toJobOutline(definition)
+  const exceedsShare = !consumeSubmissionShare(state, definition.organisation, state.now)
+  if (!hasRoom(state, outline)) return deferJob(state, { outline, acceptedAt: state.now, exceedsShare, restored: false, phase: 'queued' })
   learnJobSettings(state, definition)
   const job = Job.create(definition, state.now, false)
-  job.exceedsShare = !consumeSubmissionShare(state, definition.organisation, state.now)
+  job.exceedsShare = exceedsShare
   addJob(state, job)
 }
 
+function isKnown ({ jobs, deferredJobs }: CellState, id: string): boolean {
+  return jobs.has(id) || deferredJobs.find(id) !== undefined
+}
+
+/** Jobs that wait for the same room come first. */
+function hasRoom ({ heldJobs, deferredJobs }: CellState, { bytes }: JobOutline): boolean {
+  const isLarge = heldJobs.isLarge(bytes)
+  return heldJobs.fits(bytes) && !deferredJobs.list().some((other) => !other.isLoading && heldJobs.isLarge(other.outline.bytes) === isLarge)
+}
+
 /** Adds a job that was in the store when this owner took over. */
 export function restoreJob (state: CellState, definition: JobDefinition, progress: JobProgress | undefined): void {
-  if (state.jobs.has(definition.id)) return
+  if (isKnown(state, definition.id)) return
+  const acceptedAt = getRestoredAcceptance(state, definition.submittedAtMs)
+  const exceedsShare = !consumeSubmissionShare(state, definition.organisation, acceptedAt)
+  addRestoredJob(state, definition, progress, { acceptedAt, exceedsShare })
+}
+
+/** Adds a job that was in the store when this owner took over, or that it found there, as one that is read later. */
+export function restoreDeferredJob (state: CellState, outline: JobOutline, phase: JobPhase, restored: boolean): void {
+  if (isKnown(state, outline.id) || state.endedJobs.has(outline.id)) return
+  const acceptedAt = restored ? getRestoredAcceptance(state, outline.submittedAtMs) : state.now
+  const exceedsShare = !consumeSubmissionShare(state, outline.organisation, acceptedAt)
+  deferJob(state, { outline, acceptedAt, exceedsShare, restored, phase })
+}
+
+/** Adds a deferred job that was read from the store. */
+export function addLoadedJob (state: CellState, definition: JobDefinition, progress: JobProgress | undefined): void {
+  const deferred = takeDeferredJob(state, definition.id)
+  if (deferred === undefined) return
+  const { acceptedAt, exceedsShare, restored, isCancelled } = deferred
+  log(state, 'info', 'job-loaded', { job: definition.id, waitedMs: Math.round(state.now - acceptedAt), deferred: state.deferredJobs.size })
+  if (restored || progress !== undefined) {
+    addRestoredJob(state, definition, progress, { acceptedAt, exceedsShare })
+  } else {
+    learnJobSettings(state, definition)
+    const job = Job.create(definition, acceptedAt, false)
+    job.exceedsShare = exceedsShare
+    addJob(state, job)
+  }
+  if (isCancelled) endJob(state, state.jobs.get(definition.id)!, 'cancelled', 'cancelled by its caller')
+}
+
+/** Gives up a deferred job that cannot be read. Without a final phase its tasks may run, so that it is kept as ended for good. */
+export function giveUpDeferredJob (state: CellState, id: string, phase: JobPhase | undefined): void {
+  if (takeDeferredJob(state, id) === undefined) return
+  log(state, 'error', 'job-not-loaded', { job: id, phase: phase ?? 'unknown' })
+  if (phase !== undefined) state.endedJobs.set(id, { phase, endedAt: isFinalPhase(phase) ? state.now : Infinity })
+}
+
+function addRestoredJob (state: CellState, definition: JobDefinition, progress: JobProgress | undefined, { acceptedAt, exceedsShare }: Pick<Job, 'acceptedAt' | 'exceedsShare'>): void {
   learnJobSettings(state, definition)
-  const ageMs = Math.max(0, getWallTimeMs(state) - definition.submittedAtMs)
-  const job = Job.create(definition, state.now - ageMs, true)
-  job.exceedsShare = !consumeSubmissionShare(state, definition.organisation, job.acceptedAt)
+  const job = Job.create(definition, acceptedAt, true)
+  job.exceedsShare = exceedsShare
   if (progress !== undefined) restoreProgress(job, progress)
   if (isFinalPhase(job.phase)) job.endedAt = state.now
   addJob(state, job)
   awaitRestoredRuns(state, job)
+  indexRestoredCrashes(state, definition.id)
+}
+
+/** When a restored job was accepted, on the scheduler's clock. */
+function getRestoredAcceptance (state: CellState, submittedAtMs: number): number {
+  return state.now - Math.max(0, getWallTimeMs(state) - submittedAtMs)
 }
 
 function addJob (state: CellState, job: Job): void {
   state.jobs.set(job.definition.id, job)
-  state.heldJobs.add(job.definition)
+  state.heldJobs.add(estimateJobBytes(job.definition))
   state.runTimes.applyTo(job)
   storeSettingsOf(state, job.definition)
   for (const steps of job.occurrences.values()) openSteps(state, steps)
--- a/src/workflow/options.ts
+++ b/src/workflow/options.ts
@@ -1,5 +1,7 @@
 import { DEFAULT_FEATURES } from '../settings/index.ts'
 import type { SchedulingFeatures } from '../settings/index.ts'
+import { DEFAULT_JOB_MEMORY } from './held-jobs.ts'
+import type { JobMemory } from './held-jobs.ts'
 
 /** Times and limits of the scheduler of a cell. */
 export type CellOptions = {
@@ -19,6 +21,8 @@
   readonly wallClockOffsetMs: number
   /** How long the outcome of a job is kept after its end. */
   readonly endedJobRetentionMs: number
+  /** Memory for the jobs that have not ended; others stay in the store. */
+  readonly jobMemory: JobMemory
   readonly features: SchedulingFeatures
 }
 
@@ -31,5 +35,6 @@
   firstRunNumber: 1,
   wallClockOffsetMs: 0,
   endedJobRetentionMs: 150_000,
+  jobMemory: DEFAULT_JOB_MEMORY,
   features: DEFAULT_FEATURES.scheduling
 }
--- a/src/workflow/settings/removed-settings.ts
+++ b/src/workflow/settings/removed-settings.ts
@@ -76,5 +76,9 @@
     queues.add(definition.queue)
     organisations.add(definition.organisation)
   }
+  for (const { outline } of state.deferredJobs.list()) {
+    queues.add(outline.queue)
+    organisations.add(outline.organisation)
+  }
   return { queues, organisations }
 }
--- a/test/controller/leader-chains.ts
+++ b/test/controller/leader-chains.ts
@@ -1,3 +1,4 @@
+import type { JobMemory } from '../../src/workflow/held-jobs.ts'
 import { VirtualCell } from './virtual-cell.ts'
 import { VIRTUAL_FAULTS } from './virtual-faults.ts'
 import type { VirtualFault } from './virtual-faults.ts'
@@ -31,6 +32,8 @@
   readonly closingIds?: ReadonlySet<string>
   /** Whether members call the store through others while it refuses them alone. */
   readonly hasDetour?: boolean
+  /** Memory of a leader for jobs; without it, the default one. */
+  readonly jobMemory?: JobMemory
 }
 
 /** What a chain of leaders has shown. */
@@ -54,8 +57,8 @@
  * @example
  * const { violations } = await playLeaderChain(7)
  */
-export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS, { endMs = END_MS, lateCommandsEndWithTarget = false, closingIds = new Set(), hasDetour = false }: ChainOptions = {}): Promise<ChainOutcome> {
-  const cell = VirtualCell.create(seed, { members: MEMBERS, targets: TARGETS, longestLeaseMs: LONGEST_LEASE_MS, hasDetour })
+export async function playLeaderChain (seed: number, kinds: readonly VirtualFault[] = VIRTUAL_FAULTS, { endMs = END_MS, lateCommandsEndWithTarget = false, closingIds = new Set(), hasDetour = false, jobMemory }: ChainOptions = {}): Promise<ChainOutcome> {
+  const cell = VirtualCell.create(seed, { members: MEMBERS, targets: TARGETS, longestLeaseMs: LONGEST_LEASE_MS, hasDetour, ...jobMemory !== undefined && { jobMemory } })
   const faults: string[] = []
   cell.targets.lateCommandsEndWithTarget = lateCommandsEndWithTarget
   cell.targets.closingIds = closingIds
--- a/test/controller/read-stored-jobs.test.ts
+++ b/test/controller/read-stored-jobs.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import fc from 'fast-check'
 import { parseJob } from '../../platform/job-body.ts'
-import { readStoredJobs } from '../../src/controller/records/read-stored-jobs.ts'
+import { StoredJobs } from '../../src/controller/records/stored-jobs.ts'
 import { isJobDefinition } from '../../src/controller/records/record-guards.ts'
 import { readStoredSettings } from '../../src/controller/records/read-stored-settings.ts'
 import { SETTINGS_KEY, cancelKey, jobKey, progressKey } from '../../src/controller/records/store-keys.ts'
@@ -19,8 +19,10 @@
 
 function read (jobs: readonly Stored[], progress: readonly Stored[] = []): { readonly events: readonly CellEvent[], readonly reports: readonly string[] } {
   const reports: string[] = []
-  const events = readStoredJobs(jobs, progress, (message, key) => reports.push(`${message} ${key}`))
-  return { events, reports }
+  const storedJobs = StoredJobs.create((message, key) => reports.push(`${message} ${key}`))
+  for (const entry of jobs) storedJobs.addJob(entry)
+  for (const entry of progress) storedJobs.addProgress(entry)
+  return { events: storedJobs.toEvents(), reports }
 }
 
 const good = { key: jobKey('a'), value: JSON.stringify(buildJob('a', {})) }
--- a/test/controller/virtual-cell.ts
+++ b/test/controller/virtual-cell.ts
@@ -1,6 +1,7 @@
 import type { ProbeResult } from '../../src/adapters/probe-address.ts'
 import type { MemberCall } from '../../src/controller/member-call.ts'
 import type { Reporter } from '../../src/controller/reporter.ts'
+import type { JobMemory } from '../../src/workflow/held-jobs.ts'
 import type { JobDefinition } from '../../src/workflow/job.ts'
 import { Random } from '../../src/util/random.ts'
 import type { OwedJob } from '../workflow/cell-view.ts'
@@ -44,6 +45,8 @@
   readonly longestLeaseMs?: number
   /** Whether members call the store through others while it refuses them alone. */
   readonly hasDetour?: boolean
+  /** Memory of a leader for jobs; without it, the default one. */
+  readonly jobMemory?: JobMemory
 }
 
 /** One line of a member's log. */
@@ -68,7 +71,7 @@
   linksBetweenSides: 'silent' | 'refusing' = 'silent'
   private readonly originalRandom = Math.random
 
-  private constructor (seed: number, readonly time: VirtualTime, private readonly longestLeaseMs: number | undefined, private readonly hasDetour: boolean) {
+  private constructor (seed: number, readonly time: VirtualTime, private readonly longestLeaseMs: number | undefined, private readonly hasDetour: boolean, private readonly jobMemory: JobMemory | undefined) {
     this.random = Random.create(seed)
     Math.random = () => this.random.next()
     const report = (text: string): void => { this.violations.push(`at ${Math.round(time.nowMs)}: ${text}`) }
@@ -85,8 +88,8 @@
    * await cell.time.advance(2_000)
    * cell.close()
    */
-  static create (seed: number, { members, targets, longestLeaseMs, hasDetour = false }: VirtualCellOptions): VirtualCell {
-    const cell = new VirtualCell(seed, VirtualTime.install(), longestLeaseMs, hasDetour)
+  static create (seed: number, { members, targets, longestLeaseMs, hasDetour = false, jobMemory }: VirtualCellOptions): VirtualCell {
+    const cell = new VirtualCell(seed, VirtualTime.install(), longestLeaseMs, hasDetour, jobMemory)
     for (let index = 0; index < targets; index += 1) cell.targets.add(`t${index}`)
     for (let index = 0; index < members; index += 1) cell.addHost(`m${index}`)
     return cell
@@ -188,6 +191,7 @@
       self: { member: name, address, bindsCommands: true },
       store: connection,
       hasDetour: this.hasDetour,
+      jobMemory: this.jobMemory,
       commands: this.targets.connect((target) => findHost()?.cutFromTargets === true || findHost()?.unreachedTargets.has(target) === true),
       callMember: (to, call, timeoutMs) => this.callMember(findHost(), to, call, timeoutMs),
       probe: async (to) => {
--- a/test/controller/virtual-member.ts
+++ b/test/controller/virtual-member.ts
@@ -17,6 +17,7 @@
 import { StoreProxy } from '../../src/controller/store-detour/store-proxy.ts'
 import type { ObservedStore } from '../../src/ports/store.ts'
 import type { TargetEntry } from '../../src/workflow/target-entry.ts'
+import type { JobMemory } from '../../src/workflow/held-jobs.ts'
 import { CONFIGURATION } from '../workflow/harness.ts'
 
 export const TARGET_PREFIX = 'servers/'
@@ -39,6 +40,8 @@
   readonly probe: (address: string) => Promise<ProbeResult>
   readonly reporter: Reporter
   readonly longestLeaseMs: number
+  /** Memory of a leader for jobs; without it, the default one. */
+  readonly jobMemory?: JobMemory | undefined
 }
 
 /** A member with the product's own classes, composed as on the platform, without its connections. */
@@ -99,7 +102,7 @@
   }
 
   private startController (term: Term, advisor: AdviceCache): void {
-    const { self, reporter, probe, longestLeaseMs } = this.options
+    const { self, reporter, probe, longestLeaseMs, jobMemory } = this.options
     const { store } = this
     const processProbe = ProcessProbe.create({ probe, furtherPorts: FURTHER_PORTS })
     this.controller?.stop()
@@ -113,6 +116,7 @@
       reporter,
       leaseMs: LEASE_MS,
       longestLeaseMs,
+      ...jobMemory !== undefined && { jobMemory },
       targetPrefix: TARGET_PREFIX,
       parseTarget: (_key, value) => JSON.parse(value) as TargetEntry,
       requestPeerAdvice: (peer, step, targets, timeoutMs) => this.link.requestAdvice(peer, step, targets, timeoutMs),
--- a/test/platform/process-harness.ts
+++ b/test/platform/process-harness.ts
@@ -22,10 +22,11 @@
 
   /**
    * Starts the process; `octet` is the third of its loopback address 127.1.x.2, which differs between concurrent tests. The test can
-   * write the settings itself, to a path that it has prepared, and set environment variables.
+   * write the settings itself, to a path that it has prepared, set environment variables, and fill the store before.
    */
-  static async start (octet: number, writeSettings: (path: string, text: string) => void = writeFileSync, variables: Readonly<Record<string, string>> = {}): Promise<MemberProcess> {
+  static async start (octet: number, writeSettings: (path: string, text: string) => void = writeFileSync, variables: Readonly<Record<string, string>> = {}, fillStore: (kv: KvServer) => void = () => {}): Promise<MemberProcess> {
     const kv = await KvServer.listen()
+    fillStore(kv)
     StandinOperator.create(kv).configure({ version: 1, host: HOST, key: KEY, weight: 100, maxAttempts: 2, queues: [{ name: 'short', priority: 0 }] })
     const options = { name: 'm1', host: `127.1.${octet}.2`, failureDomain: 'east', storeAddress: kv.address, advisorAddress: kv.address, cores: 1 }
     const settings = { ...createMemberSettings(options) as object, bounds: { maxHoldMs: 6_000, graceS: GRACE_S } }
