Bound the response to a watch

What callers saw: a leader ended with "heap out of memory" when members that do not reach it, or announce their jobs late, stored many large jobs at once.

Cause: one response to a watch brings all changes since the last one; no page of the platform limits it. The client took bodies of any length. The stand-in cut such responses, so that no test could show it.

The watcher then reads the entries page by page, of which a page of the platform says "at most about 500 items or 1 MB".

--- a/src/controller/prefix-watcher.ts
+++ b/src/controller/prefix-watcher.ts
@@ -109,7 +109,8 @@
     const response = await callStore(store, { type: 'watch', prefixes: [prefix], afterVersion: version, waitMs })
     if (this.stopped.signal.aborted) return undefined
     this.updateHealth(response.isOk())
-    if (response.isErr()) return version
+    // Changes that cannot be received at once are read page by page.
+    if (response.isErr()) return response.error.reason === 'too-large' ? undefined : version
     if (response.value.compacted) {
       reporter.log('warn', 'watch-history-gone', { prefix, version })
       return undefined
--- a/src/standins/store.ts
+++ b/src/standins/store.ts
@@ -12,6 +12,8 @@
   readonly maxHistoryChanges?: number
   /** Bytes of values after which a response is cut; the rest needs further calls. Default 4,000,000. */
   readonly maxResponseBytes?: number
+  /** The same for the response to a watch; without it, `maxResponseBytes` counts. */
+  readonly maxWatchBytes?: number
 }
 
 type Lease = { readonly ttlMs: number, expiresAt: number, readonly keys: Set<string> }
@@ -41,10 +43,11 @@
   private compactedVersion = 0
   private leaseSequence = 0
 
-  private constructor (private readonly maxHistoryChanges: number, private readonly maxResponseBytes: number) {}
+  private constructor (private readonly maxHistoryChanges: number, private readonly maxResponseBytes: number, private readonly maxWatchBytes: number) {}
 
   static create (options: InMemoryStoreOptions = {}): InMemoryStore {
-    return new InMemoryStore(options.maxHistoryChanges ?? DEFAULT_HISTORY_CHANGES, options.maxResponseBytes ?? DEFAULT_RESPONSE_BYTES)
+    const { maxHistoryChanges = DEFAULT_HISTORY_CHANGES, maxResponseBytes = DEFAULT_RESPONSE_BYTES, maxWatchBytes = maxResponseBytes } = options
+    return new InMemoryStore(maxHistoryChanges, maxResponseBytes, maxWatchBytes)
   }
 
   /** Revision of the newest write. */
@@ -201,7 +204,7 @@
     for (let index = this.findFirstChangeAfter(call.afterVersion); index < this.history.length; index += 1) {
       const change = this.history[index]!
       const version = getVersion(change)
-      if (bytes > this.maxResponseBytes && version > last) return { changes, version: last }
+      if (bytes > this.maxWatchBytes && version > last) return { changes, version: last }
       last = version
       if (!call.prefixes.some((prefix) => getKey(change).startsWith(prefix))) continue
       changes.push(change)
--- a/test/controller/prefix-watcher.test.ts
+++ b/test/controller/prefix-watcher.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import { PrefixWatcher } from '../../src/controller/prefix-watcher.ts'
 import type { Store, StoreCall, StoreEntry } from '../../src/ports/store.ts'
 import { InMemoryStore } from '../../src/standins/store.ts'
@@ -108,3 +108,27 @@
   await waitUntil(() => view.entries.get('op/config') === 'good')
   view.watcher.stop()
 })
+
+// A watch that can't be received would fail again and again, and the entries would never be known.
+test('prefix watcher: guards against the failure that changes which are too large for one response are never seen', async () => {
+  const inner = InMemoryStore.create({ maxResponseBytes: 10 })
+  const store = createStore(inner)
+  const pages: string[][] = []
+  const watcher = PrefixWatcher.create({
+    store: { call: async (call) => call.type === 'watch' && inner.version > call.afterVersion ? err({ reason: 'too-large', verdict: 'may-have-applied' }) : await store.call(call) },
+    prefix: 'op/',
+    waitMs: 5,
+    readsByPage: true,
+    reporter: { log: () => {}, count: () => {}, observe: () => {} },
+    onEntries: (entries) => { if (entries.length > 0) pages.push(entries.map(({ key }) => key)) },
+    onChanges: () => {}
+  })
+  await wait(20)
+  put(inner, 'op/a', 'x'.repeat(20))
+  put(inner, 'op/b', 'x'.repeat(20))
+  const deadline = performance.now() + DEADLINE_MS
+  while (!pages.some(([key]) => key === 'op/b') && performance.now() < deadline) await wait(5)
+  watcher.stop()
+  assert.deepEqual(pages.filter(([key]) => key === 'op/b')[0], ['op/b'])
+  assert.ok(pages.every((keys) => keys.length === 1), JSON.stringify(pages))
+})
--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -15,7 +15,7 @@
 const AMPLE_TIMEOUT_MS = 10_000
 const BUSY_MS = 5
 
-type ServerCase = { readonly scenario: string, readonly onRequest: (socket: Socket) => void, readonly expected: unknown, readonly timeoutMs?: number }
+type ServerCase = { readonly scenario: string, readonly onRequest: (socket: Socket) => void, readonly expected: unknown, readonly timeoutMs?: number, readonly maxBodyBytes?: number }
 
 function formatResponse (text: string, contentLength = Buffer.byteLength(text)): string {
   return `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: ${contentLength}\r\n\r\n${text}`
@@ -27,10 +27,12 @@
   { scenario: 'reports a request without a response as sent', onRequest: () => {}, expected: { reason: 'timeout', sent: true }, timeoutMs: TIMEOUT_MS },
   { scenario: 'reports a request with a truncated response as sent', onRequest: (socket) => { socket.end(formatResponse('{"a"', 7)) }, expected: { reason: 'broken', sent: true } },
   { scenario: 'reports a request with an invalid JSON response as sent', onRequest: (socket) => socket.write(formatResponse('{"a"')), expected: { reason: 'malformed', sent: true } },
+  { scenario: 'accepts a response as long as its limit', onRequest: (socket) => socket.write(formatResponse('{"a":1}')), expected: { status: 200, body: { a: 1 } }, maxBodyBytes: 7 },
+  { scenario: 'guards against the failure that a response of any length is held in memory', onRequest: (socket) => socket.write(formatResponse('{"a":12}')), expected: { reason: 'too-large', sent: true }, maxBodyBytes: 7 },
   { scenario: 'reports a request on a connection that was reset as sent', onRequest: (socket) => { socket.resetAndDestroy() }, expected: { reason: 'broken', sent: true } }
 ]
 
-for (const { scenario, onRequest, expected, timeoutMs = AMPLE_TIMEOUT_MS } of serverCases) {
+for (const { scenario, onRequest, expected, timeoutMs = AMPLE_TIMEOUT_MS, maxBodyBytes } of serverCases) {
   test(`http client: ${scenario}`, async () => {
     const sockets = new Set<Socket>()
     const server = createServer((socket) => {
@@ -41,7 +43,7 @@
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     const client = HttpClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, 1)
     try {
-      const result = await client.send({ method: 'POST', path: '/a', body: {}, timeoutMs })
+      const result = await client.send({ method: 'POST', path: '/a', body: {}, timeoutMs, ...maxBodyBytes !== undefined && { maxBodyBytes } })
       assert.deepEqual(result.isOk() ? result.value : result.error, expected)
     } finally {
       client.close()
--- a/test/platform/stored-large-jobs.test.ts
+++ b/test/platform/stored-large-jobs.test.ts
@@ -41,15 +41,30 @@
   }
 }
 
+type Case = { readonly when: string, readonly isFilledBefore: boolean }
+
 // Each leader read all jobs of the store at once, and gave each of their steps an object: "heap out of memory" in one after another.
-test('platform member: guards against the failure that it ends when the store holds more work than its memory', async () => {
+const CASES: readonly Case[] = [
+  { when: 'the store holds', isFilledBefore: true },
+  { when: 'members that do not reach it store at once', isFilledBefore: false }
+]
+
+for (const { when, isFilledBefore } of CASES) {
+  test(`platform member: guards against the failure that it ends when ${when} more work than its memory`, () => playLargeJobs(isFilledBefore))
+}
+
+async function playLargeJobs (isFilledBefore: boolean): Promise<void> {
   const worker = await WorkerServer.listen({ id: 'w1', needsTickets: false })
   const member = await MemberProcess.start(OCTET, writeFileSync, { NODE_OPTIONS: HEAP }, (kv) => {
-    fillStore(kv)
+    if (isFilledBefore) fillStore(kv)
     StandinOperator.create(kv).publishWorker(worker)
   })
   try {
     await member.waitUntilReady()
+    if (!isFilledBefore) {
+      while (member.kv.read('lead/holder') === undefined) await wait(POLL_INTERVAL_MS)
+      fillStore(member.kv)
+    }
     const endAt = performance.now() + TIMEOUT_MS
     let state: string | undefined
     while ((state !== 'completed' || worker.starts.length < MIN_STARTS || await call(member, 'GET', 'a1b2c3d4e5f70009') !== 'cancelled') && performance.now() < endAt) {
@@ -66,4 +81,4 @@
     await member.close()
     worker.close()
   }
-})
+}
