Forget the occurrences of a job that have ended

What callers would see: a job that recurs every few milliseconds takes more of the leader's memory with each occurrence, until it ends with "heap out of memory", and each next leader after as long.

Change: an occurrence is forgotten with its last step, unless more is to be known of it (copies that run, failures). Steps know their siblings.

--- a/src/workflow/advice/advice-requests.ts
+++ b/src/workflow/advice/advice-requests.ts
@@ -6,7 +6,7 @@
 import { needsAdvice } from '../room/placement.ts'
 import { countFreeSlots } from '../room/target-acceptance.ts'
 import { acceptsTaskOf } from '../room/task-acceptance.ts'
-import type { Job, StepRun } from '../task.ts'
+import type { StepRun } from '../task.ts'
 
 /** Tickets of a step are requested this long before they are needed, on top of the estimated duration of the request. */
 const PREFETCH_MARGIN_MS = 150
@@ -139,19 +139,18 @@
     if (state.pendingAdvice.size >= state.pendingAdvice.channels) return
     if (step.ready || step.spec.after.length === 0 || step.advice.hasResponse || !needsAdvice(state, step)) continue
     if (!mayRequestAdvice(state, step, true)) continue
-    const dueMs = estimateTimeUntilReadyMs(step.job, step, state.now)
+    const dueMs = estimateTimeUntilReadyMs(step, state.now)
     if (dueMs === undefined || dueMs > computeAdviceCostMs(state, step, step.spec.count) + PREFETCH_MARGIN_MS) continue
     requestAdvice(state, step, true)
   }
 }
 
 /** Estimates the time until all predecessors of a step have ended; undefined while one of their tasks is not running. */
-function estimateTimeUntilReadyMs (job: Job, step: StepRun, now: number): number | undefined {
+function estimateTimeUntilReadyMs (step: StepRun, now: number): number | undefined {
   let longestMs = 0
-  const steps = job.occurrences.get(step.occurrence)!
   for (const stepNumber of step.spec.after) {
-    if (steps.isDone(stepNumber)) continue
-    const tasks = steps.find(stepNumber)?.tasks
+    if (step.siblings.isDone(stepNumber)) continue
+    const tasks = step.siblings.find(stepNumber)?.tasks
     if (tasks === undefined) return undefined
     if (tasks.unstartedCount > 0) return undefined
     for (const task of tasks.known()) {
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -204,11 +204,10 @@
 }
 
 function finishStep (state: CellState, step: StepRun): void {
-  const { job } = step
-  const steps = job.occurrences.get(step.occurrence)!
-  steps.release(step)
-  if (!steps.areDone) {
-    if (job.active) openFurtherSteps(state, steps)
+  const { job, siblings } = step
+  job.forgetStep(step)
+  if (!siblings.areDone) {
+    if (job.active) openFurtherSteps(state, siblings)
     return
   }
   if (job.nextOccurrence >= job.definition.occurrences && [...job.occurrences.values()].every(({ areDone }) => areDone)) endJob(state, job, 'completed', 'all tasks have ended')
--- a/src/workflow/occurrence-steps.ts
+++ b/src/workflow/occurrence-steps.ts
@@ -4,7 +4,7 @@
 import type { StepRun } from './task.ts'
 
 /** Creates the object of a step. */
-export type StepFactory = (number: number, spec: Step) => StepRun
+export type StepFactory = (siblings: OccurrenceSteps, number: number, spec: Step) => StepRun
 
 /** Number of steps that wait and have objects, and of those among them that may start, above which no further step gets one. */
 export const MAX_OPENED_STEPS = 100
@@ -36,7 +36,7 @@
    * Creates the steps of an occurrence, none of which has an object.
    *
    * @example
-   * const steps = OccurrenceSteps.create(definition.steps, (number, spec) => StepRun.create(job, 0, number, spec))
+   * const steps = OccurrenceSteps.create(definition.steps, (siblings, number, spec) => StepRun.create(job, 0, siblings, number, spec))
    * for (const step of steps.openFurther()) state.openSteps.add(step)
    */
   static create (specs: readonly Step[], createStep: StepFactory): OccurrenceSteps {
@@ -52,6 +52,11 @@
     return this.doneCount === this.specs.length
   }
 
+  /** Whether no step has an object. */
+  get isEmpty (): boolean {
+    return this.opened.size === 0
+  }
+
   /** The steps that have objects, in no particular order. */
   known (): Iterable<StepRun> {
     return this.opened.values()
@@ -67,7 +72,7 @@
     const known = this.opened.get(number)
     const spec = this.specs[number]
     if (known !== undefined || spec === undefined) return known
-    const step = this.createStep(number, spec)
+    const step = this.createStep(this, number, spec)
     if (this.done.has(number)) step.restoreDone()
     else this.untouched -= 1
     this.opened.set(number, step)
--- a/src/workflow/runs.ts
+++ b/src/workflow/runs.ts
@@ -73,6 +73,7 @@
     if (task.step.job.active) state.openSteps.add(task.step)
   }
   task.step.tasks.release(task)
+  task.step.job.forgetStep(task.step)
   state.startPassNeeded = true
   // The outcome of an ended job may be stored already. Its definition is removed after its last run, in another commit.
   if (!task.step.job.active && task.runs.size === 0) state.effects.push({ type: 'store-progress', job: task.step.job.definition.id })
--- a/src/workflow/task.ts
+++ b/src/workflow/task.ts
@@ -67,15 +67,16 @@
   /** Tasks in the phase `waiting`; maintained by the tasks. */
   waitingTasks: number
 
-  private constructor (readonly job: Job, readonly occurrence: number, readonly stepNumber: number, readonly spec: Step) {
+  private constructor (readonly job: Job, readonly occurrence: number, readonly siblings: OccurrenceSteps, readonly stepNumber: number, readonly spec: Step) {
     this.key = formatStepKey(job.definition.id, occurrence, stepNumber)
     this.tasks = StepTasks.create(Math.floor(spec.count), (index, phase) => Task.create(this, index, phase))
     this.unfinishedTasks = spec.count
     this.waitingTasks = spec.count
   }
 
-  static create (job: Job, occurrence: number, number: number, spec: Step): StepRun {
-    return new StepRun(job, occurrence, number, spec)
+  /** Creates the object of a step; `siblings`: the steps of its occurrence. */
+  static create (job: Job, occurrence: number, siblings: OccurrenceSteps, number: number, spec: Step): StepRun {
+    return new StepRun(job, occurrence, siblings, number, spec)
   }
 
   get done (): boolean {
@@ -97,8 +98,7 @@
 
   /** Whether all predecessors have ended. */
   get ready (): boolean {
-    const siblings = this.job.occurrences.get(this.occurrence)!
-    return this.spec.after.every((number) => siblings.isDone(number))
+    return this.spec.after.every((number) => this.siblings.isDone(number))
   }
 
   /** Whether nothing is to be known of a step that has ended but that it has. */
@@ -113,9 +113,8 @@
   /** Records that one of its tasks has ended. */
   recordTaskDone (): void {
     this.unfinishedTasks -= 1
-    const siblings = this.job.occurrences.get(this.occurrence)!
-    siblings.recordTaskDone()
-    if (this.done) siblings.recordDone(this.stepNumber)
+    this.siblings.recordTaskDone()
+    if (this.done) this.siblings.recordDone(this.stepNumber)
   }
 
   /** Restores a step whose tasks had all ended, which its occurrence knows already. */
@@ -129,7 +128,7 @@
 /** A job and the state of its tasks. */
 export class Job {
   phase: JobPhase = 'queued'
-  /** Steps of the opened occurrences, by occurrence. */
+  /** Steps of the opened occurrences, by occurrence; one that has ended is left out unless more is to be known of it. */
   readonly occurrences = new Map<number, OccurrenceSteps>()
   /** Number of the next occurrence to open; all before it have ended or are in `occurrences`. */
   nextOccurrence = 0
@@ -178,11 +177,18 @@
   openOccurrence (): OccurrenceSteps {
     const number = this.nextOccurrence
     this.nextOccurrence += 1
-    const steps = OccurrenceSteps.create(this.definition.steps, (index, spec) => StepRun.create(this, number, index, spec))
+    const steps = OccurrenceSteps.create(this.definition.steps, (siblings, index, spec) => StepRun.create(this, number, siblings, index, spec))
     this.occurrences.set(number, steps)
     return steps
   }
 
+  /** Forgets a step that has ended, and with the last one its occurrence, unless more is to be known of them. */
+  forgetStep (step: StepRun): void {
+    const { siblings, occurrence } = step
+    siblings.release(step)
+    if (siblings.areDone && siblings.isEmpty) this.occurrences.delete(occurrence)
+  }
+
   /** Returns the task with these parts of its key if its occurrence is open. */
   findTask (occurrence: number, step: number, index: number): Task | undefined {
     return this.occurrences.get(occurrence)?.open(step)?.tasks.get(index)
--- a/test/workflow/many-occurrences.test.ts
+++ b/test/workflow/many-occurrences.test.ts
@@ -37,6 +37,21 @@
   assert.equal(harness.scheduler.getProgress('a')!.nextOccurrence, 2)
 })
 
+// Ended occurrences stayed until the job ended: one that recurs often took the memory of the leader in time.
+test('jobs: guards against the failure that each occurrence that has ended takes memory', () => {
+  const harness = createHarnessWithTarget()
+  harness.apply({ type: 'job-accepted', definition: { ...buildJob('a', { count: 2 }, { after: [0] }), occurrences: 200 } })
+  for (let handled = 0; handled < 300; handled++) {
+    const start = harness.getStarts()[handled]!
+    harness.acceptStart(start)
+    harness.completeRun(start, 'done')
+  }
+  const { occurrences } = harness.scheduler['state'].jobs.get('a')!
+  assert.equal(harness.scheduler.getProgress('a')!.nextOccurrence, 200)
+  assert.deepEqual([...occurrences.keys()].filter((occurrence) => occurrences.get(occurrence)!.areDone), [])
+  assert.ok(occurrences.size < 200 - 50, `${occurrences.size} occurrences`)
+})
+
 // The record of a job with many occurrences grew with each, until the store refused it and with it every later commit.
 test('progress record: guards against the failure that the record of a job grows with each occurrence that has ended', () => {
   const harness = createHarnessWithTarget()
