--- a/src/workflow/held-jobs.ts
+++ b/src/workflow/held-jobs.ts
@@ -3,8 +3,10 @@
 
 /** Memory that a job and each of its steps and of their predecessors take while the job has not ended, in bytes. */
 const JOB_BYTES = 1_000
-const STEP_BYTES = 280
+const STEP_BYTES = 300
 const PREDECESSOR_BYTES = 12
+/** Memory that a text of a step takes beside its characters, in bytes. */
+const TEXT_BYTES = 24
 /** Memory that each step with an object takes beside that, and each task that lasts, in bytes. */
 const OPENED_STEP_BYTES = 1_450
 const LASTING_TASK_BYTES = 1_500
@@ -117,7 +119,8 @@
 
 /** Each task that lasts has an object from its turn on. */
 function estimateStepBytes ({ count, longRunning, after, image, requiredLabel = '', dataRack = '' }: Step): number {
-  return STEP_BYTES + after.length * PREDECESSOR_BYTES + image.length + requiredLabel.length + dataRack.length + (longRunning ? count * LASTING_TASK_BYTES : 0)
+  const texts = [image, requiredLabel, dataRack].reduce((total, { length }) => total + (length === 0 ? 0 : TEXT_BYTES + length), 0)
+  return STEP_BYTES + after.length * PREDECESSOR_BYTES + texts + (longRunning ? count * LASTING_TASK_BYTES : 0)
 }
 
 function sum ({ large, small }: Bytes): number {
