Bound the large jobs that members accept between two words of the leader

What callers saw: members told nobody to come back while they stored far more than the leader had room for; such jobs then wait in the store for long.

Cause: members learn whether the leader is full with a hello, once a second, and counted nothing in between; without a leader they accepted without a limit.

Change: the response to a hello says how much memory of the leader the member may fill with large jobs until the next one, an equal part of what is left. Others are refused before anything is written, with Retry-After 2 s. A leader grants itself the same.

--- a/src/controller/admission/admission.ts
+++ b/src/controller/admission/admission.ts
@@ -11,17 +11,22 @@
 /** When callers are to come back that were refused because the leader's memory is full, in milliseconds. */
 const FULL_RETRY_AFTER_MS = 5_000
 
+/** The same for those refused until the leader's next word. */
+const CREDIT_RETRY_AFTER_MS = 2_000
+
 /** Callers are never told to come back sooner than this, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000
 
-/** What a refused job would have to wait for: the leader's memory, the advisor, or room. */
-export type RefusalCause = 'leader-full' | 'advice' | 'completion'
+/** What a refused job would have to wait for: the leader's memory, or its next word on that, the advisor, or room. */
+export type RefusalCause = 'leader-full' | 'leader-credit' | 'advice' | 'completion'
 
 export type AdmissionOptions = {
   /** The leader's overloads; empty if they are not known. */
   readonly getOverloads: () => readonly Overload[]
   /** Whether the jobs that have not ended leave no room in the leader's memory for this one. */
   readonly isLeaderFull: (definition: JobDefinition) => boolean
+  /** Takes the memory that the job needs at the leader; false if there is not enough. Without it, there is. */
+  readonly takeCredit?: (definition: JobDefinition) => boolean
   /** The leader's forecasts; empty if they are not known. */
   readonly getForecasts?: () => readonly CompletionForecast[]
   /** Called for each refusal with its cause. */
@@ -61,7 +66,8 @@
     const adviceMs = this.getAdviceRetryMs(definition)
     if (adviceMs !== undefined) return this.refuse('advice', adviceMs)
     const completionMs = this.forecastRefusals.getRetryAfterMs(definition, this.options.getForecasts?.() ?? [])
-    return completionMs === undefined ? undefined : this.refuse('completion', completionMs)
+    if (completionMs !== undefined) return this.refuse('completion', completionMs)
+    return this.options.takeCredit?.(definition) === false ? this.refuse('leader-credit', CREDIT_RETRY_AFTER_MS) : undefined
   }
 
   private refuse (cause: RefusalCause, retryAfterMs: number): number {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -185,6 +185,11 @@
     return this.scheduler.isFullForAll
   }
 
+  /** Memory that each member may fill with large jobs until its next hello, in bytes; undefined until the state has been restored. */
+  get largeJobBytes (): number | undefined {
+    return this.restored ? Math.floor(this.scheduler.roomBytes / (this.members.length + 1)) : undefined
+  }
+
   /** The other members that have sent a hello recently. */
   get members (): readonly Peer[] {
     return this.peers.list
--- a/src/controller/member-call-guards.ts
+++ b/src/controller/member-call-guards.ts
@@ -20,7 +20,8 @@
 export function isWelcome (value: unknown): value is Extract<MemberResponse, { type: 'welcome' }> {
   return isObject(value) && value.type === 'welcome' && isListOf(value.peers, isPeer) &&
     (value.waiting === undefined || isObject(value.waiting)) && (value.overloads === undefined || isListOf(value.overloads, isObject)) &&
-    [value.isFull, value.isFullForAll].every((isFull) => isFull === undefined || typeof isFull === 'boolean')
+    [value.isFull, value.isFullForAll].every((isFull) => isFull === undefined || typeof isFull === 'boolean') &&
+    (value.largeJobBytes === undefined || Number.isFinite(value.largeJobBytes))
 }
 
 /** Whether a value is a response to the leader of a later term that tells for how long no commands have been sent. */
--- a/src/controller/member-call.ts
+++ b/src/controller/member-call.ts
@@ -53,10 +53,10 @@
   | { readonly type: 'known-advice', readonly advice: readonly CachedAdvice[] }
   /**
    * `peers`: some other members. `waiting`: number of jobs without a started task, by queue; undefined while the leader reads
-   * the store. `overloads`: long waits for advice; `forecasts`: long waits for room; `isFull`: no further large job should be accepted; `isFullForAll`: no further job at all. These
+   * the store. `overloads`: long waits for advice; `forecasts`: long waits for room; `isFull`: no further large job should be accepted; `isFullForAll`: no further job at all; `largeJobBytes`: memory that the member may fill with large jobs until its next hello. These
    * aren't sent by leaders of an earlier version.
    */
-  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined, readonly overloads?: readonly Overload[], readonly forecasts?: readonly CompletionForecast[], readonly isFull?: boolean, readonly isFullForAll?: boolean }
+  | { readonly type: 'welcome', readonly peers: readonly Peer[], readonly waiting: Readonly<Record<string, number>> | undefined, readonly overloads?: readonly Overload[], readonly forecasts?: readonly CompletionForecast[], readonly isFull?: boolean, readonly isFullForAll?: boolean, readonly largeJobBytes?: number }
   /** The leader has applied what the sender has stored. */
   | { readonly type: 'noted' }
   /** The member leads no earlier term. */
--- a/src/controller/member-link.ts
+++ b/src/controller/member-link.ts
@@ -12,6 +12,7 @@
 import { LeaderFailureDetector } from './leadership/leader-failure-detector.ts'
 import type { Leadership, StandDown } from './leadership/leadership.ts'
 import type { MemberResponse, MemberCall, Peer } from './member-call.ts'
+import { LargeJobCredit } from './admission/large-job-credit.ts'
 import type { AdviceCache } from './advice/advice-cache.ts'
 import { isAdviceResponse, isAnnouncedJob, isCachedAdvice, isPeer, isTermNumber, isWelcome } from './member-call-guards.ts'
 import type { Reporter } from './reporter.ts'
@@ -61,6 +62,8 @@
   /** Long waits for advice and for room, and which jobs should not be accepted, as last received from the leader. */
   private overloads: { readonly list: readonly Overload[], readonly forecasts: readonly CompletionForecast[], readonly isFull: boolean, readonly isFullForAll: boolean, readonly at: number } | undefined
 
+  private readonly largeJobCredit = LargeJobCredit.create()
+
   /** The other members, as last received from the leader. */
   private peers: readonly Peer[] = []
   private readonly leaderFailureDetector: LeaderFailureDetector
@@ -127,7 +130,8 @@
     const controller = this.options.getController()
     if (controller === undefined || !isPeer(peer)) return { type: 'not-leading' }
     controller.recordPeer(peer)
-    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads, forecasts: controller.forecasts, isFull: controller.isFull, isFullForAll: controller.isFullForAll }
+    const { largeJobBytes } = controller
+    return { type: 'welcome', peers: controller.sampleMembers(SAMPLED_MEMBERS), waiting: controller.waitingByQueue, overloads: controller.overloads, forecasts: controller.forecasts, isFull: controller.isFull, isFullForAll: controller.isFullForAll, ...largeJobBytes !== undefined && { largeJobBytes } }
   }
 
   private handleAnnouncement (applyToController: (controller: Controller) => boolean): MemberResponse {
@@ -240,6 +244,12 @@
     return state.isFullForAll || (state.isFull && isLargeJob(estimateJobBytes(definition)))
   }
 
+  /** Takes the memory that a job needs at the leader, if it is a large one; returns whether there is enough. */
+  takeLargeJobCredit (definition: JobDefinition): boolean {
+    const bytes = estimateJobBytes(definition)
+    return !isLargeJob(bytes) || this.largeJobCredit.take(bytes, performance.now())
+  }
+
   private async runHelloLoop (): Promise<void> {
     while (!this.stopped.signal.aborted) {
       await this.sendHello()
@@ -252,6 +262,8 @@
    * waiting jobs.
    */
   async sendHello (): Promise<void> {
+    const controller = this.options.getController()
+    if (controller !== undefined) this.largeJobCredit.grant(controller.largeJobBytes, performance.now())
     const leader = this.options.getLeadership()?.leader
     if (leader === undefined || leader.member === this.options.self.member) return
     const sentAt = performance.now()
@@ -259,6 +271,7 @@
     if (response.isErr() || !isWelcome(response.value)) return
     if (response.value.waiting !== undefined) this.waitingJobs = { counts: response.value.waiting, at: sentAt }
     this.overloads = { list: response.value.overloads ?? [], forecasts: selectForecasts(response.value.forecasts), ...readFullness(response.value), at: sentAt }
+    this.largeJobCredit.grant(response.value.largeJobBytes, sentAt)
     this.peers = response.value.peers.filter(({ member }) => member !== this.options.self.member)
   }
 
--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -234,6 +234,11 @@
     return this.state.heldJobs.isFull
   }
 
+  /** Memory that further large jobs may take, in bytes. */
+  get roomBytes (): number {
+    return this.state.heldJobs.roomBytes
+  }
+
   /** Whether they take so much memory that no further job should be accepted. */
   get isFullForAll (): boolean {
     return this.state.heldJobs.isFullForAll
--- a/src/workflow/held-jobs.ts
+++ b/src/workflow/held-jobs.ts
@@ -64,7 +64,12 @@
 
   /** Whether no further large job should be accepted. */
   get isFull (): boolean {
-    return sum(this.held) + sum(this.deferred) >= this.memory.maxBytes
+    return this.roomBytes === 0
+  }
+
+  /** What further large jobs may take, in bytes. */
+  get roomBytes (): number {
+    return Math.max(0, this.memory.maxBytes - sum(this.held) - sum(this.deferred))
   }
 
   /** Whether no further job should be accepted, however small. */
--- a/test/controller/admission.test.ts
+++ b/test/controller/admission.test.ts
@@ -43,6 +43,18 @@
   assert.deepEqual(times, [3_200, 3_800, 3_200, 3_200, 4_400])
 })
 
+test('admission: guards against the failure that a job takes credit although it is refused', () => {
+  let taken = 0
+  const takeCredit = (): boolean => {
+    taken += 1
+    return taken <= 1
+  }
+  const refusing = Admission.create({ getOverloads: () => [], isLeaderFull: () => true, takeCredit })
+  const accepting = Admission.create({ getOverloads: () => [], isLeaderFull: () => false, takeCredit })
+  const times = [refusing, accepting, accepting].map((admission) => admission.getRetryAfterMs(buildJob('a', {})))
+  assert.deepEqual([times, taken], [[5_000, undefined, 2_000], 2])
+})
+
 // Each leader in turn ended while it held, or restored, what had been accepted; the jobs were served by nobody.
 test('admission: guards against the failure that a job is accepted which the leader cannot hold', () => {
   let isLeaderFull = true
