Refuse at once a job that the store can never take

Cause: only the store knew of its limit; its refusal counted as a passing one.

Result: test/controller/job-service: the job was handed to the store before (the new test fails), is refused now.

--- a/src/controller/job-service.ts
+++ b/src/controller/job-service.ts
@@ -1,5 +1,6 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import { MAX_STORE_VALUE_BYTES } from '../ports/store.ts'
 import type { Store, StoreEntry, StoreFailure } from '../ports/store.ts'
 import { assertNever } from '../util/assert-never.ts'
 import type { JobDefinition, JobPhase } from '../workflow/job.ts'
@@ -15,13 +16,15 @@
 import { waitAtMost } from './wait-at-most.ts'
 
 /**
- * Outcome of a submission. `accepted`: the job is stored, by this or an earlier submission. `refused`: the job is not
+ * Outcome of a submission. `accepted`: the job is stored, by this or an earlier submission. `too-large`: the store takes no
+ * value of that size, so that the job never can be stored. `refused`: the job is not
  * stored and never will be; `retryAfterMs` says when it is expected to be accepted, if that is known. `unknown`: the job may
  * be stored.
  */
 export type SubmissionOutcome =
   | { readonly type: 'accepted', readonly alreadyStored: boolean }
   | { readonly type: 'refused', readonly reason: string, readonly retryAfterMs?: number }
+  | { readonly type: 'too-large', readonly reason: string }
   | { readonly type: 'unknown', readonly reason: string }
 
 /** Result of looking up a job. `absent`: no such job is known. `unavailable`: the store could not be read or written. */
@@ -73,6 +76,8 @@
    */
   async submit (definition: JobDefinition, deadline: number): Promise<SubmissionOutcome> {
     if (!hasStorableId(definition)) return { type: 'refused', reason: 'id-too-long' }
+    const value = JSON.stringify(definition)
+    if (Buffer.byteLength(value) > MAX_STORE_VALUE_BYTES) return { type: 'too-large', reason: `more than ${MAX_STORE_VALUE_BYTES} bytes are to be stored` }
     const earlier = this.submissions.find(definition.id)
     if (!this.options.isStoreResponsive()) return refuse(earlier, 'store-silent')
     const retryAfterMs = this.options.getRetryAfterMs(definition)
@@ -82,14 +87,13 @@
       if (absent === true) return { type: 'refused', reason: 'overloaded', retryAfterMs }
       if (absent === undefined) return refuse(this.submissions.find(definition.id), 'deadline')
     }
-    return this.storeJob(definition, earlier, deadline)
+    return this.storeJob(definition, value, earlier, deadline)
   }
 
-  private async storeJob (definition: JobDefinition, earlier: EarlierAttempts, deadline: number): Promise<SubmissionOutcome> {
+  private async storeJob (definition: JobDefinition, value: string, earlier: EarlierAttempts, deadline: number): Promise<SubmissionOutcome> {
     const key = jobKey(definition.id)
     // The definition of a completed job is deleted, but its progress stays.
     const absentConditions = [key, progressKey(definition.id)].map((absentKey) => ({ type: 'absent', key: absentKey }) as const)
-    const value = JSON.stringify(definition)
     const write = async (): ReturnType<typeof transact> => {
       const result = await this.submissions.track(definition.id, () => transact(this.options.store, absentConditions, [{ key, value }]), toAttemptOutcome)
       // A response may come after the caller was told that the outcome is unknown.
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -72,5 +72,7 @@
 /** A store that knows whether it serves this process at present. */
 export type ObservedStore = Store & { readonly isResponsive: boolean }
 
-/** Maximum size of a value that the store accepts. */
+/** Maximum size of a record of the members' own, in bytes; it leaves a margin to what the store accepts. */
 export const STORE_VALUE_LIMIT_BYTES = 1_000_000
+/** Maximum size of a value that the store accepts, in bytes. */
+export const MAX_STORE_VALUE_BYTES = 1_048_576
--- a/test/controller/job-service.test.ts
+++ b/test/controller/job-service.test.ts
@@ -56,6 +56,14 @@
   })
 }
 
+// A body may have 262,144 bytes, and what is stored of it ten times as many: callers were told again and again to come back.
+test('job service: guards against the failure that a job that can never be stored is refused as if it could be later', async () => {
+  const { jobService, has } = createJobService([])
+  const definition = buildJob(ID, ...Array.from({ length: 5_000 }, () => ({})))
+  assert.equal((await jobService.submit(definition, performance.now() + 1_000)).type, 'too-large')
+  assert.equal(has(jobKey(ID)), false)
+})
+
 const RETRY_AFTER_MS = 4_200
 
 // REFUSED: a caller that is told that its job has not run and never will must be able to rely on it.
