Give each organisation its share of the memory for jobs

Cause: deferred jobs were read in the order of how many jobs their organisations have, so that one with many small jobs waited behind one with a few large ones. The log did not say how much memory jobs take, nor how many are deferred.

Change: the organisation whose jobs take the least memory for its weight comes first. The summary of the cell has `deferredJobs` and `heldJobBytes`.

--- a/src/controller/records/stored-jobs.ts
+++ b/src/controller/records/stored-jobs.ts
@@ -92,7 +92,7 @@
   private addDefinition (definition: JobDefinition): void {
     const outline = toJobOutline(definition)
     const isKept = !this.heldJobs.isLarge(outline.bytes) && this.heldJobs.fits(outline.bytes)
-    if (isKept) this.heldJobs.add(outline.bytes)
+    if (isKept) this.heldJobs.add(outline)
     this.jobs.set(definition.id, isKept ? { type: 'definition', definition } : { type: 'outline', outline })
   }
 
--- a/src/workflow/cell-summary.ts
+++ b/src/workflow/cell-summary.ts
@@ -6,6 +6,9 @@
 /** Utilisation and backlog of a cell, as written to the log. */
 export type CellSummary = {
   readonly jobs: number
+  /** Jobs that stay in the store until there is memory for them, and what the others take by the estimate. */
+  readonly deferredJobs: number
+  readonly heldJobBytes: number
   readonly targets: number
   /** Targets that accept new tasks. */
   readonly usableTargets: number
@@ -38,6 +41,8 @@
   const waiting = ready.map((step) => ({ step, tasks: countStartableTasks(step, state.now) }))
   return {
     jobs: [...state.jobs.values()].filter((job) => job.active).length,
+    deferredJobs: state.deferredJobs.size,
+    heldJobBytes: Math.round(state.heldJobs.heldBytes),
     targets: targets.length,
     usableTargets: usable.length,
     capacityCpuMillis: total(usable.map(({ entry }) => entry.capacity.cpuMillis)),
--- a/src/workflow/deferred-jobs.ts
+++ b/src/workflow/deferred-jobs.ts
@@ -1,4 +1,4 @@
-import { log } from './cell-state.ts'
+import { getWeight, log } from './cell-state.ts'
 import type { CellState } from './cell-state.ts'
 import { estimateJobBytes } from './held-jobs.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
@@ -132,7 +132,7 @@
   const job = state.deferredJobs.find(id)
   if (job === undefined) return undefined
   state.deferredJobs.remove(id)
-  if (job.isLoading) state.heldJobs.remove(job.outline.bytes)
+  if (job.isLoading) state.heldJobs.remove(job.outline)
   else state.heldJobs.removeDeferred(job.outline.bytes)
   return job
 }
@@ -141,17 +141,15 @@
 function load (state: CellState, job: DeferredJob): void {
   job.isLoading = true
   state.heldJobs.removeDeferred(job.outline.bytes)
-  state.heldJobs.add(job.outline.bytes)
+  state.heldJobs.add(job.outline)
   state.effects.push({ type: 'load-job', job: job.outline.id })
 }
 
-/** Jobs of queues of higher priority come first, then those of organisations that hold less memory, then the oldest ones. */
+/** Jobs of queues of higher priority come first, then those of organisations whose jobs take less memory for their weight, then the oldest ones. */
 function sortByPrecedence (state: CellState, jobs: readonly DeferredJob[]): readonly DeferredJob[] {
-  const used = new Map<string, number>()
-  for (const { definition } of state.jobs.values()) used.set(definition.organisation, (used.get(definition.organisation) ?? 0) + 1)
   const getPriority = ({ outline }: DeferredJob): number => state.queues.find(outline.queue)?.priority ?? Infinity
-  const getUsed = ({ outline }: DeferredJob): number => used.get(outline.organisation) ?? 0
-  return [...jobs].sort((left, right) => compare(getPriority(left), getPriority(right)) || getUsed(left) - getUsed(right) || left.outline.submittedAtMs - right.outline.submittedAtMs)
+  const getUsed = ({ outline: { organisation } }: DeferredJob): number => state.heldJobs.getHeldBytesOf(organisation) / getWeight(state, organisation)
+  return [...jobs].sort((left, right) => compare(getPriority(left), getPriority(right)) || compare(getUsed(left), getUsed(right)) || left.outline.submittedAtMs - right.outline.submittedAtMs)
 }
 
 function compare (left: number, right: number): number {
--- a/src/workflow/handle-progress-stored.ts
+++ b/src/workflow/handle-progress-stored.ts
@@ -1,6 +1,6 @@
 import type { CellState } from './cell-state.ts'
 import type { CellEvent } from './event.ts'
-import { estimateJobBytes } from './held-jobs.ts'
+import { toHeldJob } from './held-jobs.ts'
 
 type ProgressStored = Extract<CellEvent, { type: 'progress-stored' }>
 
@@ -23,7 +23,7 @@
     const job = state.jobs.get(id)
     if (job === undefined) continue
     state.jobs.delete(id)
-    state.heldJobs.remove(estimateJobBytes(job.definition))
+    state.heldJobs.remove(toHeldJob(job.definition))
     state.endedJobs.set(id, { phase: job.phase, endedAt: job.endedAt ?? state.now })
   }
 }
--- a/src/workflow/held-jobs.ts
+++ b/src/workflow/held-jobs.ts
@@ -37,6 +37,9 @@
   return { maxBytes: ratio * maxBytes, maxLargeBytes: ratio * maxLargeBytes, largeJobBytes }
 }
 
+/** Whose job takes how much memory. */
+export type HeldJob = { readonly organisation: string, readonly bytes: number }
+
 /** Memory of jobs, in bytes. */
 type Bytes = { large: number, small: number }
 
@@ -44,6 +47,8 @@
 export class HeldJobs {
   /** Of the jobs that the scheduler holds, those under way from the store included. */
   private readonly held: Bytes = { large: 0, small: 0 }
+  /** The same by organisation. */
+  private readonly heldByOrganisation = new Map<string, number>()
   /** Of the jobs that stay in the store until there is room for them. */
   private readonly deferred: Bytes = { large: 0, small: 0 }
 
@@ -55,7 +60,7 @@
    * @example
    * const heldJobs = HeldJobs.create()
    * const bytes = estimateJobBytes(definition)
-   * if (heldJobs.fits(bytes)) heldJobs.add(bytes)
+   * if (heldJobs.fits(bytes)) heldJobs.add({ organisation: definition.organisation, bytes })
    * heldJobs.isFull // whether no further large job should be accepted
    */
   static create (memory = DEFAULT_JOB_MEMORY): HeldJobs {
@@ -67,6 +72,11 @@
     return this.roomBytes === 0
   }
 
+  /** What the jobs take that the scheduler holds, in bytes. */
+  get heldBytes (): number {
+    return sum(this.held)
+  }
+
   /** What further large jobs may take, in bytes. */
   get roomBytes (): number {
     return Math.max(0, this.memory.maxBytes - sum(this.held) - sum(this.deferred))
@@ -90,12 +100,21 @@
     return isLargeJob(bytes, this.memory)
   }
 
-  add (bytes: number): void {
+  add ({ organisation, bytes }: HeldJob): void {
     this.change(this.held, bytes)
+    this.heldByOrganisation.set(organisation, this.getHeldBytesOf(organisation) + bytes)
   }
 
-  remove (bytes: number): void {
+  remove ({ organisation, bytes }: HeldJob): void {
     this.change(this.held, bytes, -1)
+    const left = this.getHeldBytesOf(organisation) - bytes
+    if (left > 0) this.heldByOrganisation.set(organisation, left)
+    else this.heldByOrganisation.delete(organisation)
+  }
+
+  /** What the jobs of an organisation take, in bytes. */
+  getHeldBytesOf (organisation: string): number {
+    return this.heldByOrganisation.get(organisation) ?? 0
   }
 
   addDeferred (bytes: number): void {
@@ -122,6 +141,16 @@
   return steps.reduce((total, step) => total + estimateStepBytes(step), JOB_BYTES + payload.length + opened * OPENED_STEP_BYTES)
 }
 
+/**
+ * Returns whose a job is and what it takes.
+ *
+ * @example
+ * heldJobs.remove(toHeldJob(job.definition))
+ */
+export function toHeldJob (definition: JobDefinition): HeldJob {
+  return { organisation: definition.organisation, bytes: estimateJobBytes(definition) }
+}
+
 /** Each task that lasts has an object from its turn on. */
 function estimateStepBytes ({ count, longRunning, after, image, requiredLabel = '', dataRack = '' }: Step): number {
   const texts = [image, requiredLabel, dataRack].reduce((total, { length }) => total + (length === 0 ? 0 : TEXT_BYTES + length), 0)
--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -4,7 +4,7 @@
 import type { CellState } from './cell-state.ts'
 import { deferJob, takeDeferredJob, toJobOutline } from './deferred-jobs.ts'
 import type { JobOutline } from './deferred-jobs.ts'
-import { estimateJobBytes } from './held-jobs.ts'
+import { toHeldJob } from './held-jobs.ts'
 import type { JobDefinition, JobPhase } from './job.ts'
 import { isFinalPhase } from './job.ts'
 import type { JobProgress } from './progress-record.ts'
@@ -101,7 +101,7 @@
 
 function addJob (state: CellState, job: Job): void {
   state.jobs.set(job.definition.id, job)
-  state.heldJobs.add(estimateJobBytes(job.definition))
+  state.heldJobs.add(toHeldJob(job.definition))
   state.runTimes.applyTo(job)
   storeSettingsOf(state, job.definition)
   for (const steps of job.occurrences.values()) openSteps(state, steps)
