--- a/src/workflow/cell-scheduler.ts
+++ b/src/workflow/cell-scheduler.ts
@@ -1,6 +1,5 @@
 import { assertNever } from '../util/assert-never.ts'
 import { NO_LISTENER } from '../ports/command-client.ts'
-import { AdviceBacklog } from './advice/advice-backlog.ts'
 import type { Overload } from './advice/advice-backlog.ts'
 import { prefetchAdvice, restoreCachedAdvice, handleAdviceResponse } from './advice/advice-requests.ts'
 import { removeExpiredRuns, resendCommands, handleStartResponse, handleStopResponse } from './commands/command-responses.ts'
@@ -12,40 +11,24 @@
 import { handleListing, removeRunsLostByRestarts } from './handle-listing.ts'
 import type { CellEvent, ProcessedCompletions } from './event.ts'
 import type { CompletionForecast } from './forecast/completion-forecast.ts'
-import { CompletionForecasts } from './forecast/completion-forecasts.ts'
-import { LastingBacklogs } from './forecast/lasting-backlogs.ts'
-import { DeferredJobs, getDeferredPhase, loadDeferredJobs, needDeferredJobs } from './deferred-jobs.ts'
-import { HeldJobs } from './held-jobs.ts'
+import { loadDeferredJobs, needDeferredJobs } from './deferred-jobs.ts'
 import type { JobPhase } from './job.ts'
-import { NO_DEMAND, isFinalPhase } from './job.ts'
-import { acceptJob, addLoadedJob, endJob, giveUpDeferredJob, isReleasable, openDueOccurrences, openNextSteps, removeEndedJobs, restoreDeferredJob, restoreJob } from './jobs.ts'
-import { KnownSettings } from './settings/known-settings.ts'
-import { LastingPrecedence } from './order/lasting-precedence.ts'
-import { LastingTaskWaits } from './waits/lasting-task-waits.ts'
+import { isFinalPhase } from './job.ts'
+import { SEARCH_BUDGET_TARGETS, createCellState } from './create-cell-state.ts'
+import { acceptJob, addLoadedJob, endJob, giveUpDeferredJob, openDueOccurrences, openNextSteps, removeEndedJobs, restoreDeferredJob, restoreJob } from './jobs.ts'
+import { countQueuedJobsByQueue, findDeferredJobs, getProgress, getVisiblePhase, needsDefinition } from './job-queries.ts'
 import { restorePastUse, updatePastUse } from './past-use/update-past-use.ts'
-import { PastUse } from './past-use/past-use.ts'
 import type { AccountEntry } from './past-use/past-use.ts'
-import { PendingAdvice } from './advice/pending-advice.ts'
-import { Preemption } from './preemption/preemption.ts'
-import { LastAttempts } from './attempts/last-attempts.ts'
 import type { CellOptions } from './options.ts'
 import { DEFAULT_CELL_OPTIONS } from './options.ts'
 import { restoreClosedTargets } from './takeover/closed-targets.ts'
-import { ConcludedStarts } from './takeover/concluded-starts.ts'
-import { CrashRate } from './crashes/crash-rate.ts'
 import { confirmCrash, prunePossibleCrashes, recordPossibleCrash } from './crashes/crashes.ts'
 import { throttleTargets } from './room/throttling.ts'
-import { ResendPause } from './commands/resend-pause.ts'
-import { RoomLog } from './room/room-log.ts'
 import type { JobProgress } from './progress-record.ts'
-import { toJobProgress } from './progress-record.ts'
 import { handleProgressStored } from './handle-progress-stored.ts'
 import { applyConfiguration, restoreRemovedSettings } from './settings/removed-settings.ts'
 import { formatRunKey } from './run-key.ts'
-import { SilentTargets } from './takeover/silent-targets.ts'
-import { RunTimes } from './run-times/run-times.ts'
 import { runStartPass } from './start-pass.ts'
-import { StartWindow } from './commands/start-window.ts'
 import { stopStragglers } from './stragglers.ts'
 import { forgetDepartedTargets } from './takeover/departed-targets.ts'
 import { findUnsettledTargets } from './takeover/earlier-lapse.ts'
@@ -56,14 +39,6 @@
 import { removeGoneTargets, recordReduction, recordStoredTargets, handleTargetPublished, handleTargetRestarted, pruneStoredTargets, resolveEarlierRuns, resolveListedRuns, handleTargetWithdrawn, useSpareTargets } from './targets.ts'
 import { toKnownResponse } from './commands/revoked-commands.ts'
 import { hasUnansweredStarts, recordRejection, recordStartResponse, resendRejections } from './commands/unanswered-starts.ts'
-import { UnboundTargets } from './takeover/unbound-targets.ts'
-import { UnsettledRunsLog } from './waits/unsettled-runs-log.ts'
-
-/**
- * Number of targets that the searches of one start pass examine. The steps that are left are served by the next passes, so
- * that a backlog cannot keep the process from its other work.
- */
-const SEARCH_BUDGET_TARGETS = 8_000
 
 /**
  * Schedules the steps of all jobs of a cell on its targets. It does no I/O and reads no clock: each event carries the
@@ -77,62 +52,7 @@
   private constructor (private readonly state: CellState) {}
 
   static create (options: Partial<CellOptions> = {}): CellScheduler {
-    const resolved = { ...DEFAULT_CELL_OPTIONS, ...options }
-    return new CellScheduler({
-      options: resolved,
-      now: 0,
-      effects: [],
-      configuration: undefined,
-      queues: KnownSettings.create(),
-      organisations: KnownSettings.create(),
-      usage: new Map(),
-      pastUse: PastUse.create(resolved.features.pastUseHalfLifeS),
-      batchRuns: new Map(),
-      submissionBuckets: new Map(),
-      jobs: new Map(),
-      heldJobs: HeldJobs.create(resolved.jobMemory),
-      deferredJobs: DeferredJobs.create(),
-      endedJobs: new Map(),
-      openSteps: new Set(),
-      targets: new Map(),
-      openTargets: new Map(),
-      roomLog: RoomLog.create(),
-      searchBudget: SEARCH_BUDGET_TARGETS,
-      possibleCrashes: new Map(),
-      crashRate: CrashRate.create(),
-      evacuatedDomains: new Set(),
-      storedTargets: new Set(),
-      closedTargets: new Map(),
-      commandedIncarnations: new Map(),
-      unboundTargets: UnboundTargets.create(resolved.areCommandsBound === true),
-      aloneUntil: Infinity,
-      earlierCommands: { type: 'none' },
-      silentTargets: SilentTargets.create(),
-      runsLostByRestarts: new Map(),
-      restarts: new Map(),
-      revocations: new Map(),
-      departedTargets: new Map(),
-      heldBackTasks: new Map(),
-      earlierRunsPossible: false,
-      pendingAdvice: PendingAdvice.create(),
-      adviceBacklog: AdviceBacklog.create(),
-      allowedRatios: new Map(),
-      runTimes: RunTimes.create(resolved.features.learnedRunTimes),
-      lastingBacklogs: LastingBacklogs.create(resolved.features.newestFirstInBacklog),
-      forecasts: CompletionForecasts.create(resolved.features.completionForecast),
-      uncertainUsage: NO_DEMAND,
-      lastRunNumber: resolved.firstRunNumber - 1,
-      startPassNeeded: false,
-      passWork: { passes: 0, steps: 0, targets: 0 },
-      resendPause: ResendPause.create(resolved.resendAfterMs),
-      startWindow: StartWindow.create(),
-      concludedStarts: ConcludedStarts.create(),
-      lastingTasks: LastingTaskWaits.create(),
-      lastingPrecedence: LastingPrecedence.create(),
-      preemption: Preemption.create(),
-      lastAttempts: LastAttempts.create(),
-      unsettledRuns: UnsettledRunsLog.create()
-    })
+    return new CellScheduler(createCellState({ ...DEFAULT_CELL_OPTIONS, ...options }))
   }
 
   /** Applies one event; `now` is the monotonic clock in milliseconds. */
@@ -191,32 +111,21 @@
 
   /** Phase of a job as callers may see it: `completed` or `failed` only once that is stored. Undefined if the job is unknown. */
   getPhase (id: string): JobPhase | undefined {
-    const job = this.state.jobs.get(id)
-    if (job === undefined) return getDeferredPhase(this.state, id) ?? this.state.endedJobs.get(id)?.phase
-    return job.active || job.phase === 'cancelled' ? job.phase : job.visiblePhase
+    return getVisiblePhase(this.state, id)
   }
 
   /** Whether a new owner would need the definition of a job: the job is active, or runs of it are still being stopped. */
   needsDefinition (id: string): boolean {
-    const job = this.state.jobs.get(id)
-    return job === undefined || !isReleasable(job)
+    return needsDefinition(this.state, id)
   }
 
   getProgress (id: string): JobProgress | undefined {
-    const job = this.state.jobs.get(id)
-    return job === undefined ? undefined : toJobProgress(job)
+    return getProgress(this.state, id)
   }
 
   /** Counts the untimed jobs of each queue that have not started any task. */
   countQueuedJobsByQueue (): Readonly<Record<string, number>> {
-    const counts: Record<string, number> = {}
-    for (const { definition, phase } of this.state.jobs.values()) {
-      if (phase === 'queued' && definition.firstAtMs === 0) counts[definition.queue] = (counts[definition.queue] ?? 0) + 1
-    }
-    for (const { outline, phase, isCancelled } of this.state.deferredJobs.list()) {
-      if (phase === 'queued' && !outline.isTimed && !isCancelled) counts[outline.queue] = (counts[outline.queue] ?? 0) + 1
-    }
-    return counts
+    return countQueuedJobsByQueue(this.state)
   }
 
   /** Long waits for advice, for which members refuse jobs. */
@@ -250,10 +159,8 @@
   }
 
   /** The deferred jobs that a listing names. They must be read before the listing can be handled. */
-  findDeferredJobs ({ running, ended }: TargetListing): readonly string[] {
-    if (this.state.deferredJobs.size === 0) return []
-    const ids = new Set([...running, ...ended].map(({ task }) => task.slice(0, task.indexOf('.'))))
-    return [...ids].filter((id) => this.state.deferredJobs.find(id) !== undefined)
+  findDeferredJobs (listing: TargetListing): readonly string[] {
+    return findDeferredJobs(this.state, listing)
   }
 
   get summary (): CellSummary {
