Remove the jobs that an earlier leader has ended

What callers would see: the store and each leader's memory keep the definitions of jobs that ended shortly before a leader did, for good; large ones would keep the memory for large jobs from others, so that accepted ones never run.

Cause: a job that was restored as ended was stored again, and its definition removed, only after a run of it had been stopped here. Without such a run nothing did it.

Change: once the runs of earlier leaders are known or have lapsed, the restored jobs that have ended and have no runs are stored again; those that are read later, at once.

--- a/src/workflow/jobs.ts
+++ b/src/workflow/jobs.ts
@@ -92,6 +92,16 @@
   addJob(state, job)
   awaitRestoredRuns(state, job)
   indexRestoredCrashes(state, definition.id)
+  if (!state.earlierRunsPossible) releaseIfEnded(state, job)
+}
+
+/** Lets the definitions of restored jobs that have ended be removed, once all runs of previous owners are known or have lapsed. */
+export function releaseEndedJobs (state: CellState): void {
+  for (const job of state.jobs.values()) releaseIfEnded(state, job)
+}
+
+function releaseIfEnded (state: CellState, job: Job): void {
+  if (isReleasable(job)) state.effects.push({ type: 'store-progress', job: job.definition.id })
 }
 
 /** When a restored job was accepted, on the scheduler's clock. */
--- a/src/workflow/targets.ts
+++ b/src/workflow/targets.ts
@@ -7,6 +7,7 @@
 import { hasOpenTargetBeside, isEmptiedByRestart, releaseSpareTargets } from './room/spare-targets.ts'
 import { confirmCrash, confirmReplacedCrashes } from './crashes/crashes.ts'
 import { recordLostByRestart, removeRunsLostByRestarts } from './handle-listing.ts'
+import { releaseEndedJobs } from './jobs.ts'
 import { sendStop } from './runs.ts'
 import type { TargetEntry } from './target-entry.ts'
 import { TargetState } from './target-state.ts'
@@ -201,6 +202,7 @@
 export function resolveEarlierRuns (state: CellState, by: 'listed' | 'lapsed'): void {
   state.earlierRunsPossible = false
   releaseTasks(state)
+  releaseEndedJobs(state)
   const gone = [...state.storedTargets, ...state.closedTargets.keys()].filter((id) => !state.targets.has(id))
   for (const id of gone) {
     state.storedTargets.delete(id)
